--- /dev/null
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the crate's first module lands.
--- /dev/null
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -0,0 +1,65 @@
+//! Sizes and rates with their units.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// A number of bytes. Written as a plain number or with `KiB`, `MiB` or `GiB`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Bytes(pub u64);
+
+/// Events a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Rate(pub f64);
+
+/// The text is no size or rate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseError(String);
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is no number with an optional unit (KiB, MiB, GiB or /s)", self.0)
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+const UNITS: [(&str, u64); 3] = [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10)];
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = UNITS.iter().find(|(_, factor)| self.0 >= *factor && self.0.is_multiple_of(*factor));
+        match whole {
+            Some((unit, factor)) => write!(f, "{}{unit}", self.0 / factor),
+            None => self.0.fmt(f),
+        }
+    }
+}
+
+impl FromStr for Bytes {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let err = || ParseError(text.into());
+        let unit =
+            UNITS.iter().find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, *factor)));
+        let (number, factor) = unit.unwrap_or((text, 1));
+        let number: u64 = number.trim().parse().map_err(|_| err())?;
+        number.checked_mul(factor).map(Self).ok_or_else(err)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").unwrap_or(text);
+        number.trim().parse().map(Self).map_err(|_| ParseError(text.into()))
+    }
+}
