--- a/crates/jacinthbeam-peer/src/lib.rs
+++ b/crates/jacinthbeam-peer/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder until the crate's first module lands.
+//! Messages between entry hosts, carried by `h2` streams and encoded by `bincode`.
+
+pub mod message;
--- /dev/null
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -0,0 +1,238 @@
+//! Everything one entry host says to another.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jacinthbeam_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Version of these messages. A host answers another version with a refusal that names its own.
+pub const VERSION: u32 = 1;
+
+/// A question about control state; small, answered at once (but for [`Question::ReadLog`]).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// I am alive. The answer is a heartbeat too, and vouches if its sender is a witness.
+    Heartbeat(Heartbeat),
+    /// Can you reach this backend server? If you can't and are a witness, promise silence for it.
+    Probe(Probe),
+    /// Promise to vouch for nobody any more under this epoch of the cell's witnesses.
+    Retire {
+        /// Epoch of the witness set that is to be replaced.
+        witness_epoch: Epoch,
+    },
+    /// Please attend this backend server: I am in charge of it but can't reach it, and you can.
+    Attend {
+        /// The backend server.
+        server: ServerId,
+    },
+    /// Read the control stream through me.
+    ReadLog {
+        /// First record wanted.
+        from: Offset,
+        /// At most this many bytes of records, but at least one record.
+        max_bytes: u32,
+        /// How long to wait for a record if there is none yet.
+        wait: Duration,
+    },
+    /// Give me your fold of the control stream.
+    FetchState,
+    /// Keep a copy of this idempotency record before I send the request.
+    Remember(Remembered),
+}
+
+/// Answer to a [`Question`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// To [`Question::Heartbeat`].
+    Heartbeat(Heartbeat),
+    /// To [`Question::Probe`].
+    Probed(Probed),
+    /// To [`Question::Retire`].
+    Retired {
+        /// Whether the promise is given.
+        promised: bool,
+    },
+    /// To [`Question::Attend`] and [`Question::Remember`].
+    Done {
+        /// Whether the host agrees.
+        agreed: bool,
+    },
+    /// To [`Question::ReadLog`].
+    Records(Records),
+    /// To [`Question::FetchState`]: a snapshot as in the control stream.
+    State {
+        /// First record that the snapshot does not contain.
+        next: Offset,
+        /// Encoded snapshot.
+        snapshot: Vec<u8>,
+    },
+    /// The question could not be answered.
+    Failed {
+        /// Why, for the log of the host that asked.
+        why: String,
+    },
+}
+
+/// Sign of life of an entry host, exchanged with every host of its cell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Sender.
+    pub host: HostId,
+    /// This life of the sender.
+    pub incarnation: Incarnation,
+    /// Cell of the sender.
+    pub cell: CellId,
+    /// Where the sender listens for peers.
+    pub peer_address: SocketAddr,
+    /// Whether the sender is stopping and attends nothing new.
+    pub stopping: bool,
+    /// Next record of the control stream that the sender has not read.
+    pub next: Offset,
+    /// Configuration in force at the sender.
+    pub config: Option<ConfigVersion>,
+    /// Backend servers that the sender attends at present, with the token of its grant.
+    pub attends: Vec<(ServerId, Token)>,
+    /// Backend servers of its cell that the sender can't reach at present.
+    pub unreachable: Vec<ServerId>,
+    /// Word of a witness; only in answers.
+    pub vouch: Option<Vouch>,
+    /// Other hosts of the cell that the sender has heard from of late.
+    pub members: Vec<(HostId, Incarnation, SocketAddr)>,
+}
+
+/// Word of a witness that it has given no promise except for the servers named.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// Epoch of the witness set that the word is given under.
+    pub witness_epoch: Epoch,
+    /// Servers for which this witness promised silence, with the server epoch of the promise.
+    pub silent: Vec<(ServerId, Epoch)>,
+}
+
+/// See [`Question::Probe`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// The backend server that does not answer.
+    pub server: ServerId,
+    /// Its epoch in the fold of the host that asks.
+    pub server_epoch: Epoch,
+    /// Epoch of the cell's witnesses in the fold of the host that asks.
+    pub witness_epoch: Epoch,
+}
+
+/// See [`Question::Probe`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Probed {
+    /// The backend server answered this host.
+    Reached,
+    /// It did not answer, and this host promised to be silent for it.
+    Promised,
+    /// It did not answer; this host is no witness under these epochs and promised nothing.
+    NotReached,
+}
+
+/// See [`Question::ReadLog`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    /// Records from the offset asked for, in order.
+    pub records: Vec<(Offset, Vec<u8>)>,
+    /// First record still kept by the log.
+    pub earliest: Offset,
+    /// End of the stream at the time of the proof.
+    pub end: Offset,
+    /// How long before this answer the read that proved `end` was started.
+    pub proof_age: Duration,
+}
+
+/// What an attendant remembers of a request with an idempotency key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remembered {
+    /// Service of the request.
+    pub service: ServiceName,
+    /// Hash of the request's key.
+    pub key: KeyHash,
+    /// Slot of that key.
+    pub slot: Option<SlotId>,
+    /// The caller's idempotency key.
+    pub idempotency_key: IdempotencyKey,
+    /// Hash over method, path and body of the request.
+    pub fingerprint: u64,
+    /// How far it has got.
+    pub progress: Progress,
+}
+
+/// How far a remembered request has got.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Progress {
+    /// About to be sent, or sent; it may have run.
+    Sent,
+    /// Proven not to have run; it may be sent again.
+    NotRun,
+    /// Answered, and the answer is kept.
+    Answered(StoredAnswer),
+    /// Answered, but the answer is too large to be kept.
+    AnsweredNotKept,
+}
+
+/// A kept answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers of the backend server's answer.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Head of a forwarded request; the body follows on the same stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardHead {
+    /// Names the request on every host.
+    pub id: RequestId,
+    /// Service asked for.
+    pub service: ServiceName,
+    /// The caller's key; empty for an undivided service.
+    pub key: Vec<u8>,
+    /// Owner in the sender's fold; the attendant checks it against its own.
+    pub server: ServerId,
+    /// Time left until the deadline when the head was sent.
+    pub deadline: Duration,
+    /// Whether the caller or the method says that a repeat is harmless.
+    pub idempotent: bool,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<IdempotencyKey>,
+    /// HTTP method.
+    pub method: String,
+    /// HTTP path and query.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Length of the body, if the caller named it.
+    pub body_length: Option<u64>,
+}
+
+/// Head of the answer to a forwarded request; the body follows on the same stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The backend server's answer; its body follows.
+    Answer {
+        /// The request that this answers.
+        id: RequestId,
+        /// HTTP status.
+        status: u16,
+        /// Headers to pass on.
+        headers: Vec<(String, Vec<u8>)>,
+        /// Length of the body, if known.
+        body_length: Option<u64>,
+    },
+    /// No answer of a backend server; no body follows.
+    Refused {
+        /// The request that this answers.
+        id: RequestId,
+        /// Why, and whether it may have run.
+        refusal: Refusal,
+        /// Who attends the owner, if the refusing host knows better.
+        attendant: Option<SocketAddr>,
+    },
+}
--- a/crates/jacinthbeam-types/src/size.rs
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -28,7 +28,8 @@
 
 impl fmt::Display for Bytes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let whole = UNITS.iter().find(|(_, factor)| self.0 >= *factor && self.0.is_multiple_of(*factor));
+        let whole =
+            UNITS.iter().find(|(_, factor)| self.0 >= *factor && self.0.is_multiple_of(*factor));
         match whole {
             Some((unit, factor)) => write!(f, "{}{unit}", self.0 / factor),
             None => self.0.fmt(f),
