feat(platform): clients of the log, the host list, grants and backend servers

Cause: the entry crate needs the adapters towards the platform. Change: log::Client, hosts::Client, grant::Client and backend::Pool over hyper's HTTP/1.1 connections. A connection is used again only after a whole answer; a failed append says whether the record may have been written; a failed request says whether it may have run. Conclusion: signatures stand at the top of lib.rs.

--- /dev/null
+++ b/crates/jacinthbeam-platform/src/connection/mod.rs
@@ -0,0 +1,72 @@
+//! One HTTP/1.1 connection, closed as soon as its handle is dropped.
+
+pub(crate) mod line;
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::Body;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// What a streamed request body may fail with.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Handle of a connection; dropping it closes the socket, whatever is in progress on it.
+#[derive(Debug)]
+pub(crate) struct Connection<B> {
+    /// Takes one request at a time.
+    pub(crate) sender: SendRequest<B>,
+    driver: AbortHandle,
+}
+
+impl<B> Drop for Connection<B> {
+    fn drop(&mut self) {
+        // hyper would read the rest of an abandoned answer and keep the socket. Closing it is the only way in
+        // HTTP/1.1 to tell the server that nobody waits, and no later request can meet the rest of that answer.
+        self.driver.abort();
+    }
+}
+
+/// Connects. `guard` is dropped when the socket is closed, not before.
+pub(crate) async fn open<B, G>(addr: SocketAddr, guard: G) -> io::Result<Connection<B>>
+where
+    B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
+    G: Send + Unpin + 'static,
+{
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let driver = tokio::spawn(Driver { conn, guard }).abort_handle();
+    Ok(Connection { sender, driver })
+}
+
+/// Runs a connection. The order of its fields matters: the socket goes first, then the guard.
+struct Driver<B: Body + 'static, G> {
+    conn: http1::Connection<TokioIo<TcpStream>, B>,
+    #[allow(dead_code, reason = "held for its drop")]
+    guard: G,
+}
+
+impl<B, G> Future for Driver<B, G>
+where
+    B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
+    G: Unpin,
+{
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        Pin::new(&mut self.conn).poll(cx).map(|ended| {
+            if let Err(err) = ended {
+                ::log::debug!("connection: ended: {err}");
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-platform/src/log/mod.rs
@@ -0,0 +1,45 @@
+//! Client of the platform's log service.
+
+pub mod append;
+pub mod read;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::connection::line::Line;
+
+/// Largest answer to a read that is accepted beyond the `max_bytes` asked for: one record and its head.
+const READ_SLACK: usize = crate::format::log::MAX_RECORD + crate::format::log::FRAME_HEAD;
+/// Most bytes of records that one read asks for.
+pub const MAX_READ: u32 = 8 << 20;
+const MAX_READ_ANSWER: usize = MAX_READ as usize + READ_SLACK;
+const MAX_APPEND_ANSWER: usize = 16 << 10;
+
+/// One connection for appends, and one for the reads of each stream, since a read may wait for records.
+#[derive(Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    timeout: Duration,
+    appends: Line,
+    reads: Mutex<BTreeMap<String, Arc<Line>>>,
+}
+
+impl Client {
+    /// A client of the log at `addr`. `timeout` bounds each call, beyond the wait that a read asks for.
+    pub fn open(addr: SocketAddr, timeout: Duration) -> Self {
+        let appends = Line::new(addr, MAX_APPEND_ANSWER);
+        Self { addr, timeout, appends, reads: Mutex::new(BTreeMap::new()) }
+    }
+
+    fn reads_of(&self, stream: &str) -> Arc<Line> {
+        let mut reads = self.reads.lock().expect("no holder of the lock panics");
+        let line = reads
+            .entry(stream.to_owned())
+            .or_insert_with(|| Arc::new(Line::new(self.addr, MAX_READ_ANSWER)));
+        line.clone()
+    }
+}
