feat(config): configuration types, merge with origins, and fold of changes

The control state folds configuration changes out of the log, so the types and the pure fold come first. What may not change about a service in use (division, hold to yield, shorter longest deadline without checked grants) is judged there too, for removed services as well.

--- /dev/null
+++ b/crates/jacinthbeam-config/src/document/mod.rs
@@ -0,0 +1,73 @@
+//! A parsed file in which every value knows where it stands.
+
+use std::collections::BTreeMap;
+
+use crate::problem::{Kind, Place, Problem};
+
+mod fields;
+mod parse;
+
+pub use fields::{Fields, read};
+pub use parse::parse;
+
+/// A value and where it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    /// Where the value starts.
+    pub place: Place,
+    /// The value.
+    pub value: Value,
+}
+
+/// A JSON value. Numbers keep their text, so that no precision is lost before the type is known.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    /// `null`
+    Null,
+    /// `true` or `false`
+    Bool(bool),
+    /// A number as written.
+    Number(String),
+    /// A string.
+    Text(String),
+    /// An array.
+    List(Vec<Node>),
+    /// An object.
+    Object(BTreeMap<String, Member>),
+}
+
+/// A field of an object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// Where its name stands.
+    pub place: Place,
+    /// Its value.
+    pub node: Node,
+}
+
+impl Node {
+    /// A problem with this value.
+    pub fn problem(&self, path: &str, kind: Kind) -> Problem {
+        Problem { place: Some(self.place.clone()), path: path.into(), kind }
+    }
+
+    /// A problem: something else was expected here.
+    pub fn unexpected(&self, path: &str, expected: impl Into<String>) -> Problem {
+        let kind = Kind::Unexpected { expected: expected.into(), found: self.value.describe() };
+        self.problem(path, kind)
+    }
+}
+
+impl Value {
+    /// The value in a few words, for errors.
+    pub fn describe(&self) -> String {
+        match self {
+            Self::Null => "null".into(),
+            Self::Bool(value) => value.to_string(),
+            Self::Number(text) => text.clone(),
+            Self::Text(text) => format!("{text:?}"),
+            Self::List(_) => "a list".into(),
+            Self::Object(_) => "an object".into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-config/src/fold/in_use.rs
@@ -0,0 +1,101 @@
+//! What may not change about a service that is, or ever was, in use.
+
+use std::collections::BTreeMap;
+
+use jacinthbeam_types::prelude::*;
+
+use crate::{
+    check::Checked,
+    config::{Config, CutOff, Service},
+    problem::{Kind, Problem},
+};
+
+/// Most services that were removed. Their names stay taken.
+pub const MAX_FORMER: usize = 4096;
+
+/// Checks a new configuration against the one in force and against the services that were removed before.
+///
+/// Entry hosts that are cut off still follow the configuration they read last, for as long as they are cut off. So a
+/// removed service still counts: to remove it and add it again must not get around these rules.
+pub(super) fn check(
+    old: &Config,
+    former: &BTreeMap<ServiceName, Service>,
+    new: &Checked,
+) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for (name, service) in &new.config.services {
+        let Some(before) = old.services.get(name).or_else(|| former.get(name)) else { continue };
+        for rule in [division, cut_off, max_deadline] {
+            problems.extend(rule(before, service).map(|broken| broken.at(name, new)));
+        }
+    }
+    let gone = old.services.keys().filter(|name| !new.config.services.contains_key(*name));
+    let count =
+        former.keys().chain(gone).filter(|name| !new.config.services.contains_key(*name)).count();
+    if count > MAX_FORMER {
+        let what = format!("{count} removed services are more than {MAX_FORMER}");
+        let kind =
+            Kind::Unfit { what, remedy: "keep a service, or use a former name again".into() };
+        problems.push(Problem { place: None, path: "/services".into(), kind });
+    }
+    problems
+}
+
+/// Keeps the last form of every service that `new` no longer has.
+pub(super) fn retire(old: &Config, new: &Config, former: &mut BTreeMap<ServiceName, Service>) {
+    former.retain(|name, _| !new.services.contains_key(name));
+    for (name, service) in &old.services {
+        if !new.services.contains_key(name) {
+            former.insert(name.clone(), service.clone());
+        }
+    }
+}
+
+struct Broken {
+    field: &'static str,
+    what: String,
+    remedy: &'static str,
+}
+
+impl Broken {
+    fn at(self, name: &ServiceName, new: &Checked) -> Problem {
+        let path = format!("/services/{name}/{}", self.field);
+        let origins = &new.origins.0;
+        let place = origins.range(path.clone()..).next().filter(|(at, _)| at.starts_with(&path));
+        let place = place.map(|(_, place)| place.clone());
+        Problem { place, path, kind: Kind::Unfit { what: self.what, remedy: self.remedy.into() } }
+    }
+}
+
+/// With another number of slots nearly every key would change its slot. A failure domain that is cut off would go on
+/// serving a key by the old division while others serve it by the new one: two owners.
+fn division(old: &Service, new: &Service) -> Option<Broken> {
+    (old.division != new.division).then(|| Broken {
+        field: "division",
+        what: format!("the division can't change from {:?} to {:?}", old.division, new.division),
+        remedy: "keep it, or add a service of another name",
+    })
+}
+
+/// A failure domain that is cut off and knows the service as `hold` goes on serving. Were others allowed to take over, as
+/// `yield` says, a key would have two owners. The way back is safe: to hold asks more of whoever takes over.
+fn cut_off(old: &Service, new: &Service) -> Option<Broken> {
+    (old.cut_off == CutOff::Hold && new.cut_off == CutOff::Yield).then(|| Broken {
+        field: "cut_off",
+        what: "can't change from \"hold\" to \"yield\": a domain that is cut off would not learn of it".into(),
+        remedy: "keep \"hold\", or add a service of another name",
+    })
+}
+
+/// Where backend servers check no grants, whoever takes over waits for the longest deadline. A request that was sent
+/// under a longer one could run after that wait, next to the new owner.
+fn max_deadline(old: &Service, new: &Service) -> Option<Broken> {
+    (!new.checks_grants && new.max_deadline < old.max_deadline).then(|| Broken {
+        field: "max_deadline_ms",
+        what: format!(
+            "can't be lowered from {:?} to {:?} while `checks_grants` is false",
+            old.max_deadline, new.max_deadline
+        ),
+        remedy: "lower `default_deadline_ms` instead",
+    })
+}
