feat(admission): decide on admission, duplicates, retries, fairness, health and usage

The entry host needs its request policy as pure functions of time and events, so that each decision can be repeated in a test.

--- /dev/null
+++ b/crates/jacinthbeam-admission/src/connection/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one connection.
+
+pub mod silence;
--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder until the crate's first module lands.
+//! What to do with a request: admit, queue, refuse, retry, replay, count.
+//!
+//! All of it is pure: time and events in, decisions out. The crate sends nothing and reads no clock; the entry host's process
+//! feeds it and acts on what it decides. The reasons, the table of verdicts and the bounds are in `docs/REQUESTS.md`.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod connection;
+pub mod process;
+pub mod request;
+
+pub use connection::silence;
+pub use process::{budget, duplicate, fair, health, server, usage};
+pub use request::retry;
--- /dev/null
+++ b/crates/jacinthbeam-admission/src/process/mod.rs
@@ -0,0 +1,8 @@
+//! What lives as long as the process, or as long as it attends a backend server.
+
+pub mod budget;
+pub mod duplicate;
+pub mod fair;
+pub mod health;
+pub mod server;
+pub mod usage;
--- /dev/null
+++ b/crates/jacinthbeam-admission/src/request/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as one request.
+
+pub mod retry;
+pub mod ticket;
