--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -236,3 +236,12 @@
         attendant: Option<SocketAddr>,
     },
 }
+
+impl ForwardReply {
+    /// The request that this answers.
+    pub fn id(&self) -> RequestId {
+        match self {
+            Self::Answer { id, .. } | Self::Refused { id, .. } => *id,
+        }
+    }
+}
