feat(standin): log, host list and backend servers in memory

Cause: the entry host's process and the local run need something to talk to. Change: log::spawn, hosts::spawn and backend::spawn with run-time faults, each able to listen on several addresses.

--- a/crates/jacinthbeam-standin/src/lib.rs
+++ b/crates/jacinthbeam-standin/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder until the crate's first module lands.
+//! Small stand-ins for what the platform gives: its log, its host list and its backend servers.
+//!
+//! They speak the formats of `jacinthbeam_platform::format` over HTTP/1.1 and can be made to fail on demand. They are
+//! for tests, measurements and a run on one machine; they keep everything in memory and decide nothing
+//! for the system itself.
+//!
+//! # Signatures
+//!
+//! All of these must be called inside a tokio runtime. A handle stops its stand-in when it is dropped, or
+//! gracefully by `shutdown().await`.
+//!
+//! - [`log::spawn`]`(SocketAddr, log::Options) -> io::Result<log::Handle>`
+//! - [`hosts::spawn`]`(SocketAddr, hosts::Options) -> io::Result<hosts::Handle>`
+//! - [`backend::spawn`]`(SocketAddr, backend::Options) -> io::Result<backend::Handle>`
+//!
+//! Every handle has `addr() -> SocketAddr`, `listener() -> &Listener` (the first one) and
+//! `listen(SocketAddr) -> io::Result<Listener>` for further addresses of the same stand-in, for instance
+//! one for each failure domain, so that a test can cut one of them with [`Listener::cut`] and [`Listener::heal`].
+//! The options of a log and of a host list have defaults; those of a backend server start from
+//! [`backend::Options::new`]`(ServerId, ServiceName)`.
+
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod backend;
+pub mod hosts;
+pub mod log;
+mod net;
+
+pub use net::Listener;
