--- a/crates/jacinthbeam-admission/src/connection/silence.rs
+++ b/crates/jacinthbeam-admission/src/connection/silence.rs
@@ -73,7 +73,7 @@
 }
 
 impl Silences {
-    /// A connection was found silent, one that had last been heard from at `since`, so all opened before `now` are suspect.
+    /// A connection was found silent: all that are open now are suspect.
     pub fn seen(&mut self, now: Instant) {
         self.last = self.last.max(Some(now));
     }
--- a/crates/jacinthbeam-admission/src/process/budget.rs
+++ b/crates/jacinthbeam-admission/src/process/budget.rs
@@ -1,20 +1,23 @@
 //! How many attempts beyond the first one a service may cost: a token bucket.
 
-/// What can be tuned.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// Tokens that a retry costs.
+const RETRY: u32 = 1_000;
+
+/// What can be tuned, in thousandths of a retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
-    /// Tokens that each new request brings; a repeated attempt costs one.
-    pub per_request: f64,
+    /// Tokens that each new request brings; a retry costs 1000.
+    pub per_request: u32,
     /// Most tokens kept, which bounds the burst of retries after a quiet time.
-    pub most: f64,
+    pub most: u32,
     /// Tokens at the start.
-    pub initial: f64,
+    pub initial: u32,
 }
 
 impl Default for Options {
-    /// At most `initial + 0.08 n` retries for `n` requests: 1.1 attempts a request or fewer from the hundredth request on.
+    /// At most `2 + 0.08 n` retries for the first `n` requests: 1.1 attempts a request or fewer from the hundredth request on.
     fn default() -> Self {
-        Self { per_request: 0.08, most: 10.0, initial: 2.0 }
+        Self { per_request: 80, most: 10_000, initial: 2_000 }
     }
 }
 
@@ -24,7 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     options: Options,
-    tokens: f64,
+    tokens: u32,
 }
 
 impl Budget {
@@ -35,20 +38,18 @@
 
     /// Counts a new request, not its retries.
     pub fn request(&mut self) {
-        self.tokens = (self.tokens + self.options.per_request).min(self.options.most);
+        self.tokens = self.tokens.saturating_add(self.options.per_request).min(self.options.most);
     }
 
     /// Takes a token for a retry, if there is one.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        let left = self.tokens.checked_sub(RETRY);
+        self.tokens = left.unwrap_or(self.tokens);
+        left.is_some()
     }
 
-    /// Tokens left.
-    pub fn tokens(&self) -> f64 {
+    /// Tokens left, in thousandths of a retry.
+    pub fn tokens(&self) -> u32 {
         self.tokens
     }
 }
--- a/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
@@ -197,23 +197,23 @@
         Imported::Kept
     }
 
-    /// Copies of all entries of the slots picked; reads the whole memory.
+    /// Copies of the entries picked by scope and by the slot that the key had when the request came; reads the whole memory.
     pub fn export<'a>(
         &'a self,
-        picked: impl Fn(&ServiceName, Option<SlotId>) -> bool + 'a,
+        picked: impl Fn(&Scope, Option<SlotId>) -> bool + 'a,
     ) -> impl Iterator<Item = Copy> + 'a {
         let entries = self.entries.iter();
-        let of_slot = entries.filter(move |(scope, entry)| picked(&scope.service, entry.slot));
+        let of_slot = entries.filter(move |(scope, entry)| picked(scope, entry.slot));
         of_slot.map(|(scope, entry)| copy_of(scope, entry))
     }
 
     /// Drops the entries of slots whose memory has been handed over for good, when the record of the move has been read.
     ///
     /// If the slots come back, what the next attendant learnt in between counts, not what stood here.
-    pub fn remove(&mut self, picked: impl Fn(&ServiceName, Option<SlotId>) -> bool) {
+    pub fn remove(&mut self, picked: impl Fn(&Scope, Option<SlotId>) -> bool) {
         let bytes = &mut self.bytes;
         self.entries.retain(|scope, entry| {
-            let gone = picked(&scope.service, entry.slot) && !entry.in_progress;
+            let gone = picked(scope, entry.slot) && !entry.in_progress;
             if gone {
                 *bytes -= size_of_entry(scope, &entry.progress);
             }
--- a/crates/jacinthbeam-admission/src/process/server/estimate.rs
+++ b/crates/jacinthbeam-admission/src/process/server/estimate.rs
@@ -41,7 +41,12 @@
         smoothed.mean.saturating_mul(position) / places.max(1)
     }
 
-    /// Time that a request takes once started, with an allowance for its spread.
+    /// Time that a request takes once started, on average.
+    pub(super) fn mean(&self) -> Duration {
+        self.smoothed.map_or(Duration::ZERO, |smoothed| smoothed.mean)
+    }
+
+    /// The same with an allowance for its spread, for the decision to accept a ticket.
     pub(super) fn own(&self) -> Duration {
         let Some(smoothed) = self.smoothed else { return Duration::ZERO };
         smoothed.mean + smoothed.deviation * DEVIATIONS
--- a/crates/jacinthbeam-admission/src/process/server/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/server/mod.rs
@@ -30,6 +30,10 @@
 /// Shortest such hint, so that a repeat never comes back in a tight loop.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// An accepted ticket is given up when even the estimated wait divided by this is too long, so that a passing
+/// rise of the estimate costs nobody the place in the queue.
+const WAIT_DOUBT: u32 = 2;
+
 /// What can be tuned for one backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -48,8 +52,10 @@
     /// How long after its deadline a request whose connection was lost is taken to be still running. Covers the time until the backend server notices
     /// the deadline and ends the request.
     pub grace: Duration,
-    /// How long after a request was written it has surely begun on a connection that is not silent.
+    /// How long after its connection was closed a request that was on its way has begun, or never will.
     pub settle: Duration,
+    /// How long tickets wait for a held slot or a paused gate. What takes longer is answered at once with a refusal, not near the deadline.
+    pub patience: Duration,
 }
 
 impl Default for Options {
@@ -63,6 +69,7 @@
             ramp_step: Duration::from_millis(100),
             grace: Duration::from_millis(250),
             settle: Duration::from_millis(50),
+            patience: Duration::from_secs(1),
         }
     }
 }
@@ -97,6 +104,7 @@
 pub struct Admission {
     options: Options,
     gate: Gate,
+    gate_since: Instant,
     queue: Queue,
     places: Places,
     ramp: Ramp,
@@ -112,6 +120,7 @@
         let ramp = Ramp::new(&options, now, cold);
         Self {
             gate: Gate::Open,
+            gate_since: now,
             queue: Queue::default(),
             places: Places::new(foreign),
             ramp,
@@ -147,7 +156,8 @@
         }
     }
 
-    /// The tickets to send now, earliest deadline first within a team, teams in turn.
+    /// The tickets to send now, earliest deadline first within a team, teams in turn. To be called after each [`Admission::expire`]
+    /// and after whatever may have freed a place.
     pub fn next(&mut self, now: Instant) -> Vec<Ticket> {
         let mut admitted = Vec::new();
         while self.gate.is_open() && self.has_place() {
@@ -170,19 +180,18 @@
     pub fn expire(&mut self, now: Instant) -> Vec<Refused> {
         self.places.expire(now);
         let mut refused = std::mem::take(&mut self.given_up);
-        let latest = now + self.estimate.own();
-        for ticket in self.queue.remove_due(latest) {
-            let refusal = self.late(now, &ticket);
-            refused.push(Refused { ticket, refusal });
-        }
+        refused.extend(self.expire_held(now));
+        refused.extend(self.expire_late(now));
         refused
     }
 
     /// When [`Admission::expire`] has something to do at the latest, if nothing else happens.
     pub fn wake_at(&self) -> Option<Instant> {
-        let own = self.estimate.own();
-        let hopeless = self.queue.earliest().map(|at| at.checked_sub(own).unwrap_or(at));
-        [hopeless, self.places.next_free()].into_iter().flatten().min()
+        let run = self.estimate.mean();
+        let given_up = self.given_up.iter().map(|refused| refused.ticket.deadline).min();
+        let earliest = self.queue.earliest().into_iter().chain(given_up).min();
+        let hopeless = earliest.map(|at| at.checked_sub(run).unwrap_or(at));
+        [hopeless, self.places.next_free(), self.held_until()].into_iter().flatten().min()
     }
 
     /// Reports how a sent request ended. Returns whether it was known as running.
@@ -248,7 +257,7 @@
         if self.places.is_known(ticket.id) || self.queue.contains(ticket.id) {
             return Err(Refusal::may_have_run(Reason::InProgress).retry_after(self.hint()));
         }
-        if let Gate::Closed(reason) = self.gate {
+        if let Some(reason) = self.refuses(now, ticket.slot) {
             return Err(Refusal::not_run(reason).retry_after(MIN_RETRY_AFTER));
         }
         if ticket.deadline <= now {
@@ -272,11 +281,25 @@
     fn is_in_time(&self, now: Instant, ticket: &Ticket) -> bool {
         let ahead = self.queue.ahead_of(&ticket.team, ticket.deadline, &self.options.weights);
         let wait = self.estimate.wait(ahead + 1, self.limit());
-        now + wait + self.estimate.own() <= ticket.deadline
+        now + wait + self.estimate.own() < ticket.deadline
+    }
+
+    /// Refuses the tickets that would not be served in time even if the wait were much shorter than it looks now.
+    ///
+    /// Tickets with earlier deadlines, or a backend server that got slower, push back what was accepted before.
+    fn expire_late(&mut self, now: Instant) -> Vec<Refused> {
+        let (estimate, limit) = (&self.estimate, self.ramp.limit());
+        let is_late = |ahead: usize, ticket: &Ticket| {
+            let wait = estimate.wait(ahead, limit) / WAIT_DOUBT;
+            now + wait + estimate.mean() >= ticket.deadline
+        };
+        let late = self.queue.remove_by_position(&self.options.weights, is_late);
+        let refuse = |ticket: Ticket| Refused { refusal: self.late(now, &ticket), ticket };
+        late.into_iter().map(refuse).collect()
     }
 
     fn is_hopeless(&self, now: Instant, ticket: &Ticket) -> bool {
-        now + self.estimate.own() > ticket.deadline || ticket.deadline <= now
+        now + self.estimate.mean() >= ticket.deadline
     }
 
     fn late(&self, now: Instant, ticket: &Ticket) -> Refusal {
--- a/crates/jacinthbeam-admission/src/process/server/queue.rs
+++ b/crates/jacinthbeam-admission/src/process/server/queue.rs
@@ -25,7 +25,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     lines: BTreeMap<TeamName, Line>,
-    held: BTreeSet<SlotId>,
+    /// Slots that are not served, and since when.
+    held: BTreeMap<SlotId, Instant>,
     len: usize,
     /// What the last served team had paid before. A team that comes anew starts here: it neither has to catch up with the others nor
     /// may it spend turns that it did not use.
@@ -77,6 +78,11 @@
             .lines
             .get(team)
             .map_or(0, |line| line.tickets.partition_point(|other| other.deadline <= deadline));
+        self.ahead(team, own, weights)
+    }
+
+    /// Tickets that would be served before the one of this team that has `own` tickets of its team before it.
+    fn ahead(&self, team: &TeamName, own: usize, weights: &BTreeMap<TeamName, u32>) -> usize {
         let turns = own as u64 + 1;
         let mine = weight(weights, team);
         let others = self.lines.iter().filter(|(other, _)| *other != team).map(|(other, line)| {
@@ -126,12 +132,22 @@
         self.lines.values().any(|line| line.tickets.iter().any(|ticket| ticket.id == id))
     }
 
-    /// Takes all tickets with a deadline before `latest`.
-    pub(super) fn remove_due(&mut self, latest: Instant) -> Vec<Ticket> {
-        if self.earliest().is_none_or(|earliest| earliest >= latest) {
-            return Vec::new();
+    /// Takes the tickets picked by the number of tickets that would be served before them.
+    pub(super) fn remove_by_position(
+        &mut self,
+        weights: &BTreeMap<TeamName, u32>,
+        picked: impl Fn(usize, &Ticket) -> bool,
+    ) -> Vec<Ticket> {
+        let mut ids = BTreeSet::new();
+        for (team, line) in &self.lines {
+            let tickets = line.tickets.iter().enumerate();
+            let taken = tickets.filter(|(own, t)| picked(self.ahead(team, *own, weights), t));
+            ids.extend(taken.map(|(_, ticket)| ticket.id));
+        }
+        match ids.is_empty() {
+            true => Vec::new(),
+            false => self.drain_where(|ticket| ids.contains(&ticket.id)),
         }
-        self.drain_where(|ticket| ticket.deadline < latest)
     }
 
     pub(super) fn drain_where(&mut self, picked: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
@@ -155,8 +171,30 @@
         self.lines.values().filter_map(|line| Some(line.tickets.front()?.deadline)).min()
     }
 
-    pub(super) fn hold(&mut self, slots: impl IntoIterator<Item = SlotId>) {
-        self.held.extend(slots);
+    pub(super) fn hold(&mut self, now: Instant, slots: impl IntoIterator<Item = SlotId>) {
+        for slot in slots {
+            self.held.entry(slot).or_insert(now);
+        }
+    }
+
+    pub(super) fn held_since(&self, slot: Option<SlotId>) -> Option<Instant> {
+        self.held.get(&slot?).copied()
+    }
+
+    /// Takes the tickets of slots that were held at `since` or before.
+    pub(super) fn remove_held(&mut self, since: Instant) -> Vec<Ticket> {
+        let held: BTreeSet<SlotId> =
+            self.held.iter().filter(|(_, at)| **at <= since).map(|(slot, _)| *slot).collect();
+        match held.is_empty() {
+            true => Vec::new(),
+            false => self.drain_where(|t| t.slot.is_some_and(|slot| held.contains(&slot))),
+        }
+    }
+
+    /// Since when the slot of a waiting ticket has been held, the longest of them.
+    pub(super) fn longest_held(&self) -> Option<Instant> {
+        let tickets = self.lines.values().flat_map(|line| line.tickets.iter());
+        tickets.filter_map(|ticket| self.held_since(ticket.slot)).min()
     }
 
     pub(super) fn resume(&mut self, slots: impl IntoIterator<Item = SlotId>) {
@@ -183,8 +221,8 @@
     }
 }
 
-fn is_held(held: &BTreeSet<SlotId>, slot: Option<SlotId>) -> bool {
-    slot.is_some_and(|slot| held.contains(&slot))
+fn is_held(held: &BTreeMap<SlotId, Instant>, slot: Option<SlotId>) -> bool {
+    slot.is_some_and(|slot| held.contains_key(&slot))
 }
 
 fn weight(weights: &BTreeMap<TeamName, u32>, team: &TeamName) -> u64 {
--- a/crates/jacinthbeam-admission/src/process/server/running.rs
+++ b/crates/jacinthbeam-admission/src/process/server/running.rs
@@ -128,12 +128,9 @@
         if self.foreign == 0 {
             self.remove_older_lost();
         }
-        let own = report.running.saturating_sub(report.running_older);
-        let begun = self.live_begun(report.asked, settle);
-        if own <= begun {
-            // All that runs is accounted for by requests with an open connection: the lost ones have ended.
-            let before = |at: Instant| at + settle <= report.asked;
-            self.remove_lost(|at, _| before(at));
+        // Only a report of none frees lost ones. With one running it can't be told whether that is a lost request or one whose answer is on its way.
+        if report.running == report.running_older {
+            self.remove_lost(|at, _| at + settle <= report.asked);
         }
     }
 
@@ -157,13 +154,6 @@
         self.running.contains_key(&id)
     }
 
-    fn live_begun(&self, asked: Instant, settle: Duration) -> u32 {
-        let begun = self.running.values().filter(|running| {
-            running.state == State::Live && !running.older && running.since + settle <= asked
-        });
-        begun.count() as u32
-    }
-
     fn remove_older_lost(&mut self) {
         let ended: Vec<RequestId> =
             self.ids(|running| running.older && running.state != State::Live);
