--- a/crates/jacinthbeam-standin/src/backend/handle.rs
+++ b/crates/jacinthbeam-standin/src/backend/handle.rs
@@ -70,6 +70,16 @@
         self.shared.server.freeze.unfreeze();
     }
 
+    /// Requests that a freeze has caught in their middle so far.
+    pub fn frozen_requests(&self) -> usize {
+        self.shared.server.freeze.parked()
+    }
+
+    /// Whether requests wait right before their effect, however long; everything else goes on.
+    pub fn set_hold(&self, hold: bool) {
+        self.shared.hold.send_replace(hold);
+    }
+
     /// Makes the open connections of all addresses silent for good, without closing them. New ones work.
     pub fn silence_connections(&self) {
         self.shared.server.listeners().iter().for_each(Listener::silence);
@@ -128,6 +138,7 @@
 
     /// Stops gracefully: requests in progress end first, within a bounded time.
     pub async fn shutdown(self) {
+        self.set_hold(false);
         self.shared.server.shutdown().await;
     }
 }
--- a/crates/jacinthbeam-standin/src/backend/state.rs
+++ b/crates/jacinthbeam-standin/src/backend/state.rs
@@ -8,7 +8,7 @@
 
 use jacinthbeam_platform::format::backend::GrantState;
 use jacinthbeam_types::prelude::*;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 use super::{Options, fence::Fence, run::Runs};
 use crate::net::Server;
@@ -19,6 +19,8 @@
     pub(super) options: Options,
     /// Places for [`Options::concurrency`].
     pub(super) places: Semaphore,
+    /// Whether requests wait right before their effect.
+    pub(super) hold: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -70,6 +72,7 @@
             server: Server::new(options.connections as usize),
             places: Semaphore::new(options.concurrency as usize),
             options,
+            hold: watch::Sender::new(false),
             state: Mutex::new(state),
         })
     }
--- a/crates/jacinthbeam-standin/src/backend/work.rs
+++ b/crates/jacinthbeam-standin/src/backend/work.rs
@@ -118,6 +118,7 @@
     if !service_time.is_zero() {
         tokio::time::sleep(service_time).await;
     }
+    let _ = shared.hold.subscribe().wait_for(|hold| !hold).await;
     shared.server.freeze.work().await;
 }
 
--- a/crates/jacinthbeam-standin/src/net/freeze.rs
+++ b/crates/jacinthbeam-standin/src/net/freeze.rs
@@ -69,6 +69,11 @@
         Work { freeze: self, parked: false }
     }
 
+    /// Number of waits of [`Self::work`] that have begun and not ended.
+    pub(crate) fn parked(&self) -> usize {
+        self.lock().parked
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().expect("no holder of the lock panics")
     }
--- a/crates/jacinthbeam-standin/src/net/listener.rs
+++ b/crates/jacinthbeam-standin/src/net/listener.rs
@@ -29,6 +29,8 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, which mostly means that the process has no file descriptor left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+/// How long a connection at the limit waits for an earlier one to end.
+const CLOSE_GRACE: Duration = Duration::from_millis(20);
 
 /// A listening address of a stand-in. Clones name the same address; it is closed with its stand-in.
 #[derive(Debug, Clone)]
@@ -177,8 +179,7 @@
         while let Some(accepted) = poll_fn(|cx| self.poll_accept(cx)).await {
             self.0.server.freeze.sockets().await;
             match accepted {
-                Ok(stream) if self.0.server.enter() => self.start(stream, serve.clone()),
-                Ok(_excess) => {}
+                Ok(stream) => self.admit(stream, &serve).await,
                 Err(err) => {
                     log::warn!("stand-in: a connection can't be accepted: {err}");
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -187,6 +188,23 @@
         }
     }
 
+    async fn admit<F>(
+        &self,
+        stream: TcpStream,
+        serve: &(impl Fn(Request<Incoming>) -> F + Clone + Send + 'static),
+    ) where
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        // A client that closes one connection and opens the next may be accepted before the close is seen, and
+        // would be counted as one too many. The close is on its way already, so a short wait is enough.
+        if self.0.server.is_full() {
+            tokio::time::sleep(CLOSE_GRACE).await;
+        }
+        if self.0.server.enter() {
+            self.start(stream, serve.clone());
+        }
+    }
+
     fn start<F>(&self, stream: TcpStream, serve: impl Fn(Request<Incoming>) -> F + Send + 'static)
     where
         F: Future<Output = Answer> + Send + 'static,
--- a/crates/jacinthbeam-standin/src/net/server.rs
+++ b/crates/jacinthbeam-standin/src/net/server.rs
@@ -75,6 +75,11 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Whether the limit of connections is reached.
+    pub(super) fn is_full(&self) -> bool {
+        self.open() >= self.limit
+    }
+
     /// Counts a connection in, unless there are too many.
     pub(super) fn enter(&self) -> bool {
         let entered = self.open.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |open| {
