--- a/crates/jacinthbeam-state/src/outcome/text.rs
+++ b/crates/jacinthbeam-state/src/outcome/text.rs
@@ -110,9 +110,10 @@
                 EpochText(base),
                 EpochText(present)
             ),
-            Self::TooFewPromises { promised, needed } => {
-                write!(f, "{promised} witnesses promised or are declared lost, {needed} are needed")
-            }
+            Self::TooFewPromises { promised, needed } => write!(
+                f,
+                "promises of witnesses, with those of members declared lost: {promised}, needed: {needed}"
+            ),
             Self::BadWitnesses(why) => write!(f, "the list of witnesses is wrong: {why}"),
             Self::UnknownSlot(slot) => write!(f, "there is no slot {slot}"),
             Self::NotOwner(owner) => write!(f, "its owner is {}", Name(owner)),
