feat(platform): tests of the adapters, and a look at idle sockets before their reuse

Cause: a connection that its server closed while idle, or on which a late answer had arrived, could take a request before its own task had seen that. A test met it: the request ended as may-have-run though no server saw it. Change: an idle connection is asked of the kernel (a peek) before it is used again. Conclusion: that race is left to bytes still on their way.

--- a/crates/jacinthbeam-platform/src/backend/answer.rs
+++ b/crates/jacinthbeam-platform/src/backend/answer.rs
@@ -124,8 +124,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = &mut *self;
-        if this.held.is_none() && !this.incoming.is_end_stream() && this.left != Some(0) {
-            // Ended before, by an error or by the last chunk.
+        if this.held.is_none() {
             return Poll::Ready(None);
         }
         match Pin::new(&mut this.incoming).poll_frame(cx) {
--- a/crates/jacinthbeam-platform/src/backend/failure.rs
+++ b/crates/jacinthbeam-platform/src/backend/failure.rs
@@ -29,19 +29,19 @@
         Self { verdict: Verdict::MayHaveRun, reason, refused: None, retry_after: None }
     }
 
-    /// The refusal told by the head of an answer, `None` if the answer is that of a request that ran.
+    /// The refusal told by the head of an answer, `Ok(None)` if the answer is that of a request that ran.
     ///
     /// The header alone is no proof: an application that ran the request may set a header of that name. The format
     /// ties it to three statuses, so it counts with these only; with any other status nobody knows.
-    pub(super) fn told_by(status: StatusCode, headers: &HeaderMap) -> Option<Self> {
-        let text = headers.get(REFUSED)?;
+    pub(super) fn told_by(status: StatusCode, headers: &HeaderMap) -> Result<Option<Self>, Self> {
+        let Some(text) = headers.get(REFUSED) else { return Ok(None) };
         if !REFUSAL_STATUSES.contains(&status) {
-            return Some(Self::may_have_run(Reason::PeerProtocol));
+            return Err(Self::may_have_run(Reason::PeerProtocol));
         }
         let refused = text.to_str().ok().and_then(RefusedBecause::from_text);
         let reason = refused.map_or(Reason::RefusedByServer, reason_of);
         let retry_after = retry_after(headers);
-        Some(Self { refused, retry_after, ..Self::not_run(reason) })
+        Ok(Some(Self { refused, retry_after, ..Self::not_run(reason) }))
     }
 }
 
--- a/crates/jacinthbeam-platform/src/backend/pool.rs
+++ b/crates/jacinthbeam-platform/src/backend/pool.rs
@@ -116,7 +116,11 @@
             let mut freed = pin!(self.shared.freed.notified());
             freed.as_mut().enable();
             match self.shared.checkout() {
-                Checkout::Idle(held) => return Ok((held, true)),
+                Checkout::Idle(held) if held.connection.is_quiet() => return Ok((held, true)),
+                Checkout::Idle(held) => {
+                    drop(held);
+                    continue;
+                }
                 Checkout::Place(place) => return Ok((self.dial(place, deadline).await?, false)),
                 Checkout::Closed => return Err(Failure::not_run(Reason::Stopping)),
                 Checkout::Full => {}
@@ -155,19 +159,19 @@
         if res.status() == StatusCode::SWITCHING_PROTOCOLS {
             return Err(Failure::may_have_run(Reason::PeerProtocol));
         }
-        let failure = Failure::told_by(res.status(), res.headers());
+        let refusal = Failure::told_by(res.status(), res.headers())?;
         let (mut head, incoming) = res.into_parts();
-        if failure.is_none() && !head::has_provable_end(&head.headers, incoming.size_hint().exact())
-        {
+        let exact = incoming.size_hint().exact();
+        if refusal.is_none() && !head::has_provable_end(&head.headers, exact) {
             return Err(Failure::may_have_run(Reason::AnswerCut));
         }
         head::strip(&mut head.headers);
         let body = AnswerBody::new(incoming, held, self.shared.clone(), deadline);
-        match failure {
+        match refusal {
             None => Ok(Response::from_parts(head, body)),
-            Some(failure) => {
+            Some(refusal) => {
                 tokio::spawn(drain(body));
-                Err(failure)
+                Err(refusal)
             }
         }
     }
--- a/crates/jacinthbeam-platform/src/backend/shared.rs
+++ b/crates/jacinthbeam-platform/src/backend/shared.rs
@@ -150,7 +150,9 @@
     fn put(&self, held: Held) {
         let since = self.clock.now();
         let mut state = self.state();
-        if state.closed || held.generation != state.generation {
+        // A connection that ended meanwhile must not be put, since its place won't take it out any more.
+        let ended = held.connection.sender.is_closed();
+        if ended || state.closed || held.generation != state.generation {
             drop(state);
             drop(held);
             return;
--- a/crates/jacinthbeam-platform/src/connection/line.rs
+++ b/crates/jacinthbeam-platform/src/connection/line.rs
@@ -54,7 +54,7 @@
             return Err(Error::NotSent("an earlier exchange took all the time".into()));
         };
         // Taken out for the exchange: if this future is dropped, so is the connection.
-        let reused = kept.take().filter(|kept| !kept.sender.is_closed());
+        let reused = kept.take().filter(Connection::is_quiet);
         let (res, conn) = self.exchange_on(reused, req, deadline).await?;
         *kept = conn;
         Ok(res)
--- a/crates/jacinthbeam-platform/src/connection/mod.rs
+++ b/crates/jacinthbeam-platform/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection, closed as soon as its handle is dropped.
 
 pub(crate) mod line;
+mod socket;
 
 use std::{
     future::Future,
@@ -14,7 +15,9 @@
 use http_body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::task::AbortHandle;
+
+use socket::{Socket, Watch};
 
 /// What a streamed request body may fail with.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -25,6 +28,14 @@
     /// Takes one request at a time.
     pub(crate) sender: SendRequest<B>,
     driver: AbortHandle,
+    watch: Watch,
+}
+
+impl<B> Connection<B> {
+    /// Whether an idle connection can take a request: it is open, and nothing has arrived on it.
+    pub(crate) fn is_quiet(&self) -> bool {
+        !self.sender.is_closed() && self.watch.is_quiet()
+    }
 }
 
 impl<B> Drop for Connection<B> {
@@ -41,16 +52,16 @@
     B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
     G: Send + Unpin + 'static,
 {
-    let stream = TcpStream::connect(addr).await?;
-    stream.set_nodelay(true)?;
-    let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let socket = Socket::connect(addr).await?;
+    let watch = socket.watch();
+    let (sender, conn) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(Driver { conn, guard }).abort_handle();
-    Ok(Connection { sender, driver })
+    Ok(Connection { sender, driver, watch })
 }
 
 /// Runs a connection. The order of its fields matters: the socket goes first, then the guard.
 struct Driver<B: Body + 'static, G> {
-    conn: http1::Connection<TokioIo<TcpStream>, B>,
+    conn: http1::Connection<TokioIo<Socket>, B>,
     #[allow(dead_code, reason = "held for its drop")]
     guard: G,
 }
--- /dev/null
+++ b/crates/jacinthbeam-platform/src/connection/socket.rs
@@ -0,0 +1,102 @@
+//! A TCP socket that can be looked at from outside the task that runs it.
+
+use std::{
+    io::{self, ErrorKind, IoSlice},
+    mem::MaybeUninit,
+    net::{Shutdown, SocketAddr},
+    pin::Pin,
+    sync::{Arc, Weak},
+    task::{Context, Poll, ready},
+};
+
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// The socket, for the one task that reads and writes it.
+#[derive(Debug)]
+pub(super) struct Socket(Arc<TcpStream>);
+
+/// Looks at the socket of an idle connection. Does not keep it open.
+#[derive(Debug)]
+pub(super) struct Watch(Weak<TcpStream>);
+
+impl Socket {
+    pub(super) async fn connect(addr: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self(Arc::new(stream)))
+    }
+
+    pub(super) fn watch(&self) -> Watch {
+        Watch(Arc::downgrade(&self.0))
+    }
+}
+
+impl Watch {
+    /// Whether the socket is open and nothing has arrived on it.
+    ///
+    /// What has arrived on an idle connection is its end, or bytes that nobody asked for. The connection's task may
+    /// not have run since. A request sent now would be lost in the first case, though the server never saw it, and in
+    /// the second it could be given another one's answer. Asking the kernel leaves only what is still on its way.
+    pub(super) fn is_quiet(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return false };
+        let mut buf = [MaybeUninit::uninit(); 1];
+        let seen = SockRef::from(&*stream).peek(&mut buf);
+        matches!(seen, Err(err) if err.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read_buf(buf) {
+                Err(err) if err.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(drop)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write_vectored(bufs) {
+                Err(err) if err.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/crates/jacinthbeam-platform/src/format/backend.rs
+++ b/crates/jacinthbeam-platform/src/format/backend.rs
@@ -7,6 +7,8 @@
 //!   or `429` with header [`REFUSED`]; an answer without that header means that the request ran.
 //! - Closing the connection cancels the request.
 
+use std::fmt;
+
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -16,7 +18,8 @@
 pub const SLOT: &str = "grant-slot";
 /// Request header: the caller's key.
 pub const KEY: &str = "request-key";
-/// Request header: [`RequestId`] in its text form.
+/// Request header: [`RequestId`] in its text form. An answer may repeat it; one that names another request is not
+/// taken.
 pub const REQUEST: &str = "request-id";
 /// Request header: milliseconds left until the request's deadline.
 pub const DEADLINE: &str = "request-deadline-ms";
@@ -67,8 +70,42 @@
 
 /// Slots as ascending, disjoint ranges `[first, end)`, which keeps a grant of adjacent slots short.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Vec<(u32, u32)>")]
 pub struct SlotSet(Vec<(u32, u32)>);
 
+/// The ranges are empty, overlap or do not ascend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotSetError;
+
+impl fmt::Display for SlotSetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("slots are ascending, disjoint ranges [first, end) with first < end")
+    }
+}
+
+impl std::error::Error for SlotSetError {}
+
+impl TryFrom<Vec<(u32, u32)>> for SlotSet {
+    type Error = SlotSetError;
+
+    fn try_from(ranges: Vec<(u32, u32)>) -> Result<Self, Self::Error> {
+        let filled = ranges.iter().all(|(first, end)| first < end);
+        let ascend = ranges.windows(2).all(|pair| pair[0].1 <= pair[1].0);
+        if !filled || !ascend {
+            return Err(SlotSetError);
+        }
+        // Adjacent ranges are joined, so that equal sets compare equal however they were written.
+        let mut joined: Vec<(u32, u32)> = Vec::with_capacity(ranges.len());
+        for (first, end) in ranges {
+            match joined.last_mut() {
+                Some(last) if last.1 == first => last.1 = end,
+                _ => joined.push((first, end)),
+            }
+        }
+        Ok(Self(joined))
+    }
+}
+
 impl SlotSet {
     /// Whether the slot is in the set.
     pub fn contains(&self, slot: SlotId) -> bool {
--- a/crates/jacinthbeam-platform/src/log/mod.rs
+++ b/crates/jacinthbeam-platform/src/log/mod.rs
@@ -10,13 +10,17 @@
     time::Duration,
 };
 
-use crate::connection::line::Line;
+use crate::{
+    connection::line::Line,
+    format::log::{FRAME_HEAD, MAX_RECORD},
+};
 
-/// Largest answer to a read that is accepted beyond the `max_bytes` asked for: one record and its head.
-const READ_SLACK: usize = crate::format::log::MAX_RECORD + crate::format::log::FRAME_HEAD;
 /// Most bytes of records that one read asks for.
-pub const MAX_READ: u32 = 8 << 20;
-const MAX_READ_ANSWER: usize = MAX_READ as usize + READ_SLACK;
+pub const MAX_READ: u32 = 4 << 20;
+/// Longest wait that one read asks for.
+pub const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Bound of the memory that an answer takes: [`MAX_READ`] bytes in records of one byte each, and one more record.
+const MAX_READ_ANSWER: usize = MAX_READ as usize * (FRAME_HEAD + 1) + FRAME_HEAD + MAX_RECORD;
 const MAX_APPEND_ANSWER: usize = 16 << 10;
 
 /// One connection for appends, and one for the reads of each stream, since a read may wait for records.
--- a/crates/jacinthbeam-platform/src/log/read.rs
+++ b/crates/jacinthbeam-platform/src/log/read.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use jacinthbeam_types::prelude::Offset;
 
-use super::{Client, MAX_READ};
+use super::{Client, MAX_READ, MAX_WAIT};
 use crate::format::log::{EARLIEST, END, FRAME_HEAD};
 
 /// Consecutive records of a stream.
@@ -58,7 +58,9 @@
 
 impl Client {
     /// Reads records from `from` on, at most `max_bytes` of them but at least one, waiting for up to `wait` if
-    /// there is none. The batch is empty if none came.
+    /// there is none. The batch is empty if none came. Reads of one stream wait for each other.
+    ///
+    /// A batch that reaches `end` proves that the stream held nothing more at some time after the call began.
     pub async fn read(
         &self,
         stream: &str,
@@ -67,6 +69,7 @@
         wait: Duration,
     ) -> Result<Batch, Error> {
         let max_bytes = max_bytes.min(MAX_READ);
+        let wait = wait.min(MAX_WAIT);
         let wait_ms = wait.as_millis();
         let path = format!("/streams/{stream}?from={from}&max_bytes={max_bytes}&wait_ms={wait_ms}");
         let req = Request::get(path)
--- /dev/null
+++ b/crates/jacinthbeam-platform/tests/log/mod.rs
@@ -0,0 +1,10 @@
+mod append;
+mod read;
+
+use std::{net::SocketAddr, time::Duration};
+
+use jacinthbeam_platform::log::Client;
+
+fn client(addr: SocketAddr) -> Client {
+    Client::open(addr, Duration::from_secs(30))
+}
