test(standin): waiting reads and silent connections are shown to be such

Cause: with the wake-up of waiting reads, or the count of silent connections, taken out, the tests still passed. Change: log::Handle::waiting_reads; both tests now fail without their safeguard. Conclusion: the check that no effect follows a kill stays untested, since it needs two threads to meet in one poll.

--- a/crates/jacinthbeam-standin/src/log/mod.rs
+++ b/crates/jacinthbeam-standin/src/log/mod.rs
@@ -126,6 +126,11 @@
         self.shared.kept().store.records(stream)
     }
 
+    /// Reads that wait for a record now.
+    pub fn waiting_reads(&self) -> usize {
+        self.shared.changed.receiver_count()
+    }
+
     /// Stops gracefully.
     pub async fn shutdown(self) {
         self.set_down(true);
--- a/crates/jacinthbeam-standin/tests/backend/fault.rs
+++ b/crates/jacinthbeam-standin/tests/backend/fault.rs
@@ -7,7 +7,7 @@
 use jacinthbeam_standin::backend::{ANSWER_BYTES, ColdStart, Echo, Outcome, SERVICE_MS};
 
 use crate::{
-    bench::{Bench, until, work},
+    bench::{Bench, grant, post, until, work},
     support::{ANY, Client},
 };
 
@@ -30,9 +30,9 @@
 // never sees it. The same order on a new connection is served.
 #[tokio::test]
 async fn silent_connection_stays_silent_while_new_ones_work() {
-    let bench = Bench::new(|options| options.connections = 2);
-    bench.grant(1).await;
+    let bench = Bench::new(|options| options.connections = 1);
     let mut old = bench.client().await;
+    post(&mut old, &grant(&bench.server, 1)).await;
     work(&mut old, 1, &[]).await.unwrap();
     bench.server.silence_connections();
     let mut unanswered = Box::pin(work(&mut old, 1, &[]));
--- a/crates/jacinthbeam-standin/tests/log.rs
+++ b/crates/jacinthbeam-standin/tests/log.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use jacinthbeam_platform::format::log::{Appended, EARLIEST, END};
-use jacinthbeam_standin::log::{self, Options, Retention};
+use jacinthbeam_standin::log::{self, Handle, Options, Retention};
 use jacinthbeam_types::clock::ManualClock;
 use support::{ANY, Client};
 
@@ -20,6 +20,12 @@
     buf
 }
 
+async fn waiting(log: &Handle) {
+    while log.waiting_reads() == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn records_are_read_as_they_were_appended() {
     let log = log::spawn(ANY, Options::default()).unwrap();
@@ -40,7 +46,7 @@
 async fn waiting_read_gets_the_next_record() {
     let log = log::spawn(ANY, Options::default()).unwrap();
     let read = tokio::spawn(support::get(log.addr(), "/streams/s?from=0&wait_ms=60000"));
-    tokio::task::yield_now().await;
+    waiting(&log).await;
     log.append("s", "x".into());
     assert_eq!(read.await.unwrap().body, frames(&[(0, "x")]));
 }
@@ -49,7 +55,7 @@
 async fn waiting_read_is_ended_by_an_outage() {
     let log = log::spawn(ANY, Options::default()).unwrap();
     let read = tokio::spawn(support::get(log.addr(), "/streams/s?from=0&wait_ms=60000"));
-    tokio::task::yield_now().await;
+    waiting(&log).await;
     log.set_down(true);
     assert_eq!(read.await.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
 }
