feat(peer): prove limits, cuts, cancellation and silence over loopback

Cause: what becomes of a request when a peer is slow, silent, stopped or of another version decides the verdict its caller reads, so each case needs a test. A deadline that has passed is no longer sent; a pause of the own process no longer counts as silence of its peers; bodies fill in the length they know.

--- a/crates/jacinthbeam-peer/src/body.rs
+++ b/crates/jacinthbeam-peer/src/body.rs
@@ -145,6 +145,11 @@
         self.length
     }
 
+    /// Bytes still to come, if the length was announced.
+    pub fn remaining(&self) -> Option<u64> {
+        self.length.map(|length| length.saturating_sub(self.seen))
+    }
+
     /// Whether the body is known to have ended, so that [`Body::next`] gives `None`.
     pub fn is_ended(&self) -> bool {
         let ended = match &self.source {
--- a/crates/jacinthbeam-peer/src/client/ask.rs
+++ b/crates/jacinthbeam-peer/src/client/ask.rs
@@ -15,6 +15,8 @@
     request::{receive, send, wire},
 };
 
+/// A longer timeout is as good as none, and could not be added to every clock reading.
+const MAX_TIMEOUT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Longest text of a rejection that is kept, in bytes.
 const MAX_TEXT: usize = 1024;
 
@@ -68,7 +70,7 @@
 ) -> Result<Answer, Error> {
     let max = peers.options.limits.max_message();
     let message = wire::encode(question, max).map_err(|err| Error::TooLarge(err.to_string()))?;
-    let deadline = Instant::now() + timeout;
+    let deadline = Instant::now() + timeout.min(MAX_TIMEOUT);
     let starting = tokio::time::timeout_at(deadline, peers.start(addr, Use::Question));
     let (connection, started) = match starting.await {
         Ok(Ok(started)) => started,
--- a/crates/jacinthbeam-peer/src/client/connection.rs
+++ b/crates/jacinthbeam-peer/src/client/connection.rs
@@ -153,7 +153,7 @@
 pub(crate) async fn drive(opened: Opened, limits: &Limits, mut client: watch::Receiver<()>) -> End {
     let Opened { send, mut driver, mut ping_pong, status } = opened;
     drop(send);
-    let mut watch = Watch::new(limits.silence);
+    let mut watch = Watch::new(limits.silence, Instant::now());
     let mut tick = tokio::time::interval(watch.every());
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut client_gone = false;
--- a/crates/jacinthbeam-peer/src/client/forward.rs
+++ b/crates/jacinthbeam-peer/src/client/forward.rs
@@ -161,6 +161,10 @@
     let limits = &peers.options.limits;
     let id = head.id;
     head.deadline = left(deadline);
+    if head.deadline.is_zero() {
+        return Err(Error::NotSent(Reason::DeadlinePassed));
+    }
+    head.body_length = head.body_length.or(body.remaining());
     let message = wire::encode(&head, limits.max_message())
         .map_err(|err| Error::TooLarge(err.to_string()))?;
     let Started { mut response, sender, stream } = started;
--- a/crates/jacinthbeam-peer/src/connection/mod.rs
+++ b/crates/jacinthbeam-peer/src/connection/mod.rs
@@ -1,7 +1,7 @@
 //! What lives for one connection, on both of its ends: limits, silence detection and stream counting.
 
 pub(crate) mod io;
-pub(crate) mod silence;
+pub mod silence;
 mod status;
 
 use std::time::Duration;
--- a/crates/jacinthbeam-peer/src/connection/silence.rs
+++ b/crates/jacinthbeam-peer/src/connection/silence.rs
@@ -6,9 +6,12 @@
 
 use crate::connection::Silence;
 
+/// No connection is looked at more often, whatever the settings say.
+const MIN_TICK: Duration = Duration::from_millis(5);
+
 /// What to do about a connection now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Finding {
+pub enum Finding {
     /// Nothing.
     Well,
     /// Ask the other end for a sign of life.
@@ -21,29 +24,40 @@
 
 /// Follows one connection; does no I/O.
 #[derive(Debug)]
-pub(crate) struct Watch {
+pub struct Watch {
     bounds: Silence,
     asked: Option<Instant>,
+    checked: Instant,
 }
 
 impl Watch {
-    pub(crate) fn new(bounds: Silence) -> Self {
-        Self { bounds, asked: None }
+    /// Starts at the opening of the connection.
+    pub fn new(bounds: Silence, now: Instant) -> Self {
+        Self { bounds, asked: None, checked: now }
     }
 
     /// How often [`Watch::check`] is to be called while streams are open.
-    pub(crate) fn every(&self) -> Duration {
-        self.bounds.ping_after.min(self.bounds.suspect_after) / 2
+    pub fn every(&self) -> Duration {
+        let shortest = self.bounds.ping_after.min(self.bounds.suspect_after);
+        (shortest / 2).max(MIN_TICK)
     }
 
     /// `heard` is when bytes last arrived, `busy` whether streams are open. Any byte is a sign of life.
     ///
     /// Silence counts from the unanswered PING and not from the last byte: a handler may well need longer for
     /// its answer than a connection may be silent.
-    pub(crate) fn check(&mut self, now: Instant, heard: Instant, busy: bool) -> Finding {
+    ///
+    /// If this process was paused, the answer may lie unread in the socket. Counting the pause as silence would
+    /// give up every connection of a host that was paused for a moment, so the count starts again after it.
+    pub fn check(&mut self, now: Instant, heard: Instant, busy: bool) -> Finding {
+        let paused = now.duration_since(self.checked) > 2 * self.every();
+        self.checked = now;
         if self.asked.is_some_and(|asked| heard >= asked) || !busy {
             self.asked = None;
         }
+        if paused && self.asked.is_some() {
+            self.asked = Some(now);
+        }
         let Some(asked) = self.asked else {
             if busy && now.duration_since(heard) >= self.bounds.ping_after {
                 self.asked = Some(now);
--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -105,6 +105,8 @@
 pub struct Vouch {
     /// Epoch of the witness set that the word is given under.
     pub witness_epoch: Epoch,
+    /// First record that the sender's fold does not contain; the word holds only for a fold that reaches as far.
+    pub next: Offset,
     /// Servers for which this witness promised silence, with the server epoch of the promise.
     pub silent: Vec<(ServerId, Epoch)>,
 }
@@ -157,6 +159,8 @@
     pub idempotency_key: IdempotencyKey,
     /// Hash over method, path and body of the request.
     pub fingerprint: u64,
+    /// Counts the times it was sent; copies may arrive out of order, and the higher one wins.
+    pub attempt: u32,
     /// How far it has got.
     pub progress: Progress,
 }
--- a/crates/jacinthbeam-peer/src/server/connection.rs
+++ b/crates/jacinthbeam-peer/src/server/connection.rs
@@ -64,7 +64,7 @@
         .map_err(|_| Error::HandshakeTimeout(bound))?
         .map_err(Error::Protocol)?;
     let mut ping_pong = connection.ping_pong().expect("taken only once");
-    let mut watch = Watch::new(limits.silence);
+    let mut watch = Watch::new(limits.silence, Instant::now());
     let mut tick = tokio::time::interval(watch.every());
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut draining = false;
--- a/crates/jacinthbeam-peer/src/server/mod.rs
+++ b/crates/jacinthbeam-peer/src/server/mod.rs
@@ -22,7 +22,8 @@
     /// `Fn(ForwardHead, Body, Cancelled) -> impl Future<Output = (ForwardReply, Body)>`
     ///
     /// The future is not dropped when the request is cancelled, so that it can settle what it started; it has
-    /// to watch [`Cancelled`]. The body of a `Refused` reply is ignored.
+    /// to watch [`Cancelled`]. The body of a `Refused` reply is ignored; the
+    /// `body_length` of an answer is filled in if the body knows its length.
     pub forward: F,
 }
 
--- a/crates/jacinthbeam-peer/src/server/request.rs
+++ b/crates/jacinthbeam-peer/src/server/request.rs
@@ -118,7 +118,7 @@
         handled = &mut running => Some(handled),
         _ = poll_fn(|cx| respond.poll_reset(cx)) => None,
     };
-    let Some((answer, body)) = handled else {
+    let Some((mut answer, body)) = handled else {
         cancel.set();
         running.await;
         return Ok(());
@@ -127,7 +127,13 @@
         let text = format!("the handler answered request {} in place of {id}", answer.id());
         return Err(Rejection::new(StatusCode::INTERNAL_SERVER_ERROR, text));
     }
-    let body = matches!(answer, ForwardReply::Answer { .. }).then_some(body);
+    let body = match &mut answer {
+        ForwardReply::Answer { body_length, .. } => {
+            *body_length = body_length.or(body.remaining());
+            Some(body)
+        }
+        ForwardReply::Refused { .. } => None,
+    };
     let answer = encode(&answer, &server.options)?;
     if !reply(respond, answer, body, &server.options).await {
         cancel.set();
--- /dev/null
+++ b/crates/jacinthbeam-peer/tests/peer/client/mod.rs
@@ -0,0 +1,2 @@
+mod ask;
+mod forward;
--- /dev/null
+++ b/crates/jacinthbeam-peer/tests/peer/connection/mod.rs
@@ -0,0 +1,1 @@
+mod silence;
--- /dev/null
+++ b/crates/jacinthbeam-peer/tests/peer/server/mod.rs
@@ -0,0 +1,3 @@
+mod bind;
+mod request;
+mod shutdown;
