--- /dev/null
+++ b/crates/jacinthbeam-entry/src/connection/callers.rs
@@ -0,0 +1,96 @@
+//! HTTP connections of callers.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use http::Request;
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use tokio::{net::TcpListener, sync::watch};
+
+use super::listen::{Accepted, Bounded};
+use crate::{process::Traffic, request::serve::serve};
+
+/// Bounds of a caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Connections open at a time. Default 4096.
+    pub connections: usize,
+    /// Longest head of a request in bytes. Default 16 KiB.
+    pub head: usize,
+    /// Time within which the head of a request must arrive. Default 10 s.
+    pub head_timeout: Duration,
+    /// Requests in progress on one HTTP/2 connection. Default 128.
+    pub streams: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head: 16 << 10,
+            head_timeout: Duration::from_secs(10),
+            streams: 128,
+        }
+    }
+}
+
+/// Serves callers until `stop` turns true, then lets the requests in progress end.
+///
+/// Returns when the last connection is closed.
+pub async fn serve_callers(
+    cx: Arc<Traffic>,
+    listener: TcpListener,
+    options: Options,
+    mut stop: watch::Receiver<bool>,
+) {
+    let listener = Bounded::new(listener, options.connections);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        spawn_connection(&cx, accepted, options, &graceful);
+    }
+    // A listener that stays open would take callers in that nobody serves any more.
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn spawn_connection(
+    cx: &Arc<Traffic>,
+    accepted: Accepted,
+    options: Options,
+    graceful: &GracefulShutdown,
+) {
+    let Accepted { stream, from, room } = accepted;
+    let cx = cx.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
+        let cx = cx.clone();
+        async move { Ok::<_, Infallible>(serve(cx, req).await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head_timeout)
+        .max_buf_size(options.head.max(MIN_BUFFER))
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(options.head as u32)
+        .max_concurrent_streams(options.streams);
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!("callers: connection from {from} ended: {err}");
+        }
+        drop(room);
+    });
+}
+
+/// Smallest buffer that `hyper` takes for HTTP/1, in bytes.
+const MIN_BUFFER: usize = 8192;
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/connection/peers.rs
@@ -0,0 +1,59 @@
+//! What other entry hosts ask of this one.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jacinthbeam_peer::{
+    Body,
+    message::{Answer, ForwardHead, ForwardReply, Question},
+    server::{self, Cancelled, Handler},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    process::{Traffic, control::Event},
+    request::run,
+};
+
+/// Listens for other entry hosts. Questions go to the control thread, requests run here.
+///
+/// A request whose sender goes away is dropped where it stands, which closes its connection to the backend server.
+pub fn bind(
+    addr: SocketAddr,
+    options: server::Options,
+    cx: Arc<Traffic>,
+    control: mpsc::Sender<Event>,
+) -> Result<server::Handle, server::bind::Error> {
+    let handler = Handler {
+        ask: move |question: Question| ask(control.clone(), question),
+        forward: move |head: ForwardHead, body: Body, cancelled: Cancelled| {
+            forward(cx.clone(), head, body, cancelled)
+        },
+    };
+    server::bind(addr, options, handler)
+}
+
+async fn ask(control: mpsc::Sender<Event>, question: Question) -> Answer {
+    let stopping = || Answer::Failed { why: "this host is stopping".into() };
+    let (reply, answer) = oneshot::channel();
+    if control.send(Event::Asked { question, reply }).await.is_err() {
+        return stopping();
+    }
+    answer.await.unwrap_or_else(|_| stopping())
+}
+
+async fn forward(
+    cx: Arc<Traffic>,
+    head: ForwardHead,
+    body: Body,
+    mut cancelled: Cancelled,
+) -> (ForwardReply, Body) {
+    let id = head.id;
+    tokio::select! {
+        answer = run::run(&cx, head, body) => answer,
+        () = cancelled.cancelled() => {
+            // Nobody reads this answer.
+            let refusal = jacinthbeam_types::Refusal::may_have_run(jacinthbeam_types::Reason::Cancelled);
+            (ForwardReply::Refused { id, refusal, attendant: None }, Body::empty())
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -0,0 +1,94 @@
+//! What the control thread is told.
+
+use std::time::Instant;
+
+use jacinthbeam_admission::usage::BatchId;
+use jacinthbeam_lease::attendant;
+use jacinthbeam_peer::message::{Answer, Heartbeat, Probe, Question};
+use jacinthbeam_platform::{format::hosts::HostList, log::read};
+use jacinthbeam_types::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::process::dump::Dump;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A read of the control stream ended.
+    Read {
+        /// Just before it was sent.
+        started: Instant,
+        /// What came of it.
+        outcome: Result<read::Batch, read::Error>,
+    },
+    /// A peer sent its fold.
+    Fetched {
+        /// First record that it does not contain.
+        next: Offset,
+        /// The encoded state.
+        snapshot: Vec<u8>,
+    },
+    /// The platform's list was read.
+    Listed(HostList),
+    /// A peer asks.
+    Asked {
+        /// The question.
+        question: Question,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A peer answered a heartbeat.
+    Heard {
+        /// Just before the heartbeat was sent.
+        started: Instant,
+        /// Its own heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// This host tried a backend server for a peer.
+    Tried {
+        /// The peer's question.
+        probe: Probe,
+        /// Whether the backend server answered.
+        reached: bool,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// Something happened that concerns one attendant.
+    Attendant {
+        /// The backend server that it is for.
+        server: ServerId,
+        /// What happened.
+        event: attendant::Event,
+    },
+    /// A witness promised to vouch no more under this epoch.
+    Retired {
+        /// The witness.
+        incarnation: Incarnation,
+        /// Epoch of the set.
+        epoch: Epoch,
+    },
+    /// The append of a new set of witnesses ended, one way or the other.
+    WitnessesAppended,
+    /// The append of the first division of a service ended, one way or the other.
+    FoundAppended {
+        /// The service.
+        service: ServiceName,
+    },
+    /// The append of a batch of counts ended.
+    UsageAppended {
+        /// The batch.
+        id: BatchId,
+        /// Whether it surely stands in the log.
+        written: bool,
+    },
+    /// Somebody wants a dump.
+    Dump {
+        /// Where it goes.
+        reply: oneshot::Sender<Dump>,
+    },
+    /// The process is to stop.
+    Stop {
+        /// Told when everything has been handed over.
+        done: oneshot::Sender<()>,
+    },
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -0,0 +1,174 @@
+//! Following the control stream.
+
+use std::time::{Duration, Instant};
+
+use jacinthbeam_platform::log::read::{Batch, Error};
+use jacinthbeam_state::{
+    CONTROL, Change, Outcome, State,
+    load::{Loader, Step},
+};
+use jacinthbeam_types::prelude::*;
+
+use super::{Control, Event};
+
+/// How long a read waits for a record. A read proves the time of its start, so this must be short against the lease.
+const WAIT: Duration = Duration::from_millis(150);
+/// Most bytes of records in one read.
+const MAX_READ: u32 = 4 << 20;
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Failed reads after which a host without state asks its peers for theirs.
+const ASK_PEERS_AFTER: u32 = 2;
+
+/// Where this host stands in the stream.
+#[derive(Debug)]
+pub struct Follow {
+    /// Set while the state is being searched for in a stream whose first records have expired.
+    loader: Option<Loader>,
+    failures: u32,
+    /// Offset at which this host must stop reading, because a newer release wrote it.
+    stuck: Option<Offset>,
+}
+
+impl Follow {
+    /// At the start of the stream.
+    pub fn new() -> Self {
+        Self { loader: None, failures: 0, stuck: None }
+    }
+
+    /// Failed reads since the last one that succeeded.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+impl Control {
+    /// Starts the next read of the stream.
+    pub(super) fn read_on(&self, pause: Duration) {
+        let client = self.log.clone();
+        let clock = self.clock.clone();
+        let from = self.follow.loader.as_ref().map_or(self.state.next, Loader::next);
+        self.spawn_event(async move {
+            tokio::time::sleep(pause).await;
+            let started = clock.now();
+            let outcome = client.read(CONTROL, from, MAX_READ, WAIT).await;
+            Some(Event::Read { started, outcome })
+        });
+    }
+
+    pub(super) fn read(&mut self, started: Instant, outcome: Result<Batch, Error>) {
+        match outcome {
+            Ok(batch) => {
+                self.follow.failures = 0;
+                self.take_batch(started, batch);
+                let pause = if self.follow.stuck.is_some() { PAUSE } else { Duration::ZERO };
+                self.read_on(pause);
+            }
+            Err(Error::Expired { earliest, .. }) => {
+                log::warn!("log: records before {earliest} have expired, looking for a snapshot");
+                self.follow.loader = Some(Loader::at(earliest));
+                self.read_on(Duration::ZERO);
+            }
+            Err(err) => self.read_failed(&err),
+        }
+    }
+
+    fn read_failed(&mut self, err: &Error) {
+        self.follow.failures += 1;
+        if self.follow.failures == 1 {
+            log::warn!("log: read failed: {err}");
+        }
+        if self.follow.failures >= ASK_PEERS_AFTER && self.state.next == Offset(0) {
+            self.fetch_state();
+        }
+        self.read_on(PAUSE);
+    }
+
+    fn take_batch(&mut self, started: Instant, batch: Batch) {
+        let now = self.clock.now();
+        let moved = !batch.records.is_empty();
+        for record in &batch.records {
+            if self.follow.stuck.is_some() {
+                return;
+            }
+            self.take_record(now, record.offset, &record.bytes);
+        }
+        if self.follow.loader.is_none() && self.state.next >= batch.end {
+            self.proofs.log_read(started, batch.end);
+        }
+        if moved {
+            self.witness.forget(&self.state);
+            self.changed = true;
+            self.tick_attendants();
+        }
+    }
+
+    fn take_record(&mut self, now: Instant, offset: Offset, buf: &[u8]) {
+        if let Some(loader) = &mut self.follow.loader {
+            match loader.push(offset, buf) {
+                Ok(Step::Searching) => {}
+                Ok(Step::Unusable(err)) => log::warn!("log: snapshot before {offset}: {err}"),
+                Ok(Step::Loaded(state)) => self.adopt(now, *state),
+                Err(err) => self.stick(offset, &err),
+            }
+            return;
+        }
+        // A read may bring records again that were applied while it was on the way.
+        if offset < self.state.next {
+            return;
+        }
+        let outcome = match self.state.apply_bytes(offset, buf) {
+            Ok(outcome) => outcome,
+            Err(err) => return self.stick(offset, &err),
+        };
+        self.observed.read(now, offset);
+        match outcome {
+            Outcome::Applied { changes, .. } => {
+                changes.iter().for_each(|change| self.note_change(offset, change));
+            }
+            Outcome::Void(why) => log::info!("log: record {offset} is void: {why}"),
+        }
+    }
+
+    /// Replaces the fold by one that reaches further. How long ago its records were written is unknown, so every wait
+    /// for a lease's end starts now.
+    pub(super) fn adopt(&mut self, now: Instant, state: State) {
+        if state.next <= self.state.next && self.follow.loader.is_none() {
+            return;
+        }
+        self.follow.loader = None;
+        if state.next > self.state.next {
+            log::info!("log: state taken over up to record {}", state.next);
+            self.state = state;
+            self.observed.replaced(now);
+            self.changed = true;
+        }
+    }
+
+    fn note_change(&mut self, offset: Offset, change: &Change) {
+        if let Change::SnapshotPart { part, of, .. } = change {
+            if part + 1 == *of {
+                self.snapshots.seen(self.clock.now(), offset);
+            }
+            return;
+        }
+        if let Change::Config(version) = change {
+            log::info!("config: version {version} is in force");
+            self.reconfigure_teams();
+            return;
+        }
+        log::info!("owner: record {offset}: {change}");
+    }
+
+    fn stick(&mut self, offset: Offset, err: &jacinthbeam_state::apply::Error) {
+        log::error!("log: {err}");
+        self.follow.stuck = Some(offset);
+    }
+
+    pub(super) fn fetched(&mut self, next: Offset, snapshot: &[u8]) {
+        match State::decode(next, snapshot) {
+            Ok(state) => self.adopt(self.clock.now(), state),
+            Err(err) => log::warn!("log: state of a peer: {err}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -0,0 +1,242 @@
+//! The control thread: all control state of the process, and the loop that feeds it events.
+//!
+//! The decisions are made by the pure crates; the modules here carry them out. Every handler takes one event, never waits, and
+//! spawns a task for what takes time; the task comes back with another event.
+
+mod answer;
+mod append;
+mod attend;
+mod cell;
+mod dump;
+mod event;
+mod follow;
+mod found;
+mod heartbeat;
+mod publish;
+mod snapshot;
+mod usage;
+mod witnesses;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_lease::{
+    Members, Observed, Proofs, Timing, Witness, membership::Heard, witnesses::Planner,
+};
+use jacinthbeam_peer::Client;
+use jacinthbeam_platform::{format::hosts::HostList, hosts, log};
+use jacinthbeam_state::State;
+use jacinthbeam_types::prelude::*;
+use tokio::sync::mpsc;
+
+use super::{Identity, Traffic};
+
+pub use event::Event;
+
+/// Time between two looks at everything that depends on time.
+const TICK: Duration = Duration::from_millis(50);
+/// Events that wait to be handled. A full queue makes peers wait, which is what should happen to them.
+const QUEUE: usize = 4096;
+
+/// What the control thread needs to start.
+#[derive(Debug)]
+pub struct Start {
+    /// Who this process is.
+    pub me: Identity,
+    /// What it shares with traffic.
+    pub traffic: Arc<Traffic>,
+    /// Durations of the protocol.
+    pub timing: Timing,
+    /// The platform's log.
+    pub log: SocketAddr,
+    /// The platform's list of hosts.
+    pub hosts: SocketAddr,
+    /// Bound of one call to the platform.
+    pub platform_timeout: Duration,
+}
+
+/// Sender and receiver of events.
+pub fn channel() -> (mpsc::Sender<Event>, mpsc::Receiver<Event>) {
+    mpsc::channel(QUEUE)
+}
+
+/// All control state of the process.
+pub struct Control {
+    me: Identity,
+    traffic: Arc<Traffic>,
+    timing: Timing,
+    clock: Arc<dyn Clock>,
+    tx: mpsc::Sender<Event>,
+    log: Arc<log::Client>,
+    appends: Arc<log::Client>,
+    host_list: Arc<hosts::Client>,
+    peers: Client,
+    records: AtomicU64,
+
+    state: State,
+    follow: follow::Follow,
+    observed: Observed,
+    members: Members,
+    proofs: Proofs,
+    witness: Witness,
+    planner: Planner,
+    witness_change: witnesses::Progress,
+    list: HostList,
+    heard: BTreeMap<HostId, heartbeat::Sign>,
+    tended: BTreeMap<ServerId, attend::Tended>,
+    found: found::Founding,
+    snapshots: snapshot::Pace,
+    usage: usage::Flush,
+    next_heartbeat: Instant,
+    next_list: Instant,
+    /// Whether traffic has to be given a new version.
+    changed: bool,
+    stopping: Option<tokio::sync::oneshot::Sender<()>>,
+    handed_over: BTreeSet<ServerId>,
+}
+
+impl Control {
+    /// Control state at the start of the process. Has to be called in the control thread's runtime.
+    pub fn new(start: Start, tx: mpsc::Sender<Event>) -> Self {
+        let Start { me, traffic, timing, log, hosts, platform_timeout } = start;
+        let clock = traffic.clock.clone();
+        let now = clock.now();
+        let own = Heard {
+            host: me.host.clone(),
+            incarnation: me.incarnation,
+            peer_address: me.peer_address,
+            stopping: false,
+            unreachable: BTreeSet::new(),
+            attends: BTreeSet::new(),
+        };
+        Self {
+            log: Arc::new(log::Client::open(log, platform_timeout)),
+            appends: Arc::new(log::Client::open(log, platform_timeout)),
+            host_list: Arc::new(hosts::Client::open(hosts, platform_timeout)),
+            peers: Client::open(Default::default()),
+            records: AtomicU64::new(0),
+            state: State::new(),
+            follow: follow::Follow::new(),
+            observed: Observed::new(now),
+            members: Members::new(own, timing.alive_within),
+            proofs: Proofs::new(),
+            witness: Witness::new(me.incarnation, me.cell.clone()),
+            planner: Planner::new(me.cell.clone()),
+            witness_change: Default::default(),
+            list: HostList::default(),
+            heard: BTreeMap::new(),
+            tended: BTreeMap::new(),
+            found: Default::default(),
+            snapshots: snapshot::Pace::new(now),
+            usage: usage::Flush::new(now),
+            next_heartbeat: now,
+            next_list: now,
+            changed: true,
+            stopping: None,
+            handed_over: BTreeSet::new(),
+            me,
+            traffic,
+            timing,
+            clock,
+            tx,
+        }
+    }
+
+    /// Handles events until the process has stopped.
+    pub async fn run(mut self, mut rx: mpsc::Receiver<Event>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        self.read_on(Duration::ZERO);
+        loop {
+            tokio::select! {
+                biased;
+                _ = tick.tick() => self.tick(),
+                event = rx.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+            }
+            if self.changed {
+                self.changed = false;
+                self.publish();
+            }
+            if self.has_handed_over() {
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Read { started, outcome } => self.read(started, outcome),
+            Event::Fetched { next, snapshot } => self.fetched(next, &snapshot),
+            Event::Listed(list) => self.listed(list),
+            Event::Asked { question, reply } => self.asked(question, reply),
+            Event::Heard { started, heartbeat } => self.heard_answer(started, heartbeat),
+            Event::Tried { probe, reached, reply } => self.tried(probe, reached, reply),
+            Event::Attendant { server, event } => self.attendant_event(&server, event),
+            Event::Retired { incarnation, epoch } => self.retired(incarnation, epoch),
+            Event::WitnessesAppended => self.witness_change = Default::default(),
+            Event::FoundAppended { service } => self.found.appended(&service),
+            Event::UsageAppended { id, written } => self.usage_appended(id, written),
+            Event::Dump { reply } => {
+                // Whoever asked may have gone away.
+                let _ = reply.send(self.dump());
+            }
+            Event::Stop { done } => self.stop(done),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.look_up_hosts(now);
+        self.beat(now);
+        self.elect(now);
+        self.tick_attendants();
+        self.change_witnesses(now);
+        self.found_services(now);
+        self.append_snapshot(now);
+        self.flush_usage(now);
+    }
+
+    /// Runs a task that ends with an event.
+    fn spawn_event(&self, task: impl Future<Output = Option<Event>> + Send + 'static) {
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            if let Some(event) = task.await {
+                // The control loop has ended; so has the process, almost.
+                let _ = tx.send(event).await;
+            }
+        });
+    }
+
+    fn stop(&mut self, done: tokio::sync::oneshot::Sender<()>) {
+        ::log::info!("control: stopping, {} backend servers to hand over", self.tended.len());
+        self.stopping = Some(done);
+        for server in self.tended.keys().cloned().collect::<Vec<_>>() {
+            self.attendant_event(&server, jacinthbeam_lease::Event::Stop);
+        }
+        self.changed = true;
+    }
+
+    /// Whether a stopping host attends nothing any more. The members are told by a last round of heartbeats, so that
+    /// they take over without waiting for its silence.
+    fn has_handed_over(&mut self) -> bool {
+        if self.stopping.is_none() || self.handed_over.len() < self.tended.len() {
+            return false;
+        }
+        if !self.members.own().stopping {
+            self.members.stop();
+            self.next_heartbeat = self.clock.now();
+            self.beat(self.next_heartbeat);
+        }
+        let done = self.stopping.take().expect("checked above");
+        // The process is gone already if nobody waits.
+        let _ = done.send(());
+        true
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/control/publish.rs
@@ -0,0 +1,64 @@
+//! Giving traffic a new version.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use jacinthbeam_types::prelude::*;
+
+use super::Control;
+use crate::version::Version;
+
+impl Control {
+    /// Replaces the version that traffic uses.
+    pub(super) fn publish(&self) {
+        let attended = self.tended.iter().filter(|(_, tended)| tended.open);
+        let attended = attended
+            .filter_map(|(id, tended)| Some((id.clone(), tended.attended.clone()?)))
+            .collect();
+        let version = Version {
+            state: self.state.clone(),
+            attended,
+            attendants: self.attendants(),
+            cells: self.cell_book(),
+            stopping: self.stopping.is_some(),
+        };
+        self.traffic.version.store(Arc::new(version));
+    }
+
+    /// Attendants of the cell's servers; of two hosts that say they attend, the one with the higher token.
+    fn attendants(&self) -> BTreeMap<ServerId, SocketAddr> {
+        let mut best: BTreeMap<&ServerId, (Token, SocketAddr)> = BTreeMap::new();
+        for sign in self.heard.values() {
+            for (server, token) in &sign.attends {
+                let entry = best.entry(server).or_insert((*token, sign.peer_address));
+                *entry = (*entry).max((*token, sign.peer_address));
+            }
+        }
+        best.into_iter().map(|(server, (_, addr))| (server.clone(), addr)).collect()
+    }
+
+    /// Where the hosts of each cell listen.
+    fn cell_book(&self) -> BTreeMap<CellId, Vec<SocketAddr>> {
+        let mut book: BTreeMap<CellId, BTreeSet<SocketAddr>> = BTreeMap::new();
+        for host in &self.list.entry_hosts {
+            book.entry(host.cell.clone()).or_default().insert(host.peer_address);
+        }
+        for (cell, set) in &self.state.cells {
+            let members = set.members.iter().map(|witness| witness.peer_address);
+            book.entry(cell.clone()).or_default().extend(members);
+        }
+        book.into_iter().map(|(cell, hosts)| (cell, hosts.into_iter().collect())).collect()
+    }
+
+    /// Divides the room of this host among the teams of the configuration in force.
+    pub(super) fn reconfigure_teams(&self) {
+        let services = &self.state.config().services;
+        let teams: BTreeMap<ServiceName, TeamName> =
+            services.iter().map(|(name, service)| (name.clone(), service.team.clone())).collect();
+        let mut shared = self.traffic.teams.lock().expect("no holder of the lock panics");
+        shared.reconfigure(&teams, &BTreeMap::new());
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/dump.rs
@@ -0,0 +1,96 @@
+//! State of the process as operators see it. Names are stable; a change is noted in the changelog.
+
+use std::collections::BTreeMap;
+
+use jacinthbeam_types::prelude::*;
+use serde::Serialize;
+
+use super::Identity;
+use crate::version::attended;
+
+/// State of an entry host.
+#[derive(Debug, Clone, Serialize)]
+pub struct Dump {
+    /// Who it is.
+    pub host: Identity,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// Configuration in force.
+    pub config_version: Option<ConfigVersion>,
+    /// Next record of the control stream that it has not read.
+    pub log_next: Offset,
+    /// Milliseconds since the start of the last read that reached the end of the stream.
+    pub log_read_age_ms: Option<u64>,
+    /// Services and how many of their slots have an owner.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Live entry hosts of the cell.
+    pub members: Vec<Member>,
+    /// Witnesses of the cell.
+    pub witnesses: Vec<String>,
+    /// Servers for which this host has promised silence.
+    pub promises: BTreeMap<ServerId, Epoch>,
+    /// Backend servers of the cell.
+    pub backend_servers: BTreeMap<ServerId, BackendServer>,
+    /// Remembered requests with an idempotency key.
+    pub remembered: usize,
+    /// Bytes that they take.
+    pub remembered_bytes: Bytes,
+    /// Requests counted that are not known to stand in the log.
+    pub usage_at_risk: u64,
+}
+
+/// A configured service.
+#[derive(Debug, Clone, Serialize)]
+pub struct Service {
+    /// Team that is charged.
+    pub team: TeamName,
+    /// Number of slots; absent for an undivided service.
+    pub slots: Option<usize>,
+    /// Slots with an owner.
+    pub owned: Option<usize>,
+    /// Active backend servers.
+    pub servers: usize,
+}
+
+/// Another entry host of the cell.
+#[derive(Debug, Clone, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub host: HostId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Milliseconds since its last heartbeat.
+    pub age_ms: Option<u64>,
+    /// Whether it counts as alive.
+    pub alive: bool,
+    /// Configuration in force there.
+    pub config_version: Option<ConfigVersion>,
+    /// Next record of the control stream that it has not read.
+    pub log_next: Option<Offset>,
+}
+
+/// A backend server of the cell.
+#[derive(Debug, Clone, Serialize)]
+pub struct BackendServer {
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Whether the platform says that it is leaving.
+    pub leaving: bool,
+    /// Slots that it owns.
+    pub owns: usize,
+    /// What this host does about it.
+    pub attendant: String,
+    /// Its admission, if this host attends it.
+    pub admission: Option<attended::Snapshot>,
+    /// Its connections: open, idle, in use.
+    pub connections: Option<Connections>,
+}
+
+/// Connections to a backend server.
+#[derive(Debug, Clone, Serialize)]
+pub struct Connections {
+    /// Open or being opened.
+    pub open: usize,
+    /// Open and not in use.
+    pub idle: usize,
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/request/answer.rs
@@ -0,0 +1,62 @@
+//! Refusals as HTTP answers.
+
+use std::{fmt::Display, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use jacinthbeam_types::prelude::*;
+
+use super::body::OutBody;
+
+/// Response header that tells whether a request may have run.
+pub const VERDICT: &str = "jacinthbeam-verdict";
+/// Response header with the [`RequestId`], for questions about one request.
+pub const REQUEST: &str = "jacinthbeam-request";
+
+/// The status that fits a refusal.
+pub fn status(refusal: &Refusal) -> StatusCode {
+    match refusal.reason {
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::UnknownService => StatusCode::NOT_FOUND,
+        Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::InProgress | Reason::MemoryLost => StatusCode::CONFLICT,
+        Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Reason::ConnectionLost | Reason::AnswerCut | Reason::PeerProtocol => {
+            StatusCode::BAD_GATEWAY
+        }
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// The answer to a request that was refused, with the verdict as header and the reason as text.
+pub fn refused(id: RequestId, refusal: &Refusal) -> Response<OutBody> {
+    refused_because(id, refusal, refusal.reason)
+}
+
+/// The same, with a text that says more than the reason does.
+pub fn refused_because(id: RequestId, refusal: &Refusal, why: impl Display) -> Response<OutBody> {
+    let text = format!("{}: {why}\n", refusal.verdict);
+    let mut res = Response::new(OutBody::whole(Bytes::from(text)));
+    *res.status_mut() = status(refusal);
+    let headers = res.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
+    insert_id(headers, id);
+    if let Some(after) = refusal.retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
+    }
+    res
+}
+
+/// Adds the id of the request to the headers of an answer.
+pub fn insert_id(headers: &mut http::HeaderMap, id: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(REQUEST, value);
+    }
+}
+
+/// `Retry-After` counts whole seconds; rounding down would invite a repeat that is refused again.
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/request/body.rs
@@ -0,0 +1,163 @@
+//! Bodies on their way through an entry host.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jacinthbeam_peer::{Body, body::Cut};
+use jacinthbeam_types::prelude::*;
+
+/// Bodies up to this size are held, so that the request can be repeated after a `not-run`.
+pub const HELD: u64 = 64 << 10;
+
+/// The body of a request.
+#[derive(Debug)]
+pub enum Payload {
+    /// Held whole; can be sent again.
+    Whole(Bytes),
+    /// Streams from the caller; can be sent once.
+    Stream(Body),
+    /// Was a stream and has been sent.
+    Spent,
+}
+
+/// Why the body of a request could not be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// Longer than the service allows.
+    TooLarge(u64),
+    /// The caller went away or broke the framing.
+    Cut,
+}
+
+impl Payload {
+    /// Takes a caller's body: held if it is short or must be held, else as a stream.
+    ///
+    /// `hold` asks to hold any body up to `max`, as the fingerprint of an idempotency key needs.
+    pub async fn read(incoming: Incoming, max: u64, hold: bool) -> Result<Self, Error> {
+        let length = incoming.size_hint().exact();
+        if length.is_some_and(|length| length > max) {
+            return Err(Error::TooLarge(max));
+        }
+        if incoming.is_end_stream() {
+            return Ok(Self::Whole(Bytes::new()));
+        }
+        if hold || length.is_some_and(|length| length <= HELD) {
+            return collect(incoming, max).await.map(Self::Whole);
+        }
+        Ok(Self::Stream(Body::from_stream(limit(incoming, max), length)))
+    }
+
+    /// The body for one attempt; `None` if it was a stream that an earlier attempt took.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            Self::Whole(bytes) => Some(Body::from(bytes.clone())),
+            Self::Spent => None,
+            Self::Stream(_) => match std::mem::replace(self, Self::Spent) {
+                Self::Stream(body) => Some(body),
+                _ => None,
+            },
+        }
+    }
+
+    /// Whether another attempt could send the body.
+    pub fn can_repeat(&self) -> bool {
+        !matches!(self, Self::Spent)
+    }
+
+    /// The length in bytes, if known.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.len() as u64),
+            Self::Stream(body) => body.length(),
+            Self::Spent => None,
+        }
+    }
+}
+
+async fn collect(mut incoming: Incoming, max: u64) -> Result<Bytes, Error> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let Ok(data) = frame.map_err(|_| Error::Cut)?.into_data() else { continue };
+        if buf.len() as u64 + data.len() as u64 > max {
+            return Err(Error::TooLarge(max));
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+/// The caller's body as a stream that is cut after `max` bytes or where the caller breaks off.
+fn limit(incoming: Incoming, max: u64) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
+    futures_util::stream::unfold((incoming, 0u64), move |(mut incoming, seen)| async move {
+        loop {
+            let item = match incoming.frame().await? {
+                Err(_) => Err(Cut::ConnectionLost),
+                Ok(frame) => match frame.into_data() {
+                    Err(_) => continue,
+                    Ok(data) if seen + data.len() as u64 > max => {
+                        Err(Cut::TooLong { announced: max })
+                    }
+                    Ok(data) => Ok(data),
+                },
+            };
+            let len = item.as_ref().map_or(0, |data| data.len() as u64);
+            return Some((item, (incoming, seen + len)));
+        }
+    })
+}
+
+/// A body as `hyper` wants it: of an answer to a caller, or of a request to a backend server.
+#[derive(Debug)]
+pub struct OutBody(Body);
+
+impl OutBody {
+    /// A body that is held whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self(Body::from(bytes))
+    }
+}
+
+impl From<Body> for OutBody {
+    fn from(body: Body) -> Self {
+        Self(body)
+    }
+}
+
+impl http_body::Body for OutBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    /// A cut is an error here, which makes `hyper` break the connection: the reader must not take a part for the whole.
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        Pin::new(&mut self.0).poll_next(cx).map_ok(Frame::data)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_ended()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.0.length().map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// Hash over what makes two requests the same: method, path and body.
+pub fn fingerprint(method: &str, path: &str, body: &[u8]) -> u64 {
+    let mut buf = Vec::with_capacity(method.len() + path.len() + body.len() + 2);
+    buf.extend_from_slice(method.as_bytes());
+    buf.push(0);
+    buf.extend_from_slice(path.as_bytes());
+    buf.push(0);
+    buf.extend_from_slice(body);
+    KeyHash::of(&buf).0
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives as long as one request.
+
+pub mod answer;
+pub mod body;
+pub mod call;
+pub mod run;
+pub mod serve;
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -0,0 +1,300 @@
+//! Running a request at the attendant of its owner.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Uri, header::CONTENT_LENGTH};
+use jacinthbeam_admission::{
+    duplicate::{Begin, Scope, StoredAnswer},
+    server::{Outcome, Ticket},
+};
+use jacinthbeam_peer::{
+    Body,
+    body::Cut,
+    message::{ForwardHead, ForwardReply},
+};
+use jacinthbeam_platform::{
+    backend::{self, AnswerBody, Failure},
+    format::backend as format,
+};
+use jacinthbeam_types::prelude::*;
+
+use super::body::{OutBody, fingerprint};
+use crate::{
+    process::Traffic,
+    version::attended::{Attended, Place},
+};
+
+/// Runs a request on a backend server that this host attends.
+pub async fn run(cx: &Arc<Traffic>, head: ForwardHead, body: Body) -> (ForwardReply, Body) {
+    let id = head.id;
+    let deadline = cx.clock.now() + head.deadline;
+    match try_run(cx, head, body, deadline).await {
+        Ok(answer) => answer,
+        Err(refused) => {
+            let Refused { refusal, attendant } = refused;
+            (ForwardReply::Refused { id, refusal, attendant }, Body::empty())
+        }
+    }
+}
+
+struct Refused {
+    refusal: Refusal,
+    attendant: Option<std::net::SocketAddr>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self { refusal, attendant: None }
+    }
+}
+
+async fn try_run(
+    cx: &Arc<Traffic>,
+    head: ForwardHead,
+    body: Body,
+    deadline: Instant,
+) -> Result<(ForwardReply, Body), Refused> {
+    let version = cx.version.load_full();
+    let Some(attended) = version.attended.get(&head.server).cloned() else {
+        let refusal = Refusal::not_run(Reason::NotAttendant);
+        return Err(Refused { refusal, attendant: version.attendants.get(&head.server).copied() });
+    };
+    let service = version.state.service(&head.service);
+    let service = service.ok_or(Refusal::not_run(Reason::UnknownService))?;
+    let slot = match version.state.services.get(&head.service) {
+        Some(division) => Some(division.slot_of(KeyHash::of(&head.key))),
+        None => None,
+    };
+    let ticket = Ticket { id: head.id, team: service.team.clone(), slot, deadline };
+    let next = version.state.next;
+    let work = Work { cx: cx.clone(), attended, slot, next, deadline };
+    match head.idempotency_key.clone() {
+        None => work.once(head, body, ticket).await.map_err(Refused::from),
+        Some(key) => work.remembered(head, body, ticket, key).await.map_err(Refused::from),
+    }
+}
+
+/// One request at its attendant.
+struct Work {
+    cx: Arc<Traffic>,
+    attended: Arc<Attended>,
+    slot: Option<SlotId>,
+    /// First record that the fold which gave the slot does not contain.
+    next: Offset,
+    deadline: Instant,
+}
+
+impl Work {
+    async fn once(
+        &self,
+        head: ForwardHead,
+        body: Body,
+        ticket: Ticket,
+    ) -> Result<(ForwardReply, Body), Refusal> {
+        self.attended.check(self.slot, self.next)?;
+        let place = self.attended.admit(ticket).await?;
+        let (team, service) = self.share(&head);
+        let id = head.id;
+        let req = match self.request(head, body) {
+            Ok(req) => req,
+            Err(refusal) => {
+                place.finish(Outcome::NotSent);
+                return Err(refusal);
+            }
+        };
+        match self.attended.pool.send(req, self.deadline).await {
+            Ok(answer) => {
+                self.cx.usage.count(&team, &service, Verdict::Ran);
+                Ok(stream_answer(id, answer, place))
+            }
+            Err(failure) => {
+                if failure.verdict != Verdict::NotRun {
+                    self.cx.usage.count(&team, &service, failure.verdict);
+                }
+                place.finish(outcome(&failure));
+                Err(failure.into())
+            }
+        }
+    }
+
+    /// Runs a request with an idempotency key: at most once, and a repeat gets the first answer.
+    async fn remembered(
+        &self,
+        head: ForwardHead,
+        body: Body,
+        ticket: Ticket,
+        key: IdempotencyKey,
+    ) -> Result<(ForwardReply, Body), Refusal> {
+        let cut = |_| Refusal::not_run(Reason::Cancelled);
+        let body = body.collect(self.cx.limits.held_body).await.map_err(cut)?;
+        let scope = Scope {
+            key: KeyHash::of(&head.key),
+            idempotency_key: key,
+            service: head.service.clone(),
+        };
+        let print = fingerprint(&head.method, &head.path, &body);
+        let id = head.id;
+        let attempt = match self.cx.memory.begin(&scope, self.slot, print) {
+            Begin::Run { attempt } => attempt,
+            Begin::Replay(answer) => return Ok(replay(id, &answer)),
+            Begin::Refuse(refusal) => return Err(refusal),
+        };
+        // Ends the attempt as one that may have run if this task is dropped anywhere below.
+        let mut memo = self.cx.memory.attempt(scope, attempt);
+        let answered = self.once(head, Body::from(body), ticket).await;
+        let (reply, body) = match answered {
+            Ok(answered) => answered,
+            Err(refusal) => {
+                match refusal.verdict {
+                    Verdict::NotRun => memo.not_run(),
+                    _ => memo.unknown(),
+                }
+                return Err(refusal);
+            }
+        };
+        self.keep_answer(id, reply, body, memo).await
+    }
+
+    /// Holds the answer so that it can be remembered; one too large to hold is passed on and only noted.
+    async fn keep_answer(
+        &self,
+        id: RequestId,
+        reply: ForwardReply,
+        body: Body,
+        mut memo: crate::process::memory::Attempt,
+    ) -> Result<(ForwardReply, Body), Refusal> {
+        let ForwardReply::Answer { status, headers, body_length, .. } = reply else {
+            memo.unknown();
+            return Ok((reply, body));
+        };
+        if body_length.is_none_or(|length| length > self.cx.limits.kept_answer) {
+            memo.answered(None);
+            return Ok((ForwardReply::Answer { id, status, headers, body_length }, body));
+        }
+        let Ok(body) = body.collect(self.cx.limits.kept_answer as usize).await else {
+            // The head of an answer proves that the request ran, though its answer can't be repeated.
+            memo.answered(None);
+            return Err(Refusal {
+                verdict: Verdict::Ran,
+                reason: Reason::AnswerCut,
+                retry_after: None,
+            });
+        };
+        let answer = StoredAnswer { status, headers: headers.clone(), body: body.to_vec() };
+        memo.answered(Some(answer));
+        let reply = ForwardReply::Answer { id, status, headers, body_length };
+        Ok((reply, Body::from(body)))
+    }
+
+    /// Builds the request under the permit of this very moment.
+    ///
+    /// The process may have been paused since the place was given. A permit that has ended by now must not be used: its
+    /// slot may have another owner. What is written after this check still carries the token, which the backend server checks.
+    fn request(
+        &self,
+        head: ForwardHead,
+        body: Body,
+    ) -> Result<Request<backend::RequestBody>, Refusal> {
+        let bad = |_| Refusal::not_run(Reason::BadRequest);
+        let permit = self.attended.check(self.slot, self.next)?;
+        let uri: Uri = head.path.parse().map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+        let left = self.deadline.saturating_duration_since(self.cx.clock.now());
+        let body = match body.length() {
+            Some(0) => backend::empty(),
+            _ => backend::stream(OutBody::from(body)),
+        };
+        let mut req =
+            Request::builder().method(head.method.as_str()).uri(uri).body(body).map_err(bad)?;
+        let headers = req.headers_mut();
+        for (name, value) in head.headers {
+            let name =
+                HeaderName::try_from(name).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+            let value =
+                HeaderValue::try_from(value).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+            headers.append(name, value);
+        }
+        headers.remove(CONTENT_LENGTH);
+        insert(headers, format::TOKEN, permit.token.to_string())?;
+        insert(headers, format::REQUEST, head.id.to_string())?;
+        insert(headers, format::DEADLINE, left.as_millis().to_string())?;
+        if let Some(slot) = self.slot {
+            insert(headers, format::SLOT, slot.to_string())?;
+            insert(headers, format::KEY, KeyHash::of(&head.key).to_string())?;
+        }
+        Ok(req)
+    }
+
+    fn share(&self, head: &ForwardHead) -> (TeamName, ServiceName) {
+        let version = self.cx.version.load();
+        let team = version.state.service(&head.service).map(|service| service.team.clone());
+        // Removed while the request waited: what runs is still counted, against the service's own name.
+        let unknown = || head.service.as_str().parse().expect("a service's name is a name");
+        (team.unwrap_or_else(unknown), head.service.clone())
+    }
+}
+
+fn insert(headers: &mut http::HeaderMap, name: &'static str, value: String) -> Result<(), Refusal> {
+    let value = HeaderValue::try_from(value).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+    headers.insert(name, value);
+    Ok(())
+}
+
+fn outcome(failure: &Failure) -> Outcome {
+    use jacinthbeam_platform::format::backend::RefusedBecause;
+    match (failure.verdict, failure.refused) {
+        (Verdict::NotRun, Some(RefusedBecause::Shed)) => Outcome::Shed,
+        (Verdict::NotRun, Some(_)) => Outcome::Refused,
+        (Verdict::NotRun, None) => Outcome::NotSent,
+        _ => Outcome::Lost,
+    }
+}
+
+fn replay(id: RequestId, answer: &StoredAnswer) -> (ForwardReply, Body) {
+    let reply = ForwardReply::Answer {
+        id,
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body_length: Some(answer.body.len() as u64),
+    };
+    (reply, Body::from(Bytes::from(answer.body.clone())))
+}
+
+/// Passes the answer on as it comes. The place is free when its end has been read.
+fn stream_answer(id: RequestId, answer: backend::Answer, place: Place) -> (ForwardReply, Body) {
+    let (parts, body) = answer.into_parts();
+    let length = http_body::Body::size_hint(&body).exact();
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| *name != CONTENT_LENGTH)
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    let status = parts.status.as_u16();
+    let reply = ForwardReply::Answer { id, status, headers, body_length: length };
+    if length == Some(0) {
+        place.finish(Outcome::Answered);
+        return (reply, Body::empty());
+    }
+    (reply, Body::from_stream(answer_stream(body, place), length))
+}
+
+fn answer_stream(
+    body: AnswerBody,
+    place: Place,
+) -> impl futures_util::Stream<Item = Result<Bytes, Cut>> + Send {
+    futures_util::stream::unfold(Some((body, place)), |state| async move {
+        let (mut body, place) = state?;
+        match body.next().await {
+            Some(Ok(data)) => Some((Ok(data), Some((body, place)))),
+            Some(Err(_)) => {
+                place.finish(Outcome::Lost);
+                Some((Err(Cut::ConnectionLost), None))
+            }
+            None => {
+                place.finish(Outcome::Answered);
+                None
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/request/serve.rs
@@ -0,0 +1,294 @@
+//! A caller's request, from its arrival to its answer.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Instant,
+};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use jacinthbeam_admission::{
+    fair::Share,
+    retry::{Attempts, Decision, Failure},
+};
+use jacinthbeam_peer::{
+    Body,
+    message::{ForwardHead, ForwardReply},
+};
+use jacinthbeam_types::prelude::*;
+
+use super::{
+    answer,
+    body::{self, OutBody, Payload},
+    call::Call,
+    run,
+};
+use crate::{process::Traffic, version::route::Target};
+
+/// Headers that concern one connection, or that only the router may set; none of them is passed on.
+const NOT_PASSED: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+];
+/// Prefixes of headers that only the router may set towards a backend server.
+const OWN_PREFIXES: [&str; 3] = ["grant-", "request-", "jacinthbeam-"];
+
+/// Answers a request. Never fails: what goes wrong is an answer with a verdict.
+pub async fn serve(cx: Arc<Traffic>, req: Request<Incoming>) -> Response<OutBody> {
+    let arrived = cx.clock.now();
+    let id = cx.ids.next(cx.me.incarnation);
+    let (parts, incoming) = req.into_parts();
+    let version = cx.version.load_full();
+    if version.stopping {
+        return answer::refused(id, &Refusal::not_run(Reason::Stopping));
+    }
+    if version.state.config.version().is_none() {
+        return answer::refused(id, &Refusal::not_run(Reason::NoConfiguration));
+    }
+    let call = match Call::read(&parts, version.state.config()) {
+        Ok(call) => call,
+        Err(err) => return answer::refused_because(id, &Refusal::not_run(err.reason()), err),
+    };
+    let _entered = match Entered::enter(&cx, &call) {
+        Ok(entered) => entered,
+        Err(refusal) => return answer::refused(id, &refusal),
+    };
+    let max = version.state.service(&call.service).map_or(0, |service| service.max_body.0);
+    let payload = match Payload::read(incoming, max, call.idempotency_key.is_some()).await {
+        Ok(payload) => payload,
+        Err(body::Error::TooLarge(max)) => {
+            let refusal = Refusal::not_run(Reason::BadRequest);
+            let mut res = answer::refused_because(
+                id,
+                &refusal,
+                format!("the body is longer than {max} bytes"),
+            );
+            *res.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+            return res;
+        }
+        Err(body::Error::Cut) => return answer::refused(id, &Refusal::not_run(Reason::Cancelled)),
+    };
+    cx.count_request(&call.service);
+    let deadline = arrived + call.deadline;
+    let head = forward_head(id, &call, &parts);
+    match (Attempting { cx: &cx, call, head, payload, deadline }).until_done().await {
+        Ok((reply, body)) => passed_on(id, reply, body),
+        Err(refusal) => answer::refused(id, &refusal),
+    }
+}
+
+/// A request counted in its team's share of this host.
+struct Entered<'a> {
+    cx: &'a Traffic,
+    share: Share,
+}
+
+impl<'a> Entered<'a> {
+    fn enter(cx: &'a Traffic, call: &Call) -> Result<Self, Refusal> {
+        let share = Share { team: call.team.clone(), service: call.service.clone() };
+        cx.teams.lock().expect("no holder of the lock panics").enter(&share)?;
+        Ok(Self { cx, share })
+    }
+}
+
+impl Drop for Entered<'_> {
+    fn drop(&mut self) {
+        self.cx.teams.lock().expect("no holder of the lock panics").leave(&self.share);
+    }
+}
+
+/// A request that is tried until it is answered or given up.
+struct Attempting<'a> {
+    cx: &'a Arc<Traffic>,
+    call: Call,
+    head: ForwardHead,
+    payload: Payload,
+    deadline: Instant,
+}
+
+/// One failed attempt.
+struct Failed {
+    refusal: Refusal,
+    left_host: bool,
+}
+
+impl Failed {
+    /// Whether it was not run for a reason that lies in the host that was asked, so that another host may run it.
+    fn is_about_host(&self) -> bool {
+        let by_host = [Reason::NotAttendant, Reason::Unreachable, Reason::Stopping];
+        self.refusal.verdict == Verdict::NotRun && by_host.contains(&self.refusal.reason)
+    }
+}
+
+/// A failed attempt at another host, and the host that it names as the attendant.
+struct Passed {
+    failed: Failed,
+    attendant: Option<SocketAddr>,
+}
+
+impl Attempting<'_> {
+    async fn until_done(mut self) -> Result<(ForwardReply, Body), Refusal> {
+        let mut attempts = Attempts::default();
+        loop {
+            let failed = match self.attempt(attempts.count()).await {
+                Ok(answered) => return Ok(answered),
+                Err(failed) => failed,
+            };
+            attempts.failed(&failed.refusal);
+            if !self.payload.can_repeat() {
+                return Err(failed.refusal);
+            }
+            let failure = Failure {
+                refusal: failed.refusal,
+                // The attendant knows a repeat by its idempotency key and answers it without a second run.
+                idempotent: self.call.idempotent || self.call.idempotency_key.is_some(),
+                left_host: failed.left_host,
+            };
+            match self.cx.decide(&self.call.service, failure, &attempts, self.deadline) {
+                Decision::Retry { after } => tokio::time::sleep(after).await,
+                Decision::GiveUp(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    async fn attempt(&mut self, number: u32) -> Result<(ForwardReply, Body), Failed> {
+        let here = |refusal| Failed { refusal, left_host: false };
+        let version = self.cx.version.load_full();
+        let target = version.target(&self.call, self.head.id, number).map_err(here)?;
+        if version.attended.contains_key(&target.server) {
+            return self.run_here(target).await;
+        }
+        let hosts = version.hosts_for(&target.server, &self.cx.hints);
+        let mut asked = BTreeSet::from([self.cx.me.peer_address]);
+        let mut to_ask = VecDeque::from(hosts);
+        let mut last = Failed { refusal: Refusal::not_run(Reason::Unreachable), left_host: false };
+        // A wrong or dead host costs no retry: the next one is asked at once, as long as nothing can have run.
+        while let Some(addr) = to_ask.pop_front() {
+            if asked.len() > MAX_HOSTS || !asked.insert(addr) {
+                continue;
+            }
+            let Passed { failed, attendant } = match self.forward(addr, &target).await {
+                Ok(answered) => return Ok(answered),
+                Err(passed) => passed,
+            };
+            if !failed.is_about_host() || !self.payload.can_repeat() {
+                return Err(failed);
+            }
+            last = failed;
+            attendant.into_iter().for_each(|addr| to_ask.push_front(addr));
+        }
+        Err(last)
+    }
+
+    async fn run_here(&mut self, target: Target) -> Result<(ForwardReply, Body), Failed> {
+        let failed = |refusal| Failed { refusal, left_host: true };
+        let (head, body) = self.start(&target).map_err(failed)?;
+        let (reply, body) = run::run(self.cx, head, body).await;
+        match reply {
+            ForwardReply::Refused { refusal, .. } => Err(failed(refusal)),
+            answer => Ok((answer, body)),
+        }
+    }
+
+    async fn forward(
+        &mut self,
+        addr: SocketAddr,
+        target: &Target,
+    ) -> Result<(ForwardReply, Body), Passed> {
+        let failed =
+            |refusal| Passed { failed: Failed { refusal, left_host: true }, attendant: None };
+        let (head, body) = self.start(target).map_err(failed)?;
+        let forwarded = self.cx.peers.forward(addr, head, body, self.deadline).await;
+        match forwarded {
+            Err(err) => {
+                self.cx.hints.forget(&target.server, addr);
+                Err(failed(err.refusal()))
+            }
+            Ok((ForwardReply::Refused { refusal, attendant, .. }, _)) => {
+                if refusal.reason == Reason::NotAttendant {
+                    self.cx.hints.forget(&target.server, addr);
+                }
+                Err(Passed { attendant, ..failed(refusal) })
+            }
+            Ok(answered) => {
+                self.cx.hints.set(&target.server, addr);
+                Ok(answered)
+            }
+        }
+    }
+
+    fn start(&mut self, target: &Target) -> Result<(ForwardHead, Body), Refusal> {
+        let mut head = self.head.clone();
+        head.server = target.server.clone();
+        head.deadline = self.deadline.saturating_duration_since(self.cx.clock.now());
+        head.body_length = self.payload.length();
+        if head.deadline.is_zero() {
+            return Err(Refusal::not_run(Reason::DeadlinePassed));
+        }
+        let body = self.payload.take().ok_or(Refusal::not_run(Reason::Cancelled))?;
+        Ok((head, body))
+    }
+}
+
+/// Hosts asked in one attempt: the one believed to attend, the one it names, and two more of the cell.
+const MAX_HOSTS: usize = 4;
+
+fn forward_head(id: RequestId, call: &Call, parts: &http::request::Parts) -> ForwardHead {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    ForwardHead {
+        id,
+        service: call.service.clone(),
+        key: call.key.clone().unwrap_or_default(),
+        // Set for each attempt.
+        server: "unset".parse().expect("it is a name"),
+        deadline: call.deadline,
+        idempotent: call.idempotent,
+        idempotency_key: call.idempotency_key.clone(),
+        method: parts.method.to_string(),
+        path: path.to_owned(),
+        headers: passed_headers(&parts.headers),
+        body_length: None,
+    }
+}
+
+fn passed_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let named = headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    let named: Vec<String> =
+        named.unwrap_or_default().split(',').map(|name| name.trim().to_lowercase()).collect();
+    let passes = |name: &HeaderName| {
+        !NOT_PASSED.contains(name)
+            && *name != header::CONTENT_LENGTH
+            && !OWN_PREFIXES.iter().any(|prefix| name.as_str().starts_with(prefix))
+            && !named.iter().any(|named| named == name.as_str())
+    };
+    let passed = headers.iter().filter(|(name, _)| passes(name));
+    passed.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec())).collect()
+}
+
+/// The backend server's answer as the caller gets it.
+fn passed_on(id: RequestId, reply: ForwardReply, body: Body) -> Response<OutBody> {
+    let ForwardReply::Answer { status, headers, .. } = reply else {
+        return answer::refused(id, &Refusal::may_have_run(Reason::PeerProtocol));
+    };
+    let mut res = Response::new(OutBody::from(body));
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let out = res.headers_mut();
+    for (name, value) in headers {
+        let name = HeaderName::try_from(name);
+        let value = HeaderValue::try_from(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            out.append(name, value);
+        }
+    }
+    out.insert(answer::VERDICT, HeaderValue::from_static(Verdict::Ran.as_str()));
+    answer::insert_id(out, id);
+    res
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -0,0 +1,310 @@
+//! A backend server that this host attends, as control and traffic share it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use jacinthbeam_admission::server::{
+    Admission, Gate, MIN_RETRY_AFTER, Offer, Options, Outcome, Refused, Report, Ticket,
+};
+use jacinthbeam_lease::Permit;
+use jacinthbeam_platform::backend::Pool;
+use jacinthbeam_types::prelude::*;
+use tokio::sync::oneshot;
+
+/// A backend server attended by this host.
+///
+/// Control sets the permit and reports what the backend server says; traffic asks for places. The lock is held for a
+/// few map operations at a time, never across an await.
+#[derive(Debug)]
+pub struct Attended {
+    /// The backend server.
+    pub server: ServerId,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Its connections for requests.
+    pub pool: Pool,
+    clock: Arc<dyn Clock>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    admission: Admission,
+    permit: Option<Arc<Permit>>,
+    waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
+    held: BTreeSet<SlotId>,
+}
+
+/// Counts for the dump.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Snapshot {
+    /// Places taken, or possibly taken, at the backend server.
+    pub in_use: u32,
+    /// Places that may be taken at present.
+    pub limit: u32,
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Slots held back for a planned move.
+    pub held: Vec<SlotId>,
+    /// Token of the permit.
+    pub token: Option<Token>,
+    /// Slots that may be served.
+    pub slots: usize,
+    /// Milliseconds until the permit ends.
+    pub permit_left_ms: Option<u64>,
+}
+
+impl Attended {
+    /// Starts to attend a server whose requests go to `addr`.
+    pub fn open(
+        server: ServerId,
+        service: ServiceName,
+        addr: SocketAddr,
+        connections: u32,
+        options: Options,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let pool = Pool::open(server.clone(), addr, connections, Default::default(), clock.clone());
+        let mut admission = Admission::open(clock.now(), options, 0, false);
+        admission.set_gate(clock.now(), Gate::Paused);
+        let inner =
+            Inner { admission, permit: None, waiting: BTreeMap::new(), held: BTreeSet::new() };
+        Self { server, service, pool, clock, inner: Mutex::new(inner) }
+    }
+
+    /// Replaces the permit after a grant was answered.
+    pub fn permit(&self, permit: Permit, report: Report) {
+        let mut inner = self.lock();
+        let known = inner.permit.as_ref().map(|known| known.token);
+        if known != Some(permit.token) {
+            inner.admission.regranted(report.running_older);
+        }
+        inner.permit = Some(Arc::new(permit));
+        inner.admission.reported(report);
+        inner.admission.set_gate(self.clock.now(), Gate::Open);
+        self.start_waiting(inner);
+    }
+
+    /// Sends no more requests until the next permit, and refuses those that wait.
+    pub fn close(&self, reason: Reason) {
+        let mut inner = self.lock();
+        inner.permit = None;
+        let refused = inner.admission.set_gate(self.clock.now(), Gate::Closed(reason));
+        inner.refuse(refused);
+    }
+
+    /// Admits nothing any more; what was admitted goes on under the present permit.
+    pub fn drain(&self) {
+        let mut inner = self.lock();
+        let refused = inner.admission.set_gate(self.clock.now(), Gate::Closed(Reason::Stopping));
+        inner.refuse(refused);
+    }
+
+    /// Starts no more requests of these slots.
+    pub fn hold(&self, slots: &BTreeSet<SlotId>) {
+        let mut inner = self.lock();
+        inner.admission.hold(self.clock.now(), slots.iter().copied());
+        inner.held.extend(slots);
+    }
+
+    /// Starts requests of these slots again.
+    pub fn resume(&self, slots: &BTreeSet<SlotId>) {
+        let mut inner = self.lock();
+        inner.admission.resume(slots.iter().copied());
+        inner.held.retain(|slot| !slots.contains(slot));
+        self.start_waiting(inner);
+    }
+
+    /// The slots were handed over: those that wait for them are refused, to be sent to the next owner.
+    pub fn moved(&self, slots: &BTreeSet<SlotId>) {
+        let mut inner = self.lock();
+        let refused = inner.admission.moved(slots.iter().copied());
+        inner.held.retain(|slot| !slots.contains(slot));
+        inner.refuse(refused);
+    }
+
+    /// Held slots of which no request may still run.
+    pub fn drained(&self) -> BTreeSet<SlotId> {
+        let inner = self.lock();
+        let drained = inner.held.iter().filter(|slot| inner.admission.is_drained(**slot));
+        drained.copied().collect()
+    }
+
+    /// Refuses what can't be served in time any more and closes idle connections. To be called every few ten milliseconds.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let refused = inner.admission.expire(now);
+        inner.refuse(refused);
+        self.start_waiting(inner);
+        self.pool.expire();
+    }
+
+    /// Whether nothing waits and nothing may run.
+    pub fn is_idle(&self) -> bool {
+        self.lock().admission.is_idle()
+    }
+
+    /// The permit under which a request of this slot may be written at this moment.
+    ///
+    /// `next` is the first record that the fold which mapped the key to the slot does not contain. A fold older than the permit may
+    /// not know that the key was split out or merged; the request would run at a server that does not own the key.
+    pub fn check(&self, slot: Option<SlotId>, next: Offset) -> Result<Arc<Permit>, Refusal> {
+        let now = self.clock.now();
+        let inner = self.lock();
+        let refuse = |reason| Err(Refusal::not_run(reason).retry_after(MIN_RETRY_AFTER));
+        match &inner.permit {
+            None => refuse(Reason::NoLease),
+            Some(permit) if now >= permit.until => refuse(Reason::NoLease),
+            Some(permit) if permit.based_on >= next => refuse(Reason::Moving),
+            Some(permit) if !permit.allows(now, slot) => refuse(Reason::Moving),
+            Some(permit) => Ok(permit.clone()),
+        }
+    }
+
+    /// Waits for a place. Dropping the future gives up.
+    pub async fn admit(self: &Arc<Self>, ticket: Ticket) -> Result<Place, Refusal> {
+        let (id, deadline) = (ticket.id, ticket.deadline);
+        let Some(rx) = self.offer(ticket)? else {
+            return Ok(Place::new(self.clone(), id));
+        };
+        let waiting = Waiting { attended: self, id };
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let outcome = tokio::time::timeout(left, rx).await;
+        match outcome {
+            Ok(Ok(Ok(()))) => {
+                std::mem::forget(waiting);
+                Ok(Place::new(self.clone(), id))
+            }
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            Ok(Err(_)) => Err(Refusal::not_run(Reason::Stopping)),
+            Err(_) => Err(Refusal::not_run(Reason::DeadlinePassed)),
+        }
+    }
+
+    /// Counts for the dump.
+    pub fn snapshot(&self) -> Snapshot {
+        let now = self.clock.now();
+        let inner = self.lock();
+        let permit = inner.permit.as_ref();
+        let left = permit.map(|permit| permit.until.saturating_duration_since(now));
+        Snapshot {
+            in_use: inner.admission.in_use(),
+            limit: inner.admission.limit(),
+            waiting: inner.admission.waiting(),
+            held: inner.held.iter().copied().collect(),
+            token: permit.map(|permit| permit.token),
+            slots: permit.map_or(0, |permit| permit.slots.len()),
+            permit_left_ms: left.map(|left| left.as_millis() as u64),
+        }
+    }
+
+    /// `None` if the ticket was admitted at once.
+    fn offer(
+        &self,
+        ticket: Ticket,
+    ) -> Result<Option<oneshot::Receiver<Result<(), Refusal>>>, Refusal> {
+        let id = ticket.id;
+        let mut inner = self.lock();
+        match inner.admission.offer(self.clock.now(), ticket) {
+            Offer::Admit => Ok(None),
+            Offer::Refuse(refusal) => Err(refusal),
+            Offer::Queue { displaced } => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiting.insert(id, tx);
+                inner.refuse(displaced);
+                Ok(Some(rx))
+            }
+        }
+    }
+
+    fn finished(&self, id: RequestId, outcome: Outcome) {
+        let mut inner = self.lock();
+        inner.admission.finished(self.clock.now(), id, outcome);
+        self.start_waiting(inner);
+    }
+
+    fn start_waiting(&self, mut inner: MutexGuard<'_, Inner>) {
+        let now = self.clock.now();
+        loop {
+            let mut gone = Vec::new();
+            for ticket in inner.admission.next(now) {
+                let told = inner.waiting.remove(&ticket.id).map(|tx| tx.send(Ok(())));
+                if !matches!(told, Some(Ok(()))) {
+                    gone.push(ticket.id);
+                }
+            }
+            if gone.is_empty() {
+                return;
+            }
+            // Their callers went away between the queue and here; nothing was sent for them.
+            for id in gone {
+                inner.admission.finished(now, id, Outcome::NotSent);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Inner {
+    fn refuse(&mut self, refused: impl IntoIterator<Item = Refused>) {
+        for Refused { ticket, refusal } in refused {
+            if let Some(tx) = self.waiting.remove(&ticket.id) {
+                // A caller that is gone needs no answer.
+                let _ = tx.send(Err(refusal));
+            }
+        }
+    }
+}
+
+/// A ticket in the queue; leaves it when the caller gives up.
+struct Waiting<'a> {
+    attended: &'a Attended,
+    id: RequestId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.attended.lock();
+        inner.waiting.remove(&self.id);
+        inner.admission.cancel(self.id);
+        // It may have been admitted in the moment in which its caller gave up; nothing was sent for it.
+        inner.admission.finished(self.attended.clock.now(), self.id, Outcome::NotSent);
+        self.attended.start_waiting(inner);
+    }
+}
+
+/// A place at the backend server. Dropped without [`Place::finish`], the request counts as lost.
+#[derive(Debug)]
+pub struct Place {
+    attended: Arc<Attended>,
+    id: RequestId,
+    ended: bool,
+}
+
+impl Place {
+    fn new(attended: Arc<Attended>, id: RequestId) -> Self {
+        Self { attended, id, ended: false }
+    }
+
+    /// Reports how the request ended.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.ended = true;
+        self.attended.finished(self.id, outcome);
+    }
+}
+
+impl Drop for Place {
+    /// The caller went away or a task was cancelled: the connection is being closed, but the backend server may not know yet.
+    fn drop(&mut self) {
+        if !self.ended {
+            self.attended.finished(self.id, Outcome::Lost);
+        }
+    }
+}
