feat(state): explain a slot over all its owners, bound what a loader keeps

explain looked only at the last owner's records and told half of a slot's way. Lists in outcomes end after twelve items.

--- a/crates/jacinthbeam-state/src/apply/evict.rs
+++ b/crates/jacinthbeam-state/src/apply/evict.rs
@@ -94,10 +94,7 @@
 
     /// A slot never stays with the evicted server: where its next owner is unfit it has none, until `Reassign` places it.
     fn check_target(&self, service: &ServiceName, to: &ServerId) -> Result<(), Why> {
-        let division = self.divided(service)?;
-        if division.slots() != self.configured_slots(service)? {
-            return Err(Why::Dividing(service.clone()));
-        }
+        self.divided(service)?;
         self.check_active(to, service).map_err(|_| Why::BadTarget(to.clone()))
     }
 }
--- a/crates/jacinthbeam-state/src/apply/join.rs
+++ b/crates/jacinthbeam-state/src/apply/join.rs
@@ -45,7 +45,7 @@
             service: service.clone(),
             cell: cell.clone(),
             incarnation,
-            slots: slots.len(),
+            slots: slots.to_vec(),
         }))
     }
 
--- a/crates/jacinthbeam-state/src/apply/moves.rs
+++ b/crates/jacinthbeam-state/src/apply/moves.rs
@@ -58,13 +58,8 @@
         server: &ServerId,
         slots: &[SlotBase],
     ) -> Result<Outcome, Why> {
-        let division = self.divided(service)?;
-        let dividing = division.slots() != self.configured_slots(service)?;
+        self.divided(service)?;
         self.check_active(server, service)?;
-        let vacant = slots.iter().filter_map(|base| self.owner_state(service, base.slot));
-        if dividing && vacant.into_iter().any(|slot| slot.server.is_none()) {
-            return Err(Why::Dividing(service.clone()));
-        }
         let owned_or_vacant =
             |slot: &Slot| slot.server.as_ref().is_none_or(|owner| owner == server);
         self.change_slots(at, service, slots, owned_or_vacant, |slot| NewState {
@@ -74,10 +69,6 @@
         })
     }
 
-    fn owner_state(&self, service: &ServiceName, slot: SlotId) -> Option<Slot> {
-        self.division(service)?.slot(slot)
-    }
-
     /// Changes those of the slots whose base is the present epoch and whose owner suits.
     fn change_slots<'a>(
         &mut self,
--- a/crates/jacinthbeam-state/src/apply/split.rs
+++ b/crates/jacinthbeam-state/src/apply/split.rs
@@ -15,9 +15,6 @@
         base: Epoch,
     ) -> Result<Outcome, Why> {
         let division = self.divided(service)?;
-        if division.slots() != self.configured_slots(service)? {
-            return Err(Why::Dividing(service.clone()));
-        }
         if division.split().contains_key(&key) {
             return Err(Why::AlreadySplit(key));
         }
--- a/crates/jacinthbeam-state/src/load.rs
+++ b/crates/jacinthbeam-state/src/load.rs
@@ -15,8 +15,10 @@
     snapshot::{self, Sets},
 };
 
-/// Records kept while looking for a snapshot. A snapshot is appended within far fewer records than this.
-pub const MAX_KEPT: usize = 1 << 16;
+/// Bytes of records kept while looking for a snapshot. A snapshot is appended within far fewer than this.
+pub const MAX_KEPT: usize = 64 << 20;
+/// Counted for each record besides its own bytes.
+const OVERHEAD: usize = 64;
 
 /// What came of a record.
 #[derive(Debug)]
@@ -34,13 +36,14 @@
 pub struct Loader {
     next: Offset,
     kept: VecDeque<Vec<u8>>,
+    kept_bytes: usize,
     sets: Sets,
 }
 
 impl Loader {
     /// A reader whose first record will be the one at `from`.
     pub fn at(from: Offset) -> Self {
-        Self { next: from, kept: VecDeque::new(), sets: Sets::default() }
+        Self { next: from, kept: VecDeque::new(), kept_bytes: 0, sets: Sets::default() }
     }
 
     /// The record that has to be pushed next.
@@ -77,10 +80,12 @@
     }
 
     fn keep(&mut self, buf: Vec<u8>) {
-        if self.kept.len() >= MAX_KEPT {
-            self.kept.pop_front();
-        }
+        self.kept_bytes += buf.len() + OVERHEAD;
         self.kept.push_back(buf);
+        while self.kept_bytes > MAX_KEPT {
+            let Some(oldest) = self.kept.pop_front() else { return };
+            self.kept_bytes -= oldest.len() + OVERHEAD;
+        }
     }
 
     fn first_kept(&self) -> Offset {
--- a/crates/jacinthbeam-state/src/outcome/mod.rs
+++ b/crates/jacinthbeam-state/src/outcome/mod.rs
@@ -84,8 +84,8 @@
         cell: CellId,
         /// Its life.
         incarnation: Incarnation,
-        /// Number of slots that it keeps.
-        slots: usize,
+        /// Slots that it keeps.
+        slots: Vec<SlotId>,
     },
     /// Slots got another owner, none, or a new epoch.
     Slots {
@@ -231,8 +231,6 @@
     SameOwner(ServerId),
     /// The next owner is not an active server of the service, so the slot has no owner.
     BadTarget(ServerId),
-    /// Owners are being released, because the configuration divides the service anew.
-    Dividing(ServiceName),
     /// The key has a slot of its own already.
     AlreadySplit(KeyHash),
     /// The key has no slot of its own.
--- a/crates/jacinthbeam-state/src/outcome/text.rs
+++ b/crates/jacinthbeam-state/src/outcome/text.rs
@@ -7,9 +7,9 @@
         match self {
             Self::Void(why) => write!(f, "void: {why}"),
             Self::Applied { changes, void } => {
-                let changes = changes.iter().map(ToString::to_string);
-                let void = void.iter().map(ToString::to_string);
-                f.write_str(&changes.chain(void).collect::<Vec<_>>().join("; "))
+                List(changes).fmt(f)?;
+                f.write_str(if changes.is_empty() || void.is_empty() { "" } else { "; " })?;
+                List(void).fmt(f)
             }
         }
     }
@@ -40,11 +40,13 @@
             ),
             Self::Joined { server, service, cell, incarnation, slots } => write!(
                 f,
-                "{server} joined service {service} in cell {cell} as {incarnation} and keeps {slots} slots"
+                "{server} joined service {service} in cell {cell} as {incarnation} and keeps {} slots",
+                slots.len()
             ),
             Self::Slots { service, slots, from, to, how } => write!(
                 f,
-                "{service} slots {}: {} -> {} ({how})",
+                "{service} {} {}: {} -> {} ({how})",
+                if slots.len() == 1 { "slot" } else { "slots" },
                 Ranges(slots),
                 Name(from),
                 Name(to)
@@ -121,10 +123,6 @@
             Self::BadTarget(server) => {
                 write!(f, "{server} is no active server of the service and can't own it")
             }
-            Self::Dividing(service) => write!(
-                f,
-                "service {service} is to be divided anew; its slots are released and not placed"
-            ),
             Self::AlreadySplit(key) => write!(f, "key {key} has a slot of its own already"),
             Self::NotSplit(key) => write!(f, "key {key} has no slot of its own"),
             Self::SplitId { record, next } => {
@@ -137,15 +135,29 @@
                 Name(own),
                 Name(parent)
             ),
-            Self::AllSlots(void) => {
-                let void: Vec<_> = void.iter().map(ToString::to_string).collect();
-                f.write_str(&void.join("; "))
-            }
+            Self::AllSlots(void) => List(void).fmt(f),
             Self::Nothing => f.write_str("it changes nothing"),
         }
     }
 }
 
+/// Most items of a list that are written out. An eviction may name a hundred.
+const MAX_LISTED: usize = 12;
+
+/// Sentences in one line.
+struct List<'a, T>(&'a [T]);
+
+impl<T: fmt::Display> fmt::Display for List<'_, T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown: Vec<_> = self.0.iter().take(MAX_LISTED).map(ToString::to_string).collect();
+        f.write_str(&shown.join("; "))?;
+        match self.0.len() - shown.len() {
+            0 => Ok(()),
+            more => write!(f, "; and {more} more"),
+        }
+    }
+}
+
 /// A server or the lack of one.
 struct Name<'a>(&'a Option<ServerId>);
 
--- a/crates/jacinthbeam-state/src/recent.rs
+++ b/crates/jacinthbeam-state/src/recent.rs
@@ -26,14 +26,15 @@
 
 /// Last entries of each server, by its place in the table of servers.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Recent(Chunked<VecDeque<Arc<Entry>>, CHUNK>);
+pub(crate) struct Recent(Chunked<Arc<VecDeque<Arc<Entry>>>, CHUNK>);
 
 impl Recent {
     pub(crate) fn push(&mut self, place: usize, entry: &Arc<Entry>) {
         while self.0.len() <= place {
-            self.0.push(VecDeque::new());
+            self.0.push(Arc::default());
         }
         let Some(kept) = self.0.get_mut(place) else { return };
+        let kept = Arc::make_mut(kept);
         if kept.len() >= KEPT {
             kept.pop_front();
         }
@@ -42,12 +43,12 @@
 
     pub(crate) fn forget(&mut self, place: usize) {
         if let Some(kept) = self.0.get_mut(place) {
-            kept.clear();
+            *kept = Arc::default();
         }
     }
 
     pub(crate) fn of(&self, place: usize) -> impl Iterator<Item = &Entry> + '_ {
-        self.0.get(place).into_iter().flatten().map(Arc::as_ref)
+        self.0.get(place).into_iter().flat_map(|kept| kept.iter()).map(Arc::as_ref)
     }
 }
 
@@ -79,7 +80,9 @@
     /// Whether the change is about this slot of this service.
     pub fn is_about(&self, service: &ServiceName, slot: SlotId) -> bool {
         match self {
-            Self::Slots { service: of, slots, .. } => of == service && slots.contains(&slot),
+            Self::Slots { service: of, slots, .. } | Self::Joined { service: of, slots, .. } => {
+                of == service && slots.contains(&slot)
+            }
             Self::Split { service: of, slot: own, .. }
             | Self::Merged { service: of, slot: own, .. } => of == service && *own == slot,
             Self::Founded { service: of, .. } => of == service,
--- a/crates/jacinthbeam-state/src/snapshot/parts.rs
+++ b/crates/jacinthbeam-state/src/snapshot/parts.rs
@@ -8,7 +8,7 @@
 /// Most bytes of the snapshot in one record.
 pub const MAX_PART: usize = 480 << 10;
 /// Incomplete snapshots that are kept at a time. The one with the lowest offset makes room.
-const MAX_SETS: usize = 8;
+const MAX_SETS: usize = 4;
 /// Most parts of a snapshot.
 const MAX_PARTS: u32 = (MAX_LEN / MAX_PART) as u32 + 1;
 
--- a/crates/jacinthbeam-state/src/state.rs
+++ b/crates/jacinthbeam-state/src/state.rs
@@ -6,7 +6,7 @@
 use jacinthbeam_types::prelude::*;
 
 use crate::{
-    Division, Owner, Server, Servers, WitnessSet,
+    Change, Division, Owner, Server, Servers, WitnessSet,
     recent::{Entry, Recent},
 };
 
@@ -130,15 +130,19 @@
         place.into_iter().flat_map(|place| self.recent.of(place))
     }
 
-    /// Tells an operator who owns a slot and how that came about.
+    /// Tells an operator who owns a slot and how that came about. Looks at all servers of the service.
     pub fn explain(&self, service: &ServiceName, slot: SlotId) -> Explanation<'_> {
-        let owner = self.owner(service, slot);
-        let place = owner.as_ref().and_then(|owner| self.servers.place(&owner.server));
-        let entries = place.into_iter().flat_map(|place| self.recent.of(place));
-        let about =
-            |entry: &&Entry| entry.changes.iter().any(|change| change.is_about(service, slot));
-        let entries: Vec<_> = entries.filter(about).collect();
-        Explanation { service: service.clone(), slot, owner, entries }
+        let of_service = self.servers.iter().filter(|(_, server)| server.service == *service);
+        let entries = of_service.flat_map(|(id, _)| self.recent(id));
+        let about = entries
+            .filter(|entry| entry.changes.iter().any(|change| change.is_about(service, slot)));
+        let entries: BTreeMap<_, _> = about.map(|entry| (entry.offset, entry)).collect();
+        Explanation {
+            service: service.clone(),
+            slot,
+            owner: self.owner(service, slot),
+            entries: entries.into_values().collect(),
+        }
     }
 }
 
@@ -151,7 +155,7 @@
     pub slot: SlotId,
     /// Its owner.
     pub owner: Option<Owner>,
-    /// Records about the slot and its owner, oldest first.
+    /// Records that changed the slot, oldest first, as far as they are kept.
     pub entries: Vec<&'a Entry>,
 }
 
@@ -164,7 +168,9 @@
             None => write!(f, "{} slot {}: nobody", self.service, self.slot)?,
         }
         for entry in &self.entries {
-            let changes: Vec<_> = entry.changes.iter().map(ToString::to_string).collect();
+            let about = |change: &&Change| change.is_about(&self.service, self.slot);
+            let changes = entry.changes.iter().filter(about);
+            let changes: Vec<_> = changes.map(ToString::to_string).collect();
             write!(
                 f,
                 "\n  {} by {}: {} ({})",
--- a/crates/jacinthbeam-state/tests/snapshot/mod.rs
+++ b/crates/jacinthbeam-state/tests/snapshot/mod.rs
@@ -2,7 +2,7 @@
 
 use jacinthbeam_state::{Record, State, record::SnapshotPart, snapshot::Sets};
 
-use crate::support::*;
+use crate::{load::load, support::*};
 
 /// A state that has something of everything.
 pub fn rich() -> Session {
@@ -92,6 +92,25 @@
     assert_eq!(last, Ok(Some(session.state)));
 }
 
+#[test]
+fn large_state_comes_in_records_of_less_than_half_a_mebibyte() {
+    let mut session = rich();
+    for file in 0..12 {
+        let text = format!("// {}\n{{}}", "x".repeat(100_000));
+        session.publish(&format!("5{file}-long.json"), Some(&text));
+    }
+    let parts = session.state.to_snapshot_parts().expect("a state");
+    assert!(parts.len() > 2);
+    let (state, mut log) = (session.state.clone(), Session::default().log);
+    for part in parts {
+        session.append("snapshot", part);
+        log.extend(session.log.last().cloned());
+    }
+    assert!(log.iter().all(|buf| buf.len() < 512 << 10));
+    let from = state.next.0 as usize;
+    assert_eq!(load(&session.log, from).expect("no gap").expect("a snapshot"), session.state);
+}
+
 #[test]
 fn damaged_part_drops_its_snapshot_only() {
     let state = rich().state;
