--- a/crates/jacinthbeam-standin/src/backend/work.rs
+++ b/crates/jacinthbeam-standin/src/backend/work.rs
@@ -21,7 +21,7 @@
 
 /// Request header: milliseconds of service time in place of the server's own.
 pub const SERVICE_MS: &str = "standin-service-ms";
-/// Request header: bytes of padding in the answer, at most [`MAX_ANSWER`].
+/// Request header: bytes of padding in the answer, at most 64 MiB.
 pub const ANSWER_BYTES: &str = "standin-answer-bytes";
 /// Largest padding of an answer, in bytes.
 const MAX_ANSWER: usize = 64 << 20;
