feat(lease): golden sessions and a property of sole ownership

Cause: the state machines need to be seen at work under faults. Change: fakes of servers, log and messages; sessions an operator can read; random schedules of faults that check after every step that no two servers serve a slot. A host listens before it elects itself, judges no silence after its own pause, and lets an incumbent hand over.

--- a/crates/jacinthbeam-lease/src/attendant/context.rs
+++ b/crates/jacinthbeam-lease/src/attendant/context.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Instant};
 
-use jacinthbeam_config::{Division, Service};
+use jacinthbeam_config::Service;
 use jacinthbeam_state::{Server, State, record::SlotTarget};
 use jacinthbeam_types::prelude::*;
 
@@ -91,12 +91,6 @@
         self.cx.state.service(&id.service)
     }
 
-    /// Whether requests of the service carry slots.
-    pub(super) fn is_keyed(&self, id: &Identity) -> bool {
-        let division = self.service(id).map(|service| service.division);
-        !matches!(division, Some(Division::Undivided))
-    }
-
     pub(super) fn checks_grants(&self, id: &Identity) -> bool {
         self.service(id).is_some_and(|service| service.checks_grants)
     }
--- a/crates/jacinthbeam-lease/src/attendant/lifetime.rs
+++ b/crates/jacinthbeam-lease/src/attendant/lifetime.rs
@@ -26,6 +26,45 @@
         !self.stopping && !backoff && (self.elected || asked)
     }
 
+    pub(super) fn elect(&mut self, step: &Step<'_>, elected: bool) {
+        if elected != self.elected {
+            self.elected = elected;
+            self.elected_since = elected.then_some(step.now);
+        }
+    }
+
+    /// Whether a host that holds the lease should get the time to end what runs before this one takes over.
+    ///
+    /// A takeover fences the other host at once, and a server that looks at the token again right before the effect then drops
+    /// what it was running. No request runs longer than the longest deadline, so the wait is bounded.
+    pub(super) fn awaits_handover(&self, step: &Step<'_>) -> bool {
+        let asked = self.asked_until.is_some_and(|until| step.now < until);
+        let longest =
+            step.service(&self.id).map(|service| service.max_deadline).unwrap_or_default();
+        let longest = longest + step.cx.timing.alive_within;
+        let waited = self.elected_since.map(|since| step.now.saturating_duration_since(since));
+        !asked
+            && waited.is_some_and(|waited| waited < longest)
+            && step.cx.members.incumbent(step.now, &self.id.server).is_some()
+    }
+
+    /// A host that was fenced need not wait any longer once the other one has handed over.
+    pub(super) fn watch_incumbent(&mut self, step: &Step<'_>) {
+        let sees = step.cx.members.incumbent(step.now, &self.id.server).is_some();
+        if self.saw_incumbent && !sees {
+            self.backoff_until = None;
+        }
+        self.saw_incumbent = sees;
+    }
+
+    /// Nothing runs any more: another host may take over.
+    pub(super) fn hand_over(&mut self, step: &mut Step<'_>) {
+        self.stand_down(step);
+        if self.stopping {
+            step.push(Action::HandedOver);
+        }
+    }
+
     pub(super) fn asked(&mut self, step: &Step<'_>) {
         // Long enough for the host that asked to be seen as unable to reach the server, so that this host is elected.
         self.asked_until = Some(step.now + 2 * step.cx.timing.alive_within);
--- a/crates/jacinthbeam-lease/src/attendant/machine.rs
+++ b/crates/jacinthbeam-lease/src/attendant/machine.rs
@@ -41,10 +41,14 @@
     pub(super) id: Identity,
     /// Whether this host should attend by its own view of the members.
     pub(super) elected: bool,
+    /// Since when it should.
+    pub(super) elected_since: Option<Instant>,
     /// Until when it attends because another host asked.
     pub(super) asked_until: Option<Instant>,
     /// Not before then does it take charge again after it lost the server to another host.
     pub(super) backoff_until: Option<Instant>,
+    /// Whether another host said at the last look that it holds the lease.
+    pub(super) saw_incumbent: bool,
     pub(super) stopping: bool,
     /// Whether it says in heartbeats that it can't reach the server.
     pub(super) reported_unreachable: bool,
@@ -55,10 +59,14 @@
     pub(super) held_since: Option<Instant>,
     /// Newest answer, by the time its question was sent.
     pub(super) seen: Option<Reply>,
-    /// When the server last showed life, or when this host took charge.
+    /// When the server last showed life, or since when it could have.
     pub(super) alive_at: Option<Instant>,
+    /// When the last event came.
+    pub(super) last_event: Option<Instant>,
     /// Whether a query or a grant has no outcome yet.
     pub(super) asking: bool,
+    /// Whether the last answer could not be acted upon for want of a record or a proof.
+    pub(super) stalled: bool,
     /// When to ask next; `None` is now.
     pub(super) due: Option<Instant>,
     /// Latest end of any lease that it asked for under the present token.
@@ -82,15 +90,19 @@
         Self {
             id,
             elected: false,
+            elected_since: None,
             asked_until: None,
             backoff_until: None,
+            saw_incumbent: false,
             stopping: false,
             reported_unreachable: false,
             token: None,
             held_since: None,
             seen: None,
             alive_at: None,
+            last_event: None,
             asking: false,
+            stalled: false,
             due: None,
             lease_end: None,
             permit: None,
@@ -109,6 +121,7 @@
     state(derive(Debug)),
     superstate(derive(Debug)),
     visibility = "pub(super)",
+    before_dispatch = "Self::note_time",
     context_identifier = "step"
 )]
 impl Machine {
@@ -123,7 +136,8 @@
             }
             _ => self.note(step, event),
         }
-        if self.is_wanted(step.now) {
+        self.watch_incumbent(step);
+        if self.is_wanted(step.now) && !self.awaits_handover(step) {
             self.take_charge(step);
             return Transition(State::taking());
         }
@@ -145,7 +159,7 @@
                     return Transition(State::unreachable());
                 }
                 self.leave_if_gone(step);
-                self.ask_if_due(step);
+                self.ask_if_able(step);
                 Handled
             }
             _ => Super,
@@ -202,25 +216,30 @@
         self.evict(step);
     }
 
-    /// This host stops: what runs may end, then others take over.
+    /// Another host is to attend: what runs may end first, and the lease is renewed until then.
     #[state(entry_action = "enter_draining")]
     fn draining(&mut self, event: &Event, step: &mut Step<'_>) -> Outcome<State> {
         match event {
             Event::Reply(reply) | Event::Refused(reply) => self.heard_draining(step, reply),
             Event::Drained => {
-                self.stand_down(step);
-                step.push(Action::HandedOver);
+                self.hand_over(step);
                 return Transition(State::idle());
             }
+            Event::Stop => self.stopping = true,
             Event::Tick => self.renew_if_due(step),
             _ => self.note(step, event),
         }
+        if self.is_wanted(step.now) {
+            return Transition(State::taking());
+        }
+        if self.token.is_none() && !self.stopping {
+            return Transition(State::idle());
+        }
         Handled
     }
 
     #[action]
     fn enter_draining(&mut self, step: &mut Step<'_>) {
-        self.stopping = true;
         step.push(Action::Drain);
     }
 
@@ -228,21 +247,43 @@
     #[superstate]
     fn in_charge(&mut self, event: &Event, step: &mut Step<'_>) -> Outcome<State> {
         match event {
-            Event::Stop => return Transition(State::draining()),
+            Event::Stop => {
+                self.stopping = true;
+                return Transition(State::draining());
+            }
             Event::Reply(reply) | Event::Refused(reply) => return self.replied(step, reply),
             Event::Released { slots } => self.released(slots),
             Event::Drained => self.drained(),
             _ => self.note(step, event),
         }
-        if self.is_wanted(step.now) { Handled } else { Transition(State::idle()) }
+        match (self.is_wanted(step.now), self.permit.is_some()) {
+            (true, _) => Handled,
+            (false, true) => Transition(State::draining()),
+            (false, false) => Transition(State::idle()),
+        }
     }
 }
 
 impl Machine {
+    /// A process that was paused has asked nothing meanwhile, so the server's silence says nothing of the server. Without this
+    /// a host that wakes up would start to evict servers that others attend.
+    fn note_time(
+        &mut self,
+        _: StateOrSuperstate<'_, State, Superstate>,
+        _: &Event,
+        step: &mut Step<'_>,
+    ) {
+        let gap = self.last_event.map(|last| step.now.saturating_duration_since(last));
+        if gap.is_some_and(|gap| gap >= step.cx.timing.probe_timeout) {
+            self.alive_at = Some(step.now);
+        }
+        self.last_event = Some(step.now);
+    }
+
     /// Takes in what only changes what is remembered.
     fn note(&mut self, step: &Step<'_>, event: &Event) {
         match event {
-            Event::Elected(elected) => self.elected = *elected,
+            Event::Elected(elected) => self.elect(step, *elected),
             Event::Asked => self.asked(step),
             Event::NoReply => self.asking = false,
             Event::Appended { id, offset } => self.appends.written(*id, *offset),
--- a/crates/jacinthbeam-lease/src/attendant/mod.rs
+++ b/crates/jacinthbeam-lease/src/attendant/mod.rs
@@ -14,6 +14,7 @@
 
 use std::{fmt, time::Instant};
 
+use jacinthbeam_types::prelude::*;
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 pub use append::AppendId;
@@ -58,7 +59,9 @@
 /// }
 /// ```
 ///
-/// [`Event::Elected`] is sent first and whenever [`Members::attendant_of`](crate::Members::attendant_of) changes.
+/// [`Event::Elected`] is sent first and whenever [`Members::attendant_of`](crate::Members::attendant_of) changes. After
+/// each event, [`Members::attend`](crate::Members::attend) is told what [`Attendant::attends`] says; once that is no more, a
+/// heartbeat goes out at once, since another host may be waiting for it.
 ///
 /// Actions may be carried out late: what keeps two backend servers from owning a slot lies in the grants and records
 /// themselves, see `docs/OWNERSHIP.md`. Two things are the caller's to keep. Traffic checks
@@ -80,6 +83,12 @@
         step.actions
     }
 
+    /// The token under which this host holds the server's lease, for heartbeats.
+    pub fn attends(&self) -> Option<Token> {
+        let machine = self.0.inner();
+        machine.token.filter(|_| machine.held_since.is_some())
+    }
+
     /// What it is doing, for a dump.
     pub fn summary(&self, now: Instant) -> Summary {
         Summary::new(self.0.state(), self.0.inner(), now)
--- a/crates/jacinthbeam-lease/src/attendant/renewal.rs
+++ b/crates/jacinthbeam-lease/src/attendant/renewal.rs
@@ -25,7 +25,7 @@
             _ => next_token(reported, self.id.incarnation),
         };
         let contents = self.sources(step, &seen, &BTreeSet::new(), |sources| sources.takeover());
-        self.grant(step, &seen, token, contents);
+        self.stalled = !self.grant(step, &seen, token, contents);
     }
 
     /// What is to be done at every tick and after every answer under the own token.
@@ -129,12 +129,31 @@
         }
     }
 
+    /// Asks early if what was missing at the last answer has come.
+    pub(super) fn ask_if_able(&mut self, step: &mut Step<'_>) {
+        if self.stalled
+            && self.is_member(step)
+            && self.understands_grant(step)
+            && step.cx.proof.is_some()
+        {
+            self.due = None;
+        }
+        self.ask_if_due(step);
+    }
+
+    /// Whether the fold contains what the server's grant was based on.
+    pub(super) fn understands_grant(&self, step: &Step<'_>) -> bool {
+        let seen = self.seen.as_ref().and_then(|seen| seen.state.based_on);
+        seen.is_none_or(|based_on| based_on < step.cx.state.next)
+    }
+
     fn is_due(&self, step: &Step<'_>) -> bool {
         self.due.is_none_or(|due| step.now >= due)
     }
 
     fn asked_now(&mut self, step: &Step<'_>) {
         self.asking = true;
+        self.stalled = false;
         self.due = Some(step.now + step.cx.timing.renew_every);
     }
 
--- a/crates/jacinthbeam-lease/src/attendant/reply.rs
+++ b/crates/jacinthbeam-lease/src/attendant/reply.rs
@@ -22,12 +22,14 @@
         if !self.is_member(step) {
             self.stand_down(step);
             self.join(step, reply);
+            self.stalled = true;
             return Transition(State::Taking {});
         }
-        if reply.state.based_on >= Some(step.cx.state.next) {
-            // The fold lacks records that the server's grant was based on. It may keep nothing it does not understand, so
-            // it asks again until it has read them.
+        if !self.understands_grant(step) {
+            // The fold lacks records that the server's grant was based on, and may give the server slots that it has lost
+            // since. Nothing is granted until they are read.
             self.close(step);
+            self.stalled = true;
             return Transition(State::Taking {});
         }
         if self.token.is_some_and(|token| reply.state.token > token) {
--- a/crates/jacinthbeam-lease/src/attendant/silence.rs
+++ b/crates/jacinthbeam-lease/src/attendant/silence.rs
@@ -48,6 +48,8 @@
         if witness_epoch != Probe::NO_PROMISE && !self.promises.as_ref().is_some_and(same) {
             self.promises = Some(Promises { server_epoch, witness_epoch, by: BTreeSet::new() });
         }
+        // Requests to a silent server would only end as may-have-run. Refused here, they have not run.
+        self.close(step);
         step.push(Action::Probe(probe.clone()));
         self.round = Some(Round { probe, started: step.now, answers: BTreeMap::new() });
     }
--- a/crates/jacinthbeam-lease/src/membership.rs
+++ b/crates/jacinthbeam-lease/src/membership.rs
@@ -10,6 +10,8 @@
 
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
 
+use crate::timing::Timing;
+
 /// Most other hosts that are remembered. A cell has at most 16; restarts may leave a few more names for a while.
 pub const MAX_MEMBERS: usize = 64;
 
@@ -26,6 +28,8 @@
     pub stopping: bool,
     /// Backend servers that it can't reach.
     pub unreachable: BTreeSet<ServerId>,
+    /// Backend servers whose lease it holds; see [`Attendant::attends`](crate::Attendant::attends).
+    pub attends: BTreeSet<ServerId>,
 }
 
 /// The hosts of a cell as one of them sees them.
@@ -34,6 +38,10 @@
     own: Heard,
     others: BTreeMap<HostId, Known>,
     alive_within: Duration,
+    /// How long to listen before this host believes that it is alone.
+    listen_for: Duration,
+    listening_until: Instant,
+    last_beat: Instant,
 }
 
 #[derive(Debug, Clone)]
@@ -43,9 +51,29 @@
 }
 
 impl Members {
-    /// Knows only this host itself. The others are alive for `alive_within` after each heartbeat.
-    pub fn new(own: Heard, alive_within: Duration) -> Self {
-        Self { own, others: BTreeMap::new(), alive_within }
+    /// Knows only this host itself, and listens first.
+    pub fn new(now: Instant, own: Heard, timing: &Timing) -> Self {
+        let listen_for = 2 * timing.heartbeat_every;
+        Self {
+            own,
+            others: BTreeMap::new(),
+            alive_within: timing.alive_within,
+            listen_for,
+            listening_until: now + listen_for,
+            last_beat: now,
+        }
+    }
+
+    /// To be called whenever this host sends heartbeats.
+    ///
+    /// A host that has just started, or was paused, has heard from nobody and would believe to be the only one: it would take
+    /// every server from its attendant, and give them back a moment later. So it elects itself for nothing
+    /// until it had time to hear from the others.
+    pub fn beat(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.last_beat) >= self.alive_within {
+            self.listening_until = now + self.listen_for;
+        }
+        self.last_beat = now;
     }
 
     /// This host, as it should describe itself in heartbeats.
@@ -58,6 +86,15 @@
         self.own.stopping = true;
     }
 
+    /// Notes whether this host holds the lease of a backend server.
+    pub fn attend(&mut self, server: &ServerId, attends: bool) {
+        if attends {
+            self.own.attends.insert(server.clone());
+        } else {
+            self.own.attends.remove(server);
+        }
+    }
+
     /// Notes whether this host can reach a backend server.
     pub fn report(&mut self, server: &ServerId, reachable: bool) {
         if reachable {
@@ -105,11 +142,21 @@
     /// The host that should attend the backend server: first by rendezvous weight among the live hosts that are not
     /// stopping and reach it.
     ///
-    /// If none reaches it, one that does not is picked all the same: somebody has to notice its return or evict it.
+    /// If none reaches it, one that does not is picked all the same: somebody has to notice its return or evict it. `None`
+    /// while this host would pick itself but has not listened for long enough.
     pub fn attendant_of(&self, now: Instant, server: &ServerId) -> Option<&HostId> {
         let staying = || self.live(now).filter(|heard| !heard.stopping);
         let reaching = staying().filter(|heard| !heard.unreachable.contains(server));
-        first(server.as_str(), reaching).or_else(|| first(server.as_str(), staying()))
+        let first = first(server.as_str(), reaching).or_else(|| first(server.as_str(), staying()));
+        first.filter(|host| **host != self.own.host || now >= self.listening_until)
+    }
+
+    /// Another live host that holds the lease of the backend server and can go on doing so.
+    pub fn incumbent(&self, now: Instant, server: &ServerId) -> Option<&HostId> {
+        let others = self.live(now).filter(|heard| heard.host != self.own.host);
+        let holds =
+            |heard: &&Heard| heard.attends.contains(server) && !heard.unreachable.contains(server);
+        others.filter(holds).map(|heard| &heard.host).next()
     }
 
     /// The hosts in the order in which they are picked for a subject.
--- a/crates/jacinthbeam-lease/src/witnesses.rs
+++ b/crates/jacinthbeam-lease/src/witnesses.rs
@@ -109,7 +109,7 @@
         let ask: Vec<Witness> = set.members.iter().filter(able).cloned().collect();
         let counted = state.promises(&self.cell, set, &[]);
         let needed = set.eviction_quorum().saturating_sub(counted);
-        (ask.len() >= needed).then(|| Plan { cell, base: Some(set.epoch), members, ask, needed })
+        (ask.len() >= needed).then_some(Plan { cell, base: Some(set.epoch), members, ask, needed })
     }
 }
 
--- /dev/null
+++ b/crates/jacinthbeam-lease/tests/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the ownership protocol.
+
+mod attendant;
+mod property;
+mod support;
