--- a/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
@@ -24,6 +24,8 @@
 /// Bytes counted for an entry beside its idempotency key and its answer: the entry, its place in the map and in the order of age.
 /// Measured by `examples/cost.rs`, rounded up.
 pub const ENTRY_BYTES: u64 = 320;
+/// An entry that is due within this share of [`Options::keep`] is waited for.
+const SOON: u32 = 16;
 /// Hint for a repeat that comes while the first request is in progress.
 const IN_PROGRESS_RETRY: Duration = Duration::from_millis(100);
 /// Hint for a request that found the memory full.
@@ -241,10 +243,17 @@
                 true => now + keep,
                 false => entry.changed + keep,
             };
-            match due > now {
-                true => self.ages.push_back(Age { due, scope: age.scope }),
-                false => self.drop_entry(&age.scope),
+            if due <= now {
+                self.drop_entry(&age.scope);
+                continue;
             }
+            let age = Age { due, scope: age.scope };
+            // At the back it would wait for all entries before it, and most entries change once, soon after they are made.
+            if due - now <= keep / SOON {
+                self.ages.push_front(age);
+                break;
+            }
+            self.ages.push_back(age);
         }
         self.losses.forget(now, keep);
     }
--- a/crates/jacinthbeam-admission/tests/process/duplicate.rs
+++ b/crates/jacinthbeam-admission/tests/process/duplicate.rs
@@ -186,6 +186,20 @@
     assert_eq!(memory.bytes(), Bytes(0));
 }
 
+#[test]
+fn entries_that_end_soon_are_forgotten_on_time() {
+    let now = start();
+    let mut memory = memory(10, 100_000);
+    for n in 1..=5 {
+        memory.begin(now + ms(n), &scope(n), SLOT, 1);
+        memory.answered(now + ms(n + 50), &scope(n), 1, None);
+    }
+    memory.forget(now + ms(10_003));
+    assert_eq!(memory.len(), 5);
+    memory.forget(now + ms(10_053));
+    assert_eq!(memory.len(), 2);
+}
+
 #[test]
 fn a_handed_over_slot_leaves_nothing_behind() {
     // A slot moves away and comes back. What stood here before must not count: the other owner's attendant may have sent the order since.
