--- a/crates/jacinthbeam-state/src/division/image.rs
+++ b/crates/jacinthbeam-state/src/division/image.rs
@@ -1,5 +1,7 @@
 //! A division as it stands in a snapshot: equal neighbours in one run.
 
+use std::collections::BTreeSet;
+
 use super::*;
 
 /// Encoded form of a [`Division`].
@@ -70,18 +72,7 @@
 impl DivisionImage {
     /// The division, or what is wrong with the image.
     pub(crate) fn division(self) -> Result<Division, String> {
-        let len: u64 = self.runs.iter().map(|run| u64::from(run.len)).sum();
-        if len != u64::from(self.slots) || self.slots > MAX_SLOTS {
-            return Err(format!("a division of {} slots has {len} entries", self.slots));
-        }
-        let entries = self.runs.iter().map(|run| &run.entry).chain(self.own.values());
-        let seated = |seat: u32| self.names.get(seat as usize).is_some_and(Option::is_some);
-        if let Some(seat) = entries.filter_map(|entry| entry.seat).find(|seat| !seated(*seat)) {
-            return Err(format!("owner {seat} of a slot has no name"));
-        }
-        if self.split.values().any(|slot| !self.own.contains_key(slot)) {
-            return Err("a split key has no slot".into());
-        }
+        self.check()?;
         let unrolled = self.runs.iter();
         let unrolled =
             unrolled.flat_map(|run| std::iter::repeat_n(run.entry.entry(), run.len as usize));
@@ -103,3 +94,33 @@
         })
     }
 }
+
+impl DivisionImage {
+    /// Refuses what [`Division::image`] never writes, so that a damaged snapshot can't break the table later.
+    fn check(&self) -> Result<(), String> {
+        let len: u64 = self.runs.iter().map(|run| u64::from(run.len)).sum();
+        if len != u64::from(self.slots) || self.slots > MAX_SLOTS {
+            return Err(format!("a division of {} slots has {len} entries", self.slots));
+        }
+        let entries = self.runs.iter().map(|run| &run.entry).chain(self.own.values());
+        let seated = |seat: u32| self.names.get(seat as usize).is_some_and(Option::is_some);
+        if let Some(seat) = entries.filter_map(|entry| entry.seat).find(|seat| !seated(*seat)) {
+            return Err(format!("owner {seat} of a slot has no name"));
+        }
+        let vacant = self.names.iter().enumerate().filter(|(_, name)| name.is_none());
+        let vacant: BTreeSet<_> = vacant.map(|(seat, _)| seat as u32).collect();
+        let free: BTreeSet<_> = self.free.iter().copied().collect();
+        if free != vacant || free.len() != self.free.len() {
+            return Err("its list of free seats is wrong".into());
+        }
+        let split: BTreeSet<_> = self.split.values().collect();
+        let in_range = self.own.keys().all(|slot| (self.slots..self.next_split).contains(&slot.0));
+        if !split.iter().copied().eq(self.own.keys())
+            || split.len() != self.split.len()
+            || !in_range
+        {
+            return Err("its split keys and their slots do not match".into());
+        }
+        Ok(())
+    }
+}
--- a/crates/jacinthbeam-state/src/division/mod.rs
+++ b/crates/jacinthbeam-state/src/division/mod.rs
@@ -91,6 +91,13 @@
     pub lapse: Option<Offset>,
 }
 
+/// A server in the owner table.
+pub(crate) struct Seated<'a> {
+    pub(crate) seat: u32,
+    pub(crate) server: &'a ServerId,
+    pub(crate) slots: Vec<SlotId>,
+}
+
 /// The slots of a service and their owners. A clone shares the table.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Division {
@@ -189,15 +196,17 @@
         self.entries().map(|(slot, entry)| (slot, self.name(entry)))
     }
 
-    /// Every server that owns slots, with its slots in order. Scans the whole table.
-    pub(crate) fn slots_by_server(&self) -> impl Iterator<Item = (&ServerId, Vec<SlotId>)> + '_ {
+    /// Every server that owns slots, with its seat and its slots in order. Scans the whole table.
+    pub(crate) fn seated(&self) -> impl Iterator<Item = Seated<'_>> + '_ {
         let mut lists = vec![Vec::new(); self.names.len()];
         for (slot, entry) in self.entries() {
             let list = entry.seat().and_then(|seat| lists.get_mut(seat as usize));
             list.into_iter().for_each(|list| list.push(slot));
         }
-        let named = self.names.iter().zip(lists);
-        named.filter_map(|(name, slots)| Some((name.as_ref()?, slots)))
+        let named = self.names.iter().zip(lists).enumerate();
+        named.filter_map(|(seat, (name, slots))| {
+            Some(Seated { seat: seat as u32, server: name.as_ref()?, slots })
+        })
     }
 
     fn entries(&self) -> impl Iterator<Item = (SlotId, &Entry)> + '_ {
--- a/crates/jacinthbeam-state/src/division/table.rs
+++ b/crates/jacinthbeam-state/src/division/table.rs
@@ -23,7 +23,7 @@
         // A distance beyond 32 bits is dropped: a lease of seconds ended long before four billion more records.
         let lapse = lapse
             .and_then(|lapse| since.0.checked_sub(lapse.0))
-            .and_then(|distance| u32::try_from(distance + 1).ok())
+            .and_then(|distance| u32::try_from(distance).ok()?.checked_add(1))
             .unwrap_or(0);
         Self { seat: seat.unwrap_or(NOBODY), lapse, since: since.0 << HOW_BITS | how.code() }
     }
@@ -46,7 +46,7 @@
 
     pub(super) fn lapse(&self) -> Option<Offset> {
         let distance = u64::from(self.lapse.checked_sub(1)?);
-        Some(Offset(self.since().0 - distance))
+        self.since().0.checked_sub(distance).map(Offset)
     }
 }
 
--- a/crates/jacinthbeam-state/src/load.rs
+++ b/crates/jacinthbeam-state/src/load.rs
@@ -69,9 +69,6 @@
         // A part has no effect when it is applied, so its bytes need not be kept twice.
         self.keep(if part.is_some() { Vec::new() } else { buf.to_vec() });
         let Some(part) = part else { return Ok(Step::Searching) };
-        if part.upto < self.first_kept() {
-            return Ok(Step::Searching);
-        }
         match self.sets.push(part) {
             Ok(Some(state)) => self.catch_up(state),
             Ok(None) => Ok(Step::Searching),
@@ -94,6 +91,7 @@
 
     fn catch_up(&mut self, mut state: State) -> Result<Step, apply::Error> {
         let first = self.first_kept();
+        // Records between the snapshot and the first one kept were never seen; they may hold an eviction.
         if state.next < first || state.next > self.next {
             return Ok(Step::Searching);
         }
--- a/crates/jacinthbeam-state/src/server.rs
+++ b/crates/jacinthbeam-state/src/server.rs
@@ -37,6 +37,7 @@
     /// Whether it may own slots.
     pub status: Status,
     /// Its index in the owner table of its service; `None` while it owns nothing.
+    #[serde(skip)]
     pub(crate) seat: Option<u32>,
     /// The slots that it owns, ascending.
     #[serde(skip)]
--- a/crates/jacinthbeam-state/src/snapshot/mod.rs
+++ b/crates/jacinthbeam-state/src/snapshot/mod.rs
@@ -12,7 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Division, Server, Servers, State, WitnessSet, division::DivisionImage, record::SnapshotPart,
+    Division, Server, Servers, State, WitnessSet,
+    division::{DivisionImage, Seated},
+    record::SnapshotPart,
 };
 pub use parts::{MAX_PART, Sets};
 
@@ -133,12 +135,14 @@
     service: &ServiceName,
     division: &Division,
 ) -> Result<(), Error> {
-    for (server, slots) in division.slots_by_server() {
+    for Seated { seat, server, slots } in division.seated() {
         let known = servers.get_mut(server).filter(|known| known.service == *service);
-        let Some(known) = known.filter(|known| known.is_active()) else {
-            let why = format!("{server} owns slots of {service} and is no active server of it");
+        let known = known.filter(|known| known.is_active() && known.seat.is_none());
+        let Some(known) = known.filter(|_| !slots.is_empty()) else {
+            let why = format!("the owner {server} of slots of {service} is no active server of it");
             return Err(Error::Damaged(why));
         };
+        known.seat = Some(seat);
         known.slots = Arc::new(slots);
     }
     Ok(())
--- a/crates/jacinthbeam-state/tests/apply/evict.rs
+++ b/crates/jacinthbeam-state/tests/apply/evict.rs
@@ -101,6 +101,20 @@
     assert_eq!((owner.server, owner.lapse), (name("t3"), Some(evicted)));
 }
 
+// A key's own slot came to t1 by an eviction and is merged at once. The wait for the evicted lease is the key's, and must
+// hold for the slot that takes it in.
+#[test]
+fn wait_for_the_evicted_lease_survives_a_merge() {
+    let mut session = Session::witnessed();
+    session.append("hot", split(&session.state, 16));
+    session.append("balance", shift(&session.state, &[8], "t1", "t3"));
+    session.append("t3 is silent", evict(&session.state, "t3", &[101, 102, 103], &[(8, "t1")]));
+    let evicted = Offset(session.log.len() as u64 - 1);
+    session.append("cool", merge(&session.state, 16));
+    let owner = session.state.owner(&name("tilecast"), SlotId(0)).expect("an owner");
+    assert_eq!(owner.lapse, Some(evicted));
+}
+
 #[test]
 fn evicted_server_owns_nothing_until_it_joins_again() {
     let mut session = Session::witnessed();
@@ -108,6 +122,9 @@
     let known = session.state.servers.get(&name("t1")).expect("it has not left");
     assert_eq!((known.status, known.slots()), (Status::Evicted, &[][..]));
 
+    let again = evict(&session.state, "t1", &[101, 102, 103], &[]);
+    assert_eq!(why(session.append("t1 is silent", again)), Why::NotActive(name("t1")));
+
     let back = shift(&session.state, &[4], "t2", "t1");
     assert_eq!(why(session.append("balance", back.clone())), Why::NotActive(name("t1")));
     session.append("t1 is back", join(&session.state, "t1", "tilecast", 1));
--- a/crates/jacinthbeam-state/tests/apply/found.rs
+++ b/crates/jacinthbeam-state/tests/apply/found.rs
@@ -58,6 +58,19 @@
     assert!(session.state.servers.is_empty());
 }
 
+// The author of the record saw t1 before it restarted; its old life gets no grant any more.
+#[test]
+fn division_for_a_server_in_another_life_or_evicted_is_void() {
+    let mut session = Session::configured();
+    session.append("new host", join(&session.state, "t1", "tilecast", 2));
+    let record = found("tilecast", 8, &[("t1", 8)]);
+    let outcome = session.append("first division", record.clone());
+    assert_eq!(why(outcome), Why::OtherServer(name("t1")));
+    session.append("t1 restarted", join(&session.state, "t1", "tilecast", 1));
+    session.append("t1 is silent", evict(&session.state, "t1", &[], &[]));
+    assert_eq!(why(session.append("first division", record)), Why::NotActive(name("t1")));
+}
+
 #[test]
 fn slots_beyond_the_list_have_no_owner() {
     let mut session = Session::configured();
--- a/crates/jacinthbeam-state/tests/load/mod.rs
+++ b/crates/jacinthbeam-state/tests/load/mod.rs
@@ -3,6 +3,7 @@
 use jacinthbeam_state::{
     Record, State, apply,
     load::{Loader, Step},
+    record::SnapshotPart,
 };
 use jacinthbeam_types::prelude::*;
 
@@ -33,6 +34,7 @@
     let mut session = rich();
     let taken = session.log.len();
     let parts = small_parts(&session.state, 150);
+    session.append("t1 answers", keep(&session.state, "t1"));
     for (at, part) in parts.into_iter().enumerate() {
         session.append("snapshot", Record::Snapshot(part));
         if at == 1 {
@@ -49,6 +51,19 @@
     assert_eq!(load(&session.log, taken + 1), Ok(None));
 }
 
+// A snapshot claims to hold records that are not in the stream yet. Nothing after it could be applied.
+#[test]
+fn snapshot_of_later_records_than_the_stream_has_is_not_used() {
+    let mut session = rich();
+    let taken = session.log.len();
+    let part = small_parts(&session.state, 1 << 20).remove(0);
+    let upto = Offset(taken as u64 + 7);
+    session.append("snapshot", Record::Snapshot(SnapshotPart { upto, ..part.clone() }));
+    assert_eq!(load(&session.log, taken), Ok(None));
+    session.append("snapshot", Record::Snapshot(part));
+    assert_eq!(load(&session.log, taken).expect("no gap").as_ref(), Some(&session.state));
+}
+
 #[test]
 fn gap_while_looking_for_a_snapshot_is_an_error() {
     let session = rich();
--- a/crates/jacinthbeam-state/tests/property/mod.rs
+++ b/crates/jacinthbeam-state/tests/property/mod.rs
@@ -1,7 +1,5 @@
 //! What holds whatever is appended: random records, some of them based on an old state.
 
-use std::collections::BTreeMap;
-
 use arbtest::arbitrary::{Result, Unstructured};
 use jacinthbeam_state::{Change, Outcome, Record, State};
 use jacinthbeam_types::prelude::*;
@@ -83,30 +81,12 @@
     Ok(session)
 }
 
-/// Slots with owners, in the order of slots.
-fn owners(state: &State) -> BTreeMap<SlotId, ServerId> {
-    let services = state.services.values().chain(state.retired.values());
-    let all = services.flat_map(|division| division.owners());
-    all.filter_map(|(slot, owner)| Some((slot, owner?.clone()))).collect()
-}
-
 // Owner tables and the servers' own lists must say the same: an attendant grants by the list, an entry host routes by the
 // table. A slot in two lists would be served twice.
 #[test]
 fn each_slot_has_at_most_one_owner_and_it_is_active() {
     let property = |u: &mut Unstructured<'_>| {
-        run(u, |_, state, _| {
-            let mut listed = BTreeMap::new();
-            for (id, server) in state.servers.iter() {
-                for slot in server.slots() {
-                    assert!(server.is_active());
-                    assert_eq!(listed.insert(*slot, id.clone()), None);
-                }
-            }
-            assert_eq!(listed, owners(state));
-            let divisions = state.services.values().chain(state.retired.values());
-            assert_eq!(divisions.map(|division| division.owned()).sum::<usize>(), listed.len());
-        })?;
+        run(u, |_, state, _| check_lists(state))?;
         Ok(())
     };
     arbtest::arbtest(property).size_min(SIZE).budget_ms(BUDGET_MS);
@@ -146,16 +126,17 @@
                 match change {
                     Change::Slots { slots, from, to, .. } => {
                         for slot in slots {
-                            assert_eq!(expected.remove(slot), *from);
-                            expected.extend(to.clone().map(|to| (*slot, to)));
+                            let slot = (name(TILECAST), *slot);
+                            assert_eq!(expected.remove(&slot), *from);
+                            expected.extend(to.clone().map(|to| (slot, to)));
                         }
                     }
                     Change::Split { slot, server, .. } => {
-                        expected.insert(*slot, server.clone());
+                        expected.insert((name(TILECAST), *slot), server.clone());
                     }
                     Change::Merged { key, .. } => {
                         let own = before.services[&name::<ServiceName>(TILECAST)].slot_of(*key);
-                        assert!(expected.remove(&own).is_some());
+                        assert!(expected.remove(&(name(TILECAST), own)).is_some());
                     }
                     Change::Founded { .. } => expected = owners(after),
                     _ => {}
--- a/crates/jacinthbeam-state/tests/snapshot/mod.rs
+++ b/crates/jacinthbeam-state/tests/snapshot/mod.rs
@@ -2,6 +2,8 @@
 
 use jacinthbeam_state::{Record, State, record::SnapshotPart, snapshot::Sets};
 
+use jacinthbeam_types::prelude::*;
+
 use crate::{load::load, support::*};
 
 /// A state that has something of everything.
@@ -47,11 +49,36 @@
     for len in 0..buf.len() {
         assert!(State::decode(state.next, &buf[..len]).is_err());
     }
-    for at in 0..buf.len() {
+    for (at, flip) in (0..buf.len()).flat_map(|at| [1, 2, 3, 0x55].map(|flip| (at, flip))) {
         let mut changed = buf.clone();
-        changed[at] ^= 0x55;
-        let _ = State::decode(state.next, &changed);
+        changed[at] ^= flip;
+        if let Ok(read) = State::decode(state.next, &changed) {
+            go_on(read);
+        }
+    }
+}
+
+/// Changes owners of a state that was read from doubtful bytes.
+fn go_on(state: State) {
+    check_lists(&state);
+    let mut session =
+        Session { log: vec![Vec::new(); state.next.0 as usize], state, ..Session::default() };
+    if !session.state.services.contains_key(&name::<ServiceName>("tilecast")) {
+        return;
+    }
+    session.append("hot", split(&session.state, 40));
+    check_lists(&session.state);
+    for server in ["t4", "t5", "t6"] {
+        session.append("new host", join(&session.state, server, "tilecast", 50));
+        session.append("balance", shift(&session.state, &[0, 2], "t1", server));
+        session.append("balance", shift(&session.state, &[1, 5], "t3", server));
+        session.append("vacant", reassign(&session.state, &[4, 6, 7], server));
+        check_lists(&session.state);
     }
+    let owners = owners(&session.state);
+    let buf = session.state.encode().expect("a small state");
+    let read = State::decode(session.state.next, &buf).expect("just written");
+    assert_eq!(crate::support::owners(&read), owners);
 }
 
 // Two hosts append a snapshot of the same state at once, and one stops half-way. Parts stand mixed in the stream, some
--- a/crates/jacinthbeam-state/tests/support/mod.rs
+++ b/crates/jacinthbeam-state/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A stream in memory, and short forms of the records that tests append to it.
 
-use std::fmt::Write;
+use std::{collections::BTreeMap, fmt::Write};
 
 use jacinthbeam_config::{
     change::{Base, Change, FileChange},
@@ -220,3 +220,26 @@
     let (base, parent_base) = (bases[0].epoch, bases[1].epoch);
     Record::Merge { service: name("tilecast"), key: KeyHash(key), base, parent_base }
 }
+
+/// Slots with owners, in the order of slots.
+pub fn owners(state: &State) -> BTreeMap<(ServiceName, SlotId), ServerId> {
+    let services = state.services.iter().chain(&state.retired);
+    let all = services.flat_map(|(service, division)| {
+        division.owners().map(move |(slot, owner)| ((service.clone(), slot), owner))
+    });
+    all.filter_map(|(slot, owner)| Some((slot, owner?.clone()))).collect()
+}
+
+/// Checks that owner tables and the servers' own lists say the same.
+pub fn check_lists(state: &State) {
+    let mut listed = BTreeMap::new();
+    for (id, server) in state.servers.iter() {
+        for slot in server.slots() {
+            assert!(server.is_active());
+            assert_eq!(listed.insert((server.service.clone(), *slot), id.clone()), None);
+        }
+    }
+    assert_eq!(listed, owners(state));
+    let divisions = state.services.values().chain(state.retired.values());
+    assert_eq!(divisions.map(|division| division.owned()).sum::<usize>(), listed.len());
+}
