feat(peer): ask for a sign of life before a request goes over an idle connection

Cause: something between two hosts may forget an idle connection without telling either. The next forwarded request was sent into it and lost as may-have-run, though nothing ran, and an order could then not be repeated. Change: after a second without a byte heard, a forwarded request waits for the answer to a PING; if none comes it goes over a new connection. Tests of silence now tell suspicion, giving up and a long but healthy request apart, since the trial without PINGs and the one without suspicion had passed; producers in tests are bounded.

--- a/crates/jacinthbeam-peer/src/client/connection.rs
+++ b/crates/jacinthbeam-peer/src/client/connection.rs
@@ -14,9 +14,9 @@
 };
 
 use crate::{
-    client::connect::Opened,
+    client::{connect::Opened, probe},
     connection::{
-        Limits, Status, Stream,
+        Limits, Silence, Status, Stream,
         silence::{Finding, Watch},
     },
     request::wire,
@@ -45,6 +45,7 @@
 pub(crate) struct Connection {
     send: SendRequest<Bytes>,
     pub(crate) status: Arc<Status>,
+    silence: Silence,
     questions: Arc<Semaphore>,
     forwards: Arc<Semaphore>,
 }
@@ -76,6 +77,7 @@
         Self {
             send: opened.send.clone(),
             status: opened.status.clone(),
+            silence: limits.silence,
             questions: Arc::new(Semaphore::new(questions.max(1))),
             forwards: Arc::new(Semaphore::new(forwards)),
         }
@@ -90,6 +92,9 @@
         let permit = semaphore.clone().acquire_owned().await.map_err(|_| Ended)?;
         let stream = self.status.open().ok_or(Ended)?;
         let stream = Permitted { _stream: stream, _permit: permit };
+        if what == Use::Forward {
+            probe::probe(&self.status, &self.silence).await?;
+        }
         let ready = self.send.clone().ready().await;
         let started = ready.and_then(|mut send| send.send_request(request(what), false));
         let (response, sender) = started.map_err(|_| {
@@ -164,7 +169,17 @@
                 return End::Closed(ended.err());
             }
             _ = tick.tick() => {}
-            _ = poll_fn(|cx| ping_pong.poll_pong(cx)) => continue,
+            pong = poll_fn(|cx| ping_pong.poll_pong(cx)) => {
+                if pong.is_ok() {
+                    status.answered.notify_waiters();
+                }
+                continue;
+            }
+            () = status.probe.notified() => {
+                // Fails if an earlier PING is still unanswered; its answer serves as well.
+                drop(ping_pong.send_ping(h2::Ping::opaque()));
+                continue;
+            }
             _ = client.changed(), if !client_gone => {
                 client_gone = true;
                 status.retire();
--- a/crates/jacinthbeam-peer/src/client/mod.rs
+++ b/crates/jacinthbeam-peer/src/client/mod.rs
@@ -6,6 +6,7 @@
 mod dump;
 pub mod forward;
 mod peers;
+mod probe;
 
 use std::{
     net::SocketAddr,
--- a/crates/jacinthbeam-peer/src/connection/mod.rs
+++ b/crates/jacinthbeam-peer/src/connection/mod.rs
@@ -39,6 +39,8 @@
 /// nothing ever comes back; so the ends ask each other by an `h2` PING, whose answer needs no handler.
 #[derive(Debug, Clone, Copy)]
 pub struct Silence {
+    /// A forwarded request waits for a PING's answer first if nothing was heard for this long. Default 1 s.
+    pub trust_for: Duration,
     /// A PING is sent when nothing was heard for this long. Default 200 ms.
     pub ping_after: Duration,
     /// New requests use another connection when a PING has had no answer for this long. Default 400 ms.
@@ -59,6 +61,7 @@
             stall: Duration::from_secs(30),
             idle: Duration::from_secs(30),
             silence: Silence {
+                trust_for: Duration::from_secs(1),
                 ping_after: Duration::from_millis(200),
                 suspect_after: Duration::from_millis(400),
                 give_up_after: Duration::from_secs(2),
--- a/crates/jacinthbeam-peer/src/connection/status.rs
+++ b/crates/jacinthbeam-peer/src/connection/status.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::connection::io::Traffic;
 
@@ -10,6 +10,10 @@
 #[derive(Debug)]
 pub(crate) struct Status {
     pub(crate) traffic: Arc<Traffic>,
+    /// Asks the driving task for a PING.
+    pub(crate) probe: Notify,
+    /// Tells that a PING was answered.
+    pub(crate) answered: Notify,
     state: Mutex<State>,
 }
 
@@ -23,7 +27,12 @@
 impl Status {
     pub(crate) fn new(traffic: Arc<Traffic>) -> Arc<Self> {
         let state = State { streams: 0, retired: false, idle_since: Instant::now() };
-        Arc::new(Self { traffic, state: Mutex::new(state) })
+        Arc::new(Self {
+            traffic,
+            probe: Notify::new(),
+            answered: Notify::new(),
+            state: Mutex::new(state),
+        })
     }
 
     /// Counts a new stream; `None` if the connection takes none any more.
--- a/crates/jacinthbeam-peer/tests/peer/client/forward.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/forward.rs
@@ -12,13 +12,19 @@
     Body, Client,
     body::{CollectError, Cut},
     client::{connect, forward::Error},
-    message::ForwardReply,
+    message::{ForwardHead, ForwardReply},
+    server::Handle,
 };
 use jacinthbeam_types::prelude::*;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::{Notify, mpsc},
+    task::JoinHandle,
+};
 
 use crate::support::{
-    LONG, answer, attend, bytes, client, echo, head, options,
+    LONG, answer, attend, bytes, client, echo, flood,
+    frames::{self, Frame},
+    head, options,
     raw::{self, Conduct},
     relay::Relay,
     serve, soon, text,
@@ -42,7 +48,7 @@
     // connection takes the next request.
     let refused = ForwardReply::Refused {
         id: head(1).id,
-        refusal: Refusal::not_run(jacinthbeam_types::prelude::Reason::NotAttendant),
+        refusal: Refusal::not_run(Reason::NotAttendant),
         attendant: None,
     };
     let reply = refused.clone();
@@ -64,7 +70,7 @@
 async fn cut_answer_never_looks_whole() {
     // The backend server's answer breaks off in the middle. The attendant resets the stream in place of ending it,
     // and the forwarding host sees a cut after the bytes that came.
-    let server = serve(async |head: jacinthbeam_peer::message::ForwardHead, _, _| {
+    let server = serve(async |head: ForwardHead, _, _| {
         let chunks = [Ok(Bytes::from_static(b"half")), Err(Cut::ConnectionLost)];
         (answer(head.id, None), Body::from_stream(stream::iter(chunks), None))
     });
@@ -81,7 +87,7 @@
 #[tokio::test]
 async fn lost_connection_cuts_the_answer() {
     // The attendant is lost in the middle of an answer. The reader gets what came and then a cut.
-    let server = serve(async |head: jacinthbeam_peer::message::ForwardHead, _, _| {
+    let server = serve(async |head: ForwardHead, _, _| {
         let chunks = stream::iter([Ok(Bytes::from_static(b"half"))]);
         let endless = futures_util::StreamExt::chain(chunks, stream::pending());
         (answer(head.id, None), Body::from_stream(endless, None))
@@ -122,44 +128,124 @@
     assert_eq!(sees.recv().await, Some(Err(CollectError::Cut(Cut::Reset))));
 }
 
-#[tokio::test]
-async fn silent_connection_fails_in_time_and_is_replaced() {
-    // Something between the hosts forgets the connection while a request runs. Nothing is ever heard again, and
-    // no write fails. The request is lost as may-have-run once the PINGs stay unanswered, long before its
-    // deadline; the next one uses a new connection even before that.
-    let (started, mut starts) = mpsc::channel(1);
+/// A server behind a relay. Its handler never answers request 1; request 2 waits for `go_on`, others don't.
+struct Behind {
+    relay: Relay,
+    client: Client,
+    starts: mpsc::Receiver<u64>,
+    go_on: Arc<Notify>,
+    _server: Handle,
+}
+
+async fn behind_relay(give_up_after: Duration) -> Behind {
+    let (started, starts) = mpsc::channel(1);
+    let go_on = Arc::new(Notify::new());
+    let wait = go_on.clone();
     let server = serve(move |head, body: Body, cancelled| {
-        let started = started.clone();
+        let (started, wait) = (started.clone(), wait.clone());
         async move {
-            started.send(()).await.unwrap();
+            started.send(head.id.sequence).await.unwrap();
             match head.id.sequence {
                 1 => std::future::pending().await,
-                _ => echo(head, body, cancelled).await,
+                2 => wait.notified().await,
+                _ => {}
             }
+            echo(head, body, cancelled).await
         }
     });
     let relay = Relay::to(server.local_addr()).await;
     let mut options = options();
     options.limits.silence.ping_after = Duration::from_millis(20);
     options.limits.silence.suspect_after = Duration::from_millis(40);
-    options.limits.silence.give_up_after = Duration::from_millis(300);
+    options.limits.silence.give_up_after = give_up_after;
     let client = Client::open(options);
-    let (first, addr) = (client.clone(), relay.addr);
-    let lost = tokio::spawn(async move { first.forward(addr, head(1), bytes("x"), soon()).await });
-    starts.recv().await;
-    relay.forget();
-    while client.dump().iter().any(|peer| peer.current) {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    Behind { relay, client, starts, go_on, _server: server }
+}
+
+type Forwarded = JoinHandle<Result<(ForwardReply, Body), Error>>;
+
+impl Behind {
+    /// Forwards a request; returns when its handler runs.
+    async fn start(&mut self, sequence: u64) -> Forwarded {
+        let (client, addr) = (self.client.clone(), self.relay.addr);
+        let forward = async move { client.forward(addr, head(sequence), bytes("x"), soon()).await };
+        let task = tokio::spawn(forward);
+        assert_eq!(self.starts.recv().await, Some(sequence));
+        task
     }
-    let (_, body) = client.forward(addr, head(2), bytes("next"), soon()).await.unwrap();
-    assert_eq!(text(body).await, "next");
-    assert_eq!(relay.accepted(), 2);
-    let err = lost.await.unwrap().unwrap_err();
+
+    async fn wait_until(&self, done: impl Fn(&Self) -> bool) {
+        while !done(self) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn pings(&self) -> usize {
+        let passed = self.relay.passed.lock().unwrap();
+        let is_ping = |frame: &Frame| frame.kind == frames::PING && frame.flags != frames::ACK;
+        frames::parse(&passed.to_server).into_iter().filter(is_ping).count()
+    }
+}
+
+#[tokio::test]
+async fn request_avoids_a_silent_connection() {
+    // Something between the hosts forgets the connection while a request runs. Nothing is ever heard again, and
+    // no write fails. The PINGs stay unanswered, so that the next request uses a new connection, while the one in
+    // progress keeps its chance on the old one.
+    let mut behind = behind_relay(LONG).await;
+    let stuck = behind.start(1).await;
+    behind.relay.forget();
+    behind.wait_until(|behind| !behind.client.dump().iter().any(|peer| peer.current)).await;
+    let next = behind.start(3).await.await.unwrap().unwrap();
+    assert_eq!(text(next.1).await, "x");
+    assert_eq!(behind.relay.accepted(), 2);
+    assert!(!stuck.is_finished());
+    stuck.abort();
+}
+
+#[tokio::test]
+async fn request_on_a_silent_connection_fails_in_time() {
+    // As above, but the silence lasts. The request in progress is lost as may-have-run, long before its
+    // deadline, and the silent connection is closed.
+    let mut behind = behind_relay(Duration::from_millis(100)).await;
+    let stuck = behind.start(1).await;
+    behind.relay.forget();
+    let err = stuck.await.unwrap().unwrap_err();
     assert!(matches!(err, Error::Lost(_)), "{err:?}");
     assert_eq!(err.verdict(), Verdict::MayHaveRun);
-    while client.dump().iter().any(|peer| !peer.current) {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    behind.wait_until(|behind| behind.client.dump().is_empty()).await;
+}
+
+#[tokio::test]
+async fn long_request_on_a_working_connection_is_not_given_up() {
+    // A handler takes much longer than a connection may be silent, and sends nothing meanwhile. Its host answers
+    // PING after PING, so that the request stays and gets its answer on the same connection.
+    let mut behind = behind_relay(Duration::from_millis(80)).await;
+    let long = behind.start(2).await;
+    behind.wait_until(|behind| behind.pings() > 8 || long.is_finished()).await;
+    behind.go_on.notify_one();
+    assert_eq!(text(long.await.unwrap().unwrap().1).await, "x");
+    assert_eq!(behind.relay.accepted(), 1);
+}
+
+#[tokio::test]
+async fn forgotten_idle_connection_loses_no_request() {
+    // Something between the hosts forgets a connection while nobody uses it. The next request is not sent into the
+    // void: a PING comes first, stays unanswered, and the request goes over a new connection and runs.
+    let server = serve(echo);
+    let relay = Relay::to(server.local_addr()).await;
+    let mut options = options();
+    options.limits.silence.trust_for = Duration::ZERO;
+    options.limits.silence.suspect_after = Duration::from_millis(100);
+    let client = Client::open(options);
+    for idle in [false, true] {
+        if idle {
+            relay.forget();
+        }
+        let forward = client.forward(relay.addr, head(1), bytes("x"), soon());
+        assert_eq!(text(forward.await.unwrap().1).await, "x");
     }
+    assert_eq!(relay.accepted(), 2);
 }
 
 #[tokio::test]
@@ -258,9 +344,10 @@
 async fn stopped_readers_do_not_hold_up_questions() {
     // Many callers stop reading their long answers. Each stream's window fills up; heartbeats on the same
     // connection are still answered, since the connection's window has room for all streams' windows.
-    let server = serve(async |head: jacinthbeam_peer::message::ForwardHead, _, _| {
-        let endless = stream::repeat_with(|| Ok(Bytes::from(vec![0; 16 << 10])));
-        (answer(head.id, None), Body::from_stream(endless, None))
+    let server = serve(async |head: ForwardHead, _, _| {
+        let (tx, body) = Body::channel(None);
+        tokio::spawn(flood(tx));
+        (answer(head.id, None), body)
     });
     let client = client();
     let mut stopped = Vec::new();
--- a/crates/jacinthbeam-peer/tests/peer/server/request.rs
+++ b/crates/jacinthbeam-peer/tests/peer/server/request.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc;
 
 use crate::support::{
-    answer, attend, bytes, client, echo, head, raw, relay::Relay, serve, serve_with, soon,
+    answer, attend, bytes, client, echo, flood, head, raw, relay::Relay, serve, serve_with, soon,
 };
 
 fn version() -> String {
@@ -181,9 +181,9 @@
     let server = serve_with(options, move |head, _, mut cancelled| {
         let closed = closed.clone();
         async move {
-            let (mut tx, body) = Body::channel(None);
+            let (tx, body) = Body::channel(None);
             tokio::spawn(async move {
-                while tx.send(vec![0; 16 << 10].into()).await.is_ok() {}
+                flood(tx).await;
                 cancelled.cancelled().await;
                 closed.send(()).await.unwrap();
             });
--- a/crates/jacinthbeam-peer/tests/peer/support/frames.rs
+++ b/crates/jacinthbeam-peer/tests/peer/support/frames.rs
@@ -39,8 +39,9 @@
     let mut frames = Vec::new();
     while let Some((head, rest)) = bytes.split_first_chunk::<HEAD>() {
         let (mut frame, len) = parse_head(head);
-        frame.payload = rest[..len].to_vec();
-        bytes = &rest[len..];
+        let Some((payload, rest)) = rest.split_at_checked(len) else { break };
+        frame.payload = payload.to_vec();
+        bytes = rest;
         frames.push(frame);
     }
     frames
--- a/crates/jacinthbeam-peer/tests/peer/support/mod.rs
+++ b/crates/jacinthbeam-peer/tests/peer/support/mod.rs
@@ -11,7 +11,9 @@
 
 use bytes::Bytes;
 use jacinthbeam_peer::{
-    Body, Client, client,
+    Body, Client,
+    body::Sender,
+    client,
     message::{Answer, ForwardHead, ForwardReply, Question},
     server::{self, Cancelled, Handle, Handler},
 };
@@ -87,6 +89,18 @@
     server::bind(any_port(), options, Handler { ask: agree, forward }).unwrap()
 }
 
+/// Sends far more than any window, and no end, until the reader is gone.
+///
+/// Bounded all the same, so that a lost safeguard fails a test and not the machine.
+pub(crate) async fn flood(mut tx: Sender) {
+    for _ in 0..512 {
+        if tx.send(vec![0; 16 << 10].into()).await.is_err() {
+            return;
+        }
+    }
+    tx.closed().await;
+}
+
 pub(crate) async fn text(body: Body) -> String {
     String::from_utf8(body.collect(1 << 20).await.unwrap().to_vec()).unwrap()
 }
