feat(cli): check, publish, adopt, status, explain, usage and dump for operators

Operators had only `local`: configuration could be brought into force by the test deployment alone, and nothing told which host follows which version.

Commands are functions that write to a terminal handed in and return an error with an exit code of its own kind: refused, unavailable, in doubt, incomplete. `local` prints the lines to try all of this.

--- a/crates/jacinthbeam-cli/src/bin/jacinthbeam.rs
+++ b/crates/jacinthbeam-cli/src/bin/jacinthbeam.rs
@@ -1,14 +1,25 @@
 //! The operators' command line.
 
-use std::process::ExitCode;
+use std::{
+    io::{stderr, stdout},
+    process::ExitCode,
+};
 
 use clap::{Arg, ArgAction, Command};
-use jacinthbeam_cli::{command, logging};
+use jacinthbeam_cli::{Terminal, command, logging};
+
+const LONG: &str = "\
+Router for servers that own keys exclusively: the operators' tool.
+
+Configuration is a folder of small files. `check` it, `publish` it, and see with `status` that it is in force everywhere. `explain` says
+who owns a key and why, `usage` what each team used, `dump` what one entry host is doing. `local` runs a whole deployment on
+loopback to try all of that.";
 
 fn main() -> ExitCode {
     let matches = Command::new("jacinthbeam")
         .version(clap::crate_version!())
         .about("Router for servers that own keys exclusively: the operators' tool")
+        .long_about(LONG)
         .arg(
             Arg::new("verbose")
                 .short('v')
@@ -18,7 +29,8 @@
                 .help("Log what is decided; twice for more"),
         )
         .subcommand_required(true)
-        .subcommand(command::local::command())
+        .arg_required_else_help(true)
+        .subcommands(command::all())
         .get_matches();
     let level = match matches.get_count("verbose") {
         0 => log::LevelFilter::Warn,
@@ -33,17 +45,14 @@
             return ExitCode::FAILURE;
         }
     };
-    let outcome = runtime.block_on(async {
-        match matches.subcommand() {
-            Some(("local", args)) => command::local::run(args).await,
-            _ => Err("there is no such command".into()),
-        }
-    });
-    match outcome {
+    let (mut out, mut err) = (stdout(), stderr());
+    let mut terminal = Terminal::new(&mut out, &mut err);
+    let Some((name, args)) = matches.subcommand() else { return ExitCode::FAILURE };
+    match runtime.block_on(command::run(name, args, &mut terminal)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("error: {why}");
-            ExitCode::FAILURE
+            terminal.warn(&why);
+            ExitCode::from(why.exit_code())
         }
     }
 }
--- a/crates/jacinthbeam-cli/src/command/local.rs
+++ b/crates/jacinthbeam-cli/src/command/local.rs
@@ -1,18 +1,29 @@
 //! `jacinthbeam local`: a whole deployment on loopback, in this process.
 
-use std::{path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use jacinthbeam::config::{Division, folder};
-use jacinthbeam_measure::{Deployment, Plan, deployment};
+use jacinthbeam::config::Division;
+use jacinthbeam_measure::{Deployment, Plan};
+
+use super::{EXIT_CODES, Error, arg};
+use crate::{Terminal, publication::open_folder};
 
 /// Failure domains unless named.
 const DOMAINS: &str = "domain-a,domain-b,domain-c";
 
+const LONG: &str = "\
+Run entry hosts and small stand-ins of the platform on loopback, in this process.
+
+Publishes the folder, waits until every slot is served, and prints lines that can be pasted into another shell: a request, and
+the other commands of this program against this deployment. Nothing is kept when it stops.";
+
 /// The command's arguments.
 pub fn command() -> Command {
     Command::new("local")
-        .about("Run entry hosts and small stand-ins of the platform on loopback, in this process")
+        .about("Run entry hosts and stand-ins of the platform on loopback, in this process")
+        .long_about(LONG)
+        .after_long_help(EXIT_CODES)
         .arg(
             Arg::new("config")
                 .long("config")
@@ -25,7 +36,7 @@
             Arg::new("for")
                 .long("for")
                 .value_name("TIME")
-                .value_parser(parse_time)
+                .value_parser(arg::time)
                 .help("Stop after this time, such as 10s or 500ms; else run until interrupted"),
         )
         .arg(
@@ -37,39 +48,67 @@
         )
 }
 
-/// Runs the command; the error is for the operator.
-pub async fn run(args: &ArgMatches) -> Result<(), String> {
+/// Runs the command.
+pub async fn run(args: &ArgMatches, terminal: &mut Terminal<'_>) -> Result<(), Error> {
+    let failed = |err: &dyn std::fmt::Display| Error::Failed(err.to_string());
     let path = args.get_one::<PathBuf>("config").expect("it is required");
-    let folder = folder::open(path, folder::Options::default()).map_err(|err| err.to_string())?;
+    let folder = open_folder(path).await?;
     let domains = args.get_one::<String>("failure-domains").expect("it has a default");
     let domains: Vec<&str> = domains.split(',').collect();
-    let domains: [&str; 3] =
-        domains.try_into().map_err(|_| "name three failure domains, such as a,b,c".to_owned())?;
+    let domains: [&str; 3] = domains
+        .try_into()
+        .map_err(|_| Error::Failed("name three failure domains, such as a,b,c".into()))?;
     let deployment = Deployment::spawn(Plan::new(domains), &folder);
-    let deployment = deployment.await.map_err(|err| err.to_string())?;
-    introduce(&deployment);
+    let deployment = deployment.await.map_err(|err| failed(&err))?;
+    introduce(&deployment, path, terminal);
     wait(args.get_one::<Duration>("for").copied()).await;
-    println!("stopping");
+    terminal.say("stopping");
     deployment.stop().await;
-    println!("stopped");
+    terminal.say("stopped");
     Ok(())
 }
 
-fn introduce(deployment: &Deployment) {
-    println!(
+fn introduce(deployment: &Deployment, folder: &std::path::Path, terminal: &mut Terminal<'_>) {
+    terminal.say(format_args!(
         "{} entry hosts, {} backend servers, log on {}",
         deployment.entries.len(),
         deployment.servers.len(),
         deployment.log.addr()
-    );
+    ));
     for (host, entry) in &deployment.entries {
-        println!("{host}: callers {}, operators {}", entry.callers(), entry.operators());
+        terminal.say(format_args!(
+            "{host}: callers {}, operators {}",
+            entry.callers(),
+            entry.operators()
+        ));
     }
-    println!("try: {}", curl(deployment).unwrap_or_else(|| "no service is configured".into()));
+    terminal.say("try, in another shell:");
+    for line in lines(deployment, folder) {
+        terminal.say(format_args!("  {line}"));
+    }
+}
+
+/// Lines that can be pasted into a shell.
+fn lines(deployment: &Deployment, folder: &std::path::Path) -> Vec<String> {
+    let log = deployment.log.addr();
+    let operators: Vec<SocketAddr> =
+        deployment.entries.values().map(|entry| entry.operators()).collect();
+    let all: Vec<String> = operators.iter().map(ToString::to_string).collect();
+    let all = all.join(",");
+    let folder = folder.display();
+    let mut lines: Vec<String> = curl(deployment).into_iter().collect();
+    lines.push(format!("jacinthbeam status --operators {all} --log {log}"));
+    // The folder was not published by `publish`, so nothing says that it is in sync.
+    lines.push(format!("jacinthbeam publish {folder} --log {log}"));
+    lines.push(format!("jacinthbeam usage --log {log}"));
+    lines.extend(explain(deployment).map(|explain| format!("{explain} --operators {all}")));
+    lines.extend(operators.first().map(|addr| format!("jacinthbeam dump --address {addr}")));
+    lines.extend(operators.first().map(|addr| format!("curl http://{addr}/metrics")));
+    lines
 }
 
-/// A line that can be pasted into a shell.
-fn curl(deployment: &deployment::Deployment) -> Option<String> {
+/// A request that is answered.
+fn curl(deployment: &Deployment) -> Option<String> {
     let (name, service) = deployment.config.services.first_key_value()?;
     let (_, entry) = deployment.entries.first_key_value()?;
     let key = match service.division {
@@ -79,6 +118,15 @@
     Some(format!("curl -i http://{}/{name}/{key}hello", entry.callers()))
 }
 
+fn explain(deployment: &Deployment) -> Option<String> {
+    let mut services = deployment.config.services.iter();
+    let keyed =
+        |service: &jacinthbeam::config::Service| matches!(service.division, Division::Keyed { .. });
+    let (name, _) = services.find(|(_, service)| keyed(service))?;
+    let log = deployment.log.addr();
+    Some(format!("jacinthbeam explain --log {log} --service {name} --key some-key"))
+}
+
 async fn wait(time: Option<Duration>) {
     let interrupted = tokio::signal::ctrl_c();
     match time {
@@ -94,14 +142,3 @@
         }
     }
 }
-
-fn parse_time(text: &str) -> Result<Duration, String> {
-    let wrong = || format!("{text:?} is no time such as 10s or 500ms");
-    let (number, unit) = match (text.strip_suffix("ms"), text.strip_suffix('s')) {
-        (Some(number), _) => (number, 1),
-        (None, Some(number)) => (number, 1000),
-        (None, None) => return Err(wrong()),
-    };
-    let number: u64 = number.parse().map_err(|_| wrong())?;
-    Ok(Duration::from_millis(number * unit))
-}
--- a/crates/jacinthbeam-cli/src/lib.rs
+++ b/crates/jacinthbeam-cli/src/lib.rs
@@ -1,6 +1,15 @@
 //! The programs: arguments and texts for people. What they do is done by the library.
+//!
+//! Commands can be called as functions: they write to a [`Terminal`] and return a [`command::Error`], which says the
+//! exit code.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod control;
 pub mod logging;
+pub mod operators;
+pub mod publication;
+pub mod terminal;
+
+pub use terminal::Terminal;
