feat(measure): experiments with load, faults and a judge

`jacinthbeam measure` puts open-loop load on a deployment of today's sizes, brings seeded faults about (attendant or backend server killed, frozen, connections gone silent, planned stop, leaving, log down or slow, answers to appends lost) and judges what must always hold from the stand-ins' own records and the callers' notes. The stand-in of a backend server records for that purpose when it held which slots, and the path of each run.

--- a/crates/jacinthbeam-cli/src/command/error.rs
+++ b/crates/jacinthbeam-cli/src/command/error.rs
@@ -17,6 +17,8 @@
     InDoubt(String),
     /// There is an answer, and it shows that something is behind or missing. Exit code 6.
     Partial(String),
+    /// An experiment showed that something which must always hold did not. Exit code 7.
+    Broken(String),
 }
 
 impl Error {
@@ -28,6 +30,7 @@
             Self::Unavailable(_) => 4,
             Self::InDoubt(_) => 5,
             Self::Partial(_) => 6,
+            Self::Broken(_) => 7,
         }
     }
 }
@@ -40,6 +43,7 @@
             Self::Unavailable(why) => write!(f, "unavailable: {why}"),
             Self::InDoubt(why) => write!(f, "in doubt: {why}"),
             Self::Partial(why) => write!(f, "incomplete: {why}"),
+            Self::Broken(why) => write!(f, "broken: {why}"),
         }
     }
 }
@@ -55,4 +59,5 @@
   3  refused: wrong configuration, or a conflict; nothing changed
   4  unavailable: the log or a host can't be reached; nothing changed
   5  in doubt: run the same command again to learn what became of it
-  6  incomplete: there is an answer, and it shows that something is behind or missing";
+  6  incomplete: there is an answer, and it shows that something is behind or missing
+  7  an experiment showed that something which must always hold did not";
--- a/crates/jacinthbeam-cli/src/command/mod.rs
+++ b/crates/jacinthbeam-cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 pub mod explain;
 pub mod local;
+pub mod measure;
 pub mod publish;
 pub mod status;
 pub mod usage;
@@ -18,7 +19,7 @@
 use crate::Terminal;
 
 /// All commands with their arguments.
-pub fn all() -> [Command; 8] {
+pub fn all() -> [Command; 9] {
     [
         check::command(),
         publish::command(),
@@ -28,6 +29,7 @@
         usage::command(),
         dump::command(),
         local::command(),
+        measure::command(),
     ]
 }
 
@@ -42,6 +44,7 @@
         "usage" => usage::run(args, terminal).await,
         "dump" => dump::run(args, terminal).await,
         "local" => local::run(args, terminal).await,
+        "measure" => measure::run(args, terminal).await,
         _ => Err(Error::Failed(format!("there is no command {name}"))),
     }
 }
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -61,11 +61,13 @@
     /// The configuration that was published.
     pub config: Config,
     /// The platform's log.
-    pub log: standin::log::Handle,
+    pub log: Arc<standin::log::Handle>,
     /// The platform's list of hosts.
     pub hosts: standin::hosts::Handle,
     /// The backend servers.
     pub servers: BTreeMap<ServerId, Server>,
+    /// Backend servers that have left, for their records.
+    pub gone: Vec<standin::backend::Handle>,
     /// The entry hosts. One that was stopped or killed is absent.
     pub entries: BTreeMap<HostId, entry::Handle>,
 }
@@ -92,8 +94,15 @@
         let config: Config = config.config;
         let log = standin::log::spawn(LOOPBACK, Default::default()).map_err(Error::StandIn)?;
         let hosts = standin::hosts::spawn(LOOPBACK, Default::default()).map_err(Error::StandIn)?;
-        let mut deployment =
-            Self { plan, config, log, hosts, servers: BTreeMap::new(), entries: BTreeMap::new() };
+        let mut deployment = Self {
+            plan,
+            config,
+            log: Arc::new(log),
+            hosts,
+            servers: BTreeMap::new(),
+            gone: Vec::new(),
+            entries: BTreeMap::new(),
+        };
         deployment.spawn_servers()?;
         deployment.publish_list();
         deployment.spawn_entries()?;
@@ -108,24 +117,50 @@
         let domains: Vec<FailureDomain> = self.plan.entry_hosts.keys().cloned().collect();
         for (service, cfg) in services {
             for number in 0..self.plan.servers_of(&cfg.division) {
-                let id: ServerId =
-                    format!("{service}-{number}").parse().expect("a name and a number are a name");
-                let options = standin::backend::Options {
-                    checks_grants: cfg.checks_grants,
-                    concurrency: cfg.concurrency,
-                    connections: cfg.connections + RESERVED_CONNECTIONS,
-                    service_time: self.plan.service_time,
-                    ..standin::backend::Options::new(id.clone(), service.clone())
-                };
-                let handle = standin::backend::spawn(LOOPBACK, options).map_err(Error::StandIn)?;
                 let domain = domains[number % domains.len()].clone();
-                let server = Server { service: service.clone(), domain, leaving: false, handle };
-                self.servers.insert(id, server);
+                self.spawn_server(number, &service, domain, Default::default())?;
             }
         }
         Ok(())
     }
 
+    /// Starts one more backend server, which is slow at first and owns nothing yet.
+    pub fn spawn_cold_server(
+        &mut self,
+        service: &ServiceName,
+        domain: &FailureDomain,
+    ) -> Result<(), Error> {
+        let taken = |number: &usize| {
+            let id = server_id(service, *number);
+            self.servers.contains_key(&id) || self.gone.iter().any(|gone| *gone.id() == id)
+        };
+        let number = (0..).find(|number| !taken(number)).expect("numbers don't run out");
+        self.spawn_server(number, service, domain.clone(), COLD_START)
+    }
+
+    fn spawn_server(
+        &mut self,
+        number: usize,
+        service: &ServiceName,
+        domain: FailureDomain,
+        cold_start: standin::backend::ColdStart,
+    ) -> Result<(), Error> {
+        let cfg = &self.config.services[service];
+        let id = server_id(service, number);
+        let options = standin::backend::Options {
+            checks_grants: cfg.checks_grants,
+            concurrency: cfg.concurrency,
+            connections: cfg.connections + RESERVED_CONNECTIONS,
+            service_time: self.plan.service_time,
+            cold_start,
+            ..standin::backend::Options::new(id.clone(), service.clone())
+        };
+        let handle = standin::backend::spawn(LOOPBACK, options).map_err(Error::StandIn)?;
+        let server = Server { service: service.clone(), domain, leaving: false, handle };
+        self.servers.insert(id, server);
+        Ok(())
+    }
+
     fn spawn_entries(&mut self) -> Result<(), Error> {
         for (domain, count) in self.plan.entry_hosts.clone() {
             for number in 0..count {
@@ -252,6 +287,18 @@
         behind.join(", ")
     }
 
+    /// The entry host that attends a backend server at present, if one does.
+    pub async fn attendant_of(&self, server: &ServerId) -> Option<HostId> {
+        for (host, entry) in &self.entries {
+            let dump = entry.dump().await?;
+            let admission = dump.backend_servers.get(server).and_then(|s| s.admission.as_ref());
+            if admission.is_some_and(|admission| admission.permit_left_ms > Some(0)) {
+                return Some(host.clone());
+            }
+        }
+        None
+    }
+
     /// Stops everything gracefully.
     pub async fn stop(self) {
         for (_, entry) in self.entries {
@@ -260,9 +307,16 @@
     }
 }
 
+/// Slowness of a backend server that joins later.
+const COLD_START: standin::backend::ColdStart =
+    standin::backend::ColdStart { requests: 20, extra: Duration::from_millis(50) };
 /// Connections of a backend server beyond those for requests: grants and probes of each host of its cell.
 const RESERVED_CONNECTIONS: u32 = 16;
 
+fn server_id(service: &ServiceName, number: usize) -> ServerId {
+    format!("{service}-{number}").parse().expect("a name and a number are a name")
+}
+
 /// The one cell of a failure domain of this size.
 fn cell_of(domain: &FailureDomain) -> CellId {
     domain.as_str().parse().expect("a failure domain's name is a cell's")
--- a/crates/jacinthbeam-measure/src/lib.rs
+++ b/crates/jacinthbeam-measure/src/lib.rs
@@ -1,10 +1,19 @@
 //! Deployments of real entry hosts and stand-ins on loopback, and experiments on them.
 //!
 //! Nothing here models a cluster: entry hosts are the library that the daemon runs, the platform is the stand-ins, and
-//! everything speaks TCP. What is judged is read from the stand-ins' own records.
+//! everything speaks TCP. What is judged is read from the stand-ins' own records and from the callers' notes.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 pub mod deployment;
+pub mod experiment;
+pub mod fault;
+pub mod judge;
+pub mod load;
+pub mod owners;
+pub mod preset;
+pub mod report;
 
 pub use deployment::{Deployment, Plan};
+pub use preset::Preset;
+pub use report::Report;
--- /dev/null
+++ b/crates/jacinthbeam-measure/src/load/mod.rs
@@ -0,0 +1,65 @@
+//! Open-loop load of callers, and what they note of it.
+
+mod balancer;
+mod caller;
+mod generate;
+mod note;
+mod probe;
+mod zipf;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jacinthbeam::types::prelude::*;
+
+pub use balancer::{Backend, Balancer};
+pub use caller::Sending;
+pub use generate::Generators;
+pub use note::{Answered, Ended, Kind, Note};
+pub use probe::{PROBE_EVERY, Probes};
+pub use zipf::Zipf;
+
+/// Load on a deployment.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Load of each service.
+    pub services: BTreeMap<ServiceName, ServiceLoad>,
+    /// Keys of each service.
+    pub keys: usize,
+    /// Exponent of the Zipf distribution of keys.
+    pub zipf: f64,
+    /// Share of orders that carry an idempotency key.
+    pub keyed: f64,
+    /// Share of requests that take [`Load::long_time`] at the backend server.
+    pub long: f64,
+    /// See [`Load::long`].
+    pub long_time: Duration,
+}
+
+/// Load on one service.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceLoad {
+    /// Requests a second.
+    pub rate: f64,
+    /// Share of orders among them; the rest are reads.
+    pub orders: f64,
+}
+
+/// Notes of all callers.
+#[derive(Debug, Clone, Default)]
+pub struct Notes(Arc<Mutex<Vec<Note>>>);
+
+impl Notes {
+    /// Adds a note.
+    pub fn push(&self, note: Note) {
+        self.0.lock().expect("no holder of the lock panics").push(note);
+    }
+
+    /// Takes all notes out.
+    pub fn take(&self) -> Vec<Note> {
+        std::mem::take(&mut self.0.lock().expect("no holder of the lock panics"))
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-measure/src/load/probe.rs
@@ -0,0 +1,115 @@
+//! Reads of chosen keys at a steady pace, to measure when the keys are not served.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use jacinthbeam::types::prelude::*;
+use tokio::{sync::watch, task::JoinSet};
+
+use super::{Backend, Balancer, Ended, Kind, Note, Notes, Sending, generate::MOST_HOSTS};
+
+/// Time between two reads of a key.
+pub const PROBE_EVERY: Duration = Duration::from_millis(100);
+/// Deadline of a read. Short, so that few wait at a time for a key that is not served.
+const DEADLINE: Duration = Duration::from_millis(1500);
+
+/// Running probes.
+#[derive(Debug)]
+pub struct Probes {
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+    notes: Notes,
+}
+
+impl Probes {
+    /// Reads each key at [`PROBE_EVERY`], through hosts that `through` is true for.
+    pub fn spawn(
+        keys: &[(ServiceName, String)],
+        balancer: &Arc<Balancer>,
+        through: impl Fn(&Backend) -> bool + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let notes = Notes::default();
+        let mut tasks = JoinSet::new();
+        for (at, (service, key)) in keys.iter().enumerate() {
+            let probe = Probe {
+                service: service.clone(),
+                key: key.clone(),
+                balancer: balancer.clone(),
+                notes: notes.clone(),
+                through: through.clone(),
+            };
+            // Spread, so that the reads of all keys don't arrive together.
+            let offset = PROBE_EVERY.mul_f64(at as f64 / keys.len() as f64);
+            tasks.spawn(probe.run(offset, stopped.clone()));
+        }
+        Self { stop, tasks, notes }
+    }
+
+    /// Stops reading, and gives the notes when all reads have ended.
+    pub async fn stop(mut self) -> Vec<Note> {
+        self.stop.send_replace(true);
+        while self.tasks.join_next().await.is_some() {}
+        self.notes.take()
+    }
+}
+
+#[derive(Clone)]
+struct Probe<F> {
+    service: ServiceName,
+    key: String,
+    balancer: Arc<Balancer>,
+    notes: Notes,
+    through: F,
+}
+
+impl<F: Fn(&Backend) -> bool + Clone + Send + Sync + 'static> Probe<F> {
+    async fn run(self, offset: Duration, mut stop: watch::Receiver<bool>) {
+        let mut reads = JoinSet::new();
+        tokio::time::sleep(offset).await;
+        let mut tick = tokio::time::interval(PROBE_EVERY);
+        for number in 0u64.. {
+            tokio::select! {
+                _ = tick.tick() => {}
+                _ = stop.wait_for(|stop| *stop) => break,
+            }
+            while reads.try_join_next().is_some() {}
+            reads.spawn(self.clone().read(number));
+        }
+        while reads.join_next().await.is_some() {}
+    }
+
+    async fn read(self, number: u64) {
+        let sending = Sending {
+            method: "GET",
+            path: format!("/{}/{}/probe{number}", self.service, self.key),
+            deadline: DEADLINE,
+            idempotency_key: None,
+            service_time: None,
+            body: Bytes::new(),
+        };
+        let hosts = self.balancer.shuffled(&mut fastrand::Rng::new(), &self.through);
+        for host in hosts.into_iter().take(MOST_HOSTS) {
+            let sent = Instant::now();
+            let ended = sending.send(host.addr).await;
+            if ended == Ended::NotSent {
+                continue;
+            }
+            self.notes.push(Note {
+                kind: Kind::Probe,
+                service: self.service,
+                key: self.key,
+                path: sending.path,
+                remembered: false,
+                host: host.host,
+                sent,
+                ended_at: Instant::now(),
+                ended,
+            });
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-measure/src/report.rs
@@ -0,0 +1,249 @@
+//! What came of an experiment.
+
+use std::{collections::BTreeMap, fmt, time::Instant};
+
+use jacinthbeam::types::prelude::*;
+use jacinthbeam_standin::backend::Outcome;
+use serde::{Serialize, Serializer};
+
+use crate::{
+    fault::Kind,
+    judge::{Broken, Promise, ServerRecord},
+    load::{Ended, Note},
+    owners::Owners,
+};
+
+/// What came of an experiment.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Deployment.
+    pub deployment: String,
+    /// Seed.
+    pub seed: u64,
+    /// How long the load lasted.
+    pub seconds: f64,
+    /// The faults in their order.
+    pub episodes: Vec<Episode>,
+    /// Load of each service over its owners.
+    pub imbalance: BTreeMap<ServiceName, Imbalance>,
+    /// Requests of the load over all, probes not counted.
+    pub requests: Requests,
+    /// Requests that backend servers admitted, those of probes included.
+    pub admitted: u64,
+    /// Requests that backend servers refused.
+    pub refused_by_servers: u64,
+    /// Promises that were broken.
+    pub broken: Broken,
+}
+
+/// One fault.
+#[derive(Debug, Serialize)]
+pub struct Episode {
+    /// Which.
+    #[serde(serialize_with = "as_text")]
+    pub fault: Kind,
+    /// The backend server that it was about.
+    pub server: ServerId,
+    /// That server's attendant.
+    pub host: HostId,
+    /// Milliseconds from its beginning until it was healed.
+    pub fault_ms: u64,
+    /// Milliseconds from then until every slot was served.
+    pub served_again_ms: u64,
+    /// Unavailable time of each probed key.
+    pub unavailable_ms: Vec<u64>,
+    /// Slots that have another owner afterwards.
+    pub changed: usize,
+    /// Slots that the server owned before.
+    pub slots_of_server: usize,
+    /// Requests in progress in that time, probes included.
+    pub requests: Requests,
+}
+
+/// Load of a service over its owners.
+#[derive(Debug, Serialize)]
+pub struct Imbalance {
+    /// Backend servers that own slots.
+    pub servers: usize,
+    /// Requests that they ran in the calm time at the end.
+    pub ran: u64,
+    /// Most requests of one server, by the mean.
+    pub max_by_mean: f64,
+}
+
+/// How requests ended.
+#[derive(Debug, Default, Serialize)]
+pub struct Requests {
+    /// In all.
+    pub sent: u64,
+    /// By verdict, or by how they ended without one.
+    pub by_end: BTreeMap<String, u64>,
+    /// Refusals by their text.
+    pub refusals: BTreeMap<String, u64>,
+}
+
+fn as_text<S: Serializer>(kind: &Kind, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(kind)
+}
+
+impl Requests {
+    /// Counts requests.
+    pub fn of<'a>(notes: impl Iterator<Item = &'a Note>) -> Self {
+        let mut counts = Self::default();
+        for note in notes {
+            counts.sent += 1;
+            let end = match &note.ended {
+                Ended::Answered(answered) => match answered.verdict {
+                    Some(verdict) => verdict.to_string(),
+                    None => "no-verdict".into(),
+                },
+                Ended::NotSent => "not-sent".into(),
+                Ended::Broken => "broken".into(),
+                Ended::Late => "late".into(),
+            };
+            *counts.by_end.entry(end).or_default() += 1;
+            if let Ended::Answered(answered) = &note.ended
+                && !answered.refusal.is_empty()
+            {
+                *counts.refusals.entry(answered.refusal.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// Load of each keyed service over the servers that own its slots, since `since`.
+pub fn imbalance(
+    servers: &[ServerRecord],
+    owners: &Owners,
+    since: Instant,
+) -> BTreeMap<ServiceName, Imbalance> {
+    let mut loads: BTreeMap<ServiceName, BTreeMap<ServerId, u64>> = BTreeMap::new();
+    for ((service, _), owner) in owners {
+        loads.entry(service.clone()).or_default().insert(owner.clone(), 0);
+    }
+    for server in servers {
+        let Some(load) = loads.get_mut(&server.service).and_then(|l| l.get_mut(&server.id)) else {
+            continue;
+        };
+        let ran = |run: &&jacinthbeam_standin::backend::Run| {
+            run.outcome == Outcome::Ran && run.at_start >= since
+        };
+        *load = server.runs.iter().filter(ran).count() as u64;
+    }
+    loads.into_iter().map(|(service, loads)| (service, Imbalance::of(&loads))).collect()
+}
+
+impl Imbalance {
+    fn of(loads: &BTreeMap<ServerId, u64>) -> Self {
+        let ran: u64 = loads.values().sum();
+        let max = loads.values().max().copied().unwrap_or_default();
+        let mean = ran as f64 / loads.len() as f64;
+        let max_by_mean = if ran == 0 { 0.0 } else { max as f64 / mean };
+        Self { servers: loads.len(), ran, max_by_mean }
+    }
+}
+
+impl Report {
+    /// Faults whose unavailable time is above what is aimed at, with the longest time.
+    pub fn missed_aims(&self) -> Vec<(Kind, u64)> {
+        let longest = |episode: &Episode| {
+            let longest = *episode.unavailable_ms.iter().max()?;
+            let aim = episode.fault.aim()?;
+            (u128::from(longest) > aim.as_millis()).then_some((episode.fault, longest))
+        };
+        self.episodes.iter().filter_map(longest).collect()
+    }
+
+    /// Unavailable times of all keys by fault, ascending.
+    pub fn unavailable(&self) -> BTreeMap<Kind, Vec<u64>> {
+        let mut times: BTreeMap<Kind, Vec<u64>> = BTreeMap::new();
+        for episode in &self.episodes {
+            times.entry(episode.fault).or_default().extend(&episode.unavailable_ms);
+        }
+        times.values_mut().for_each(|times| times.sort_unstable());
+        times
+    }
+}
+
+/// The smallest value that at least the share `q` of ascending values do not exceed; 0 for none.
+pub fn quantile(sorted: &[u64], q: f64) -> u64 {
+    let rank = (sorted.len() as f64 * q).ceil() as usize;
+    sorted.get(rank.saturating_sub(1)).copied().unwrap_or_default()
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} seed {}, {:.0} s of load", self.deployment, self.seed, self.seconds)?;
+        self.write_unavailable(f)?;
+        self.write_episodes(f)?;
+        for (service, imbalance) in &self.imbalance {
+            let Imbalance { servers, ran, max_by_mean } = imbalance;
+            writeln!(
+                f,
+                "imbalance {service}: max/mean {max_by_mean:.2} ({ran} requests, {servers} owners)"
+            )?;
+        }
+        writeln!(f, "requests: {}", self.requests)?;
+        let Self { admitted, refused_by_servers, .. } = self;
+        writeln!(f, "at backend servers: {admitted} admitted, {refused_by_servers} refused")?;
+        self.write_broken(f)
+    }
+}
+
+impl Report {
+    fn write_unavailable(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<22} {:>5} {:>8} {:>8} {:>8}  unavailable ms",
+            "fault", "keys", "p50", "p99", "max"
+        )?;
+        for (kind, times) in self.unavailable() {
+            let (p50, p99, max) =
+                (quantile(&times, 0.5), quantile(&times, 0.99), quantile(&times, 1.0));
+            writeln!(f, "{:<22} {:>5} {p50:>8} {p99:>8} {max:>8}", kind.as_str(), times.len())?;
+        }
+        Ok(())
+    }
+
+    fn write_episodes(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for episode in &self.episodes {
+            let Episode { fault, server, host, changed, slots_of_server, .. } = episode;
+            writeln!(
+                f,
+                "{fault}: {server} attended by {host}, {changed} slots changed owner (it owned {slots_of_server}), \
+                 served again {} ms after healing; {}",
+                episode.served_again_ms, episode.requests
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_broken(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for promise in Promise::ALL {
+            writeln!(f, "broken {:>5}: {promise}", self.broken.times(promise))?;
+            let examples =
+                self.broken.0.get(&promise).into_iter().flat_map(|count| &count.examples);
+            for example in examples {
+                writeln!(f, "             {example}")?;
+            }
+        }
+        for (kind, longest) in self.missed_aims() {
+            writeln!(f, "aim missed: {kind}: a key was unavailable for {longest} ms")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Requests {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} sent", self.sent)?;
+        for (end, count) in &self.by_end {
+            write!(f, ", {count} {end}")?;
+        }
+        for (text, count) in &self.refusals {
+            write!(f, "; {count} × {text}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/jacinthbeam-standin/src/backend/handle.rs
+++ b/crates/jacinthbeam-standin/src/backend/handle.rs
@@ -6,6 +6,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{
+    holding::Holding,
     run::{Run, Summary},
     serve,
     state::Shared,
@@ -29,6 +30,11 @@
         &self.shared.options.server
     }
 
+    /// Service that it serves.
+    pub fn service(&self) -> &ServiceName {
+        &self.shared.options.service
+    }
+
     /// The first address.
     pub fn addr(&self) -> SocketAddr {
         self.listener.addr()
@@ -54,6 +60,11 @@
         self.shared.lock().runs.list.iter().cloned().collect()
     }
 
+    /// The times during which the server held its slots, oldest first; at most the last hundred thousand.
+    pub fn holdings(&self) -> Vec<Holding> {
+        self.shared.lock().holdings.list()
+    }
+
     /// Counts since the stand-in was spawned.
     pub fn summary(&self) -> Summary {
         self.shared.summary()
--- a/crates/jacinthbeam-standin/src/backend/mod.rs
+++ b/crates/jacinthbeam-standin/src/backend/mod.rs
@@ -12,6 +12,7 @@
 
 mod fence;
 mod handle;
+mod holding;
 mod run;
 mod serve;
 mod state;
@@ -22,6 +23,7 @@
 use jacinthbeam_types::prelude::*;
 
 pub use handle::Handle;
+pub use holding::Holding;
 pub use run::{Outcome, Run, Summary};
 pub use work::{ANSWER_BYTES, Echo, SERVICE_MS};
 
--- a/crates/jacinthbeam-standin/src/backend/run.rs
+++ b/crates/jacinthbeam-standin/src/backend/run.rs
@@ -19,6 +19,8 @@
     pub request: Option<RequestId>,
     /// The caller's key.
     pub key: String,
+    /// Path and query of the request.
+    pub path: String,
     /// Slot of the key.
     pub slot: Option<SlotId>,
     /// Token that the request was sent under.
--- a/crates/jacinthbeam-standin/src/backend/serve.rs
+++ b/crates/jacinthbeam-standin/src/backend/serve.rs
@@ -46,7 +46,12 @@
         Err(err) => return Ok(answer(StatusCode::BAD_REQUEST, format!("no grant: {err}"))),
     };
     let mut state = shared.lock();
+    let (slots, token) = (grant.slots.clone(), grant.token);
+    let until = shared.instant(&state, grant.until);
     let accepted = state.fence.accept(grant);
+    if accepted {
+        state.holdings.granted(shared.options.clock.now(), &slots, token, until);
+    }
     let status = if accepted { StatusCode::OK } else { StatusCode::CONFLICT };
     Ok(json(status, &shared.grant_state(&state)))
 }
--- a/crates/jacinthbeam-standin/src/backend/state.rs
+++ b/crates/jacinthbeam-standin/src/backend/state.rs
@@ -10,7 +10,7 @@
 use jacinthbeam_types::prelude::*;
 use tokio::sync::{Semaphore, watch};
 
-use super::{Options, fence::Fence, run::Runs};
+use super::{Options, fence::Fence, holding::Holdings, run::Runs};
 use crate::net::Server;
 
 #[derive(Debug)]
@@ -37,6 +37,7 @@
     pub(super) running: BTreeMap<u64, Option<Token>>,
     pub(super) next_run: u64,
     pub(super) runs: Runs,
+    pub(super) holdings: Holdings,
     pub(super) faults: Faults,
 }
 
@@ -66,6 +67,7 @@
             running: BTreeMap::new(),
             next_run: 0,
             runs: Runs::default(),
+            holdings: Holdings::default(),
             faults: Faults::default(),
         };
         Arc::new(Self {
@@ -88,6 +90,12 @@
         shown.as_micros() as u64
     }
 
+    /// When the server's own clock shows this many microseconds.
+    pub(super) fn instant(&self, state: &State, shown: u64) -> Instant {
+        let elapsed = Duration::from_micros(shown).saturating_sub(self.options.clock_offset);
+        state.started + elapsed.div_f64(self.options.clock_rate)
+    }
+
     pub(super) fn grant_state(&self, state: &State) -> GrantState {
         let fence = &state.fence;
         let older = |token: &&Option<Token>| token.is_some_and(|token| token < fence.token);
@@ -109,6 +117,7 @@
     pub(super) fn forget_life(&self, dead: bool) -> Incarnation {
         let incarnation = draw_incarnation();
         let mut state = self.lock();
+        state.holdings.ended(self.options.clock.now());
         state.fence = Fence::new(incarnation);
         state.started = self.options.clock.now();
         state.dead = dead;
--- a/crates/jacinthbeam-standin/src/backend/work.rs
+++ b/crates/jacinthbeam-standin/src/backend/work.rs
@@ -81,7 +81,8 @@
 /// Runs one request and answers it, or refuses it.
 pub(super) async fn run(shared: &Arc<Shared>, req: Request<Incoming>) -> Answer {
     let head = Head::of(req.headers(), shared.options.clock.now());
-    let running = match Running::admit(shared, &head) {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let running = match Running::admit(shared, &head, &path) {
         Ok(running) => running,
         Err(because) => return Ok(refusal(because)),
     };
@@ -104,7 +105,7 @@
         slot: head.slot,
         token: head.token,
         method: parts.method.to_string(),
-        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        path,
         body_bytes: body.len() as u64,
         padding: "x".repeat(head.padding.min(MAX_ANSWER)),
     };
@@ -150,7 +151,7 @@
 }
 
 impl Running {
-    fn admit(shared: &Arc<Shared>, head: &Head) -> Result<Self, RefusedBecause> {
+    fn admit(shared: &Arc<Shared>, head: &Head, path: &str) -> Result<Self, RefusedBecause> {
         let mut state = shared.lock();
         let now = shared.options.clock.now();
         if let Err(because) = may_start(shared, &state, head, now) {
@@ -165,6 +166,7 @@
         let run = Run {
             request: head.request,
             key: head.key.clone(),
+            path: path.to_owned(),
             slot: head.slot,
             token: head.token,
             at_start: now,
--- a/crates/jacinthbeam-standin/tests/backend/grant.rs
+++ b/crates/jacinthbeam-standin/tests/backend/grant.rs
@@ -1,5 +1,7 @@
 //! Grants are fenced, and requests are checked against them twice.
 
+use std::time::Duration;
+
 use jacinthbeam_platform::format::backend::{
     DEADLINE, Grant, GrantState, REFUSED, RefusedBecause, SLOT, TOKEN,
 };
@@ -127,3 +129,28 @@
     bench.clock.advance(LEASE);
     assert_eq!(bench.server.grant_state().clock, 2_500_000);
 }
+
+/// What a judge of sole ownership reads: from when to when the server held which slots, renewals joined, and ended by
+/// the lease, by other slots, or by the server's death.
+#[tokio::test]
+async fn holdings_tell_when_which_slots_were_held() {
+    let bench = Bench::new(|_| {});
+    let start = bench.clock.now();
+    let mut client = bench.client().await;
+    let first = grant(&bench.server, 1);
+    post(&mut client, &first).await;
+    bench.clock.advance(LEASE / 2);
+    let renewed = Grant { until: first.until * 2, ..first.clone() };
+    post(&mut client, &renewed).await;
+    bench.clock.advance(LEASE / 2);
+    let fewer = Grant { slots: [SlotId(2)].into_iter().collect(), ..renewed.clone() };
+    post(&mut client, &fewer).await;
+    bench.clock.advance(LEASE / 2);
+    bench.server.kill();
+    let holdings = bench.server.holdings();
+    let held: Vec<_> = holdings
+        .iter()
+        .map(|held| (held.slots.len(), held.from - start, held.until - start))
+        .collect();
+    assert_eq!(held, [(4, Duration::ZERO, LEASE), (1, LEASE, LEASE + LEASE / 2)]);
+}
