feat(entry): a repeat with an idempotency key never runs twice across a change of attendant

Cause: a new attendant knew nothing of the requests of the one before it.

Change: the attendant's successor holds a copy of each entry before the request is sent. A new attendant claims its slots at all hosts of the cell, which refuse copies of earlier keepers from then on, fetches from a host that holds all that was remembered under the last claim, or notes the loss; slots that come from another server are fetched from the hosts of that server's cell. Claims are ordered by epoch of the slot, token and round. The messages Remember, Claim and Fetch are answered without the control thread. Undivided services refuse the header, since their servers come and go without an order between them.

--- a/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
@@ -131,7 +131,7 @@
         fingerprint: u64,
     ) -> Begin {
         self.forget(now);
-        let lost = self.lost_at(now, scope, slot);
+        let lost = self.lost_for(now, scope, slot);
         let Some(entry) = self.entries.get_mut(scope) else {
             return self.begin_unknown(now, scope, slot, fingerprint, lost.is_some());
         };
@@ -197,6 +197,9 @@
         if newer && !entry.in_progress {
             self.replace(now, &copy.scope, copy.attempt, copy.progress);
         }
+        if let Some(entry) = self.entries.get_mut(&copy.scope) {
+            entry.slot = copy.slot;
+        }
         Imported::Kept
     }
 
@@ -227,6 +230,31 @@
         self.answers.retain(|scope| entries.contains_key(scope));
     }
 
+    /// Drops the picked entries, also those in progress: a later keeper of their slots is the one that knows.
+    ///
+    /// The report of an attempt that was in progress changes nothing any more. That attempt was not sent after the later keeper began, since
+    /// the backend server and the holders of copies refuse the earlier keeper.
+    pub fn supersede(&mut self, picked: impl Fn(&Scope, Option<SlotId>) -> bool) {
+        for (scope, entry) in &mut self.entries {
+            entry.in_progress &= !picked(scope, entry.slot);
+        }
+        self.remove(picked);
+    }
+
+    /// Puts entries under the slot that now holds their key, as a key is split out of its slot or merged into it.
+    ///
+    /// `slot_of` gets the scope and the present slot of each entry of a divided service.
+    pub fn relabel(&mut self, slot_of: impl Fn(&Scope, SlotId) -> SlotId) {
+        for (scope, entry) in &mut self.entries {
+            entry.slot = entry.slot.map(|slot| slot_of(scope, slot));
+        }
+    }
+
+    /// When memory of the slot was last lost, if that still matters.
+    pub fn lost_at(&self, now: Instant, slot: &SlotOf) -> Option<Instant> {
+        self.losses.since(now, slot, self.options.keep)
+    }
+
     /// Memory of these slots from before `when` may have been lost: unknown keys are refused until it would have been forgotten anyway.
     pub fn lost_since(&mut self, slots: impl IntoIterator<Item = SlotOf>, when: Instant) {
         for slot in slots {
--- a/crates/jacinthbeam-admission/src/process/duplicate/store.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/store.rs
@@ -97,7 +97,7 @@
     }
 
     /// When memory of the slot may have been lost, if that still matters.
-    pub(super) fn lost_at(
+    pub(super) fn lost_for(
         &self,
         now: Instant,
         scope: &Scope,
--- a/crates/jacinthbeam-admission/src/request/retry.rs
+++ b/crates/jacinthbeam-admission/src/request/retry.rs
@@ -132,6 +132,7 @@
         | Reason::RefusedByServer
         | Reason::ConnectionLost
         | Reason::AnswerCut
+        | Reason::NoCopy
         | Reason::Stopping => true,
         // An overloaded backend server is not helped by a repeat; the caller gets its hint instead.
         Reason::Overloaded
--- a/crates/jacinthbeam-entry/src/connection/peers.rs
+++ b/crates/jacinthbeam-entry/src/connection/peers.rs
@@ -14,7 +14,8 @@
     request::run,
 };
 
-/// Listens for other entry hosts. Questions go to the control thread, requests run here.
+/// Listens for other entry hosts. Questions about control state go to the control thread, those about the memory of
+/// idempotency keys are answered here, and requests run here.
 ///
 /// A request whose sender goes away is dropped where it stands, which closes its connection to the backend server.
 pub fn bind(
@@ -23,8 +24,9 @@
     cx: Arc<Traffic>,
     control: mpsc::Sender<Event>,
 ) -> Result<server::Handle, server::bind::Error> {
+    let asked = cx.clone();
     let handler = Handler {
-        ask: move |question: Question| ask(control.clone(), question),
+        ask: move |question: Question| ask(asked.clone(), control.clone(), question),
         forward: move |head: ForwardHead, body: Body, cancelled: Cancelled| {
             forward(cx.clone(), head, body, cancelled)
         },
@@ -32,7 +34,13 @@
     server::bind(addr, options, handler)
 }
 
-async fn ask(control: mpsc::Sender<Event>, question: Question) -> Answer {
+async fn ask(cx: Arc<Traffic>, control: mpsc::Sender<Event>, question: Question) -> Answer {
+    let question = match question {
+        Question::Remember(copies) => return Answer::Done { agreed: cx.memory.remember(copies) },
+        Question::Claim(claim) => return Answer::Claimed(cx.memory.claimed(&claim)),
+        Question::Fetch(fetch) => return Answer::Fetched(cx.memory.fetch(&fetch)),
+        question => question,
+    };
     let stopping = || Answer::Failed { why: "this host is stopping".into() };
     let (reply, answer) = oneshot::channel();
     if control.send(Event::Asked { question, reply }).await.is_err() {
--- a/crates/jacinthbeam-entry/src/process/control/answer.rs
+++ b/crates/jacinthbeam-entry/src/process/control/answer.rs
@@ -18,7 +18,9 @@
             Question::Attend { server } => self.asked_to_attend(&server),
             Question::FetchState => self.answer_state(),
             Question::ReadLog { .. } => Answer::Failed { why: "reads are not relayed here".into() },
-            Question::Remember(_) => Answer::Failed { why: "copies go to traffic".into() },
+            Question::Remember(_) | Question::Claim(_) | Question::Fetch(_) => {
+                Answer::Failed { why: "what traffic remembers is not asked of control".into() }
+            }
         };
         // Whoever asked may have gone away.
         let _ = reply.send(answer);
--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -38,6 +38,8 @@
     held: BTreeSet<SlotId>,
     draining: bool,
     report: Option<Report>,
+    /// What the server has said of its grant.
+    pub(super) granted: super::memory::Granted,
     pub(super) planned: Vec<PlannedMove>,
 }
 
@@ -65,6 +67,7 @@
             held: BTreeSet::new(),
             draining: false,
             report: None,
+            granted: Default::default(),
             planned: Vec::new(),
         };
         self.tended.insert(server.clone(), tended);
@@ -121,6 +124,7 @@
                 running_older: reply.state.running_older,
             };
             tended.report = Some(report);
+            tended.granted.reported(&reply.state);
         }
         let cut_off =
             self.state.service(&tended.service).map_or_else(Default::default, |s| s.cut_off);
@@ -217,6 +221,7 @@
             running_older: 0,
         });
         let token = permit.token;
+        let slots = permit.slots.clone();
         attended.permit(permit, report);
         let Some(tended) = self.tended.get_mut(server) else { return };
         if !tended.open || tended.token != token {
@@ -227,6 +232,8 @@
         tended.open = true;
         tended.token = token;
         tended.attended = Some(attended);
+        tended.granted.permitted(token, slots);
+        self.keep_memory_of(server, self.clock.now());
     }
 
     fn new_attended(&self, server: &ServerId, tended: &Tended) -> Option<Arc<Attended>> {
--- a/crates/jacinthbeam-entry/src/process/control/cell.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cell.rs
@@ -59,6 +59,7 @@
             self.close_replaced(&server);
             self.tended.remove(&server);
             self.handed_over.remove(&server);
+            self.traffic.memory.forget(&server);
         }
         self.list = list;
         self.changed = true;
--- a/crates/jacinthbeam-entry/src/process/control/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/control/dump.rs
@@ -75,6 +75,7 @@
             service: tended.service.clone(),
             leaving: tended.leaving,
             owns: self.state.servers.get(id).map_or(0, |server| server.slots().len()),
+            slots_remembered: self.traffic.memory.ready_slots(id),
             attendant: format!("{:?}", tended.attendant.summary(now)),
             admission: attended.map(|attended| attended.snapshot()),
             connections: None,
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -100,6 +100,7 @@
             self.witness.forget(&self.state);
             self.changed = true;
             self.tick_attendants();
+            self.keep_memory(now);
         }
     }
 
@@ -157,6 +158,7 @@
             self.reconfigure_teams();
             return;
         }
+        self.note_origin(change);
         log::info!("owner: record {offset}: {change}");
     }
 
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod found;
 mod heartbeat;
+mod memory;
 mod publish;
 mod snapshot;
 mod usage;
@@ -97,6 +98,8 @@
     changed: bool,
     stopping: Option<tokio::sync::oneshot::Sender<()>>,
     handed_over: BTreeSet<ServerId>,
+    /// Who owned slots of this cell's servers before.
+    origins: memory::Origins,
 }
 
 impl Control {
@@ -138,6 +141,7 @@
             changed: true,
             stopping: None,
             handed_over: BTreeSet::new(),
+            origins: Default::default(),
             me,
             traffic,
             timing,
@@ -197,6 +201,7 @@
         self.beat(now);
         self.elect(now);
         self.tick_attendants();
+        self.keep_memory(now);
         self.change_witnesses(now);
         self.found_services(now);
         self.append_snapshot(now);
--- a/crates/jacinthbeam-entry/src/process/control/publish.rs
+++ b/crates/jacinthbeam-entry/src/process/control/publish.rs
@@ -41,7 +41,7 @@
     }
 
     /// Where the hosts of each cell listen.
-    fn cell_book(&self) -> BTreeMap<CellId, Vec<SocketAddr>> {
+    pub(super) fn cell_book(&self) -> BTreeMap<CellId, Vec<SocketAddr>> {
         let mut book: BTreeMap<CellId, BTreeSet<SocketAddr>> = BTreeMap::new();
         for host in &self.list.entry_hosts {
             book.entry(host.cell.clone()).or_default().insert(host.peer_address);
--- a/crates/jacinthbeam-entry/src/process/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/dump.rs
@@ -78,6 +78,8 @@
     pub leaving: bool,
     /// Slots that it owns.
     pub owns: usize,
+    /// Slots whose memory of idempotency keys is gathered here and copied to the successor.
+    pub slots_remembered: usize,
     /// What this host does about it.
     pub attendant: String,
     /// Its admission, if this host attends it.
--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -87,6 +87,7 @@
     callers: SocketAddr,
     operators: SocketAddr,
     control: mpsc::Sender<Event>,
+    memory: memory::Shared,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
     peers: Option<server::Handle>,
@@ -117,6 +118,7 @@
         peer_address,
     };
     let cx = Arc::new(shared(settings, &me, clock));
+    let memory = cx.memory.clone();
     let peer_options = server::Options {
         max_connections: settings.limits.max_peer_connections as usize,
         ..Default::default()
@@ -152,6 +154,7 @@
         callers: callers_addr,
         operators: operators_addr,
         control: tx,
+        memory,
         stop,
         serving,
         peers: Some(peers),
@@ -199,6 +202,8 @@
         {
             log::warn!("process: not all backend servers were handed over");
         }
+        // The successor takes over now; it should know how the last requests ended.
+        self.memory.flush().await;
         if let Some(peers) = self.peers.take() {
             let cut = peers.shutdown(STOP_PATIENCE).await.cut;
             if cut > 0 {
@@ -241,12 +246,13 @@
 fn shared(settings: &Settings, me: &Identity, clock: Arc<dyn Clock>) -> Traffic {
     let memory =
         duplicate::Options { bytes: settings.limits.duplicate_memory, ..Default::default() };
+    let peers = Client::open(Default::default());
     Traffic {
         version: Arc::new(ArcSwap::from_pointee(Version::default())),
-        peers: Client::open(Default::default()),
+        peers: peers.clone(),
         hints: Hints::default(),
         ids: Default::default(),
-        memory: memory::Shared::new(memory, clock.clone()),
+        memory: memory::Shared::new(memory, me.incarnation, peers, clock.clone()),
         usage: Usage::new(me.incarnation),
         teams: Mutex::new(Teams::new(
             settings.limits.max_requests,
--- a/crates/jacinthbeam-entry/src/request/call.rs
+++ b/crates/jacinthbeam-entry/src/request/call.rs
@@ -51,6 +51,8 @@
     BadIdempotent,
     /// The idempotency key is no name, or stands there more than once.
     BadIdempotencyKey,
+    /// An idempotency key was sent to an undivided service.
+    KeyOfUndivided(ServiceName),
 }
 
 impl fmt::Display for Error {
@@ -71,6 +73,10 @@
                 f,
                 "header {IDEMPOTENCY_KEY} must stand there once, as up to 128 letters, digits and . _ : -"
             ),
+            Self::KeyOfUndivided(name) => write!(
+                f,
+                "service {name} is not divided by key, so it can't remember requests: send no header {IDEMPOTENCY_KEY}"
+            ),
         }
     }
 }
@@ -96,12 +102,17 @@
             Division::Keyed { .. } => Some(read_key(&name, rest)?),
             Division::Undivided => None,
         };
+        let idempotency_key = read_idempotency_key(&parts.headers)?;
+        // Its servers come and go without an order between them, so nobody could know whether an earlier one has run the key.
+        if key.is_none() && idempotency_key.is_some() {
+            return Err(Error::KeyOfUndivided(name));
+        }
         Ok(Self {
             team: service.team.clone(),
             key,
             deadline: read_deadline(&parts.headers, service)?,
             idempotent: read_idempotent(&parts.method, &parts.headers, service)?,
-            idempotency_key: read_idempotency_key(&parts.headers)?,
+            idempotency_key,
             service: name,
         })
     }
--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -21,7 +21,10 @@
 
 use super::body::{OutBody, fingerprint};
 use crate::{
-    process::Traffic,
+    process::{
+        Traffic,
+        memory::{PATIENCE, Place as Kept},
+    },
     version::attended::{Attended, Place},
 };
 
@@ -70,7 +73,7 @@
     let next = version.state.next;
     let work = Work { cx: cx.clone(), attended, slot, next, deadline };
     match head.idempotency_key.clone() {
-        None => work.once(head, body, ticket).await.map_err(Refused::from),
+        None => work.once(head, body, ticket, None).await.map_err(Refused::from),
         Some(key) => work.remembered(head, body, ticket, key).await.map_err(Refused::from),
     }
 }
@@ -91,12 +94,13 @@
         head: ForwardHead,
         body: Body,
         ticket: Ticket,
+        kept: Option<&Kept>,
     ) -> Result<(ForwardReply, Body), Refusal> {
         self.attended.check(self.slot, self.next)?;
         let place = self.attended.admit(ticket).await?;
         let (team, service) = self.share(&head);
         let id = head.id;
-        let req = match self.request(head, body) {
+        let req = match self.request(head, body, kept) {
             Ok(req) => req,
             Err(refusal) => {
                 place.finish(Outcome::NotSent);
@@ -128,6 +132,7 @@
     ) -> Result<(ForwardReply, Body), Refusal> {
         let cut = |_| Refusal::not_run(Reason::Cancelled);
         let body = body.collect(self.cx.limits.held_body).await.map_err(cut)?;
+        let Some(slot) = self.slot else { return Err(Refusal::not_run(Reason::BadRequest)) };
         let scope = Scope {
             key: KeyHash::of(&head.key),
             idempotency_key: key,
@@ -135,14 +140,22 @@
         };
         let print = fingerprint(&head.method, &head.path, &body);
         let id = head.id;
-        let attempt = match self.cx.memory.begin(&scope, self.slot, print) {
+        let until = self.deadline.min(self.cx.clock.now() + PATIENCE);
+        self.attended.check(self.slot, self.next)?;
+        let kept = self.cx.memory.until_ready(&self.attended.server, slot, until).await?;
+        let attempt = match self.cx.memory.begin(&kept, &scope, print) {
             Begin::Run { attempt } => attempt,
             Begin::Replay(answer) => return Ok(replay(id, &answer)),
             Begin::Refuse(refusal) => return Err(refusal),
         };
         // Ends the attempt as one that may have run if this task is dropped anywhere below.
-        let mut memo = self.cx.memory.attempt(scope, attempt);
-        let answered = self.once(head, Body::from(body), ticket).await;
+        let mut memo = self.cx.memory.attempt(kept.clone(), scope, attempt);
+        // Without the copy, a repeat after the loss of this host would run again.
+        if let Err(refusal) = memo.until_copied(until).await {
+            memo.not_run();
+            return Err(refusal);
+        }
+        let answered = self.once(head, Body::from(body), ticket, Some(&kept)).await;
         let (reply, body) = match answered {
             Ok(answered) => answered,
             Err(refusal) => {
@@ -195,9 +208,15 @@
         &self,
         head: ForwardHead,
         body: Body,
+        kept: Option<&Kept>,
     ) -> Result<Request<backend::RequestBody>, Refusal> {
         let bad = |_| Refusal::not_run(Reason::BadRequest);
         let permit = self.attended.check(self.slot, self.next)?;
+        // The request may have waited while this host lost the server and got it back. Its key was looked up in the memory of
+        // the earlier token, and another attendant may have run it in between.
+        if kept.is_some_and(|kept| kept.token != permit.token || !self.cx.memory.is_keeper(kept)) {
+            return Err(Refusal::not_run(Reason::NoCopy));
+        }
         let uri: Uri = head.path.parse().map_err(|_| Refusal::not_run(Reason::BadRequest))?;
         let left = self.deadline.saturating_duration_since(self.cx.clock.now());
         let body = match body.length() {
--- a/crates/jacinthbeam-entry/src/version/route.rs
+++ b/crates/jacinthbeam-entry/src/version/route.rs
@@ -39,12 +39,8 @@
         Ok(Target { server: owner.server, slot: Some(slot) })
     }
 
-    /// Repeats with the same idempotency key meet the same backend server, and so the same attendant's memory.
     fn any_server(&self, call: &Call, id: RequestId, attempt: u32) -> Result<Target, Refusal> {
-        let subject = match &call.idempotency_key {
-            Some(key) => key.to_string(),
-            None => format!("{id}/{attempt}"),
-        };
+        let subject = format!("{id}/{attempt}");
         let servers = self.state.servers_of(&call.service);
         let picked = servers.max_by_key(|(id, _)| rendezvous_weight(&subject, id.as_str()));
         let (server, _) = picked.ok_or(Refusal::not_run(Reason::NoOwner))?;
--- /dev/null
+++ b/crates/jacinthbeam-entry/tests/memory/main.rs
@@ -0,0 +1,194 @@
+//! A caller's repeat with the same idempotency key never runs twice, whoever is lost in between.
+
+mod support;
+
+use http::StatusCode;
+use support::{Cell, ORDER, Order, send, until};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_the_loss_of_the_attendant_gets_the_first_answer() {
+    // A dispatcher orders brine and gets an answer. The attendant's host dies. The dispatcher's own host was restarted
+    // too, so it does not know whether the order went out and sends it again through another host.
+    // The new attendant has never seen the order, but the successor held a copy: it is not run again.
+    let mut cell = Cell::spawn().await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!((first.status, first.verdict.as_str()), (StatusCode::OK, "ran"));
+    let (_, attendant) = cell.where_it_ran().await;
+    cell.entries.remove(&attendant);
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!(second, first);
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_a_planned_stop_gets_the_first_answer() {
+    // As above, but the attendant's host is stopped for an upgrade. It has handed over all it remembers.
+    let mut cell = Cell::spawn().await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    let (_, attendant) = cell.where_it_ran().await;
+    cell.entries.remove(&attendant).unwrap().stop().await;
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!(second, first);
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_two_losses_in_a_row_gets_the_first_answer() {
+    // The attendant dies, and after the next one has taken over that one dies too. The last host of the
+    // cell got a copy of everything when it became the successor.
+    let mut cell = Cell::spawn().await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    for _ in 0..2 {
+        let (_, attendant) = cell.where_it_ran().await;
+        cell.entries.remove(&attendant);
+        cell.until_served(8).await;
+    }
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!(second, first);
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_the_eviction_of_the_server_gets_the_first_answer() {
+    // The backend server dies after its answer, and its slots go to the other one, which knows nothing of the order.
+    // Its attendant fetches the memory of the slots before it takes the repeat.
+    let cell = Cell::spawn().await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    let (server, _) = cell.where_it_ran().await;
+    cell.servers[&server].kill();
+    cell.until_served(8).await;
+    until(async || {
+        let dump = cell.entries.values().next().unwrap().dump().await.unwrap();
+        dump.backend_servers[&server].owns == 0
+    })
+    .await;
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!(second, first);
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_a_restart_of_the_server_gets_the_first_answer() {
+    // The backend server restarts and reports that nobody ever attended it. Its attendant remembers the order all the same.
+    let cell = Cell::spawn().await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    let (server, _) = cell.where_it_ran().await;
+    let life = cell.servers[&server].restart().unwrap();
+    until(async || cell.servers[&server].grant_state().slots.iter().count() > 0).await;
+    assert_eq!(cell.servers[&server].grant_state().incarnation, life);
+    cell.until_served(8).await;
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!(second, first);
+    assert_eq!(cell.ran(), 1);
+    // A new order runs: nothing was lost.
+    let other = Order { idempotency_key: "order-2", ..ORDER };
+    assert_eq!(cell.repeat(cell.other_than(&[]), other).await.verdict, "ran");
+    assert_eq!(cell.ran(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_the_loss_of_attendant_and_successor_is_refused_honestly() {
+    // Both hosts that remember the order die at once. The third one can't know whether it ran, and says so; the order
+    // is not run again.
+    let mut cell = Cell::spawn().await;
+    cell.repeat(cell.other_than(&[]), ORDER).await;
+    let (server, attendant) = cell.where_it_ran().await;
+    let successor = cell.successor(&server, &attendant);
+    let attendant = cell.entries.remove(&attendant);
+    let successor = cell.entries.remove(&successor);
+    drop((attendant, successor));
+
+    let second = cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert_eq!((second.status, second.verdict.as_str()), (StatusCode::CONFLICT, "may-have-run"));
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_that_was_running_when_its_attendant_died_is_not_run_again() {
+    // The order is at the backend server when the attendant dies, so nobody learns its answer. The successor
+    // has a copy that says that it was sent.
+    let mut cell = Cell::spawn().await;
+    let probe = Order { idempotency_key: "order-0", ..ORDER };
+    cell.repeat(cell.other_than(&[]), probe).await;
+    let (server, attendant) = cell.where_it_ran().await;
+    cell.servers[&server].set_hold(true);
+    let addr = cell.other_than(&[&attendant]);
+    let sent = tokio::spawn(async move { send(addr, ORDER).await });
+    until(async || cell.servers[&server].grant_state().running == 1).await;
+    cell.entries.remove(&attendant);
+    let lost = sent.await.unwrap().expect("the host that was asked lives");
+    assert_eq!(lost.verdict, "may-have-run");
+    cell.servers[&server].set_hold(false);
+
+    let second = cell.repeat(addr, ORDER).await;
+    assert_eq!((second.status, second.verdict.as_str()), (StatusCode::CONFLICT, "may-have-run"));
+    assert!(cell.ran() <= 2, "order-0 and at most once order-1");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_order_sent_through_all_hosts_during_takeovers_runs_at_most_once() {
+    // The dispatcher's client sends one order again and again through every host, while the attendant dies and
+    // the next one takes over. Whatever each host believes meanwhile, the order takes effect once.
+    let mut cell = Cell::spawn().await;
+    let probe = Order { idempotency_key: "order-0", ..ORDER };
+    cell.repeat(cell.other_than(&[]), probe).await;
+    let (_, attendant) = cell.where_it_ran().await;
+    let senders: Vec<_> = cell.entries.values().map(|entry| entry.callers()).collect();
+    let senders: Vec<_> = senders
+        .into_iter()
+        .map(|addr| {
+            tokio::spawn(async move {
+                for _ in 0..200 {
+                    send(addr, ORDER).await;
+                    tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                }
+            })
+        })
+        .collect();
+    cell.entries.remove(&attendant);
+    for sender in senders {
+        sender.await.unwrap();
+    }
+
+    cell.repeat(cell.other_than(&[]), ORDER).await;
+    assert!(cell.ran() <= 2, "order-0 once and order-1 at most once, but {}", cell.ran());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn same_key_with_another_body_is_refused_also_by_the_next_attendant() {
+    // A client draws the same key for two different orders. The second one must be neither run nor answered as the first.
+    let mut cell = Cell::spawn().await;
+    cell.repeat(cell.other_than(&[]), ORDER).await;
+    let (_, attendant) = cell.where_it_ran().await;
+    let other = Order { body: "900 l", ..ORDER };
+    let refused = send(cell.other_than(&[]), other).await.unwrap();
+    assert_eq!(
+        (refused.status, refused.verdict.as_str()),
+        (StatusCode::UNPROCESSABLE_ENTITY, "not-run")
+    );
+    cell.entries.remove(&attendant);
+    cell.until_served(8).await;
+
+    let refused = send(cell.other_than(&[]), other).await.unwrap();
+    assert_eq!(
+        (refused.status, refused.verdict.as_str()),
+        (StatusCode::UNPROCESSABLE_ENTITY, "not-run")
+    );
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn key_sent_to_an_undivided_service_is_refused() {
+    // Its servers come and go without an order between them, so nobody could vouch that a key did not run.
+    let cell = Cell::spawn().await;
+    let order = Order { path: "/maps/tile", ..ORDER };
+    let refused = send(cell.other_than(&[]), order).await.unwrap();
+    assert_eq!((refused.status, refused.verdict.as_str()), (StatusCode::BAD_REQUEST, "not-run"));
+    assert!(refused.body.contains("idempotency-key"), "{}", refused.body);
+    assert_eq!(cell.ran(), 0);
+}
--- /dev/null
+++ b/crates/jacinthbeam-entry/tests/memory/support.rs
@@ -0,0 +1,244 @@
+//! One cell with stand-ins of the platform, in this process.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use jacinthbeam_config::{
+    fold,
+    folder::Snapshot,
+    publish::{Options, Plan, Synced, plan},
+    settings::{Limits, Settings, TimingSettings},
+};
+use jacinthbeam_entry::process::{Handle, dump::Dump, spawn};
+use jacinthbeam_platform::format::hosts::{BackendServer, EntryHost, HostList};
+use jacinthbeam_standin as standin;
+use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId};
+use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Bound of every wait for a condition. Reached only if the condition never comes.
+const BOUND: Duration = Duration::from_secs(30);
+const SLOTS: usize = 8;
+
+/// Three entry hosts and two backend servers.
+pub(crate) struct Cell {
+    log: standin::log::Handle,
+    hosts: standin::hosts::Handle,
+    pub(crate) servers: BTreeMap<ServerId, standin::backend::Handle>,
+    pub(crate) entries: BTreeMap<HostId, Handle>,
+}
+
+/// An answer as the caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) verdict: String,
+    pub(crate) body: String,
+}
+
+/// What is sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Order<'a> {
+    pub(crate) path: &'a str,
+    pub(crate) idempotency_key: &'a str,
+    pub(crate) body: &'a str,
+    pub(crate) service_ms: u64,
+}
+
+pub(crate) const ORDER: Order<'static> = Order {
+    path: "/brinedesk/road-7/orders",
+    idempotency_key: "order-1",
+    body: "200 l",
+    service_ms: 5,
+};
+
+impl Cell {
+    /// Starts everything and waits until every slot is served and its memory is gathered.
+    pub(crate) async fn spawn() -> Self {
+        let log = standin::log::spawn(LOOPBACK, Default::default()).unwrap();
+        let hosts = standin::hosts::spawn(LOOPBACK, Default::default()).unwrap();
+        let mut cell = Self { log, hosts, servers: BTreeMap::new(), entries: BTreeMap::new() };
+        for (id, service) in
+            [("brine-0", "brinedesk"), ("brine-1", "brinedesk"), ("maps-0", "maps")]
+        {
+            let options =
+                standin::backend::Options::new(id.parse().unwrap(), service.parse().unwrap());
+            let server = standin::backend::spawn(LOOPBACK, options).unwrap();
+            cell.servers.insert(id.parse().unwrap(), server);
+        }
+        cell.publish_list();
+        for host in ["entry-0", "entry-1", "entry-2"] {
+            cell.spawn_entry(host);
+        }
+        cell.publish_list();
+        cell.publish_config();
+        cell.until_served(SLOTS).await;
+        cell
+    }
+
+    pub(crate) fn spawn_entry(&mut self, host: &str) {
+        let settings = Settings {
+            host: host.parse().unwrap(),
+            cell: "kelowna".parse().unwrap(),
+            callers: LOOPBACK,
+            peers: LOOPBACK,
+            operators: LOOPBACK,
+            log: self.log.addr(),
+            hosts: self.hosts.addr(),
+            timing: TimingSettings::default(),
+            limits: Limits::default(),
+            traffic_threads: 1,
+        };
+        let entry = spawn(&settings, Arc::new(SystemClock)).unwrap();
+        self.entries.insert(host.parse().unwrap(), entry);
+    }
+
+    pub(crate) fn publish_list(&self) {
+        let entry = |(id, entry): (&HostId, &Handle)| EntryHost {
+            id: id.clone(),
+            cell: entry.identity().cell.clone(),
+            peer_address: entry.identity().peer_address,
+            leaving: false,
+        };
+        let server = |(id, server): (&ServerId, &standin::backend::Handle)| BackendServer {
+            id: id.clone(),
+            service: if id.as_str() == "maps-0" { "maps" } else { "brinedesk" }.parse().unwrap(),
+            cell: "kelowna".parse().unwrap(),
+            address: server.addr(),
+            leaving: false,
+        };
+        self.hosts.set_list(HostList {
+            entry_hosts: self.entries.iter().map(entry).collect(),
+            backend_servers: self.servers.iter().map(server).collect(),
+        });
+    }
+
+    fn publish_config(&self) {
+        let text = r#"{ "services": {
+            "brinedesk": { "team": "field-crews", "division": { "keyed": { "slots": 8 } },
+                "concurrency": 3, "connections": 100 },
+            "maps": { "team": "field-crews", "division": "undivided",
+                "concurrency": 3, "connections": 100 }
+        } }"#;
+        let files = BTreeMap::from([("10-cell.json".parse().unwrap(), text.to_owned())]);
+        let planned = plan(
+            &Snapshot { files },
+            &Synced::default(),
+            &fold::State::default(),
+            &Options::default(),
+        );
+        let Plan::Publish { change, .. } = planned else { panic!("{planned}") };
+        let envelope = Envelope {
+            id: RecordId { incarnation: Incarnation(0), sequence: 0 },
+            why: "first configuration".into(),
+            record: Record::Config(change),
+        };
+        self.log.append(CONTROL, envelope.encode().unwrap().into());
+    }
+
+    /// Waits until the attendants of all servers together may serve this many slots, with their memory.
+    pub(crate) async fn until_served(&self, slots: usize) {
+        until(async || {
+            let mut ready = 0;
+            for entry in self.entries.values() {
+                let Some(dump) = entry.dump().await else { continue };
+                let attended = dump.backend_servers.values();
+                let admitted = attended.filter(|server| {
+                    server.admission.as_ref().is_some_and(|a| a.permit_left_ms > Some(0))
+                });
+                ready += admitted.map(|server| server.slots_remembered).sum::<usize>();
+            }
+            ready == slots
+        })
+        .await;
+    }
+
+    /// The server that ran something, and its attendant.
+    pub(crate) async fn where_it_ran(&self) -> (ServerId, HostId) {
+        let ran = self.servers.iter().find(|(_, server)| server.summary().ran > 0);
+        let server = ran.map(|(id, _)| id.clone()).expect("it ran");
+        for (host, entry) in &self.entries {
+            let Some(dump) = entry.dump().await else { continue };
+            if attends(&dump, &server) {
+                return (server, host.clone());
+            }
+        }
+        panic!("nobody attends {server}")
+    }
+
+    /// The host that holds the copies of an attendant: first among the others in rendezvous order.
+    pub(crate) fn successor(&self, server: &ServerId, attendant: &HostId) -> HostId {
+        let others = self.entries.keys().filter(|host| *host != attendant);
+        let weight = |host: &&HostId| rendezvous_weight(server.as_str(), host.as_str());
+        others.max_by_key(weight).cloned().expect("there are several")
+    }
+
+    /// Effects on all servers.
+    pub(crate) fn ran(&self) -> u64 {
+        self.servers.values().map(|server| server.summary().ran).sum()
+    }
+
+    /// Any entry host, but for these.
+    pub(crate) fn other_than(&self, hosts: &[&HostId]) -> SocketAddr {
+        let mut others = self.entries.iter().filter(|(host, _)| !hosts.contains(host));
+        others.next().expect("one is left").1.callers()
+    }
+
+    /// Sends the order until it is not refused with proof that it did not run.
+    pub(crate) async fn repeat(&self, addr: SocketAddr, order: Order<'_>) -> Answer {
+        let mut last = None;
+        until(async || {
+            let answer = send(addr, order).await;
+            let is_final = answer.as_ref().is_some_and(|answer| answer.verdict != "not-run");
+            last = answer;
+            is_final
+        })
+        .await;
+        last.expect("the wait ended with an answer")
+    }
+}
+
+fn attends(dump: &Dump, server: &ServerId) -> bool {
+    let known = dump.backend_servers.get(server);
+    known.and_then(|known| known.admission.as_ref()).is_some_and(|a| a.permit_left_ms > Some(0))
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(BOUND, waiting).await.expect("the condition comes to hold");
+}
+
+/// Sends an order once; `None` if there is no answer.
+pub(crate) async fn send(addr: SocketAddr, order: Order<'_>) -> Option<Answer> {
+    let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let req = Request::post(order.path)
+        .header("host", "entry")
+        .header("idempotency-key", order.idempotency_key)
+        .header("jacinthbeam-deadline-ms", "5000")
+        .header(standin::backend::SERVICE_MS, order.service_ms.to_string())
+        .body(Full::new(Bytes::from(order.body.to_owned())))
+        .unwrap();
+    let (parts, body) = sender.send_request(req).await.ok()?.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(Answer {
+        status: parts.status,
+        verdict: parts.headers["jacinthbeam-verdict"].to_str().unwrap().to_owned(),
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    })
+}
--- a/crates/jacinthbeam-peer/src/client/ask.rs
+++ b/crates/jacinthbeam-peer/src/client/ask.rs
@@ -136,5 +136,7 @@
             | (Question::Attend { .. } | Question::Remember(_), Answer::Done { .. })
             | (Question::ReadLog { .. }, Answer::Records(_))
             | (Question::FetchState, Answer::State { .. })
+            | (Question::Claim(_), Answer::Claimed(_))
+            | (Question::Fetch(_), Answer::Fetched(_))
     )
 }
--- a/crates/jacinthbeam-peer/tests/peer/message.rs
+++ b/crates/jacinthbeam-peer/tests/peer/message.rs
@@ -1,7 +1,8 @@
 use std::{fmt::Write, time::Duration};
 
 use jacinthbeam_peer::message::{
-    Answer, ForwardReply, Heartbeat, Probe, Probed, Progress, Question, Records, Remembered,
+    Answer, Claim, ClaimSlots, Claimed, ClaimedSlot, Copies, EntryId, Fetch, Fetched, ForwardReply,
+    Heartbeat, KnownSlot, Probe, Probed, Progress, Question, Records, Remembered, Stage,
     StoredAnswer, Vouch,
 };
 use jacinthbeam_types::prelude::*;
@@ -44,6 +45,54 @@
     }
 }
 
+pub(crate) fn claim() -> Claim {
+    Claim {
+        epoch: Epoch(70),
+        token: Token(0x3_0000_0009),
+        round: 1,
+        server: "brine-3".parse().unwrap(),
+    }
+}
+
+pub(crate) fn copies(stage: Stage, progress: Progress) -> Copies {
+    Copies {
+        service: "brinedesk".parse().unwrap(),
+        slots: vec![ClaimedSlot { slot: SlotId(41), claim: claim() }],
+        stage,
+        copies: vec![remembered(progress)],
+        lost: vec![(SlotId(41), Duration::from_secs(7))],
+    }
+}
+
+fn claim_questions() -> Vec<Question> {
+    let service: ServiceName = "brinedesk".parse().unwrap();
+    let slots = vec![ClaimedSlot { slot: SlotId(41), claim: claim() }];
+    let after = EntryId { key: KeyHash(0x1234), idempotency_key: "order-17".parse().unwrap() };
+    vec![
+        Question::Claim(ClaimSlots { service: service.clone(), slots, before: Token(8) }),
+        Question::Fetch(Fetch {
+            service,
+            slots: vec![SlotId(41)],
+            divided_by: 1200,
+            after: Some(after),
+        }),
+    ]
+}
+
+fn claim_answers() -> Vec<Answer> {
+    let known = KnownSlot {
+        slot: SlotId(41),
+        highest: Some(claim()),
+        covered: Some(claim()),
+        unused: None,
+        lost: Some(Duration::from_secs(7)),
+    };
+    vec![
+        Answer::Claimed(Claimed { slots: vec![known], unused_before: true }),
+        Answer::Fetched(Fetched { copies: vec![remembered(Progress::Sent)], more: true }),
+    ]
+}
+
 fn questions() -> Vec<Question> {
     let server: ServerId = "brine-3".parse().unwrap();
     let stored = StoredAnswer {
@@ -52,18 +101,20 @@
         body: b"ok".to_vec(),
     };
     let probe = Probe { server: server.clone(), server_epoch: Epoch(900), witness_epoch: Epoch(3) };
-    vec![
+    let mut questions = vec![
         Question::Heartbeat(heartbeat(None)),
         Question::Probe(probe),
         Question::Retire { witness_epoch: Epoch(3) },
         Question::Attend { server },
         Question::ReadLog { from: Offset(5), max_bytes: 4096, wait: Duration::from_millis(1500) },
         Question::FetchState,
-        Question::Remember(remembered(Progress::Sent)),
-        Question::Remember(remembered(Progress::NotRun)),
-        Question::Remember(remembered(Progress::Answered(stored))),
-        Question::Remember(remembered(Progress::AnsweredNotKept)),
-    ]
+        Question::Remember(copies(Stage::First, Progress::Sent)),
+        Question::Remember(copies(Stage::More, Progress::NotRun)),
+        Question::Remember(copies(Stage::Last, Progress::Answered(stored))),
+        Question::Remember(copies(Stage::Update, Progress::AnsweredNotKept)),
+    ];
+    questions.extend(claim_questions());
+    questions
 }
 
 fn answers() -> Vec<Answer> {
@@ -73,7 +124,7 @@
         end: Offset(6),
         proof_age: Duration::from_millis(3),
     };
-    vec![
+    let mut answers = vec![
         Answer::Heartbeat(heartbeat(Some(vouch()))),
         Answer::Probed(Probed::Reached),
         Answer::Probed(Probed::Promised),
@@ -83,7 +134,9 @@
         Answer::Records(records),
         Answer::State { next: Offset(6), snapshot: b"snapshot".to_vec() },
         Answer::Failed { why: "no".into() },
-    ]
+    ];
+    answers.extend(claim_answers());
+    answers
 }
 
 fn replies() -> Vec<ForwardReply> {
--- a/crates/jacinthbeam-peer/tests/peer/session.rs
+++ b/crates/jacinthbeam-peer/tests/peer/session.rs
@@ -2,14 +2,14 @@
 
 use jacinthbeam_peer::{
     Body,
-    message::{Answer, ForwardHead, ForwardReply, Progress, Question},
+    message::{Answer, ForwardHead, ForwardReply, Progress, Question, Stage},
     server::{self, Cancelled, Handler},
 };
 use jacinthbeam_types::prelude::*;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    message::{heartbeat, remembered, vouch},
+    message::{copies, heartbeat, vouch},
     support::{
         self, LONG, answer, any_port, attend, bytes, client, echo,
         frames::{self, Sent},
@@ -108,7 +108,7 @@
     let relay = Relay::to(server.local_addr()).await;
     let client = client();
     client.ask(relay.addr, &Question::Heartbeat(heartbeat(None)), LONG).await.unwrap();
-    let remember = Question::Remember(remembered(Progress::Sent));
+    let remember = Question::Remember(copies(Stage::Update, Progress::Sent));
     client.ask(relay.addr, &remember, LONG).await.unwrap();
     let (_, body) = support::forward(&client, relay.addr, 1, bytes("order")).await.unwrap();
     assert_eq!(text(body).await, "order");
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -96,6 +96,8 @@
     Stopping,
     /// A peer speaks another version of the protocol or sent garbage.
     PeerProtocol,
+    /// No second host holds what is remembered of idempotency keys at present, or it is still being gathered.
+    NoCopy,
 }
 
 impl fmt::Display for Reason {
@@ -120,6 +122,7 @@
             Self::MemoryLost => "an earlier request with this idempotency key may have run",
             Self::Stopping => "this host is stopping",
             Self::PeerProtocol => "a peer did not keep to the protocol",
+            Self::NoCopy => "no second host keeps the memory of idempotency keys at present",
         })
     }
 }
