--- a/crates/jacinthbeam-placement/src/accept.rs
+++ b/crates/jacinthbeam-placement/src/accept.rs
@@ -24,6 +24,8 @@
     Busy,
     /// The server would be left with more load than it may take.
     NoRoom,
+    /// The slot is heavy, and the server has enough heavy ones.
+    Crowded,
 }
 
 /// Decides about a move to a server that this host attends.
@@ -47,8 +49,21 @@
     if progress.towards(&planned.to) >= policy.pace.to_one_server {
         return Answer::Busy;
     }
+    let heavy = view.heavy_slots(server);
+    if planned.heavy > 0 && heavy >= planned.heavy {
+        return Answer::Crowded;
+    }
     let after = server.expected() + planned.load;
     let limit = room(server.standing, mean(view, policy, now), policy, now);
-    let fair = if server.standing == Standing::Active { limit.max(planned.left) } else { limit };
-    if after <= fair.max(Load(0.0)) { Answer::Accepted } else { Answer::NoRoom }
+    let fits = match (planned.why, server.standing) {
+        (Why::Crowded, Standing::Active) => {
+            let is_light = |load: &Load| !view.is_heavy(*load);
+            let light: Load = server.slots.values().map(|slot| slot.load).filter(is_light).sum();
+            let fewer = heavy + PlannedMove::FEWER_HEAVY <= planned.heavy;
+            fewer && progress.towards(&planned.to) == 0 && after <= limit + light
+        }
+        (_, Standing::Active) => after <= limit.max(planned.left),
+        _ => after <= limit,
+    };
+    if fits { Answer::Accepted } else { Answer::NoRoom }
 }
--- a/crates/jacinthbeam-placement/src/draft.rs
+++ b/crates/jacinthbeam-placement/src/draft.rs
@@ -139,6 +139,7 @@
         why: Why,
     ) {
         let left = self.expected(from) - load;
+        let heavy = if self.is_heavy(load) { self.heavy_slots(from) } else { 0 };
         *self.expected.entry(from).or_default() -= load;
         *self.expected.entry(to).or_default() += load;
         *self.towards.entry(to).or_default() += 1;
@@ -150,10 +151,26 @@
             to: to.clone(),
             load,
             left,
+            heavy,
             why,
         });
     }
 
+    /// Whether a slot of this load is hard to place.
+    pub fn is_heavy(&self, load: Load) -> bool {
+        self.view.is_heavy(load)
+    }
+
+    /// Number of heavy slots of an attended server, planned moves aside.
+    pub fn heavy_slots(&self, server: &ServerId) -> usize {
+        self.view.servers.get(server).map_or(0, |server| self.view.heavy_slots(server))
+    }
+
+    /// Whether a move away from the server is planned.
+    pub fn gives(&self, server: &ServerId) -> bool {
+        self.planned.iter().any(|planned| planned.from == *server)
+    }
+
     pub fn finish(self) -> Vec<PlannedMove> {
         self.planned
     }
@@ -228,5 +245,6 @@
 }
 
 fn is_fresh(server: &ServerView, policy: &Policy, now: Instant) -> bool {
-    now.saturating_duration_since(server.measured) <= policy.stale_after
+    let age = server.measured.map(|measured| now.saturating_duration_since(measured));
+    age.is_some_and(|age| age <= policy.stale_after)
 }
--- a/crates/jacinthbeam-placement/src/evict.rs
+++ b/crates/jacinthbeam-placement/src/evict.rs
@@ -63,6 +63,7 @@
         to,
         load: server.slots[&slot].load,
         left: Load(0.0),
+        heavy: 0,
         why: Why::Leaving,
     };
     given.into_iter().map(planned).collect()
--- a/crates/jacinthbeam-placement/src/hot/plan.rs
+++ b/crates/jacinthbeam-placement/src/hot/plan.rs
@@ -186,6 +186,7 @@
         to,
         load,
         left: owner_load - load,
+        heavy: 0,
         why: Why::Cooled,
     }))
 }
--- a/crates/jacinthbeam-placement/src/lib.rs
+++ b/crates/jacinthbeam-placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! the lease crate. `docs/PLACEMENT.md` tells what was weighed.
 
 pub mod accept;
+pub mod convert;
 mod draft;
 pub mod evict;
 pub mod found;
--- a/crates/jacinthbeam-placement/src/policy.rs
+++ b/crates/jacinthbeam-placement/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jacinthbeam_config::{Balance, HotKey, Policy as ConfiguredKind};
 use jacinthbeam_types::prelude::*;
 
 use crate::hot;
@@ -31,8 +32,11 @@
 /// How fast one host moves slots of one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
-    /// Moves begun a second. Below 1 there is at least the reciprocal between two moves.
+    /// Moves begun a second, on average.
     pub per_second: Rate,
+    /// Moves that may begin at once after a time without any; 0 counts as 1. Within a time `t` at most
+    /// `burst + per_second * t` moves begin.
+    pub burst: usize,
     /// Moves in progress at once.
     pub in_progress: usize,
     /// Moves in progress at once towards one gaining server.
@@ -84,7 +88,7 @@
             start: 1.15,
             stop: 1.05,
             quiet: 0.05,
-            pace: Pace { per_second: Rate(1.0), in_progress: 4, to_one_server: 2 },
+            pace: Pace { per_second: Rate(1.0), burst: 4, in_progress: 4, to_one_server: 2 },
             min_age: Duration::from_secs(60),
             warm_up: Duration::from_secs(30),
             window: Duration::from_secs(10),
@@ -104,10 +108,46 @@
             weights: Weights { unavailable: 1.0, churn: 4.0 },
             start: 1.2,
             stop: 1.1,
-            pace: Pace { per_second: Rate(0.2), in_progress: 2, to_one_server: 1 },
+            pace: Pace { per_second: Rate(0.2), burst: 4, in_progress: 2, to_one_server: 1 },
             min_age: Duration::from_secs(600),
             horizon: Duration::from_secs(600),
             ..Self::default()
         }
     }
+
+    /// The policy of a service for a host that attends the part `share`, from 0 to 1, of its active servers.
+    ///
+    /// The configured pace counts for the whole service, and a host takes the part of it that its servers stand for.
+    /// So no host needs to know the moves of others for the whole to keep to the pace.
+    pub fn configured(balance: &Balance, share: f64) -> Self {
+        let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
+        let a_minute = f64::from(balance.moves_per_minute) * share;
+        let HotKey { split_above, merge_below, most } = balance.hot_key;
+        let default = Self::default();
+        let burst = (a_minute / 10.0).ceil() as usize;
+        let in_progress = if a_minute > 0.0 { default.pace.in_progress } else { 0 };
+        Self {
+            kind: kind(balance.policy),
+            weights: Weights {
+                unavailable: balance.weights.unavailable,
+                churn: balance.weights.churn,
+            },
+            start: balance.start_above,
+            stop: balance.stop_below,
+            pace: Pace { per_second: Rate(a_minute / 60.0), burst, in_progress, ..default.pace },
+            min_age: balance.min_stay,
+            warm_up: balance.warm_up,
+            hot: hot::Options { split_above, merge_below, max_split: most as usize, ..default.hot },
+            ..default
+        }
+    }
+}
+
+fn kind(configured: ConfiguredKind) -> Kind {
+    match configured {
+        ConfiguredKind::Static => Kind::Static,
+        ConfiguredKind::Threshold => Kind::Threshold,
+        ConfiguredKind::PowerOfTwoChoices => Kind::TwoChoices,
+        ConfiguredKind::IdleInitiated => Kind::IdleInitiated,
+    }
 }
--- a/crates/jacinthbeam-placement/src/progress.rs
+++ b/crates/jacinthbeam-placement/src/progress.rs
@@ -31,8 +31,8 @@
 impl Begun {
     /// Part of the load that a measurement which ended at `measured` does not show: all of it until the move ends, and
     /// less as the window of measurement passes over that time.
-    fn hidden(&self, measured: Instant, policy: &Policy) -> f64 {
-        let Some(end) = self.ended else { return 1.0 };
+    fn hidden(&self, measured: Option<Instant>, policy: &Policy) -> f64 {
+        let (Some(end), Some(measured)) = (self.ended, measured) else { return 1.0 };
         let window = policy.window.as_secs_f64().max(f64::MIN_POSITIVE);
         (1.0 - measured.saturating_duration_since(end.at).as_secs_f64() / window).max(0.0)
     }
@@ -116,7 +116,7 @@
     }
 
     fn permits_at(&self, pace: &Pace, now: Instant) -> f64 {
-        let full = pace.per_second.0.max(1.0);
+        let full = pace.burst.max(1) as f64;
         match self.permits {
             None => full,
             Some(permits) => {
--- a/crates/jacinthbeam-placement/src/rebalance/idle.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/idle.rs
@@ -48,8 +48,9 @@
 }
 
 pub(super) fn give<'a>(draft: &mut Draft<'a>, asks: &'a [Ask]) {
+    let overloaded = draft.overloaded(1.0);
     for Ask { to, load, room, from } in asks {
-        if is_known_inactive(draft, to) || !is_relievable(draft, from) {
+        if is_known_inactive(draft, to) || !overloaded.contains(&from) {
             continue;
         }
         draft.set_expected(to, *load);
@@ -61,7 +62,3 @@
 fn is_known_inactive(draft: &Draft<'_>, server: &ServerId) -> bool {
     draft.view.servers.get(server).is_some_and(|server| !server.standing.is_active())
 }
-
-fn is_relievable(draft: &Draft<'_>, server: &ServerId) -> bool {
-    draft.overloaded(1.0).contains(&server)
-}
--- a/crates/jacinthbeam-placement/src/rebalance/mod.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/mod.rs
@@ -1,6 +1,7 @@
 //! Which slots the attended servers should give away to even out load.
 
 mod idle;
+mod relocate;
 mod threshold;
 mod two_choices;
 
@@ -31,8 +32,14 @@
     let mut draft = Draft::new(view, policy, progress, now);
     match policy.kind {
         Kind::Static => {}
-        Kind::Threshold => threshold::plan(&mut draft, rng),
-        Kind::TwoChoices => two_choices::plan(&mut draft, rng),
+        Kind::Threshold => {
+            threshold::plan(&mut draft, rng);
+            relocate::plan(&mut draft, rng);
+        }
+        Kind::TwoChoices => {
+            two_choices::plan(&mut draft, rng);
+            relocate::plan(&mut draft, rng);
+        }
         Kind::IdleInitiated => idle::give(&mut draft, asks),
     }
     draft.finish()
--- a/crates/jacinthbeam-placement/src/view.rs
+++ b/crates/jacinthbeam-placement/src/view.rs
@@ -92,6 +92,22 @@
     pub active: usize,
 }
 
+/// A slot is heavy above this share of a server's capacity. Taken of the capacity and not of the mean load, so that all
+/// hosts agree on it.
+const HEAVY: f64 = 0.1;
+
+impl View {
+    /// Whether a slot of this load is hard to place.
+    pub fn is_heavy(&self, load: Load) -> bool {
+        load > self.capacity.times(HEAVY)
+    }
+
+    /// Number of heavy slots of an attended server.
+    pub fn heavy_slots(&self, server: &ServerView) -> usize {
+        server.slots.values().filter(|slot| self.is_heavy(slot.load)).count()
+    }
+}
+
 /// One backend server in a [`View`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerView {
@@ -101,8 +117,9 @@
     pub standing: Standing,
     /// Measured load.
     pub load: Load,
-    /// End of the window that `load` was measured over. Old measurements of others are ignored.
-    pub measured: Instant,
+    /// End of the window that `load` was measured over; `None` if it is an estimate. Estimates and old measurements
+    /// count only for the slots of a lost or leaving server, which must go somewhere.
+    pub measured: Option<Instant>,
     /// Load of moves begun that `load` does not show yet: positive if the server gains.
     pub pending: Load,
     /// Whether this host attends the server and so decides about its slots.
