--- a/crates/jacinthbeam-lease/src/attendant/append.rs
+++ b/crates/jacinthbeam-lease/src/attendant/append.rs
@@ -18,8 +18,9 @@
 
 /// The last append and what became of it.
 ///
-/// The next one waits until the fold shows what the last one did. Repeats would be harmless, since each record names the epochs
-/// it is based on and a second copy is void; the wait keeps them few while the log is slow.
+/// The next one waits until the fold shows what the last one did. Repeats would be harmless, since each
+/// record names the epochs it is based on and a second copy is void; the wait keeps them few while the log is
+/// slow.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Appends {
     last: AppendId,
--- a/crates/jacinthbeam-lease/src/attendant/contents.rs
+++ b/crates/jacinthbeam-lease/src/attendant/contents.rs
@@ -1,16 +1,18 @@
 //! Which slots the next grant holds, and what it is based on.
 //!
-//! The server refuses a grant with a lower token, and one with a lower `based_on`. Neither is a comparison with what the
-//! sender had read, so a grant that was computed from an old answer may arrive after a newer one of another
-//! host. These rules make that harmless:
+//! The server refuses a grant with a lower token, and one with a lower `based_on`. Neither is a comparison
+//! with what the sender had read, so a grant that was computed from an old answer may arrive after a newer
+//! one of another host. These rules make that harmless:
 //!
-//! - A slot is **added** only by a record newer than the `based_on` that the server reported under this host's own token, and
-//!   the grant is based on that record. So a slot that was taken out comes back by a new record only.
-//! - A slot is **released** by a grant with a `based_on` higher than the server reported. So a successor that read the state
-//!   before the release, and would put the slot back with its higher token, is refused for its lower `based_on`.
+//! - A slot is **added** only by a record newer than the `based_on` that the server reported under this
+//!   host's own token, and the grant is based on that record. So a slot that was taken out comes back by a
+//!   new record only.
+//! - A slot is **released** by a grant with a `based_on` higher than the server reported. So a successor that
+//!   read the state before the release, and would put the slot back with its higher token, is refused for its
+//!   lower `based_on`.
 //! - Any other grant repeats the reported `based_on`, however much newer the fold is.
-//! - Records are taken in the order of the log. A slot that has to wait for an earlier owner's lease holds up later ones, else
-//!   the grant's `based_on` would pass it and it could never be added.
+//! - Records are taken in the order of the log. A slot that has to wait for an earlier owner's lease holds up
+//!   later ones, else the grant's `based_on` would pass it and it could never be added.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,8 +26,8 @@
 pub(super) struct Contents {
     pub(super) slots: BTreeSet<SlotId>,
     pub(super) based_on: Offset,
-    /// Slots of the server that its grant lacks and that no newer record gives to it. They are free to be moved by a record based on
-    /// these epochs, and need one to be granted again.
+    /// Slots of the server that its grant lacks and that no newer record gives to it. They are free to be
+    /// moved by a record based on these epochs, and need one to be granted again.
     pub(super) lacking: Vec<SlotBase>,
     /// Slots that can't be released before some newer record stands in the log.
     pub(super) blocked: Vec<SlotBase>,
--- a/crates/jacinthbeam-lease/src/attendant/context.rs
+++ b/crates/jacinthbeam-lease/src/attendant/context.rs
@@ -43,7 +43,8 @@
     pub timing: &'a Timing,
     /// Whether the platform says that the server is leaving.
     pub leaving: bool,
-    /// Slots that placement wants to move away from this server now. Already paced; a leaving server's are among them.
+    /// Slots that placement wants to move away from this server now. Already paced; a leaving server's are
+    /// among them.
     pub planned: &'a [PlannedMove],
     /// Next owners for the slots of a server that is to be evicted.
     pub evict_targets: &'a dyn Fn(&ServerId) -> Vec<SlotTarget>,
--- a/crates/jacinthbeam-lease/src/attendant/lifetime.rs
+++ b/crates/jacinthbeam-lease/src/attendant/lifetime.rs
@@ -35,8 +35,9 @@
 
     /// Whether a host that holds the lease should get the time to end what runs before this one takes over.
     ///
-    /// A takeover fences the other host at once, and a server that looks at the token again right before the effect then drops
-    /// what it was running. No request runs longer than the longest deadline, so the wait is bounded.
+    /// A takeover fences the other host at once, and a server that looks at the token again right before the
+    /// effect then drops what it was running. No request runs longer than the longest deadline, so the wait
+    /// is bounded.
     pub(super) fn awaits_handover(&self, step: &Step<'_>) -> bool {
         let asked = self.asked_until.is_some_and(|until| step.now < until);
         let longest =
@@ -66,7 +67,8 @@
     }
 
     pub(super) fn asked(&mut self, step: &Step<'_>) {
-        // Long enough for the host that asked to be seen as unable to reach the server, so that this host is elected.
+        // Long enough for the host that asked to be seen as unable to reach the server, so that this host is
+        // elected.
         self.asked_until = Some(step.now + 2 * step.cx.timing.alive_within);
         self.backoff_until = None;
     }
@@ -114,8 +116,9 @@
         })
     }
 
-    /// A server that is new, restarted or was evicted gets no grant before its `Join` was read back: the record bumps
-    /// the epochs of its slots, and so voids what a predecessor of this host may still append about them.
+    /// A server that is new, restarted or was evicted gets no grant before its `Join` was read back: the
+    /// record bumps the epochs of its slots, and so voids what a predecessor of this host may still append
+    /// about them.
     pub(super) fn join(&mut self, step: &mut Step<'_>, reply: &Reply) {
         // A process that was paused with the answer in hand may know less than the log by now, and would make an
         // earlier life of the server a member again.
--- a/crates/jacinthbeam-lease/src/attendant/machine.rs
+++ b/crates/jacinthbeam-lease/src/attendant/machine.rs
@@ -265,8 +265,8 @@
 }
 
 impl Machine {
-    /// A process that was paused has asked nothing meanwhile, so the server's silence says nothing of the server. Without this
-    /// a host that wakes up would start to evict servers that others attend.
+    /// A process that was paused has asked nothing meanwhile, so the server's silence says nothing of the
+    /// server. Without this a host that wakes up would start to evict servers that others attend.
     fn note_time(
         &mut self,
         _: StateOrSuperstate<'_, State, Superstate>,
--- a/crates/jacinthbeam-lease/src/attendant/mod.rs
+++ b/crates/jacinthbeam-lease/src/attendant/mod.rs
@@ -59,15 +59,15 @@
 /// }
 /// ```
 ///
-/// [`Event::Elected`] is sent first and whenever [`Members::attendant_of`](crate::Members::attendant_of) changes. After
-/// each event, [`Members::attend`](crate::Members::attend) is told what [`Attendant::attends`] says; once that is no more, a
-/// heartbeat goes out at once, since another host may be waiting for it.
+/// [`Event::Elected`] is sent first and whenever [`Members::attendant_of`](crate::Members::attendant_of)
+/// changes. After each event, [`Members::attend`](crate::Members::attend) is told what [`Attendant::attends`]
+/// says; once that is no more, a heartbeat goes out at once, since another host may be waiting for it.
 ///
-/// Actions may be carried out late: what keeps two backend servers from owning a slot lies in the grants and records
-/// themselves, see `docs/OWNERSHIP.md`. Two things are the caller's to keep. Traffic checks
+/// Actions may be carried out late: what keeps two backend servers from owning a slot lies in the grants and
+/// records themselves, see `docs/OWNERSHIP.md`. Two things are the caller's to keep. Traffic checks
 /// [`Permit::allows`](crate::Permit::allows) right before it writes a request. And a slot is reported in
-/// [`Event::Released`] only once no request for a key of it can still have an effect; a request counts for the slot that
-/// its key has in the fold of `Cx`, not in the one it was admitted under.
+/// [`Event::Released`] only once no request for a key of it can still have an effect; a request counts for
+/// the slot that its key has in the fold of `Cx`, not in the one it was admitted under.
 pub struct Attendant(StateMachine<Machine>);
 
 impl Attendant {
--- a/crates/jacinthbeam-lease/src/attendant/moves.rs
+++ b/crates/jacinthbeam-lease/src/attendant/moves.rs
@@ -28,8 +28,8 @@
 
     /// Slots that may be taken out of the grant now.
     ///
-    /// Requests that an earlier attendant sent are unknown to this host's traffic; one of them may be for such a slot. So
-    /// nothing is released while the server still runs any.
+    /// Requests that an earlier attendant sent are unknown to this host's traffic; one of them may be for
+    /// such a slot. So nothing is released while the server still runs any.
     pub(super) fn drained_slots(&self, seen: &Reply) -> BTreeSet<SlotId> {
         if seen.state.running_older > 0 {
             return BTreeSet::new();
--- a/crates/jacinthbeam-lease/src/attendant/renewal.rs
+++ b/crates/jacinthbeam-lease/src/attendant/renewal.rs
@@ -83,9 +83,10 @@
 
     /// Whether no earlier owner of the slot can hold a lease on it any more.
     ///
-    /// The owner that a record took the slot from without a release may not know of it, and serves the slot until its
-    /// lease ends. The lease rests on a proof from before the record was written, so it has ended a lease's length after
-    /// this host read the record. A server that does not check grants runs what it got before that to the end.
+    /// The owner that a record took the slot from without a release may not know of it, and serves the slot
+    /// until its lease ends. The lease rests on a proof from before the record was written, so it has ended a
+    /// lease's length after this host read the record. A server that does not check grants runs what it got
+    /// before that to the end.
     fn is_settled(&self, step: &Step<'_>, owner: &Owner) -> bool {
         let Some(lapse) = owner.lapse else { return true };
         let running = match step.service(&self.id) {
--- a/crates/jacinthbeam-lease/src/attendant/reply.rs
+++ b/crates/jacinthbeam-lease/src/attendant/reply.rs
@@ -13,7 +13,8 @@
 };
 
 impl Machine {
-    /// An answer while in charge. A refusal is treated the same way: what the server says of itself is what counts.
+    /// An answer while in charge. A refusal is treated the same way: what the server says of itself is what
+    /// counts.
     pub(super) fn replied(&mut self, step: &mut Step<'_>, reply: &Reply) -> Outcome<State> {
         if !self.heard(step, reply) {
             return Handled;
@@ -26,8 +27,8 @@
             return Transition(State::Taking {});
         }
         if !self.understands_grant(step) {
-            // The fold lacks records that the server's grant was based on, and may give the server slots that it has lost
-            // since. Nothing is granted until they are read.
+            // The fold lacks records that the server's grant was based on, and may give the server slots that
+            // it has lost since. Nothing is granted until they are read.
             self.close(step);
             self.stalled = true;
             return Transition(State::Taking {});
@@ -110,8 +111,8 @@
         })
     }
 
-    /// A server that does not check grants can't fence the host that attended it before. That host sends until its lease ends,
-    /// and would run requests next to this host's; so this one waits that long.
+    /// A server that does not check grants can't fence the host that attended it before. That host sends
+    /// until its lease ends, and would run requests next to this host's; so this one waits that long.
     fn is_predecessor_gone(&self, step: &Step<'_>) -> bool {
         let held = self.held_since.map(|since| step.now.saturating_duration_since(since));
         step.checks_grants(&self.id) || held.is_some_and(|held| held >= step.cx.timing.lease_over())
--- a/crates/jacinthbeam-lease/src/attendant/silence.rs
+++ b/crates/jacinthbeam-lease/src/attendant/silence.rs
@@ -54,8 +54,9 @@
         self.round = Some(Round { probe, started: step.now, answers: BTreeMap::new() });
     }
 
-    /// Promises are asked for only if an eviction could follow. A promise that leads to none ends with a `Keep` record; while
-    /// the log is away it could not end, and the server's lease could not be renewed by witnesses.
+    /// Promises are asked for only if an eviction could follow. A promise that leads to none ends with a
+    /// `Keep` record; while the log is away it could not end, and the server's lease could not be renewed by
+    /// witnesses.
     fn next_probe(&self, step: &Step<'_>) -> Probe {
         let server = self.id.server.clone();
         let known = step.server(&self.id);
@@ -140,6 +141,10 @@
         if !self.appends.is_ready(step.now, step.cx) {
             return false;
         }
+        // Without a next owner nothing is gained, and the server could not go on where it was when it returns.
+        if (step.cx.evict_targets)(&self.id.server).is_empty() {
+            return false;
+        }
         let Some(set) = state.cells.get(&self.id.cell).filter(|_| state.needs_promises(known))
         else {
             return true;
@@ -183,8 +188,9 @@
         Handled
     }
 
-    /// A server that answers is never evicted, and promises of silence for it must end, else its lease can't be renewed by
-    /// witnesses. `Keep` does both: an eviction that is still on its way is based on the older epoch and void.
+    /// A server that answers is never evicted, and promises of silence for it must end, else its lease can't
+    /// be renewed by witnesses. `Keep` does both: an eviction that is still on its way is based on the older
+    /// epoch and void.
     pub(super) fn keep_if_suspected(&mut self, step: &mut Step<'_>) {
         let Some(known) = step.server(&self.id).filter(|known| known.is_active()) else { return };
         let asked = self.promises.as_ref().is_some_and(|p| p.server_epoch == known.epoch);
--- a/crates/jacinthbeam-lease/src/grant.rs
+++ b/crates/jacinthbeam-lease/src/grant.rs
@@ -58,8 +58,8 @@
     pub incarnation: Incarnation,
     /// Slots whose requests may be sent; empty for an undivided service, whose requests all may.
     pub slots: BTreeSet<SlotId>,
-    /// A request may be written only while `now < until`. Checked again after every wait, however short: the process may
-    /// have been paused in it.
+    /// A request may be written only while `now < until`. Checked again after every wait, however short: the
+    /// process may have been paused in it.
     pub until: Instant,
     /// Keys must be mapped to slots by a fold that contains this record. An older one may not know that a key was
     /// split out, and would send it under a slot that the server still holds.
@@ -78,8 +78,9 @@
 
 /// A token above `reported` that no other host presents.
 ///
-/// Two hosts that read the same token and both presented the next number would both be accepted, since the server refuses
-/// only lower ones; neither would learn of the other. So a token is a counter followed by bits of the host's incarnation.
+/// Two hosts that read the same token and both presented the next number would both be accepted, since the
+/// server refuses only lower ones; neither would learn of the other. So a token is a counter followed by bits
+/// of the host's incarnation.
 pub fn next_token(reported: Token, host: Incarnation) -> Token {
     let counter = (reported.0 >> HOST_BITS).saturating_add(1);
     let host = (host.0 ^ (host.0 >> HOST_BITS)) & u64::from(u32::MAX);
@@ -88,9 +89,9 @@
 
 /// End of a grant on the server's clock, in microseconds; `None` if the proof is too old to grant anything.
 ///
-/// The server's clock stood at `state.clock` before `received`. It therefore reaches the result no later than the local time
-/// `proof + lease`, however long the grant spends in a socket or a paused process, and however much
-/// the two clocks drift.
+/// The server's clock stood at `state.clock` before `received`. It therefore reaches the result no later than
+/// the local time `proof + lease`, however long the grant spends in a socket or a paused process, and however
+/// much the two clocks drift.
 pub fn until(
     state: &GrantState,
     received: Instant,
--- a/crates/jacinthbeam-lease/src/membership.rs
+++ b/crates/jacinthbeam-lease/src/membership.rs
@@ -1,6 +1,7 @@
 //! Which entry hosts of the cell are alive, and which one attends a backend server.
 //!
-//! Members may disagree for a while. That costs takeovers, never safety: the backend server accepts one token at a time.
+//! Members may disagree for a while. That costs takeovers, never safety: the backend server accepts one token
+//! at a time.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -48,6 +49,8 @@
 struct Known {
     heard: Heard,
     at: Instant,
+    /// Since when it was heard from without a gap.
+    since: Instant,
 }
 
 impl Members {
@@ -66,9 +69,9 @@
 
     /// To be called whenever this host sends heartbeats.
     ///
-    /// A host that has just started, or was paused, has heard from nobody and would believe to be the only one: it would take
-    /// every server from its attendant, and give them back a moment later. So it elects itself for nothing
-    /// until it had time to hear from the others.
+    /// A host that has just started, or was paused, has heard from nobody and would believe to be the only
+    /// one: it would take every server from its attendant, and give them back a moment later. So it elects
+    /// itself for nothing until it had time to hear from the others.
     pub fn beat(&mut self, now: Instant) {
         if now.saturating_duration_since(self.last_beat) >= self.alive_within {
             self.listening_until = now + self.listen_for;
@@ -104,7 +107,8 @@
         }
     }
 
-    /// Notes a heartbeat that was received at `at`. Only first-hand heartbeats count, not what others say of a host.
+    /// Notes a heartbeat that was received at `at`. Only first-hand heartbeats count, not what others say of
+    /// a host.
     pub fn hear(&mut self, at: Instant, heard: Heard) {
         if heard.host == self.own.host {
             return;
@@ -113,10 +117,12 @@
         if known.is_some_and(|known| known.at > at) {
             return;
         }
-        if known.is_none() && self.others.len() >= MAX_MEMBERS {
+        let is_alive = |known: &&Known| at.saturating_duration_since(known.at) < self.alive_within;
+        let since = known.filter(is_alive).map_or(at, |known| known.since);
+        self.others.insert(heard.host.clone(), Known { heard, at, since });
+        if self.others.len() > MAX_MEMBERS {
             self.forget_oldest();
         }
-        self.others.insert(heard.host.clone(), Known { heard, at });
     }
 
     fn forget_oldest(&mut self) {
@@ -139,18 +145,28 @@
         self.live(now).find(|heard| heard.host == *host)
     }
 
-    /// The host that should attend the backend server: first by rendezvous weight among the live hosts that are not
-    /// stopping and reach it.
+    /// The host that should attend the backend server: first by rendezvous weight among the live hosts that
+    /// are not stopping and reach it.
     ///
-    /// If none reaches it, one that does not is picked all the same: somebody has to notice its return or evict it. `None`
-    /// while this host would pick itself but has not listened for long enough.
+    /// If none reaches it, one that does not is picked all the same: somebody has to notice its return or
+    /// evict it. `None` while this host would pick itself but has not listened for long enough.
     pub fn attendant_of(&self, now: Instant, server: &ServerId) -> Option<&HostId> {
-        let staying = || self.live(now).filter(|heard| !heard.stopping);
+        let holds = self.own.attends.contains(server);
+        let is_fit = |heard: &&Heard| !heard.stopping && (!holds || self.is_ready(now, heard));
+        let staying = || self.live(now).filter(is_fit);
         let reaching = staying().filter(|heard| !heard.unreachable.contains(server));
         let first = first(server.as_str(), reaching).or_else(|| first(server.as_str(), staying()));
         first.filter(|host| **host != self.own.host || now >= self.listening_until)
     }
 
+    /// Whether a host has been back for long enough to have listened itself.
+    ///
+    /// Were a lease handed over to a host that has just come back, nobody would attend until it has listened.
+    fn is_ready(&self, now: Instant, heard: &Heard) -> bool {
+        let known = self.others.get(&heard.host);
+        known.is_none_or(|known| now.saturating_duration_since(known.since) > self.listen_for)
+    }
+
     /// Another live host that holds the lease of the backend server and can go on doing so.
     pub fn incumbent(&self, now: Instant, server: &ServerId) -> Option<&HostId> {
         let others = self.live(now).filter(|heard| heard.host != self.own.host);
--- a/crates/jacinthbeam-lease/src/observed.rs
+++ b/crates/jacinthbeam-lease/src/observed.rs
@@ -23,8 +23,9 @@
         Self { earlier: now, read: BTreeMap::new() }
     }
 
-    /// Notes that the record at `offset` was read from the log or a relay. To be called after the read has returned, for every record
-    /// that a [`lapse`](jacinthbeam_state::Owner::lapse) may name; calling it for all records is harmless.
+    /// Notes that the record at `offset` was read from the log or a relay. To be called after the read has
+    /// returned, for every record that a [`lapse`](jacinthbeam_state::Owner::lapse) may name; calling it for
+    /// all records is harmless.
     pub fn read(&mut self, now: Instant, offset: Offset) {
         self.read.entry(offset).or_insert(now);
         while self.read.len() > KEPT {
--- a/crates/jacinthbeam-lease/src/proof.rs
+++ b/crates/jacinthbeam-lease/src/proof.rs
@@ -39,16 +39,17 @@
 
     /// Notes a read of the control stream that reached its end: no record stands before `end` that was not read.
     ///
-    /// `started` is the local time just before the request was sent; for a read through another host, less the age of the proof
-    /// that this host states. A long poll proves the time of its start only, so it must be short
-    /// against the lease.
+    /// `started` is the local time just before the request was sent; for a read through another host, less
+    /// the age of the proof that this host states. A long poll proves the time of its start only, so it must
+    /// be short against the lease.
     pub fn log_read(&mut self, started: Instant, end: Offset) {
         if self.log.is_none_or(|log| log.started < started) {
             self.log = Some(LogRead { started, end });
         }
     }
 
-    /// Notes the word of a witness in an answer to a heartbeat; `started` is the local time just before the heartbeat was sent.
+    /// Notes the word of a witness in an answer to a heartbeat; `started` is the local time just before the
+    /// heartbeat was sent.
     pub fn vouched(&mut self, witness: Incarnation, started: Instant, vouch: Vouch) {
         if self.words.get(&witness).is_some_and(|word| word.started >= started) {
             return;
@@ -71,7 +72,8 @@
         self.log.filter(|log| log.end <= state.next).map(|log| log.started)
     }
 
-    /// The proof time of a backend server of this host's cell; `None` if nothing proves that its lease may be renewed.
+    /// The proof time of a backend server of this host's cell; `None` if nothing proves that its lease may be
+    /// renewed.
     ///
     /// `own` is this host as a witness. It speaks for `now`, so it must know of every promise that was given.
     pub fn proof(
--- a/crates/jacinthbeam-lease/src/timing.rs
+++ b/crates/jacinthbeam-lease/src/timing.rs
@@ -100,7 +100,8 @@
         Ok(())
     }
 
-    /// How long to wait, on any clock, until a lease that rests on an earlier proof has ended on every other clock.
+    /// How long to wait, on any clock, until a lease that rests on an earlier proof has ended on every other
+    /// clock.
     pub fn lease_over(&self) -> Duration {
         self.lease + self.drift(self.lease) + self.margin
     }
--- a/crates/jacinthbeam-lease/src/witness.rs
+++ b/crates/jacinthbeam-lease/src/witness.rs
@@ -1,7 +1,7 @@
 //! What a host says, or no longer says, as one of its cell's witnesses.
 //!
-//! All of it is kept in memory only. A host that restarts is another incarnation and in no set, so a promise that it
-//! forgot can't be broken.
+//! All of it is kept in memory only. A host that restarts is another incarnation and in no set, so a promise
+//! that it forgot can't be broken.
 
 use std::collections::BTreeMap;
 
@@ -42,9 +42,9 @@
     pub witness_epoch: Epoch,
     /// First record that the fold does not contain by which the witness knows of promises that have ended.
     ///
-    /// A promise ends when the witness reads the eviction that it backed. Then it vouches again without naming the server, and
-    /// a host that has not read the eviction would renew the evicted server's lease on that word. So the
-    /// word counts only for a host whose own fold reaches as far.
+    /// A promise ends when the witness reads the eviction that it backed. Then it vouches again without
+    /// naming the server, and a host that has not read the eviction would renew the evicted server's lease on
+    /// that word. So the word counts only for a host whose own fold reaches as far.
     pub next: Offset,
     /// Servers for which the witness promised silence, with the server epoch of the promise.
     pub silent: Vec<Silence>,
@@ -106,7 +106,8 @@
 
     /// Answers a probe after the backend server was tried; promises silence if it was not `reached`.
     ///
-    /// No word may be given between this call and the answer that is based on it, other than by [`Witness::vouch`].
+    /// No word may be given between this call and the answer that is based on it, other than by
+    /// [`Witness::vouch`].
     pub fn probed(&mut self, probe: &Probe, reached: bool, state: &State) -> Probed {
         self.forget(state);
         if reached {
@@ -123,7 +124,8 @@
         Probed::Promised
     }
 
-    /// Promises to vouch for nobody any more under this epoch of the cell's witnesses. Says whether the promise is given.
+    /// Promises to vouch for nobody any more under this epoch of the cell's witnesses. Says whether the
+    /// promise is given.
     pub fn retire(&mut self, witness_epoch: Epoch, state: &State) -> bool {
         let member = state
             .cells
--- a/crates/jacinthbeam-lease/src/witnesses.rs
+++ b/crates/jacinthbeam-lease/src/witnesses.rs
@@ -63,8 +63,8 @@
 
     /// The change to make now, if this host is the one to make it. To be called at each heartbeat.
     ///
-    /// `log_is_fresh` must say whether the log answers: members that retire can't renew leases without the log any more, so
-    /// nobody is asked to retire while the record could not be appended.
+    /// `log_is_fresh` must say whether the log answers: members that retire can't renew leases without the
+    /// log any more, so nobody is asked to retire while the record could not be appended.
     pub fn plan(
         &mut self,
         now: Instant,
@@ -90,7 +90,8 @@
         self.with_promises(state, set, next, &live_lives(now, members))
     }
 
-    /// `None` if the live members of the old set are too few to replace it: then an operator has to declare lost hosts.
+    /// `None` if the live members of the old set are too few to replace it: then an operator has to declare
+    /// lost hosts.
     fn with_promises(
         &self,
         state: &State,
--- a/crates/jacinthbeam-lease/tests/attendant/answer.rs
+++ b/crates/jacinthbeam-lease/tests/attendant/answer.rs
@@ -1,4 +1,5 @@
-//! What a single answer of the server leads to. Host b; the fold is that of the fake, with s1 owning slots 0 and 1.
+//! What a single answer of the server leads to. Host b; the fold is that of the fake, with s1 owning slots 0
+//! and 1.
 
 use std::time::{Duration, Instant};
 
@@ -73,8 +74,8 @@
     GrantState { token, based_on, slots, until: 1_000_000, ..fresh(1) }
 }
 
-/// Between the answer and the arrival of the grant the predecessor may release slot 0 and record its move. Its release is based on a
-/// newer record, so the server refuses this grant, which would put the slot back.
+/// Between the answer and the arrival of the grant the predecessor may release slot 0 and record its move.
+/// Its release is based on a newer record, so the server refuses this grant, which would put the slot back.
 #[test]
 fn a_takeover_repeats_what_the_server_reported() {
     let mut desk = Desk::new();
@@ -103,8 +104,8 @@
     assert!(!permit.allows(desk.at(1210), Some(SlotId(1))));
 }
 
-/// The process was paused with an answer in hand. Other hosts may have recorded a newer life of the server meanwhile; were the
-/// old one to join again, the server would be thrown out.
+/// The process was paused with an answer in hand. Other hosts may have recorded a newer life of the server
+/// meanwhile; were the old one to join again, the server would be thrown out.
 #[test]
 fn an_answer_from_before_a_pause_lets_nobody_join() {
     let joins = |received| {
--- a/crates/jacinthbeam-lease/tests/grant/mod.rs
+++ b/crates/jacinthbeam-lease/tests/grant/mod.rs
@@ -12,8 +12,8 @@
 
 use crate::support::fresh;
 
-/// Whatever the delays and within the accepted clock error, the server's lease ends no later than a lease's length after the
-/// proof, and no earlier than traffic is told.
+/// Whatever the delays and within the accepted clock error, the server's lease ends no later than a lease's
+/// length after the proof, and no earlier than traffic is told.
 #[test]
 fn a_lease_ends_after_traffic_and_before_proof_plus_its_length() {
     arbtest(|u| {
--- a/crates/jacinthbeam-lease/tests/main.rs
+++ b/crates/jacinthbeam-lease/tests/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the ownership protocol.
 
+mod abandoned;
 mod attendant;
 mod grant;
 mod membership;
--- a/crates/jacinthbeam-lease/tests/membership/mod.rs
+++ b/crates/jacinthbeam-lease/tests/membership/mod.rs
@@ -7,7 +7,8 @@
 
 use crate::support::{heard, name};
 
-/// A host that was paused has heard nobody for long. Did it believe to be alone, it would take every server at once.
+/// A host that was paused has heard nobody for long. Did it believe to be alone, it would take every server
+/// at once.
 #[test]
 fn a_host_that_hears_nobody_listens_before_it_elects_itself() {
     let (timing, start) = (Timing::default(), Instant::now());
--- a/crates/jacinthbeam-lease/tests/proof/mod.rs
+++ b/crates/jacinthbeam-lease/tests/proof/mod.rs
@@ -41,8 +41,8 @@
     assert_eq!(proof(&proofs, CutOff::Yield), Some(start + Duration::from_secs(4)));
 }
 
-/// A witness promised silence and has read the eviction since, so its promise has ended and it vouches for all again. A host
-/// that has not read the eviction must not take that word for the evicted server.
+/// A witness promised silence and has read the eviction since, so its promise has ended and it vouches for
+/// all again. A host that has not read the eviction must not take that word for the evicted server.
 #[test]
 fn the_word_of_a_witness_that_has_read_more_does_not_count() {
     let (state, now) = (fold(), Instant::now());
@@ -74,8 +74,8 @@
     assert!(Proofs::new().promised(&state, &name("s1"), &own));
 }
 
-/// A member that agreed to be replaced vouches for nobody under the old set, else stale members could go on vouching for
-/// each other.
+/// A member that agreed to be replaced vouches for nobody under the old set, else stale members could go on
+/// vouching for each other.
 #[test]
 fn a_retired_witness_is_silent() {
     let state = fold();
--- a/crates/jacinthbeam-lease/tests/support/mod.rs
+++ b/crates/jacinthbeam-lease/tests/support/mod.rs
@@ -33,6 +33,8 @@
     Log,
     LogOf(usize),
     AppendAnswers,
+    /// Appends are on their way until it is over.
+    Appends,
     /// Messages take up to two seconds.
     Speed,
 }
@@ -322,7 +324,7 @@
                 self.hosts[h].members.report(&self.servers[s].id, reachable);
             }
             Action::Append { id, record, why } => {
-                self.send(Out::Host(usize::MAX), move |w| w.append(h, s, id, record, why));
+                self.send(Out::Appends, move |w| w.append(h, s, id, record, why));
             }
             Action::HandedOver => {
                 self.hosts[h].handed_over += 1;
--- a/crates/jacinthbeam-lease/tests/support/trace.rs
+++ b/crates/jacinthbeam-lease/tests/support/trace.rs
@@ -37,6 +37,7 @@
             Out::Log => "the log is away".to_owned(),
             Out::LogOf(at) => format!("{} can't reach the log", host(at)),
             Out::AppendAnswers => "answers to appends are lost".to_owned(),
+            Out::Appends => "appends are on their way".to_owned(),
             Out::Speed => "messages are slow".to_owned(),
         };
         if ms == FOREVER { format!("{what} for good") } else { format!("{what} for {ms} ms") }
--- a/crates/jacinthbeam-lease/tests/witnesses/mod.rs
+++ b/crates/jacinthbeam-lease/tests/witnesses/mod.rs
@@ -13,8 +13,8 @@
 
 use crate::support::{World, heard, name};
 
-/// Host d was replaced by e. After a while the first host by rendezvous proposes e in its place, and needs three of the old four
-/// to retire, so that no two of them can renew a lease by the old set.
+/// Host d was replaced by e. After a while the first host by rendezvous proposes e in its place, and needs
+/// three of the old four to retire, so that no two of them can renew a lease by the old set.
 #[test]
 fn a_lost_witness_is_replaced_once_enough_old_ones_retire() {
     let state = World::new(4, 3, "", 1).state;
