feat(entry): slots move away from leaving and busy servers, hot keys get slots of their own

Cause: nothing planned moves, so a leaving backend server kept its slots for ever and load stayed where the first division had put it. Change: attended servers are metered by slot and by key; every 2 s a host decides for the servers it attends, on a sample of the loads of four hosts picked at random; leaving servers first, then new ones, then balance; hot keys split and merge; slots that nobody owns are placed; eviction targets by load. A permit that holds a slot again ends its hold. A server that has left is closed for traffic.

--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -13,7 +13,7 @@
     format::backend as format,
     grant::{self, Outcome},
 };
-use jacinthbeam_state::{Record, record::SlotTarget};
+use jacinthbeam_state::{Division, Record};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
 
@@ -102,11 +102,16 @@
         attended.tick();
         if tended.draining && attended.is_idle() {
             tended.draining = false;
+            // Nothing runs and nothing is admitted, so traffic has no use for it until a permit opens it again.
+            tended.open = false;
+            self.changed = true;
             self.attendant_event(server, attendant::Event::Drained);
             return;
         }
+        let division = self.state.services.get(&tended.service).cloned();
+        let parent = |slot| parent_slot(division.as_deref()?, slot);
         let slots: BTreeSet<SlotId> =
-            attended.drained().intersection(&tended.held).copied().collect();
+            attended.drained(parent).intersection(&tended.held).copied().collect();
         if !slots.is_empty() {
             tended.held.retain(|slot| !slots.contains(slot));
             self.attendant_event(server, attendant::Event::Released { slots });
@@ -143,7 +148,12 @@
             evict_targets: &targets,
         };
         let actions = tended.attendant.on(now, event, &cx);
-        self.members.attend(server, tended.attendant.attends().is_some());
+        let attends = tended.attendant.attends().is_some();
+        // Its successor waits for this news; the next heartbeat in turn would add to the time without an attendant.
+        if !attends && self.members.own().attends.contains(server) {
+            self.next_heartbeat = now;
+        }
+        self.members.attend(server, attends);
         self.tended.insert(server.clone(), tended);
         for action in actions {
             self.carry_out(server, action);
@@ -351,21 +361,6 @@
         });
     }
 
-    /// Where the slots of a lost server go: the servers of its service that own the fewest slots.
-    fn evict_targets(&self, lost: &ServerId) -> Vec<SlotTarget> {
-        let Some(known) = self.state.servers.get(lost) else { return Vec::new() };
-        let others = self.state.servers_of(&known.service).filter(|(id, _)| *id != lost);
-        let mut owned: Vec<(usize, ServerId)> =
-            others.map(|(id, server)| (server.slots().len(), id.clone())).collect();
-        let mut targets = Vec::new();
-        for slot in known.slots() {
-            let Some(least) = owned.iter_mut().min() else { break };
-            least.0 += 1;
-            targets.push(SlotTarget { slot: *slot, to: least.1.clone() });
-        }
-        targets
-    }
-
     /// Servers attended at present, as heartbeats say.
     pub(super) fn attends(&self) -> Vec<(ServerId, Token)> {
         let open = self.tended.iter().filter(|(_, tended)| tended.open);
@@ -373,6 +368,12 @@
     }
 }
 
+/// The slot that a split-out key came from; `None` if the slot is not that of a single key.
+fn parent_slot(division: &Division, slot: SlotId) -> Option<SlotId> {
+    let (key, _) = division.split().iter().find(|(_, own)| **own == slot)?;
+    Some(division.parent_of(*key))
+}
+
 fn into_format(grant: Grant) -> format::Grant {
     format::Grant {
         token: grant.token,
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -4,7 +4,7 @@
 
 use jacinthbeam_admission::usage::BatchId;
 use jacinthbeam_lease::attendant;
-use jacinthbeam_peer::message::{Answer, Heartbeat, Probe, Question};
+use jacinthbeam_peer::message::{Answer, Heartbeat, Probe, Question, ServerLoad};
 use jacinthbeam_platform::{format::hosts::HostList, log::read};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
@@ -60,6 +60,8 @@
         /// What happened.
         event: attendant::Event,
     },
+    /// A peer told the loads of the servers that it attends.
+    Loads(Vec<ServerLoad>),
     /// A witness promised to vouch no more under this epoch.
     Retired {
         /// The witness.
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -147,6 +147,7 @@
     }
 
     fn note_change(&mut self, offset: Offset, change: &Change) {
+        self.note_placed(change);
         if let Change::SnapshotPart { part, of, .. } = change {
             if part + 1 == *of {
                 self.snapshots.seen(self.clock.now(), offset);
--- a/crates/jacinthbeam-entry/src/process/control/found.rs
+++ b/crates/jacinthbeam-entry/src/process/control/found.rs
@@ -1,14 +1,14 @@
 //! The first division of a keyed service.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
 use jacinthbeam_config::Division;
 use jacinthbeam_state::{
-    Record,
-    record::{JoinServer, OwnerRun},
+    Division as DivisionTable, Record,
+    record::{JoinServer, OwnerRun, SlotBase},
 };
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
 
@@ -19,10 +19,13 @@
 /// Time that each further host waits for the ones before it. Two that divide at once do no harm: the second record is void.
 const TURN: Duration = Duration::from_millis(500);
 
-/// Services that wait for their first division.
-#[derive(Debug, Default)]
+/// Services that wait for their first division, or for owners of some slots.
+#[derive(Debug)]
 pub struct Founding {
     waiting: BTreeMap<ServiceName, Wait>,
+    /// Services with slots that nobody owned in the last round.
+    vacant: BTreeSet<ServiceName>,
+    next_vacant: Instant,
 }
 
 #[derive(Debug)]
@@ -32,6 +35,11 @@
 }
 
 impl Founding {
+    /// Nothing waits.
+    pub fn new(now: Instant) -> Self {
+        Self { waiting: BTreeMap::new(), vacant: BTreeSet::new(), next_vacant: now }
+    }
+
     /// The append has ended; it may be tried again if the fold does not show it.
     pub(super) fn appended(&mut self, service: &ServiceName) {
         self.waiting.remove(service);
@@ -55,6 +63,48 @@
         for (service, slots) in missing {
             self.found_service(now, service, slots);
         }
+        self.place_vacant_slots(now);
+    }
+
+    /// Gives slots that nobody owns to the servers that own the fewest. A slot loses its owner without a next one when the
+    /// server that it was to go to was lost in the meantime.
+    fn place_vacant_slots(&mut self, now: Instant) {
+        if now < self.found.next_vacant {
+            return;
+        }
+        self.found.next_vacant = now + TURN * (1 + self.list.entry_hosts.len() as u32);
+        let records: Vec<Record> = self
+            .state
+            .services
+            .iter()
+            .filter(|(service, _)| self.turn(service) == 0 || self.found.vacant.contains(*service))
+            .filter_map(|(service, division)| self.placing(service, division))
+            .collect();
+        let is_vacant = |(_, division): &(&ServiceName, &std::sync::Arc<DivisionTable>)| {
+            division.owned() < division.len()
+        };
+        // The host whose turn it is may be gone though still listed; after one more round everybody places what is left.
+        let vacant = self.state.services.iter().filter(is_vacant);
+        self.found.vacant = vacant.map(|(service, _)| service.clone()).collect();
+        for record in records {
+            tokio::spawn(self.append(record, "nobody owned the slots".to_owned()));
+        }
+    }
+
+    /// The record that places vacant slots on one server; the next round goes on with the next one.
+    fn placing(&self, service: &ServiceName, division: &DivisionTable) -> Option<Record> {
+        let servers: Vec<(&ServerId, usize)> =
+            self.state.servers_of(service).map(|(id, server)| (id, server.slots().len())).collect();
+        let (least, _) = servers.iter().min_by_key(|(_, owned)| *owned)?;
+        let vacant = division.len() - division.owned();
+        let share = vacant.div_ceil(servers.len());
+        let slots = division.vacant().take(share);
+        let slots: Vec<SlotBase> = slots.map(|(slot, epoch)| SlotBase { slot, epoch }).collect();
+        (!slots.is_empty()).then(|| Record::Reassign {
+            service: service.clone(),
+            server: (*least).clone(),
+            slots,
+        })
     }
 
     fn found_service(&mut self, now: Instant, service: ServiceName, slots: u32) {
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -13,6 +13,7 @@
 mod found;
 mod heartbeat;
 mod memory;
+mod placement;
 mod publish;
 mod snapshot;
 mod usage;
@@ -90,6 +91,7 @@
     heard: BTreeMap<HostId, heartbeat::Sign>,
     tended: BTreeMap<ServerId, attend::Tended>,
     found: found::Founding,
+    placement: placement::Placement,
     snapshots: snapshot::Pace,
     usage: usage::Flush,
     next_heartbeat: Instant,
@@ -133,7 +135,8 @@
             list: HostList::default(),
             heard: BTreeMap::new(),
             tended: BTreeMap::new(),
-            found: Default::default(),
+            found: found::Founding::new(now),
+            placement: placement::Placement::new(now),
             snapshots: snapshot::Pace::new(now),
             usage: usage::Flush::new(now),
             next_heartbeat: now,
@@ -184,6 +187,7 @@
             Event::Tried { probe, reached, reply } => self.tried(probe, reached, reply),
             Event::Attendant { server, event } => self.attendant_event(&server, event),
             Event::Retired { incarnation, epoch } => self.retired(incarnation, epoch),
+            Event::Loads(loads) => self.heard_loads(loads),
             Event::WitnessesAppended => self.witness_change = Default::default(),
             Event::FoundAppended { service } => self.found.appended(&service),
             Event::UsageAppended { id, written } => self.usage_appended(id, written),
@@ -204,6 +208,7 @@
         self.keep_memory(now);
         self.change_witnesses(now);
         self.found_services(now);
+        self.place(now);
         self.append_snapshot(now);
         self.flush_usage(now);
     }
--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -97,7 +97,8 @@
         kept: Option<&Kept>,
     ) -> Result<(ForwardReply, Body), Refusal> {
         self.attended.check(self.slot, self.next)?;
-        let place = self.attended.admit(ticket).await?;
+        let key = self.slot.map(|_| KeyHash::of(&head.key));
+        let place = self.attended.admit(ticket, key).await?;
         let (team, service) = self.share(&head);
         let id = head.id;
         let req = match self.request(head, body, kept) {
--- a/crates/jacinthbeam-entry/src/version/attended.rs
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -4,16 +4,20 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
+    time::Instant,
 };
 
 use jacinthbeam_admission::server::{
     Admission, Gate, MIN_RETRY_AFTER, Offer, Options, Outcome, Refused, Report, Ticket,
 };
 use jacinthbeam_lease::Permit;
+use jacinthbeam_placement::hot::Sketch;
 use jacinthbeam_platform::backend::Pool;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
 
+use super::meter::{Meter, Reading};
+
 /// A backend server attended by this host.
 ///
 /// Control sets the permit and reports what the backend server says; traffic asks for places. The lock is held for a
@@ -36,6 +40,7 @@
     permit: Option<Arc<Permit>>,
     waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
     held: BTreeSet<SlotId>,
+    meter: Meter,
 }
 
 /// Counts for the dump.
@@ -70,8 +75,13 @@
         let pool = Pool::open(server.clone(), addr, connections, Default::default(), clock.clone());
         let mut admission = Admission::open(clock.now(), options, 0, false);
         admission.set_gate(clock.now(), Gate::Paused);
-        let inner =
-            Inner { admission, permit: None, waiting: BTreeMap::new(), held: BTreeSet::new() };
+        let inner = Inner {
+            admission,
+            permit: None,
+            waiting: BTreeMap::new(),
+            held: BTreeSet::new(),
+            meter: Meter::new(),
+        };
         Self { server, service, pool, clock, inner: Mutex::new(inner) }
     }
 
@@ -82,6 +92,10 @@
         if known != Some(permit.token) {
             inner.admission.regranted(report.running_older);
         }
+        // A planned move that was given up: the permit holds its slot again.
+        let back: BTreeSet<SlotId> = inner.held.intersection(&permit.slots).copied().collect();
+        inner.admission.resume(back.iter().copied());
+        inner.held.retain(|slot| !back.contains(slot));
         inner.permit = Some(Arc::new(permit));
         inner.admission.reported(report);
         inner.admission.set_gate(self.clock.now(), Gate::Open);
@@ -110,14 +124,6 @@
         inner.held.extend(slots);
     }
 
-    /// Starts requests of these slots again.
-    pub fn resume(&self, slots: &BTreeSet<SlotId>) {
-        let mut inner = self.lock();
-        inner.admission.resume(slots.iter().copied());
-        inner.held.retain(|slot| !slots.contains(slot));
-        self.start_waiting(inner);
-    }
-
     /// The slots were handed over: those that wait for them are refused, to be sent to the next owner.
     pub fn moved(&self, slots: &BTreeSet<SlotId>) {
         let mut inner = self.lock();
@@ -127,10 +133,24 @@
     }
 
     /// Held slots of which no request may still run.
-    pub fn drained(&self) -> BTreeSet<SlotId> {
+    ///
+    /// `parent` names the slot that a split-out key came from. A request of that key which was admitted before the split is counted there,
+    /// so its own slot is drained only when the other one is too.
+    pub fn drained(&self, parent: impl Fn(SlotId) -> Option<SlotId>) -> BTreeSet<SlotId> {
         let inner = self.lock();
-        let drained = inner.held.iter().filter(|slot| inner.admission.is_drained(**slot));
-        drained.copied().collect()
+        let is_drained = |slot: SlotId| inner.admission.is_drained(slot);
+        let all = |slot: &&SlotId| is_drained(**slot) && parent(**slot).is_none_or(is_drained);
+        inner.held.iter().filter(all).copied().collect()
+    }
+
+    /// Busy time since the last call.
+    pub fn read_meter(&self) -> Reading {
+        self.lock().meter.take()
+    }
+
+    /// The heaviest keys; see [`Meter::end_window`].
+    pub fn heaviest_keys(&self) -> Sketch {
+        self.lock().meter.end_window()
     }
 
     /// Refuses what can't be served in time any more and closes idle connections. To be called every few ten milliseconds.
@@ -166,10 +186,15 @@
     }
 
     /// Waits for a place. Dropping the future gives up.
-    pub async fn admit(self: &Arc<Self>, ticket: Ticket) -> Result<Place, Refusal> {
-        let (id, deadline) = (ticket.id, ticket.deadline);
+    pub async fn admit(
+        self: &Arc<Self>,
+        ticket: Ticket,
+        key: Option<KeyHash>,
+    ) -> Result<Place, Refusal> {
+        let (id, slot, deadline) = (ticket.id, ticket.slot, ticket.deadline);
+        let place = || Place::new(self.clone(), id, slot, key);
         let Some(rx) = self.offer(ticket)? else {
-            return Ok(Place::new(self.clone(), id));
+            return Ok(place());
         };
         let waiting = Waiting { attended: self, id };
         let left = deadline.saturating_duration_since(self.clock.now());
@@ -177,7 +202,7 @@
         match outcome {
             Ok(Ok(Ok(()))) => {
                 std::mem::forget(waiting);
-                Ok(Place::new(self.clone(), id))
+                Ok(place())
             }
             Ok(Ok(Err(refusal))) => Err(refusal),
             Ok(Err(_)) => Err(Refusal::not_run(Reason::Stopping)),
@@ -221,9 +246,12 @@
         }
     }
 
-    fn finished(&self, id: RequestId, outcome: Outcome) {
+    fn finished(&self, place: &Place, outcome: Outcome) {
+        let now = self.clock.now();
         let mut inner = self.lock();
-        inner.admission.finished(self.clock.now(), id, outcome);
+        let busy = now.saturating_duration_since(place.since);
+        inner.meter.count(place.slot, place.key, busy);
+        inner.admission.finished(now, place.id, outcome);
         self.start_waiting(inner);
     }
 
@@ -285,18 +313,27 @@
 pub struct Place {
     attended: Arc<Attended>,
     id: RequestId,
+    slot: Option<SlotId>,
+    key: Option<KeyHash>,
+    since: Instant,
     ended: bool,
 }
 
 impl Place {
-    fn new(attended: Arc<Attended>, id: RequestId) -> Self {
-        Self { attended, id, ended: false }
+    fn new(
+        attended: Arc<Attended>,
+        id: RequestId,
+        slot: Option<SlotId>,
+        key: Option<KeyHash>,
+    ) -> Self {
+        let since = attended.clock.now();
+        Self { attended, id, slot, key, since, ended: false }
     }
 
     /// Reports how the request ended.
     pub fn finish(mut self, outcome: Outcome) {
         self.ended = true;
-        self.attended.finished(self.id, outcome);
+        self.attended.finished(&self, outcome);
     }
 }
 
@@ -304,7 +341,7 @@
     /// The caller went away or a task was cancelled: the connection is being closed, but the backend server may not know yet.
     fn drop(&mut self) {
         if !self.ended {
-            self.attended.finished(self.id, Outcome::Lost);
+            self.attended.finished(self, Outcome::Lost);
         }
     }
 }
--- a/crates/jacinthbeam-entry/src/version/mod.rs
+++ b/crates/jacinthbeam-entry/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What traffic threads see of control state: one immutable view, replaced as a whole.
 
 pub mod attended;
+pub mod meter;
 pub mod route;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -42,6 +42,8 @@
     Claim(ClaimSlots),
     /// Give me your copies of these slots.
     Fetch(Fetch),
+    /// How busy are the backend servers that you attend?
+    Loads,
 }
 
 /// Answer to a [`Question`].
@@ -79,6 +81,8 @@
     Claimed(Claimed),
     /// To [`Question::Fetch`].
     Fetched(Fetched),
+    /// To [`Question::Loads`].
+    Loads(Vec<ServerLoad>),
 }
 
 /// Sign of life of an entry host, exchanged with every host of its cell.
@@ -141,6 +145,15 @@
     NotReached,
 }
 
+/// How busy a backend server is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    /// The backend server.
+    pub server: ServerId,
+    /// Thousandths of a request running on average.
+    pub milli_busy: u32,
+}
+
 /// See [`Question::ReadLog`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
