--- a/crates/jacinthbeam-config/src/config.rs
+++ b/crates/jacinthbeam-config/src/config.rs
@@ -159,7 +159,7 @@
             weights: Weights::default(),
             start_above: 1.25,
             stop_below: 1.1,
-            moves_per_minute: 60,
+            moves_per_minute: 600,
             min_stay: Duration::from_secs(30),
             warm_up: Duration::from_secs(10),
             hot_key: HotKey::default(),
