--- a/crates/jacinthbeam-cli/src/command/arg.rs
+++ b/crates/jacinthbeam-cli/src/command/arg.rs
@@ -27,7 +27,7 @@
         .help("Address of the platform's log, such as 10.1.0.2:7000")
 }
 
-/// Value of [`log`] where it is required.
+/// Value of [`log()`] where it is required.
 pub fn log_of(args: &ArgMatches) -> SocketAddr {
     *args.get_one::<SocketAddr>("log").expect("it is required")
 }
--- a/crates/jacinthbeam-cli/src/operators.rs
+++ b/crates/jacinthbeam-cli/src/operators.rs
@@ -21,7 +21,7 @@
 pub enum Error {
     /// It can't be reached, or the connection broke.
     Unreachable(String),
-    /// It gave no whole answer within [`TIMEOUT`].
+    /// It gave no whole answer within `TIMEOUT`.
     Silent,
     /// It answered something else than what was asked for.
     Unexpected(String),
--- a/crates/jacinthbeam-measure/src/judge/unavailable.rs
+++ b/crates/jacinthbeam-measure/src/judge/unavailable.rs
@@ -27,7 +27,7 @@
 /// Unavailable time of each probed key between two times.
 ///
 /// It is the time between successive successful answers, where that is longer than the pace of the probes and
-/// [`TOLERANCE`] together. So a request that waits until its key is served again counts as unavailable for as long as it waits.
+/// `TOLERANCE` together. So a request that waits until its key is served again counts as unavailable for as long as it waits.
 pub fn unavailable(notes: &[Note], began: Instant, ended: Instant) -> Vec<Unavailable> {
     let mut by_key: BTreeMap<(ServiceName, String), Vec<&Note>> = BTreeMap::new();
     for note in notes {
