feat(measure): cuts between hosts, failure domains and the platform

A relay of the stand-ins tells entry hosts apart by IP number and fails by source and direction. For that an entry host may connect from a given address (`source`) and be reached elsewhere than where it listens (`advertise`); both serve hosts with several addresses, or behind address translation, as well. New faults: attendant killed twice, host started in an outage or past expired records, backend server cut from its attendant, failure domain cut from the platform, the others, both, and one way.

--- a/crates/jacinthbeam-config/src/settings.rs
+++ b/crates/jacinthbeam-config/src/settings.rs
@@ -9,7 +9,7 @@
 use jacinthbeam_types::prelude::*;
 
 use crate::{
-    document::{self, Fields, read},
+    document::{self, Fields, Value, read},
     problem::Problem,
 };
 
@@ -22,8 +22,13 @@
     pub cell: CellId,
     /// Where it listens for callers.
     pub callers: SocketAddr,
-    /// Where it listens for other entry hosts. They are told this address, so it must not be `0.0.0.0` or `::`.
+    /// Where it listens for other entry hosts. They are told this address unless [`Settings::advertise`] is set, so it must
+    /// not be `0.0.0.0` or `::` then.
     pub peers: SocketAddr,
+    /// Where other entry hosts reach it, if that is not [`Settings::peers`]: behind address translation, for instance.
+    pub advertise: Option<SocketAddr>,
+    /// IP number that its connections to others come from; the system picks one unless it is set. For hosts with several.
+    pub source: Option<IpAddr>,
     /// Where it listens for operators: metrics and dumps.
     pub operators: SocketAddr,
     /// Address of the platform's log.
@@ -120,13 +125,16 @@
     let callers = address(fields, "callers");
     let peers = address(fields, "peers");
     let operators = address(fields, "operators");
+    let advertise = fields.optional("advertise", read_address);
+    let source = fields.optional("source", read_ip);
     let log = address(fields, "log");
     let hosts = address(fields, "hosts");
     let timing = fields.object("timing", TimingSettings::default(), timing);
     let limits = fields.object("limits", Limits::default(), limits);
     let threads = read::whole(1..=MAX_TRAFFIC_THREADS);
     let traffic_threads = fields.or("traffic_threads", DEFAULT_TRAFFIC_THREADS, threads);
-    for (name, address) in [("peers", peers), ("log", log), ("hosts", hosts)] {
+    let told = if advertise.is_some() { ("advertise", advertise) } else { ("peers", peers) };
+    for (name, address) in [told, ("log", log), ("hosts", hosts)] {
         if address.is_some_and(|address| is_any(address.ip())) {
             fields.unfit(
                 name,
@@ -150,6 +158,8 @@
         cell: cell?,
         callers: callers?,
         peers: peers?,
+        advertise,
+        source,
         operators: operators?,
         log: log?,
         hosts: hosts?,
@@ -160,9 +170,15 @@
 }
 
 fn address(fields: &mut Fields<'_>, name: &'static str) -> Option<SocketAddr> {
-    fields.required(name, "an address such as \"10.0.0.7:8080\"", |value| {
-        read::text(value).map_err(|_| "an IP number and a port, such as \"10.0.0.7:8080\"".into())
-    })
+    fields.required(name, "an address such as \"10.0.0.7:8080\"", read_address)
+}
+
+fn read_address(value: &Value) -> Result<SocketAddr, String> {
+    read::text(value).map_err(|_| "an IP number and a port, such as \"10.0.0.7:8080\"".into())
+}
+
+fn read_ip(value: &Value) -> Result<IpAddr, String> {
+    read::text(value).map_err(|_| "an IP number, such as \"10.0.0.7\"".into())
 }
 
 fn is_any(ip: IpAddr) -> bool {
--- a/crates/jacinthbeam-config/tests/settings.rs
+++ b/crates/jacinthbeam-config/tests/settings.rs
@@ -25,6 +25,20 @@
 }"#));
 }
 
+#[test]
+fn a_host_may_be_reached_elsewhere_and_connect_from_one_of_its_addresses() {
+    insta::assert_snapshot!(say(r#"{
+  "host": "entry-ka-1", "cell": "kamloops-a", "callers": "0.0.0.0:8080", "peers": "0.0.0.0:8081",
+  "advertise": "10.1.0.11:9081", "source": "10.1.0.11", "operators": "10.1.0.11:8082",
+  "log": "10.1.0.2:7000", "hosts": "10.1.0.2:7001"
+}"#));
+    insta::assert_snapshot!(say(r#"{
+  "host": "entry-ka-1", "cell": "kamloops-a", "callers": "0.0.0.0:8080", "peers": "0.0.0.0:8081",
+  "advertise": "0.0.0.0:9081", "source": "10.1.0.11:0", "operators": "10.1.0.11:8082",
+  "log": "10.1.0.2:7000", "hosts": "10.1.0.2:7001"
+}"#));
+}
+
 #[test]
 fn one_address_is_not_listened_on_twice() {
     insta::assert_snapshot!(say(r#"{
--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -10,6 +10,7 @@
 };
 use jacinthbeam_peer::message::{self, Answer, Question};
 use jacinthbeam_platform::{
+    backend::{self, Pool},
     format::backend as format,
     grant::{self, Outcome},
 };
@@ -53,7 +54,8 @@
             host: self.me.host.clone(),
             incarnation: self.me.incarnation,
         };
-        let grants = grant::Client::open(addr, server.clone(), self.timing.probe_timeout);
+        let grants = grant::Client::open(addr, server.clone(), self.timing.probe_timeout)
+            .bound_to(self.me.source);
         let tended = Tended {
             attendant: Attendant::new(id),
             service: service.clone(),
@@ -253,14 +255,15 @@
             queue: service.queue as usize,
             ..Default::default()
         };
-        Some(Arc::new(Attended::open(
+        let pool = Pool::open(
             server.clone(),
-            tended.service.clone(),
             tended.addr,
             service.connections,
-            options,
+            backend::Options { source: self.me.source, ..Default::default() },
             self.clock.clone(),
-        )))
+        );
+        let (server, service) = (server.clone(), tended.service.clone());
+        Some(Arc::new(Attended::open(server, service, pool, options, self.clock.clone())))
     }
 
     fn close(&mut self, server: &ServerId) {
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -119,10 +119,13 @@
             attends: BTreeSet::new(),
         };
         Self {
-            log: Arc::new(log::Client::open(log, platform_timeout)),
-            appends: Arc::new(log::Client::open(log, platform_timeout)),
-            host_list: Arc::new(hosts::Client::open(hosts, platform_timeout)),
-            peers: Client::open(Default::default()),
+            log: Arc::new(log::Client::open(log, platform_timeout).bound_to(me.source)),
+            appends: Arc::new(log::Client::open(log, platform_timeout).bound_to(me.source)),
+            host_list: Arc::new(hosts::Client::open(hosts, platform_timeout).bound_to(me.source)),
+            peers: Client::open(jacinthbeam_peer::client::Options {
+                source: me.source,
+                ..Default::default()
+            }),
             records: AtomicU64::new(0),
             state: State::new(),
             follow: follow::Follow::new(),
--- a/crates/jacinthbeam-entry/src/process/identity.rs
+++ b/crates/jacinthbeam-entry/src/process/identity.rs
@@ -1,7 +1,7 @@
 //! Who this process is.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -16,8 +16,10 @@
     pub cell: CellId,
     /// This life of the process.
     pub incarnation: Incarnation,
-    /// Where it listens for other entry hosts.
+    /// Where other entry hosts reach it.
     pub peer_address: SocketAddr,
+    /// IP number that its connections come from, if set.
+    pub source: Option<IpAddr>,
 }
 
 /// Draws the incarnation of a process that starts now.
--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -110,12 +110,13 @@
     let callers = bind("callers", settings.callers)?;
     let operators = bind("operators", settings.operators)?;
     // The peers' port has to be known before the identity is, and the identity before the peers are served.
-    let peer_address = reserve(settings.peers)?;
+    let peers_listen = reserve(settings.peers)?;
     let me = Identity {
         host: settings.host.clone(),
         cell: settings.cell.clone(),
         incarnation: draw_incarnation(&*clock),
-        peer_address,
+        peer_address: settings.advertise.unwrap_or(peers_listen),
+        source: settings.source,
     };
     let cx = Arc::new(shared(settings, &me, clock));
     let memory = cx.memory.clone();
@@ -123,7 +124,7 @@
         max_connections: settings.limits.max_peer_connections as usize,
         ..Default::default()
     };
-    let peers = peers::bind(peer_address, peer_options, cx.clone(), tx.clone())
+    let peers = peers::bind(peers_listen, peer_options, cx.clone(), tx.clone())
         .map_err(|err| Error::Listen { purpose: "peers", addr: err.addr, source: err.source })?;
 
     let callers_addr = local_addr("callers", settings.callers, &callers)?;
@@ -174,6 +175,11 @@
         self.callers
     }
 
+    /// Where it listens for other entry hosts, which may not be where they are told to reach it.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(server::Handle::local_addr)
+    }
+
     /// Where it listens for operators.
     pub fn operators(&self) -> SocketAddr {
         self.operators
@@ -246,7 +252,8 @@
 fn shared(settings: &Settings, me: &Identity, clock: Arc<dyn Clock>) -> Traffic {
     let memory =
         duplicate::Options { bytes: settings.limits.duplicate_memory, ..Default::default() };
-    let peers = Client::open(Default::default());
+    let peers =
+        Client::open(jacinthbeam_peer::client::Options { source: me.source, ..Default::default() });
     Traffic {
         version: Arc::new(ArcSwap::from_pointee(Version::default())),
         peers: peers.clone(),
--- a/crates/jacinthbeam-entry/src/version/attended.rs
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Instant,
 };
@@ -63,16 +62,14 @@
 }
 
 impl Attended {
-    /// Starts to attend a server whose requests go to `addr`.
+    /// Starts to attend a server whose requests go over the connections of `pool`.
     pub fn open(
         server: ServerId,
         service: ServiceName,
-        addr: SocketAddr,
-        connections: u32,
+        pool: Pool,
         options: Options,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        let pool = Pool::open(server.clone(), addr, connections, Default::default(), clock.clone());
         let mut admission = Admission::open(clock.now(), options, 0, false);
         admission.set_gate(clock.now(), Gate::Paused);
         let inner = Inner {
--- a/crates/jacinthbeam-entry/tests/memory/support.rs
+++ b/crates/jacinthbeam-entry/tests/memory/support.rs
@@ -90,6 +90,8 @@
             cell: "kelowna".parse().unwrap(),
             callers: LOOPBACK,
             peers: LOOPBACK,
+            advertise: None,
+            source: None,
             operators: LOOPBACK,
             log: self.log.addr(),
             hosts: self.hosts.addr(),
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -1,5 +1,6 @@
 //! A whole deployment in one process.
 
+mod network;
 mod plan;
 
 use std::{
@@ -22,6 +23,7 @@
 };
 use jacinthbeam_standin as standin;
 
+pub use network::Network;
 pub use plan::Plan;
 
 /// Any free port of the loopback interface.
@@ -68,6 +70,8 @@
     pub servers: BTreeMap<ServerId, Server>,
     /// Backend servers that have left, for their records.
     pub gone: Vec<standin::backend::Handle>,
+    /// What fails between them; `None` if they reach each other without it.
+    pub network: Option<Network>,
     /// The entry hosts. One that was stopped or killed is absent.
     pub entries: BTreeMap<HostId, entry::Handle>,
 }
@@ -94,6 +98,11 @@
         let config: Config = config.config;
         let log = standin::log::spawn(LOOPBACK, Default::default()).map_err(Error::StandIn)?;
         let hosts = standin::hosts::spawn(LOOPBACK, Default::default()).map_err(Error::StandIn)?;
+        let network = match plan.network {
+            true => Some(Network::open(plan.entry_hosts.keys(), &log, &hosts)),
+            false => None,
+        };
+        let network = network.transpose().map_err(Error::StandIn)?;
         let mut deployment = Self {
             plan,
             config,
@@ -101,6 +110,7 @@
             hosts,
             servers: BTreeMap::new(),
             gone: Vec::new(),
+            network,
             entries: BTreeMap::new(),
         };
         deployment.spawn_servers()?;
@@ -156,6 +166,9 @@
             ..standin::backend::Options::new(id.clone(), service.clone())
         };
         let handle = standin::backend::spawn(LOOPBACK, options).map_err(Error::StandIn)?;
+        if let Some(network) = &mut self.network {
+            network.add_server(&id, handle.addr()).map_err(Error::StandIn)?;
+        }
         let server = Server { service: service.clone(), domain, leaving: false, handle };
         self.servers.insert(id, server);
         Ok(())
@@ -174,19 +187,27 @@
 
     /// Starts an entry host, also one of a name that ran before.
     pub fn spawn_entry(&mut self, host: HostId, domain: &FailureDomain) -> Result<(), Error> {
+        let placed = self.network.as_mut().map(|network| network.add_host(&host, domain));
+        let placed = placed.transpose().map_err(Error::StandIn)?;
+        let platform = self.network.as_ref().map(|network| network.platform(domain));
         let settings = Settings {
             host: host.clone(),
             cell: cell_of(domain),
             callers: LOOPBACK,
             peers: LOOPBACK,
+            advertise: placed.map(|(_, addr)| addr),
+            source: placed.map(|(source, _)| source),
             operators: LOOPBACK,
-            log: self.log.addr(),
-            hosts: self.hosts.addr(),
+            log: platform.map_or(self.log.addr(), |platform| platform.log.addr()),
+            hosts: platform.map_or(self.hosts.addr(), |platform| platform.hosts.addr()),
             timing: TimingSettings::default(),
             limits: Limits::default(),
             traffic_threads: self.plan.traffic_threads,
         };
         let entry = entry::spawn(&settings, Arc::new(SystemClock)).map_err(Error::Entry)?;
+        if let Some(network) = &self.network {
+            network.set_host(&host, entry.peers());
+        }
         self.entries.insert(host, entry);
         Ok(())
     }
@@ -211,12 +232,17 @@
             id: id.clone(),
             service: server.service.clone(),
             cell: cell_of(&server.domain),
-            address: server.handle.addr(),
+            address: self.address_of(id, server),
             leaving: server.leaving,
         };
         self.servers.iter().map(listed).collect()
     }
 
+    fn address_of(&self, id: &ServerId, server: &Server) -> SocketAddr {
+        let network = self.network.as_ref();
+        network.and_then(|network| network.server(id)).unwrap_or(server.handle.addr())
+    }
+
     fn publish(&self, folder: &Snapshot) -> Result<(), Error> {
         use jacinthbeam::config::{
             fold,
--- a/crates/jacinthbeam-measure/src/deployment/plan.rs
+++ b/crates/jacinthbeam-measure/src/deployment/plan.rs
@@ -20,6 +20,8 @@
     pub service_time: Duration,
     /// Traffic threads of each entry host.
     pub traffic_threads: usize,
+    /// Whether the parts reach each other through a [`Network`](super::Network) that can fail.
+    pub network: bool,
 }
 
 impl Plan {
@@ -35,6 +37,7 @@
             undivided_servers: 3,
             service_time: Duration::from_millis(5),
             traffic_threads: 1,
+            network: false,
         }
     }
 
--- a/crates/jacinthbeam-measure/src/fault/mod.rs
+++ b/crates/jacinthbeam-measure/src/fault/mod.rs
@@ -31,11 +31,27 @@
     LoseAnswers,
     /// The log is down while a backend server is killed.
     LogDownKillServer,
+    /// The attendant of a backend server is killed, and then the one that took over.
+    KillAttendantTwice,
+    /// An attendant is killed while the log is down, and its host starts anew before the log is back.
+    StartInOutage,
+    /// An attendant is killed, and its host starts anew when the first records of the log have expired.
+    Expired,
+    /// A backend server can't be reached by its attendant, but by the other hosts.
+    CutServer,
+    /// A failure domain is cut off from the platform.
+    CutPlatform,
+    /// A failure domain is cut off from the others.
+    CutDomain,
+    /// A failure domain is cut off from the others and from the platform.
+    CutBoth,
+    /// What a failure domain sends to the others is lost; what they send arrives.
+    CutOneWay,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 19] = [
         Self::KillAttendant,
         Self::KillServer,
         Self::KillBoth,
@@ -47,6 +63,14 @@
         Self::LogSlow,
         Self::LoseAnswers,
         Self::LogDownKillServer,
+        Self::KillAttendantTwice,
+        Self::StartInOutage,
+        Self::Expired,
+        Self::CutServer,
+        Self::CutPlatform,
+        Self::CutDomain,
+        Self::CutBoth,
+        Self::CutOneWay,
     ];
 
     /// The text by which an operator names it.
@@ -63,6 +87,14 @@
             Self::LogSlow => "log-slow",
             Self::LoseAnswers => "lose-answers",
             Self::LogDownKillServer => "log-down-kill-server",
+            Self::KillAttendantTwice => "kill-attendant-twice",
+            Self::StartInOutage => "start-in-outage",
+            Self::Expired => "expired",
+            Self::CutServer => "cut-server",
+            Self::CutPlatform => "cut-platform",
+            Self::CutDomain => "cut-domain",
+            Self::CutBoth => "cut-both",
+            Self::CutOneWay => "cut-one-way",
         }
     }
 
@@ -71,7 +103,8 @@
         Duration::from_secs(match self {
             Self::LogDown => 20,
             Self::LogSlow | Self::LogDownKillServer => 8,
-            Self::Stop => 1,
+            Self::CutPlatform | Self::CutDomain | Self::CutBoth | Self::CutOneWay => 8,
+            Self::Stop | Self::Expired => 1,
             _ => 6,
         })
     }
@@ -81,6 +114,23 @@
         matches!(self, Self::Stop | Self::Drain)
     }
 
+    /// Whether entry hosts are lost with all that they have in hand.
+    pub fn kills_hosts(self) -> bool {
+        matches!(
+            self,
+            Self::KillAttendant
+                | Self::KillAttendantTwice
+                | Self::KillBoth
+                | Self::StartInOutage
+                | Self::Expired
+        )
+    }
+
+    /// Whether it cuts a failure domain off from the others.
+    pub fn parts_domains(self) -> bool {
+        matches!(self, Self::CutDomain | Self::CutBoth | Self::CutOneWay)
+    }
+
     /// Longest unavailable time of a key that is aimed at, if there is an aim.
     pub fn aim(self) -> Option<Duration> {
         match self {
@@ -88,8 +138,15 @@
             | Self::KillServer
             | Self::KillBoth
             | Self::Freeze
-            | Self::LoseAnswers => Some(Duration::from_secs(4)),
+            | Self::LoseAnswers
+            | Self::StartInOutage
+            | Self::Expired
+            | Self::CutServer => Some(Duration::from_secs(4)),
+            Self::KillAttendantTwice => Some(Duration::from_secs(8)),
             Self::Stop | Self::Drain | Self::LogDown | Self::LogSlow => Some(Duration::ZERO),
+            Self::CutPlatform | Self::CutDomain | Self::CutBoth | Self::CutOneWay => {
+                Some(Duration::ZERO)
+            }
             Self::Silence | Self::LogDownKillServer => None,
         }
     }
--- a/crates/jacinthbeam-measure/src/judge/mod.rs
+++ b/crates/jacinthbeam-measure/src/judge/mod.rs
@@ -53,8 +53,8 @@
     pub kind: fault::Kind,
     /// The backend server that it was about.
     pub server: ServerId,
-    /// The entry host that it was about.
-    pub host: HostId,
+    /// The entry hosts that it was about.
+    pub hosts: Vec<HostId>,
     /// When it was brought about.
     pub began: Instant,
     /// When it was healed and everything was served again.
--- a/crates/jacinthbeam-measure/src/judge/requests.rs
+++ b/crates/jacinthbeam-measure/src/judge/requests.rs
@@ -96,10 +96,9 @@
 
 /// Whether the host that was asked was killed while the request was on the way.
 fn was_lost(note: &Note, windows: &[Window]) -> bool {
-    let killed = windows.iter().filter(|window| {
-        matches!(window.kind, fault::Kind::KillAttendant | fault::Kind::KillBoth)
-            && window.host == note.host
-    });
+    let killed = windows
+        .iter()
+        .filter(|window| window.kind.kills_hosts() && window.hosts.contains(&note.host));
     killed.into_iter().any(|window| note.sent <= window.ended && window.began <= note.ended_at)
 }
 
--- a/crates/jacinthbeam-measure/src/load/mod.rs
+++ b/crates/jacinthbeam-measure/src/load/mod.rs
@@ -19,7 +19,7 @@
 pub use caller::Sending;
 pub use generate::Generators;
 pub use note::{Answered, Ended, Kind, Note};
-pub use probe::{PROBE_EVERY, Probes};
+pub use probe::{PROBE_EVERY, Probes, Through};
 pub use zipf::Zipf;
 
 /// Load on a deployment.
--- a/crates/jacinthbeam-measure/src/load/probe.rs
+++ b/crates/jacinthbeam-measure/src/load/probe.rs
@@ -16,6 +16,27 @@
 /// Deadline of a read. Short, so that few wait at a time for a key that is not served.
 const DEADLINE: Duration = Duration::from_millis(1500);
 
+/// Which entry hosts probes are sent through.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Through {
+    /// Any.
+    Any,
+    /// Those of this failure domain.
+    Inside(FailureDomain),
+    /// Those of the other failure domains.
+    Outside(FailureDomain),
+}
+
+impl Through {
+    fn takes(&self, backend: &Backend) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Inside(domain) => backend.domain == *domain,
+            Self::Outside(domain) => backend.domain != *domain,
+        }
+    }
+}
+
 /// Running probes.
 #[derive(Debug)]
 pub struct Probes {
@@ -29,7 +50,7 @@
     pub fn spawn(
         keys: &[(ServiceName, String)],
         balancer: &Arc<Balancer>,
-        through: impl Fn(&Backend) -> bool + Clone + Send + Sync + 'static,
+        through: Through,
     ) -> Self {
         let (stop, stopped) = watch::channel(false);
         let notes = Notes::default();
@@ -58,15 +79,15 @@
 }
 
 #[derive(Clone)]
-struct Probe<F> {
+struct Probe {
     service: ServiceName,
     key: String,
     balancer: Arc<Balancer>,
     notes: Notes,
-    through: F,
+    through: Through,
 }
 
-impl<F: Fn(&Backend) -> bool + Clone + Send + Sync + 'static> Probe<F> {
+impl Probe {
     async fn run(self, offset: Duration, mut stop: watch::Receiver<bool>) {
         let mut reads = JoinSet::new();
         tokio::time::sleep(offset).await;
@@ -91,7 +112,8 @@
             service_time: None,
             body: Bytes::new(),
         };
-        let hosts = self.balancer.shuffled(&mut fastrand::Rng::new(), &self.through);
+        let hosts =
+            self.balancer.shuffled(&mut fastrand::Rng::new(), |host| self.through.takes(host));
         for host in hosts.into_iter().take(MOST_HOSTS) {
             let sent = Instant::now();
             let ended = sending.send(host.addr).await;
--- a/crates/jacinthbeam-measure/src/preset.rs
+++ b/crates/jacinthbeam-measure/src/preset.rs
@@ -74,10 +74,11 @@
 impl Preset {
     /// Entry hosts and backend servers.
     pub fn plan(self) -> Plan {
-        Plan::new(match self {
+        let domains = match self {
             Self::Rimefall => ["kamloops-a", "kelowna-b", "prince-george-c"],
             Self::Chladici => ["sal-a", "sal-b", "sal-c"],
-        })
+        };
+        Plan { network: true, ..Plan::new(domains) }
     }
 
     /// The example configuration.
--- a/crates/jacinthbeam-measure/src/report.rs
+++ b/crates/jacinthbeam-measure/src/report.rs
@@ -7,8 +7,9 @@
 use serde::{Serialize, Serializer};
 
 use crate::{
+    experiment::Probed,
     fault::Kind,
-    judge::{Broken, Promise, ServerRecord},
+    judge::{Broken, Promise, ServerRecord, Unavailable, unavailable},
     load::{Ended, Note},
     owners::Owners,
 };
@@ -44,14 +45,14 @@
     pub fault: Kind,
     /// The backend server that it was about.
     pub server: ServerId,
-    /// That server's attendant.
-    pub host: HostId,
+    /// The entry hosts that it was about, that server's attendant first.
+    pub hosts: Vec<HostId>,
     /// Milliseconds from its beginning until it was healed.
     pub fault_ms: u64,
     /// Milliseconds from then until every slot was served.
     pub served_again_ms: u64,
-    /// Unavailable time of each probed key.
-    pub unavailable_ms: Vec<u64>,
+    /// What became of the keys that it concerned.
+    pub groups: Vec<Group>,
     /// Slots that have another owner afterwards.
     pub changed: usize,
     /// Slots that the server owned before.
@@ -60,6 +61,41 @@
     pub requests: Requests,
 }
 
+/// Keys that a fault concerned in the same way.
+#[derive(Debug, Serialize)]
+pub struct Group {
+    /// What they have in common.
+    pub name: &'static str,
+    /// Whether they can be served while the fault stands; else they are to be refused at once.
+    pub can_be_served: bool,
+    /// Unavailable time of each key: of all the time if they can be served, else of the time after the fault was healed.
+    pub unavailable_ms: Vec<u64>,
+    /// How long each refusal took, ascending.
+    pub refused_after_ms: Vec<u64>,
+    /// How the reads ended.
+    pub requests: Requests,
+}
+
+impl Group {
+    /// Judges the reads of a group from `began` on, where the fault was healed at `healed`, until `ended`.
+    pub fn of(probed: &Probed, began: Instant, healed: Instant, ended: Instant) -> Self {
+        let Probed { name, can_be_served, notes } = probed;
+        let from = if *can_be_served { began } else { healed };
+        let time = |unavailable: Unavailable| unavailable.time.as_millis() as u64;
+        let refused = notes.iter().filter(|note| note.sent >= began && !note.is_success());
+        let mut after: Vec<u64> =
+            refused.map(|note| (note.ended_at - note.sent).as_millis() as u64).collect();
+        after.sort_unstable();
+        Self {
+            name,
+            can_be_served: *can_be_served,
+            unavailable_ms: unavailable(notes, from, ended).into_iter().map(time).collect(),
+            refused_after_ms: after,
+            requests: Requests::of(notes.iter().filter(|note| note.sent >= began)),
+        }
+    }
+}
+
 /// Load of a service over its owners.
 #[derive(Debug, Serialize)]
 pub struct Imbalance {
@@ -145,21 +181,45 @@
 }
 
 impl Report {
-    /// Faults whose unavailable time is above what is aimed at, with the longest time.
-    pub fn missed_aims(&self) -> Vec<(Kind, u64)> {
-        let longest = |episode: &Episode| {
-            let longest = *episode.unavailable_ms.iter().max()?;
-            let aim = episode.fault.aim()?;
-            (u128::from(longest) > aim.as_millis()).then_some((episode.fault, longest))
-        };
-        self.episodes.iter().filter_map(longest).collect()
+    /// Faults whose unavailable time is above what is aimed at, with the group and the longest time.
+    pub fn missed_aims(&self) -> Vec<(Kind, &'static str, u64)> {
+        let mut missed = Vec::new();
+        for episode in &self.episodes {
+            let Some(aim) = episode.fault.aim() else { continue };
+            for group in episode.groups.iter().filter(|group| group.can_be_served) {
+                let longest = group.unavailable_ms.iter().max().copied().unwrap_or_default();
+                if u128::from(longest) > aim.as_millis() {
+                    missed.push((episode.fault, group.name, longest));
+                }
+            }
+        }
+        missed
+    }
+
+    /// Unavailable times of all keys by fault and group, ascending.
+    pub fn unavailable(&self) -> BTreeMap<(Kind, &'static str), Vec<u64>> {
+        self.by_group(|group| &group.unavailable_ms)
     }
 
-    /// Unavailable times of all keys by fault, ascending.
-    pub fn unavailable(&self) -> BTreeMap<Kind, Vec<u64>> {
-        let mut times: BTreeMap<Kind, Vec<u64>> = BTreeMap::new();
+    /// Times that refusals took, by fault and group of keys that can't be served, ascending.
+    pub fn refused_after(&self) -> BTreeMap<(Kind, &'static str), Vec<u64>> {
+        let mut times = self.by_group(|group| match group.can_be_served {
+            true => &[],
+            false => &group.refused_after_ms,
+        });
+        times.retain(|_, times| !times.is_empty());
+        times
+    }
+
+    fn by_group<'a>(
+        &'a self,
+        times_of: impl Fn(&'a Group) -> &'a [u64],
+    ) -> BTreeMap<(Kind, &'static str), Vec<u64>> {
+        let mut times: BTreeMap<(Kind, &'static str), Vec<u64>> = BTreeMap::new();
         for episode in &self.episodes {
-            times.entry(episode.fault).or_default().extend(&episode.unavailable_ms);
+            for group in &episode.groups {
+                times.entry((episode.fault, group.name)).or_default().extend(times_of(group));
+            }
         }
         times.values_mut().for_each(|times| times.sort_unstable());
         times
@@ -193,22 +253,21 @@
 
 impl Report {
     fn write_unavailable(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "{:<22} {:>5} {:>8} {:>8} {:>8}  unavailable ms",
-            "fault", "keys", "p50", "p99", "max"
-        )?;
-        for (kind, times) in self.unavailable() {
-            let (p50, p99, max) =
-                (quantile(&times, 0.5), quantile(&times, 0.99), quantile(&times, 1.0));
-            writeln!(f, "{:<22} {:>5} {p50:>8} {p99:>8} {max:>8}", kind.as_str(), times.len())?;
+        writeln!(f, "unavailable time (ms)")?;
+        write_times(f, "keys", &self.unavailable())?;
+        let refused = self.refused_after();
+        if !refused.is_empty() {
+            writeln!(f, "time until keys that can't be served are refused (ms)")?;
+            write_times(f, "reads", &refused)?;
         }
         Ok(())
     }
 
     fn write_episodes(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for episode in &self.episodes {
-            let Episode { fault, server, host, changed, slots_of_server, .. } = episode;
+            let Episode { fault, server, hosts, changed, slots_of_server, .. } = episode;
+            let hosts: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
+            let host = hosts.join(", ");
             writeln!(
                 f,
                 "{fault}: {server} attended by {host}, {changed} slots changed owner (it owned {slots_of_server}), \
@@ -228,13 +287,31 @@
                 writeln!(f, "             {example}")?;
             }
         }
-        for (kind, longest) in self.missed_aims() {
-            writeln!(f, "aim missed: {kind}: a key was unavailable for {longest} ms")?;
+        for (kind, group, longest) in self.missed_aims() {
+            writeln!(f, "aim missed: {kind}, {group}: a key was unavailable for {longest} ms")?;
         }
         Ok(())
     }
 }
 
+fn write_times(
+    f: &mut fmt::Formatter<'_>,
+    count: &str,
+    times: &BTreeMap<(Kind, &'static str), Vec<u64>>,
+) -> fmt::Result {
+    writeln!(
+        f,
+        "  {:<21} {:<12} {count:>6} {:>7} {:>7} {:>7}",
+        "fault", "of", "p50", "p99", "max"
+    )?;
+    for ((kind, group), times) in times {
+        let [p50, p99, max] = [0.5, 0.99, 1.0].map(|q| quantile(times, q));
+        let count = times.len();
+        writeln!(f, "  {:<21} {group:<12} {count:>6} {p50:>7} {p99:>7} {max:>7}", kind.as_str())?;
+    }
+    Ok(())
+}
+
 impl fmt::Display for Requests {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} sent", self.sent)?;
--- a/crates/jacinthbeam-measure/tests/judge/requests.rs
+++ b/crates/jacinthbeam-measure/tests/judge/requests.rs
@@ -56,7 +56,7 @@
     let window = |kind| Window {
         kind,
         server: name("one"),
-        host: name("entry-a-0"),
+        hosts: vec![name("entry-a-0")],
         began: t - ms(10),
         ended: t + ms(10),
     };
@@ -76,7 +76,7 @@
     let window = Window {
         kind: fault::Kind::Drain,
         server: name("one"),
-        host: name("entry-a-0"),
+        hosts: vec![name("entry-a-0")],
         began: t,
         ended: t + ms(9000),
     };
--- a/crates/jacinthbeam-peer/src/client/connect.rs
+++ b/crates/jacinthbeam-peer/src/client/connect.rs
@@ -1,10 +1,15 @@
 //! Opens a connection to a peer and waits for its first sign of life.
 
-use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt, io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use h2::{Ping, PingPong, client::SendRequest};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::{
     client::Options,
@@ -52,14 +57,22 @@
 
 /// Opens a connection within the bound of the options.
 pub(crate) async fn open(addr: SocketAddr, options: &Options) -> Result<Opened, Error> {
-    tokio::time::timeout(options.connect, try_open(addr, &options.limits))
+    tokio::time::timeout(options.connect, try_open(options.source, addr, &options.limits))
         .await
         .unwrap_or(Err(Error::Timeout(options.connect)))
 }
 
-async fn try_open(addr: SocketAddr, limits: &Limits) -> Result<Opened, Error> {
+async fn try_open(
+    source: Option<IpAddr>,
+    addr: SocketAddr,
+    limits: &Limits,
+) -> Result<Opened, Error> {
     let refused = |err: io::Error| Error::Refused(err.kind());
-    let tcp = TcpStream::connect(addr).await.map_err(refused)?;
+    let tcp = match source {
+        None => TcpStream::connect(addr).await,
+        Some(source) => connect_from(source, addr).await,
+    };
+    let tcp = tcp.map_err(refused)?;
     let traffic = Arc::new(Traffic::default());
     let status = Status::new(traffic.clone());
     let io = Io::new(tcp, traffic).map_err(refused)?;
@@ -70,6 +83,12 @@
     Ok(Opened { send, driver, ping_pong, status })
 }
 
+async fn connect_from(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(addr).await
+}
+
 /// The system of a frozen peer still accepts connections. A request sent there would have to be called
 /// `MayHaveRun`; waiting for one answer first makes it `NotRun`.
 async fn first_answer(driver: &mut Driver, ping_pong: &mut PingPong) -> Result<(), Error> {
--- a/crates/jacinthbeam-peer/src/client/mod.rs
+++ b/crates/jacinthbeam-peer/src/client/mod.rs
@@ -9,7 +9,7 @@
 mod probe;
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -30,11 +30,13 @@
     pub limits: Limits,
     /// Longest time from the attempt to connect to the peer's first answer on the connection. Default 500 ms.
     pub connect: Duration,
+    /// IP number of this host that connections come from. Default `None`: the system picks one.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { limits: Limits::client(), connect: Duration::from_millis(500) }
+        Self { limits: Limits::client(), connect: Duration::from_millis(500), source: None }
     }
 }
 
--- a/crates/jacinthbeam-platform/src/backend/pool.rs
+++ b/crates/jacinthbeam-platform/src/backend/pool.rs
@@ -1,6 +1,11 @@
 //! Sending requests and judging what comes back.
 
-use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    pin::pin,
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
@@ -25,11 +30,17 @@
     /// A connection that was idle for this long is closed. Default 10 s; must be shorter than the time after which
     /// backend servers close idle connections, or requests meet the closing and end as may-have-run.
     pub max_idle: Duration,
+    /// IP number of this host that connections come from. Default `None`: the system picks one.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { connect_timeout: Duration::from_millis(300), max_idle: Duration::from_secs(10) }
+        Self {
+            connect_timeout: Duration::from_millis(300),
+            max_idle: Duration::from_secs(10),
+            source: None,
+        }
     }
 }
 
@@ -41,6 +52,7 @@
 pub struct Pool {
     shared: Arc<Shared>,
     connect_timeout: Duration,
+    source: Option<IpAddr>,
 }
 
 impl Drop for Pool {
@@ -61,7 +73,11 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let shared = Shared::new(server, addr, connections, options.max_idle, clock);
-        Self { shared: Arc::new(shared), connect_timeout: options.connect_timeout }
+        Self {
+            shared: Arc::new(shared),
+            connect_timeout: options.connect_timeout,
+            source: options.source,
+        }
     }
 
     /// Sends a request and returns its answer, whose body is bounded by `deadline` too.
@@ -125,7 +141,7 @@
     async fn dial(&self, place: Place, deadline: Instant) -> Result<Held, Failure> {
         let (id, generation) = (place.id, place.generation);
         let connect_by = deadline.min(Instant::now() + self.connect_timeout);
-        match timeout_at(connect_by, connection::open(self.shared.addr, place)).await {
+        match timeout_at(connect_by, connection::open(self.source, self.shared.addr, place)).await {
             Ok(Ok(connection)) => Ok(Held { connection, id, generation }),
             Err(_) if connect_by == deadline => Err(Failure::not_run(Reason::DeadlinePassed)),
             Ok(Err(_)) | Err(_) => Err(Failure::not_run(Reason::Unreachable)),
--- a/crates/jacinthbeam-platform/src/connection/line.rs
+++ b/crates/jacinthbeam-platform/src/connection/line.rs
@@ -1,6 +1,10 @@
 //! One kept connection that carries one small exchange after the other, reopened after an error.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
@@ -32,6 +36,7 @@
 /// A kept connection to one address. Exchanges wait for each other.
 #[derive(Debug)]
 pub(crate) struct Line {
+    source: Option<IpAddr>,
     addr: SocketAddr,
     max_answer: usize,
     kept: Mutex<Option<Connection<LineBody>>>,
@@ -40,7 +45,13 @@
 impl Line {
     /// A line that is not connected yet. An answer's body may have up to `max_answer` bytes.
     pub(crate) fn new(addr: SocketAddr, max_answer: usize) -> Self {
-        Self { addr, max_answer, kept: Mutex::new(None) }
+        Self { source: None, addr, max_answer, kept: Mutex::new(None) }
+    }
+
+    /// Connects from this IP number of the host; the system picks one for `None`.
+    pub(crate) fn bound_to(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
     }
 
     /// Sends a request and reads its whole answer; `timeout` covers the wait for the line too.
@@ -104,7 +115,7 @@
     }
 
     async fn connect(&self, deadline: Instant) -> Result<Connection<LineBody>, Error> {
-        match tokio::time::timeout_at(deadline, super::open(self.addr, ())).await {
+        match tokio::time::timeout_at(deadline, super::open(self.source, self.addr, ())).await {
             Ok(Ok(conn)) => Ok(conn),
             Ok(Err(err)) => Err(Error::NotSent(format!("no connection to {}: {err}", self.addr))),
             Err(_) => Err(Error::NotSent(format!("no connection to {} in time", self.addr))),
--- a/crates/jacinthbeam-platform/src/connection/mod.rs
+++ b/crates/jacinthbeam-platform/src/connection/mod.rs
@@ -6,7 +6,7 @@
 use std::{
     future::Future,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     task::{Context, Poll},
 };
@@ -46,13 +46,17 @@
     }
 }
 
-/// Connects. `guard` is dropped when the socket is closed, not before.
-pub(crate) async fn open<B, G>(addr: SocketAddr, guard: G) -> io::Result<Connection<B>>
+/// Connects, from the IP number `source` if one is given. `guard` is dropped when the socket is closed, not before.
+pub(crate) async fn open<B, G>(
+    source: Option<IpAddr>,
+    addr: SocketAddr,
+    guard: G,
+) -> io::Result<Connection<B>>
 where
     B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
     G: Send + Unpin + 'static,
 {
-    let socket = Socket::connect(addr).await?;
+    let socket = Socket::connect(source, addr).await?;
     let watch = socket.watch();
     let (sender, conn) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(Driver { conn, guard }).abort_handle();
--- a/crates/jacinthbeam-platform/src/connection/socket.rs
+++ b/crates/jacinthbeam-platform/src/connection/socket.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, ErrorKind, IoSlice},
     mem::MaybeUninit,
-    net::{Shutdown, SocketAddr},
+    net::{IpAddr, Shutdown, SocketAddr},
     pin::Pin,
     sync::{Arc, Weak},
     task::{Context, Poll, ready},
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 /// The socket, for the one task that reads and writes it.
@@ -24,8 +24,12 @@
 pub(super) struct Watch(Weak<TcpStream>);
 
 impl Socket {
-    pub(super) async fn connect(addr: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(addr).await?;
+    /// Connects, from an IP number of this host if one is given.
+    pub(super) async fn connect(source: Option<IpAddr>, addr: SocketAddr) -> io::Result<Self> {
+        let stream = match source {
+            None => TcpStream::connect(addr).await?,
+            Some(source) => connect_from(source, addr).await?,
+        };
         stream.set_nodelay(true)?;
         Ok(Self(Arc::new(stream)))
     }
@@ -35,6 +39,12 @@
     }
 }
 
+async fn connect_from(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(addr).await
+}
+
 impl Watch {
     /// Whether the socket is open and nothing has arrived on it.
     ///
--- a/crates/jacinthbeam-platform/src/grant.rs
+++ b/crates/jacinthbeam-platform/src/grant.rs
@@ -1,6 +1,10 @@
 //! Grants to one backend server, over a connection of their own so that no request delays them.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -75,6 +79,11 @@
         Self { server, line: Line::new(addr, MAX_STATE), timeout }
     }
 
+    /// Connects from this IP number of the host; the system picks one for `None`.
+    pub fn bound_to(self, source: Option<IpAddr>) -> Self {
+        Self { line: self.line.bound_to(source), ..self }
+    }
+
     /// The state of its grant.
     pub async fn query(&self) -> Result<GrantState, Error> {
         let res = self.line.exchange(query(), self.timeout).await?;
--- a/crates/jacinthbeam-platform/src/hosts.rs
+++ b/crates/jacinthbeam-platform/src/hosts.rs
@@ -1,6 +1,10 @@
 //! Client of the platform's list of live and leaving hosts.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -45,6 +49,11 @@
         Self { line: Line::new(addr, MAX_LIST), timeout }
     }
 
+    /// Connects from this IP number of the host; the system picks one for `None`.
+    pub fn bound_to(self, source: Option<IpAddr>) -> Self {
+        Self { line: self.line.bound_to(source), ..self }
+    }
+
     /// The list as it stands at the platform, which lags.
     pub async fn list(&self) -> Result<HostList, Error> {
         let req = Request::get("/hosts").body(Bytes::new()).expect("the path is valid");
--- a/crates/jacinthbeam-platform/src/log/mod.rs
+++ b/crates/jacinthbeam-platform/src/log/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -26,6 +26,7 @@
 /// One connection for appends, and one for the reads of each stream, since a read may wait for records.
 #[derive(Debug)]
 pub struct Client {
+    source: Option<IpAddr>,
     addr: SocketAddr,
     timeout: Duration,
     appends: Line,
@@ -36,14 +37,19 @@
     /// A client of the log at `addr`. `timeout` bounds each call, beyond the wait that a read asks for.
     pub fn open(addr: SocketAddr, timeout: Duration) -> Self {
         let appends = Line::new(addr, MAX_APPEND_ANSWER);
-        Self { addr, timeout, appends, reads: Mutex::new(BTreeMap::new()) }
+        Self { source: None, addr, timeout, appends, reads: Mutex::new(BTreeMap::new()) }
+    }
+
+    /// Connects from this IP number of the host; the system picks one for `None`.
+    pub fn bound_to(self, source: Option<IpAddr>) -> Self {
+        Self { source, appends: self.appends.bound_to(source), ..self }
     }
 
     fn reads_of(&self, stream: &str) -> Arc<Line> {
         let mut reads = self.reads.lock().expect("no holder of the lock panics");
-        let line = reads
-            .entry(stream.to_owned())
-            .or_insert_with(|| Arc::new(Line::new(self.addr, MAX_READ_ANSWER)));
+        let line = reads.entry(stream.to_owned()).or_insert_with(|| {
+            Arc::new(Line::new(self.addr, MAX_READ_ANSWER).bound_to(self.source))
+        });
         line.clone()
     }
 }
--- a/crates/jacinthbeam-standin/src/lib.rs
+++ b/crates/jacinthbeam-standin/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`log::spawn`]`(SocketAddr, log::Options) -> io::Result<log::Handle>`
 //! - [`hosts::spawn`]`(SocketAddr, hosts::Options) -> io::Result<hosts::Handle>`
 //! - [`backend::spawn`]`(SocketAddr, backend::Options) -> io::Result<backend::Handle>`
+//! - [`relay::spawn`]`(SocketAddr, Option<SocketAddr>) -> io::Result<relay::Handle>`, a network that fails by source
 //!
 //! Every handle has `addr() -> SocketAddr`, `listener() -> &Listener` (the first one) and
 //! `listen(SocketAddr) -> io::Result<Listener>` for further addresses of the same stand-in, for instance
@@ -26,5 +27,6 @@
 pub mod hosts;
 pub mod log;
 mod net;
+pub mod relay;
 
 pub use net::Listener;
