feat(entry): heartbeats leave out what their receiver holds; a pair of hosts needs one exchange

Every heartbeat named every backend server that its sender attends, and every host asked every other one although it was asked by it at the same time. At the size to design for (cells of 16) that alone broke the bound of 16 KB/s a host.

A heartbeat now has a small fixed part and names the edition of the sender's details: incarnation, and a number that rises with each change. The details follow only if the receiver is not known to hold this edition, so a change is in the next heartbeat to everybody. A heartbeat without details of an unheard incarnation tells nothing. Of two hosts only one asks, unless both are witnesses; the other asks too when it has something new to tell or is not asked for 1.5 intervals. The unused list of members is gone.

--- a/crates/jacinthbeam-entry/src/process/control/answer.rs
+++ b/crates/jacinthbeam-entry/src/process/control/answer.rs
@@ -10,7 +10,7 @@
 impl Control {
     pub(super) fn asked(&mut self, question: Question, reply: oneshot::Sender<Answer>) {
         let answer = match question {
-            Question::Heartbeat(heartbeat) => self.answer_heartbeat(heartbeat),
+            Question::Heartbeat(heartbeat) => self.answer_heartbeat(&heartbeat),
             Question::Probe(probe) => return self.try_for_peer(probe, reply),
             Question::Retire { witness_epoch } => {
                 Answer::Retired { promised: self.witness.retire(witness_epoch, &self.state) }
--- a/crates/jacinthbeam-entry/src/process/control/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/control/dump.rs
@@ -57,14 +57,14 @@
 
     fn dump_members(&self, now: Instant) -> Vec<Member> {
         let alive = |host: &HostId| self.members.live_host(now, host);
-        let heard = self.heard.iter();
-        let member = |(host, sign): (&HostId, &super::heartbeat::Sign)| Member {
+        let heard = self.book.peers().iter();
+        let member = |(host, peer): (&HostId, &super::book::Peer)| Member {
             host: host.clone(),
-            incarnation: alive(host).map_or(Incarnation(0), |heard| heard.incarnation),
-            age_ms: Some(now.saturating_duration_since(sign.at).as_millis() as u64),
+            incarnation: peer.edition.incarnation,
+            age_ms: Some(now.saturating_duration_since(peer.at).as_millis() as u64),
             alive: alive(host).is_some(),
-            config_version: sign.config,
-            log_next: Some(sign.next),
+            config_version: peer.config,
+            log_next: Some(peer.next),
         };
         heard.map(member).collect()
     }
--- a/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
+++ b/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
@@ -1,119 +1,102 @@
 //! Heartbeats between the entry hosts of a cell.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, time::Instant};
 
-use jacinthbeam_lease::{membership::Heard, witness::Vouch};
-use jacinthbeam_peer::message::{self, Answer, Heartbeat, Question};
+use jacinthbeam_lease::{membership, witness::Vouch};
+use jacinthbeam_peer::message::{self, Answer, Details, Heartbeat, Question};
 use jacinthbeam_types::prelude::*;
 
-use super::{Control, Event};
-
-/// What the last heartbeat of a host said beside its life.
-#[derive(Debug, Clone)]
-pub struct Sign {
-    /// When it was heard.
-    pub at: Instant,
-    /// Where the host listens for peers.
-    pub peer_address: SocketAddr,
-    /// Next record that it has not read.
-    pub next: Offset,
-    /// Configuration in force there.
-    pub config: Option<ConfigVersion>,
-    /// Backend servers that it attends.
-    pub attends: BTreeMap<ServerId, Token>,
-}
+use super::{
+    Control, Event,
+    book::{Heard, Peer},
+};
+
+/// Heartbeat intervals without a question of the host that should ask, after which this host asks.
+const PATIENCE: f64 = 1.5;
 
 impl Control {
     /// Sends heartbeats when they are due.
     pub(super) fn beat(&mut self, now: Instant) {
+        self.book.stamp(self.details());
         if now < self.next_heartbeat {
             return;
         }
         self.next_heartbeat = now + self.timing.heartbeat_every;
         self.members.beat(now);
-        let heartbeat = self.heartbeat(None);
         for addr in self.cell_addresses() {
-            let question = Question::Heartbeat(heartbeat.clone());
-            let peers = self.peers.clone();
-            let clock = self.clock.clone();
-            let timeout = self.timing.alive_within;
-            self.spawn_event(async move {
-                let started = clock.now();
-                match peers.ask(addr, &question, timeout).await {
-                    Ok(Answer::Heartbeat(heartbeat)) => Some(Event::Heard { started, heartbeat }),
-                    Ok(_) | Err(_) => None,
-                }
-            });
+            if self.must_ask(now, addr) {
+                self.ask_heartbeat(addr);
+            }
         }
     }
 
+    fn must_ask(&self, now: Instant, addr: SocketAddr) -> bool {
+        let patience = self.timing.heartbeat_every.mul_f64(PATIENCE);
+        let set = self.state.cells.get(&self.me.cell);
+        let is_witness = |host: Incarnation| set.is_some_and(|set| set.contains(host));
+        self.book.must_ask(now, addr, patience, is_witness)
+    }
+
+    fn ask_heartbeat(&self, addr: SocketAddr) {
+        let heartbeat = self.book.question(addr, self.state.next, self.state.config.version());
+        let question = Question::Heartbeat(heartbeat);
+        let peers = self.peers.clone();
+        let clock = self.clock.clone();
+        let timeout = self.timing.alive_within;
+        self.spawn_event(async move {
+            let started = clock.now();
+            match peers.ask(addr, &question, timeout).await {
+                Ok(Answer::Heartbeat(heartbeat)) => Some(Event::Heard { started, heartbeat }),
+                Ok(_) | Err(_) => None,
+            }
+        });
+    }
+
     /// The answer to a peer's heartbeat. Only answers vouch: the word counts from the time at which it was asked for.
-    pub(super) fn answer_heartbeat(&mut self, from: Heartbeat) -> Answer {
-        if from.cell != self.me.cell {
+    pub(super) fn answer_heartbeat(&mut self, from: &Heartbeat) -> Answer {
+        let other = from.details.as_ref().filter(|details| details.cell != self.me.cell);
+        if other.is_some() {
             return Answer::Failed { why: format!("this host is of cell {}", self.me.cell) };
         }
-        self.hear(from);
+        self.hear(from, true);
         let vouch = self.witness.vouch(&self.state).map(into_message);
-        Answer::Heartbeat(self.heartbeat(vouch))
+        let answer = self.book.answer(from, self.state.next, self.state.config.version());
+        Answer::Heartbeat(Heartbeat { vouch, ..answer })
     }
 
     /// A host's answer to a heartbeat that was sent at `started`.
-    pub(super) fn heard_answer(&mut self, started: Instant, heartbeat: Heartbeat) {
-        if heartbeat.cell != self.me.cell {
+    pub(super) fn heard_answer(&mut self, started: Instant, heartbeat: &Heartbeat) {
+        if !self.hear(heartbeat, false) {
             return;
         }
         if let Some(vouch) = heartbeat.vouch.clone() {
-            self.proofs.vouched(heartbeat.incarnation, started, from_message(vouch));
+            let vouch = from_message(vouch, heartbeat.next);
+            self.proofs.vouched(heartbeat.incarnation, started, vouch);
         }
-        self.hear(heartbeat);
     }
 
-    fn hear(&mut self, heartbeat: Heartbeat) {
+    /// Notes that a host lives; says whether the heartbeat told that.
+    fn hear(&mut self, heartbeat: &Heartbeat, asked: bool) -> bool {
         let now = self.clock.now();
-        let host = heartbeat.host.clone();
-        if host == self.me.host {
-            return;
-        }
-        let sign = Sign {
-            at: now,
-            peer_address: heartbeat.peer_address,
-            next: heartbeat.next,
-            config: heartbeat.config,
-            attends: heartbeat.attends.into_iter().collect(),
+        let Heard::Life { host, changed } = self.book.hear(now, heartbeat, asked) else {
+            return false;
         };
-        let attends = sign.attends.keys().cloned().collect();
-        let known = self.heard.get(&host);
-        let same =
-            |known: &Sign| known.attends == sign.attends && known.peer_address == sign.peer_address;
-        self.changed |= !known.is_some_and(same);
-        self.heard.insert(host.clone(), sign);
-        self.members.hear(
-            now,
-            Heard {
-                host,
-                incarnation: heartbeat.incarnation,
-                peer_address: heartbeat.peer_address,
-                stopping: heartbeat.stopping,
-                unreachable: heartbeat.unreachable.into_iter().collect(),
-                attends,
-            },
-        );
+        self.changed |= changed;
+        if let Some(peer) = self.book.peers().get(&host) {
+            self.members.hear(now, heard(peer));
+        }
+        true
     }
 
-    fn heartbeat(&self, vouch: Option<message::Vouch>) -> Heartbeat {
+    fn details(&self) -> Details {
         let own = self.members.own();
-        Heartbeat {
+        Details {
             host: self.me.host.clone(),
-            incarnation: self.me.incarnation,
             cell: self.me.cell.clone(),
             peer_address: self.me.peer_address,
             stopping: own.stopping,
-            next: self.state.next,
-            config: self.state.config.version(),
             attends: self.attends(),
             unreachable: own.unreachable.iter().cloned().collect(),
-            vouch,
-            members: Vec::new(),
         }
     }
 
@@ -147,15 +130,27 @@
     }
 }
 
+fn heard(peer: &Peer) -> membership::Heard {
+    let details = &peer.details;
+    membership::Heard {
+        host: details.host.clone(),
+        incarnation: peer.edition.incarnation,
+        peer_address: details.peer_address,
+        stopping: details.stopping,
+        unreachable: details.unreachable.iter().cloned().collect(),
+        attends: details.attends.iter().map(|(server, _)| server.clone()).collect(),
+    }
+}
+
 fn into_message(vouch: Vouch) -> message::Vouch {
     let silent = vouch.silent.into_iter().map(|silence| (silence.server, silence.epoch)).collect();
-    message::Vouch { witness_epoch: vouch.witness_epoch, next: vouch.next, silent }
+    message::Vouch { witness_epoch: vouch.witness_epoch, silent }
 }
 
-fn from_message(vouch: message::Vouch) -> Vouch {
+fn from_message(vouch: message::Vouch, next: Offset) -> Vouch {
     let silent = vouch.silent.into_iter();
     let silent = silent
         .map(|(server, epoch)| jacinthbeam_lease::witness::Silence { server, epoch })
         .collect();
-    Vouch { witness_epoch: vouch.witness_epoch, next: vouch.next, silent }
+    Vouch { witness_epoch: vouch.witness_epoch, next, silent }
 }
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod append;
 mod attend;
+pub mod book;
 mod cell;
 mod dump;
 mod event;
@@ -29,7 +30,7 @@
 use jacinthbeam_lease::{
     Members, Observed, Proofs, Timing, Witness, membership::Heard, witnesses::Planner,
 };
-use jacinthbeam_peer::Client;
+use jacinthbeam_peer::{Client, message::Details};
 use jacinthbeam_platform::{format::hosts::HostList, hosts, log};
 use jacinthbeam_state::State;
 use jacinthbeam_types::prelude::*;
@@ -88,7 +89,7 @@
     planner: Planner,
     witness_change: witnesses::Progress,
     list: HostList,
-    heard: BTreeMap<HostId, heartbeat::Sign>,
+    book: book::Book,
     tended: BTreeMap<ServerId, attend::Tended>,
     found: found::Founding,
     placement: placement::Placement,
@@ -110,6 +111,14 @@
         let Start { me, traffic, timing, log, hosts, platform_timeout } = start;
         let clock = traffic.clock.clone();
         let now = clock.now();
+        let details = Details {
+            host: me.host.clone(),
+            cell: me.cell.clone(),
+            peer_address: me.peer_address,
+            stopping: false,
+            attends: Vec::new(),
+            unreachable: Vec::new(),
+        };
         let own = Heard {
             host: me.host.clone(),
             incarnation: me.incarnation,
@@ -136,7 +145,7 @@
             planner: Planner::new(me.cell.clone()),
             witness_change: Default::default(),
             list: HostList::default(),
-            heard: BTreeMap::new(),
+            book: book::Book::new(me.incarnation, details),
             tended: BTreeMap::new(),
             found: found::Founding::new(now),
             placement: placement::Placement::new(now),
@@ -186,7 +195,7 @@
             Event::Fetched { next, snapshot } => self.fetched(next, &snapshot),
             Event::Listed(list) => self.listed(list),
             Event::Asked { question, reply } => self.asked(question, reply),
-            Event::Heard { started, heartbeat } => self.heard_answer(started, heartbeat),
+            Event::Heard { started, heartbeat } => self.heard_answer(started, &heartbeat),
             Event::Tried { probe, reached, reply } => self.tried(probe, reached, reply),
             Event::Attendant { server, event } => self.attendant_event(&server, event),
             Event::Retired { incarnation, epoch } => self.retired(incarnation, epoch),
--- a/crates/jacinthbeam-entry/src/process/control/publish.rs
+++ b/crates/jacinthbeam-entry/src/process/control/publish.rs
@@ -31,10 +31,11 @@
     /// Attendants of the cell's servers; of two hosts that say they attend, the one with the higher token.
     fn attendants(&self) -> BTreeMap<ServerId, SocketAddr> {
         let mut best: BTreeMap<&ServerId, (Token, SocketAddr)> = BTreeMap::new();
-        for sign in self.heard.values() {
-            for (server, token) in &sign.attends {
-                let entry = best.entry(server).or_insert((*token, sign.peer_address));
-                *entry = (*entry).max((*token, sign.peer_address));
+        for peer in self.book.peers().values() {
+            let details = &peer.details;
+            for (server, token) in &details.attends {
+                let entry = best.entry(server).or_insert((*token, details.peer_address));
+                *entry = (*entry).max((*token, details.peer_address));
             }
         }
         best.into_iter().map(|(server, (_, addr))| (server.clone(), addr)).collect()
--- /dev/null
+++ b/crates/jacinthbeam-entry/tests/process/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what lives as long as the process.
+
+mod book;
