fix(entry): a host binds its peers' port once, and a port in use is an error, not a panic

A free port for peers was found by binding and closing it, and bound again a little later. Between the two, another process (here: another test) could take it; the start then failed, and the traffic runtime was dropped inside the caller's runtime, which panics.

The socket is now bound once and handed on, and the runtime shuts down in the background also when the start fails.

--- a/crates/jacinthbeam-entry/src/connection/peers.rs
+++ b/crates/jacinthbeam-entry/src/connection/peers.rs
@@ -1,29 +1,32 @@
 //! What other entry hosts ask of this one.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{io, sync::Arc};
 
 use jacinthbeam_peer::{
     Body,
     message::{Answer, ForwardHead, ForwardReply, Question},
     server::{self, Cancelled, Handler},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
 
 use crate::{
     process::{Traffic, control::Event},
     request::run,
 };
 
-/// Listens for other entry hosts. Questions about control state go to the control thread, those about the memory of
+/// Answers other entry hosts. Questions about control state go to the control thread, those about the memory of
 /// idempotency keys are answered here, and requests run here.
 ///
 /// A request whose sender goes away is dropped where it stands, which closes its connection to the backend server.
-pub fn bind(
-    addr: SocketAddr,
+pub fn serve(
+    listener: TcpListener,
     options: server::Options,
     cx: Arc<Traffic>,
     control: mpsc::Sender<Event>,
-) -> Result<server::Handle, server::bind::Error> {
+) -> io::Result<server::Handle> {
     let asked = cx.clone();
     let handler = Handler {
         ask: move |question: Question| ask(asked.clone(), control.clone(), question),
@@ -31,7 +34,7 @@
             forward(cx.clone(), head, body, cancelled)
         },
     };
-    server::bind(addr, options, handler)
+    server::serve_on(listener, options, handler)
 }
 
 async fn ask(cx: Arc<Traffic>, control: mpsc::Sender<Event>, question: Question) -> Answer {
--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -16,7 +16,7 @@
 use jacinthbeam_peer::{Client, server};
 use jacinthbeam_types::prelude::*;
 use tokio::{
-    runtime::{Builder, Runtime},
+    runtime::{Builder, EnterGuard, Runtime},
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
     time::timeout,
@@ -91,7 +91,8 @@
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
     peers: Option<server::Handle>,
-    traffic: Option<Runtime>,
+    /// Ends after the control thread, which uses what lives in it.
+    _traffic: TrafficRuntime,
     control_thread: Option<(oneshot::Sender<()>, thread::JoinHandle<()>)>,
 }
 
@@ -104,13 +105,15 @@
         .enable_all()
         .build()
         .map_err(Error::Thread)?;
+    let traffic = TrafficRuntime(Some(traffic));
     let entered = traffic.enter();
 
     let (tx, rx) = control::channel();
     let callers = bind("callers", settings.callers)?;
     let operators = bind("operators", settings.operators)?;
     // The peers' port has to be known before the identity is, and the identity before the peers are served.
-    let peers_listen = reserve(settings.peers)?;
+    let peers = bind("peers", settings.peers)?;
+    let peers_listen = local_addr("peers", settings.peers, &peers)?;
     let me = Identity {
         host: settings.host.clone(),
         cell: settings.cell.clone(),
@@ -124,8 +127,8 @@
         max_connections: settings.limits.max_peer_connections as usize,
         ..Default::default()
     };
-    let peers = peers::bind(peers_listen, peer_options, cx.clone(), tx.clone())
-        .map_err(|err| Error::Listen { purpose: "peers", addr: err.addr, source: err.source })?;
+    let peers = peers::serve(peers, peer_options, cx.clone(), tx.clone())
+        .map_err(|source| Error::Listen { purpose: "peers", addr: peers_listen, source })?;
 
     let callers_addr = local_addr("callers", settings.callers, &callers)?;
     let operators_addr = local_addr("operators", settings.operators, &operators)?;
@@ -159,7 +162,7 @@
         stop,
         serving,
         peers: Some(peers),
-        traffic: Some(traffic),
+        _traffic: traffic,
         control_thread: Some(control_thread),
     })
 }
@@ -227,8 +230,26 @@
             let _ = end.send(());
             let _ = thread.join();
         }
-        if let Some(traffic) = self.traffic.take() {
-            traffic.shutdown_background();
+    }
+}
+
+/// Runs what serves requests.
+///
+/// A runtime that is dropped as it is waits for its threads, which panics inside another runtime: a port in use would
+/// end the process with that panic in place of the error.
+#[derive(Debug)]
+struct TrafficRuntime(Option<Runtime>);
+
+impl TrafficRuntime {
+    fn enter(&self) -> Option<EnterGuard<'_>> {
+        self.0.as_ref().map(Runtime::enter)
+    }
+}
+
+impl Drop for TrafficRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
         }
     }
 }
@@ -286,15 +307,6 @@
     listener.local_addr().map_err(|source| Error::Listen { purpose, addr, source })
 }
 
-/// The address itself, or with a free port in place of port 0.
-fn reserve(addr: SocketAddr) -> Result<SocketAddr, Error> {
-    if addr.port() != 0 {
-        return Ok(addr);
-    }
-    let listener = bind("peers", addr)?;
-    local_addr("peers", addr, &listener)
-}
-
 fn spawn_control(
     start: Start,
     tx: mpsc::Sender<Event>,
--- a/crates/jacinthbeam-peer/src/server/bind.rs
+++ b/crates/jacinthbeam-peer/src/server/bind.rs
@@ -56,7 +56,23 @@
     F: Fn(ForwardHead, Body, Cancelled) -> FF + Send + Sync + 'static,
     FF: Future<Output = (ForwardReply, Body)> + Send + 'static,
 {
-    let (listener, local_addr) = listen(addr).map_err(|source| Error { addr, source })?;
+    let listener = listen(addr).map_err(|source| Error { addr, source })?;
+    serve_on(listener, options, handler).map_err(|source| Error { addr, source })
+}
+
+/// Like [`bind`], on a socket that listens already.
+pub fn serve_on<A, AF, F, FF>(
+    listener: TcpListener,
+    options: Options,
+    handler: Handler<A, F>,
+) -> io::Result<Handle>
+where
+    A: Fn(Question) -> AF + Send + Sync + 'static,
+    AF: Future<Output = Answer> + Send + 'static,
+    F: Fn(ForwardHead, Body, Cancelled) -> FF + Send + Sync + 'static,
+    FF: Future<Output = (ForwardReply, Body)> + Send + 'static,
+{
+    let local_addr = listener.local_addr()?;
     let (phase, phases) = watch::channel(Phase::Serving);
     let census = Arc::new(Census::default());
     let server = Arc::new(Server { handler, options });
@@ -64,11 +80,10 @@
     Ok(Handle::new(local_addr, phase, accepting, census))
 }
 
-fn listen(addr: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let listener = std::net::TcpListener::bind(addr)?;
     listener.set_nonblocking(true)?;
-    let local_addr = listener.local_addr()?;
-    Ok((TcpListener::from_std(listener)?, local_addr))
+    TcpListener::from_std(listener)
 }
 
 /// Accepts until the server stops, then waits for the connections to end. Dropping it drops them.
--- a/crates/jacinthbeam-peer/src/server/mod.rs
+++ b/crates/jacinthbeam-peer/src/server/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::connection::Limits;
 
-pub use bind::bind;
+pub use bind::{bind, serve_on};
 pub use cancelled::Cancelled;
 pub use handle::{Handle, Shutdown};
 
