--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod found;
 mod heartbeat;
+mod measure;
 mod memory;
 mod placement;
 mod publish;
@@ -95,6 +96,7 @@
     placement: placement::Placement,
     snapshots: snapshot::Pace,
     usage: usage::Flush,
+    counts: measure::Counts,
     next_heartbeat: Instant,
     next_list: Instant,
     /// Whether traffic has to be given a new version.
@@ -151,6 +153,7 @@
             placement: placement::Placement::new(now),
             snapshots: snapshot::Pace::new(now),
             usage: usage::Flush::new(now),
+            counts: Default::default(),
             next_heartbeat: now,
             next_list: now,
             changed: true,
@@ -190,6 +193,7 @@
     }
 
     fn handle(&mut self, event: Event) {
+        self.counts.events += 1;
         match event {
             Event::Read { started, outcome } => self.read(started, outcome),
             Event::Fetched { next, snapshot } => self.fetched(next, &snapshot),
@@ -223,6 +227,7 @@
         self.place(now);
         self.append_snapshot(now);
         self.flush_usage(now);
+        self.sample(now);
     }
 
     /// Runs a task that ends with an event.
