feat(entry): a planned stop appends its last counts, totals outlive the log's retention

Seen: in the drain test every order is counted against its team once after all hosts have stopped; with the wait taken out the count falls short and the test fails. Conclusion: planned stops lose no counts while the log is up.

--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod publish;
 mod snapshot;
+mod totals;
 mod usage;
 mod witnesses;
 
@@ -97,6 +98,7 @@
     snapshots: snapshot::Pace,
     usage: usage::Flush,
     counts: measure::Counts,
+    totals: totals::Totals,
     next_heartbeat: Instant,
     next_list: Instant,
     /// Whether traffic has to be given a new version.
@@ -154,6 +156,7 @@
             snapshots: snapshot::Pace::new(now),
             usage: usage::Flush::new(now),
             counts: Default::default(),
+            totals: totals::Totals::new(now),
             next_heartbeat: now,
             next_list: now,
             changed: true,
@@ -206,6 +209,7 @@
             Event::Loads(loads) => self.heard_loads(loads),
             Event::WitnessesAppended => self.witness_change = Default::default(),
             Event::FoundAppended { service } => self.found.appended(&service),
+            Event::UsageRead { outcome } => self.usage_read(outcome),
             Event::UsageAppended { id, written } => self.usage_appended(id, written),
             Event::Dump { reply } => {
                 // Whoever asked may have gone away.
@@ -228,6 +232,7 @@
         self.append_snapshot(now);
         self.flush_usage(now);
         self.sample(now);
+        self.keep_totals(now);
     }
 
     /// Runs a task that ends with an event.
@@ -256,6 +261,9 @@
         if self.stopping.is_none() || self.handed_over.len() < self.tended.len() {
             return false;
         }
+        if !self.usage_is_flushed() {
+            return false;
+        }
         if !self.members.own().stopping {
             self.members.stop();
             self.next_heartbeat = self.clock.now();
