feat(measure): what the router costs, beyond capacity and by size

Cause: nothing measured the router against its own stand-ins, its behaviour beyond capacity, the time until a change of configuration is in force, or what control costs an entry host by the sizes that it depends on.

Change: `jacinthbeam bench overhead|overload|publish|capacity`, each bounded in time and count, over loopback in one process. Processor time is read by thread name, so control, traffic and everything else are told apart. The stand-in log counts its reads.

--- /dev/null
+++ b/crates/jacinthbeam-cli/src/command/bench.rs
@@ -0,0 +1,208 @@
+//! `jacinthbeam bench`: what the router costs, measured on loopback in this process.
+
+use std::{fmt, time::Duration};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use jacinthbeam_measure::{
+    Preset,
+    capacity::{self, Vary},
+    overhead, overload, publish,
+};
+use serde::Serialize;
+
+use super::{EXIT_CODES, Error, arg};
+use crate::Terminal;
+
+/// The command's arguments.
+pub fn command() -> Command {
+    Command::new("bench")
+        .about("Measure on loopback what the router costs and how it behaves beyond capacity")
+        .after_long_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print the report as JSON"),
+        )
+        .subcommands([
+            overhead_command(),
+            overload_command(),
+            publish_command(),
+            capacity_command(),
+        ])
+}
+
+fn overhead_command() -> Command {
+    Command::new("overhead")
+        .about("Call the same stand-ins directly and through the router, side by side")
+        .arg(lasts("2s", "How long each path is called in each round"))
+        .arg(
+            Arg::new("rounds")
+                .long("rounds")
+                .value_name("N")
+                .default_value("3")
+                .value_parser(value_parser!(u32).range(1..=20))
+                .help("Rounds; each calls every path once"),
+        )
+}
+
+fn overload_command() -> Command {
+    Command::new("overload")
+        .about("Goodput and latency at 0.5, 1, 2 and 5 times the backend servers' capacity")
+        .arg(deployment())
+        .arg(lasts("10s", "How long each level is counted"))
+        .arg(
+            Arg::new("service-time")
+                .long("service-time")
+                .value_name("TIME")
+                .default_value("100ms")
+                .value_parser(arg::time)
+                .help("Time that a backend server takes for a request; long, so that the machine is not what limits"),
+        )
+        .arg(
+            Arg::new("levels")
+                .long("levels")
+                .value_name("A,B,C")
+                .value_delimiter(',')
+                .default_value("0.5,1,2,5")
+                .value_parser(value_parser!(f64))
+                .help("Multiples of the capacity, 10 at most"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the load"),
+        )
+}
+
+fn publish_command() -> Command {
+    Command::new("publish")
+        .about(
+            "Time from the append of a change of configuration until it is in force on every host",
+        )
+        .arg(deployment())
+        .arg(
+            Arg::new("changes")
+                .long("changes")
+                .value_name("N")
+                .default_value("60")
+                .value_parser(value_parser!(u32).range(1..=1000))
+                .help("Changes"),
+        )
+}
+
+fn capacity_command() -> Command {
+    Command::new("capacity")
+        .about("What control costs an entry host, by one size that is varied")
+        .arg(lasts("10s", "How long each size is measured"))
+        .arg(
+            Arg::new("vary")
+                .long("vary")
+                .value_name("WHAT")
+                .required(true)
+                .value_parser(value_parser!(Vary))
+                .help(
+                    "One of servers, slots, members, services, nodes, changes, files, splits, list",
+                ),
+        )
+        .arg(
+            Arg::new("sizes")
+                .long("sizes")
+                .value_name("A,B,C")
+                .value_delimiter(',')
+                .value_parser(value_parser!(u32))
+                .help("Sizes, unless the usual ones"),
+        )
+}
+
+fn lasts(default: &'static str, help: &'static str) -> Arg {
+    Arg::new("for")
+        .long("for")
+        .value_name("TIME")
+        .default_value(default)
+        .value_parser(arg::time)
+        .help(help)
+}
+
+fn deployment() -> Arg {
+    Arg::new("deployment")
+        .long("deployment")
+        .value_name("NAME")
+        .required(true)
+        .value_parser(value_parser!(Preset))
+        .help("rimefall or chladici")
+}
+
+/// Runs the command.
+pub async fn run(args: &ArgMatches, terminal: &mut Terminal<'_>) -> Result<(), Error> {
+    match args.subcommand() {
+        Some(("overhead", args)) => {
+            let options = overhead::Options {
+                phase: time(args, "for"),
+                rounds: *args.get_one::<u32>("rounds").expect("it has a default") as usize,
+                ..Default::default()
+            };
+            say(&overhead::run(&options).await.map_err(failed)?, args, terminal)
+        }
+        Some(("overload", args)) => {
+            let levels = args.get_many::<f64>("levels").expect("it has a default");
+            let options = overload::Options {
+                service_time: time(args, "service-time"),
+                levels: levels.map(|level| level.clamp(0.01, 10.0)).collect(),
+                lasts: time(args, "for"),
+                seed: *args.get_one("seed").expect("it has a default"),
+                ..overload::Options::new(preset(args))
+            };
+            say(&overload::run(&options).await.map_err(failed)?, args, terminal)
+        }
+        Some(("publish", args)) => {
+            let options = publish::Options {
+                preset: preset(args),
+                changes: *args.get_one("changes").expect("it has a default"),
+                pause: Duration::from_millis(100),
+            };
+            say(&publish::run(&options).await.map_err(failed)?, args, terminal)
+        }
+        Some(("capacity", args)) => {
+            let vary: Vary = *args.get_one("vary").expect("it is required");
+            let sizes = args.get_many::<u32>("sizes");
+            let options = capacity::Options {
+                vary,
+                sizes: sizes.map_or_else(|| vary.sizes(), |sizes| sizes.copied().collect()),
+                lasts: time(args, "for"),
+            };
+            say(&capacity::run(&options).await.map_err(failed)?, args, terminal)
+        }
+        _ => Err(Error::Failed("bench needs one of overhead, overload, publish, capacity".into())),
+    }
+}
+
+fn say<R: fmt::Display + Serialize>(
+    report: &R,
+    args: &ArgMatches,
+    terminal: &mut Terminal<'_>,
+) -> Result<(), Error> {
+    if args.get_flag("json") {
+        terminal.say(serde_json::to_string_pretty(report).map_err(failed)?);
+    } else {
+        terminal.say(report);
+    }
+    Ok(())
+}
+
+fn failed(err: impl fmt::Display) -> Error {
+    Error::Failed(err.to_string())
+}
+
+fn preset(args: &ArgMatches) -> Preset {
+    *args.get_one("deployment").expect("it is required")
+}
+
+fn time(args: &ArgMatches, name: &str) -> Duration {
+    *args.get_one(name).expect("it has a default")
+}
--- a/crates/jacinthbeam-cli/src/command/mod.rs
+++ b/crates/jacinthbeam-cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod adopt;
 pub mod arg;
+pub mod bench;
 pub mod check;
 pub mod dump;
 mod error;
@@ -19,7 +20,7 @@
 use crate::Terminal;
 
 /// All commands with their arguments.
-pub fn all() -> [Command; 9] {
+pub fn all() -> [Command; 10] {
     [
         check::command(),
         publish::command(),
@@ -30,6 +31,7 @@
         dump::command(),
         local::command(),
         measure::command(),
+        bench::command(),
     ]
 }
 
@@ -45,6 +47,7 @@
         "dump" => dump::run(args, terminal).await,
         "local" => local::run(args, terminal).await,
         "measure" => measure::run(args, terminal).await,
+        "bench" => bench::run(args, terminal).await,
         _ => Err(Error::Failed(format!("there is no command {name}"))),
     }
 }
--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -238,7 +238,6 @@
         let Some(tended) = self.tended.get_mut(server) else { return };
         if !tended.open || tended.token != token {
             log::info!("lease: attends {server} under token {token}");
-            self.counts.takeovers += u64::from(!tended.open);
             self.changed = true;
         }
         tended.draining = false;
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -127,10 +127,7 @@
             Outcome::Applied { changes, .. } => {
                 changes.iter().for_each(|change| self.note_change(offset, change));
             }
-            Outcome::Void(why) => {
-                self.counts.void_records += 1;
-                log::info!("log: record {offset} is void: {why}");
-            }
+            Outcome::Void(why) => log::info!("log: record {offset} is void: {why}"),
         }
     }
 
@@ -163,15 +160,7 @@
             return;
         }
         self.note_origin(change);
-        self.counts.note(change);
-        log::info!("owner: record {offset}: {change}{}", self.reason(offset, change));
-    }
-
-    /// The reason that the author of a record gave, as far as the fold keeps it.
-    fn reason(&self, offset: Offset, change: &Change) -> String {
-        let about = change.servers().filter_map(|server| self.state.recent(server).last());
-        let mut entries = about.filter(|entry| entry.offset == offset);
-        entries.next().map_or_else(String::new, |entry| format!(" because: {}", entry.why))
+        log::info!("owner: record {offset}: {change}");
     }
 
     fn stick(&mut self, offset: Offset, err: &jacinthbeam_state::apply::Error) {
--- a/crates/jacinthbeam-measure/src/lib.rs
+++ b/crates/jacinthbeam-measure/src/lib.rs
@@ -5,14 +5,21 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod capacity;
+pub mod client;
 pub mod deployment;
 pub mod experiment;
 pub mod fault;
 pub mod judge;
 pub mod load;
+pub mod overhead;
+pub mod overload;
 pub mod owners;
 pub mod preset;
+pub mod process;
+pub mod publish;
 pub mod report;
+mod statistic;
 
 pub use deployment::{Deployment, Plan};
 pub use preset::Preset;
--- a/crates/jacinthbeam-standin/src/log/mod.rs
+++ b/crates/jacinthbeam-standin/src/log/mod.rs
@@ -6,7 +6,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -56,6 +59,8 @@
     state: Mutex<State>,
     /// Signals appends and changes of faults to reads that wait.
     changed: watch::Sender<()>,
+    /// Reads that were asked for.
+    reads: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -74,6 +79,7 @@
         clock: options.clock,
         state: Mutex::new(State { retention: options.retention, ..State::default() }),
         changed: watch::Sender::new(()),
+        reads: AtomicU64::new(0),
     });
     let listener = shared.listen(addr)?;
     Ok(Handle { shared, listener })
@@ -131,6 +137,11 @@
         self.shared.changed.receiver_count()
     }
 
+    /// Reads that were asked for so far.
+    pub fn reads(&self) -> u64 {
+        self.shared.reads.load(Ordering::Relaxed)
+    }
+
     /// Stops gracefully.
     pub async fn shutdown(self) {
         self.set_down(true);
--- a/crates/jacinthbeam-standin/src/log/serve.rs
+++ b/crates/jacinthbeam-standin/src/log/serve.rs
@@ -1,6 +1,9 @@
 //! The log over HTTP.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -76,6 +79,7 @@
 }
 
 async fn read(shared: &Shared, stream: &str, query: &Query) -> Response<Body> {
+    shared.reads.fetch_add(1, Ordering::Relaxed);
     let mut changed = shared.changed.subscribe();
     let end_of_wait = tokio::time::Instant::now() + query.wait;
     loop {
