--- a/crates/jacinthbeam-cli/src/command/status.rs
+++ b/crates/jacinthbeam-cli/src/command/status.rs
@@ -232,6 +232,7 @@
         let age = member.age_ms.map_or("never".into(), |ms| format!("{ms} ms ago"));
         let state = match member {
             Member { alive: false, .. } => "silent",
+            Member { config_version: None, .. } => "no configuration",
             _ if member.config_version < self.newest => "lags",
             _ => "in force",
         };
--- a/crates/jacinthbeam-entry/src/connection/callers.rs
+++ b/crates/jacinthbeam-entry/src/connection/callers.rs
@@ -10,7 +10,10 @@
 };
 use tokio::{net::TcpListener, sync::watch};
 
-use super::listen::{Accepted, Bounded};
+use super::{
+    first::First,
+    listen::{Accepted, Bounded},
+};
 use crate::{process::Traffic, request::serve::serve};
 
 /// Bounds of a caller's connection.
@@ -20,20 +23,16 @@
     pub connections: usize,
     /// Longest head of a request in bytes. Default 16 KiB.
     pub head: usize,
-    /// Time within which the head of a request must arrive. Default 10 s.
-    pub head_timeout: Duration,
+    /// Time without a whole head of a request after which an HTTP/1 connection is closed, and without a sign of life after
+    /// which an HTTP/2 connection is asked for one. Default 60 s.
+    pub idle: Duration,
     /// Requests in progress on one HTTP/2 connection. Default 128.
     pub streams: u32,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self {
-            connections: 4096,
-            head: 16 << 10,
-            head_timeout: Duration::from_secs(10),
-            streams: 128,
-        }
+        Self { connections: 4096, head: 16 << 10, idle: Duration::from_secs(60), streams: 128 }
     }
 }
 
@@ -76,13 +75,16 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(options.head_timeout)
+        .header_read_timeout(options.idle)
         .max_buf_size(options.head.max(MIN_BUFFER))
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(options.idle)
+        .keep_alive_timeout(PING_TIMEOUT)
         .max_header_list_size(options.head as u32)
         .max_concurrent_streams(options.streams);
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let stream = TokioIo::new(First::new(stream, options.idle));
+    let connection = builder.serve_connection(stream, service).into_owned();
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         if let Err(err) = connection.await {
@@ -92,5 +94,7 @@
     });
 }
 
+/// Time that a caller has to answer a PING.
+const PING_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest buffer that `hyper` takes for HTTP/1, in bytes.
 const MIN_BUFFER: usize = 8192;
--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -238,6 +238,7 @@
         let Some(tended) = self.tended.get_mut(server) else { return };
         if !tended.open || tended.token != token {
             log::info!("lease: attends {server} under token {token}");
+            self.counts.takeovers += u64::from(!tended.open);
             self.changed = true;
         }
         tended.draining = false;
--- a/crates/jacinthbeam-entry/src/process/control/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/control/dump.rs
@@ -6,7 +6,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{Control, attend::Tended};
-use crate::process::dump::{BackendServer, Dump, Member, Service};
+use crate::process::dump::{BackendServer, Connections, Dump, Member, Peer, Peers, Service};
 
 impl Control {
     pub(super) fn dump(&self) -> Dump {
@@ -23,6 +23,7 @@
             log_read_age_ms: self.proofs.log(&self.state).map(age),
             services: self.dump_services(),
             members: self.dump_members(now),
+            peers: self.dump_peers(),
             witnesses: witnesses.map(|w| format!("{}/{}", w.host, w.incarnation)).collect(),
             promises: self.witness.promises().clone(),
             backend_servers: self
@@ -69,6 +70,13 @@
         heard.map(member).collect()
     }
 
+    fn dump_peers(&self) -> Peers {
+        let peers = |client: &jacinthbeam_peer::Client| -> Vec<Peer> {
+            client.dump().into_iter().map(Peer::from).collect()
+        };
+        Peers { control: peers(&self.peers), traffic: peers(&self.traffic.peers) }
+    }
+
     fn dump_server(&self, now: Instant, id: &ServerId, tended: &Tended) -> BackendServer {
         let attended = tended.attended.as_ref().filter(|_| tended.open);
         BackendServer {
@@ -78,7 +86,11 @@
             slots_remembered: self.traffic.memory.ready_slots(id),
             attendant: format!("{:?}", tended.attendant.summary(now)),
             admission: attended.map(|attended| attended.snapshot()),
-            connections: None,
+            connections: attended.map(|attended| {
+                let pool = attended.pool.snapshot();
+                let (limit, open, idle) = (pool.limit, pool.open, pool.idle);
+                Connections { limit, open, idle, suspected: pool.suspected }
+            }),
         }
     }
 }
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -83,6 +83,11 @@
         /// Whether it surely stands in the log.
         written: bool,
     },
+    /// A read of the usage stream ended.
+    UsageRead {
+        /// What came of it.
+        outcome: Result<read::Batch, read::Error>,
+    },
     /// Somebody wants a dump.
     Dump {
         /// Where it goes.
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -127,7 +127,10 @@
             Outcome::Applied { changes, .. } => {
                 changes.iter().for_each(|change| self.note_change(offset, change));
             }
-            Outcome::Void(why) => log::info!("log: record {offset} is void: {why}"),
+            Outcome::Void(why) => {
+                self.counts.void_records += 1;
+                log::info!("log: record {offset} is void: {why}");
+            }
         }
     }
 
@@ -160,7 +163,15 @@
             return;
         }
         self.note_origin(change);
-        log::info!("owner: record {offset}: {change}");
+        self.counts.note(change);
+        log::info!("owner: record {offset}: {change}{}", self.reason(offset, change));
+    }
+
+    /// The reason that the author of a record gave, as far as the fold keeps it.
+    fn reason(&self, offset: Offset, change: &Change) -> String {
+        let about = change.servers().filter_map(|server| self.state.recent(server).last());
+        let mut entries = about.filter(|entry| entry.offset == offset);
+        entries.next().map_or_else(String::new, |entry| format!(" because: {}", entry.why))
     }
 
     fn stick(&mut self, offset: Offset, err: &jacinthbeam_state::apply::Error) {
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -13,10 +13,12 @@
 mod follow;
 mod found;
 mod heartbeat;
+mod measure;
 mod memory;
 mod placement;
 mod publish;
 mod snapshot;
+mod totals;
 mod usage;
 mod witnesses;
 
@@ -95,6 +97,8 @@
     placement: placement::Placement,
     snapshots: snapshot::Pace,
     usage: usage::Flush,
+    counts: measure::Counts,
+    totals: totals::Totals,
     next_heartbeat: Instant,
     next_list: Instant,
     /// Whether traffic has to be given a new version.
@@ -151,6 +155,8 @@
             placement: placement::Placement::new(now),
             snapshots: snapshot::Pace::new(now),
             usage: usage::Flush::new(now),
+            counts: Default::default(),
+            totals: totals::Totals::new(now),
             next_heartbeat: now,
             next_list: now,
             changed: true,
@@ -190,6 +196,7 @@
     }
 
     fn handle(&mut self, event: Event) {
+        self.counts.events += 1;
         match event {
             Event::Read { started, outcome } => self.read(started, outcome),
             Event::Fetched { next, snapshot } => self.fetched(next, &snapshot),
@@ -202,6 +209,7 @@
             Event::Loads(loads) => self.heard_loads(loads),
             Event::WitnessesAppended => self.witness_change = Default::default(),
             Event::FoundAppended { service } => self.found.appended(&service),
+            Event::UsageRead { outcome } => self.usage_read(outcome),
             Event::UsageAppended { id, written } => self.usage_appended(id, written),
             Event::Dump { reply } => {
                 // Whoever asked may have gone away.
@@ -223,6 +231,8 @@
         self.place(now);
         self.append_snapshot(now);
         self.flush_usage(now);
+        self.sample(now);
+        self.keep_totals(now);
     }
 
     /// Runs a task that ends with an event.
@@ -251,6 +261,9 @@
         if self.stopping.is_none() || self.handed_over.len() < self.tended.len() {
             return false;
         }
+        if !self.usage_is_flushed() {
+            return false;
+        }
         if !self.members.own().stopping {
             self.members.stop();
             self.next_heartbeat = self.clock.now();
--- a/crates/jacinthbeam-entry/src/process/control/usage.rs
+++ b/crates/jacinthbeam-entry/src/process/control/usage.rs
@@ -8,17 +8,22 @@
 
 use super::{Control, Event};
 
+/// How long a stopping host tries to append its last counts.
+const LAST_FLUSH: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// When the next batch is due.
 #[derive(Debug)]
 pub struct Flush {
     next: Instant,
     pending: bool,
+    /// When a stopping host gives up on the last batch.
+    give_up: Option<Instant>,
 }
 
 impl Flush {
     /// Counts from the start of the process.
     pub fn new(now: Instant) -> Self {
-        Self { next: now, pending: false }
+        Self { next: now, pending: false, give_up: None }
     }
 }
 
@@ -43,6 +48,23 @@
         });
     }
 
+    /// Whether a stopping host has appended what it counted, or has tried for long enough: the log may be away for longer than a
+    /// stop may take.
+    pub(super) fn usage_is_flushed(&mut self) -> bool {
+        let now = self.clock.now();
+        let give_up = *self.usage.give_up.get_or_insert(now + LAST_FLUSH);
+        if self.traffic.usage.at_risk() == 0 {
+            return true;
+        }
+        if now >= give_up {
+            log::warn!("usage: stops with {} counts not in the log", self.traffic.usage.at_risk());
+            return true;
+        }
+        self.usage.next = now;
+        self.flush_usage(now);
+        false
+    }
+
     /// The append of a batch has ended.
     pub(super) fn usage_appended(&mut self, id: BatchId, written: bool) {
         self.usage.pending = false;
--- a/crates/jacinthbeam-entry/src/process/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/dump.rs
@@ -1,7 +1,8 @@
 //! State of the process as operators see it. Names are stable; a change is noted in the changelog.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
+use jacinthbeam_peer::client::PeerDump;
 use jacinthbeam_types::prelude::*;
 use serde::Serialize;
 
@@ -25,6 +26,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Live entry hosts of the cell.
     pub members: Vec<Member>,
+    /// Connections to other entry hosts.
+    pub peers: Peers,
     /// Witnesses of the cell.
     pub witnesses: Vec<String>,
     /// Servers for which this host has promised silence.
@@ -84,15 +87,50 @@
     pub attendant: String,
     /// Its admission, if this host attends it.
     pub admission: Option<attended::Snapshot>,
-    /// Its connections: open, idle, in use.
+    /// Connections to it, if this host attends it.
     pub connections: Option<Connections>,
 }
 
 /// Connections to a backend server.
 #[derive(Debug, Clone, Serialize)]
 pub struct Connections {
+    /// Most that may be open.
+    pub limit: u32,
     /// Open or being opened.
-    pub open: usize,
+    pub open: u32,
     /// Open and not in use.
-    pub idle: usize,
+    pub idle: u32,
+    /// Closed because one went silent, since this host attends the server.
+    pub suspected: u64,
+}
+
+/// Connections to other entry hosts.
+#[derive(Debug, Clone, Serialize)]
+pub struct Peers {
+    /// Of the control thread.
+    pub control: Vec<Peer>,
+    /// Of the traffic threads.
+    pub traffic: Vec<Peer>,
+}
+
+/// One connection to another entry host.
+#[derive(Debug, Clone, Serialize)]
+pub struct Peer {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether new requests use this connection.
+    pub current: bool,
+    /// Requests and questions in progress.
+    pub streams: usize,
+    /// Bytes read since the connection was opened.
+    pub bytes_read: u64,
+    /// Bytes written since the connection was opened.
+    pub bytes_written: u64,
+}
+
+impl From<PeerDump> for Peer {
+    fn from(peer: PeerDump) -> Self {
+        let PeerDump { addr, current, streams, bytes_read, bytes_written } = peer;
+        Self { address: addr, current, streams, bytes_read, bytes_written }
+    }
 }
--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -123,10 +123,11 @@
     };
     let cx = Arc::new(shared(settings, &me, clock));
     let memory = cx.memory.clone();
-    let peer_options = server::Options {
+    let mut peer_options = server::Options {
         max_connections: settings.limits.max_peer_connections as usize,
         ..Default::default()
     };
+    peer_options.limits.max_message = settings.limits.max_message;
     let peers = peers::serve(peers, peer_options, cx.clone(), tx.clone())
         .map_err(|source| Error::Listen { purpose: "peers", addr: peers_listen, source })?;
 
@@ -136,6 +137,7 @@
     let options = callers::Options {
         connections: settings.limits.max_connections as usize,
         head: settings.limits.max_header.0 as usize,
+        idle: settings.limits.idle_timeout,
         ..Default::default()
     };
     let serving = tokio::spawn(serve_callers(cx.clone(), callers, options, stopped));
@@ -288,7 +290,7 @@
             &BTreeMap::new(),
         )),
         budgets: Mutex::new(BTreeMap::new()),
-        metrics: Arc::new(Metrics::new()),
+        metrics: Arc::new(Metrics::new(clock.clone())),
         limits: Limits::default(),
         me: me.clone(),
         clock,
--- a/crates/jacinthbeam-entry/src/request/answer.rs
+++ b/crates/jacinthbeam-entry/src/request/answer.rs
@@ -7,6 +7,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::body::OutBody;
+use crate::process::metrics::Ended;
 
 /// Response header that tells whether a request may have run.
 pub const VERDICT: &str = "jacinthbeam-verdict";
@@ -39,6 +40,8 @@
     let text = format!("{}: {why}\n", refusal.verdict);
     let mut res = Response::new(OutBody::whole(Bytes::from(text)));
     *res.status_mut() = status(refusal);
+    let ended = Ended { verdict: refusal.verdict, reason: Some(refusal.reason) };
+    res.extensions_mut().insert(ended);
     let headers = res.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
     headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
@@ -49,6 +52,15 @@
     res
 }
 
+/// The answer to a request whose body is longer than `max` bytes. Part of it may have been passed on before that showed.
+pub fn too_large(id: RequestId, verdict: Verdict, max: u64) -> Response<OutBody> {
+    let refusal = Refusal { verdict, reason: Reason::BadRequest, retry_after: None };
+    let why = format_args!("the body is longer than {max} bytes");
+    let mut res = refused_because(id, &refusal, why);
+    *res.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+    res
+}
+
 /// Adds the id of the request to the headers of an answer.
 pub fn insert_id(headers: &mut http::HeaderMap, id: RequestId) {
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
--- a/crates/jacinthbeam-entry/src/request/body.rs
+++ b/crates/jacinthbeam-entry/src/request/body.rs
@@ -2,6 +2,10 @@
 
 use std::{
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
 };
 
@@ -16,6 +20,17 @@
 /// Bodies up to this size are held, so that the request can be repeated after a `not-run`.
 pub const HELD: u64 = 64 << 10;
 
+/// Whether a body that was passed on as a stream turned out longer than the service allows.
+#[derive(Debug, Clone, Default)]
+pub struct TooLong(Arc<AtomicBool>);
+
+impl TooLong {
+    /// Whether it did so far.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// The body of a request.
 #[derive(Debug)]
 pub enum Payload {
@@ -40,7 +55,12 @@
     /// Takes a caller's body: held if it is short or must be held, else as a stream.
     ///
     /// `hold` asks to hold any body up to `max`, as the fingerprint of an idempotency key needs.
-    pub async fn read(incoming: Incoming, max: u64, hold: bool) -> Result<Self, Error> {
+    pub async fn read(
+        incoming: Incoming,
+        max: u64,
+        hold: bool,
+        too_long: &TooLong,
+    ) -> Result<Self, Error> {
         let length = incoming.size_hint().exact();
         if length.is_some_and(|length| length > max) {
             return Err(Error::TooLarge(max));
@@ -51,7 +71,7 @@
         if hold || length.is_some_and(|length| length <= HELD) {
             return collect(incoming, max).await.map(Self::Whole);
         }
-        Ok(Self::Stream(Body::from_stream(limit(incoming, max), length)))
+        Ok(Self::Stream(Body::from_stream(limit(incoming, max, too_long.clone()), length)))
     }
 
     /// The body for one attempt; `None` if it was a stream that an earlier attempt took.
@@ -94,21 +114,27 @@
 }
 
 /// The caller's body as a stream that is cut after `max` bytes or where the caller breaks off.
-fn limit(incoming: Incoming, max: u64) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
-    futures_util::stream::unfold((incoming, 0u64), move |(mut incoming, seen)| async move {
+fn limit(
+    incoming: Incoming,
+    max: u64,
+    too_long: TooLong,
+) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
+    let start = (incoming, 0u64, too_long);
+    futures_util::stream::unfold(start, move |(mut incoming, seen, too_long)| async move {
         loop {
             let item = match incoming.frame().await? {
                 Err(_) => Err(Cut::ConnectionLost),
                 Ok(frame) => match frame.into_data() {
                     Err(_) => continue,
                     Ok(data) if seen + data.len() as u64 > max => {
+                        too_long.0.store(true, Ordering::Relaxed);
                         Err(Cut::TooLong { announced: max })
                     }
                     Ok(data) => Ok(data),
                 },
             };
             let len = item.as_ref().map_or(0, |data| data.len() as u64);
-            return Some((item, (incoming, seen + len)));
+            return Some((item, (incoming, seen + len, too_long)));
         }
     })
 }
--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -98,7 +98,10 @@
     ) -> Result<(ForwardReply, Body), Refusal> {
         self.attended.check(self.slot, self.next)?;
         let key = self.slot.map(|_| KeyHash::of(&head.key));
+        let offered = self.cx.clock.now();
         let place = self.attended.admit(ticket, key).await?;
+        let waited = self.cx.clock.now().saturating_duration_since(offered);
+        self.cx.metrics.queued(&head.service, waited);
         let (team, service) = self.share(&head);
         let id = head.id;
         let req = match self.request(head, body, kept) {
--- a/crates/jacinthbeam-entry/src/request/serve.rs
+++ b/crates/jacinthbeam-entry/src/request/serve.rs
@@ -18,14 +18,18 @@
     message::{ForwardHead, ForwardReply},
 };
 use jacinthbeam_types::prelude::*;
+use tokio::time::timeout;
 
 use super::{
     answer,
-    body::{self, OutBody, Payload},
+    body::{self, OutBody, Payload, TooLong},
     call::Call,
     run,
 };
-use crate::{process::Traffic, version::route::Target};
+use crate::{
+    process::{Traffic, metrics::Ended},
+    version::route::Target,
+};
 
 /// Headers that concern one connection, or that only the router may set; none of them is passed on.
 const NOT_PASSED: [HeaderName; 8] = [
@@ -44,6 +48,20 @@
 /// Answers a request. Never fails: what goes wrong is an answer with a verdict.
 pub async fn serve(cx: Arc<Traffic>, req: Request<Incoming>) -> Response<OutBody> {
     let arrived = cx.clock.now();
+    let mut service = None;
+    let res = respond(&cx, arrived, req, &mut service).await;
+    let took = cx.clock.now().saturating_duration_since(arrived);
+    cx.metrics.request(service.as_ref(), &res, took);
+    res
+}
+
+/// Answers a request, and tells for the metrics which configured service it was for.
+async fn respond(
+    cx: &Arc<Traffic>,
+    arrived: Instant,
+    req: Request<Incoming>,
+    service: &mut Option<ServiceName>,
+) -> Response<OutBody> {
     let id = cx.ids.next(cx.me.incarnation);
     let (parts, incoming) = req.into_parts();
     let version = cx.version.load_full();
@@ -57,30 +75,32 @@
         Ok(call) => call,
         Err(err) => return answer::refused_because(id, &Refusal::not_run(err.reason()), err),
     };
-    let _entered = match Entered::enter(&cx, &call) {
+    *service = Some(call.service.clone());
+    let _entered = match Entered::enter(cx, &call) {
         Ok(entered) => entered,
         Err(refusal) => return answer::refused(id, &refusal),
     };
     let max = version.state.service(&call.service).map_or(0, |service| service.max_body.0);
-    let payload = match Payload::read(incoming, max, call.idempotency_key.is_some()).await {
-        Ok(payload) => payload,
-        Err(body::Error::TooLarge(max)) => {
-            let refusal = Refusal::not_run(Reason::BadRequest);
-            let mut res = answer::refused_because(
-                id,
-                &refusal,
-                format!("the body is longer than {max} bytes"),
-            );
-            *res.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
-            return res;
+    let too_long = TooLong::default();
+    let hold = call.idempotency_key.is_some();
+    let payload = Payload::read(incoming, max, hold, &too_long);
+    // A body that is held and never ends would keep its place among the requests in progress for ever.
+    let payload = match timeout(call.deadline, payload).await {
+        Ok(Ok(payload)) => payload,
+        Ok(Err(body::Error::TooLarge(max))) => {
+            return answer::too_large(id, Verdict::NotRun, max);
+        }
+        Ok(Err(body::Error::Cut)) => {
+            return answer::refused(id, &Refusal::not_run(Reason::Cancelled));
         }
-        Err(body::Error::Cut) => return answer::refused(id, &Refusal::not_run(Reason::Cancelled)),
+        Err(_) => return answer::refused(id, &Refusal::not_run(Reason::DeadlinePassed)),
     };
     cx.count_request(&call.service);
     let deadline = arrived + call.deadline;
     let head = forward_head(id, &call, &parts);
-    match (Attempting { cx: &cx, call, head, payload, deadline }).until_done().await {
+    match (Attempting { cx, call, head, payload, deadline }).until_done().await {
         Ok((reply, body)) => passed_on(id, reply, body),
+        Err(refusal) if too_long.is_set() => answer::too_large(id, refusal.verdict, max),
         Err(refusal) => answer::refused(id, &refusal),
     }
 }
@@ -153,7 +173,10 @@
                 left_host: failed.left_host,
             };
             match self.cx.decide(&self.call.service, failure, &attempts, self.deadline) {
-                Decision::Retry { after } => tokio::time::sleep(after).await,
+                Decision::Retry { after } => {
+                    self.cx.metrics.retry(&self.call.service);
+                    tokio::time::sleep(after).await;
+                }
                 Decision::GiveUp(refusal) => return Err(refusal),
             }
         }
@@ -234,6 +257,7 @@
             return Err(Refusal::not_run(Reason::DeadlinePassed));
         }
         let body = self.payload.take().ok_or(Refusal::not_run(Reason::Cancelled))?;
+        self.cx.metrics.attempt(&self.call.service);
         Ok((head, body))
     }
 }
@@ -288,7 +312,9 @@
             out.append(name, value);
         }
     }
+    let ended = Ended { verdict: Verdict::Ran, reason: None };
     out.insert(answer::VERDICT, HeaderValue::from_static(Verdict::Ran.as_str()));
     answer::insert_id(out, id);
+    res.extensions_mut().insert(ended);
     res
 }
--- a/crates/jacinthbeam-entry/src/version/attended.rs
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Instant,
 };
 
@@ -31,6 +34,7 @@
     pub pool: Pool,
     clock: Arc<dyn Clock>,
     inner: Mutex<Inner>,
+    admitted: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -59,6 +63,8 @@
     pub slots: usize,
     /// Milliseconds until the permit ends.
     pub permit_left_ms: Option<u64>,
+    /// Requests that got a place so far.
+    pub admitted: u64,
 }
 
 impl Attended {
@@ -79,7 +85,8 @@
             held: BTreeSet::new(),
             meter: Meter::new(),
         };
-        Self { server, service, pool, clock, inner: Mutex::new(inner) }
+        let admitted = AtomicU64::new(0);
+        Self { server, service, pool, clock, inner: Mutex::new(inner), admitted }
     }
 
     /// Replaces the permit after a grant was answered.
@@ -207,6 +214,13 @@
         }
     }
 
+    /// Number of slots that may be served at this moment.
+    pub fn served(&self, now: Instant) -> usize {
+        let inner = self.lock();
+        let permit = inner.permit.as_ref().filter(|permit| now < permit.until);
+        permit.map_or(0, |permit| permit.slots.len())
+    }
+
     /// Counts for the dump.
     pub fn snapshot(&self) -> Snapshot {
         let now = self.clock.now();
@@ -221,6 +235,7 @@
             token: permit.map(|permit| permit.token),
             slots: permit.map_or(0, |permit| permit.slots.len()),
             permit_left_ms: left.map(|left| left.as_millis() as u64),
+            admitted: self.admitted.load(Ordering::Relaxed),
         }
     }
 
@@ -323,6 +338,7 @@
         slot: Option<SlotId>,
         key: Option<KeyHash>,
     ) -> Self {
+        attended.admitted.fetch_add(1, Ordering::Relaxed);
         let since = attended.clock.now();
         Self { attended, id, slot, key, since, ended: false }
     }
--- a/crates/jacinthbeam-measure/tests/drain.rs
+++ b/crates/jacinthbeam-measure/tests/drain.rs
@@ -11,7 +11,7 @@
 
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
-use jacinthbeam::{config::folder::Snapshot, types::prelude::*};
+use jacinthbeam::{admission::usage, config::folder::Snapshot, state::USAGE, types::prelude::*};
 use jacinthbeam_measure::{Deployment, Plan};
 
 const CONFIG: &str = r#"{
@@ -100,7 +100,22 @@
     assert_eq!(deployment.servers[&leaving].handle.summary().ran, ran.ran, "nothing new runs");
     let ran: u64 = deployment.servers.values().map(|server| server.handle.summary().ran).sum();
     assert_eq!(ran, sent.load(Ordering::Relaxed) as u64, "each order ran once");
-    deployment.stop().await;
+
+    for (_, entry) in std::mem::take(&mut deployment.entries) {
+        entry.stop().await;
+    }
+    assert_eq!(counted(&deployment), ran, "each order is counted against its team once");
+}
+
+/// Requests that ran, as the usage stream counts them for the team.
+fn counted(deployment: &Deployment) -> u64 {
+    let mut fold = usage::Fold::open(Offset(0));
+    for (offset, record) in deployment.log.records(USAGE) {
+        fold.apply(offset, &usage::decode(&record).unwrap());
+    }
+    let totals = fold.totals().unwrap();
+    let services = &totals[&"crews".parse().unwrap()];
+    services.values().map(|totals| totals.ran).sum()
 }
 
 /// Whether some entry host still counts slots of the server, or attends it.
--- a/crates/jacinthbeam-peer/src/client/ask.rs
+++ b/crates/jacinthbeam-peer/src/client/ask.rs
@@ -126,17 +126,20 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+/// Names every question, so that one without an answer does not compile.
 fn fits(question: &Question, answer: &Answer) -> bool {
-    matches!(
-        (question, answer),
-        (_, Answer::Failed { .. })
-            | (Question::Heartbeat(_), Answer::Heartbeat(_))
-            | (Question::Probe(_), Answer::Probed(_))
-            | (Question::Retire { .. }, Answer::Retired { .. })
-            | (Question::Attend { .. } | Question::Remember(_), Answer::Done { .. })
-            | (Question::ReadLog { .. }, Answer::Records(_))
-            | (Question::FetchState, Answer::State { .. })
-            | (Question::Claim(_), Answer::Claimed(_))
-            | (Question::Fetch(_), Answer::Fetched(_))
-    )
+    if let Answer::Failed { .. } = answer {
+        return true;
+    }
+    match question {
+        Question::Heartbeat(_) => matches!(answer, Answer::Heartbeat(_)),
+        Question::Probe(_) => matches!(answer, Answer::Probed(_)),
+        Question::Retire { .. } => matches!(answer, Answer::Retired { .. }),
+        Question::Attend { .. } | Question::Remember(_) => matches!(answer, Answer::Done { .. }),
+        Question::ReadLog { .. } => matches!(answer, Answer::Records(_)),
+        Question::FetchState => matches!(answer, Answer::State { .. }),
+        Question::Claim(_) => matches!(answer, Answer::Claimed(_)),
+        Question::Fetch(_) => matches!(answer, Answer::Fetched(_)),
+        Question::Loads => matches!(answer, Answer::Loads(_)),
+    }
 }
--- a/crates/jacinthbeam-peer/tests/peer/client/ask.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/ask.rs
@@ -4,7 +4,7 @@
 use jacinthbeam_peer::{
     Client,
     client::{self, ask, connect},
-    message::{Answer, Question},
+    message::{Answer, Question, ServerLoad},
     server::{self, Handler},
 };
 use tokio::net::TcpListener;
@@ -27,6 +27,20 @@
     assert_eq!(answer, Ok(Answer::Done { agreed: true }));
 }
 
+/// Every host asks a few others how busy their backend servers are, and no answer arrives: the client takes it for one of
+/// another kind. Nothing fails; slots just never move to servers of other hosts.
+#[tokio::test]
+async fn answer_of_loads_fits_its_question() {
+    let load = ServerLoad { server: "brine-3".parse().unwrap(), milli_busy: 700 };
+    let loads = Answer::Loads(vec![load]);
+    let told = loads.clone();
+    let ask = move |_: Question| std::future::ready(told.clone());
+    let handler = Handler { ask, forward: echo };
+    let server = server::bind(any_port(), server::Options::default(), handler).unwrap();
+    let answer = support::client().ask(server.local_addr(), &Question::Loads, LONG).await;
+    assert_eq!(answer, Ok(loads));
+}
+
 #[tokio::test]
 async fn answers_out_of_order_reach_their_questions() {
     // Sixty questions run at once on one connection, and the first asked is the last answered. Each gets the
