fix(cli): local prints lines that work as they stand, a dry run writes nothing

The lines that `local` prints named a program that is on no search path after `cargo run`, and published the example folder itself: its hidden note then refused the next run's log. The lines now name the program as it was started, and work in a folder of their own for each run. A dry run noted in the folder which files are in force; it writes nothing now.

--- a/crates/jacinthbeam-cli/src/command/local.rs
+++ b/crates/jacinthbeam-cli/src/command/local.rs
@@ -60,7 +60,7 @@
         .map_err(|_| Error::Failed("name three failure domains, such as a,b,c".into()))?;
     let deployment = Deployment::spawn(Plan::new(domains), &folder);
     let deployment = deployment.await.map_err(|err| failed(&err))?;
-    introduce(&deployment, path, terminal);
+    introduce(&deployment, terminal);
     wait(args.get_one::<Duration>("for").copied()).await;
     terminal.say("stopping");
     deployment.stop().await;
@@ -68,7 +68,7 @@
     Ok(())
 }
 
-fn introduce(deployment: &Deployment, folder: &std::path::Path, terminal: &mut Terminal<'_>) {
+fn introduce(deployment: &Deployment, terminal: &mut Terminal<'_>) {
     terminal.say(format_args!(
         "{} entry hosts, {} backend servers, log on {}",
         deployment.entries.len(),
@@ -83,26 +83,30 @@
         ));
     }
     terminal.say("try, in another shell:");
-    for line in lines(deployment, folder) {
+    for line in lines(deployment) {
         terminal.say(format_args!("  {line}"));
     }
 }
 
 /// Lines that can be pasted into a shell.
-fn lines(deployment: &Deployment, folder: &std::path::Path) -> Vec<String> {
+fn lines(deployment: &Deployment) -> Vec<String> {
     let log = deployment.log.addr();
+    // As this process was started, so that the lines work where the program is on no search path.
+    let program = std::env::args().next().unwrap_or_else(|| "jacinthbeam".into());
     let operators: Vec<SocketAddr> =
         deployment.entries.values().map(|entry| entry.operators()).collect();
     let all: Vec<String> = operators.iter().map(ToString::to_string).collect();
     let all = all.join(",");
-    let folder = folder.display();
+    // A folder notes what it was in sync with, so each run of `local` has one of its own.
+    let folder = format!("local-{}", log.port());
     let mut lines: Vec<String> = curl(deployment).into_iter().collect();
-    lines.push(format!("jacinthbeam status --operators {all} --log {log}"));
-    // The folder was not published by `publish`, so nothing says that it is in sync.
-    lines.push(format!("jacinthbeam publish {folder} --log {log}"));
-    lines.push(format!("jacinthbeam usage --log {log}"));
-    lines.extend(explain(deployment).map(|explain| format!("{explain} --operators {all}")));
-    lines.extend(operators.first().map(|addr| format!("jacinthbeam dump --address {addr}")));
+    lines.push(format!("{program} status --operators {all} --log {log}"));
+    lines.push(format!("mkdir {folder} && {program} adopt {folder} --log {log}"));
+    lines.push(format!("{program} publish {folder} --log {log}  # after an edit"));
+    lines.push(format!("{program} usage --log {log}"));
+    let explain = explain(deployment);
+    lines.extend(explain.map(|explain| format!("{program} {explain} --operators {all}")));
+    lines.extend(operators.first().map(|addr| format!("{program} dump --address {addr}")));
     lines.extend(operators.first().map(|addr| format!("curl http://{addr}/metrics")));
     lines
 }
@@ -124,7 +128,7 @@
         |service: &jacinthbeam::config::Service| matches!(service.division, Division::Keyed { .. });
     let (name, _) = services.find(|(_, service)| keyed(service))?;
     let log = deployment.log.addr();
-    Some(format!("jacinthbeam explain --log {log} --service {name} --key some-key"))
+    Some(format!("explain --log {log} --service {name} --key some-key"))
 }
 
 async fn wait(time: Option<Duration>) {
--- a/crates/jacinthbeam-cli/src/publication/mod.rs
+++ b/crates/jacinthbeam-cli/src/publication/mod.rs
@@ -260,6 +260,9 @@
 
     /// Notes which files are as they are in force, so that the next edit of them is known as one.
     fn note_synced(&mut self, terminal: &mut Terminal<'_>) {
+        if self.options.dry_run {
+            return;
+        }
         self.synced.refresh(self.snapshot, &self.reader.state().config);
         if let Err(err) = synced::store(&self.options.folder, &self.synced) {
             terminal.warn(err);
@@ -267,6 +270,9 @@
     }
 
     fn forget_pending(&self, id: RecordId, terminal: &mut Terminal<'_>) {
+        if self.options.dry_run {
+            return;
+        }
         if let Err(err) = pending::remove(&self.options.folder, id) {
             terminal.warn(err);
         }
--- a/crates/jacinthbeam-cli/tests/cli/publication.rs
+++ b/crates/jacinthbeam-cli/tests/cli/publication.rs
@@ -209,6 +209,25 @@
     );
 }
 
+// Others published the folder's text already; a dry run says so and notes nothing, so the folder is as it was.
+#[tokio::test]
+async fn dry_run_leaves_the_folder_as_it_is() {
+    let desk = Desk::new();
+    let folder = Folder::new();
+    folder.write(FILE, &text(1));
+    desk.log.append(CONTROL, others(&text(1), None, None).into());
+    let dry = Options { dry_run: true, ..options(&desk, &folder, 1) };
+    assert_eq!(run(&desk, &dry).await, Ok(()));
+    folder.write(FILE, &text(2));
+    let ended = run(&desk, &dry).await;
+    assert!(
+        matches!(ended, Err(Error::Refused(_))),
+        "the folder has no note of version 0: {ended:?}"
+    );
+    assert_eq!(std::fs::read_dir(&folder.0).expect("a folder").count(), 1);
+    assert_eq!(desk.log.records(CONTROL).len(), 1);
+}
+
 // A folder that was in sync with one log is published to another one by mistake.
 #[tokio::test]
 async fn another_log_is_refused() {
