feat(entry): prove the request path over loopback, mend what it showed

Cause: the path from caller to backend server was wired fast and had no test of its own.

Change: a golden session of reads and orders through three hosts of three failure domains; the rows of the verdict table, bad input and cancellation over loopback, each against the backend server's own count. What they and a review showed is mended: - a retry of a read after a lost connection was refused 409 in progress by the attendant, which still counted the first attempt under the same id: each attempt has an id of its own now; - a request left its team's room with the head of its answer: it stays until the body has ended; - a forwarded request whose deadline passed in the queue was told may-have-run: the attendant gives up a little earlier; - a head or keyed body over its bound gets 431 or 413 with a verdict; - HEAD answers lost their content-length; only the first connection header was read; a stale hint was asked before the attendant that the cell's heartbeats name; - a request cancelled on its way to a backend server was in no count of use; the last heartbeats of a planned stop were dropped with the control thread, and would have waited for the log.

Checked: each safeguard taken out once (ids, room, queue margin, head bound, keyed body bound, HEAD length): its test fails.

--- a/crates/jacinthbeam-entry/src/connection/callers.rs
+++ b/crates/jacinthbeam-entry/src/connection/callers.rs
@@ -76,12 +76,12 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(options.idle)
-        .max_buf_size(options.head.max(MIN_BUFFER))
+        .max_buf_size((options.head * HEAD_SLACK).max(MIN_BUFFER))
         .http2()
         .timer(TokioTimer::new())
         .keep_alive_interval(options.idle)
         .keep_alive_timeout(PING_TIMEOUT)
-        .max_header_list_size(options.head as u32)
+        .max_header_list_size((options.head * HEAD_SLACK) as u32)
         .max_concurrent_streams(options.streams);
     let stream = TokioIo::new(First::new(stream, options.idle));
     let connection = builder.serve_connection(stream, service).into_owned();
@@ -96,5 +96,8 @@
 
 /// Time that a caller has to answer a PING.
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
+/// `hyper` reads heads up to this times the limit, so that a head somewhat too long is refused with a verdict, which its own
+/// refusal does not carry.
+const HEAD_SLACK: usize = 2;
 /// Smallest buffer that `hyper` takes for HTTP/1, in bytes.
 const MIN_BUFFER: usize = 8192;
--- a/crates/jacinthbeam-entry/src/connection/peers.rs
+++ b/crates/jacinthbeam-entry/src/connection/peers.rs
@@ -1,6 +1,6 @@
 //! What other entry hosts ask of this one.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use jacinthbeam_peer::{
     Body,
@@ -17,6 +17,11 @@
     request::run,
 };
 
+/// How much earlier than the host that forwarded a request this one gives it up, or a tenth of the time that is left.
+///
+/// Both would give up at the same moment, and the other host's `may-have-run` would win over a `not-run` that is known here.
+const REPLY_MARGIN: Duration = Duration::from_millis(100);
+
 /// Answers other entry hosts. Questions about control state go to the control thread, those about the memory of
 /// idempotency keys are answered here, and requests run here.
 ///
@@ -54,10 +59,11 @@
 
 async fn forward(
     cx: Arc<Traffic>,
-    head: ForwardHead,
+    mut head: ForwardHead,
     body: Body,
     mut cancelled: Cancelled,
 ) -> (ForwardReply, Body) {
+    head.deadline -= (head.deadline / 10).min(REPLY_MARGIN);
     let id = head.id;
     tokio::select! {
         answer = run::run(&cx, head, body) => answer,
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -44,6 +44,8 @@
 
 /// Time between two looks at everything that depends on time.
 const TICK: Duration = Duration::from_millis(50);
+/// How long a host that stops goes on after its last heartbeats were sent: the way there and back, many times over.
+const FAREWELL: Duration = Duration::from_millis(200);
 /// Events that wait to be handled. A full queue makes peers wait, which is what should happen to them.
 const QUEUE: usize = 4096;
 
@@ -107,6 +109,8 @@
     handed_over: BTreeSet<ServerId>,
     /// Who owned slots of this cell's servers before.
     origins: memory::Origins,
+    /// Until when a host that has handed everything over still says so.
+    farewell: Option<Instant>,
 }
 
 impl Control {
@@ -163,6 +167,7 @@
             stopping: None,
             handed_over: BTreeSet::new(),
             origins: Default::default(),
+            farewell: None,
             me,
             traffic,
             timing,
@@ -256,18 +261,22 @@
     }
 
     /// Whether a stopping host attends nothing any more. The members are told by a last round of heartbeats, so that
-    /// they take over without waiting for its silence.
+    /// they take over without waiting for its silence. The loop goes on for that round: the heartbeats end with it.
     fn has_handed_over(&mut self) -> bool {
         if self.stopping.is_none() || self.handed_over.len() < self.tended.len() {
             return false;
         }
-        if !self.usage_is_flushed() {
-            return false;
-        }
-        if !self.members.own().stopping {
+        let now = self.clock.now();
+        let Some(until) = self.farewell else {
             self.members.stop();
-            self.next_heartbeat = self.clock.now();
-            self.beat(self.next_heartbeat);
+            self.next_heartbeat = now;
+            self.beat(now);
+            self.farewell = Some(now + FAREWELL);
+            return false;
+        };
+        // The log may be away for as long as the last counts are tried; the members have been told before that.
+        if !self.usage_is_flushed() || now < until {
+            return false;
         }
         let done = self.stopping.take().expect("checked above");
         // The process is gone already if nobody waits.
--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -273,6 +273,7 @@
 }
 
 fn shared(settings: &Settings, me: &Identity, clock: Arc<dyn Clock>) -> Traffic {
+    let limits = Limits { head: settings.limits.max_header.0 as usize, ..Default::default() };
     let memory =
         duplicate::Options { bytes: settings.limits.duplicate_memory, ..Default::default() };
     let peers =
@@ -291,7 +292,7 @@
         )),
         budgets: Mutex::new(BTreeMap::new()),
         metrics: Arc::new(Metrics::new(clock.clone())),
-        limits: Limits::default(),
+        limits,
         me: me.clone(),
         clock,
     }
--- a/crates/jacinthbeam-entry/src/process/traffic.rs
+++ b/crates/jacinthbeam-entry/src/process/traffic.rs
@@ -20,6 +20,8 @@
 /// Bounds of what one request may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
+    /// Longest head of a caller's request in bytes. Default 16 KiB.
+    pub head: usize,
     /// Longest body of a request with an idempotency key, which is held whole, in bytes. Default 1 MiB.
     pub held_body: usize,
     /// Longest answer that is remembered for a repeat, in bytes. Default 64 KiB.
@@ -28,7 +30,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { held_body: 1 << 20, kept_answer: 64 << 10 }
+        Self { head: 16 << 10, held_body: 1 << 20, kept_answer: 64 << 10 }
     }
 }
 
--- a/crates/jacinthbeam-entry/src/process/usage.rs
+++ b/crates/jacinthbeam-entry/src/process/usage.rs
@@ -1,10 +1,12 @@
 //! Counting what was used, on its way to the log.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use jacinthbeam_admission::usage::{Batch, BatchId, Counter};
 use jacinthbeam_types::prelude::*;
 
+use super::Traffic;
+
 /// The counter of this process, shared by traffic threads and the task that appends.
 #[derive(Debug)]
 pub struct Usage(Mutex<Counter>);
@@ -39,3 +41,41 @@
         self.0.lock().expect("no holder of the lock panics")
     }
 }
+
+/// A request that is being sent to a backend server. Dropped without a verdict, it counts as one that may have run.
+///
+/// Its task is dropped when the caller goes away; without this such a request would appear in no count, though it may have run.
+#[derive(Debug)]
+pub struct Sent {
+    cx: Arc<Traffic>,
+    team: TeamName,
+    service: ServiceName,
+    ended: bool,
+}
+
+impl Sent {
+    /// To be called just before the request is sent.
+    pub fn new(cx: Arc<Traffic>, team: TeamName, service: ServiceName) -> Self {
+        Self { cx, team, service, ended: false }
+    }
+
+    /// Counts the request, unless it did not run.
+    pub fn end(mut self, verdict: Verdict) {
+        self.ended = true;
+        self.count(verdict);
+    }
+
+    fn count(&self, verdict: Verdict) {
+        if verdict != Verdict::NotRun {
+            self.cx.usage.count(&self.team, &self.service, verdict);
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.count(Verdict::MayHaveRun);
+        }
+    }
+}
--- a/crates/jacinthbeam-entry/src/request/answer.rs
+++ b/crates/jacinthbeam-entry/src/request/answer.rs
@@ -61,6 +61,15 @@
     res
 }
 
+/// The answer to a request whose head is longer than `max` bytes.
+pub fn too_large_head(id: RequestId, max: usize) -> Response<OutBody> {
+    let refusal = Refusal::not_run(Reason::BadRequest);
+    let why = format_args!("the head is longer than {max} bytes");
+    let mut res = refused_because(id, &refusal, why);
+    *res.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    res
+}
+
 /// Adds the id of the request to the headers of an answer.
 pub fn insert_id(headers: &mut http::HeaderMap, id: RequestId) {
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
--- a/crates/jacinthbeam-entry/src/request/body.rs
+++ b/crates/jacinthbeam-entry/src/request/body.rs
@@ -17,6 +17,8 @@
 use jacinthbeam_peer::{Body, body::Cut};
 use jacinthbeam_types::prelude::*;
 
+use super::entered::Entered;
+
 /// Bodies up to this size are held, so that the request can be repeated after a `not-run`.
 pub const HELD: u64 = 64 << 10;
 
@@ -141,18 +143,27 @@
 
 /// A body as `hyper` wants it: of an answer to a caller, or of a request to a backend server.
 #[derive(Debug)]
-pub struct OutBody(Body);
+pub struct OutBody {
+    body: Body,
+    /// What the request holds on this host until the body has ended.
+    _entered: Option<Entered>,
+}
 
 impl OutBody {
     /// A body that is held whole.
     pub fn whole(bytes: Bytes) -> Self {
-        Self(Body::from(bytes))
+        Self::from(Body::from(bytes))
+    }
+
+    /// The same body, which keeps its request counted until it is dropped.
+    pub fn keep(self, entered: Entered) -> Self {
+        Self { _entered: Some(entered), ..self }
     }
 }
 
 impl From<Body> for OutBody {
     fn from(body: Body) -> Self {
-        Self(body)
+        Self { body, _entered: None }
     }
 }
 
@@ -165,15 +176,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        Pin::new(&mut self.0).poll_next(cx).map_ok(Frame::data)
+        Pin::new(&mut self.body).poll_next(cx).map_ok(Frame::data)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.0.is_ended()
+        self.body.is_ended()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.0.length().map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.body.length().map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
--- a/crates/jacinthbeam-entry/src/request/mod.rs
+++ b/crates/jacinthbeam-entry/src/request/mod.rs
@@ -3,5 +3,6 @@
 pub mod answer;
 pub mod body;
 pub mod call;
+pub mod entered;
 pub mod run;
 pub mod serve;
--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Uri, header::CONTENT_LENGTH};
+use http::{HeaderName, HeaderValue, Method, Request, Uri, header::CONTENT_LENGTH};
 use jacinthbeam_admission::{
     duplicate::{Begin, Scope, StoredAnswer},
     server::{Outcome, Ticket},
@@ -24,6 +24,7 @@
     process::{
         Traffic,
         memory::{PATIENCE, Place as Kept},
+        usage::Sent,
     },
     version::attended::{Attended, Place},
 };
@@ -104,6 +105,7 @@
         self.cx.metrics.queued(&head.service, waited);
         let (team, service) = self.share(&head);
         let id = head.id;
+        let is_head = head.method == Method::HEAD.as_str();
         let req = match self.request(head, body, kept) {
             Ok(req) => req,
             Err(refusal) => {
@@ -111,15 +113,14 @@
                 return Err(refusal);
             }
         };
+        let sent = Sent::new(self.cx.clone(), team, service);
         match self.attended.pool.send(req, self.deadline).await {
             Ok(answer) => {
-                self.cx.usage.count(&team, &service, Verdict::Ran);
-                Ok(stream_answer(id, answer, place))
+                sent.end(Verdict::Ran);
+                Ok(stream_answer(id, is_head, answer, place))
             }
             Err(failure) => {
-                if failure.verdict != Verdict::NotRun {
-                    self.cx.usage.count(&team, &service, failure.verdict);
-                }
+                sent.end(failure.verdict);
                 place.finish(outcome(&failure));
                 Err(failure.into())
             }
@@ -284,13 +285,19 @@
 }
 
 /// Passes the answer on as it comes. The place is free when its end has been read.
-fn stream_answer(id: RequestId, answer: backend::Answer, place: Place) -> (ForwardReply, Body) {
+fn stream_answer(
+    id: RequestId,
+    is_head: bool,
+    answer: backend::Answer,
+    place: Place,
+) -> (ForwardReply, Body) {
     let (parts, body) = answer.into_parts();
     let length = http_body::Body::size_hint(&body).exact();
     let headers = parts
         .headers
         .iter()
-        .filter(|(name, _)| *name != CONTENT_LENGTH)
+        // The length is given by the body, but for an answer to HEAD, which tells the length of a body that does not come.
+        .filter(|(name, _)| is_head || *name != CONTENT_LENGTH)
         .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
         .collect();
     let status = parts.status.as_u16();
--- a/crates/jacinthbeam-entry/src/request/serve.rs
+++ b/crates/jacinthbeam-entry/src/request/serve.rs
@@ -7,12 +7,11 @@
     time::Instant,
 };
 
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
-use jacinthbeam_admission::{
-    fair::Share,
-    retry::{Attempts, Decision, Failure},
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
+use hyper::body::Incoming;
+use jacinthbeam_admission::retry::{Attempts, Decision, Failure};
 use jacinthbeam_peer::{
     Body,
     message::{ForwardHead, ForwardReply},
@@ -24,6 +23,7 @@
     answer,
     body::{self, OutBody, Payload, TooLong},
     call::Call,
+    entered::Entered,
     run,
 };
 use crate::{
@@ -32,8 +32,12 @@
 };
 
 /// Headers that concern one connection, or that only the router may set; none of them is passed on.
-const NOT_PASSED: [HeaderName; 8] = [
+const NOT_PASSED: [HeaderName; 11] = [
     header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    // This host answers `100 Continue` itself when it begins to read the body.
+    header::EXPECT,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -64,6 +68,9 @@
 ) -> Response<OutBody> {
     let id = cx.ids.next(cx.me.incarnation);
     let (parts, incoming) = req.into_parts();
+    if head_size(&parts) > cx.limits.head {
+        return answer::too_large_head(id, cx.limits.head);
+    }
     let version = cx.version.load_full();
     if version.stopping {
         return answer::refused(id, &Refusal::not_run(Reason::Stopping));
@@ -76,13 +83,17 @@
         Err(err) => return answer::refused_because(id, &Refusal::not_run(err.reason()), err),
     };
     *service = Some(call.service.clone());
-    let _entered = match Entered::enter(cx, &call) {
+    let entered = match Entered::enter(cx, &call) {
         Ok(entered) => entered,
         Err(refusal) => return answer::refused(id, &refusal),
     };
-    let max = version.state.service(&call.service).map_or(0, |service| service.max_body.0);
     let too_long = TooLong::default();
     let hold = call.idempotency_key.is_some();
+    let mut max = version.state.service(&call.service).map_or(0, |service| service.max_body.0);
+    if hold {
+        // The attendant holds such a body whole, and could refuse a longer one only after all of it was sent there.
+        max = max.min(cx.limits.held_body as u64);
+    }
     let payload = Payload::read(incoming, max, hold, &too_long);
     // A body that is held and never ends would keep its place among the requests in progress for ever.
     let payload = match timeout(call.deadline, payload).await {
@@ -98,31 +109,21 @@
     cx.count_request(&call.service);
     let deadline = arrived + call.deadline;
     let head = forward_head(id, &call, &parts);
-    match (Attempting { cx, call, head, payload, deadline }).until_done().await {
-        Ok((reply, body)) => passed_on(id, reply, body),
+    let mut attempting = Attempting { cx, call, head, payload, deadline };
+    let outcome = attempting.until_done().await;
+    let id = attempting.head.id;
+    match outcome {
+        Ok((reply, body)) => passed_on(id, reply, body).map(|body| body.keep(entered)),
         Err(refusal) if too_long.is_set() => answer::too_large(id, refusal.verdict, max),
         Err(refusal) => answer::refused(id, &refusal),
     }
 }
 
-/// A request counted in its team's share of this host.
-struct Entered<'a> {
-    cx: &'a Traffic,
-    share: Share,
-}
-
-impl<'a> Entered<'a> {
-    fn enter(cx: &'a Traffic, call: &Call) -> Result<Self, Refusal> {
-        let share = Share { team: call.team.clone(), service: call.service.clone() };
-        cx.teams.lock().expect("no holder of the lock panics").enter(&share)?;
-        Ok(Self { cx, share })
-    }
-}
-
-impl Drop for Entered<'_> {
-    fn drop(&mut self) {
-        self.cx.teams.lock().expect("no holder of the lock panics").leave(&self.share);
-    }
+/// Bytes of a head that count against the limit: target, names and values.
+fn head_size(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let headers = parts.headers.iter();
+    target + headers.map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
 }
 
 /// A request that is tried until it is answered or given up.
@@ -155,7 +156,7 @@
 }
 
 impl Attempting<'_> {
-    async fn until_done(mut self) -> Result<(ForwardReply, Body), Refusal> {
+    async fn until_done(&mut self) -> Result<(ForwardReply, Body), Refusal> {
         let mut attempts = Attempts::default();
         loop {
             let failed = match self.attempt(attempts.count()).await {
@@ -183,6 +184,11 @@
     }
 
     async fn attempt(&mut self, number: u32) -> Result<(ForwardReply, Body), Failed> {
+        if number > 0 {
+            // The attempt before may still hold its place at the attendant under its id. With the same id this one would be
+            // taken for a second copy of it and refused as in progress.
+            self.head.id = self.cx.ids.next(self.cx.me.incarnation);
+        }
         let here = |refusal| Failed { refusal, left_host: false };
         let version = self.cx.version.load_full();
         let target = version.target(&self.call, self.head.id, number).map_err(here)?;
@@ -205,7 +211,10 @@
             if !failed.is_about_host() || !self.payload.can_repeat() {
                 return Err(failed);
             }
-            last = failed;
+            // That other hosts don't attend says less than why the attendant could not run it.
+            if failed.refusal.reason != Reason::NotAttendant || !last.left_host {
+                last = failed;
+            }
             attendant.into_iter().for_each(|addr| to_ask.push_front(addr));
         }
         Err(last)
@@ -265,7 +274,7 @@
 /// Hosts asked in one attempt: the one believed to attend, the one it names, and two more of the cell.
 const MAX_HOSTS: usize = 4;
 
-fn forward_head(id: RequestId, call: &Call, parts: &http::request::Parts) -> ForwardHead {
+fn forward_head(id: RequestId, call: &Call, parts: &Parts) -> ForwardHead {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     ForwardHead {
         id,
@@ -284,9 +293,9 @@
 }
 
 fn passed_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let named = headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
-    let named: Vec<String> =
-        named.unwrap_or_default().split(',').map(|name| name.trim().to_lowercase()).collect();
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let named = named.flat_map(|value| value.split(','));
+    let named: Vec<String> = named.map(|name| name.trim().to_lowercase()).collect();
     let passes = |name: &HeaderName| {
         !NOT_PASSED.contains(name)
             && *name != header::CONTENT_LENGTH
--- /dev/null
+++ b/crates/jacinthbeam-entry/tests/request/main.rs
@@ -0,0 +1,9 @@
+//! The path of a request, over loopback against stand-ins.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod bad_input;
+mod cancel;
+mod session;
+mod verdict;
