--- a/crates/jacinthbeam-measure/src/experiment/mod.rs
+++ b/crates/jacinthbeam-measure/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! One experiment: a deployment under load, one fault after the other, and the judgement of it.
 
 mod running;
+mod stall;
 
 use std::{
     sync::Arc,
@@ -18,6 +19,8 @@
 
 pub use running::Probed;
 use running::{Done, Running};
+pub use stall::Stalls;
+use stall::Watch;
 
 /// Load alone before the first fault, between two faults, and after the last one.
 const CALM: Duration = Duration::from_secs(4);
@@ -47,6 +50,7 @@
     let load = options.preset.load(options.rate);
     let generators = Generators::spawn(&load, options.seed, &balancer, &notes);
     let started = Instant::now();
+    let watch = Watch::spawn();
     tokio::time::sleep(CALM).await;
 
     let mut rng = fastrand::Rng::with_seed(options.seed);
@@ -64,7 +68,8 @@
     let calm = Instant::now();
     tokio::time::sleep(CALM).await;
     generators.stop().await;
-    let judged = Judged { started, calm, owners: follower.owners(), done };
+    let stalls = watch.stop();
+    let judged = Judged { started, calm, stalls, owners: follower.owners(), done };
     let report = judged.report(options, &deployment, notes);
     deployment.stop().await;
     Ok(report)
@@ -81,6 +86,7 @@
 
 /// What is judged.
 struct Judged {
+    stalls: Stalls,
     started: Instant,
     calm: Instant,
     owners: Owners,
@@ -106,6 +112,7 @@
             deployment: options.preset.to_string(),
             seed: options.seed,
             seconds: self.started.elapsed().as_secs_f64(),
+            stalls: self.stalls,
             imbalance: imbalance(&servers, &self.owners, self.calm),
             requests: Requests::of(load_notes.iter()),
             admitted: servers.iter().map(|server| server.runs.len() as u64).sum(),
--- a/crates/jacinthbeam-measure/src/report.rs
+++ b/crates/jacinthbeam-measure/src/report.rs
@@ -7,7 +7,7 @@
 use serde::{Serialize, Serializer};
 
 use crate::{
-    experiment::Probed,
+    experiment::{Probed, Stalls},
     fault::Kind,
     judge::{Broken, Promise, ServerRecord, Unavailable, unavailable},
     load::{Ended, Note},
@@ -23,6 +23,8 @@
     pub seed: u64,
     /// How long the load lasted.
     pub seconds: f64,
+    /// How much the machine itself delayed the experiment.
+    pub stalls: Stalls,
     /// The faults in their order.
     pub episodes: Vec<Episode>,
     /// Load of each service over its owners.
@@ -235,6 +237,11 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} seed {}, {:.0} s of load", self.deployment, self.seed, self.seconds)?;
+        let Stalls { longest_ms, long } = self.stalls;
+        writeln!(
+            f,
+            "a sleeping thread was late by at most {longest_ms} ms, {long} times by more than 100 ms"
+        )?;
         self.write_unavailable(f)?;
         self.write_episodes(f)?;
         for (service, imbalance) in &self.imbalance {
