fix(entry): a planned hand-over refuses nothing

A host that stopped told the others only after it had handed everything over, by heartbeats that its own end cancelled; they waited for its silence (800 ms). Until then, and at every hand-over to a host that had just started, the old attendant refused what came. Now a stopping host says so first, its successors are picked and wait, each backend server is let go as soon as nothing runs there, the others are told at once and act at once, and what comes meanwhile waits in the old attendant's queue.

--- a/crates/jacinthbeam-entry/src/process/control/attend.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend.rs
@@ -102,8 +102,10 @@
         let Some(tended) = self.tended.get_mut(server) else { return };
         let Some(attended) = tended.attended.clone() else { return };
         attended.tick();
-        if tended.draining && attended.is_idle() {
+        if tended.draining && attended.runs_nothing() {
             tended.draining = false;
+            // What waits is for the next attendant.
+            attended.close(Reason::NotAttendant);
             // Nothing runs and nothing is admitted, so traffic has no use for it until a permit opens it again.
             tended.open = false;
             self.changed = true;
@@ -153,7 +155,7 @@
         let attends = tended.attendant.attends().is_some();
         // Its successor waits for this news; the next heartbeat in turn would add to the time without an attendant.
         if !attends && self.members.own().attends.contains(server) {
-            self.next_heartbeat = now;
+            self.announce = true;
         }
         self.members.attend(server, attends);
         self.tended.insert(server.clone(), tended);
@@ -292,7 +294,8 @@
         let Some(tended) = self.tended.get_mut(server) else { return };
         tended.draining = true;
         match &tended.attended {
-            Some(attended) => attended.drain(),
+            Some(attended) if tended.leaving => attended.drain(),
+            Some(attended) => attended.pause(),
             None => {
                 tended.draining = false;
                 self.attendant_event(server, attendant::Event::Drained);
@@ -365,10 +368,11 @@
         });
     }
 
-    /// Servers attended at present, as heartbeats say.
+    /// Servers attended at present, as heartbeats say: also those where something may still run for this host. A successor
+    /// that did not wait for it would fence it, and the server would drop what runs.
     pub(super) fn attends(&self) -> Vec<(ServerId, Token)> {
-        let open = self.tended.iter().filter(|(_, tended)| tended.open);
-        open.map(|(server, tended)| (server.clone(), tended.token)).collect()
+        let attended = self.tended.iter().filter(|(_, tended)| tended.open || tended.draining);
+        attended.map(|(server, tended)| (server.clone(), tended.token)).collect()
     }
 }
 
--- a/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
+++ b/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
@@ -85,6 +85,11 @@
         if let Some(peer) = self.book.peers().get(&host) {
             self.members.hear(now, heard(peer));
         }
+        if changed {
+            // A host that lets go of a backend server says so at once; nobody attends it until this host does.
+            self.elect(now);
+            self.tick_attendants();
+        }
         true
     }
 
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -107,10 +107,12 @@
     changed: bool,
     stopping: Option<tokio::sync::oneshot::Sender<()>>,
     handed_over: BTreeSet<ServerId>,
-    /// Who owned slots of this cell's servers before.
-    origins: memory::Origins,
     /// Until when a host that has handed everything over still says so.
     farewell: Option<Instant>,
+    /// Whether the other hosts have to be told at once what this host attends.
+    announce: bool,
+    /// Who owned slots of this cell's servers before.
+    origins: memory::Origins,
 }
 
 impl Control {
@@ -166,8 +168,9 @@
             changed: true,
             stopping: None,
             handed_over: BTreeSet::new(),
-            origins: Default::default(),
             farewell: None,
+            announce: false,
+            origins: Default::default(),
             me,
             traffic,
             timing,
@@ -194,6 +197,11 @@
                 self.changed = false;
                 self.publish();
             }
+            if self.announce {
+                self.announce = false;
+                self.next_heartbeat = self.clock.now();
+                self.beat(self.next_heartbeat);
+            }
             if self.has_handed_over() {
                 return;
             }
@@ -254,6 +262,9 @@
     fn stop(&mut self, done: tokio::sync::oneshot::Sender<()>) {
         ::log::info!("control: stopping, {} backend servers to hand over", self.tended.len());
         self.stopping = Some(done);
+        // Said before anything is handed over, so that the successors are picked and wait by the time that nothing runs here.
+        self.members.stop();
+        self.announce = true;
         for server in self.tended.keys().cloned().collect::<Vec<_>>() {
             self.attendant_event(&server, jacinthbeam_lease::Event::Stop);
         }
@@ -268,7 +279,6 @@
         }
         let now = self.clock.now();
         let Some(until) = self.farewell else {
-            self.members.stop();
             self.next_heartbeat = now;
             self.beat(now);
             self.farewell = Some(now + FAREWELL);
--- a/crates/jacinthbeam-entry/src/version/attended.rs
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -44,6 +44,8 @@
     waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
     held: BTreeSet<SlotId>,
     meter: Meter,
+    /// Whether another host is about to attend.
+    handing_over: bool,
 }
 
 /// Counts for the dump.
@@ -84,6 +86,7 @@
             waiting: BTreeMap::new(),
             held: BTreeSet::new(),
             meter: Meter::new(),
+            handing_over: false,
         };
         let admitted = AtomicU64::new(0);
         Self { server, service, pool, clock, inner: Mutex::new(inner), admitted }
@@ -101,6 +104,7 @@
         inner.admission.resume(back.iter().copied());
         inner.held.retain(|slot| !back.contains(slot));
         inner.permit = Some(Arc::new(permit));
+        inner.handing_over = false;
         inner.admission.reported(report);
         inner.admission.set_gate(self.clock.now(), Gate::Open);
         self.start_waiting(inner);
@@ -110,6 +114,7 @@
     pub fn close(&self, reason: Reason) {
         let mut inner = self.lock();
         inner.permit = None;
+        inner.handing_over = false;
         let refused = inner.admission.set_gate(self.clock.now(), Gate::Closed(reason));
         inner.refuse(refused);
     }
@@ -121,6 +126,14 @@
         inner.refuse(refused);
     }
 
+    /// Starts no more requests, for a hand-over to another host: what was admitted goes on, and what waits or comes waits
+    /// for it, instead of going back and forth between hosts that are both not ready.
+    pub fn pause(&self) {
+        let mut inner = self.lock();
+        inner.handing_over = true;
+        inner.admission.set_gate(self.clock.now(), Gate::Paused);
+    }
+
     /// Starts no more requests of these slots.
     pub fn hold(&self, slots: &BTreeSet<SlotId>) {
         let mut inner = self.lock();
@@ -167,9 +180,9 @@
         self.pool.expire();
     }
 
-    /// Whether nothing waits and nothing may run.
-    pub fn is_idle(&self) -> bool {
-        self.lock().admission.is_idle()
+    /// Whether nothing may run. Something may wait.
+    pub fn runs_nothing(&self) -> bool {
+        self.lock().admission.in_use() == 0
     }
 
     /// The permit under which a request of this slot may be written at this moment.
@@ -248,6 +261,12 @@
         let mut inner = self.lock();
         match inner.admission.offer(self.clock.now(), ticket) {
             Offer::Admit => Ok(None),
+            // The backend server is not overloaded; the next attendant has room as soon as it is ready.
+            Offer::Refuse(refusal)
+                if inner.handing_over && refusal.reason == Reason::Overloaded =>
+            {
+                Err(Refusal::not_run(Reason::Moving).retry_after(MIN_RETRY_AFTER))
+            }
             Offer::Refuse(refusal) => Err(refusal),
             Offer::Queue { displaced } => {
                 let (tx, rx) = oneshot::channel();
