test(cli): configuration on its way into force on running hosts

Nothing brought about, with running entry hosts: two operators' versions in quick succession, the removal of a service while a request runs, hosts that join or are replaced while the log is down. Now 20 versions are published at once by two operators while every host is looked at, and none goes back; the request of a removed service ends whole and later ones get 404 not-run; hosts that join during an outage follow the version of their neighbour and serve callers.

Noted for operators on the way: until a new cell has named its first witnesses its leases end with an outage of the log.

--- a/crates/jacinthbeam-cli/tests/cli/main.rs
+++ b/crates/jacinthbeam-cli/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! The commands, called as functions.
 
+mod force;
 mod metrics;
 mod publication;
 mod session;
