--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -62,6 +62,11 @@
     },
     /// A peer told the loads of the servers that it attends.
     Loads(Vec<ServerLoad>),
+    /// The last copies of what this host remembers for a server have reached its successor, or were given up.
+    Copied {
+        /// The backend server.
+        server: ServerId,
+    },
     /// A witness promised to vouch no more under this epoch.
     Retired {
         /// The witness.
