feat(entry): keys of a failure domain that is cut off are refused at once

Each attempt waited up to 500 ms for a connection to each of four hosts of the owner's cell, one after the other, and was then repeated until the deadline or until the retry budget was spent. Now a host that could not be reached within the last second is tried by one request at a time, the other hosts are connected to at once when the first one fails, and when no host of the owner's cell is left to try, a request with a key is refused as not-run with a hint, and not repeated. Requests without a key go on to another backend server. In the own cell nothing changes: a host may be about to take over.

--- a/crates/jacinthbeam-entry/src/process/spawn.rs
+++ b/crates/jacinthbeam-entry/src/process/spawn.rs
@@ -87,6 +87,7 @@
     callers: SocketAddr,
     operators: SocketAddr,
     control: mpsc::Sender<Event>,
+    memory: memory::Shared,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
     peers: Option<server::Handle>,
@@ -121,6 +122,7 @@
         source: settings.source,
     };
     let cx = Arc::new(shared(settings, &me, clock));
+    let memory = cx.memory.clone();
     let mut peer_options = server::Options {
         max_connections: settings.limits.max_peer_connections as usize,
         ..Default::default()
@@ -158,6 +160,7 @@
         callers: callers_addr,
         operators: operators_addr,
         control: tx,
+        memory,
         stop,
         serving,
         peers: Some(peers),
@@ -210,6 +213,8 @@
         {
             log::warn!("process: not all backend servers were handed over");
         }
+        // The successor takes over now; it should know how the last requests ended.
+        self.memory.flush().await;
         if let Some(peers) = self.peers.take() {
             let cut = peers.shutdown(STOP_PATIENCE).await.cut;
             if cut > 0 {
@@ -277,6 +282,7 @@
         version: Arc::new(ArcSwap::from_pointee(Version::default())),
         peers: peers.clone(),
         hints: Hints::default(),
+        unreachable: Default::default(),
         ids: Default::default(),
         memory: memory::Shared::new(memory, me.incarnation, peers, clock.clone()),
         usage: Usage::new(me.incarnation),
--- a/crates/jacinthbeam-entry/src/process/traffic.rs
+++ b/crates/jacinthbeam-entry/src/process/traffic.rs
@@ -15,7 +15,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{Identity, identity::RequestIds, memory, metrics::Metrics, usage::Usage};
-use crate::version::{Version, route::Hints};
+use crate::version::{Version, route::Hints, unreachable::Unreachable};
 
 /// Bounds of what one request may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +45,8 @@
     pub peers: Client,
     /// Attendants in other cells.
     pub hints: Hints,
+    /// Hosts that could not be reached of late.
+    pub unreachable: Unreachable,
     /// Numbers of requests.
     pub ids: RequestIds,
     /// Time.
--- a/crates/jacinthbeam-entry/src/request/serve.rs
+++ b/crates/jacinthbeam-entry/src/request/serve.rs
@@ -14,6 +14,7 @@
 use jacinthbeam_admission::retry::{Attempts, Decision, Failure};
 use jacinthbeam_peer::{
     Body,
+    client::forward,
     message::{ForwardHead, ForwardReply},
 };
 use jacinthbeam_types::prelude::*;
@@ -28,7 +29,7 @@
 };
 use crate::{
     process::{Traffic, metrics::Ended},
-    version::route::Target,
+    version::{route::Target, unreachable::LEFT_ALONE_FOR},
 };
 
 /// Headers that concern one connection, or that only the router may set; none of them is passed on.
@@ -139,9 +140,15 @@
 struct Failed {
     refusal: Refusal,
     left_host: bool,
+    /// No connection was found to the host that was asked, or to any host of the owner's cell.
+    cut_off: bool,
 }
 
 impl Failed {
+    fn new(refusal: Refusal, left_host: bool) -> Self {
+        Self { refusal, left_host, cut_off: false }
+    }
+
     /// Whether it was not run for a reason that lies in the host that was asked, so that another host may run it.
     fn is_about_host(&self) -> bool {
         let by_host = [Reason::NotAttendant, Reason::Unreachable, Reason::Stopping];
@@ -173,7 +180,11 @@
                 idempotent: self.call.idempotent || self.call.idempotency_key.is_some(),
                 left_host: failed.left_host,
             };
-            match self.cx.decide(&self.call.service, failure, &attempts, self.deadline) {
+            // A failure domain that is cut off may stay so for long; its keys are refused at once. Requests without a key go to
+            // another backend server.
+            let is_final = failed.cut_off && self.call.key.is_some();
+            let until = if is_final { self.cx.clock.now() } else { self.deadline };
+            match self.cx.decide(&self.call.service, failure, &attempts, until) {
                 Decision::Retry { after } => {
                     self.cx.metrics.retry(&self.call.service);
                     tokio::time::sleep(after).await;
@@ -189,7 +200,7 @@
             // taken for a second copy of it and refused as in progress.
             self.head.id = self.cx.ids.next(self.cx.me.incarnation);
         }
-        let here = |refusal| Failed { refusal, left_host: false };
+        let here = |refusal| Failed::new(refusal, false);
         let version = self.cx.version.load_full();
         let target = version.target(&self.call, self.head.id, number).map_err(here)?;
         if version.attended.contains_key(&target.server) {
@@ -198,12 +209,21 @@
         let hosts = version.hosts_for(&target.server, &self.cx.hints);
         let mut asked = BTreeSet::from([self.cx.me.peer_address]);
         let mut to_ask = VecDeque::from(hosts);
-        let mut last = Failed { refusal: Refusal::not_run(Reason::Unreachable), left_host: false };
+        let mut last = Failed::new(Refusal::not_run(Reason::Unreachable), false);
+        let mut tried = 0;
+        // In the own cell a host may be about to take over, or not have heard of the others yet.
+        let owner = version.state.servers.get(&target.server);
+        let mut cut_off = owner.is_some_and(|server| server.cell != self.cx.me.cell);
         // A wrong or dead host costs no retry: the next one is asked at once, as long as nothing can have run.
         while let Some(addr) = to_ask.pop_front() {
-            if asked.len() > MAX_HOSTS || !asked.insert(addr) {
+            if tried == MAX_HOSTS {
+                cut_off = false;
+                break;
+            }
+            if !asked.insert(addr) || !self.cx.unreachable.may_try(self.cx.clock.now(), addr) {
                 continue;
             }
+            tried += 1;
             let Passed { failed, attendant } = match self.forward(addr, &target).await {
                 Ok(answered) => return Ok(answered),
                 Err(passed) => passed,
@@ -211,17 +231,25 @@
             if !failed.is_about_host() || !self.payload.can_repeat() {
                 return Err(failed);
             }
+            if failed.cut_off && tried == 1 {
+                // So that one wait for a connection is enough, not one after the other for each host.
+                to_ask.iter().for_each(|addr| self.cx.peers.prepare(*addr));
+            }
+            cut_off &= failed.cut_off;
             // That other hosts don't attend says less than why the attendant could not run it.
             if failed.refusal.reason != Reason::NotAttendant || !last.left_host {
                 last = failed;
             }
             attendant.into_iter().for_each(|addr| to_ask.push_front(addr));
         }
-        Err(last)
+        if cut_off {
+            last.refusal = last.refusal.retry_after(LEFT_ALONE_FOR);
+        }
+        Err(Failed { cut_off, ..last })
     }
 
     async fn run_here(&mut self, target: Target) -> Result<(ForwardReply, Body), Failed> {
-        let failed = |refusal| Failed { refusal, left_host: true };
+        let failed = |refusal| Failed::new(refusal, true);
         let (head, body) = self.start(&target).map_err(failed)?;
         let (reply, body) = run::run(self.cx, head, body).await;
         match reply {
@@ -235,14 +263,23 @@
         addr: SocketAddr,
         target: &Target,
     ) -> Result<(ForwardReply, Body), Passed> {
-        let failed =
-            |refusal| Passed { failed: Failed { refusal, left_host: true }, attendant: None };
+        let failed = |refusal| Passed { failed: Failed::new(refusal, true), attendant: None };
         let (head, body) = self.start(target).map_err(failed)?;
         let forwarded = self.cx.peers.forward(addr, head, body, self.deadline).await;
+        let cut_off = matches!(forwarded, Err(forward::Error::Connect(_)));
+        match &forwarded {
+            Err(forward::Error::Connect(_)) => {
+                self.cx.unreachable.failed(self.cx.clock.now(), addr);
+            }
+            // It may have waited for a connection all the time.
+            Err(forward::Error::NotSent(_)) => {}
+            _ => self.cx.unreachable.reached(addr),
+        }
         match forwarded {
             Err(err) => {
                 self.cx.hints.forget(&target.server, addr);
-                Err(failed(err.refusal()))
+                let failed = failed(err.refusal());
+                Err(Passed { failed: Failed { cut_off, ..failed.failed }, ..failed })
             }
             Ok((ForwardReply::Refused { refusal, attendant, .. }, _)) => {
                 if refusal.reason == Reason::NotAttendant {
--- a/crates/jacinthbeam-entry/src/version/mod.rs
+++ b/crates/jacinthbeam-entry/src/version/mod.rs
@@ -3,6 +3,7 @@
 pub mod attended;
 pub mod meter;
 pub mod route;
+pub mod unreachable;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
--- a/crates/jacinthbeam-peer/src/client/mod.rs
+++ b/crates/jacinthbeam-peer/src/client/mod.rs
@@ -82,6 +82,11 @@
         forward::forward(&self.peers, addr, head, body, deadline).await
     }
 
+    /// Starts to open a connection to a peer that may be needed soon, if there is none.
+    pub fn prepare(&self, addr: SocketAddr) {
+        self.peers.prepare(addr);
+    }
+
     /// State of all connections, for the dump of the process.
     pub fn dump(&self) -> Vec<PeerDump> {
         self.peers.dump()
--- a/crates/jacinthbeam-peer/src/client/peers.rs
+++ b/crates/jacinthbeam-peer/src/client/peers.rs
@@ -80,6 +80,11 @@
         result.unwrap_or(Err(connect::Error::Stopped))
     }
 
+    /// Starts to open the peer's connection if there is none.
+    pub(crate) fn prepare(&self, addr: SocketAddr) {
+        drop(self.current(addr));
+    }
+
     /// Opens a stream on the peer's connection.
     ///
     /// That a connection has ended may show only when it is used; the second attempt then meets a new one.
