feat(entry): servers of abandoned cells are evicted by hosts of other cells

The records were decided by jacinthbeam-lease, and nobody wrote them: a service that yields stayed unserved for as long as its failure domain was cut off, and a declared loss moved nothing. A few hosts of other failure domains now watch each cell; a cell is silent when a majority of the failure domains knows of no read of the log there for 3 s. They evict by turns, 16 servers in a round, to servers outside.

--- a/crates/jacinthbeam-entry/src/process/control/answer.rs
+++ b/crates/jacinthbeam-entry/src/process/control/answer.rs
@@ -18,6 +18,7 @@
             Question::Attend { server } => self.asked_to_attend(&server),
             Question::FetchState => self.answer_state(),
             Question::Loads => self.answer_loads(),
+            Question::LastRead { cell } => self.answer_last_read(&cell),
             Question::ReadLog { .. } => Answer::Failed { why: "reads are not relayed here".into() },
             Question::Remember(_) | Question::Claim(_) | Question::Fetch(_) => {
                 Answer::Failed { why: "what traffic remembers is not asked of control".into() }
--- a/crates/jacinthbeam-entry/src/process/control/cell.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cell.rs
@@ -62,6 +62,7 @@
             self.traffic.memory.forget(&server);
         }
         self.list = list;
+        self.abandoned.list_changed(self.clock.now());
         self.changed = true;
     }
 
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -1,6 +1,6 @@
 //! What the control thread is told.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jacinthbeam_admission::usage::BatchId;
 use jacinthbeam_lease::attendant;
@@ -62,10 +62,16 @@
     },
     /// A peer told the loads of the servers that it attends.
     Loads(Vec<ServerLoad>),
-    /// The last copies of what this host remembers for a server have reached its successor, or were given up.
-    Copied {
-        /// The backend server.
-        server: ServerId,
+    /// A host told when the log was last read in a cell that this host watches.
+    Sign {
+        /// The cell.
+        cell: CellId,
+        /// Failure domain of the host, if it is another watcher; `None` if it is of the cell.
+        watcher: Option<FailureDomain>,
+        /// Just before it was asked.
+        asked: Instant,
+        /// How long before its answer the log was read, or longer.
+        ago: Duration,
     },
     /// A witness promised to vouch no more under this epoch.
     Retired {
--- a/crates/jacinthbeam-entry/src/process/control/found.rs
+++ b/crates/jacinthbeam-entry/src/process/control/found.rs
@@ -93,8 +93,11 @@
 
     /// The record that places vacant slots on one server; the next round goes on with the next one.
     fn placing(&self, service: &ServiceName, division: &DivisionTable) -> Option<Record> {
-        let servers: Vec<(&ServerId, usize)> =
-            self.state.servers_of(service).map(|(id, server)| (id, server.slots().len())).collect();
+        let servers = self.state.servers_of(service);
+        let servers: Vec<(&ServerId, usize)> = servers
+            .filter(|(_, server)| !self.is_abandoned(&server.cell))
+            .map(|(id, server)| (id, server.slots().len()))
+            .collect();
         let (least, _) = servers.iter().min_by_key(|(_, owned)| *owned)?;
         let vacant = division.len() - division.owned();
         let share = vacant.div_ceil(servers.len());
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are made by the pure crates; the modules here carry them out. Every handler takes one event, never waits, and
 //! spawns a task for what takes time; the task comes back with another event.
 
+mod abandoned;
 mod answer;
 mod append;
 mod attend;
@@ -97,6 +98,7 @@
     tended: BTreeMap<ServerId, attend::Tended>,
     found: found::Founding,
     placement: placement::Placement,
+    abandoned: abandoned::Abandoned,
     snapshots: snapshot::Pace,
     usage: usage::Flush,
     counts: measure::Counts,
@@ -159,6 +161,7 @@
             tended: BTreeMap::new(),
             found: found::Founding::new(now),
             placement: placement::Placement::new(now),
+            abandoned: abandoned::Abandoned::new(now),
             snapshots: snapshot::Pace::new(now),
             usage: usage::Flush::new(now),
             counts: Default::default(),
@@ -218,9 +221,11 @@
             Event::Heard { started, heartbeat } => self.heard_answer(started, &heartbeat),
             Event::Tried { probe, reached, reply } => self.tried(probe, reached, reply),
             Event::Attendant { server, event } => self.attendant_event(&server, event),
-            Event::Copied { server } => self.copied(&server),
             Event::Retired { incarnation, epoch } => self.retired(incarnation, epoch),
             Event::Loads(loads) => self.heard_loads(loads),
+            Event::Sign { cell, watcher, asked, ago } => {
+                self.heard_sign(&cell, watcher, asked, ago);
+            }
             Event::WitnessesAppended => self.witness_change = Default::default(),
             Event::FoundAppended { service } => self.found.appended(&service),
             Event::UsageRead { outcome } => self.usage_read(outcome),
@@ -243,6 +248,8 @@
         self.change_witnesses(now);
         self.found_services(now);
         self.place(now);
+        self.watch_cells(now);
+        self.evict_abandoned(now);
         self.append_snapshot(now);
         self.flush_usage(now);
         self.sample(now);
--- a/crates/jacinthbeam-entry/src/process/control/placement.rs
+++ b/crates/jacinthbeam-entry/src/process/control/placement.rs
@@ -243,6 +243,7 @@
         let others: Vec<ServerId> = self
             .state
             .servers_of(service)
+            .filter(|(_, server)| !self.is_abandoned(&server.cell))
             .map(|(id, _)| id.clone())
             .filter(|id| !attended.contains_key(id))
             .collect();
@@ -269,13 +270,27 @@
     pub(super) fn evict_targets(
         &self,
         lost: &ServerId,
+    ) -> Vec<jacinthbeam_state::record::SlotTarget> {
+        self.evict_targets_after(lost, &BTreeMap::new())
+    }
+
+    /// The same, once servers have been given slots of this load.
+    pub(super) fn evict_targets_after(
+        &self,
+        lost: &ServerId,
+        given: &BTreeMap<ServerId, Load>,
     ) -> Vec<jacinthbeam_state::record::SlotTarget> {
         let Some(known) = self.state.servers.get(lost) else { return Vec::new() };
         let Some(cfg) = self.state.service(&known.service) else { return Vec::new() };
         let policy = Policy::configured(&cfg.balance, 1.0);
         let loads = self.placement.slot_loads(lost);
         let slots = known.slots().iter().map(|slot| (*slot, loads.get(slot).copied())).collect();
-        let Some(view) = self.view_of_all(&known.service) else { return Vec::new() };
+        let Some(mut view) = self.view_of_all(&known.service) else { return Vec::new() };
+        for (server, load) in given {
+            if let Some(seen) = view.servers.get_mut(server) {
+                seen.pending += *load;
+            }
+        }
         let mut rng = self.placement.rng.clone();
         evict::evict_targets(&view, lost, &slots, &policy, &mut rng)
             .into_iter()
@@ -283,10 +298,14 @@
             .collect()
     }
 
-    /// A view with every active server of the service: a lost server's slots are spread once, and evenly.
+    /// A view with every active server of the service that is not cut off: a lost server's slots are spread once, and evenly.
     fn view_of_all(&self, service: &ServiceName) -> Option<View> {
-        let sample: Vec<ServerId> =
-            self.state.servers_of(service).map(|(id, _)| id.clone()).collect();
+        let sample: Vec<ServerId> = self
+            .state
+            .servers_of(service)
+            .filter(|(_, server)| !self.is_abandoned(&server.cell))
+            .map(|(id, _)| id.clone())
+            .collect();
         let mut loads = self.placement.heard.clone();
         let now = self.clock.now();
         for (id, _) in self.open_servers() {
--- a/crates/jacinthbeam-lease/src/lib.rs
+++ b/crates/jacinthbeam-lease/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`proof`]: until when a lease may be renewed.
 //! - [`grant`]: the arithmetic of a lease's end on two clocks.
 //! - [`attendant`]: the state machine that keeps one backend server's lease.
+//! - [`watch`]: when a cell counts as silent for the others.
 //! - [`abandoned`]: evictions by hosts of other cells.
 
 pub mod abandoned;
@@ -18,6 +19,7 @@
 pub mod observed;
 pub mod proof;
 pub mod timing;
+pub mod watch;
 pub mod witness;
 pub mod witnesses;
 
--- a/crates/jacinthbeam-lease/tests/main.rs
+++ b/crates/jacinthbeam-lease/tests/main.rs
@@ -7,4 +7,5 @@
 mod proof;
 mod property;
 mod support;
+mod watch;
 mod witnesses;
--- a/crates/jacinthbeam-peer/src/client/ask.rs
+++ b/crates/jacinthbeam-peer/src/client/ask.rs
@@ -141,5 +141,6 @@
         Question::Claim(_) => matches!(answer, Answer::Claimed(_)),
         Question::Fetch(_) => matches!(answer, Answer::Fetched(_)),
         Question::Loads => matches!(answer, Answer::Loads(_)),
+        Question::LastRead { .. } => matches!(answer, Answer::LastRead { .. }),
     }
 }
--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -44,6 +44,11 @@
     Fetch(Fetch),
     /// How busy are the backend servers that you attend?
     Loads,
+    /// How long ago did a host of this cell read the log to its end? Asked of the cell's hosts and of its other watchers.
+    LastRead {
+        /// The cell.
+        cell: CellId,
+    },
 }
 
 /// Answer to a [`Question`].
@@ -83,6 +88,11 @@
     Fetched(Fetched),
     /// To [`Question::Loads`].
     Loads(Vec<ServerLoad>),
+    /// To [`Question::LastRead`].
+    LastRead {
+        /// At the time of the answer; no less than the truth.
+        ago: Duration,
+    },
 }
 
 /// Sign of life of an entry host, exchanged with every host of its cell.
--- a/crates/jacinthbeam-peer/tests/peer/message.rs
+++ b/crates/jacinthbeam-peer/tests/peer/message.rs
@@ -3,7 +3,7 @@
 use jacinthbeam_peer::message::{
     Answer, Claim, ClaimSlots, Claimed, ClaimedSlot, Copies, Details, Edition, EntryId, Fetch,
     Fetched, ForwardReply, Heartbeat, KnownSlot, Probe, Probed, Progress, Question, Records,
-    Remembered, Stage, StoredAnswer, Vouch,
+    Remembered, ServerLoad, Stage, StoredAnswer, Vouch,
 };
 use jacinthbeam_types::prelude::*;
 
@@ -118,6 +118,8 @@
         Question::Remember(copies(Stage::Update, Progress::AnsweredNotKept)),
     ];
     questions.extend(claim_questions());
+    questions.push(Question::Loads);
+    questions.push(Question::LastRead { cell: "kelowna-b".parse().unwrap() });
     questions
 }
 
@@ -140,6 +142,9 @@
         Answer::Failed { why: "no".into() },
     ];
     answers.extend(claim_answers());
+    let load = ServerLoad { server: "brine-3".parse().unwrap(), milli_busy: 700 };
+    answers.push(Answer::Loads(vec![load]));
+    answers.push(Answer::LastRead { ago: Duration::from_millis(80) });
     answers
 }
 
