fix(lease): lost or replaced witnesses no longer block evictions and changes of the set

Ruled out: heartbeats that vouch no more (alone, the outage is harmless). A host that stops as planned retires for good first and says so; its promise counts afterwards. A set is changed after 2 s in place of 5 s.

--- a/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
+++ b/crates/jacinthbeam-entry/src/process/control/heartbeat.rs
@@ -101,6 +101,7 @@
             peer_address: self.me.peer_address,
             stopping: own.stopping,
             attends: self.attends(),
+            retired: own.retired,
             unreachable: own.unreachable.iter().cloned().collect(),
         }
     }
@@ -142,6 +143,7 @@
         incarnation: peer.edition.incarnation,
         peer_address: details.peer_address,
         stopping: details.stopping,
+        retired: details.retired,
         unreachable: details.unreachable.iter().cloned().collect(),
         attends: details.attends.iter().map(|(server, _)| server.clone()).collect(),
     }
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -129,6 +129,7 @@
             peer_address: me.peer_address,
             stopping: false,
             attends: Vec::new(),
+            retired: None,
             unreachable: Vec::new(),
         };
         let own = Heard {
@@ -136,6 +137,7 @@
             incarnation: me.incarnation,
             peer_address: me.peer_address,
             stopping: false,
+            retired: None,
             unreachable: BTreeSet::new(),
             attends: BTreeSet::new(),
         };
@@ -287,6 +289,7 @@
         }
         let now = self.clock.now();
         let Some(until) = self.farewell else {
+            self.retire_for_good();
             self.next_heartbeat = now;
             self.beat(now);
             self.farewell = Some(now + FAREWELL);
--- a/crates/jacinthbeam-entry/src/process/control/witnesses.rs
+++ b/crates/jacinthbeam-entry/src/process/control/witnesses.rs
@@ -43,6 +43,16 @@
         self.append_witnesses();
     }
 
+    /// A host that stops promises to vouch no more, so that it never stands in the way of a change of witnesses or an
+    /// eviction. Without this, hosts replaced one after the other faster than the set can follow would leave it with
+    /// too few members to ever change it.
+    pub(super) fn retire_for_good(&mut self) {
+        let Some(epoch) = self.state.cells.get(&self.me.cell).map(|set| set.epoch) else { return };
+        if self.witness.retire(epoch, &self.state) {
+            self.members.retire(epoch);
+        }
+    }
+
     fn ask_to_retire(&self, plan: &Plan) {
         let Some(epoch) = plan.base else { return };
         for member in &plan.ask {
--- a/crates/jacinthbeam-entry/tests/process/book.rs
+++ b/crates/jacinthbeam-entry/tests/process/book.rs
@@ -23,6 +23,7 @@
         peer_address: address(n),
         stopping: false,
         attends: (0..attended).map(server).collect(),
+        retired: None,
         unreachable: Vec::new(),
     }
 }
--- a/crates/jacinthbeam-lease/src/membership.rs
+++ b/crates/jacinthbeam-lease/src/membership.rs
@@ -27,6 +27,8 @@
     pub peer_address: SocketAddr,
     /// Whether it is stopping and attends nothing new.
     pub stopping: bool,
+    /// Epoch of the witness set under which it vouches no more.
+    pub retired: Option<Epoch>,
     /// Backend servers that it can't reach.
     pub unreachable: BTreeSet<ServerId>,
     /// Backend servers whose lease it holds; see [`Attendant::attends`](crate::Attendant::attends).
@@ -38,6 +40,7 @@
 pub struct Members {
     own: Heard,
     others: BTreeMap<HostId, Known>,
+    retired: BTreeMap<Incarnation, Epoch>,
     alive_within: Duration,
     /// How long to listen before this host believes that it is alone.
     listen_for: Duration,
@@ -60,6 +63,7 @@
         Self {
             own,
             others: BTreeMap::new(),
+            retired: BTreeMap::new(),
             alive_within: timing.alive_within,
             listen_for,
             listening_until: now + listen_for,
@@ -84,11 +88,22 @@
         &self.own
     }
 
+    /// This host has promised to vouch no more under this epoch.
+    pub fn retire(&mut self, epoch: Epoch) {
+        self.own.retired = Some(epoch);
+    }
+
     /// From now on this host says that it is stopping.
     pub fn stop(&mut self) {
         self.own.stopping = true;
     }
 
+    /// Lives of hosts that promised to vouch no more under this epoch of the cell's witnesses, also if they have stopped since.
+    pub fn retired(&self, epoch: Epoch) -> impl Iterator<Item = Incarnation> + '_ {
+        let retired = self.retired.iter().filter(move |(_, of)| **of == epoch);
+        retired.map(|(incarnation, _)| *incarnation)
+    }
+
     /// Notes whether this host holds the lease of a backend server.
     pub fn attend(&mut self, server: &ServerId, attends: bool) {
         if attends {
@@ -113,6 +128,13 @@
         if heard.host == self.own.host {
             return;
         }
+        // Kept by life, since the host may come back as another one.
+        if let Some(epoch) = heard.retired {
+            self.retired.insert(heard.incarnation, epoch);
+        }
+        while self.retired.len() > MAX_MEMBERS {
+            self.retired.pop_first();
+        }
         let known = self.others.get(&heard.host);
         if known.is_some_and(|known| known.at > at) {
             return;
--- a/crates/jacinthbeam-lease/src/witness.rs
+++ b/crates/jacinthbeam-lease/src/witness.rs
@@ -137,6 +137,11 @@
         member
     }
 
+    /// Epoch of the set under which this host has promised to vouch no more.
+    pub fn retired(&self) -> Option<Epoch> {
+        self.retired
+    }
+
     /// Servers for which a promise stands.
     pub fn promises(&self) -> &BTreeMap<ServerId, Epoch> {
         &self.silent
--- a/crates/jacinthbeam-lease/src/witnesses.rs
+++ b/crates/jacinthbeam-lease/src/witnesses.rs
@@ -11,7 +11,7 @@
 use crate::membership::{Heard, Members};
 
 /// How long a change must have been wanted before it is made, so that a short pause of a host changes nothing.
-pub const SETTLE: Duration = Duration::from_secs(5);
+pub const SETTLE: Duration = Duration::from_secs(2);
 
 /// A change of the set that is worth making.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,7 +24,9 @@
     pub members: Vec<Witness>,
     /// Live members of the old set. All are asked to retire under `base`, this host included if it is one of them.
     pub ask: Vec<Witness>,
-    /// Promises that are still needed beyond those of hosts declared lost.
+    /// Members of the old set that have retired already, as a host does that stops.
+    pub already: BTreeSet<Incarnation>,
+    /// Promises that are still needed beyond those, and those of hosts declared lost.
     pub needed: usize,
 }
 
@@ -36,7 +38,7 @@
             cell: self.cell.clone(),
             base: self.base,
             members: self.members.clone(),
-            retired: retired.iter().copied().collect(),
+            retired: retired.union(&self.already).copied().collect(),
         })
     }
 }
@@ -87,30 +89,40 @@
         if now.saturating_duration_since(since) < SETTLE {
             return None;
         }
-        self.with_promises(state, set, next, &live_lives(now, members))
+        self.with_promises(now, state, set, next, members)
     }
 
     /// `None` if the live members of the old set are too few to replace it: then an operator has to declare
     /// lost hosts.
     fn with_promises(
         &self,
+        now: Instant,
         state: &State,
         set: Option<&WitnessSet>,
-        members: Vec<Witness>,
-        live: &BTreeSet<Incarnation>,
+        next: Vec<Witness>,
+        members: &Members,
     ) -> Option<Plan> {
-        let cell = self.cell.clone();
-        let Some(set) = set else {
-            return Some(Plan { cell, base: None, members, ask: Vec::new(), needed: 0 });
+        let mut plan = Plan {
+            cell: self.cell.clone(),
+            base: set.map(|set| set.epoch),
+            members: next,
+            ask: Vec::new(),
+            already: BTreeSet::new(),
+            needed: 0,
         };
+        let Some(set) = set else { return Some(plan) };
+        plan.already = members.retired(set.epoch).filter(|member| set.contains(*member)).collect();
+        let live = live_lives(now, members);
         let lost = &state.config().lost.hosts;
         let able = |member: &&Witness| {
-            live.contains(&member.incarnation) && !lost.contains(&member.incarnation)
+            let member = &member.incarnation;
+            live.contains(member) && !lost.contains(member) && !plan.already.contains(member)
         };
-        let ask: Vec<Witness> = set.members.iter().filter(able).cloned().collect();
-        let counted = state.promises(&self.cell, set, &[]);
-        let needed = set.eviction_quorum().saturating_sub(counted);
-        (ask.len() >= needed).then_some(Plan { cell, base: Some(set.epoch), members, ask, needed })
+        plan.ask = set.members.iter().filter(able).cloned().collect();
+        let already: Vec<Incarnation> = plan.already.iter().copied().collect();
+        let counted = state.promises(&self.cell, set, &already);
+        plan.needed = set.eviction_quorum().saturating_sub(counted);
+        (plan.ask.len() >= plan.needed).then_some(plan)
     }
 }
 
--- a/crates/jacinthbeam-lease/tests/proof/mod.rs
+++ b/crates/jacinthbeam-lease/tests/proof/mod.rs
@@ -24,18 +24,21 @@
 }
 
 #[test]
-fn the_proof_is_the_word_of_half_of_the_witnesses() {
+fn the_proof_is_the_word_of_a_majority_of_the_witnesses() {
     let (state, start, server) = (fold(), Instant::now(), name("s1"));
     let (own, mut proofs) = (witness(100), Proofs::new());
     let now = start + Duration::from_secs(9);
     let proof = |proofs: &Proofs, cut_off| proofs.proof(now, &state, &server, cut_off, &own);
     assert_eq!(proof(&proofs, CutOff::Hold), None);
-    for (at, incarnation) in [(1, 101), (2, 102), (3, 7)] {
+    for (at, incarnation) in [(1, 101), (3, 7)] {
         let vouch = witness(incarnation.min(103)).vouch(&state);
         let vouch = vouch.or_else(|| witness(103).vouch(&state)).expect("a witness");
         proofs.vouched(Incarnation(incarnation), start + Duration::from_secs(at), vouch);
     }
-    assert_eq!(proof(&proofs, CutOff::Hold), Some(start + Duration::from_secs(2)));
+    assert_eq!(proof(&proofs, CutOff::Hold), None, "two of four, and one that is no witness");
+    let vouch = witness(102).vouch(&state).expect("a witness");
+    proofs.vouched(Incarnation(102), start + Duration::from_secs(2), vouch);
+    assert_eq!(proof(&proofs, CutOff::Hold), Some(start + Duration::from_secs(1)));
     assert_eq!(proof(&proofs, CutOff::Yield), None);
     proofs.log_read(start + Duration::from_secs(4), state.next);
     assert_eq!(proof(&proofs, CutOff::Yield), Some(start + Duration::from_secs(4)));
@@ -49,8 +52,10 @@
     let mut ahead = state.clone();
     ahead.next = state.next.next();
     let mut proofs = Proofs::new();
-    let vouch = witness(101).vouch(&ahead).expect("a witness");
-    proofs.vouched(Incarnation(101), now, vouch);
+    for incarnation in [101, 102] {
+        let vouch = witness(incarnation).vouch(&ahead).expect("a witness");
+        proofs.vouched(Incarnation(incarnation), now, vouch);
+    }
     let own = witness(100);
     assert_eq!(proofs.proof(now, &state, &name("s1"), CutOff::Hold, &own), None);
     assert_eq!(proofs.proof(now, &ahead, &name("s1"), CutOff::Hold, &own), Some(now));
--- a/crates/jacinthbeam-lease/tests/support/start.rs
+++ b/crates/jacinthbeam-lease/tests/support/start.rs
@@ -55,6 +55,7 @@
         incarnation: Incarnation(incarnation),
         peer_address: ([127, 0, 0, 1], 7000).into(),
         stopping: false,
+        retired: None,
         unreachable: BTreeSet::new(),
         attends: BTreeSet::new(),
     }
--- a/crates/jacinthbeam-peer/examples/measure.rs
+++ b/crates/jacinthbeam-peer/examples/measure.rs
@@ -75,6 +75,7 @@
         cell: "kelowna-b".parse().expect("a name"),
         peer_address: SocketAddr::from(([10, 20, 30, 40], 7001)),
         stopping: false,
+        retired: None,
         attends: (0..attended).map(|n| (server(n), Token(40 + n))).collect(),
         unreachable: Vec::new(),
     }
--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -144,6 +144,8 @@
     pub peer_address: SocketAddr,
     /// Whether it is stopping and attends nothing new.
     pub stopping: bool,
+    /// Epoch of the witness set under which it vouches no more, now and for good.
+    pub retired: Option<Epoch>,
     /// Backend servers that it attends at present, with the token of its grant.
     pub attends: Vec<(ServerId, Token)>,
     /// Backend servers of its cell that it can't reach at present.
--- a/crates/jacinthbeam-peer/tests/peer/message.rs
+++ b/crates/jacinthbeam-peer/tests/peer/message.rs
@@ -27,6 +27,7 @@
         cell: "kelowna-b".parse().unwrap(),
         peer_address: any_port(),
         stopping: false,
+        retired: None,
         attends: vec![("brine-3".parse().unwrap(), Token(4))],
         unreachable: vec!["brine-4".parse().unwrap()],
     }
