--- a/crates/jacinthbeam-admission/src/process/duplicate/entry.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/entry.rs
@@ -7,7 +7,7 @@
 /// Names one effect that a caller wants at most once.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Scope {
-    /// Hash of the request's key; for an undivided service, hash of the idempotency key. First, so that most comparisons end here.
+    /// Hash of the request's key. First, so that most comparisons end here.
     pub key: KeyHash,
     /// The caller's idempotency key.
     pub idempotency_key: IdempotencyKey,
--- a/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
@@ -3,8 +3,8 @@
 //! The attendant of the owner keeps it, and its successor holds a copy of each entry before the request is sent. Bounds
 //! of entries, bytes and time are in [`Options`]; an entry that could still prevent a second run is never dropped for room.
 
-mod coverage;
 mod entry;
+mod losses;
 mod store;
 
 use std::{
@@ -15,10 +15,9 @@
 
 use jacinthbeam_types::prelude::*;
 
-pub use coverage::{Before, Coverage, is_complete};
 pub use entry::{Copy, Progress, Scope, SlotOf, StoredAnswer};
 
-use coverage::Losses;
+use losses::Losses;
 use store::{copy_of, size_of_entry};
 
 /// Bytes counted for an entry beside its idempotency key and its answer: the entry, its place in the map and in the order of age.
--- a/crates/jacinthbeam-entry/src/process/memory/held.rs
+++ b/crates/jacinthbeam-entry/src/process/memory/held.rs
@@ -1,6 +1,6 @@
 //! Answers to other hosts, straight from memory: nothing here waits.
 
-use std::time::Instant;
+use std::{collections::BTreeSet, time::Instant};
 
 use jacinthbeam_admission::duplicate::{Imported, Scope, SlotOf};
 use jacinthbeam_lease::grant::next_token;
@@ -44,7 +44,7 @@
     /// Copies of all entries of some slots, a page at a time.
     pub fn fetch(&self, fetch: &Fetch) -> Fetched {
         let inner = self.lock();
-        let slots: std::collections::BTreeSet<SlotId> = fetch.slots.iter().copied().collect();
+        let slots: BTreeSet<SlotId> = fetch.slots.iter().copied().collect();
         let undivided =
             |scope: &Scope| scope.key.slot(fetch.divided_by.max(1), &Default::default());
         let after = fetch.after.as_ref();
@@ -81,7 +81,7 @@
     fn remember(&mut self, now: Instant, copies: Copies) -> bool {
         let Copies { service, slots, stage, copies, lost } = copies;
         let slot_of = |slot| SlotOf { service: service.clone(), slot: Some(slot) };
-        let mut replaced = std::collections::BTreeSet::new();
+        let mut replaced = BTreeSet::new();
         for ClaimedSlot { slot, claim } in &slots {
             match self.claims.receive(now, &slot_of(*slot), claim, stage) {
                 Taking::Refuse => return false,
@@ -94,8 +94,9 @@
                 scope.service == service && slot.is_some_and(|slot| replaced.contains(&slot))
             });
         }
+        let named: BTreeSet<SlotId> = slots.iter().map(|named| named.slot).collect();
         for remembered in copies {
-            let is_named = slots.iter().any(|named| Some(named.slot) == remembered.slot);
+            let is_named = remembered.slot.is_some_and(|slot| named.contains(&slot));
             if !is_named || remembered.service != service {
                 return false;
             }
--- a/crates/jacinthbeam-entry/src/process/memory/session.rs
+++ b/crates/jacinthbeam-entry/src/process/memory/session.rs
@@ -127,44 +127,46 @@
     pub(super) fn sync(&mut self, server: &ServerId, wanted: Wanted, claims: &mut Claims) {
         self.wanted = wanted;
         let before = std::mem::take(&mut self.slots);
+        let is_here = |(slot, own): &(&SlotId, &Own)| {
+            own.phase != Phase::Gathering
+                && claims.is_covered(&self.wanted.slot(**slot), &own.claim)
+        };
+        let here: BTreeSet<SlotId> = before.iter().filter(is_here).map(|(slot, _)| *slot).collect();
         for (slot, slot_wanted) in &self.wanted.slots {
-            let own = match before.get(slot) {
-                Some(own) if own.claim.epoch == slot_wanted.epoch => own.clone(),
-                _ => self.claimed(server, *slot, slot_wanted, &before, claims),
+            let known = before.get(slot);
+            let own = match known.filter(|own| own.claim.epoch == slot_wanted.epoch) {
+                Some(own) => own.clone(),
+                None => self.claimed(server, *slot, slot_wanted, &here, claims),
             };
             self.slots.insert(*slot, own);
         }
     }
 
+    /// Claims a slot that is new, or has got a new epoch. `here`: slots whose memory this host has.
     fn claimed(
         &self,
         server: &ServerId,
         slot: SlotId,
         wanted: &WantedSlot,
-        before: &BTreeMap<SlotId, Own>,
+        here: &BTreeSet<SlotId>,
         claims: &mut Claims,
     ) -> Own {
         let (epoch, token) = (wanted.epoch, self.wanted.token);
         let claim = Claim { epoch, token, round: self.round, server: server.clone() };
+        let slot_of = self.wanted.slot(slot);
+        // A slot that got a new epoch, or was split out, while this host kept it.
         let stays =
             matches!(&wanted.source, Source::From { server: Some(from), .. } if from == server);
-        // A slot that got a new epoch, or was split out, while this host kept it: its memory is here.
-        let kept = self.wanted.parent_of(slot).filter(|_| !before.contains_key(&slot));
-        let kept = kept.unwrap_or(slot);
-        let is_here = stays
-            && before.get(&kept).is_some_and(|own| {
-                own.phase != Phase::Gathering
-                    && claims.is_covered(&self.wanted.slot(kept), &own.claim)
-            });
-        let is_last = claims.raise(&self.wanted.slot(slot), &claim);
-        if is_here && is_last {
-            claims.cover(&self.wanted.slot(slot), &claim);
-            return Own { claim, phase: Phase::Gathered };
+        let is_here = here.contains(&slot)
+            || self.wanted.parent_of(slot).is_some_and(|parent| here.contains(&parent));
+        let is_last = claims.raise(&slot_of, &claim);
+        let phase = if stays && is_here && is_last { Phase::Gathered } else { Phase::Gathering };
+        match phase {
+            Phase::Gathered | Phase::Ready => claims.cover(&slot_of, &claim),
+            Phase::Gathering if is_last => claims.begin(&slot_of, &claim),
+            Phase::Gathering => {}
         }
-        if is_last {
-            claims.begin(&self.wanted.slot(slot), &claim);
-        }
-        Own { claim, phase: Phase::Gathering }
+        Own { claim, phase }
     }
 
     /// Whether there is something to be copied, or slots could be ready without a copy.
