--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -4,7 +4,7 @@
 mod plan;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt, io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
@@ -14,11 +14,14 @@
 use jacinthbeam::{
     config::{
         Config, Division,
+        change::{Base, Change, FileChange},
+        file::ContentHash,
         folder::Snapshot,
         settings::{Limits, Settings, TimingSettings},
     },
     entry,
     platform::format::hosts::{BackendServer, EntryHost, HostList},
+    state::{CONTROL, Envelope, Record, RecordId},
     types::prelude::*,
 };
 use jacinthbeam_standin as standin;
@@ -72,6 +75,8 @@
     pub gone: Vec<standin::backend::Handle>,
     /// What fails between them; `None` if they reach each other without it.
     pub network: Option<Network>,
+    lost: BTreeSet<Incarnation>,
+    lost_file: Option<String>,
     /// The entry hosts. One that was stopped or killed is absent.
     pub entries: BTreeMap<HostId, entry::Handle>,
 }
@@ -110,6 +115,8 @@
             hosts,
             servers: BTreeMap::new(),
             gone: Vec::new(),
+            lost: BTreeSet::new(),
+            lost_file: None,
             network,
             entries: BTreeMap::new(),
         };
@@ -248,15 +255,19 @@
             fold,
             publish::{Options, Plan, Synced, plan},
         };
-        use jacinthbeam::state::{CONTROL, Envelope, Record, RecordId};
         let planned =
             plan(folder, &Synced::default(), &fold::State::default(), &Options::default());
         let Plan::Publish { change, .. } = planned else {
             return Err(Error::Publish(planned.to_string()));
         };
+        self.append_change(change)
+    }
+
+    fn append_change(&self, change: Change) -> Result<(), Error> {
+        let sequence = self.log.records(CONTROL).len() as u64;
         let envelope = Envelope {
-            id: RecordId { incarnation: Incarnation(0), sequence: 0 },
-            why: "first configuration".into(),
+            id: RecordId { incarnation: Incarnation(0), sequence },
+            why: "by the experiment".into(),
             record: Record::Config(change),
         };
         let buf = envelope.encode().map_err(|err| Error::Publish(err.to_string()))?;
@@ -264,6 +275,34 @@
         Ok(())
     }
 
+    /// Declares lives of entry hosts lost, as an operator does by a file of the configuration. `version` is the one in force.
+    pub fn declare_lost(
+        &mut self,
+        hosts: &[Incarnation],
+        version: Option<ConfigVersion>,
+    ) -> Result<(), Error> {
+        let before = self.lost_file.take();
+        self.lost.extend(hosts);
+        let lost: Vec<String> = self.lost.iter().map(ToString::to_string).collect();
+        let text = format!("{{ \"lost\": {{ \"hosts\": [{}] }} }}\n", lost.join(", "));
+        let base = Base { hash: before.as_deref().map(ContentHash::of), seen: version };
+        let name = "90-lost.json".parse().expect("the name is proper");
+        self.lost_file = Some(text.clone());
+        self.append_change(Change { files: vec![FileChange { name, base, text: Some(text) }] })
+    }
+
+    /// Waits until an entry host has read the configuration, as a health check of the platform's balancer does.
+    pub async fn until_ready(&self, host: &HostId) {
+        let Some(entry) = self.entries.get(host) else { return };
+        let ready = async {
+            while entry.dump().await.is_none_or(|dump| dump.config_version.is_none()) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        // A host that is never ready is shown by what callers get.
+        let _ = tokio::time::timeout(READY_WITHIN, ready).await;
+    }
+
     /// Waits until every slot is owned and each backend server is attended by some entry host.
     pub async fn until_served(&self, within: Duration) -> Result<(), Error> {
         let deadline = tokio::time::Instant::now() + within;
@@ -333,6 +372,8 @@
     }
 }
 
+/// Time in which an entry host reads the configuration, from the log or from its peers.
+const READY_WITHIN: Duration = Duration::from_secs(5);
 /// Slowness of a backend server that joins later.
 const COLD_START: standin::backend::ColdStart =
     standin::backend::ColdStart { requests: 20, extra: Duration::from_millis(50) };
--- a/crates/jacinthbeam-measure/src/experiment/running.rs
+++ b/crates/jacinthbeam-measure/src/experiment/running.rs
@@ -87,7 +87,7 @@
             Injected::inject(kind, about, &state, self.deployment, self.balancer).await?;
         tokio::time::sleep(kind.lasts()).await;
         let healed = Instant::now();
-        injected.heal(self.deployment, self.balancer)?;
+        injected.heal(self.deployment, self.balancer).await?;
         log::info!("measure: {kind}: healed");
         let unserved = self.deployment.until_served(SETTLE).await.err();
         let served_again = healed.elapsed();
--- a/crates/jacinthbeam-measure/src/fault/inject.rs
+++ b/crates/jacinthbeam-measure/src/fault/inject.rs
@@ -39,6 +39,9 @@
     /// When.
     pub at: Instant,
     domain: FailureDomain,
+    /// Lives of entry hosts that were ended.
+    lost: Vec<Incarnation>,
+    version: Option<ConfigVersion>,
 }
 
 impl Injected {
@@ -52,7 +55,9 @@
     ) -> Result<Self, Error> {
         let domain = deployment.servers[server].domain.clone();
         let (hosts, at) = (vec![host.clone()], Instant::now());
-        let mut injected = Self { kind, server: server.clone(), hosts, at, domain };
+        let version = state.config.version();
+        let (server_id, lost) = (server.clone(), Vec::new());
+        let mut injected = Self { kind, server: server_id, hosts, at, domain, lost, version };
         let log = deployment.log.clone();
         match kind {
             Kind::KillAttendant => injected.kill_host(0, deployment, balancer).await,
@@ -66,7 +71,7 @@
                 log.set_down(true);
                 injected.kill_host(0, deployment, balancer).await;
                 tokio::time::sleep(BETWEEN).await;
-                injected.start_hosts(deployment, balancer)?;
+                injected.start_hosts(deployment, balancer).await?;
             }
             Kind::Expired => {
                 injected.kill_host(0, deployment, balancer).await;
@@ -99,18 +104,27 @@
     }
 
     /// Ends the fault: what was killed starts anew, what was cut is joined.
-    pub fn heal(&self, deployment: &mut Deployment, balancer: &Balancer) -> Result<(), Error> {
+    pub async fn heal(
+        &self,
+        deployment: &mut Deployment,
+        balancer: &Balancer,
+    ) -> Result<(), Error> {
         let log = deployment.log.clone();
         match self.kind {
-            Kind::KillAttendant | Kind::KillAttendantTwice | Kind::Stop => {
-                self.start_hosts(deployment, balancer)?;
+            Kind::KillAttendant | Kind::Stop | Kind::Expired => {
+                self.start_hosts(deployment, balancer).await?;
+            }
+            Kind::KillAttendantTwice => {
+                // Two witnesses of a cell are gone, and too few are left to name others. Only an operator can tell that
+                // they don't come back.
+                deployment.declare_lost(&self.lost, self.version)?;
+                self.start_hosts(deployment, balancer).await?;
             }
             Kind::StartInOutage => log.set_down(false),
-            Kind::Expired => self.start_hosts(deployment, balancer)?,
             Kind::KillServer => self.restart_server(deployment)?,
             Kind::KillBoth => {
                 self.restart_server(deployment)?;
-                self.start_hosts(deployment, balancer)?;
+                self.start_hosts(deployment, balancer).await?;
             }
             Kind::Freeze => deployment.servers[&self.server].handle.unfreeze(),
             Kind::Silence => {}
@@ -154,10 +168,11 @@
         Ok(())
     }
 
-    async fn kill_host(&self, at: usize, deployment: &mut Deployment, balancer: &Balancer) {
+    async fn kill_host(&mut self, at: usize, deployment: &mut Deployment, balancer: &Balancer) {
         let Some(host) = self.hosts.get(at) else { return };
         let Some(entry) = deployment.entries.remove(host) else { return };
         let addr = entry.callers();
+        self.lost.push(entry.identity().incarnation);
         // The drop waits for the control thread.
         let _ = tokio::task::spawn_blocking(move || drop(entry)).await;
         if let Some(network) = &deployment.network {
@@ -187,13 +202,20 @@
         deployment.publish_list();
     }
 
-    fn start_hosts(&self, deployment: &mut Deployment, balancer: &Balancer) -> Result<(), Error> {
+    async fn start_hosts(
+        &self,
+        deployment: &mut Deployment,
+        balancer: &Balancer,
+    ) -> Result<(), Error> {
         for host in &self.hosts {
             deployment.spawn_entry(host.clone(), &self.domain)?;
+        }
+        deployment.publish_list();
+        for host in &self.hosts {
+            deployment.until_ready(host).await;
             let addr = deployment.entries[host].callers();
             balancer.add(Backend { host: host.clone(), domain: self.domain.clone(), addr });
         }
-        deployment.publish_list();
         Ok(())
     }
 
--- a/crates/jacinthbeam-measure/src/report.rs
+++ b/crates/jacinthbeam-measure/src/report.rs
@@ -1,6 +1,10 @@
 //! What came of an experiment.
 
-use std::{collections::BTreeMap, fmt, time::Instant};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam::types::prelude::*;
 use jacinthbeam_standin::backend::Outcome;
@@ -72,6 +76,8 @@
     pub can_be_served: bool,
     /// Unavailable time of each key: of all the time if they can be served, else of the time after the fault was healed.
     pub unavailable_ms: Vec<u64>,
+    /// Reads of keys that can be served which failed nevertheless.
+    pub failed: u64,
     /// How long each refusal took, ascending.
     pub refused_after_ms: Vec<u64>,
     /// How the reads ended.
@@ -91,6 +97,7 @@
         Self {
             name,
             can_be_served: *can_be_served,
+            failed: if *can_be_served { after.len() as u64 } else { 0 },
             unavailable_ms: unavailable(notes, from, ended).into_iter().map(time).collect(),
             refused_after_ms: after,
             requests: Requests::of(notes.iter().filter(|note| note.sent >= began)),
@@ -98,6 +105,21 @@
     }
 }
 
+impl Group {
+    /// Whether the keys were unavailable for longer than is aimed at.
+    ///
+    /// Where the aim is no unavailable time at all, no read may fail; one that was answered late has waited for another request.
+    fn misses(&self, fault: Kind) -> bool {
+        let longest = self.unavailable_ms.iter().max().copied().unwrap_or_default();
+        match fault.aim() {
+            _ if !self.can_be_served => false,
+            None => false,
+            Some(Duration::ZERO) => self.failed > 0,
+            Some(aim) => u128::from(longest) > aim.as_millis(),
+        }
+    }
+}
+
 /// Load of a service over its owners.
 #[derive(Debug, Serialize)]
 pub struct Imbalance {
@@ -183,19 +205,24 @@
 }
 
 impl Report {
-    /// Faults whose unavailable time is above what is aimed at, with the group and the longest time.
-    pub fn missed_aims(&self) -> Vec<(Kind, &'static str, u64)> {
-        let mut missed = Vec::new();
+    /// Groups of keys that were unavailable for longer than is aimed at.
+    pub fn missed_aims(&self) -> Vec<(Kind, &Group)> {
+        let groups = self
+            .episodes
+            .iter()
+            .flat_map(|episode| episode.groups.iter().map(move |group| (episode.fault, group)));
+        groups.filter(|(fault, group)| group.misses(*fault)).collect()
+    }
+
+    /// Failed reads of keys that can be served, by fault and group.
+    pub fn failed(&self) -> BTreeMap<(Kind, &'static str), u64> {
+        let mut failed = BTreeMap::new();
         for episode in &self.episodes {
-            let Some(aim) = episode.fault.aim() else { continue };
             for group in episode.groups.iter().filter(|group| group.can_be_served) {
-                let longest = group.unavailable_ms.iter().max().copied().unwrap_or_default();
-                if u128::from(longest) > aim.as_millis() {
-                    missed.push((episode.fault, group.name, longest));
-                }
+                *failed.entry((episode.fault, group.name)).or_default() += group.failed;
             }
         }
-        missed
+        failed
     }
 
     /// Unavailable times of all keys by fault and group, ascending.
@@ -262,6 +289,10 @@
     fn write_unavailable(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "unavailable time (ms)")?;
         write_times(f, "keys", &self.unavailable())?;
+        writeln!(f, "failed reads of keys that can be served")?;
+        for ((kind, group), failed) in self.failed() {
+            writeln!(f, "  {:<21} {group:<12} {failed:>6}", kind.as_str())?;
+        }
         let refused = self.refused_after();
         if !refused.is_empty() {
             writeln!(f, "time until keys that can't be served are refused (ms)")?;
@@ -294,8 +325,12 @@
                 writeln!(f, "             {example}")?;
             }
         }
-        for (kind, group, longest) in self.missed_aims() {
-            writeln!(f, "aim missed: {kind}, {group}: a key was unavailable for {longest} ms")?;
+        for (kind, Group { name, failed, unavailable_ms, .. }) in self.missed_aims() {
+            let longest = unavailable_ms.iter().max().copied().unwrap_or_default();
+            writeln!(
+                f,
+                "aim missed: {kind}, {name}: {failed} reads failed, a key waited {longest} ms"
+            )?;
         }
         Ok(())
     }
--- a/crates/jacinthbeam-peer/src/client/peers.rs
+++ b/crates/jacinthbeam-peer/src/client/peers.rs
@@ -3,16 +3,24 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use tokio::{runtime, sync::watch};
 
 use crate::client::{
-    Options, PeerDump, connect,
+    Options, PeerDump,
+    connect::{self, Opened},
     connection::{self, Connection, Started, Use},
 };
 
+/// Pause between two attempts to connect to a peer that does not answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(100);
+
 /// All connections of a client.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -36,6 +44,8 @@
 struct Current {
     number: u64,
     progress: watch::Receiver<Progress>,
+    /// Whether a request wanted it since the last attempt.
+    wanted: Arc<AtomicBool>,
 }
 
 #[derive(Debug, Clone)]
@@ -43,6 +53,11 @@
     Connecting,
     Ready(Arc<Connection>),
     Failed(connect::Error),
+    /// The peer does not answer; it is tried again in the background.
+    ///
+    /// Requests fail at once meanwhile. Did each of them wait for an attempt of its own, all requests for a failure
+    /// domain that is cut off would be refused near their deadlines, and hold their places here until then.
+    Silent(connect::Error),
 }
 
 impl Progress {
@@ -50,13 +65,13 @@
         match self {
             Self::Connecting => None,
             Self::Ready(connection) => Some(Ok(connection.clone())),
-            Self::Failed(err) => Some(Err(err.clone())),
+            Self::Failed(err) | Self::Silent(err) => Some(Err(err.clone())),
         }
     }
 
     fn takes_requests(&self) -> bool {
         match self {
-            Self::Connecting => true,
+            Self::Connecting | Self::Silent(_) => true,
             Self::Ready(connection) => !connection.status.is_retired(),
             Self::Failed(_) => false,
         }
@@ -107,13 +122,17 @@
         if let Some(current) = state.current.get(&addr)
             && current.progress.borrow().takes_requests()
         {
+            current.wanted.store(true, Ordering::Relaxed);
             return current.progress.clone();
         }
         let (tx, progress) = watch::channel(Progress::Connecting);
         let number = state.next;
         state.next += 1;
-        state.current.insert(addr, Current { number, progress: progress.clone() });
-        let task = Task { addr, number, state: self.state.clone(), options: self.options.clone() };
+        let wanted = Arc::new(AtomicBool::new(false));
+        let current = Current { number, progress: progress.clone(), wanted: wanted.clone() };
+        state.current.insert(addr, current);
+        let task =
+            Task { addr, number, wanted, state: self.state.clone(), options: self.options.clone() };
         self.runtime.spawn(task.run(tx, self.alive.subscribe()));
         progress
     }
@@ -154,26 +173,45 @@
 struct Task {
     addr: SocketAddr,
     number: u64,
+    wanted: Arc<AtomicBool>,
     state: Arc<Mutex<State>>,
     options: Options,
 }
 
 impl Task {
     async fn run(self, tx: watch::Sender<Progress>, client: watch::Receiver<()>) {
-        let opened = match connect::open(self.addr, &self.options).await {
-            Ok(opened) => opened,
-            Err(err) => {
-                log::debug!("peer: no connection to {}: {err}", self.addr);
-                tx.send_replace(Progress::Failed(err));
-                return;
-            }
-        };
+        let Some(opened) = self.open(&tx, &client).await else { return };
         let connection = Arc::new(Connection::new(&opened, &self.options.limits));
         lock(&self.state).open.insert(self.number, (self.addr, connection.clone()));
         tx.send_replace(Progress::Ready(connection));
         let end = connection::drive(opened, &self.options.limits, client).await;
         log::debug!("peer: connection to {} ended: {end}", self.addr);
     }
+
+    /// Connects; tries again and again while the peer is silent and requests for it come.
+    async fn open(
+        &self,
+        tx: &watch::Sender<Progress>,
+        client: &watch::Receiver<()>,
+    ) -> Option<Opened> {
+        loop {
+            let err = match connect::open(self.addr, &self.options).await {
+                Ok(opened) => return Some(opened),
+                Err(err) => err,
+            };
+            log::debug!("peer: no connection to {}: {err}", self.addr);
+            if !matches!(err, connect::Error::Timeout(_)) {
+                tx.send_replace(Progress::Failed(err));
+                return None;
+            }
+            tx.send_replace(Progress::Silent(err));
+            tokio::time::sleep(SILENT_PAUSE).await;
+            let client_gone = client.has_changed().is_err();
+            if client_gone || !self.wanted.swap(false, Ordering::Relaxed) {
+                return None;
+            }
+        }
+    }
 }
 
 /// Forgets the connection, so that hosts which come and go leave nothing behind.
--- a/crates/jacinthbeam-peer/tests/peer/client/ask.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/ask.rs
@@ -124,6 +124,8 @@
     assert_eq!(err, ask::Error::Connect(connect::Error::Timeout(connect)));
     let closed = frozen.local_addr().unwrap();
     drop(frozen);
+    // Another client: the first one knows for a moment that the peer is silent.
+    let client = Client::open(options());
     let err = client.ask(closed, &attend(), LONG).await.unwrap_err();
     let refused = connect::Error::Refused(std::io::ErrorKind::ConnectionRefused);
     assert_eq!(err, ask::Error::Connect(refused));
--- a/crates/jacinthbeam-peer/tests/peer/client/mod.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/mod.rs
@@ -1,3 +1,4 @@
 mod ask;
 mod forward;
 mod silence;
+mod unreachable;
