fix(measure): a grant that had ended on arrival holds nothing

Ruled out: an overlap, since the later span ends no later than it begins. Change: empty spans are left out. The new test fails without it.

--- a/crates/jacinthbeam-measure/src/judge/ownership.rs
+++ b/crates/jacinthbeam-measure/src/judge/ownership.rs
@@ -31,7 +31,9 @@
 fn spans(servers: &[ServerRecord]) -> Spans<'_> {
     let mut spans = Spans::new();
     for server in servers {
-        for holding in &server.holdings {
+        // A grant that was delayed until after its end is accepted and holds nothing.
+        let held = server.holdings.iter().filter(|holding| holding.from < holding.until);
+        for holding in held {
             let span = Span { from: holding.from, until: holding.until, server: &server.id };
             for slot in holding.slots.iter() {
                 spans.entry((&server.service, slot)).or_default().push(span);
--- a/crates/jacinthbeam-measure/tests/judge/ownership.rs
+++ b/crates/jacinthbeam-measure/tests/judge/ownership.rs
@@ -26,6 +26,17 @@
     assert!(judge(&[one, other], &[], &[]).is_empty());
 }
 
+/// A renewal was delayed on its way until its end had passed on the server's clock. The server accepts it, since its token is
+/// no lower, but may serve nothing under it; the slot has its next owner by then.
+#[test]
+fn a_grant_that_had_ended_on_arrival_holds_nothing() {
+    let t = Instant::now();
+    let late = holding(&[7], t + ms(1500), t + ms(1500));
+    let one = server("one", vec![], vec![holding(&[7], t, t + ms(1200)), late]);
+    let other = server("other", vec![], vec![holding(&[7], t + ms(1200), t + ms(2000))]);
+    assert!(judge(&[one, other], &[], &[]).is_empty());
+}
+
 /// A server that checks nothing runs an order after its slot was granted to another: an effect on a key that it no
 /// longer owns.
 #[test]
