--- a/crates/jacinthbeam-cli/src/command/bench.rs
+++ b/crates/jacinthbeam-cli/src/command/bench.rs
@@ -107,7 +107,7 @@
                 .required(true)
                 .value_parser(value_parser!(Vary))
                 .help(
-                    "One of servers, slots, members, services, nodes, changes, files, splits, list",
+                    "One of servers, slots, members, services, nodes, busy-nodes, changes, files, splits, list",
                 ),
         )
         .arg(
--- a/crates/jacinthbeam-measure/src/capacity/host.rs
+++ b/crates/jacinthbeam-measure/src/capacity/host.rs
@@ -48,8 +48,12 @@
             Vary::Members => world.members = size.max(1) as usize,
             Vary::Services => world.services = size,
             Vary::Nodes => world.nodes = size,
+            Vary::BusyNodes => {
+                world.nodes = size;
+                world.changes = 1000;
+            }
             Vary::Changes => world.changes = size,
-            Vary::Files | Vary::Splits | Vary::List => {}
+            Vary::Files | Vary::Splits | Vary::List | Vary::Peers => {}
         }
         world
     }
@@ -107,7 +111,9 @@
     deployment.until_served(Duration::from_secs(30)).await?;
     tokio::time::sleep(SETTLE).await;
     cost.memory = process::resident().0.saturating_sub(resident) as f64 / ADDED as f64;
-    deployment.stop().await;
+    // Nothing is in progress, so nothing is lost by ending at once. The hosts go first, or they miss the log.
+    deployment.entries.clear();
+    drop(deployment);
     Ok(cost)
 }
 
--- a/crates/jacinthbeam-measure/src/capacity/mod.rs
+++ b/crates/jacinthbeam-measure/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 
 mod fold;
 mod host;
+mod peer;
 mod report;
 
 use std::{fmt, str::FromStr, time::Duration};
@@ -26,28 +27,34 @@
     Services,
     /// Entry hosts of other cells in the platform's list.
     Nodes,
+    /// The same, while ten records a second are read.
+    BusyNodes,
     /// Changes of configuration in a hundred seconds.
     Changes,
     /// Files of the configuration, folded without a host.
     Files,
     /// Hot keys with a slot of their own, folded without a host.
     Splits,
-    /// Hosts in the platform's list, read and written without a host.
+    /// Hosts in the platform's list, read without a host.
     List,
+    /// Idle connections between entry hosts.
+    Peers,
 }
 
 impl Vary {
     /// All of them.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::Servers,
         Self::Slots,
         Self::Members,
         Self::Services,
         Self::Nodes,
+        Self::BusyNodes,
         Self::Changes,
         Self::Files,
         Self::Splits,
         Self::List,
+        Self::Peers,
     ];
 
     /// The text by which it is named.
@@ -58,10 +65,12 @@
             Self::Members => "members",
             Self::Services => "services",
             Self::Nodes => "nodes",
+            Self::BusyNodes => "busy-nodes",
             Self::Changes => "changes",
             Self::Files => "files",
             Self::Splits => "splits",
             Self::List => "list",
+            Self::Peers => "peers",
         }
     }
 
@@ -72,11 +81,12 @@
             Self::Slots => vec![1_200, 12_000, 120_000],
             Self::Members => vec![2, 4, 8, 16],
             Self::Services => vec![1, 30, 100, 300],
-            Self::Nodes => vec![0, 2_000, 10_000, 20_000],
+            Self::Nodes | Self::BusyNodes => vec![0, 2_000, 10_000, 20_000],
             Self::Changes => vec![0, 40, 200, 1000],
             Self::Files => vec![10, 100, 300, 1000],
             Self::Splits => vec![0, 64, 260, 1024],
             Self::List => vec![1_000, 5_000, 20_000],
+            Self::Peers => vec![100, 300, 1000],
         }
     }
 
@@ -87,8 +97,8 @@
             Self::Slots => 1_000_000,
             Self::Members => 32,
             Self::Services | Self::Files | Self::Splits => 1024,
-            Self::Nodes | Self::List => 50_000,
-            Self::Changes => 2000,
+            Self::Nodes | Self::BusyNodes | Self::List => 50_000,
+            Self::Changes | Self::Peers => 2000,
         }
     }
 }
@@ -141,6 +151,7 @@
             Vary::Files => fold::files(size)?,
             Vary::Splits => fold::splits(size)?,
             Vary::List => fold::list(size)?,
+            Vary::Peers => peer::measure(size).await?,
             vary => Row::Host(host::measure(vary, size, options.lasts).await?),
         });
     }
--- a/crates/jacinthbeam-state/examples/size.rs
+++ b/crates/jacinthbeam-state/examples/size.rs
@@ -1,7 +1,7 @@
 //! Prints what the state of a large fleet costs: memory, time per record, clones and snapshots.
 //!
-//! `cargo run --release -p jacinthbeam-state --example size -- <slots>`; one server for each 100 slots. Memory is resident
-//! memory of the process, so each size needs a process of its own. Every record is applied while a clone of the state
+//! `cargo run --release -p jacinthbeam-state --example size -- <slots> [slots of a server, 100]`. Memory is resident memory
+//! of the process, so each size needs a process of its own. Every record is applied while a clone of the state
 //! before it is held, as by threads that serve requests.
 
 use std::{fs, hint::black_box, time::Instant};
@@ -18,6 +18,7 @@
 
 /// Most slots that a service may be configured to have here; more are spread over several services.
 const SERVICE_SLOTS: u32 = 1_000_000;
+/// Slots of one server unless told otherwise.
 const SLOTS_PER_SERVER: u32 = 100;
 const MOVES: u32 = 20_000;
 const EVICTIONS: u32 = 100;
@@ -27,7 +28,9 @@
 
 fn main() -> Result<(), Failure> {
     let slots: u32 = std::env::args().nth(1).as_deref().unwrap_or("10000").parse()?;
-    let mut fleet = Fleet { slots, state: State::new() };
+    let of_server = std::env::args().nth(2).map(|text| text.parse()).transpose()?;
+    let of_server = of_server.unwrap_or(SLOTS_PER_SERVER);
+    let mut fleet = Fleet { slots, of_server, state: State::new() };
     let before = resident()?;
     let longest = fleet.divide()?;
     let after = resident()?;
@@ -41,12 +44,13 @@
     println!("  clone: {:.1} us", micros(start) / f64::from(CLONES));
 
     let records = (0..MOVES).map(|at| fleet.move_one(at)).collect::<Result<Vec<_>, Failure>>()?;
-    println!("  Move of 1 slot: {:.1} us", fleet.apply_all(records)?);
+    let bytes = records.first().map_or(Ok(0), encoded)?;
+    println!("  Move of 1 slot: {:.1} us, {bytes} bytes", fleet.apply_all(records)?);
     let mut total = 0.0;
     for at in 0..EVICTIONS {
         total += fleet.apply_all(vec![fleet.evict(at)?])?;
     }
-    println!("  Evict of about {SLOTS_PER_SERVER} slots: {:.1} us", total / f64::from(EVICTIONS));
+    println!("  Evict of about {of_server} slots: {:.1} us", total / f64::from(EVICTIONS));
     fleet.snapshot("few moves")?;
 
     fleet.scatter()?;
@@ -57,6 +61,7 @@
 /// The state under measurement.
 struct Fleet {
     slots: u32,
+    of_server: u32,
     state: State,
 }
 
@@ -92,7 +97,7 @@
         self.apply(Record::Config(Change { files: vec![file] }))?;
         let mut longest = 0;
         for service in 0..self.services() {
-            let record = found(service, slots)?;
+            let record = found(service, slots, self.of_server)?;
             let id = RecordId { incarnation: Incarnation(1), sequence: 0 };
             let envelope = Envelope { id, why: String::new(), record };
             longest = longest.max(envelope.encode()?.len());
@@ -107,7 +112,7 @@
         let slot = SlotId((at.wrapping_mul(7919)) % slots);
         let service: ServiceName = service_name(0).parse()?;
         let owner = self.state.owner(&service, slot).ok_or("no owner")?;
-        let servers = slots / SLOTS_PER_SERVER;
+        let servers = slots / self.of_server;
         let to: ServerId = server_name(0, spread(at) % servers).parse()?;
         let to = if to == owner.server {
             server_name(0, (spread(at) + 1) % servers).parse()?
@@ -153,7 +158,7 @@
 
     /// Gives every slot another owner by a record of its own, which is the worst case for the size of a snapshot.
     fn scatter(&mut self) -> Result<(), Failure> {
-        let servers = self.service_slots() / SLOTS_PER_SERVER;
+        let servers = self.service_slots() / self.of_server;
         for service in 0..self.services() {
             let name: ServiceName = service_name(service).parse()?;
             for slot in (0..self.service_slots()).map(SlotId) {
@@ -189,8 +194,15 @@
     }
 }
 
-fn found(service: u32, slots: u32) -> Result<Record, Failure> {
-    let servers = slots / SLOTS_PER_SERVER;
+/// Bytes of a record with a short reason.
+fn encoded(record: &Record) -> Result<usize, Failure> {
+    let id = RecordId { incarnation: Incarnation(u64::MAX), sequence: u64::from(MOVES) };
+    let why = "backend-0-000001 is busier than backend-0-000002".to_owned();
+    Ok(Envelope { id, why, record: record.clone() }.encode()?.len())
+}
+
+fn found(service: u32, slots: u32, of_server: u32) -> Result<Record, Failure> {
+    let servers = slots / of_server;
     let join = |server: u32| -> Result<JoinServer, Failure> {
         let cell = format!("kamloops-a:{}", server % 64);
         let incarnation =
@@ -201,7 +213,7 @@
             cell: cell.parse()?,
         })
     };
-    let run = |server: u32| OwnerRun { server, slots: SLOTS_PER_SERVER };
+    let run = |server: u32| OwnerRun { server, slots: of_server };
     Ok(Record::Found {
         service: service_name(service).parse()?,
         base: None,
