--- a/crates/jacinthbeam-entry/src/version/attended.rs
+++ b/crates/jacinthbeam-entry/src/version/attended.rs
@@ -41,6 +41,8 @@
 struct Inner {
     admission: Admission,
     permit: Option<Arc<Permit>>,
+    /// Token of the last permit, also if that has ended.
+    token: Option<Token>,
     waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
     held: BTreeSet<SlotId>,
     meter: Meter,
@@ -83,6 +85,7 @@
         let inner = Inner {
             admission,
             permit: None,
+            token: None,
             waiting: BTreeMap::new(),
             held: BTreeSet::new(),
             meter: Meter::new(),
@@ -95,8 +98,9 @@
     /// Replaces the permit after a grant was answered.
     pub fn permit(&self, permit: Permit, report: Report) {
         let mut inner = self.lock();
-        let known = inner.permit.as_ref().map(|known| known.token);
-        if known != Some(permit.token) {
+        // A lease that ended and was renewed has the same token, and what runs under it is not among the older requests that
+        // the backend server counts. Taken for a new grant, it would take no places, and too many requests would be sent.
+        if inner.token.replace(permit.token) != Some(permit.token) {
             inner.admission.regranted(report.running_older);
         }
         // A planned move that was given up: the permit holds its slot again.
--- a/crates/jacinthbeam-entry/tests/request/bad_input.rs
+++ b/crates/jacinthbeam-entry/tests/request/bad_input.rs
@@ -66,6 +66,10 @@
             "the head is longer than 32768 bytes",
         ),
     ];
+    let long = caller::h2("POST", "/orders/1").header("x-large", "x".repeat(40 << 10));
+    let mut sender = caller::open_h2(cluster.callers("alder-0")).await;
+    let got = sender.send_request(long.body(caller::whole("")).unwrap()).await.unwrap();
+    assert_eq!(read(got).await.unwrap().told(), (431, "not-run"));
     for (req, status, why) in cases {
         let got = caller.ask(req, "").await.expect("the connection works");
         assert_eq!(got.told(), (status, "not-run"), "{}", got.text());
@@ -184,3 +188,37 @@
     tokio::time::timeout(Duration::from_secs(30), nobody_is_hurt(&cluster)).await.unwrap();
     drop(silent);
 }
+
+/// The backend server refuses an order before it has read its long body. The caller, who is still sending, is told `not-run` and why, and not just cut off;
+/// nothing of the rest is taken for another request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_overtakes_the_body() {
+    let cluster = Cluster::start(PAIR).await;
+    cluster.server("orders-0").set_shed(true);
+    let chunk = Bytes::from(vec![b'x'; 64 << 10]);
+    let body = futures_util::stream::repeat(chunk).take(256).map(Ok);
+    let mut caller = Caller::open(cluster.callers("alder-0")).await.unwrap();
+    let res = caller.send(post("/orders/1"), chunks(body)).await.unwrap();
+    assert_eq!(
+        (res.status().as_u16(), &res.headers()["jacinthbeam-verdict"]),
+        (429, &"not-run".parse().unwrap())
+    );
+    cluster.server("orders-0").set_shed(false);
+    nobody_is_hurt(&cluster).await;
+}
+
+/// A caller waits for leave to send its body. The entry host gives it, and the backend server gets the whole body without being asked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn expectation_is_met_by_the_entry_host() {
+    let cluster = Cluster::start(PAIR).await;
+    let mut stream = TcpStream::connect(cluster.callers("alder-0")).await.unwrap();
+    let head = "POST /orders/1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut leave = [0; 25];
+    stream.read_exact(&mut leave).await.unwrap();
+    assert_eq!(&leave, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"hello").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("\"body_bytes\":5"), "{answer}");
+}
--- a/crates/jacinthbeam-entry/tests/request/main.rs
+++ b/crates/jacinthbeam-entry/tests/request/main.rs
@@ -5,5 +5,8 @@
 
 mod bad_input;
 mod cancel;
+mod log;
 mod session;
+mod stop;
+mod stream;
 mod verdict;
--- a/crates/jacinthbeam-entry/tests/request/verdict.rs
+++ b/crates/jacinthbeam-entry/tests/request/verdict.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::support::{
-    Cluster, PAIR, Plan, SERVICES,
+    Cluster, PAIR, Paused, Plan, SERVICES,
     caller::{Caller, Got, ask, chunks, get, post, read, start, whole},
     until,
 };
@@ -253,3 +253,16 @@
     cluster.until_admitted("birch-0", "orders-0", 0, 0).await;
     assert_eq!(server.runs().iter().filter(|run| run.outcome == Outcome::Ran).count(), 2);
 }
+
+/// The attendant stands still with an order in its hands: it takes the order and never answers. The host that was asked can't know whether it was sent
+/// on, and says `may-have-run` at the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_attendant_may_have_run() {
+    let mut cluster = Cluster::start(PAIR).await;
+    let paused = Paused::replace(&mut cluster, "birch-0").await;
+    let order = with_deadline(order(1), 500);
+    let lost = ask(cluster.callers("alder-0"), order, "x").await;
+    assert_eq!(lost.told(), (504, "may-have-run"));
+    assert_eq!(cluster.server("orders-0").summary().ran, 0);
+    drop(paused);
+}
--- a/crates/jacinthbeam-entry/tests/support/mod.rs
+++ b/crates/jacinthbeam-entry/tests/support/mod.rs
@@ -11,16 +11,18 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::usage;
 use jacinthbeam_config::{
     change::{Base, Change, FileChange},
     settings::{Limits, Settings, TimingSettings},
 };
 use jacinthbeam_entry::{Handle, process::dump::Dump};
+use jacinthbeam_peer::server::{self, Handler};
 use jacinthbeam_platform::format::hosts::{BackendServer, EntryHost, HostList};
 use jacinthbeam_standin::{backend, hosts, log};
-use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId};
+use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId, USAGE};
 use jacinthbeam_types::prelude::*;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
 /// Any free port of the loopback interface.
 pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -205,6 +207,46 @@
         .await;
     }
 
+    /// The entry host that attends a backend server.
+    pub async fn attendant_of(&self, server: &str) -> String {
+        let server: ServerId = server.parse().unwrap();
+        for (host, entry) in &self.entries {
+            let dump = entry.dump().await.expect("the host lives");
+            let admission = dump.backend_servers.get(&server).and_then(|s| s.admission.as_ref());
+            if admission.is_some_and(|a| a.permit_left_ms > Some(0)) {
+                return host.clone();
+            }
+        }
+        panic!("nobody attends {server}");
+    }
+
+    /// Records of the usage stream.
+    pub fn usage_records(&self) -> Vec<(Offset, usage::Record)> {
+        let records = self.log.records(USAGE).into_iter();
+        records.map(|(offset, buf)| (offset, usage::decode(&buf).expect("a record"))).collect()
+    }
+
+    /// Batches in the order in which they were appended.
+    pub fn batches(&self) -> Vec<usage::BatchId> {
+        let id = |(_, record)| match record {
+            usage::Record::Batch(batch) => Some(batch.id),
+            usage::Record::Snapshot(_) => None,
+        };
+        self.usage_records().into_iter().filter_map(id).collect()
+    }
+
+    /// What the usage stream says of a service.
+    pub fn usage(&self, team: &str, service: &str) -> usage::Totals {
+        let mut fold = usage::Fold::open(Offset(0));
+        for (offset, record) in self.usage_records() {
+            fold.apply(offset, &record);
+        }
+        let (team, service): (TeamName, ServiceName) =
+            (team.parse().unwrap(), service.parse().unwrap());
+        let totals = fold.totals().and_then(|teams| teams.get(&team)?.get(&service).copied());
+        totals.unwrap_or_default()
+    }
+
     pub async fn until_served(&self) {
         until("everything is served", async || self.is_served().await).await;
     }
@@ -241,3 +283,33 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// An entry host that stands still: it takes connections and requests, and never answers.
+pub struct Paused(#[allow(dead_code, reason = "it lives as long as this")] server::Handle);
+
+impl Paused {
+    /// Puts it in the place of an entry host, and waits until the others send requests to it.
+    pub async fn replace(cluster: &mut Cluster, host: &str) -> Self {
+        let (domain, _) = host.rsplit_once('-').expect("a domain and a number");
+        cluster.kill(host);
+        let (tx, mut forwarded) = watch::channel(());
+        let handler = Handler {
+            ask: |_| std::future::pending(),
+            forward: move |_, _, _| {
+                tx.send_replace(());
+                std::future::pending()
+            },
+        };
+        let server = server::bind(ANY, Default::default(), handler).expect("listens");
+        cluster.list(&[(domain, server.local_addr())]);
+        let asked = cluster.callers(cluster.entries.keys().next().expect("another host"));
+        until("the paused host is asked", async || {
+            let req = caller::post("/orders/0").header("jacinthbeam-deadline-ms", 200);
+            caller::ask(asked, req, "x").await;
+            forwarded.has_changed().is_ok_and(|changed| changed)
+        })
+        .await;
+        forwarded.mark_unchanged();
+        Self(server)
+    }
+}
