--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -93,6 +93,10 @@
             }
             self.take_record(now, record.offset, &record.bytes);
         }
+        // The stream has no snapshot that helps, and the next one may be minutes away. The peers have the state.
+        if self.follow.loader.is_some() && !moved {
+            self.fetch_state();
+        }
         if self.follow.loader.is_none() && self.state.next >= batch.end {
             self.proofs.log_read(started, batch.end);
         }
--- a/crates/jacinthbeam-measure/src/experiment/running.rs
+++ b/crates/jacinthbeam-measure/src/experiment/running.rs
@@ -97,7 +97,11 @@
         let mut probed = Vec::new();
         for (group, probes) in groups.iter().zip(probes) {
             let Group { name, can_be_served, .. } = *group;
-            probed.push(Probed { name, can_be_served, notes: probes.stop().await });
+            let mut notes = probes.stop().await;
+            if kind.parts_domains() {
+                notes.retain(|note| self.kept_domain(&note.service, &note.key, &before));
+            }
+            probed.push(Probed { name, can_be_served, notes });
         }
         Ok(Done {
             window,
@@ -180,6 +184,17 @@
         servers.filter(|(_, server)| server.admission.is_some()).map(|(id, _)| id).collect()
     }
 
+    /// Whether the owner of a key lies in the same failure domain as before. A key that was moved to another one meanwhile can be
+    /// served on the other side of a cut only.
+    fn kept_domain(&self, service: &ServiceName, key: &str, before: &Owners) -> bool {
+        let state = self.follower.state();
+        let Some(division) = state.services.get(service) else { return false };
+        let slot = division.slot_of(KeyHash::of(key.as_bytes()));
+        let domain = |owner: &ServerId| Some(&self.deployment.servers.get(owner)?.domain);
+        let now = division.owner(slot).and_then(|owner| domain(&owner.server).cloned());
+        before.get(&(service.clone(), slot)).and_then(|owner| domain(owner).cloned()) == now
+    }
+
     /// Some keys whose owner is so.
     fn keys(&self, is_owner: impl Fn(&ServerId) -> bool) -> Vec<(ServiceName, String)> {
         let state = self.follower.state();
