--- a/crates/jacinthbeam-entry/src/process/control/abandoned.rs
+++ b/crates/jacinthbeam-entry/src/process/control/abandoned.rs
@@ -168,7 +168,7 @@
     }
 
     fn ask_for_sign(&mut self, now: Instant, cell: &CellId) {
-        let mut hosts: Vec<SocketAddr> = self.cell_book().remove(cell).unwrap_or_default();
+        let mut hosts: Vec<SocketAddr> = self.cells.of(cell).to_vec();
         let Some(watched) = self.abandoned.watched.get(cell) else { return };
         let mut asked: Vec<(Option<FailureDomain>, SocketAddr)> = Vec::new();
         if watched.watch.silent_for(now) < SUSPECT_AFTER {
--- a/crates/jacinthbeam-entry/src/process/control/cell.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cell.rs
@@ -5,7 +5,7 @@
 use jacinthbeam_platform::format::hosts::HostList;
 use jacinthbeam_types::prelude::*;
 
-use super::{Control, Event};
+use super::{Control, Event, snapshot::rank};
 
 /// Time between two looks at the list. It lags by itself, so a shorter time gains little.
 const EVERY: Duration = Duration::from_millis(500);
@@ -62,6 +62,8 @@
             self.traffic.memory.forget(&server);
         }
         self.list = list;
+        self.cells.list_changed();
+        self.snapshots.ranked(rank(&self.list, &self.me.host));
         self.abandoned.list_changed(self.clock.now());
         self.changed = true;
     }
--- a/crates/jacinthbeam-entry/src/process/control/memory.rs
+++ b/crates/jacinthbeam-entry/src/process/control/memory.rs
@@ -193,9 +193,8 @@
             }
             How::Moved | How::Evicted | How::Placed | How::Released => {
                 let origin = self.origins.0.get(slot);
-                let hosts = origin.and_then(|origin| self.cell_book().remove(&origin.cell));
-                let hosts = hosts.unwrap_or_default();
-                let others = hosts.into_iter().filter(|addr| *addr != self.me.peer_address);
+                let hosts = origin.map_or(&[][..], |origin| self.cells.of(&origin.cell));
+                let others = hosts.iter().copied().filter(|addr| *addr != self.me.peer_address);
                 let server = origin.map(|origin| origin.server.clone());
                 Source::From { server, hosts: others.collect() }
             }
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -9,6 +9,7 @@
 mod attend;
 pub mod book;
 mod cell;
+pub mod cells;
 mod dump;
 mod event;
 mod follow;
@@ -18,7 +19,7 @@
 mod memory;
 mod placement;
 mod publish;
-mod snapshot;
+pub mod snapshot;
 mod totals;
 mod usage;
 mod witnesses;
@@ -100,6 +101,8 @@
     placement: placement::Placement,
     abandoned: abandoned::Abandoned,
     snapshots: snapshot::Pace,
+    /// Where the hosts of other cells listen.
+    cells: cells::CellBook,
     usage: usage::Flush,
     counts: measure::Counts,
     totals: totals::Totals,
@@ -164,7 +167,8 @@
             found: found::Founding::new(now),
             placement: placement::Placement::new(now),
             abandoned: abandoned::Abandoned::new(now),
-            snapshots: snapshot::Pace::new(now),
+            snapshots: snapshot::Pace::new(now, fastrand::f64()),
+            cells: cells::CellBook::default(),
             usage: usage::Flush::new(now),
             counts: Default::default(),
             totals: totals::Totals::new(now),
--- a/crates/jacinthbeam-entry/src/process/control/publish.rs
+++ b/crates/jacinthbeam-entry/src/process/control/publish.rs
@@ -1,10 +1,6 @@
 //! Giving traffic a new version.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use jacinthbeam_types::prelude::*;
 
@@ -13,7 +9,8 @@
 
 impl Control {
     /// Replaces the version that traffic uses.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
+        self.cells.refresh(&self.list, &self.state);
         let attended = self.tended.iter().filter(|(_, tended)| tended.open);
         let attended = attended
             .filter_map(|(id, tended)| Some((id.clone(), tended.attended.clone()?)))
@@ -22,7 +19,7 @@
             state: self.state.clone(),
             attended,
             attendants: self.attendants(),
-            cells: self.cell_book(),
+            cells: self.cells.cells().clone(),
             stopping: self.stopping.is_some(),
         };
         self.traffic.version.store(Arc::new(version));
@@ -41,19 +38,6 @@
         best.into_iter().map(|(server, (_, addr))| (server.clone(), addr)).collect()
     }
 
-    /// Where the hosts of each cell listen.
-    pub(super) fn cell_book(&self) -> BTreeMap<CellId, Vec<SocketAddr>> {
-        let mut book: BTreeMap<CellId, BTreeSet<SocketAddr>> = BTreeMap::new();
-        for host in &self.list.entry_hosts {
-            book.entry(host.cell.clone()).or_default().insert(host.peer_address);
-        }
-        for (cell, set) in &self.state.cells {
-            let members = set.members.iter().map(|witness| witness.peer_address);
-            book.entry(cell.clone()).or_default().extend(members);
-        }
-        book.into_iter().map(|(cell, hosts)| (cell, hosts.into_iter().collect())).collect()
-    }
-
     /// Divides the room of this host among the teams of the configuration in force.
     pub(super) fn reconfigure_teams(&self) {
         let services = &self.state.config().services;
--- a/crates/jacinthbeam-entry/src/version/mod.rs
+++ b/crates/jacinthbeam-entry/src/version/mod.rs
@@ -22,7 +22,7 @@
     /// Attendants of the cell's other backend servers, as heard in heartbeats.
     pub attendants: BTreeMap<ServerId, SocketAddr>,
     /// Peer addresses of entry hosts by cell, by the witness sets and the platform's list.
-    pub cells: BTreeMap<CellId, Vec<SocketAddr>>,
+    pub cells: Arc<BTreeMap<CellId, Vec<SocketAddr>>>,
     /// Whether the host takes no new requests.
     pub stopping: bool,
 }
