perf(config): a change parses only the files it changes

Cause: the fold parsed, merged and located every file again on each change, though all but a few are unchanged. Change: an accepted file keeps its parsed form, shared by clones of the state. It is neither encoded nor compared: it follows from the text. Merging takes parsed files by reference and shares what only one file sets; where values come from is worked out only when a rule about services in use is broken. Verdicts and encodings are the same.

--- a/crates/jacinthbeam-cli/src/command/check.rs
+++ b/crates/jacinthbeam-cli/src/command/check.rs
@@ -57,7 +57,7 @@
     let files = files.map(|(name, text)| parse(name.as_str().into(), text));
     let files: Result<Vec<Node>, _> = files.collect();
     let unreadable = |_| Error::Failed("a file can't be parsed".into());
-    files.map(merge).map_err(unreadable)
+    files.map(|files| merge(&files)).map_err(unreadable)
 }
 
 /// Writes a node in the format that operators write themselves, one value a line.
--- a/crates/jacinthbeam-config/src/check/mod.rs
+++ b/crates/jacinthbeam-config/src/check/mod.rs
@@ -35,23 +35,29 @@
 pub fn check<'a>(
     files: impl IntoIterator<Item = (&'a FileName, &'a str)>,
 ) -> Result<Checked, Vec<Problem>> {
-    let mut parsed = Vec::new();
+    let parsed = all(files.into_iter().map(|(name, text)| file(name, text)))?;
+    let merged = merge(&parsed);
+    let config = config(&merged)?;
+    Ok(Checked { config, origins: Origins::of(&merged) })
+}
+
+/// What every file parses to, or the problems of all files that don't parse.
+pub(crate) fn all<T>(
+    parsed: impl IntoIterator<Item = Result<T, Vec<Problem>>>,
+) -> Result<Vec<T>, Vec<Problem>> {
+    let mut good = Vec::new();
     let mut problems = Vec::new();
-    for (name, text) in files {
-        match file(name, text) {
-            Ok(node) => parsed.push(node),
+    for file in parsed {
+        match file {
+            Ok(node) => good.push(node),
             Err(mut found) => problems.append(&mut found),
         }
     }
-    if !problems.is_empty() {
-        return Err(in_order(problems));
-    }
-    let merged = merge(parsed);
-    let config = config(&merged)?;
-    Ok(Checked { config, origins: Origins::of(&merged) })
+    if problems.is_empty() { Ok(good) } else { Err(in_order(problems)) }
 }
 
-fn file(name: &FileName, text: &str) -> Result<Node, Vec<Problem>> {
+/// Parses one file, which must be an object.
+pub(crate) fn file(name: &FileName, text: &str) -> Result<Node, Vec<Problem>> {
     let node = parse(name.shared(), text)?;
     match &node.value {
         Value::Object(_) => Ok(node),
@@ -60,7 +66,7 @@
 }
 
 /// Reads a merged document.
-fn config(merged: &Node) -> Result<Config, Vec<Problem>> {
+pub(crate) fn config(merged: &Node) -> Result<Config, Vec<Problem>> {
     let mut fields = Fields::of(merged, "");
     let services = services(&mut fields);
     let lost = fields.object("lost", Lost::default(), lost);
--- a/crates/jacinthbeam-config/src/document/fields.rs
+++ b/crates/jacinthbeam-config/src/document/fields.rs
@@ -42,7 +42,7 @@
     /// The value of a field, if it is there.
     pub fn node(&mut self, name: &'static str) -> Option<&'a Node> {
         self.known.insert(name);
-        self.members.get(name).map(|member| &member.node)
+        self.members.get(name).map(|member| &*member.node)
     }
 
     /// Reads a field, if it is there and right.
--- a/crates/jacinthbeam-config/src/document/mod.rs
+++ b/crates/jacinthbeam-config/src/document/mod.rs
@@ -1,6 +1,6 @@
 //! A parsed file in which every value knows where it stands.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use crate::problem::{Kind, Place, Problem};
 
@@ -41,8 +41,8 @@
 pub struct Member {
     /// Where its name stands.
     pub place: Place,
-    /// Its value.
-    pub node: Node,
+    /// Its value, shared with merged documents that hold it unchanged.
+    pub node: Arc<Node>,
 }
 
 impl Node {
@@ -59,6 +59,16 @@
 }
 
 impl Value {
+    /// Whether `null` stands anywhere in it.
+    pub fn has_null(&self) -> bool {
+        match self {
+            Self::Null => true,
+            Self::Bool(_) | Self::Number(_) | Self::Text(_) => false,
+            Self::List(nodes) => nodes.iter().any(|node| node.value.has_null()),
+            Self::Object(members) => members.values().any(|member| member.node.value.has_null()),
+        }
+    }
+
     /// The value in a few words, for errors.
     pub fn describe(&self) -> String {
         match self {
--- a/crates/jacinthbeam-config/src/document/parse.rs
+++ b/crates/jacinthbeam-config/src/document/parse.rs
@@ -80,7 +80,7 @@
             let place = self.lines.place(prop.name.range());
             let name = prop.name.as_str().to_owned();
             let path = format!("{path}/{name}");
-            let node = self.node(prop.value, &path);
+            let node = Arc::new(self.node(prop.value, &path));
             match members.entry(name) {
                 Entry::Vacant(vacant) => {
                     vacant.insert(Member { place, node });
--- a/crates/jacinthbeam-config/src/fold/in_use.rs
+++ b/crates/jacinthbeam-config/src/fold/in_use.rs
@@ -5,33 +5,36 @@
 use jacinthbeam_types::prelude::*;
 
 use crate::{
-    check::Checked,
     config::{Config, CutOff, Service},
+    document::Node,
+    merge::Origins,
     problem::{Kind, Problem},
 };
 
 /// Most services that were removed. Their names stay taken.
 pub const MAX_FORMER: usize = 4096;
 
-/// Checks a new configuration against the one in force and against the services that were removed before.
+/// Checks a new configuration against the one in force and against the services that were removed before. It was read
+/// from `merged`.
 ///
 /// Entry hosts that are cut off still follow the configuration they read last, for as long as they are cut off. So a
 /// removed service still counts: to remove it and add it again must not get around these rules.
 pub(super) fn check(
     old: &Config,
     former: &BTreeMap<ServiceName, Service>,
-    new: &Checked,
+    new: &Config,
+    merged: &Node,
 ) -> Vec<Problem> {
-    let mut problems = Vec::new();
-    for (name, service) in &new.config.services {
+    let mut broken = Vec::new();
+    for (name, service) in &new.services {
         let Some(before) = old.services.get(name).or_else(|| former.get(name)) else { continue };
         for rule in [division, cut_off, max_deadline] {
-            problems.extend(rule(before, service).map(|broken| broken.at(name, new)));
+            broken.extend(rule(before, service).map(|broken| (name, broken)));
         }
     }
-    let gone = old.services.keys().filter(|name| !new.config.services.contains_key(*name));
-    let count =
-        former.keys().chain(gone).filter(|name| !new.config.services.contains_key(*name)).count();
+    let mut problems = located(broken, merged);
+    let gone = old.services.keys().filter(|name| !new.services.contains_key(*name));
+    let count = former.keys().chain(gone).filter(|name| !new.services.contains_key(*name)).count();
     if count > MAX_FORMER {
         let what = format!("{count} removed services are more than {MAX_FORMER}");
         let kind =
@@ -51,6 +54,16 @@
     }
 }
 
+/// Names the place of each broken rule. Where values come from is worked out only for this: it costs as much as
+/// checking them.
+fn located(broken: Vec<(&ServiceName, Broken)>, merged: &Node) -> Vec<Problem> {
+    if broken.is_empty() {
+        return Vec::new();
+    }
+    let origins = Origins::of(merged);
+    broken.into_iter().map(|(name, broken)| broken.at(name, &origins)).collect()
+}
+
 struct Broken {
     field: &'static str,
     what: String,
@@ -58,10 +71,9 @@
 }
 
 impl Broken {
-    fn at(self, name: &ServiceName, new: &Checked) -> Problem {
+    fn at(self, name: &ServiceName, origins: &Origins) -> Problem {
         let path = format!("/services/{name}/{}", self.field);
-        let origins = &new.origins.0;
-        let place = origins.range(path.clone()..).next().filter(|(at, _)| at.starts_with(&path));
+        let place = origins.0.range(path.clone()..).next().filter(|(at, _)| at.starts_with(&path));
         let place = place.map(|(_, place)| place.clone());
         Problem { place, path, kind: Kind::Unfit { what: self.what, remedy: self.remedy.into() } }
     }
--- a/crates/jacinthbeam-config/src/fold/mod.rs
+++ b/crates/jacinthbeam-config/src/fold/mod.rs
@@ -14,13 +14,16 @@
 
 use crate::{
     change::{Base, Change, FileChange},
-    check::check,
+    check,
     config::{Config, Service},
     file::{ContentHash, FileName, MAX_SIZE},
+    merge::merge,
     problem::{Kind, Problem},
 };
+use parsed::Parsed;
 
 mod in_use;
+mod parsed;
 
 /// Most files of a configuration.
 pub const MAX_FILES: usize = 1024;
@@ -52,6 +55,8 @@
     pub hash: ContentHash,
     /// Version in which this text was accepted.
     pub since: ConfigVersion,
+    #[serde(skip)]
+    parsed: Parsed,
 }
 
 /// A text of a file that is in force no more.
@@ -156,22 +161,26 @@
         if next.files.len() > MAX_FILES {
             return Outcome::Invalid(vec![too_many_files(next.files.len())]);
         }
-        let texts = next.files.iter().map(|(name, file)| (name, &*file.text));
-        let checked = match check(texts) {
-            Ok(checked) => checked,
+        let config = match self.checked(&next.files) {
+            Ok(config) => config,
             Err(problems) => return Outcome::Invalid(problems),
         };
-        let problems = in_use::check(&self.config, &self.former, &checked);
-        if !problems.is_empty() {
-            return Outcome::Invalid(problems);
-        }
-        in_use::retire(&self.config, &checked.config, Arc::make_mut(&mut next.former));
-        next.config = Arc::new(checked.config);
+        in_use::retire(&self.config, &config, Arc::make_mut(&mut next.former));
+        next.config = Arc::new(config);
         next.version = Some(version);
         *self = next;
         Outcome::Accepted(version)
     }
 
+    /// What the files say, if they may follow what is in force.
+    fn checked(&self, files: &BTreeMap<FileName, File>) -> Result<Config, Vec<Problem>> {
+        let parsed = check::all(files.iter().map(|(name, file)| file.parsed.of(name, &file.text)))?;
+        let merged = merge(parsed);
+        let config = check::config(&merged)?;
+        let problems = in_use::check(&self.config, &self.former, &config, &merged);
+        if problems.is_empty() { Ok(config) } else { Err(problems) }
+    }
+
     fn set(&mut self, version: ConfigVersion, change: &FileChange) {
         let name = &change.name;
         match &change.text {
@@ -181,7 +190,8 @@
     }
 
     fn put(&mut self, version: ConfigVersion, name: &FileName, text: &str) {
-        let file = File { text: text.into(), hash: ContentHash::of(text), since: version };
+        let (hash, parsed) = (ContentHash::of(text), Parsed::default());
+        let file = File { text: text.into(), hash, since: version, parsed };
         let old = Arc::make_mut(&mut self.files).insert(name.clone(), file);
         Arc::make_mut(&mut self.removed).remove(name);
         self.remember(version, name, old);
--- a/crates/jacinthbeam-config/src/merge.rs
+++ b/crates/jacinthbeam-config/src/merge.rs
@@ -18,7 +18,7 @@
 ///
 /// Objects merge field by field; any other value replaces what earlier files set; `null` takes a field of earlier files
 /// out again, so that its default holds.
-pub fn merge(files: impl IntoIterator<Item = Node>) -> Node {
+pub fn merge<'a>(files: impl IntoIterator<Item = &'a Node>) -> Node {
     let place = Place { file: Arc::from(NO_FILE), line: 1, column: 1 };
     let mut merged = Node { place, value: Value::Object(BTreeMap::new()) };
     let mut first = true;
@@ -31,13 +31,13 @@
     merged
 }
 
-fn overlay(target: &mut Node, over: Node) {
-    let Value::Object(over_members) = over.value else {
-        *target = over;
+fn overlay(target: &mut Node, over: &Node) {
+    let Value::Object(over_members) = &over.value else {
+        *target = over.clone();
         return;
     };
     if !matches!(target.value, Value::Object(_)) {
-        *target = Node { place: over.place, value: Value::Object(BTreeMap::new()) };
+        *target = Node { place: over.place.clone(), value: Value::Object(BTreeMap::new()) };
     }
     if let Value::Object(members) = &mut target.value {
         for (name, member) in over_members {
@@ -46,17 +46,29 @@
     }
 }
 
-fn set(members: &mut BTreeMap<String, Member>, name: String, over: Member) {
+fn set(members: &mut BTreeMap<String, Member>, name: &str, over: &Member) {
     if over.node.value == Value::Null {
-        members.remove(&name);
+        members.remove(name);
         return;
     }
-    let empty = Node { place: over.node.place.clone(), value: Value::Null };
-    let member = members.entry(name).or_insert(Member { place: over.place.clone(), node: empty });
+    let Some(member) = members.get_mut(name) else {
+        members.insert(name.to_owned(), first(over));
+        return;
+    };
     if !matches!(over.node.value, Value::Object(_)) {
-        member.place = over.place;
+        member.place = over.place.clone();
+    }
+    overlay(Arc::make_mut(&mut member.node), &over.node);
+}
+
+/// A field that no earlier file set. Most of a configuration is such fields, so they are shared rather than copied.
+fn first(over: &Member) -> Member {
+    if !over.node.value.has_null() {
+        return over.clone();
     }
-    overlay(&mut member.node, over.node);
+    let mut node = Node { place: over.node.place.clone(), value: Value::Null };
+    overlay(&mut node, &over.node);
+    Member { place: over.place.clone(), node: Arc::new(node) }
 }
 
 impl Origins {
--- a/crates/jacinthbeam-config/tests/fold.rs
+++ b/crates/jacinthbeam-config/tests/fold.rs
@@ -144,3 +144,34 @@
     let outcome = state.apply(Offset(21), &change("0-0.json", new, Some("{}")));
     assert_eq!(outcome, Outcome::Accepted(ConfigVersion(21)));
 }
+
+/// What an operator would see: a value that a later file overrode does not come back when that file is removed, or comes
+/// back only on hosts that restarted. Parsed files are kept from change to change, and merging shares their values; a
+/// merge that wrote into a kept file, or a kept file that differed from its text, would make hosts disagree.
+#[test]
+fn kept_files_say_what_their_texts_say() {
+    let over = r#"{ "services": { "tilecast": { "queue": 7, "balance": { "min_stay_ms": 5 } } } }"#;
+    let none = r#"{ "services": { "tilecast": { "queue": null } } }"#;
+    let one = ONE.replace("\"ice\"", "\"ice\", \"queue\": null");
+    let mut state = State::default();
+    let mut configs = Vec::new();
+    let changes = [
+        change("10.json", Base::default(), Some(&one)),
+        change("20.json", Base::default(), Some(over)),
+        change("20.json", seen(over, 2), Some(none)),
+        change("20.json", seen(none, 3), None),
+    ];
+    for (offset, change) in (1..).zip(&changes) {
+        let text = serde_json::to_string(&state).expect("writes");
+        let mut restarted: State = serde_json::from_str(&text).expect("reads back");
+        assert_eq!(restarted, state);
+        assert_eq!(restarted.apply(Offset(offset), change), state.apply(Offset(offset), change));
+        assert_eq!(restarted, state);
+        configs.push(state.config().clone());
+    }
+    let service: ServiceName = "tilecast".parse().expect("a name");
+    assert_eq!(configs[1].services[&service].queue, 7);
+    assert_ne!(configs[1], configs[0]);
+    assert_eq!(configs[2], configs[0]);
+    assert_eq!(configs[3], configs[0]);
+}
