feat(entry): two hosts of a cell read the control stream, the others read through them

Every host polled the platform's log, 6.6 reads a second each, so the load on the log grew with the fleet (20,000 hosts: 131,000 reads a second at rest). Messages for reading through another host existed, but were refused.

The first two hosts of a cell by rendezvous weight read the log; the others read through one of them, about half each. A relay answers from a bounded tail of records, or when its own next read ends, and states the age of its proof up to the arrival of the question. The reader's proof time is the start of its question less that age and the drift of two clocks, so it is never younger than the relay's own, and waiting at the relay does not make it older. A relay that fails, lags, hangs or refuses is left for the log at once (first read without a wait) and avoided for 2 s. Hosts that read through another one do not relay. Cells of one or two hosts work as before. Control has a client for peers of its own already, so relayed reads use that one.

`proof_age` counts up to the arrival of the question, not to the answer as its comment said: the proof time is the same subtraction, and as young as a read of one's own. The dump says through whom a host reads, and counts its reads by way.

--- a/crates/jacinthbeam-entry/src/process/control/answer.rs
+++ b/crates/jacinthbeam-entry/src/process/control/answer.rs
@@ -5,7 +5,7 @@
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
 
-use super::{Control, Event};
+use super::{Control, Event, relay::Wanted};
 
 impl Control {
     pub(super) fn asked(&mut self, question: Question, reply: oneshot::Sender<Answer>) {
@@ -19,7 +19,9 @@
             Question::FetchState => self.answer_state(),
             Question::Loads => self.answer_loads(),
             Question::LastRead { cell } => self.answer_last_read(&cell),
-            Question::ReadLog { .. } => Answer::Failed { why: "reads are not relayed here".into() },
+            Question::ReadLog { from, max_bytes, wait } => {
+                return self.asked_to_read(Wanted { from, max_bytes, wait, reply });
+            }
             Question::Remember(_) | Question::Claim(_) | Question::Fetch(_) => {
                 Answer::Failed { why: "what traffic remembers is not asked of control".into() }
             }
--- a/crates/jacinthbeam-entry/src/process/control/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/control/dump.rs
@@ -5,7 +5,7 @@
 use jacinthbeam_config::Division;
 use jacinthbeam_types::prelude::*;
 
-use super::{Control, attend::Tended};
+use super::{Control, attend::Tended, event::Source};
 use crate::process::dump::{BackendServer, Connections, Dump, Member, Peer, Peers, Service};
 
 impl Control {
@@ -21,6 +21,8 @@
             config_version: self.state.config.version(),
             log_next: self.state.next,
             log_read_age_ms: self.proofs.log(&self.state).map(age),
+            log_via: self.log_via(),
+            log_reads: self.log_reads(),
             services: self.dump_services(),
             members: self.dump_members(now),
             peers: self.dump_peers(),
@@ -37,6 +39,13 @@
         }
     }
 
+    fn log_via(&self) -> Option<HostId> {
+        match self.follow.source() {
+            Source::Log => None,
+            Source::Relay { host, .. } => Some(host.clone()),
+        }
+    }
+
     fn dump_services(&self) -> std::collections::BTreeMap<ServiceName, Service> {
         let services = self.state.config().services.iter();
         let one = |(name, service): (&ServiceName, &jacinthbeam_config::Service)| {
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -1,6 +1,9 @@
 //! What the control thread is told.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam_admission::usage::BatchId;
 use jacinthbeam_lease::attendant;
@@ -11,12 +14,28 @@
 
 use crate::process::dump::Dump;
 
+/// Where a read of the control stream goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// To the log itself.
+    Log,
+    /// To another host of the cell.
+    Relay {
+        /// The host.
+        host: HostId,
+        /// Where it listens for peers.
+        addr: SocketAddr,
+    },
+}
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum Event {
     /// A read of the control stream ended.
     Read {
-        /// Just before it was sent.
+        /// Where it went.
+        source: Source,
+        /// The time that it proves if it reached the end: just before it was sent, less the age that a relay stated.
         started: Instant,
         /// What came of it.
         outcome: Result<read::Batch, read::Error>,
--- /dev/null
+++ b/crates/jacinthbeam-entry/src/process/control/fanout.rs
@@ -0,0 +1,144 @@
+//! Which hosts of a cell read the control stream from the log itself, and how the others read through these.
+//!
+//! Two hosts of each cell read the log, whatever the size of the cell; the others read through one of them. A host whose
+//! relay fails, lags or refuses reads the log itself at once, so a relay that is cut off stops nobody.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_lease::Timing;
+use jacinthbeam_peer::message::{Answer, Question, Records};
+use jacinthbeam_platform::log::read::{Batch, Error, Record};
+use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
+
+use super::{
+    Control, Event,
+    event::Source,
+    relay::{MAX_ANSWER, MAX_WAIT, Wanted},
+};
+use crate::process::dump::LogReads;
+
+/// Hosts of a cell that read the log itself. With two, one may be lost or cut off and the others still have a relay.
+const READERS: usize = 2;
+/// Subject by which these are picked.
+const SUBJECT: &str = "control stream";
+/// Time beyond the wait for an answer to arrive. With the wait it must be short against the lease: so long a dead
+/// relay leaves its readers without a new proof.
+const ON_THE_WAY: Duration = Duration::from_millis(100);
+/// How long a relay that failed is left alone.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// Relays that are avoided, and what was read by which way.
+#[derive(Debug, Default)]
+pub struct Ways {
+    avoid: BTreeMap<SocketAddr, Instant>,
+    reads: LogReads,
+}
+
+impl Ways {
+    /// Counts a read that succeeded.
+    pub fn count(&mut self, source: &Source) {
+        match source {
+            Source::Log => self.reads.direct += 1,
+            Source::Relay { .. } => self.reads.relayed += 1,
+        }
+    }
+}
+
+impl Control {
+    /// Where the next read goes: to the log itself, or to a relay.
+    pub(super) fn next_source(&mut self, now: Instant) -> Source {
+        self.ways.avoid.retain(|_, until| now < *until);
+        // Without a proof of its own the host may be far behind, and its relay would not have the records any more.
+        if !self.follow.is_plain() || self.proofs.log(&self.state).is_none() {
+            return Source::Log;
+        }
+        let ranked = self.members.ranked(now, SUBJECT);
+        let readers = &ranked[..ranked.len().min(READERS)];
+        if readers.iter().any(|heard| heard.host == self.me.host) {
+            return Source::Log;
+        }
+        // Each reader serves about half of the others.
+        let usable =
+            readers.iter().filter(|heard| !self.ways.avoid.contains_key(&heard.peer_address));
+        let weight = |host: &HostId| rendezvous_weight(self.me.host.as_str(), host.as_str());
+        let picked = usable.max_by_key(|heard| (weight(&heard.host), &heard.host));
+        picked.map_or(Source::Log, |heard| Source::Relay {
+            host: heard.host.clone(),
+            addr: heard.peer_address,
+        })
+    }
+
+    /// Reads through a relay.
+    pub(super) fn read_through(&self, host: HostId, addr: SocketAddr, pause: Duration) {
+        let from = self.state.next;
+        let peers = self.peers.clone();
+        let clock = self.clock.clone();
+        let timing = self.timing;
+        let question = Question::ReadLog { from, max_bytes: MAX_ANSWER, wait: MAX_WAIT };
+        self.spawn_event(async move {
+            tokio::time::sleep(pause).await;
+            let asked = clock.now();
+            let outcome = match peers.ask(addr, &question, MAX_WAIT + ON_THE_WAY).await {
+                Ok(Answer::Records(records)) => Ok(records),
+                Ok(Answer::Failed { why }) => Err(Error::Down(why)),
+                Ok(_) => Err(Error::Down("it answered something else".into())),
+                Err(err) => Err(Error::Down(err.to_string())),
+            };
+            let age = outcome.as_ref().map_or(Duration::ZERO, |records| records.proof_age);
+            let (started, outcome) = match proof_time(asked, age, &timing) {
+                Some(started) => (started, outcome.and_then(|records| batch(from, records))),
+                None => (asked, Err(Error::Down("its proof is too old".into()))),
+            };
+            Some(Event::Read { source: Source::Relay { host, addr }, started, outcome })
+        });
+    }
+
+    /// A relay did not answer with records. The log itself is asked at once, and the relay left alone for a while.
+    pub(super) fn relay_failed(&mut self, host: &HostId, addr: SocketAddr, err: &Error) {
+        log::info!("log: reads by itself, not through {host}: {err}");
+        self.ways.reads.fallbacks += 1;
+        self.ways.avoid.insert(addr, self.clock.now() + AVOID);
+    }
+
+    /// Another host wants to read through this one.
+    pub(super) fn asked_to_read(&mut self, wanted: Wanted) {
+        if self.follow.source() != &Source::Log || !self.follow.is_plain() {
+            return wanted.refuse("this host does not read the log itself at present");
+        }
+        if self.follow.failures() > 0 {
+            return wanted.refuse("this host can't read the log at present");
+        }
+        self.relay.ask(self.clock.now(), wanted);
+    }
+
+    /// Reads of the stream since the start.
+    pub(super) fn log_reads(&self) -> LogReads {
+        LogReads { relayed_for_others: self.relay.answered(), ..self.ways.reads }
+    }
+}
+
+/// The time that a relayed read proves; `None` if it lies before the start of this machine's clock.
+///
+/// Two clocks are involved: the age was taken by the other one, which may run slower than true time, and this one faster.
+pub fn proof_time(asked: Instant, age: Duration, timing: &Timing) -> Option<Instant> {
+    let drift = age.saturating_sub(timing.shrink(age));
+    asked.checked_sub(age.saturating_add(drift))
+}
+
+/// Takes a relay's records as a read of the log.
+///
+/// The offsets have to be consecutive from the one asked for, as in an answer of the log itself: a gap would make this host
+/// fold another history than its peers.
+pub fn batch(from: Offset, answer: Records) -> Result<Batch, Error> {
+    let Records { records, earliest, end, .. } = answer;
+    let consecutive = (from.0..).zip(&records).all(|(due, (offset, _))| offset.0 == due);
+    if !consecutive {
+        return Err(Error::Down(format!("its records are not those from {from} on")));
+    }
+    let record = |(offset, bytes): (Offset, Vec<u8>)| Record { offset, bytes: bytes.into() };
+    Ok(Batch { records: records.into_iter().map(record).collect(), end, earliest })
+}
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -9,7 +9,7 @@
 };
 use jacinthbeam_types::prelude::*;
 
-use super::{Control, Event};
+use super::{Control, Event, event::Source, relay::Proved};
 
 /// How long a read waits for a record. A read proves the time of its start, so this must be short against the lease.
 const WAIT: Duration = Duration::from_millis(150);
@@ -28,48 +28,78 @@
     failures: u32,
     /// Offset at which this host must stop reading, because a newer release wrote it.
     stuck: Option<Offset>,
+    /// Where the read goes that is on the way.
+    source: Source,
 }
 
 impl Follow {
     /// At the start of the stream.
     pub fn new() -> Self {
-        Self { loader: None, failures: 0, stuck: None }
+        Self { loader: None, failures: 0, stuck: None, source: Source::Log }
     }
 
     /// Failed reads since the last one that succeeded.
     pub fn failures(&self) -> u32 {
         self.failures
     }
+
+    /// Where the read goes that is on the way.
+    pub fn source(&self) -> &Source {
+        &self.source
+    }
+
+    /// Whether records are simply applied one after the other.
+    pub fn is_plain(&self) -> bool {
+        self.loader.is_none() && self.stuck.is_none()
+    }
 }
 
 impl Control {
-    /// Starts the next read of the stream.
-    pub(super) fn read_on(&self, pause: Duration) {
+    /// Starts the next read of the stream, by the way that is due.
+    pub(super) fn read_on(&mut self, pause: Duration) {
+        match self.next_source(self.clock.now()) {
+            Source::Log => self.read_log(pause, WAIT),
+            Source::Relay { host, addr } => {
+                self.follow.source = Source::Relay { host: host.clone(), addr };
+                self.read_through(host, addr, pause);
+            }
+        }
+    }
+
+    /// Starts a read of the log itself.
+    fn read_log(&mut self, pause: Duration, wait: Duration) {
+        self.follow.source = Source::Log;
         let client = self.log.clone();
         let clock = self.clock.clone();
         let from = self.follow.loader.as_ref().map_or(self.state.next, Loader::next);
         self.spawn_event(async move {
             tokio::time::sleep(pause).await;
             let started = clock.now();
-            let outcome = client.read(CONTROL, from, MAX_READ, WAIT).await;
-            Some(Event::Read { started, outcome })
+            let outcome = client.read(CONTROL, from, MAX_READ, wait).await;
+            Some(Event::Read { source: Source::Log, started, outcome })
         });
     }
 
-    pub(super) fn read(&mut self, started: Instant, outcome: Result<Batch, Error>) {
-        match outcome {
-            Ok(batch) => {
+    pub(super) fn read(&mut self, source: Source, started: Instant, outcome: Result<Batch, Error>) {
+        match (outcome, source) {
+            (Ok(batch), source) => {
                 self.follow.failures = 0;
-                self.take_batch(started, batch);
+                self.take_batch(&source, started, batch);
                 let pause = if self.follow.stuck.is_some() { PAUSE } else { Duration::ZERO };
                 self.read_on(pause);
             }
-            Err(Error::Expired { earliest, .. }) => {
+            (Err(err), Source::Relay { host, addr }) => {
+                self.relay_failed(&host, addr, &err);
+                // Without a wait: the answer proves its start at once, and the last proof may be old by now.
+                self.read_log(Duration::ZERO, Duration::ZERO);
+            }
+            (Err(Error::Expired { earliest, .. }), Source::Log) => {
                 log::warn!("log: records before {earliest} have expired, looking for a snapshot");
                 self.follow.loader = Some(Loader::at(earliest));
+                self.relay.refuse_all("this host has to start from a snapshot");
                 self.read_on(Duration::ZERO);
             }
-            Err(err) => self.read_failed(&err),
+            (Err(err), Source::Log) => self.read_failed(&err),
         }
     }
 
@@ -81,10 +111,11 @@
         if self.follow.failures >= ASK_PEERS_AFTER && self.state.next == Offset(0) {
             self.fetch_state();
         }
+        self.relay.refuse_all("this host can't read the log at present");
         self.read_on(PAUSE);
     }
 
-    fn take_batch(&mut self, started: Instant, batch: Batch) {
+    fn take_batch(&mut self, source: &Source, started: Instant, batch: Batch) {
         let now = self.clock.now();
         let moved = !batch.records.is_empty();
         for record in &batch.records {
@@ -99,6 +130,14 @@
         }
         if self.follow.loader.is_none() && self.state.next >= batch.end {
             self.proofs.log_read(started, batch.end);
+            if *source == Source::Log {
+                let Batch { end, earliest, .. } = batch;
+                self.relay.proved(Proved { started, end, earliest });
+            }
+        }
+        self.ways.count(source);
+        if *source == Source::Log {
+            self.relay.read_ended();
         }
         if moved {
             self.witness.forget(&self.state);
@@ -127,6 +166,7 @@
             Err(err) => return self.stick(offset, &err),
         };
         self.observed.read(now, offset);
+        self.relay.tail().push(offset, buf);
         match outcome {
             Outcome::Applied { changes, .. } => {
                 changes.iter().for_each(|change| self.note_change(offset, change));
@@ -148,6 +188,7 @@
         if state.next > self.state.next {
             log::info!("log: state taken over up to record {}", state.next);
             self.state = state;
+            self.relay.tail().restart(self.state.next);
             self.observed.replaced(now);
             self.changed = true;
         }
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod cells;
 mod dump;
 mod event;
+pub mod fanout;
 mod follow;
 mod found;
 mod heartbeat;
@@ -19,7 +20,9 @@
 mod memory;
 mod placement;
 mod publish;
+pub mod relay;
 pub mod snapshot;
+pub mod tail;
 mod totals;
 mod usage;
 mod witnesses;
@@ -88,6 +91,8 @@
 
     state: State,
     follow: follow::Follow,
+    relay: relay::Relay,
+    ways: fanout::Ways,
     observed: Observed,
     members: Members,
     proofs: Proofs,
@@ -155,6 +160,8 @@
             records: AtomicU64::new(0),
             state: State::new(),
             follow: follow::Follow::new(),
+            relay: relay::Relay::default(),
+            ways: fanout::Ways::default(),
             observed: Observed::new(now),
             members: Members::new(now, own, &timing),
             proofs: Proofs::new(),
@@ -220,7 +227,7 @@
     fn handle(&mut self, event: Event) {
         self.counts.events += 1;
         match event {
-            Event::Read { started, outcome } => self.read(started, outcome),
+            Event::Read { source, started, outcome } => self.read(source, started, outcome),
             Event::Fetched { next, snapshot } => self.fetched(next, &snapshot),
             Event::Listed(list) => self.listed(list),
             Event::Asked { question, reply } => self.asked(question, reply),
@@ -249,6 +256,7 @@
         let now = self.clock.now();
         self.look_up_hosts(now);
         self.beat(now);
+        self.relay.refuse_late(now);
         self.elect(now);
         self.tick_attendants();
         self.keep_memory(now);
--- a/crates/jacinthbeam-entry/src/process/dump.rs
+++ b/crates/jacinthbeam-entry/src/process/dump.rs
@@ -22,6 +22,10 @@
     pub log_next: Offset,
     /// Milliseconds since the start of the last read that reached the end of the stream.
     pub log_read_age_ms: Option<u64>,
+    /// Host through which the stream is read at present; absent if it is read from the log itself.
+    pub log_via: Option<HostId>,
+    /// Reads of the stream since the start.
+    pub log_reads: LogReads,
     /// Services and how many of their slots have an owner.
     pub services: BTreeMap<ServiceName, Service>,
     /// Live entry hosts of the cell.
@@ -42,6 +46,19 @@
     pub usage_at_risk: u64,
 }
 
+/// Reads of the control stream.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct LogReads {
+    /// From the log itself.
+    pub direct: u64,
+    /// Through another host.
+    pub relayed: u64,
+    /// Times that another host failed, and the log itself was read at once.
+    pub fallbacks: u64,
+    /// Reads of other hosts that this one answered.
+    pub relayed_for_others: u64,
+}
+
 /// A configured service.
 #[derive(Debug, Clone, Serialize)]
 pub struct Service {
--- a/crates/jacinthbeam-entry/tests/process/main.rs
+++ b/crates/jacinthbeam-entry/tests/process/main.rs
@@ -2,6 +2,9 @@
 
 mod book;
 mod cells;
+mod fanout;
+mod relay;
 mod snapshot;
 mod spawn;
 mod support;
+mod tail;
--- a/crates/jacinthbeam-peer/src/message.rs
+++ b/crates/jacinthbeam-peer/src/message.rs
@@ -25,13 +25,14 @@
         /// The backend server.
         server: ServerId,
     },
-    /// Read the control stream through me.
+    /// Let me read the control stream through you. Answered at once if there are records, else when your own read of the
+    /// log ends, with records or with a newer proof.
     ReadLog {
         /// First record wanted.
         from: Offset,
         /// At most this many bytes of records, but at least one record.
         max_bytes: u32,
-        /// How long to wait for a record if there is none yet.
+        /// How long to wait at most if there is no record yet.
         wait: Duration,
     },
     /// Give me your fold of the control stream.
@@ -203,7 +204,9 @@
     pub earliest: Offset,
     /// End of the stream at the time of the proof.
     pub end: Offset,
-    /// How long before this answer the read that proved `end` was started.
+    /// How long before the arrival of the question the read that proved `end` was started; zero if it was started after that.
+    ///
+    /// The host that asked subtracts it from the time at which it started to ask, which lies before the arrival.
     pub proof_age: Duration,
 }
 
