test(entry): the memory follows a split key on its way, waiting orders survive a planned stop, a replaced successor is told

Each has a test now, by a host of the test that notes or delays what it is told; two more go through whole hosts (a split key whose slot moves to another cell, nine orders of which six wait through a planned stop). No test notices the second look at the token right before the write, nor the hand-over itself going on without that wait.

--- a/crates/jacinthbeam-entry/tests/memory/keeper.rs
+++ b/crates/jacinthbeam-entry/tests/memory/keeper.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -12,7 +12,8 @@
 use jacinthbeam_peer::{
     Body, Client,
     message::{
-        Answer, Claim, ClaimSlots, Claimed, ClaimedSlot, ForwardHead, ForwardReply, Question,
+        Answer, Claim, ClaimSlots, Claimed, ClaimedSlot, Fetch, ForwardHead, ForwardReply,
+        Progress, Question, Remembered,
     },
     server::{self, Cancelled, Handler},
 };
@@ -52,23 +53,60 @@
     }
 }
 
+fn answer(question: Question, note: &impl Fn(&ClaimSlots)) -> Answer {
+    match question {
+        Question::Remember(_) => Answer::Done { agreed: true },
+        Question::Claim(claim) => {
+            note(&claim);
+            Answer::Claimed(Claimed { slots: Vec::new(), unused_before: false })
+        }
+        question => Answer::Failed { why: format!("unexpected: {question:?}") },
+    }
+}
+
 /// A host that takes every copy.
 fn willing_host() -> server::Handle {
-    let handler = Handler {
-        ask: async |question: Question| match question {
-            Question::Remember(_) => Answer::Done { agreed: true },
-            Question::Claim(_) => {
-                Answer::Claimed(Claimed { slots: Vec::new(), unused_before: false })
+    host_that_notes(Arc::default())
+}
+
+/// The same, but it answers to the copy of an end only when told to.
+fn host_that_waits_with_ends(release: Arc<tokio::sync::Notify>) -> server::Handle {
+    host(move |question| {
+        let release = release.clone();
+        async move {
+            if let Question::Remember(copies) = &question {
+                let is_end = |copy: &Remembered| copy.progress != Progress::Sent;
+                if copies.copies.iter().any(is_end) {
+                    release.notified().await;
+                }
             }
-            question => Answer::Failed { why: format!("unexpected: {question:?}") },
-        },
-        forward: async |head: ForwardHead, _: Body, _: Cancelled| {
-            let refusal = Refusal::not_run(Reason::Stopping);
-            (ForwardReply::Refused { id: head.id, refusal, attendant: None }, Body::empty())
-        },
+            answer(question, &|_: &ClaimSlots| {})
+        }
+    })
+}
+
+/// The same, which notes the rounds of claims that it is told of.
+fn host_that_notes(rounds: Arc<Mutex<Vec<u32>>>) -> server::Handle {
+    let note = move |claim: &ClaimSlots| {
+        let told = claim.slots.iter().map(|slot| slot.claim.round);
+        rounds.lock().unwrap().extend(told);
+    };
+    let note = Arc::new(note);
+    host(move |question| {
+        let note = note.clone();
+        async move { answer(question, &*note) }
+    })
+}
+
+fn host<F: Future<Output = Answer> + Send + 'static>(
+    ask: impl Fn(Question) -> F + Send + Sync + 'static,
+) -> server::Handle {
+    let forward = async |head: ForwardHead, _: Body, _: Cancelled| {
+        let refusal = Refusal::not_run(Reason::Stopping);
+        (ForwardReply::Refused { id: head.id, refusal, attendant: None }, Body::empty())
     };
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    server::bind(addr, Default::default(), handler).unwrap()
+    server::bind(addr, Default::default(), Handler { ask, forward }).unwrap()
 }
 
 #[tokio::test]
@@ -112,3 +150,70 @@
     clock.advance(Duration::from_secs(4));
     until(async || shared.ready_slots(&server()) == 1).await;
 }
+
+#[tokio::test]
+async fn host_that_is_successor_no_more_is_told_before_another_one_counts() {
+    // A better placed host joins the cell. The successor so far lives and still holds what it got; if the keeper and the new successor were
+    // lost, it would vouch for too little had nobody told it.
+    let shared = keeper(&Arc::new(ManualClock::new()));
+    let rounds = Arc::default();
+    let (first, second) = (host_that_notes(Arc::clone(&rounds)), willing_host());
+    let live = BTreeSet::from([first.local_addr(), second.local_addr()]);
+    let wanted = |successor| Wanted { live: live.clone(), ..wanted(Some(successor)) };
+    shared.keep(&server(), wanted(first.local_addr()));
+    until(async || shared.ready_slots(&server()) == 1).await;
+    assert_eq!(*rounds.lock().unwrap(), [0]);
+
+    shared.keep(&server(), wanted(second.local_addr()));
+    until(async || rounds.lock().unwrap().len() == 2).await;
+    assert!(rounds.lock().unwrap()[1] > 1);
+    until(async || shared.ready_slots(&server()) == 1).await;
+}
+
+#[tokio::test]
+async fn entries_of_a_key_that_is_split_out_go_with_its_slot() {
+    // An order was begun while its key was in slot 1; then the key gets slot 8 of its own. When only that slot moves to another server, its new
+    // keeper asks for slot 8 and must get the order.
+    let clock = Arc::new(ManualClock::new());
+    let shared = keeper(&clock);
+    shared.keep(&server(), wanted(None));
+    let place = shared.until_ready(&server(), SLOT, clock.now() + Duration::from_secs(30)).await;
+    shared.begin(&place.unwrap(), &scope("order-1"), 7);
+
+    let renewed = WantedSlot {
+        epoch: Epoch(11),
+        source: Source::From { server: Some(server()), hosts: Vec::new() },
+    };
+    let slots = BTreeMap::from([(SLOT, renewed.clone()), (SlotId(8), renewed)]);
+    let split = BTreeMap::from([(KeyHash(1), SlotId(8))]);
+    shared.keep(&server(), Wanted { slots, split, ..wanted(None) });
+    until(async || shared.ready_slots(&server()) == 2).await;
+    let fetch = |slot| {
+        let service = "brinedesk".parse().unwrap();
+        shared.fetch(&Fetch { service, slots: vec![slot], divided_by: 8, after: None }).copies
+    };
+    let keys: Vec<_> = fetch(SlotId(8)).into_iter().map(|copy| copy.idempotency_key).collect();
+    assert_eq!(keys, ["order-1".parse().unwrap()]);
+}
+
+#[tokio::test]
+async fn server_is_idle_only_after_the_last_end_was_copied() {
+    // A server that is handed over before that leaves its successor with an order that it knows as sent only. The successor here
+    // takes its time for that copy.
+    let clock = Arc::new(ManualClock::new());
+    let shared = keeper(&clock);
+    let release = Arc::new(tokio::sync::Notify::new());
+    let successor = host_that_waits_with_ends(release.clone());
+    shared.keep(&server(), wanted(Some(successor.local_addr())));
+    let until_then = clock.now() + Duration::from_secs(30);
+    let place = shared.until_ready(&server(), SLOT, until_then).await.unwrap();
+    assert!(shared.is_idle(&server()));
+    shared.begin(&place, &scope("order-1"), 7);
+    let mut attempt = shared.attempt(place, scope("order-1"), 1);
+    attempt.until_copied(until_then).await.unwrap();
+    attempt.not_run();
+    drop(attempt);
+    assert!(!shared.is_idle(&server()));
+    release.notify_one();
+    shared.until_idle(&server()).await;
+}
--- a/crates/jacinthbeam-entry/tests/memory/main.rs
+++ b/crates/jacinthbeam-entry/tests/memory/main.rs
@@ -96,17 +96,17 @@
 }
 
 /// Lets the server that ran the order leave, and waits until the other one has all slots.
-async fn leave(cell: &mut Cell) {
+async fn leave(cell: &mut Cell, slots: usize) {
     let (server, _) = cell.where_it_ran().await;
     cell.leaving.insert(server.clone());
     cell.publish_list();
     until(async || {
         let dump = cell.entries.values().next().unwrap().dump().await.unwrap();
-        dump.services[&"brinedesk".parse().unwrap()].owned == Some(8)
+        dump.services[&"brinedesk".parse().unwrap()].owned == Some(slots)
             && cell.servers[&server].grant_state().slots.iter().count() == 0
     })
     .await;
-    cell.until_served(8).await;
+    cell.until_served(slots).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -114,7 +114,7 @@
     // The backend server leaves, and its slots move to the other one one by one.
     let mut cell = Cell::spawn().await;
     let first = cell.repeat(cell.other_than(&[]), ORDER).await;
-    leave(&mut cell).await;
+    leave(&mut cell, 8).await;
 
     let second = cell.repeat(cell.other_than(&[]), ORDER).await;
     assert_eq!(second, first);
@@ -131,7 +131,7 @@
     // attendant fetches it from the hosts of the first cell.
     let mut cell = Cell::spawn_layout(&TWO_CELLS).await;
     let first = cell.repeat(cell.other_than(&[]), ORDER).await;
-    leave(&mut cell).await;
+    leave(&mut cell, 8).await;
 
     let second = cell.repeat(cell.other_than(&[]), ORDER).await;
     assert_eq!(second, first);
@@ -161,6 +161,52 @@
     assert_eq!(cell.ran(), 2);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeat_after_its_key_was_split_out_and_moved_gets_the_first_answer() {
+    // The key got a slot of its own, and that slot moves to a server of another cell: the order goes along with it.
+    let mut cell = Cell::spawn_layout(&TWO_CELLS).await;
+    let first = cell.repeat(cell.other_than(&[]), ORDER).await;
+    cell.split("road-7");
+    cell.until_served(9).await;
+    leave(&mut cell, 9).await;
+
+    assert_eq!(cell.repeat(cell.other_than(&[]), ORDER).await, first);
+    assert_eq!(cell.ran(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_that_wait_through_a_planned_stop_all_run_once() {
+    // Three orders run and six wait in the attendant's queue when its host is stopped. Those that wait were begun there and not
+    // sent; the next attendant must know that they did not run, or it would refuse them.
+    let mut cell = Cell::spawn().await;
+    let probe = Order { idempotency_key: "order-0", ..ORDER };
+    cell.repeat(cell.other_than(&[]), probe).await;
+    let (server, attendant) = cell.where_it_ran().await;
+    cell.servers[&server].set_hold(true);
+    let addr = cell.other_than(&[&attendant]);
+    let orders = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+    let sent = orders.map(|key| tokio::spawn(send(addr, Order { idempotency_key: key, ..ORDER })));
+    until(async || {
+        let dump = cell.entries[&attendant].dump().await.unwrap();
+        let admission = dump.backend_servers[&server].admission.as_ref();
+        admission.is_some_and(|admission| admission.in_use + admission.waiting as u32 == 9)
+    })
+    .await;
+    let stopping = cell.entries.remove(&attendant).unwrap();
+    let callers = stopping.callers();
+    let stopped = tokio::spawn(stopping.stop());
+    until(async || tokio::net::TcpStream::connect(callers).await.is_err()).await;
+    cell.servers[&server].set_hold(false);
+    stopped.await.unwrap();
+
+    for (key, sent) in orders.into_iter().zip(sent) {
+        sent.await.unwrap();
+        let order = Order { idempotency_key: key, ..ORDER };
+        assert_eq!(cell.repeat(addr, order).await.verdict, "ran", "{key}");
+    }
+    assert_eq!(cell.ran(), 10);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn repeat_after_a_restart_of_the_server_gets_the_first_answer() {
     // The backend server restarts and reports that nobody ever attended it. Its attendant remembers the order all the same.
