fix(entry): finding the cells to watch ranks no more hosts than it has to

Cause: every ten seconds, and with each new list, a host ranked all listed hosts for each cell of other failure domains to find the ones that it watches. With 20,000 hosts in 1,250 cells that held the control thread up for three to eight seconds, in which it renews no lease.

Change: hosts are grouped by failure domain once; for each cell only the four failure domains that watch it are picked, then the asking host's own hosts are ranked, and the others only for the few cells that it does watch. The picked hosts are the same as before.

--- a/crates/jacinthbeam-entry/src/process/control/abandoned.rs
+++ b/crates/jacinthbeam-entry/src/process/control/abandoned.rs
@@ -141,10 +141,12 @@
         let own = self.me.cell.failure_domain();
         let listed = self.list.entry_hosts.iter().map(|host| &host.cell);
         let cells: BTreeSet<CellId> = listed.chain(self.state.cells.keys()).cloned().collect();
+        let hosts = self.list.entry_hosts.iter().map(|host| (&host.id, &host.cell));
+        let fleet = watch::Fleet::new(hosts);
         let mut watched = BTreeMap::new();
-        for cell in cells.into_iter().filter(|cell| cell.failure_domain() != own) {
-            let hosts = self.list.entry_hosts.iter().map(|host| (&host.id, &host.cell));
-            let watchers = watch::watchers(&cell, hosts);
+        let is_mine = |cell: &CellId| fleet.is_watched_by(cell, &own, &self.me.host);
+        for cell in cells.into_iter().filter(is_mine) {
+            let watchers = fleet.watchers(&cell);
             let Some(turn) = watchers.iter().position(|host| **host == self.me.host) else {
                 continue;
             };
--- a/crates/jacinthbeam-lease/src/watch.rs
+++ b/crates/jacinthbeam-lease/src/watch.rs
@@ -22,29 +22,71 @@
 /// Watchers in each of them, so that the loss of one host leaves nobody unwatched.
 const WATCHERS_A_DOMAIN: usize = 2;
 
-/// The hosts that watch a cell, best first. Each host comes to the same answer from the same list.
+/// All listed hosts, for finding out who watches which cell.
+///
+/// A host has to find the cells that it watches among more than a thousand, and the watchers of one are picked among twenty
+/// thousand hosts; ranking all of them for each cell takes seconds, in which a control thread renews no lease. So hosts are ranked only
+/// in the failure domains that are picked, and first in the asking host's own.
+#[derive(Debug)]
+pub struct Fleet<'a>(BTreeMap<FailureDomain, Vec<&'a HostId>>);
+
+/// A host with its rendezvous weight for a cell.
+type Ranked<'a> = (u64, &'a HostId);
+
+impl<'a> Fleet<'a> {
+    /// The hosts with their cells.
+    pub fn new(hosts: impl Iterator<Item = (&'a HostId, &'a CellId)>) -> Self {
+        let mut by_domain: BTreeMap<FailureDomain, Vec<&HostId>> = BTreeMap::new();
+        for (host, cell) in hosts {
+            by_domain.entry(cell.failure_domain()).or_default().push(host);
+        }
+        Self(by_domain)
+    }
+
+    /// The hosts that watch a cell, best first. Each host comes to the same answer from the same list.
+    pub fn watchers(&self, cell: &CellId) -> Vec<&'a HostId> {
+        let domains = self.domains_for(cell).into_iter();
+        let mut picked: Vec<_> = domains.flat_map(|domain| self.picked_in(domain, cell)).collect();
+        picked.sort_by_key(|ranked| Reverse(*ranked));
+        picked.into_iter().map(|(_, host)| host).collect()
+    }
+
+    /// Whether `host`, which lies in failure domain `own`, is among [`Self::watchers`]; at a fraction of the cost.
+    pub fn is_watched_by(&self, cell: &CellId, own: &FailureDomain, host: &HostId) -> bool {
+        self.domains_for(cell).contains(&own)
+            && self.picked_in(own, cell).iter().any(|(_, picked)| *picked == host)
+    }
+
+    /// The failure domains that watch a cell.
+    fn domains_for(&self, cell: &CellId) -> Vec<&FailureDomain> {
+        let own = cell.failure_domain();
+        let mut domains: Vec<_> = self.0.keys().filter(|domain| **domain != own).collect();
+        domains.sort_by_cached_key(|domain| {
+            Reverse(rendezvous_weight(cell.as_str(), domain.as_str()))
+        });
+        domains.truncate(DOMAINS);
+        domains
+    }
+
+    /// The best hosts of a failure domain for a cell.
+    fn picked_in(&self, domain: &FailureDomain, cell: &CellId) -> Vec<Ranked<'a>> {
+        let hosts = self.0.get(domain).into_iter().flatten();
+        let mut best: Vec<Ranked<'a>> = Vec::new();
+        for host in hosts {
+            best.push((rendezvous_weight(cell.as_str(), host.as_str()), host));
+            best.sort_by_key(|ranked| Reverse(*ranked));
+            best.truncate(WATCHERS_A_DOMAIN);
+        }
+        best
+    }
+}
+
+/// The hosts that watch one cell, best first; see [`Fleet::watchers`].
 pub fn watchers<'a>(
     cell: &CellId,
     hosts: impl Iterator<Item = (&'a HostId, &'a CellId)>,
 ) -> Vec<&'a HostId> {
-    let own = cell.failure_domain();
-    let mut by_domain: BTreeMap<FailureDomain, Vec<(u64, &HostId)>> = BTreeMap::new();
-    for (host, of) in hosts {
-        let domain = of.failure_domain();
-        if domain != own {
-            let weight = rendezvous_weight(cell.as_str(), host.as_str());
-            by_domain.entry(domain).or_default().push((weight, host));
-        }
-    }
-    let mut domains: Vec<_> = by_domain.into_iter().collect();
-    domains.sort_by_key(|(domain, _)| Reverse(rendezvous_weight(cell.as_str(), domain.as_str())));
-    let mut picked = Vec::new();
-    for (_, mut hosts) in domains.into_iter().take(DOMAINS) {
-        hosts.sort_by_key(|ranked| Reverse(*ranked));
-        picked.extend(hosts.into_iter().take(WATCHERS_A_DOMAIN));
-    }
-    picked.sort_by_key(|ranked| Reverse(*ranked));
-    picked.into_iter().map(|(_, host)| host).collect()
+    Fleet::new(hosts).watchers(cell)
 }
 
 /// What one watcher knows of a cell.
--- a/crates/jacinthbeam-lease/tests/watch/mod.rs
+++ b/crates/jacinthbeam-lease/tests/watch/mod.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_lease::watch::{SILENT_AFTER, WORD_COUNTS_FOR, Watch, watchers};
+use jacinthbeam_lease::watch::{Fleet, SILENT_AFTER, WORD_COUNTS_FOR, Watch, watchers};
 use jacinthbeam_types::prelude::*;
 
 use crate::support::name;
@@ -97,3 +97,20 @@
     let kept = picked.iter().filter(|host| left.contains(*host)).count();
     assert_eq!(kept, 3, "the loss of a host changes one watcher");
 }
+
+#[test]
+fn host_is_told_apart_from_watchers_without_ranking_the_fleet() {
+    let hosts: Vec<(HostId, CellId)> = (0..300)
+        .map(|n| (name(&format!("entry-{n}")), name(&format!("domain-{}:{}", n % 9, n / 9 % 3))))
+        .collect();
+    let fleet = Fleet::new(hosts.iter().map(|(host, cell)| (host, cell)));
+    let cells: BTreeSet<CellId> = hosts.iter().map(|(_, cell)| cell.clone()).collect();
+    for cell in &cells {
+        let watchers = fleet.watchers(cell);
+        assert_eq!(watchers.len(), 8, "two hosts in each of four failure domains");
+        for (host, of) in &hosts {
+            let told = fleet.is_watched_by(cell, &of.failure_domain(), host);
+            assert_eq!(told, watchers.contains(&host), "{host} and {cell}");
+        }
+    }
+}
