chore: lint levels stand in the workspace alone

Cause: missing_docs, rust_2018_idioms and unsafe_code were set in the root Cargo.toml for all crates, and again in some. Change: the doubles are dropped; every crate takes the workspace's lints.

--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -2,8 +2,6 @@
 //!
 //! All of it is pure: time and events in, decisions out. The crate sends nothing and reads no clock; the entry host's process
 //! feeds it and acts on what it decides. The reasons, the table of verdicts and the bounds are in `docs/REQUESTS.md`.
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
 
 pub mod connection;
 pub mod process;
--- a/crates/jacinthbeam-cli/src/lib.rs
+++ b/crates/jacinthbeam-cli/src/lib.rs
@@ -2,8 +2,6 @@
 //!
 //! Commands can be called as functions: they write to a [`Terminal`] and return a [`command::Error`], which says the
 //! exit code.
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
 
 pub mod command;
 pub mod control;
--- a/crates/jacinthbeam-measure/src/lib.rs
+++ b/crates/jacinthbeam-measure/src/lib.rs
@@ -2,8 +2,6 @@
 //!
 //! Nothing here models a cluster: entry hosts are the library that the daemon runs, the platform is the stand-ins, and
 //! everything speaks TCP. What is judged is read from the stand-ins' own records and from the callers' notes.
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
 
 pub mod capacity;
 pub mod client;
--- a/crates/jacinthbeam-peer/src/lib.rs
+++ b/crates/jacinthbeam-peer/src/lib.rs
@@ -46,9 +46,6 @@
 //! sent. A request that breaks the protocol gets status 400, 404, 408, 413 or 505 and a text before any
 //! handler sees it, and the connection goes on.
 
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
-
 pub mod body;
 pub mod client;
 pub mod connection;
--- a/crates/jacinthbeam-standin/src/lib.rs
+++ b/crates/jacinthbeam-standin/src/lib.rs
@@ -20,9 +20,6 @@
 //! The options of a log and of a host list have defaults; those of a backend server start from
 //! [`backend::Options::new`]`(ServerId, ServiceName)`.
 
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
-
 pub mod backend;
 pub mod hosts;
 pub mod log;
--- a/crates/jacinthbeam-standin/src/main.rs
+++ b/crates/jacinthbeam-standin/src/main.rs
@@ -1,8 +1,5 @@
 //! `jacinthbeam-standin`: one stand-in of the platform as a program, for a run on one machine.
 
-#![deny(missing_docs, rust_2018_idioms)]
-#![forbid(unsafe_code)]
-
 use std::{fmt, io, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
