feat(entry): a relay that keeps failing is asked less and less often

While the log is down or slow every relay refuses, or is late, and each reader asked both of them again every two seconds: 250 ms without a read of its own each time. The pause now doubles up to 16 s, and starts anew once the relay answers.

--- a/crates/jacinthbeam-entry/src/process/control/fanout.rs
+++ b/crates/jacinthbeam-entry/src/process/control/fanout.rs
@@ -28,30 +28,56 @@
 /// Time beyond the wait for an answer to arrive. With the wait it must be short against the lease: so long a dead
 /// relay leaves its readers without a new proof.
 const ON_THE_WAY: Duration = Duration::from_millis(100);
-/// How long a relay that failed is left alone.
+/// How long a relay that failed is left alone; twice as long each time until it answers again.
 const AVOID: Duration = Duration::from_secs(2);
+/// Longest time that a relay is left alone. During an outage of the log all relays refuse, and asking them only costs time.
+const MAX_AVOID: Duration = Duration::from_secs(16);
 
 /// Relays that are avoided, and what was read by which way.
 #[derive(Debug, Default)]
 pub struct Ways {
-    avoid: BTreeMap<SocketAddr, Instant>,
+    avoid: BTreeMap<SocketAddr, Avoided>,
     reads: LogReads,
 }
 
+/// A relay that failed.
+#[derive(Debug, Clone, Copy)]
+struct Avoided {
+    until: Instant,
+    pause: Duration,
+}
+
 impl Ways {
-    /// Counts a read that succeeded.
-    pub fn count(&mut self, source: &Source) {
+    /// Notes a read that succeeded.
+    pub fn succeeded(&mut self, source: &Source) {
         match source {
             Source::Log => self.reads.direct += 1,
-            Source::Relay { .. } => self.reads.relayed += 1,
+            Source::Relay { addr, .. } => {
+                self.avoid.remove(addr);
+                self.reads.relayed += 1;
+            }
         }
     }
+
+    /// Notes a relay that failed.
+    pub fn failed(&mut self, now: Instant, addr: SocketAddr) {
+        // Those of hosts that are gone would pile up.
+        self.avoid.retain(|_, avoided| now < avoided.until + MAX_AVOID);
+        let before = self.avoid.get(&addr).map_or(AVOID / 2, |avoided| avoided.pause);
+        let pause = (before * 2).min(MAX_AVOID);
+        self.avoid.insert(addr, Avoided { until: now + pause, pause });
+        self.reads.fallbacks += 1;
+    }
+
+    /// Whether a relay is left alone.
+    pub fn avoids(&self, now: Instant, addr: SocketAddr) -> bool {
+        self.avoid.get(&addr).is_some_and(|avoided| now < avoided.until)
+    }
 }
 
 impl Control {
     /// Where the next read goes: to the log itself, or to a relay.
-    pub(super) fn next_source(&mut self, now: Instant) -> Source {
-        self.ways.avoid.retain(|_, until| now < *until);
+    pub(super) fn next_source(&self, now: Instant) -> Source {
         // Without a proof of its own the host may be far behind, and its relay would not have the records any more.
         if !self.follow.is_plain() || self.proofs.log(&self.state).is_none() {
             return Source::Log;
@@ -62,8 +88,7 @@
             return Source::Log;
         }
         // Each reader serves about half of the others.
-        let usable =
-            readers.iter().filter(|heard| !self.ways.avoid.contains_key(&heard.peer_address));
+        let usable = readers.iter().filter(|heard| !self.ways.avoids(now, heard.peer_address));
         let weight = |host: &HostId| rendezvous_weight(self.me.host.as_str(), host.as_str());
         let picked = usable.max_by_key(|heard| (weight(&heard.host), &heard.host));
         picked.map_or(Source::Log, |heard| Source::Relay {
@@ -100,8 +125,7 @@
     /// A relay did not answer with records. The log itself is asked at once, and the relay left alone for a while.
     pub(super) fn relay_failed(&mut self, host: &HostId, addr: SocketAddr, err: &Error) {
         log::info!("log: reads by itself, not through {host}: {err}");
-        self.ways.reads.fallbacks += 1;
-        self.ways.avoid.insert(addr, self.clock.now() + AVOID);
+        self.ways.failed(self.clock.now(), addr);
     }
 
     /// Another host wants to read through this one.
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -135,7 +135,7 @@
                 self.relay.proved(Proved { started, end, earliest });
             }
         }
-        self.ways.count(source);
+        self.ways.succeeded(source);
         if *source == Source::Log {
             self.relay.read_ended();
         }
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -45,7 +45,7 @@
 
 use super::{Identity, Traffic};
 
-pub use event::Event;
+pub use event::{Event, Source};
 
 /// Time between two looks at everything that depends on time.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/jacinthbeam-entry/tests/process/relay.rs
+++ b/crates/jacinthbeam-entry/tests/process/relay.rs
@@ -1,7 +1,8 @@
 use std::time::{Duration, Instant};
 
 use jacinthbeam_entry::process::control::{
-    fanout::{batch, proof_time},
+    Source,
+    fanout::{Ways, batch, proof_time},
     relay::{MAX_WAIT, Proved, Relay, Wanted},
 };
 use jacinthbeam_lease::Timing;
@@ -161,3 +162,21 @@
     assert_eq!((taken.records.len(), taken.end), (2, Offset(9)));
     assert_eq!(batch(Offset(4), answer(&[])).unwrap().records, []);
 }
+
+#[test]
+fn a_relay_that_fails_again_and_again_is_left_alone_for_longer() {
+    // The log is down or slow for everybody. Asked every two seconds all the same, each relay would cost its readers a wait that
+    // they need for reads of their own.
+    let start = Instant::now();
+    let addr = ([10, 0, 0, 1], 7001).into();
+    let mut ways = Ways::default();
+    assert!(!ways.avoids(start, addr));
+    for seconds in [2, 4, 8, 16, 16] {
+        ways.failed(start, addr);
+        assert!(ways.avoids(start + ms(seconds * 1000 - 1), addr));
+        assert!(!ways.avoids(start + ms(seconds * 1000), addr));
+    }
+    ways.succeeded(&Source::Relay { host: "entry-1".parse().unwrap(), addr });
+    ways.failed(start, addr);
+    assert!(!ways.avoids(start + ms(2000), addr));
+}
