refactor(cli,config): one piece for shared arguments, and for writing a file of the folder

Change: arg.rs holds the arguments with their values, folder::replace the write. Help texts and files are the same.

--- a/crates/jacinthbeam-cli/src/command/adopt.rs
+++ b/crates/jacinthbeam-cli/src/command/adopt.rs
@@ -10,7 +10,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use jacinthbeam::config::{
     FileName,
-    folder::Snapshot,
+    folder::{self, Snapshot},
     publish::{Choice, adopt as plan, synced},
 };
 
@@ -125,8 +125,5 @@
         return Err(io::Error::other(what));
     }
     let Some(text) = text else { return fs::remove_file(path) };
-    // Renamed into place, so that a reader of the folder never sees half of it.
-    let draft = folder.join(format!(".{name}.adopt"));
-    fs::write(&draft, text)?;
-    fs::rename(draft, path)
+    folder::replace(folder, name.as_str(), &format!(".{name}.adopt"), text)
 }
--- a/crates/jacinthbeam-cli/src/command/arg.rs
+++ b/crates/jacinthbeam-cli/src/command/arg.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, value_parser};
+use jacinthbeam_measure::Preset;
 
 /// The folder of configuration files, as the first argument.
 pub fn folder() -> Arg {
@@ -49,6 +50,56 @@
     args.get_many::<SocketAddr>("operators").into_iter().flatten().copied().collect()
 }
 
+/// The deployment that an experiment runs on.
+pub fn deployment() -> Arg {
+    Arg::new("deployment")
+        .long("deployment")
+        .value_name("NAME")
+        .required(true)
+        .value_parser(value_parser!(Preset))
+        .help("rimefall or chladici")
+}
+
+/// Value of [`deployment`].
+pub fn deployment_of(args: &ArgMatches) -> Preset {
+    *args.get_one("deployment").expect("it is required")
+}
+
+/// What random choices start from; `help` says which ones.
+pub fn seed(help: &'static str) -> Arg {
+    Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .default_value("1")
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// Value of [`seed`].
+pub fn seed_of(args: &ArgMatches) -> u64 {
+    *args.get_one("seed").expect("it has a default")
+}
+
+/// How long something lasts; `help` says what.
+pub fn lasts(default: &'static str, help: &'static str) -> Arg {
+    Arg::new("for")
+        .long("for")
+        .value_name("TIME")
+        .default_value(default)
+        .value_parser(time)
+        .help(help)
+}
+
+/// Value of [`lasts`].
+pub fn lasts_of(args: &ArgMatches) -> Duration {
+    *args.get_one("for").expect("it has a default")
+}
+
+/// Whether a report is printed as JSON.
+pub fn json() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the report as JSON")
+}
+
 /// A time such as `500ms`, `10s` or `5m`.
 pub fn time(text: &str) -> Result<Duration, String> {
     let wrong = || format!("{text:?} is no time such as 500ms, 10s or 5m");
--- a/crates/jacinthbeam-cli/src/command/bench.rs
+++ b/crates/jacinthbeam-cli/src/command/bench.rs
@@ -2,9 +2,8 @@
 
 use std::{fmt, time::Duration};
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use jacinthbeam_measure::{
-    Preset,
     capacity::{self, Vary},
     overhead, overload, publish,
 };
@@ -19,13 +18,7 @@
         .about("Measure on loopback what the router costs and how it behaves beyond capacity")
         .after_long_help(EXIT_CODES)
         .subcommand_required(true)
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .global(true)
-                .action(ArgAction::SetTrue)
-                .help("Print the report as JSON"),
-        )
+        .arg(arg::json().global(true))
         .subcommands([
             overhead_command(),
             overload_command(),
@@ -37,7 +30,7 @@
 fn overhead_command() -> Command {
     Command::new("overhead")
         .about("Call the same stand-ins directly and through the router, side by side")
-        .arg(lasts("2s", "How long each path is called in each round"))
+        .arg(arg::lasts("2s", "How long each path is called in each round"))
         .arg(
             Arg::new("rounds")
                 .long("rounds")
@@ -51,8 +44,8 @@
 fn overload_command() -> Command {
     Command::new("overload")
         .about("Goodput and latency at 0.5, 1, 2 and 5 times the backend servers' capacity")
-        .arg(deployment())
-        .arg(lasts("10s", "How long each level is counted"))
+        .arg(arg::deployment())
+        .arg(arg::lasts("10s", "How long each level is counted"))
         .arg(
             Arg::new("service-time")
                 .long("service-time")
@@ -70,14 +63,7 @@
                 .value_parser(value_parser!(f64))
                 .help("Multiples of the capacity, 10 at most"),
         )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("N")
-                .default_value("1")
-                .value_parser(value_parser!(u64))
-                .help("Seed of the load"),
-        )
+        .arg(arg::seed("Seed of the load"))
 }
 
 fn publish_command() -> Command {
@@ -85,7 +71,7 @@
         .about(
             "Time from the append of a change of configuration until it is in force on every host",
         )
-        .arg(deployment())
+        .arg(arg::deployment())
         .arg(
             Arg::new("changes")
                 .long("changes")
@@ -99,7 +85,7 @@
 fn capacity_command() -> Command {
     Command::new("capacity")
         .about("What control costs an entry host, by one size that is varied")
-        .arg(lasts("10s", "How long each size is measured"))
+        .arg(arg::lasts("10s", "How long each size is measured"))
         .arg(
             Arg::new("vary")
                 .long("vary")
@@ -120,30 +106,12 @@
         )
 }
 
-fn lasts(default: &'static str, help: &'static str) -> Arg {
-    Arg::new("for")
-        .long("for")
-        .value_name("TIME")
-        .default_value(default)
-        .value_parser(arg::time)
-        .help(help)
-}
-
-fn deployment() -> Arg {
-    Arg::new("deployment")
-        .long("deployment")
-        .value_name("NAME")
-        .required(true)
-        .value_parser(value_parser!(Preset))
-        .help("rimefall or chladici")
-}
-
 /// Runs the command.
 pub async fn run(args: &ArgMatches, terminal: &mut Terminal<'_>) -> Result<(), Error> {
     match args.subcommand() {
         Some(("overhead", args)) => {
             let options = overhead::Options {
-                phase: time(args, "for"),
+                phase: arg::lasts_of(args),
                 rounds: *args.get_one::<u32>("rounds").expect("it has a default") as usize,
                 ..Default::default()
             };
@@ -152,17 +120,17 @@
         Some(("overload", args)) => {
             let levels = args.get_many::<f64>("levels").expect("it has a default");
             let options = overload::Options {
-                service_time: time(args, "service-time"),
+                service_time: *args.get_one("service-time").expect("it has a default"),
                 levels: levels.map(|level| level.clamp(0.01, 10.0)).collect(),
-                lasts: time(args, "for"),
-                seed: *args.get_one("seed").expect("it has a default"),
-                ..overload::Options::new(preset(args))
+                lasts: arg::lasts_of(args),
+                seed: arg::seed_of(args),
+                ..overload::Options::new(arg::deployment_of(args))
             };
             say(&overload::run(&options).await.map_err(failed)?, args, terminal)
         }
         Some(("publish", args)) => {
             let options = publish::Options {
-                preset: preset(args),
+                preset: arg::deployment_of(args),
                 changes: *args.get_one("changes").expect("it has a default"),
                 pause: Duration::from_millis(100),
             };
@@ -174,7 +142,7 @@
             let options = capacity::Options {
                 vary,
                 sizes: sizes.map_or_else(|| vary.sizes(), |sizes| sizes.copied().collect()),
-                lasts: time(args, "for"),
+                lasts: arg::lasts_of(args),
             };
             say(&capacity::run(&options).await.map_err(failed)?, args, terminal)
         }
@@ -198,11 +166,3 @@
 fn failed(err: impl fmt::Display) -> Error {
     Error::Failed(err.to_string())
 }
-
-fn preset(args: &ArgMatches) -> Preset {
-    *args.get_one("deployment").expect("it is required")
-}
-
-fn time(args: &ArgMatches, name: &str) -> Duration {
-    *args.get_one(name).expect("it has a default")
-}
--- a/crates/jacinthbeam-cli/src/publication/pending.rs
+++ b/crates/jacinthbeam-cli/src/publication/pending.rs
@@ -9,6 +9,7 @@
     config::{
         ContentHash, FileName,
         change::{Base, Change},
+        folder,
         publish::Synced,
     },
     state::RecordId,
@@ -83,9 +84,8 @@
 /// Notes a publication.
 pub fn store(folder: &Path, pending: &Pending) -> Result<(), Error> {
     let text = serde_json::to_string_pretty(pending).map_err(Error::Format)?;
-    let draft = folder.join(format!("{FILE}.{}", pending.id));
-    fs::write(&draft, text).map_err(Error::Write)?;
-    fs::rename(&draft, folder.join(FILE)).map_err(Error::Write)
+    let draft = format!("{FILE}.{}", pending.id);
+    folder::replace(folder, FILE, &draft, &text).map_err(Error::Write)
 }
 
 /// Removes the note of one publication, not that of another one which was noted since.
--- a/crates/jacinthbeam-config/src/folder/mod.rs
+++ b/crates/jacinthbeam-config/src/folder/mod.rs
@@ -1,6 +1,6 @@
 //! Reads the folder that operators put files into.
 
-use std::{collections::BTreeMap, fmt, io, path::Path, thread, time::Duration};
+use std::{collections::BTreeMap, fmt, fs, io, path::Path, thread, time::Duration};
 
 use crate::{
     check::{Checked, check},
@@ -27,6 +27,15 @@
     }
 }
 
+/// Writes a file of the folder by renaming `draft` into place, so that a reader never sees half of it.
+///
+/// Drafts that are written at the same time with different texts need different names.
+pub fn replace(folder: &Path, file: &str, draft: &str, text: &str) -> io::Result<()> {
+    let draft = folder.join(draft);
+    fs::write(&draft, text)?;
+    fs::rename(&draft, folder.join(file))
+}
+
 /// How to wait for a folder to settle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
--- a/crates/jacinthbeam-config/src/publish/synced.rs
+++ b/crates/jacinthbeam-config/src/publish/synced.rs
@@ -9,7 +9,7 @@
     change::Base,
     file::{ContentHash, FileName},
     fold::State,
-    folder::Snapshot,
+    folder::{self, Snapshot},
 };
 
 /// Name of the file that keeps [`Synced`]. It starts with a dot and is not merged.
@@ -108,7 +108,6 @@
     joined.join(synced.clone());
     let text = serde_json::to_string_pretty(&joined).map_err(Error::Format)?;
     // Named by its content, so that operators on two machines can't write different texts to one draft.
-    let draft = folder.join(format!("{FILE}.{}", ContentHash::of(&text)));
-    fs::write(&draft, text).map_err(Error::Write)?;
-    fs::rename(&draft, folder.join(FILE)).map_err(Error::Write)
+    let draft = format!("{FILE}.{}", ContentHash::of(&text));
+    folder::replace(folder, FILE, &draft, &text).map_err(Error::Write)
 }
