feat(platform): a list of hosts that is known is not sent again

Cause: every host read the platform's whole list twice a second.

Change: the client names the tag of the last whole list in `if-none-match` and takes `304` for the same list; the stand-in tags its lists. A platform without tags sends the whole list as before. `--vary list` counts three backend servers for each entry host.

Conclusion: a list costs when it changes.

--- a/crates/jacinthbeam-entry/src/process/control/cell.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cell.rs
@@ -19,8 +19,8 @@
         self.next_list = now + EVERY;
         let client = self.host_list.clone();
         self.spawn_event(async move {
-            match client.list().await {
-                Ok(list) => Some(Event::Listed(list)),
+            match client.list_if_changed().await {
+                Ok(list) => list.map(Event::Listed),
                 // The last list stays in use; the platform may be cut off for long.
                 Err(err) => {
                     log::debug!("hosts: list not read: {err}");
--- a/crates/jacinthbeam-measure/src/capacity/fold.rs
+++ b/crates/jacinthbeam-measure/src/capacity/fold.rs
@@ -7,7 +7,7 @@
 
 use jacinthbeam::{
     config::change::{Base, Change, FileChange},
-    platform::format::hosts::HostList,
+    platform::format::hosts::{BackendServer, HostList},
     state::{
         Envelope, Record, RecordId, State,
         record::{JoinServer, OwnerRun},
@@ -24,6 +24,8 @@
 const LOOK_UPS: u32 = 100_000;
 /// Slots of the service whose keys are split out.
 const SLOTS: u32 = 1_200;
+/// Backend servers for each entry host in the platform's list, as in the deployments of today.
+const SERVERS_A_HOST: u32 = 3;
 /// Backend servers of that service.
 const SERVERS: u32 = 12;
 
@@ -152,9 +154,22 @@
     }
 }
 
-/// The platform's list of so many entry hosts, as it is read every time.
+fn server(n: u32) -> BackendServer {
+    BackendServer {
+        id: format!("tilecast-{n:05}").parse().expect("a proper name"),
+        service: "tilecast".parse().expect("a proper name"),
+        cell: format!("other-{}:{}", n % 28, n / 28 / 48).parse().expect("a proper name"),
+        address: ([10, 1 + (n >> 16) as u8, (n >> 8) as u8, n as u8], 80).into(),
+        leaving: false,
+    }
+}
+
+/// The platform's list of so many entry hosts and three times as many backend servers, as it is read.
 pub(super) fn list(count: u32) -> Result<Row, Error> {
-    let list = HostList { entry_hosts: others(count).collect(), backend_servers: Vec::new() };
+    let list = HostList {
+        entry_hosts: others(count).collect(),
+        backend_servers: (0..count * SERVERS_A_HOST).map(server).collect(),
+    };
     let text = serde_json::to_vec(&list).map_err(|err| failed(&err))?;
     let started = Instant::now();
     for _ in 0..TIMES {
--- a/crates/jacinthbeam-standin/src/hosts.rs
+++ b/crates/jacinthbeam-standin/src/hosts.rs
@@ -8,12 +8,12 @@
     time::{Duration, Instant},
 };
 
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use jacinthbeam_platform::format::hosts::HostList;
 use jacinthbeam_types::prelude::*;
 
-use crate::net::{Answer, Dropped, Listener, Server, answer, json, read_body};
+use crate::net::{Answer, Body, Dropped, Listener, Server, answer, json, read_body};
 
 /// Lists that are remembered for the sake of the lag.
 const MAX_HISTORY: usize = 1024;
@@ -56,12 +56,19 @@
     /// Visible when no later list is old enough.
     oldest: HostList,
     later: VecDeque<(Instant, HostList)>,
+    /// Lists that were older than the oldest one.
+    dropped: u64,
 }
 
 /// Starts a host list that listens on `addr`. Must be called inside a tokio runtime.
 pub fn spawn(addr: SocketAddr, options: Options) -> io::Result<Handle> {
-    let state =
-        State { lag: options.lag, down: false, oldest: options.list, later: VecDeque::new() };
+    let state = State {
+        lag: options.lag,
+        down: false,
+        oldest: options.list,
+        later: VecDeque::new(),
+        dropped: 0,
+    };
     let shared = Arc::new(Shared {
         server: Server::new(usize::MAX),
         clock: options.clock,
@@ -124,10 +131,14 @@
         self.later.back().map_or(&self.oldest, |(_, list)| list)
     }
 
-    fn visible(&self, now: Instant) -> &HostList {
+    /// The list that readers see, and its number among all lists.
+    fn visible(&self, now: Instant) -> (u64, &HostList) {
         let seen = |set: &Instant| now.saturating_duration_since(*set) >= self.lag;
-        let newest = self.later.iter().rev().find(|(set, _)| seen(set));
-        newest.map_or(&self.oldest, |(_, list)| list)
+        let newest = self.later.iter().enumerate().rev().find(|(_, (set, _))| seen(set));
+        match newest {
+            Some((at, (_, list))) => (self.dropped + 1 + at as u64, list),
+            None => (self.dropped, &self.oldest),
+        }
     }
 }
 
@@ -149,10 +160,24 @@
             && let Some((_, list)) = state.later.pop_front()
         {
             state.oldest = list;
+            state.dropped += 1;
         }
     }
 }
 
+/// The list, or that it is the one whose tag the reader names.
+fn get(shared: &Shared, req: &Request<Incoming>) -> Response<Body> {
+    let state = shared.lock();
+    let (number, list) = state.visible(shared.clock.now());
+    let tag = HeaderValue::try_from(format!("\"{number}\"")).expect("a number is a value");
+    let mut res = match req.headers().get(header::IF_NONE_MATCH) == Some(&tag) {
+        true => answer(StatusCode::NOT_MODIFIED, ""),
+        false => json(StatusCode::OK, list),
+    };
+    res.headers_mut().insert(header::ETAG, tag);
+    res
+}
+
 async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
     if shared.lock().down {
         return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, "the host list is down"));
@@ -161,7 +186,7 @@
         return Ok(answer(StatusCode::NOT_FOUND, "the host list knows only /hosts"));
     }
     match *req.method() {
-        Method::GET => Ok(json(StatusCode::OK, shared.lock().visible(shared.clock.now()))),
+        Method::GET => Ok(get(&shared, &req)),
         Method::PUT => {
             let body = read_body(req.into_body()).await.ok_or(Dropped)?;
             Ok(match serde_json::from_slice(&body) {
--- a/crates/jacinthbeam-standin/tests/hosts.rs
+++ b/crates/jacinthbeam-standin/tests/hosts.rs
@@ -49,3 +49,22 @@
     hosts.set_down(true);
     assert_eq!(client.get("/hosts").await.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+// A reader that names the tag of its list is told only what has changed; a lag hides a new list from the tag too.
+#[tokio::test]
+async fn tag_of_a_list_is_answered_without_the_list_until_another_is_seen() {
+    let clock = Arc::new(ManualClock::new());
+    let lag = Duration::from_secs(5);
+    let options = Options { clock: clock.clone(), list: list("old"), lag };
+    let hosts = hosts::spawn(ANY, options).unwrap();
+    let mut client = Client::open(hosts.addr()).await.unwrap();
+    let got = client.get("/hosts").await.unwrap();
+    let tag = got.header("etag").unwrap().to_owned();
+    hosts.set_list(list("new"));
+    let named = [("if-none-match", tag.as_str())];
+    let got = client.send("GET", "/hosts", &named, "").await.unwrap();
+    assert_eq!(got.status, StatusCode::NOT_MODIFIED);
+    clock.advance(lag);
+    let got = client.send("GET", "/hosts", &named, "").await.unwrap();
+    assert_eq!((got.status, got.json::<HostList>()), (StatusCode::OK, list("new")));
+}
