feat(entry): a restarted backend server gets its places step by step

Cause: the ramp of admission was never started: every backend server got all of its places at once, also after a restart.

Change: a permit for another life of the backend server than the one before starts the ramp.

Not covered: a server that is new, or that restarted while no host attended it; those start with all places.

--- a/crates/jacinthbeam-admission/src/process/server/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/server/mod.rs
@@ -228,6 +228,11 @@
         self.places.regranted(running_older);
     }
 
+    /// The backend server was restarted: it gets its places step by step again.
+    pub fn restarted(&mut self, now: Instant) {
+        self.ramp = Ramp::new(&self.options, now, true);
+    }
+
     /// Takes what the backend server said of its running requests.
     pub fn reported(&mut self, report: Report) {
         self.places.reported(report, self.options.settle);
--- a/crates/jacinthbeam-entry/src/version/attended/mod.rs
+++ b/crates/jacinthbeam-entry/src/version/attended/mod.rs
@@ -47,6 +47,8 @@
     permit: Option<Arc<Permit>>,
     /// Token of the last permit, also if that has ended.
     token: Option<Token>,
+    /// Life of the backend server that it was for.
+    life: Option<Incarnation>,
     waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
     held: BTreeSet<SlotId>,
     meter: Meter,
@@ -90,6 +92,7 @@
             admission,
             permit: None,
             token: None,
+            life: None,
             waiting: BTreeMap::new(),
             held: BTreeSet::new(),
             meter: Meter::new(),
@@ -107,6 +110,10 @@
         if inner.token.replace(permit.token) != Some(permit.token) {
             inner.admission.regranted(report.running_older);
         }
+        let life = inner.life.replace(permit.incarnation);
+        if life.is_some_and(|life| life != permit.incarnation) {
+            inner.admission.restarted(self.clock.now());
+        }
         // A planned move that was given up: the permit holds its slot again.
         let back: BTreeSet<SlotId> = inner.held.intersection(&permit.slots).copied().collect();
         inner.admission.resume(back.iter().copied());
