--- a/crates/jacinthbeam-admission/examples/cost.rs
+++ b/crates/jacinthbeam-admission/examples/cost.rs
@@ -1,5 +1,7 @@
-//! Prints what admission costs on this machine, or with two numbers (entries, bytes of body) what duplicate memory costs:
-//! `cargo run --release -p jacinthbeam-admission --example cost [100000 256]`. One memory a process, since resident memory is measured.
+//! Prints what admission costs on this machine, or with two numbers (entries, bytes of body) what
+//! duplicate memory costs:
+//! `cargo run --release -p jacinthbeam-admission --example cost [100000 256]`. One memory a
+//! process, since resident memory is measured.
 
 use std::{
     fs,
--- a/crates/jacinthbeam-admission/src/connection/silence.rs
+++ b/crates/jacinthbeam-admission/src/connection/silence.rs
@@ -7,7 +7,8 @@
 pub struct Options {
     /// A connection on which something is due and nothing has come for this long is suspect.
     pub suspect_after: Duration,
-    /// An idle connection older than this is not used again. Shorter than the time after which anything in between forgets a connection.
+    /// An idle connection older than this is not used again. Shorter than the time after which
+    /// anything in between forgets a connection.
     pub idle_at_most: Duration,
 }
 
@@ -65,8 +66,8 @@
 
 /// Silences seen towards one peer or backend server.
 ///
-/// Whatever lost track of one connection has likely lost all that were open then. If each had to be found out by a request of its own, as many
-/// requests would hang as there are connections.
+/// Whatever lost track of one connection has likely lost all that were open then. If each had to be
+/// found out by a request of its own, as many requests would hang as there are connections.
 #[derive(Debug, Clone, Default)]
 pub struct Silences {
     last: Option<Instant>,
--- a/crates/jacinthbeam-admission/src/process/budget.rs
+++ b/crates/jacinthbeam-admission/src/process/budget.rs
@@ -15,7 +15,8 @@
 }
 
 impl Default for Options {
-    /// At most `2 + 0.08 n` retries for the first `n` requests: 1.1 attempts a request or fewer from the hundredth request on.
+    /// At most `2 + 0.08 n` retries for the first `n` requests: 1.1 attempts a request or fewer
+    /// from the hundredth request on.
     fn default() -> Self {
         Self { per_request: 80, most: 10_000, initial: 2_000 }
     }
@@ -23,7 +24,8 @@
 
 /// Retry budget of one service on one entry host.
 ///
-/// Without it an outage multiplies the load: every request in progress is tried again and again, and the backend servers that come back drown in retries.
+/// Without it an outage multiplies the load: every request in progress is tried again and again,
+/// and the backend servers that come back drown in retries.
 #[derive(Debug, Clone)]
 pub struct Budget {
     options: Options,
--- a/crates/jacinthbeam-admission/src/process/duplicate/entry.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/entry.rs
@@ -69,7 +69,8 @@
     }
 }
 
-/// Bytes of an answer beside its headers and body: the struct, its allocations, its place in the order of answers. Measured by `examples/cost.rs`.
+/// Bytes of an answer beside its headers and body: the struct, its allocations, its place in the
+/// order of answers. Measured by `examples/cost.rs`.
 const ANSWER_OVERHEAD: usize = 216;
 /// Bytes of a header beside its name and value.
 const HEADER_OVERHEAD: usize = size_of::<(String, Vec<u8>)>();
--- a/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/mod.rs
@@ -1,7 +1,8 @@
 //! Memory of requests with an idempotency key, so that a caller's repeat never runs twice.
 //!
-//! The attendant of the owner keeps it, and its successor holds a copy of each entry before the request is sent. Bounds
-//! of entries, bytes and time are in [`Options`]; an entry that could still prevent a second run is never dropped for room.
+//! The attendant of the owner keeps it, and its successor holds a copy of each entry before the
+//! request is sent. Bounds of entries, bytes and time are in [`Options`]; an entry that could still
+//! prevent a second run is never dropped for room.
 
 mod entry;
 mod losses;
@@ -20,8 +21,8 @@
 use losses::Losses;
 use store::{copy_of, size_of_entry};
 
-/// Bytes counted for an entry beside its idempotency key and its answer: the entry, its place in the map and in the order of age.
-/// Measured by `examples/cost.rs`, rounded up.
+/// Bytes counted for an entry beside its idempotency key and its answer: the entry, its place in
+/// the map and in the order of age. Measured by `examples/cost.rs`, rounded up.
 pub const ENTRY_BYTES: u64 = 320;
 /// An entry that is due within this share of [`Options::keep`] is waited for.
 const SOON: u32 = 16;
@@ -37,7 +38,8 @@
     pub entries: usize,
     /// Most bytes, by [`Memory::bytes`].
     pub bytes: Bytes,
-    /// How long an entry is kept after its last change. A caller may repeat for that long. Must exceed the longest deadline.
+    /// How long an entry is kept after its last change. A caller may repeat for that long. Must
+    /// exceed the longest deadline.
     pub keep: Duration,
     /// Largest answer that is kept, in bytes.
     pub answer: Bytes,
@@ -100,7 +102,8 @@
 pub struct Memory {
     options: Options,
     entries: BTreeMap<Scope, Entry>,
-    /// One item an entry, about in the order of last change; checked against the entry before it is forgotten.
+    /// One item an entry, about in the order of last change; checked against the entry before it is
+    /// forgotten.
     ages: VecDeque<Age>,
     /// Entries with a kept answer, oldest first; may name entries that have none any more.
     answers: VecDeque<Scope>,
@@ -185,7 +188,8 @@
         self.end(now, scope, attempt, progress);
     }
 
-    /// Takes a copy from another host: as its successor, or as the new attendant. Order and repetition of copies do not matter.
+    /// Takes a copy from another host: as its successor, or as the new attendant. Order and
+    /// repetition of copies do not matter.
     pub fn import(&mut self, now: Instant, copy: Copy) -> Imported {
         self.forget(now);
         let Some(entry) = self.entries.get(&copy.scope) else {
@@ -202,7 +206,8 @@
         Imported::Kept
     }
 
-    /// Copies of the entries picked by scope and by the slot that the key had when the request came; reads the whole memory.
+    /// Copies of the entries picked by scope and by the slot that the key had when the request
+    /// came; reads the whole memory.
     pub fn export<'a>(
         &'a self,
         picked: impl Fn(&Scope, Option<SlotId>) -> bool + 'a,
@@ -212,7 +217,8 @@
         of_slot.map(|(scope, entry)| copy_of(scope, entry))
     }
 
-    /// Drops the entries of slots whose memory has been handed over for good, when the record of the move has been read.
+    /// Drops the entries of slots whose memory has been handed over for good, when the record of
+    /// the move has been read.
     ///
     /// If the slots come back, what the next attendant learnt in between counts, not what stood here.
     pub fn remove(&mut self, picked: impl Fn(&Scope, Option<SlotId>) -> bool) {
@@ -231,8 +237,9 @@
 
     /// Drops the picked entries, also those in progress: a later keeper of their slots is the one that knows.
     ///
-    /// The report of an attempt that was in progress changes nothing any more. That attempt was not sent after the later keeper began, since
-    /// the backend server and the holders of copies refuse the earlier keeper.
+    /// The report of an attempt that was in progress changes nothing any more. That attempt was not
+    /// sent after the later keeper began, since the backend server and the holders of copies refuse
+    /// the earlier keeper.
     pub fn supersede(&mut self, picked: impl Fn(&Scope, Option<SlotId>) -> bool) {
         for (scope, entry) in &mut self.entries {
             entry.in_progress &= !picked(scope, entry.slot);
@@ -240,7 +247,8 @@
         self.remove(picked);
     }
 
-    /// Puts entries under the slot that now holds their key, as a key is split out of its slot or merged into it.
+    /// Puts entries under the slot that now holds their key, as a key is split out of its slot or
+    /// merged into it.
     ///
     /// `slot_of` gets the scope and the present slot of each entry of a divided service.
     pub fn relabel(&mut self, slot_of: impl Fn(&Scope, SlotId) -> SlotId) {
@@ -254,7 +262,8 @@
         self.losses.since(now, slot, self.options.keep)
     }
 
-    /// Memory of these slots from before `when` may have been lost: unknown keys are refused until it would have been forgotten anyway.
+    /// Memory of these slots from before `when` may have been lost: unknown keys are refused until
+    /// it would have been forgotten anyway.
     pub fn lost_since(&mut self, slots: impl IntoIterator<Item = SlotOf>, when: Instant) {
         for slot in slots {
             self.losses.add(slot, when);
@@ -275,7 +284,8 @@
                 continue;
             }
             let age = Age { due, scope: age.scope };
-            // At the back it would wait for all entries before it, and most entries change once, soon after they are made.
+            // At the back it would wait for all entries before it, and most entries change once,
+            // soon after they are made.
             if due - now <= keep / SOON {
                 self.ages.push_front(age);
                 break;
--- a/crates/jacinthbeam-admission/src/process/duplicate/store.rs
+++ b/crates/jacinthbeam-admission/src/process/duplicate/store.rs
@@ -17,7 +17,8 @@
         fingerprint: u64,
         may_be_lost: bool,
     ) -> Begin {
-        // An unknown key may be the repeat of a request whose memory is lost; to run it would risk a second effect.
+        // An unknown key may be the repeat of a request whose memory is lost; to run it would risk
+        // a second effect.
         if may_be_lost {
             return Begin::Refuse(Refusal::may_have_run(Reason::MemoryLost));
         }
@@ -31,7 +32,8 @@
         };
         match self.insert(now, scope.clone(), entry) {
             true => Begin::Run { attempt: 1 },
-            // To run it without memory would let a repeat run again; to forget another one would let that run again.
+            // To run it without memory would let a repeat run again; to forget another one would
+            // let that run again.
             false => Begin::Refuse(Refusal::not_run(Reason::Overloaded).retry_after(FULL_RETRY)),
         }
     }
@@ -90,7 +92,8 @@
     pub(super) fn drop_entry(&mut self, scope: &Scope) {
         let Some(entry) = self.entries.remove(scope) else { return };
         self.bytes -= size_of_entry(scope, &entry.progress);
-        // Answers are named in about the order in which they are forgotten, so the stale names stand in front.
+        // Answers are named in about the order in which they are forgotten, so the stale names
+        // stand in front.
         while self.answers.front().is_some_and(|front| !self.has_answer(front)) {
             self.answers.pop_front();
         }
@@ -121,7 +124,8 @@
         true
     }
 
-    /// Drops the oldest kept answers until there is room. Their entries stay: a repeat is refused as `ran` instead of replayed.
+    /// Drops the oldest kept answers until there is room. Their entries stay: a repeat is refused
+    /// as `ran` instead of replayed.
     fn make_room(&mut self, size: u64) -> bool {
         while self.bytes + size > self.options.bytes.0 {
             let Some(scope) = self.answers.pop_front() else { return false };
--- a/crates/jacinthbeam-admission/src/process/fair.rs
+++ b/crates/jacinthbeam-admission/src/process/fair.rs
@@ -24,11 +24,14 @@
 
 /// Bounds the requests in progress on an entry host and keeps room for every service that is configured.
 ///
-/// Half of the capacity is divided: among the teams by weight, within a team evenly among its services. The other half goes to whoever comes. Without the
-/// divided half a service in overload takes all of the host's memory and connections, and the callers of all other services are refused.
+/// Half of the capacity is divided: among the teams by weight, within a team evenly among its
+/// services. The other half goes to whoever comes. Without the divided half a service in overload
+/// takes all of the host's memory and connections, and the callers of all other services are
+/// refused.
 ///
-/// Invariant: the sum of `max(used, guaranteed)` over all shares never exceeds the capacity, so a share below its guarantee is
-/// never refused. A change of configuration may break it for as long as requests from before it run.
+/// Invariant: the sum of `max(used, guaranteed)` over all shares never exceeds the capacity, so a
+/// share below its guarantee is never refused. A change of configuration may break it for as long
+/// as requests from before it run.
 #[derive(Debug)]
 pub struct Teams {
     capacity: u32,
--- a/crates/jacinthbeam-admission/src/process/health.rs
+++ b/crates/jacinthbeam-admission/src/process/health.rs
@@ -145,7 +145,8 @@
         self.trial = false;
     }
 
-    /// A claim counts only while nothing of late contradicts it: a server that answers is not ill, whatever its endpoint says.
+    /// A claim counts only while nothing of late contradicts it: a server that answers is not ill,
+    /// whatever its endpoint says.
     fn is_claim_heeded(&self, now: Instant) -> bool {
         let fresh = |seen| now.saturating_duration_since(seen) < self.options.fresh;
         self.claimed_bad && !self.seen.is_some_and(fresh)
--- a/crates/jacinthbeam-admission/src/process/server/estimate.rs
+++ b/crates/jacinthbeam-admission/src/process/server/estimate.rs
@@ -6,11 +6,13 @@
 const MEAN_OF: u32 = 8;
 /// The same for the deviation.
 const DEVIATION_OF: u32 = 4;
-/// Deviations added to the mean for the ticket's own run, so that nearly all that is sent ends in time: with exponential service times
-/// two of them leave the slowest hundredth beyond the deadline, three do not (`examples/load.rs`).
+/// Deviations added to the mean for the ticket's own run, so that nearly all that is sent ends in
+/// time: with exponential service times two of them leave the slowest hundredth beyond the
+/// deadline, three do not (`examples/load.rs`).
 const DEVIATIONS: u32 = 3;
 
-/// Smoothed service time and its mean deviation. Knows nothing until the first answer, and then refuses nothing early.
+/// Smoothed service time and its mean deviation. Knows nothing until the first answer, and then
+/// refuses nothing early.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Estimate {
     smoothed: Option<Smoothed>,
--- a/crates/jacinthbeam-admission/src/process/server/gate.rs
+++ b/crates/jacinthbeam-admission/src/process/server/gate.rs
@@ -11,7 +11,8 @@
 pub enum Gate {
     /// Requests are sent.
     Open,
-    /// Requests wait, within their deadlines and the bound of the queue. For a lease that is about to be renewed.
+    /// Requests wait, within their deadlines and the bound of the queue. For a lease that is about
+    /// to be renewed.
     Paused,
     /// Requests are refused with this reason. For a lost attendance or a stop.
     Closed(Reason),
@@ -24,7 +25,8 @@
 }
 
 impl Admission {
-    /// Sets the gate. Closing it refuses all that wait, so that they can be sent elsewhere at once; what runs goes on.
+    /// Sets the gate. Closing it refuses all that wait, so that they can be sent elsewhere at once;
+    /// what runs goes on.
     pub fn set_gate(&mut self, now: Instant, gate: Gate) -> Vec<Refused> {
         if self.gate != gate {
             self.gate = gate;
@@ -46,7 +48,8 @@
         self.queue.resume(slots);
     }
 
-    /// The slots have gone to another backend server: what waits for them is refused `not-run`, to be sent to the new owner.
+    /// The slots have gone to another backend server: what waits for them is refused `not-run`, to
+    /// be sent to the new owner.
     pub fn moved(&mut self, slots: impl IntoIterator<Item = SlotId>) -> Vec<Refused> {
         let mut refused = Vec::new();
         for slot in slots {
@@ -57,7 +60,8 @@
         refused
     }
 
-    /// Requests of the slot that run or may run, those of earlier attendants not included: [`Admission::is_drained`] counts them.
+    /// Requests of the slot that run or may run, those of earlier attendants not included:
+    /// [`Admission::is_drained`] counts them.
     pub fn running(&self, slot: SlotId) -> u32 {
         self.places.running(slot)
     }
--- a/crates/jacinthbeam-admission/src/process/server/queue.rs
+++ b/crates/jacinthbeam-admission/src/process/server/queue.rs
@@ -28,8 +28,8 @@
     /// Slots that are not served, and since when.
     held: BTreeMap<SlotId, Instant>,
     len: usize,
-    /// What the last served team had paid before. A team that comes anew starts here: it neither has to catch up with the others nor
-    /// may it spend turns that it did not use.
+    /// What the last served team had paid before. A team that comes anew starts here: it neither
+    /// has to catch up with the others nor may it spend turns that it did not use.
     floor: u64,
 }
 
@@ -92,7 +92,8 @@
         own + others.sum::<usize>()
     }
 
-    /// Takes the last ticket of the team that is furthest above its share of a full queue, if `team` is below its own.
+    /// Takes the last ticket of the team that is furthest above its share of a full queue, if
+    /// `team` is below its own.
     ///
     /// Without this a team in overload would fill the queue and all others would be refused.
     pub(super) fn displace_for(
@@ -162,7 +163,8 @@
         taken
     }
 
-    /// Forgets teams without tickets. To be called after a round of [`Queue::pop`], whose teams are still to be charged.
+    /// Forgets teams without tickets. To be called after a round of [`Queue::pop`], whose teams are
+    /// still to be charged.
     pub(super) fn drop_empty(&mut self) {
         self.lines.retain(|_, line| !line.tickets.is_empty());
     }
--- a/crates/jacinthbeam-admission/src/process/server/ramp.rs
+++ b/crates/jacinthbeam-admission/src/process/server/ramp.rs
@@ -6,8 +6,9 @@
 
 /// Grows by one place after some answers, shrinks by one at a shed.
 ///
-/// A cold backend server is slow at first: with all its places taken at once every one of the first requests would miss its deadline. One that
-/// sheds has less room than configured, whatever its load endpoint says.
+/// A cold backend server is slow at first: with all its places taken at once every one of the first
+/// requests would miss its deadline. One that sheds has less room than configured, whatever its
+/// load endpoint says.
 #[derive(Debug, Clone)]
 pub(super) struct Ramp {
     limit: u32,
--- a/crates/jacinthbeam-admission/src/process/server/running.rs
+++ b/crates/jacinthbeam-admission/src/process/server/running.rs
@@ -22,7 +22,8 @@
     Refused,
     /// The backend server closed its end of the connection, so it has ended the request.
     Closed,
-    /// This host closed the connection or gave it up. The backend server may not know yet: the place is held on.
+    /// This host closed the connection or gave it up. The backend server may not know yet: the
+    /// place is held on.
     Lost,
 }
 
@@ -90,8 +91,9 @@
         let was_live = running.state == State::Live;
         match outcome {
             Outcome::Lost if was_live => {
-                // A place freed at once would let one request too many onto a backend server that still runs the lost one.
-                // The backend server knows the deadline, so deadline and grace bound the time.
+                // A place freed at once would let one request too many onto a backend server that
+                // still runs the lost one. The backend server knows the deadline, so deadline and
+                // grace bound the time.
                 let free_at = running.ticket.deadline.max(now) + grace;
                 running.state = State::Lost { at: now, free_at };
             }
@@ -114,7 +116,8 @@
     }
 
     pub(super) fn regranted(&mut self, running_older: u32) {
-        // The backend server's own count covers every request of a lower token, those of this host too. To count both would only waste places.
+        // The backend server's own count covers every request of a lower token, those of this host
+        // too. To count both would only waste places.
         for running in self.running.values_mut() {
             running.older = true;
         }
@@ -123,12 +126,14 @@
     }
 
     pub(super) fn reported(&mut self, report: Report, settle: Duration) {
-        // No request of a lower token starts any more, so the lowest report holds, in whatever order they arrive.
+        // No request of a lower token starts any more, so the lowest report holds, in whatever
+        // order they arrive.
         self.foreign = self.foreign.min(report.running_older);
         if self.foreign == 0 {
             self.remove_older_lost();
         }
-        // Only a report of none frees lost ones. With one running it can't be told whether that is a lost request or one whose answer is on its way.
+        // Only a report of none frees lost ones. With one running it can't be told whether that is
+        // a lost request or one whose answer is on its way.
         if report.running == report.running_older {
             self.remove_lost(|at, _| at + settle <= report.asked);
         }
--- a/crates/jacinthbeam-admission/src/process/usage/counter.rs
+++ b/crates/jacinthbeam-admission/src/process/usage/counter.rs
@@ -51,10 +51,12 @@
         self.open_count += 1;
     }
 
-    /// The batch to append: the last one unless it is acknowledged, else a new one if there is anything to count.
+    /// The batch to append: the last one unless it is acknowledged, else a new one if there is
+    /// anything to count.
     ///
-    /// A batch whose append got no answer may stand in the log. Sent again with one more count it would be dropped as a duplicate and the count be
-    /// lost; sent under a new name it would be counted twice. Sent again unchanged it is counted once.
+    /// A batch whose append got no answer may stand in the log. Sent again with one more count it
+    /// would be dropped as a duplicate and the count be lost; sent under a new name it would be
+    /// counted twice. Sent again unchanged it is counted once.
     pub fn take_batch(&mut self) -> Option<&Batch> {
         if self.sealed.is_none() && !self.open.is_empty() {
             let id = BatchId { incarnation: self.incarnation, sequence: self.next };
--- a/crates/jacinthbeam-admission/src/process/usage/fold.rs
+++ b/crates/jacinthbeam-admission/src/process/usage/fold.rs
@@ -9,7 +9,8 @@
 
 /// Most process lives whose sequences are kept. Far more than can have a batch on its way.
 pub const MAX_LIVES: usize = 16_384;
-/// Most sequences kept beyond a missing one for one life. A counter has one batch on its way, so there are none unless it misbehaves.
+/// Most sequences kept beyond a missing one for one life. A counter has one batch on its way, so
+/// there are none unless it misbehaves.
 pub const MAX_GAPS: usize = 64;
 
 /// Requests of one service.
@@ -87,7 +88,8 @@
         Self { counted: Counted::default(), next: first, early, first, last_snapshot: None }
     }
 
-    /// Takes the record at this offset; records are to be given in order. One that was given before changes nothing.
+    /// Takes the record at this offset; records are to be given in order. One that was given before
+    /// changes nothing.
     pub fn apply(&mut self, offset: Offset, record: &Record) {
         if offset < self.next {
             return;
@@ -124,7 +126,8 @@
         self.is_complete().then_some(&self.counted.totals)
     }
 
-    /// A record that carries all of this past the log's retention; `None` while incomplete. Any number of hosts may append one at any time.
+    /// A record that carries all of this past the log's retention; `None` while incomplete. Any
+    /// number of hosts may append one at any time.
     pub fn snapshot(&self) -> Option<Record> {
         if !self.is_complete() {
             return None;
@@ -158,7 +161,8 @@
         if snapshot.upto < self.first {
             return;
         }
-        // A complete fold knows all that a snapshot can tell, so snapshots of several hosts do not disturb it.
+        // A complete fold knows all that a snapshot can tell, so snapshots of several hosts do not
+        // disturb it.
         let Some(early) = self.early.take() else { return };
         self.counted = Counted::from(snapshot);
         for early in early.iter().filter(|early| early.offset >= snapshot.upto) {
@@ -195,7 +199,8 @@
         }
     }
 
-    /// Drops the life that has been quiet the longest. By offset and not by time, so that all readers drop the same one.
+    /// Drops the life that has been quiet the longest. By offset and not by time, so that all
+    /// readers drop the same one.
     fn retire(&mut self) {
         if self.lives.len() <= MAX_LIVES {
             return;
--- a/crates/jacinthbeam-admission/src/process/usage/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/usage/mod.rs
@@ -1,7 +1,8 @@
 //! What each team used: counted here, sent to the log in batches, folded once.
 //!
-//! [`Counter`] lives in the entry host's process and seals [`Batch`]es; [`Fold`] reads the usage stream of the log and keeps totals, which
-//! snapshots in the same stream carry past the log's retention.
+//! [`Counter`] lives in the entry host's process and seals [`Batch`]es; [`Fold`] reads the usage
+//! stream of the log and keeps totals, which snapshots in the same stream carry past the log's
+//! retention.
 
 mod batch;
 mod counter;
--- a/crates/jacinthbeam-admission/src/request/retry.rs
+++ b/crates/jacinthbeam-admission/src/request/retry.rs
@@ -53,7 +53,8 @@
 
     /// The refusal with the verdict that holds for all attempts.
     ///
-    /// A last attempt that was not run proves nothing of the earlier ones: a caller told `not-run` for it alone would be told wrong.
+    /// A last attempt that was not run proves nothing of the earlier ones: a caller told `not-run`
+    /// for it alone would be told wrong.
     fn settle(&self, mut refusal: Refusal) -> Refusal {
         if self.may_have_run && refusal.verdict == Verdict::NotRun {
             refusal.verdict = Verdict::MayHaveRun;
@@ -69,7 +70,8 @@
     pub refusal: Refusal,
     /// Whether a repeat is harmless, by the method or the caller's word.
     pub idempotent: bool,
-    /// Whether anything was sent, to an attendant or a backend server. An attempt judged on this host alone costs nobody anything and no token.
+    /// Whether anything was sent, to an attendant or a backend server. An attempt judged on this
+    /// host alone costs nobody anything and no token.
     pub left_host: bool,
 }
 
--- a/crates/jacinthbeam-admission/tests/connection/silence.rs
+++ b/crates/jacinthbeam-admission/tests/connection/silence.rs
@@ -4,8 +4,9 @@
 
 #[test]
 fn one_silent_connection_takes_all_opened_before_out_of_use() {
-    // Something on the way forgets all connections. One request hangs on one of them and is given up after a bounded wait; the next ones
-    // use new connections at once, and do not find out the others one by one.
+    // Something on the way forgets all connections. One request hangs on one of them and is given
+    // up after a bounded wait; the next ones use new connections at once, and do not find out the
+    // others one by one.
     let options = Options::default();
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
@@ -23,7 +24,8 @@
 
 #[test]
 fn a_connection_is_reused_only_while_fresh_and_owed_nothing() {
-    // An abandoned answer would be read by the next request on the connection; one that idles for long may be forgotten on the way.
+    // An abandoned answer would be read by the next request on the connection; one that idles for
+    // long may be forgotten on the way.
     let options = Options::default();
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
--- a/crates/jacinthbeam-admission/tests/process/budget.rs
+++ b/crates/jacinthbeam-admission/tests/process/budget.rs
@@ -2,7 +2,8 @@
 
 #[test]
 fn retries_stay_within_a_tenth_of_the_requests_through_a_fault() {
-    // Every attempt of a thousand requests fails, and each caller's request is tried again whenever the budget allows it.
+    // Every attempt of a thousand requests fails, and each caller's request is tried again whenever
+    // the budget allows it.
     let mut budget = Budget::new(Options::default());
     let mut retries = 0;
     for _ in 0..1_000 {
--- a/crates/jacinthbeam-admission/tests/process/duplicate.rs
+++ b/crates/jacinthbeam-admission/tests/process/duplicate.rs
@@ -36,8 +36,9 @@
 
 #[test]
 fn a_repeat_gets_the_first_answer_and_another_body_is_refused() {
-    // A supervisor's page sends an order again because the first answer got lost on the way. The order is not run again: the repeat gets the
-    // answer of the first. The same idempotency key with another order is refused, and that order was not run.
+    // A supervisor's page sends an order again because the first answer got lost on the way. The
+    // order is not run again: the repeat gets the answer of the first. The same idempotency key
+    // with another order is refused, and that order was not run.
     let mut memory = memory(10, 100_000);
     let now = start();
     assert_eq!(memory.begin(now, &scope(1), SLOT, 11), Begin::Run { attempt: 1 });
@@ -56,8 +57,8 @@
 
 #[test]
 fn a_repeat_runs_again_only_after_proof_that_the_first_did_not() {
-    // The first attempt could not be sent; its repeat runs. The second ended without an answer; its repeat is refused honestly. A late
-    // report of the first attempt changes nothing.
+    // The first attempt could not be sent; its repeat runs. The second ended without an answer; its
+    // repeat is refused honestly. A late report of the first attempt changes nothing.
     let mut memory = memory(10, 100_000);
     let now = start();
     memory.begin(now, &scope(1), SLOT, 11);
@@ -72,8 +73,9 @@
 
 #[test]
 fn the_successor_answers_for_a_lost_attendant() {
-    // The attendant gives a copy to its successor, sends the order, and is killed. The caller repeats at the successor: it is refused as may-have-run, or gets the
-    // first answer if that was copied too. Copies that arrive out of order do not take back what is known.
+    // The attendant gives a copy to its successor, sends the order, and is killed. The caller
+    // repeats at the successor: it is refused as may-have-run, or gets the first answer if that was
+    // copied too. Copies that arrive out of order do not take back what is known.
     let now = start();
     let (mut attendant, mut successor) = (memory(10, 100_000), memory(10, 100_000));
     attendant.begin(now, &scope(1), SLOT, 11);
@@ -89,8 +91,9 @@
 
 #[test]
 fn a_late_copy_of_a_failed_attempt_does_not_hide_the_next_one() {
-    // The first attempt was not run, the second was sent; then the attendant is killed. The copy that says `not run` of the first arrives last. If it
-    // counted, the repeat at the successor would run an order that may have run.
+    // The first attempt was not run, the second was sent; then the attendant is killed. The copy
+    // that says `not run` of the first arrives last. If it counted, the repeat at the successor
+    // would run an order that may have run.
     let now = start();
     let (mut attendant, mut successor) = (memory(10, 100_000), memory(10, 100_000));
     attendant.begin(now, &scope(1), SLOT, 11);
@@ -105,8 +108,9 @@
 
 #[test]
 fn unknown_keys_are_refused_for_as_long_as_lost_memory_would_have_been_kept() {
-    // The attendant and its successor are killed together. A new attendant can't tell a first order from a repeat, so it says that the
-    // order may have run; other slots go on. When the lost memory would have been forgotten anyway, orders run again.
+    // The attendant and its successor are killed together. A new attendant can't tell a first order
+    // from a repeat, so it says that the order may have run; other slots go on. When the lost
+    // memory would have been forgotten anyway, orders run again.
     let mut memory = memory(10, 100_000);
     let now = start();
     let known = Copy {
@@ -127,8 +131,8 @@
 
 #[test]
 fn a_full_memory_refuses_new_orders_and_drops_no_entry() {
-    // More orders come than the memory holds. New ones are refused not-run; the repeat of an old one is still known. Kept answers make room first: their
-    // repeats are told that the order ran.
+    // More orders come than the memory holds. New ones are refused not-run; the repeat of an old
+    // one is still known. Kept answers make room first: their repeats are told that the order ran.
     let now = start();
     let mut small = memory(2, 100_000);
     small.begin(now, &scope(1), SLOT, 1);
@@ -190,7 +194,8 @@
 
 #[test]
 fn a_handed_over_slot_leaves_nothing_behind() {
-    // A slot moves away and comes back. What stood here before must not count: the other owner's attendant may have sent the order since.
+    // A slot moves away and comes back. What stood here before must not count: the other owner's
+    // attendant may have sent the order since.
     let now = start();
     let (mut old, mut new) = (memory(10, 100_000), memory(10, 100_000));
     old.begin(now, &scope(1), SLOT, 1);
@@ -206,8 +211,8 @@
 
 #[test]
 fn no_key_runs_twice_unless_not_run_was_reported() {
-    // Any mix of repeats, ends, copies in any order, losses of the attendant and short memory: between two runs of a key stands a proof that
-    // the first was not run.
+    // Any mix of repeats, ends, copies in any order, losses of the attendant and short memory:
+    // between two runs of a key stands a proof that the first was not run.
     check(|u| {
         let mut now = start();
         let mut hosts = [memory(4, 4_000), memory(4, 4_000)];
@@ -254,7 +259,8 @@
                     hosts[1 - attendant].import(now, copy);
                 }
                 _ => {
-                    // The attendant is killed. Its successor takes over, and a fresh host becomes the successor's.
+                    // The attendant is killed. Its successor takes over, and a fresh host becomes
+                    // the successor's.
                     hosts[attendant] = memory(4, 4_000);
                     attendant = 1 - attendant;
                     open.clear();
@@ -271,8 +277,8 @@
 
 #[test]
 fn what_a_later_keeper_sent_replaces_what_stood_here() {
-    // A host that was fenced still waits for the end of its attempt. The host that took over is the one that knows, and the late
-    // end of that attempt must not hide what the other one sent.
+    // A host that was fenced still waits for the end of its attempt. The host that took over is the
+    // one that knows, and the late end of that attempt must not hide what the other one sent.
     let now = std::time::Instant::now();
     let mut memory = Memory::new(Options::default());
     let scope = scope(1);
--- a/crates/jacinthbeam-admission/tests/process/fair.rs
+++ b/crates/jacinthbeam-admission/tests/process/fair.rs
@@ -18,8 +18,9 @@
 
 #[test]
 fn a_service_in_overload_leaves_room_for_all_others() {
-    // Dispatchers flood `tilecast`. It takes its own room and all that nobody is promised; callouts on `callbell` still get in, and
-    // so do orders on `brinedesk`, which belongs to the same team as the flood.
+    // Dispatchers flood `tilecast`. It takes its own room and all that nobody is promised; callouts
+    // on `callbell` still get in, and so do orders on `brinedesk`, which belongs to the same team
+    // as the flood.
     let mut teams = Teams::new(40, &services(), &BTreeMap::new());
     let flood = (0..100).filter(|_| teams.enter(&share("roads", "tilecast")).is_ok()).count();
     assert_eq!(flood, 25);
--- a/crates/jacinthbeam-admission/tests/process/health.rs
+++ b/crates/jacinthbeam-admission/tests/process/health.rs
@@ -4,7 +4,8 @@
 
 #[test]
 fn a_server_that_fails_rests_and_is_tried_by_one_request() {
-    // A server breaks three requests in a row. Callers are sent elsewhere for a while; then one request tries it. While that is out no other follows.
+    // A server breaks three requests in a row. Callers are sent elsewhere for a while; then one
+    // request tries it. While that is out no other follows.
     let now = start();
     let mut judge = Judge::new(Options::default());
     judge.observe(now, Observation::Failed);
@@ -26,7 +27,8 @@
 
 #[test]
 fn late_failures_of_one_fault_do_not_prolong_the_rest() {
-    // Three requests in progress break, then three more of the same moment are reported. The rest is not doubled for them.
+    // Three requests in progress break, then three more of the same moment are reported. The rest
+    // is not doubled for them.
     let now = start();
     let mut judge = Judge::new(Options::default());
     (0..6).for_each(|_| judge.observe(now, Observation::Failed));
@@ -35,7 +37,8 @@
 
 #[test]
 fn what_a_server_does_outranks_what_its_health_endpoint_says() {
-    // The endpoint says ill while requests are answered, and well while they fail. Callers are sent by the answers.
+    // The endpoint says ill while requests are answered, and well while they fail. Callers are sent
+    // by the answers.
     let now = start();
     let mut judge = Judge::new(Options::default());
     judge.claims(false);
--- a/crates/jacinthbeam-admission/tests/process/server.rs
+++ b/crates/jacinthbeam-admission/tests/process/server.rs
@@ -106,8 +106,9 @@
 
 #[test]
 fn an_overloaded_server_serves_by_deadline_and_refuses_early() {
-    // Callers of one team send more than three places serve. Those whose deadline can't be met, going by the time that earlier requests took, are
-    // told so at once and not when the deadline has passed; what is accepted is served, earliest deadline first.
+    // Callers of one team send more than three places serve. Those whose deadline can't be met,
+    // going by the time that earlier requests took, are told so at once and not when the deadline
+    // has passed; what is accepted is served, earliest deadline first.
     let mut session = Session::open(options(), 0, false);
     session
         .at(0)
@@ -125,8 +126,9 @@
 
 #[test]
 fn a_ticket_pushed_back_beyond_its_deadline_is_refused_at_once() {
-    // A request is accepted while the server answers in 50 ms. Then the server slows down to 400 ms. The caller gets its
-    // refusal as soon as this is known and can go elsewhere; it is not held until its deadline is near.
+    // A request is accepted while the server answers in 50 ms. Then the server slows down to 400
+    // ms. The caller gets its refusal as soon as this is known and can go elsewhere; it is not held
+    // until its deadline is near.
     let mut session = Session::open(Options { concurrency: 1, ..options() }, 0, false);
     session.at(0).offer(1, "roads", 0, 2_000);
     session.at(50).finish(1, Outcome::Answered).offer(2, "roads", 0, 2_000);
@@ -137,8 +139,9 @@
 
 #[test]
 fn requests_of_the_attendant_before_take_places_until_the_server_reports_their_end() {
-    // A host takes over a server that still runs two requests of the host before. Its callers get only the third place until the server
-    // reports that those have ended; reports that arrive out of order free nothing twice.
+    // A host takes over a server that still runs two requests of the host before. Its callers get
+    // only the third place until the server reports that those have ended; reports that arrive out
+    // of order free nothing twice.
     let mut session = Session::open(options(), 2, false);
     session
         .at(0)
@@ -153,8 +156,9 @@
 
 #[test]
 fn a_lost_request_holds_its_place_until_it_is_surely_over() {
-    // The caller goes away and the connection is closed from this side. The server may go on running the request, so a new one in its place could be one
-    // too many. The place is free when the server reports that nothing runs, when it closed its end, or after deadline and grace.
+    // The caller goes away and the connection is closed from this side. The server may go on
+    // running the request, so a new one in its place could be one too many. The place is free when
+    // the server reports that nothing runs, when it closed its end, or after deadline and grace.
     let mut session = Session::open(Options { concurrency: 1, ..options() }, 0, false);
     session
         .at(0)
@@ -173,8 +177,9 @@
 
 #[test]
 fn a_new_grant_of_the_same_host_counts_no_request_twice_and_none_too_few() {
-    // The host loses the attendance for a moment and gets it back under a higher token while its own two requests run. From then on the server's
-    // report of older requests counts them, also when one of them has been answered but not yet reported.
+    // The host loses the attendance for a moment and gets it back under a higher token while its
+    // own two requests run. From then on the server's report of older requests counts them, also
+    // when one of them has been answered but not yet reported.
     let mut session = Session::open(options(), 0, false);
     session.at(0).offer(1, "roads", 0, 1_000).offer(2, "roads", 1, 1_000);
     session.admission.regranted(2);
@@ -191,8 +196,8 @@
 
 #[test]
 fn a_cold_server_gets_its_places_step_by_step_and_one_that_sheds_fewer() {
-    // A server that has just started answers slowly. It is given one place, then more as it answers. When it sheds, though its load
-    // endpoint may deny it, it is given one fewer.
+    // A server that has just started answers slowly. It is given one place, then more as it
+    // answers. When it sheds, though its load endpoint may deny it, it is given one fewer.
     let mut session = Session::open(options(), 0, true);
     session
         .at(0)
@@ -209,8 +214,9 @@
 
 #[test]
 fn a_planned_move_holds_a_slot_and_sends_its_waiting_requests_on() {
-    // A slot is about to move. Its running request ends in peace, new ones wait, other slots go on. When the move is recorded the waiting
-    // ones are refused not-run at once, to be sent to the new owner. If the move hangs they do not wait for longer than the patience.
+    // A slot is about to move. Its running request ends in peace, new ones wait, other slots go on.
+    // When the move is recorded the waiting ones are refused not-run at once, to be sent to the new
+    // owner. If the move hangs they do not wait for longer than the patience.
     let mut session = Session::open(options(), 0, false);
     session.at(0).offer(1, "roads", 5, 9_000);
     let now = session.now;
@@ -228,8 +234,9 @@
 
 #[test]
 fn a_paused_gate_keeps_requests_for_a_moment_and_a_closed_one_refuses_them() {
-    // The lease is late: requests wait. It stays away: they are refused not-run within the patience. The host stops: what waits and what
-    // comes is refused with a retry hint, what runs goes on to its end.
+    // The lease is late: requests wait. It stays away: they are refused not-run within the
+    // patience. The host stops: what waits and what comes is refused with a retry hint, what runs
+    // goes on to its end.
     let mut session = Session::open(options(), 0, false);
     session.at(0).offer(1, "roads", 0, 9_000);
     session.admission.set_gate(session.now, Gate::Paused);
@@ -247,8 +254,8 @@
 
 #[test]
 fn a_team_in_overload_leaves_room_in_the_queue_and_a_turn_for_others() {
-    // Team `roads` fills the queue. A caller of `salt` comes: the last request of `roads` gives way, and `salt` is served in turn,
-    // not after all of them.
+    // Team `roads` fills the queue. A caller of `salt` comes: the last request of `roads` gives
+    // way, and `salt` is served in turn, not after all of them.
     let mut session = Session::open(Options { concurrency: 1, ..options() }, 0, false);
     session.at(0);
     for id in 1..=6 {
@@ -264,8 +271,9 @@
 
 #[test]
 fn a_late_ticket_is_never_sent_and_a_new_one_passes_none_that_waits() {
-    // A place gets free long after the deadline of the first waiting request. It is not sent, also if nobody looked at deadlines before, and its caller is
-    // answered at the next look. A request that comes at that moment does not jump the queue.
+    // A place gets free long after the deadline of the first waiting request. It is not sent, also
+    // if nobody looked at deadlines before, and its caller is answered at the next look. A request
+    // that comes at that moment does not jump the queue.
     let mut session = Session::open(Options { concurrency: 1, ..options() }, 1, false);
     session.at(0).offer(1, "roads", 0, 100).offer(2, "roads", 0, 9_000);
     let (zero, now) = (session.zero, session.zero + ms(500));
@@ -310,8 +318,9 @@
 
 #[test]
 fn places_are_never_exceeded_and_a_ticket_ends_exactly_once() {
-    // Any mix of offers, ends, losses, cancellations, holds and reports: the requests that the server may still run never exceed its concurrency, and a
-    // caller gets one of sent, refused or cancelled.
+    // Any mix of offers, ends, losses, cancellations, holds and reports: the requests that the
+    // server may still run never exceed its concurrency, and a caller gets one of sent, refused or
+    // cancelled.
     check(|u| {
         let mut now = start();
         let concurrency = u.int_in_range(1..=6)?;
@@ -380,7 +389,8 @@
                 },
             }
             ends.refuse(&admission.expire(now));
-            // A server ends a request by its deadline and the grace at the latest, unless its answer is still being read.
+            // A server ends a request by its deadline and the grace at the latest, unless its
+            // answer is still being read.
             on_server.retain(|id, until| *until > now || live.iter().any(|t| t.id == *id));
             for ticket in admission.next(now) {
                 ends.admit(ticket.id);
@@ -402,8 +412,9 @@
 
 #[test]
 fn each_waiting_team_is_served_within_a_bounded_number_of_grants() {
-    // Several teams of different weights keep the queue full. A team that waits gets a place after at most one round of all
-    // weights, and one grant more for each team, however much the others send.
+    // Several teams of different weights keep the queue full. A team that waits gets a place after
+    // at most one round of all weights, and one grant more for each team, however much the others
+    // send.
     check(|u| {
         let names = ["roads", "salt", "crew", "tiles"];
         let mut weights = BTreeMap::new();
--- a/crates/jacinthbeam-admission/tests/process/usage.rs
+++ b/crates/jacinthbeam-admission/tests/process/usage.rs
@@ -21,8 +21,8 @@
 
 #[test]
 fn a_batch_whose_append_got_no_answer_is_sent_again_unchanged_and_counted_once() {
-    // The log writes a batch but its answer is lost. More requests run meanwhile. The batch is sent again as it was, the log holds it
-    // twice, and the team is charged once for each request.
+    // The log writes a batch but its answer is lost. More requests run meanwhile. The batch is sent
+    // again as it was, the log holds it twice, and the team is charged once for each request.
     let mut counter = Counter::new(Incarnation(9));
     let (roads, brine, calls) = (team("roads"), service("brinedesk"), service("callbell"));
     let mut text = String::new();
@@ -59,8 +59,9 @@
 
 #[test]
 fn totals_outlive_the_retention_of_the_log() {
-    // The log drops its oldest records. A reader that starts now takes the totals from a snapshot. Two hosts append one at the same
-    // time, one of them late; the totals are those of a reader that saw everything.
+    // The log drops its oldest records. A reader that starts now takes the totals from a snapshot.
+    // Two hosts append one at the same time, one of them late; the totals are those of a reader
+    // that saw everything.
     let mut records = vec![batch(1, 1, 10), batch(2, 1, 5), batch(1, 2, 20)];
     let mut all = Fold::open(Offset(0));
     let feed = |fold: &mut Fold, records: &[Record]| {
@@ -92,8 +93,9 @@
 
 #[test]
 fn usage_folded_under_repeats_and_reordering_is_the_sum() {
-    // Batches of several processes reach the log repeated and crossed, snapshots fall in between, and a reader starts anywhere before one of
-    // them. The total is the sum of what was counted, once.
+    // Batches of several processes reach the log repeated and crossed, snapshots fall in between,
+    // and a reader starts anywhere before one of them. The total is the sum of what was counted,
+    // once.
     check(|u| {
         let mut records: Vec<Record> = Vec::new();
         let mut sum = 0;
@@ -138,7 +140,8 @@
 
 #[test]
 fn what_is_kept_of_each_process_life_is_bounded() {
-    // Processes come and go for years. The fold keeps the last lives only, and a snapshot still fits into one record of the log.
+    // Processes come and go for years. The fold keeps the last lives only, and a snapshot still
+    // fits into one record of the log.
     let mut fold = Fold::open(Offset(0));
     let lives = MAX_LIVES as u64 + 100;
     (0..lives).for_each(|life| fold.apply(Offset(life), &batch(u64::MAX - life, 1, 1)));
@@ -167,7 +170,8 @@
 
 #[test]
 fn batches_and_snapshots_come_at_a_pace_that_the_log_can_bear() {
-    // Twelve hosts append once a second, a thousand every twenty seconds; a burst is sent at once. Of several hosts one appends a snapshot.
+    // Twelve hosts append once a second, a thousand every twenty seconds; a burst is sent at once.
+    // Of several hosts one appends a snapshot.
     assert_eq!(flush_every(12), ms(1_000));
     assert_eq!(flush_every(1_000), ms(20_000));
     let mut counter = Counter::new(Incarnation(1));
--- a/crates/jacinthbeam-admission/tests/request/retry.rs
+++ b/crates/jacinthbeam-admission/tests/request/retry.rs
@@ -40,7 +40,8 @@
 
 #[test]
 fn an_order_that_may_have_run_is_not_sent_again() {
-    // A brine order was written when the connection broke. Nobody knows whether it ran, so a second attempt could send a second truck.
+    // A brine order was written when the connection broke. Nobody knows whether it ran, so a second
+    // attempt could send a second truck.
     let mut case = Case::new();
     let refusal = Refusal::may_have_run(Reason::ConnectionLost);
     let Decision::GiveUp(answer) = case.fail(refusal.clone(), false, 5_000) else {
@@ -53,7 +54,8 @@
 
 #[test]
 fn the_verdict_of_the_last_attempt_does_not_hide_an_earlier_one() {
-    // The first attempt at a page may have run, the second was refused before it ran. The caller must not be told not-run.
+    // The first attempt at a page may have run, the second was refused before it ran. The caller
+    // must not be told not-run.
     let mut case = Case::new();
     assert!(is_retry(&case.fail(Refusal::may_have_run(Reason::AnswerCut), true, 5_000)));
     let Decision::GiveUp(answer) = case.fail(Refusal::not_run(Reason::Overloaded), true, 5_000)
@@ -65,8 +67,9 @@
 
 #[test]
 fn a_request_without_budget_or_time_is_answered_at_once_with_a_hint() {
-    // An outage fails every request. When the budget is spent, callers get their refusal at once and no retry storm builds up; the same
-    // holds for a retry that could only start at the deadline.
+    // An outage fails every request. When the budget is spent, callers get their refusal at once
+    // and no retry storm builds up; the same holds for a retry that could only start at the
+    // deadline.
     let mut case = Case::new();
     let refusal = Refusal::not_run(Reason::ConnectionLost);
     assert!(is_retry(&case.fail(refusal.clone(), false, 5_000)));
@@ -82,7 +85,8 @@
 
 #[test]
 fn an_attempt_that_never_left_the_host_costs_no_budget() {
-    // A slot moves and this host knows of no owner. It looks again after a while; nobody else is asked anything.
+    // A slot moves and this host knows of no owner. It looks again after a while; nobody else is
+    // asked anything.
     let mut case = Case::new();
     for _ in 0..10 {
         let refusal = Refusal::not_run(Reason::NoOwner);
--- a/crates/jacinthbeam-cli/src/command/error.rs
+++ b/crates/jacinthbeam-cli/src/command/error.rs
@@ -9,7 +9,8 @@
 pub enum Error {
     /// Something on this side can't be used: a folder, a file, an answer that is no answer. Exit code 1.
     Failed(String),
-    /// The request was understood and refused: wrong configuration, or a conflict. Nothing changed. Exit code 3.
+    /// The request was understood and refused: wrong configuration, or a conflict. Nothing changed.
+    /// Exit code 3.
     Refused(String),
     /// The log or a host can't be reached. Nothing changed. Exit code 4.
     Unavailable(String),
--- a/crates/jacinthbeam-cli/src/lib.rs
+++ b/crates/jacinthbeam-cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! The programs: arguments and texts for people. What they do is done by the library.
 //!
-//! Commands can be called as functions: they write to a [`Terminal`] and return a [`command::Error`], which says the
-//! exit code.
+//! Commands can be called as functions: they write to a [`Terminal`] and return a
+//! [`command::Error`], which says the exit code.
 
 pub mod command;
 pub mod control;
--- a/crates/jacinthbeam-cli/src/publication/mod.rs
+++ b/crates/jacinthbeam-cli/src/publication/mod.rs
@@ -196,7 +196,8 @@
                 "record {id} of an earlier run stands in the log; compares the folder with what is in force"
             )),
             None => {
-                // It may still come. Then it changes nothing, see `verdict::settle`, once this run has published.
+                // It may still come. Then it changes nothing, see `verdict::settle`, once this run
+                // has published.
                 terminal.say(format_args!(
                     "record {id} of an earlier run is not in the log, and may still come"
                 ));
@@ -229,7 +230,8 @@
             Err(verdict::Error::InDoubt(why)) => return Err(in_doubt(id, &why).into()),
         };
         if let (Verdict::Refused(why @ Why::ConfigInvalid(_)), true) = (&verdict, may_come_again) {
-            // Unlike a conflict, this verdict may differ for a copy that comes after others have changed their files.
+            // Unlike a conflict, this verdict may differ for a copy that comes after others have
+            // changed their files.
             return Err(refused_once(id, why).into());
         }
         self.forget_pending(id, terminal);
--- a/crates/jacinthbeam-cli/src/publication/pending.rs
+++ b/crates/jacinthbeam-cli/src/publication/pending.rs
@@ -1,7 +1,8 @@
 //! A publication whose end is not known yet, kept in a hidden file of the folder.
 //!
-//! The append of a record may take effect although its answer is lost, and the operator's program may be gone before the
-//! log can be read again. Without this file the next run could not tell the operator's own record from a change by others.
+//! The append of a record may take effect although its answer is lost, and the operator's program
+//! may be gone before the log can be read again. Without this file the next run could not tell the
+//! operator's own record from a change by others.
 
 use std::{collections::BTreeMap, fmt, fs, io, path::Path};
 
--- a/crates/jacinthbeam-cli/src/publication/verdict.rs
+++ b/crates/jacinthbeam-cli/src/publication/verdict.rs
@@ -23,7 +23,8 @@
     Accepted(ConfigVersion),
     /// None of it is in force.
     Refused(Why),
-    /// It stands before the snapshot that the reader started from, so its effect shows only in the files in force.
+    /// It stands before the snapshot that the reader started from, so its effect shows only in the
+    /// files in force.
     TooOld,
 }
 
@@ -47,7 +48,8 @@
 
 /// Keeps the verdict on one record while others are read past it.
 ///
-/// A record may stand in the log twice, see [`settle`]. The first copy decides, since it is the one that takes effect.
+/// A record may stand in the log twice, see [`settle`]. The first copy decides, since it is the one
+/// that takes effect.
 #[derive(Debug)]
 pub struct Watch {
     id: RecordId,
@@ -94,9 +96,10 @@
 
 /// Appends a record of changes and reads on until it is found, for as long as `until` lies ahead.
 ///
-/// An append without an answer may have taken effect, may do so later, or never. The stream is therefore read to its end
-/// first; only if the record is not there is it appended again, under the same id. Should both copies end up in the
-/// stream, the second has no effect: its files are in force already, or were changed since and then its base is stale.
+/// An append without an answer may have taken effect, may do so later, or never. The stream is
+/// therefore read to its end first; only if the record is not there is it appended again, under the
+/// same id. Should both copies end up in the stream, the second has no effect: its files are in
+/// force already, or were changed since and then its base is stale.
 pub async fn settle(
     reader: &mut Reader,
     envelope: &Envelope,
--- a/crates/jacinthbeam-cli/tests/cli/force.rs
+++ b/crates/jacinthbeam-cli/tests/cli/force.rs
@@ -86,8 +86,9 @@
     res
 }
 
-// Two operators publish twenty versions in quick succession, each from a folder of their own, while hosts are looked at all
-// the time. Each version is in force on each host in the end, and none is seen to go back to an older one.
+// Two operators publish twenty versions in quick succession, each from a folder of their own, while
+// hosts are looked at all the time. Each version is in force on each host in the end, and none is
+// seen to go back to an older one.
 #[tokio::test]
 async fn versions_in_quick_succession_never_go_back() {
     let north = Folder::new();
@@ -122,8 +123,9 @@
     deployment.stop().await;
 }
 
-// A service is removed while a request runs on its backend server. The caller of that request gets the whole answer; callers
-// who come after that are refused, and what the service's neighbours serve goes on.
+// A service is removed while a request runs on its backend server. The caller of that request gets
+// the whole answer; callers who come after that are refused, and what the service's neighbours
+// serve goes on.
 #[tokio::test]
 async fn removed_service_ends_what_runs() {
     let folder = Folder::new();
@@ -187,8 +189,9 @@
     }
 }
 
-// A host joins, and another one is replaced, while the log is down. Both get the state from their neighbour and follow the
-// same version; callers are served through them. Nobody can publish meanwhile, and the folder is as it was.
+// A host joins, and another one is replaced, while the log is down. Both get the state from their
+// neighbour and follow the same version; callers are served through them. Nobody can publish
+// meanwhile, and the folder is as it was.
 #[tokio::test]
 async fn hosts_join_while_the_log_is_down() {
     let folder = Folder::new();
--- a/crates/jacinthbeam-cli/tests/cli/metrics.rs
+++ b/crates/jacinthbeam-cli/tests/cli/metrics.rs
@@ -35,9 +35,10 @@
     res
 }
 
-// A caller sends one request after the other, and each waits a quarter of a second although nothing else runs. An answer of known
-// length is written without asking for more after its last byte, so its place at the backend server was not given back but
-// counted as lost, until the backend server next said how many requests run.
+// A caller sends one request after the other, and each waits a quarter of a second although nothing
+// else runs. An answer of known length is written without asking for more after its last byte, so
+// its place at the backend server was not given back but counted as lost, until the backend server
+// next said how many requests run.
 #[tokio::test]
 async fn place_is_free_when_the_caller_has_the_answer() {
     let deployment = deployment().await;
@@ -52,8 +53,9 @@
     deployment.stop().await;
 }
 
-// A caller streams a body of unknown length that turns out longer than the service takes. Part of it has reached the backend
-// server by then, so the refusal says that it may have run, and why it was refused.
+// A caller streams a body of unknown length that turns out longer than the service takes. Part of
+// it has reached the backend server by then, so the refusal says that it may have run, and why it
+// was refused.
 #[tokio::test]
 async fn body_that_turns_out_too_long_is_refused_as_such() {
     let deployment = deployment().await;
@@ -78,7 +80,8 @@
     deployment.stop().await;
 }
 
-// Names of metrics are relied on by operators' dashboards. Each one that is scraped is explained on their page.
+// Names of metrics are relied on by operators' dashboards. Each one that is scraped is explained on
+// their page.
 #[tokio::test]
 async fn scrape_counts_requests_and_has_names_that_the_page_explains() {
     let deployment = deployment().await;
--- a/crates/jacinthbeam-cli/tests/cli/publication.rs
+++ b/crates/jacinthbeam-cli/tests/cli/publication.rs
@@ -52,8 +52,9 @@
     reader.state().service(&service).expect("it is configured").queue
 }
 
-// The operator is told of a conflict, although the folder was in sync when the program looked: another operator's record
-// comes between this program's look at the log and its append. The log's order decides, and the later record is void.
+// The operator is told of a conflict, although the folder was in sync when the program looked:
+// another operator's record comes between this program's look at the log and its append. The log's
+// order decides, and the later record is void.
 #[tokio::test]
 async fn record_of_others_comes_first() {
     let desk = Desk::new();
@@ -76,9 +77,10 @@
     assert_eq!(pending::load(&folder.0).expect("readable"), None);
 }
 
-// The log writes the record, loses the answer and goes down: the operator is told that it is in doubt. Meanwhile others
-// change the file again. The next run finds the record and says that it was accepted; the folder is just older now.
-// Without the note in the folder that run would call the operator's own text a conflict.
+// The log writes the record, loses the answer and goes down: the operator is told that it is in
+// doubt. Meanwhile others change the file again. The next run finds the record and says that it was
+// accepted; the folder is just older now. Without the note in the folder that run would call the
+// operator's own text a conflict.
 #[tokio::test]
 async fn publication_left_in_doubt_is_found_by_the_next_run() {
     let desk = Desk::new();
@@ -107,8 +109,9 @@
     assert_eq!(pending::load(&folder.0).expect("readable"), None);
 }
 
-// An append is answered late, after the program gave up on it and appended the same record again, and after others changed
-// the file on top of it. The late copy changes nothing: what others accepted is not reverted.
+// An append is answered late, after the program gave up on it and appended the same record again,
+// and after others changed the file on top of it. The late copy changes nothing: what others
+// accepted is not reverted.
 #[tokio::test]
 async fn late_copy_of_a_record_reverts_nothing() {
     let desk = Desk::new();
@@ -122,8 +125,8 @@
     assert_eq!(in_force(&desk).await, 2);
 }
 
-// The connection breaks before the log has written anything. The program reads the log first, does not find its record,
-// and appends it again under the same id.
+// The connection breaks before the log has written anything. The program reads the log first, does
+// not find its record, and appends it again under the same id.
 #[tokio::test]
 async fn record_that_is_missing_is_appended_again() {
     let desk = Desk::new();
@@ -192,7 +195,8 @@
     assert!(desk.screen.text().contains("change 10-services.json"), "{}", desk.screen.text());
 }
 
-// All records have expired and no snapshot was written: nobody knows what is in force, and nothing is published.
+// All records have expired and no snapshot was written: nobody knows what is in force, and nothing
+// is published.
 #[tokio::test]
 async fn log_without_snapshot_is_refused() {
     let desk = Desk::new();
@@ -209,7 +213,8 @@
     );
 }
 
-// Others published the folder's text already; a dry run says so and notes nothing, so the folder is as it was.
+// Others published the folder's text already; a dry run says so and notes nothing, so the folder is
+// as it was.
 #[tokio::test]
 async fn dry_run_leaves_the_folder_as_it_is() {
     let desk = Desk::new();
--- a/crates/jacinthbeam-cli/tests/cli/status.rs
+++ b/crates/jacinthbeam-cli/tests/cli/status.rs
@@ -100,8 +100,8 @@
     )
 }
 
-// One host is cut off from the log and follows an older version, another one is only heard of and lags too, a third does
-// not answer. The operator sees which, and the exit code tells a script.
+// One host is cut off from the log and follows an older version, another one is only heard of and
+// lags too, a third does not answer. The operator sees which, and the exit code tells a script.
 #[tokio::test]
 async fn lagging_and_silent_hosts_are_named() {
     let fresh = host(&dump("h1", 7, 100, "h3", 5)).await;
--- a/crates/jacinthbeam-config/examples/fold.rs
+++ b/crates/jacinthbeam-config/examples/fold.rs
@@ -1,7 +1,8 @@
 //! Prints what folding one changed file costs, by the number of files.
 //!
-//! `cargo run --release -p jacinthbeam-config --example fold`. Every file holds one service; every change gives one file
-//! another text. A clone of the state before it is held, as by threads that serve requests.
+//! `cargo run --release -p jacinthbeam-config --example fold`. Every file holds one service; every
+//! change gives one file another text. A clone of the state before it is held, as by threads that
+//! serve requests.
 
 use std::{hint::black_box, time::Instant};
 
--- a/crates/jacinthbeam-config/src/change.rs
+++ b/crates/jacinthbeam-config/src/change.rs
@@ -25,8 +25,9 @@
 
 /// The accepted content of a file that an operator saw.
 ///
-/// The hash alone would not do: an operator who saw content 1 could change it after others accepted content 2 and then
-/// content 1 again, and so revert the last acceptance unseen. `seen` is therefore compared too.
+/// The hash alone would not do: an operator who saw content 1 could change it after others accepted
+/// content 2 and then content 1 again, and so revert the last acceptance unseen. `seen` is
+/// therefore compared too.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     /// Hash of the content; `None` if there was no such file.
--- a/crates/jacinthbeam-config/src/check/mod.rs
+++ b/crates/jacinthbeam-config/src/check/mod.rs
@@ -30,8 +30,8 @@
 
 /// Parses, merges and checks files, which must come in the order of their names.
 ///
-/// A file that does not parse keeps the others from being checked against each other, but not from being parsed: the
-/// problems of all files are given at once.
+/// A file that does not parse keeps the others from being checked against each other, but not from
+/// being parsed: the problems of all files are given at once.
 pub fn check<'a>(
     files: impl IntoIterator<Item = (&'a FileName, &'a str)>,
 ) -> Result<Checked, Vec<Problem>> {
--- a/crates/jacinthbeam-config/src/document/fields.rs
+++ b/crates/jacinthbeam-config/src/document/fields.rs
@@ -5,7 +5,8 @@
 use super::{Member, Node, Value};
 use crate::problem::{Kind, Place, Problem};
 
-/// The fields of one object. Every field that is asked for counts as known; [`Fields::finish`] refuses the others.
+/// The fields of one object. Every field that is asked for counts as known; [`Fields::finish`]
+/// refuses the others.
 #[derive(Debug)]
 pub struct Fields<'a> {
     place: Option<Place>,
--- a/crates/jacinthbeam-config/src/document/parse.rs
+++ b/crates/jacinthbeam-config/src/document/parse.rs
@@ -15,7 +15,8 @@
 use super::{Member, Node, Value};
 use crate::problem::{Kind, Place, Problem};
 
-/// Comments and trailing commas are accepted; everything else is plain JSON, so that other tools can read the files.
+/// Comments and trailing commas are accepted; everything else is plain JSON, so that other tools
+/// can read the files.
 const OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
--- a/crates/jacinthbeam-config/src/fold/in_use.rs
+++ b/crates/jacinthbeam-config/src/fold/in_use.rs
@@ -14,11 +14,12 @@
 /// Most services that were removed. Their names stay taken.
 pub const MAX_FORMER: usize = 4096;
 
-/// Checks a new configuration against the one in force and against the services that were removed before. It was read
-/// from `merged`.
+/// Checks a new configuration against the one in force and against the services that were removed
+/// before. It was read from `merged`.
 ///
-/// Entry hosts that are cut off still follow the configuration they read last, for as long as they are cut off. So a
-/// removed service still counts: to remove it and add it again must not get around these rules.
+/// Entry hosts that are cut off still follow the configuration they read last, for as long as they
+/// are cut off. So a removed service still counts: to remove it and add it again must not get
+/// around these rules.
 pub(super) fn check(
     old: &Config,
     former: &BTreeMap<ServiceName, Service>,
@@ -54,8 +55,8 @@
     }
 }
 
-/// Names the place of each broken rule. Where values come from is worked out only for this: it costs as much as
-/// checking them.
+/// Names the place of each broken rule. Where values come from is worked out only for this: it
+/// costs as much as checking them.
 fn located(broken: Vec<(&ServiceName, Broken)>, merged: &Node) -> Vec<Problem> {
     if broken.is_empty() {
         return Vec::new();
@@ -79,8 +80,9 @@
     }
 }
 
-/// With another number of slots nearly every key would change its slot. A failure domain that is cut off would go on
-/// serving a key by the old division while others serve it by the new one: two owners.
+/// With another number of slots nearly every key would change its slot. A failure domain that is
+/// cut off would go on serving a key by the old division while others serve it by the new one: two
+/// owners.
 fn division(old: &Service, new: &Service) -> Option<Broken> {
     (old.division != new.division).then(|| Broken {
         field: "division",
@@ -89,8 +91,9 @@
     })
 }
 
-/// A failure domain that is cut off and knows the service as `hold` goes on serving. Were others allowed to take over, as
-/// `yield` says, a key would have two owners. The way back is safe: to hold asks more of whoever takes over.
+/// A failure domain that is cut off and knows the service as `hold` goes on serving. Were others
+/// allowed to take over, as `yield` says, a key would have two owners. The way back is safe: to
+/// hold asks more of whoever takes over.
 fn cut_off(old: &Service, new: &Service) -> Option<Broken> {
     (old.cut_off == CutOff::Hold && new.cut_off == CutOff::Yield).then(|| Broken {
         field: "cut_off",
@@ -99,8 +102,8 @@
     })
 }
 
-/// Where backend servers check no grants, whoever takes over waits for the longest deadline. A request that was sent
-/// under a longer one could run after that wait, next to the new owner.
+/// Where backend servers check no grants, whoever takes over waits for the longest deadline. A
+/// request that was sent under a longer one could run after that wait, next to the new owner.
 fn max_deadline(old: &Service, new: &Service) -> Option<Broken> {
     (!new.checks_grants && new.max_deadline < old.max_deadline).then(|| Broken {
         field: "max_deadline_ms",
--- a/crates/jacinthbeam-config/src/fold/mod.rs
+++ b/crates/jacinthbeam-config/src/fold/mod.rs
@@ -1,8 +1,8 @@
 //! Which configuration is in force: a pure function of the changes in the log.
 //!
-//! Every reader of the log folds the same changes in the same order, and so comes to the same verdict on each. What this
-//! module accepts is therefore part of the log's format: a release that judges differently must not read the same
-//! stream next to an older one.
+//! Every reader of the log folds the same changes in the same order, and so comes to the same
+//! verdict on each. What this module accepts is therefore part of the log's format: a release that
+//! judges differently must not read the same stream next to an older one.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -98,7 +98,8 @@
         self.removed.get(name).copied().or(self.forgotten)
     }
 
-    /// Version in which this text of a file was last replaced or removed, if it is among the last [`MAX_REPLACED`].
+    /// Version in which this text of a file was last replaced or removed, if it is among the last
+    /// [`MAX_REPLACED`].
     pub fn replaced_in(&self, name: &FileName, hash: ContentHash) -> Option<ConfigVersion> {
         let mut newest_first = self.replaced.get(name)?.iter().rev();
         newest_first.find(|replaced| replaced.hash == hash).map(|replaced| replaced.version)
@@ -106,8 +107,8 @@
 
     /// Folds the change that stands at `offset` of the log. Changes must be folded in the order of the log.
     ///
-    /// A change that asks only for what is in force already is accepted without a new version, so that a repeated
-    /// record does no harm.
+    /// A change that asks only for what is in force already is accepted without a new version, so
+    /// that a repeated record does no harm.
     pub fn apply(&mut self, offset: Offset, change: &Change) -> Outcome {
         let problems = malformed(change);
         if !problems.is_empty() {
@@ -143,9 +144,9 @@
 
     /// Whether a file was changed by others after the operator looked at it.
     ///
-    /// Without this an older folder that is published late would revert what was accepted since. The base says which
-    /// content was seen and when; any acceptance that touched the file after that makes the change stale, even one that
-    /// put the seen content back.
+    /// Without this an older folder that is published late would revert what was accepted since.
+    /// The base says which content was seen and when; any acceptance that touched the file after
+    /// that makes the change stale, even one that put the seen content back.
     pub fn is_stale(&self, name: &FileName, base: &Base) -> bool {
         match self.files.get(name) {
             Some(file) => base.hash != Some(file.hash) || base.seen < Some(file.since),
@@ -215,8 +216,8 @@
         }
     }
 
-    /// Drops the oldest removal. From then on any unknown name counts as removed at that version: a stale creation is
-    /// still refused, and an operator who looked since is not.
+    /// Drops the oldest removal. From then on any unknown name counts as removed at that version: a
+    /// stale creation is still refused, and an operator who looked since is not.
     fn forget_oldest(&mut self) {
         let oldest = self.removed.iter().min_by_key(|(_, version)| **version);
         if let Some((name, version)) = oldest.map(|(name, version)| (name.clone(), *version)) {
--- a/crates/jacinthbeam-config/src/fold/parsed.rs
+++ b/crates/jacinthbeam-config/src/fold/parsed.rs
@@ -6,8 +6,8 @@
 
 /// What a text parses to, once somebody asked. Clones share it.
 ///
-/// It follows from the text, so it is neither written to snapshots nor compared: a state that was read from a snapshot,
-/// which has parsed nothing yet, equals the one that wrote it.
+/// It follows from the text, so it is neither written to snapshots nor compared: a state that was
+/// read from a snapshot, which has parsed nothing yet, equals the one that wrote it.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Parsed(Arc<OnceLock<Node>>);
 
--- a/crates/jacinthbeam-config/src/folder/list.rs
+++ b/crates/jacinthbeam-config/src/folder/list.rs
@@ -12,7 +12,8 @@
     fold::MAX_FILES,
 };
 
-/// Reads all configuration files of a folder once. Hidden files, folders and files with other endings are left out.
+/// Reads all configuration files of a folder once. Hidden files, folders and files with other
+/// endings are left out.
 pub fn list(path: &Path) -> Result<Snapshot, Error> {
     let mut snapshot = Snapshot::default();
     for entry in fs::read_dir(path).map_err(Error::Folder)? {
--- a/crates/jacinthbeam-config/src/folder/mod.rs
+++ b/crates/jacinthbeam-config/src/folder/mod.rs
@@ -103,9 +103,10 @@
 
 /// Calls `read` until two reads in a row agree, with a `pause` between them.
 ///
-/// A single read could see a file half saved, or just one of two files that an operator saves together. A folder that
-/// lacks a file is well-formed, and would be published with the services in that file removed. A read that fails, as when
-/// a file is replaced between the listing and the reading of it, agrees with none; its error is given if it is the last.
+/// A single read could see a file half saved, or just one of two files that an operator saves
+/// together. A folder that lacks a file is well-formed, and would be published with the services in
+/// that file removed. A read that fails, as when a file is replaced between the listing and the
+/// reading of it, agrees with none; its error is given if it is the last.
 pub fn snapshot(
     options: Options,
     mut read: impl FnMut() -> Result<Snapshot, Error>,
--- a/crates/jacinthbeam-config/src/lib.rs
+++ b/crates/jacinthbeam-config/src/lib.rs
@@ -1,8 +1,9 @@
 //! Configuration: its format, how files of a folder merge, and what the log makes of changes to them.
 //!
-//! Everything but [`folder`] and [`publish::synced`] is pure. Which configuration is in force is decided by
-//! [`fold::State`], a pure function of the records in the control stream; this crate knows the changes in these records
-//! but neither the log nor the envelope around them. `docs/CONFIGURATION.md` tells operators the format and the settings.
+//! Everything but [`folder`] and [`publish::synced`] is pure. Which configuration is in force is
+//! decided by [`fold::State`], a pure function of the records in the control stream; this crate
+//! knows the changes in these records but neither the log nor the envelope around them.
+//! `docs/CONFIGURATION.md` tells operators the format and the settings.
 
 pub mod change;
 pub mod check;
--- a/crates/jacinthbeam-config/src/merge.rs
+++ b/crates/jacinthbeam-config/src/merge.rs
@@ -16,8 +16,8 @@
 
 /// Merges files, each given after those it overrides.
 ///
-/// Objects merge field by field; any other value replaces what earlier files set; `null` takes a field of earlier files
-/// out again, so that its default holds.
+/// Objects merge field by field; any other value replaces what earlier files set; `null` takes a
+/// field of earlier files out again, so that its default holds.
 pub fn merge<'a>(files: impl IntoIterator<Item = &'a Node>) -> Node {
     let place = Place { file: Arc::from(NO_FILE), line: 1, column: 1 };
     let mut merged = Node { place, value: Value::Object(BTreeMap::new()) };
@@ -61,7 +61,8 @@
     overlay(Arc::make_mut(&mut member.node), &over.node);
 }
 
-/// A field that no earlier file set. Most of a configuration is such fields, so they are shared rather than copied.
+/// A field that no earlier file set. Most of a configuration is such fields, so they are shared
+/// rather than copied.
 fn first(over: &Member) -> Member {
     if !over.node.value.has_null() {
         return over.clone();
--- a/crates/jacinthbeam-config/src/publish/adopt.rs
+++ b/crates/jacinthbeam-config/src/publish/adopt.rs
@@ -26,7 +26,8 @@
     pub write: BTreeMap<FileName, String>,
     /// Files to remove.
     pub remove: Vec<FileName>,
-    /// Files that were edited here and changed by others, and that nothing was chosen for. They stay in conflict.
+    /// Files that were edited here and changed by others, and that nothing was chosen for. They
+    /// stay in conflict.
     pub undecided: Vec<FileName>,
     /// What the folder is in sync with afterwards.
     pub synced: Synced,
@@ -34,8 +35,8 @@
 
 /// Compares a folder with what is in force and says what to write to it.
 ///
-/// Files without edits are brought up to date, edits of files that nobody else changed are kept, and for the rest
-/// `choose` decides.
+/// Files without edits are brought up to date, edits of files that nobody else changed are kept,
+/// and for the rest `choose` decides.
 pub fn adopt(
     folder: &Snapshot,
     synced: &Synced,
@@ -70,8 +71,9 @@
                 self.look(name, state);
             }
             None => {
-                // The base is kept even where there was no entry for the name: `seen` of the whole folder is about to
-                // rise, and would make a file that others removed look as if the operator had agreed to that.
+                // The base is kept even where there was no entry for the name: `seen` of the whole
+                // folder is about to rise, and would make a file that others removed look as if the
+                // operator had agreed to that.
                 self.synced.files.insert(name.clone(), base);
                 self.undecided.push(name.clone());
             }
--- a/crates/jacinthbeam-config/src/publish/mod.rs
+++ b/crates/jacinthbeam-config/src/publish/mod.rs
@@ -1,8 +1,9 @@
-//! What to publish from a folder: a three-way comparison of the folder, what the folder was last in sync with, and what
-//! is in force.
+//! What to publish from a folder: a three-way comparison of the folder, what the folder was last in
+//! sync with, and what is in force.
 //!
-//! The comparison is made on the operator's side and may be out of date when the change reaches the log. That does no
-//! harm: the change carries what it is based on, and [`State::apply`] judges it again.
+//! The comparison is made on the operator's side and may be out of date when the change reaches the
+//! log. That does no harm: the change carries what it is based on, and [`State::apply`] judges it
+//! again.
 
 use std::{collections::BTreeSet, fmt};
 
@@ -169,7 +170,8 @@
     state.clone().apply(next, change)
 }
 
-/// Tells why a change was refused by the log, given the names in [`Outcome::Conflict`] and the state after it.
+/// Tells why a change was refused by the log, given the names in [`Outcome::Conflict`] and the
+/// state after it.
 pub fn clashes(names: Vec<FileName>, state: &State) -> Vec<Clash> {
     let clash = |name: FileName| Clash { why: why_stale(&name, state), name };
     names.into_iter().map(clash).collect()
--- a/crates/jacinthbeam-config/src/publish/synced.rs
+++ b/crates/jacinthbeam-config/src/publish/synced.rs
@@ -51,8 +51,9 @@
 
     /// Takes over what another reading of the same folder knows better.
     ///
-    /// Two operators may publish from one folder at the same time. Were the last one's file kept as it is, the base of
-    /// the first one's files would be lost, and the next edit of them would be refused as a conflict.
+    /// Two operators may publish from one folder at the same time. Were the last one's file kept as
+    /// it is, the base of the first one's files would be lost, and the next edit of them would be
+    /// refused as a conflict.
     pub fn join(&mut self, other: Self) {
         self.seen = self.seen.max(other.seen);
         for (name, base) in other.files {
--- a/crates/jacinthbeam-config/src/settings.rs
+++ b/crates/jacinthbeam-config/src/settings.rs
@@ -22,12 +22,14 @@
     pub cell: CellId,
     /// Where it listens for callers.
     pub callers: SocketAddr,
-    /// Where it listens for other entry hosts. They are told this address unless [`Settings::advertise`] is set, so it must
-    /// not be `0.0.0.0` or `::` then.
+    /// Where it listens for other entry hosts. They are told this address unless
+    /// [`Settings::advertise`] is set, so it must not be `0.0.0.0` or `::` then.
     pub peers: SocketAddr,
-    /// Where other entry hosts reach it, if that is not [`Settings::peers`]: behind address translation, for instance.
+    /// Where other entry hosts reach it, if that is not [`Settings::peers`]: behind address
+    /// translation, for instance.
     pub advertise: Option<SocketAddr>,
-    /// IP number that its connections to others come from; the system picks one unless it is set. For hosts with several.
+    /// IP number that its connections to others come from; the system picks one unless it is set.
+    /// For hosts with several.
     pub source: Option<IpAddr>,
     /// Where it listens for operators: metrics and dumps.
     pub operators: SocketAddr,
--- a/crates/jacinthbeam-config/tests/fold.rs
+++ b/crates/jacinthbeam-config/tests/fold.rs
@@ -76,9 +76,10 @@
 
 #[test]
 fn what_a_cut_off_domain_still_follows_does_not_change() {
-    // A failure domain is cut off and follows the configuration it read last. The operators change the service.
-    // With other slots, or with leave to take over, a key would be served there and elsewhere: two owners.
-    // Removing the service and adding it again comes to the same and is refused too. The safe ways are not.
+    // A failure domain is cut off and follows the configuration it read last. The operators change
+    // the service. With other slots, or with leave to take over, a key would be served there and
+    // elsewhere: two owners. Removing the service and adding it again comes to the same and is
+    // refused too. The safe ways are not.
     let with = |field: &str| ONE.replace("\"connections\"", &format!("{field}, \"connections\""));
     let unchecked =
         |millis| with(&format!("\"checks_grants\": false, \"max_deadline_ms\": {millis}"));
@@ -122,8 +123,9 @@
 
 #[test]
 fn removal_that_was_forgotten_still_refuses_an_older_folder() {
-    // More files are removed than are remembered one by one. An old folder then adds the first of them again.
-    // The state no longer knows that name, so any unknown name counts as removed at the newest forgotten version.
+    // More files are removed than are remembered one by one. An old folder then adds the first of
+    // them again. The state no longer knows that name, so any unknown name counts as removed at the
+    // newest forgotten version.
     let mut state = State::default();
     let mut version = 0;
     for round in 0..5 {
@@ -145,9 +147,10 @@
     assert_eq!(outcome, Outcome::Accepted(ConfigVersion(21)));
 }
 
-/// What an operator would see: a value that a later file overrode does not come back when that file is removed, or comes
-/// back only on hosts that restarted. Parsed files are kept from change to change, and merging shares their values; a
-/// merge that wrote into a kept file, or a kept file that differed from its text, would make hosts disagree.
+/// What an operator would see: a value that a later file overrode does not come back when that file
+/// is removed, or comes back only on hosts that restarted. Parsed files are kept from change to
+/// change, and merging shares their values; a merge that wrote into a kept file, or a kept file
+/// that differed from its text, would make hosts disagree.
 #[test]
 fn kept_files_say_what_their_texts_say() {
     let over = r#"{ "services": { "tilecast": { "queue": 7, "balance": { "min_stay_ms": 5 } } } }"#;
--- a/crates/jacinthbeam-config/tests/publish/adopt.rs
+++ b/crates/jacinthbeam-config/tests/publish/adopt.rs
@@ -29,8 +29,9 @@
 
 #[test]
 fn undecided_file_that_others_removed_stays_in_conflict() {
-    // Others removed a file that the folder, which has no hidden file, still has. The operator adopts without a choice.
-    // That notes the newest version for the folder; were it noted for this file too, it would come back.
+    // Others removed a file that the folder, which has no hidden file, still has. The operator
+    // adopts without a choice. That notes the newest version for the folder; were it noted for this
+    // file too, it would come back.
     let (mut log, _) = clash();
     let mut iva = Operator::default();
     iva.adopt(&log, |_| None);
--- a/crates/jacinthbeam-config/tests/publish/race.rs
+++ b/crates/jacinthbeam-config/tests/publish/race.rs
@@ -38,9 +38,10 @@
 
 #[test]
 fn record_that_arrives_late_does_not_undo_a_rollback() {
-    // The answer to an append is lost and the record is still under way. Meanwhile another operator publishes a
-    // change of the same file and then takes it back, so the content is the one the late record is based on.
-    // The late record must not be accepted: the rollback is the newer acceptance.
+    // The answer to an append is lost and the record is still under way. Meanwhile another operator
+    // publishes a change of the same file and then takes it back, so the content is the one the
+    // late record is based on. The late record must not be accepted: the rollback is the newer
+    // acceptance.
     let mut log = Log::default();
     let mut iva = Operator::default();
     let old = service("tilecast", "ice", 10);
@@ -63,8 +64,9 @@
 
 #[test]
 fn removed_file_does_not_come_back_from_an_older_folder() {
-    // A file is removed. An older copy of the folder, once with and once without its hidden file, is published.
-    // With it the file is stale and left alone; without it the operator is told that it was removed.
+    // A file is removed. An older copy of the folder, once with and once without its hidden file,
+    // is published. With it the file is stale and left alone; without it the operator is told that
+    // it was removed.
     let mut log = Log::default();
     let mut iva = Operator::default();
     iva.save("10.json", &service("tilecast", "ice", 10));
@@ -99,10 +101,11 @@
 
 #[test]
 fn no_interleaving_reverts_an_acceptance() {
-    // Operators edit, plan on old views, append late or twice, copy folders, and adopt, in any order.
-    // A record may touch a file only if no acceptance touched it after its operator looked.
-    // Every reader that folds the log, from the start or from a stored state, comes to the same result.
-    // The seeds are fixed, so that every run judges the same interleavings; the low half of a seed is its length.
+    // Operators edit, plan on old views, append late or twice, copy folders, and adopt, in any
+    // order. A record may touch a file only if no acceptance touched it after its operator looked.
+    // Every reader that folds the log, from the start or from a stored state, comes to the same
+    // result. The seeds are fixed, so that every run judges the same interleavings; the low half of
+    // a seed is its length.
     for case in 0..CASES {
         arbtest::arbtest(interleave).seed(case << 32 | BYTES_A_CASE);
     }
--- a/crates/jacinthbeam-config/tests/publish/synced.rs
+++ b/crates/jacinthbeam-config/tests/publish/synced.rs
@@ -27,8 +27,9 @@
 
 #[test]
 fn two_operators_in_one_folder_do_not_lose_each_others_base() {
-    // Two operators publish from one folder at the same time. Both read the hidden file before either writes it.
-    // The later one writes an older base of the first one's file; the newer base must stay, or her next edit is refused.
+    // Two operators publish from one folder at the same time. Both read the hidden file before
+    // either writes it. The later one writes an older base of the first one's file; the newer base
+    // must stay, or her next edit is refused.
     let path = scratch("two-operators");
     synced::store(&path, &synced("10.json", 5)).expect("writable");
     let mut late = synced("10.json", 3);
--- a/crates/jacinthbeam-entry/examples/control.rs
+++ b/crates/jacinthbeam-entry/examples/control.rs
@@ -1,8 +1,8 @@
-//! Measures what control costs the entry hosts of one cell, and how old their proofs get: at rest, while a host that others read the
-//! log through is cut from it, and after such a host has died.
+//! Measures what control costs the entry hosts of one cell, and how old their proofs get: at rest,
+//! while a host that others read the log through is cut from it, and after such a host has died.
 //!
-//! Run with `cargo run --release -p jacinthbeam-entry --example control`. All hosts and the stand-ins of the platform run in this process, over
-//! loopback.
+//! Run with `cargo run --release -p jacinthbeam-entry --example control`. All hosts and the
+//! stand-ins of the platform run in this process, over loopback.
 
 use std::{
     collections::BTreeMap,
--- a/crates/jacinthbeam-entry/src/connection/callers.rs
+++ b/crates/jacinthbeam-entry/src/connection/callers.rs
@@ -23,8 +23,8 @@
     pub connections: usize,
     /// Longest head of a request in bytes. Default 16 KiB.
     pub head: usize,
-    /// Time without a whole head of a request after which an HTTP/1 connection is closed, and without a sign of life after
-    /// which an HTTP/2 connection is asked for one. Default 60 s.
+    /// Time without a whole head of a request after which an HTTP/1 connection is closed, and
+    /// without a sign of life after which an HTTP/2 connection is asked for one. Default 60 s.
     pub idle: Duration,
     /// Requests in progress on one HTTP/2 connection. Default 128.
     pub streams: u32,
@@ -96,8 +96,8 @@
 
 /// Time that a caller has to answer a PING.
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
-/// `hyper` reads heads up to this times the limit, so that a head somewhat too long is refused with a verdict, which its own
-/// refusal does not carry.
+/// `hyper` reads heads up to this times the limit, so that a head somewhat too long is refused with
+/// a verdict, which its own refusal does not carry.
 const HEAD_SLACK: usize = 2;
 /// Smallest buffer that `hyper` takes for HTTP/1, in bytes.
 const MIN_BUFFER: usize = 8192;
--- a/crates/jacinthbeam-entry/src/connection/first.rs
+++ b/crates/jacinthbeam-entry/src/connection/first.rs
@@ -18,9 +18,9 @@
 
 /// A stream whose reads fail if the time is over before the protocol is known.
 ///
-/// The library decides between HTTP/1 and HTTP/2 by the first bytes, and waits for them without a bound. Connections that
-/// are opened and stay silent would take all the room for callers, and no new caller would be served. Once the protocol
-/// is known, the library's own bounds hold.
+/// The library decides between HTTP/1 and HTTP/2 by the first bytes, and waits for them without a
+/// bound. Connections that are opened and stay silent would take all the room for callers, and no
+/// new caller would be served. Once the protocol is known, the library's own bounds hold.
 #[derive(Debug)]
 pub struct First {
     tcp: TcpStream,
--- a/crates/jacinthbeam-entry/src/connection/peers.rs
+++ b/crates/jacinthbeam-entry/src/connection/peers.rs
@@ -19,7 +19,8 @@
 
 /// How much earlier than the host that forwarded a request this one gives it up, or a tenth of the time that is left.
 ///
-/// Both would give up at the same moment, and the other host's `may-have-run` would win over a `not-run` that is known here.
+/// Both would give up at the same moment, and the other host's `may-have-run` would win over a
+/// `not-run` that is known here.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
 
 /// Answers other entry hosts. Questions about control state go to the control thread, those about the memory of
--- a/crates/jacinthbeam-entry/src/process/control/attend/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend/mod.rs
@@ -156,8 +156,9 @@
         }
     }
 
-    /// Servers attended at present, as heartbeats say: also those where something may still run for this host. A successor
-    /// that did not wait for it would fence it, and the server would drop what runs.
+    /// Servers attended at present, as heartbeats say: also those where something may still run for
+    /// this host. A successor that did not wait for it would fence it, and the server would drop
+    /// what runs.
     pub(super) fn attends(&self) -> Vec<(ServerId, Token)> {
         let attended = self.tended.iter().filter(|(_, tended)| tended.open || tended.draining);
         attended.map(|(server, tended)| (server.clone(), tended.token)).collect()
--- a/crates/jacinthbeam-entry/src/process/control/book.rs
+++ b/crates/jacinthbeam-entry/src/process/control/book.rs
@@ -1,7 +1,8 @@
 //! What the hosts of a cell know of each other: details that were heard, and which of them the others hold.
 //!
-//! A heartbeat leaves out what its receiver holds. Details belong to one life of a host: a heartbeat of a life whose details
-//! were never heard tells nothing, whatever an earlier life of the same host has said.
+//! A heartbeat leaves out what its receiver holds. Details belong to one life of a host: a
+//! heartbeat of a life whose details were never heard tells nothing, whatever an earlier life of
+//! the same host has said.
 
 use std::{
     collections::BTreeMap,
@@ -165,9 +166,10 @@
 
     /// Whether this host has to ask the host at an address, rather than wait to be asked.
     ///
-    /// One exchange tells both of the other's life. Two are needed only where each is a witness whose word the other wants.
-    /// Of two hosts that could both ask, the one with the lower name does. The other asks
-    /// too as soon as no question came within `patience`, so a host that fails to ask is not taken for a lost one.
+    /// One exchange tells both of the other's life. Two are needed only where each is a witness
+    /// whose word the other wants. Of two hosts that could both ask, the one with the lower name
+    /// does. The other asks too as soon as no question came within `patience`, so a host that fails
+    /// to ask is not taken for a lost one.
     pub fn must_ask(
         &self,
         now: Instant,
--- a/crates/jacinthbeam-entry/src/process/control/cells.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cells.rs
@@ -12,9 +12,9 @@
 
 /// Addresses by cell, as told by the platform's list and the sets of witnesses.
 ///
-/// Every version that traffic is given names them, and so does every slot that came from another cell. Making them passes over
-/// all hosts of the fleet, which at 20,000 hosts takes milliseconds of the control thread; so they are made anew only after
-/// one of the two sources has changed.
+/// Every version that traffic is given names them, and so does every slot that came from another
+/// cell. Making them passes over all hosts of the fleet, which at 20,000 hosts takes milliseconds
+/// of the control thread; so they are made anew only after one of the two sources has changed.
 #[derive(Debug, Default)]
 pub struct CellBook {
     cells: Arc<BTreeMap<CellId, Vec<SocketAddr>>>,
--- a/crates/jacinthbeam-entry/src/process/control/found.rs
+++ b/crates/jacinthbeam-entry/src/process/control/found.rs
@@ -16,7 +16,8 @@
 
 /// How long some backend servers of a service must have been members before it is divided among those there are.
 const SETTLE: Duration = Duration::from_millis(1500);
-/// Time that each further host waits for the ones before it. Two that divide at once do no harm: the second record is void.
+/// Time that each further host waits for the ones before it. Two that divide at once do no harm:
+/// the second record is void.
 const TURN: Duration = Duration::from_millis(500);
 
 /// Services that wait for their first division, or for owners of some slots.
@@ -66,8 +67,8 @@
         self.place_vacant_slots(now);
     }
 
-    /// Gives slots that nobody owns to the servers that own the fewest. A slot loses its owner without a next one when the
-    /// server that it was to go to was lost in the meantime.
+    /// Gives slots that nobody owns to the servers that own the fewest. A slot loses its owner
+    /// without a next one when the server that it was to go to was lost in the meantime.
     fn place_vacant_slots(&mut self, now: Instant) {
         if now < self.found.next_vacant {
             return;
@@ -83,7 +84,8 @@
         let is_vacant = |(_, division): &(&ServiceName, &std::sync::Arc<DivisionTable>)| {
             division.owned() < division.len()
         };
-        // The host whose turn it is may be gone though still listed; after one more round everybody places what is left.
+        // The host whose turn it is may be gone though still listed; after one more round everybody
+        // places what is left.
         let vacant = self.state.services.iter().filter(is_vacant);
         self.found.vacant = vacant.map(|(service, _)| service.clone()).collect();
         for record in records {
--- a/crates/jacinthbeam-entry/src/process/control/snapshot.rs
+++ b/crates/jacinthbeam-entry/src/process/control/snapshot.rs
@@ -22,9 +22,10 @@
 
 /// When this host appends a snapshot.
 ///
-/// Hosts are ranked by the platform's list. Without that each of 20,000 hosts would draw a wait from the same two minutes, and
-/// all whose wait ends before the first one's snapshot can be read would append theirs too: thousands of appends at once. The
-/// first two append, and each of the next ones only if those before it have failed for longer.
+/// Hosts are ranked by the platform's list. Without that each of 20,000 hosts would draw a wait
+/// from the same two minutes, and all whose wait ends before the first one's snapshot can be read
+/// would append theirs too: thousands of appends at once. The first two append, and each of the
+/// next ones only if those before it have failed for longer.
 #[derive(Debug)]
 pub struct Pace {
     /// This host's share of the wait, from a half to the whole.
@@ -35,8 +36,8 @@
     last: Offset,
 }
 
-/// How many listed hosts come before this one when a snapshot is due. The order is the same on all hosts with the same list; with
-/// different lists more hosts append, which does no harm.
+/// How many listed hosts come before this one when a snapshot is due. The order is the same on all
+/// hosts with the same list; with different lists more hosts append, which does no harm.
 pub fn rank(list: &HostList, host: &HostId) -> usize {
     let weight = |host: &HostId| rendezvous_weight(CONTROL, host.as_str());
     let own = weight(host);
--- a/crates/jacinthbeam-entry/src/process/control/totals.rs
+++ b/crates/jacinthbeam-entry/src/process/control/totals.rs
@@ -1,7 +1,7 @@
 //! Carrying each team's totals past the log's retention.
 //!
-//! A few hosts, picked by rendezvous weight, read the usage stream and append snapshots of its totals. Any number of them may
-//! do so at any time; the others spend nothing on it.
+//! A few hosts, picked by rendezvous weight, read the usage stream and append snapshots of its
+//! totals. Any number of them may do so at any time; the others spend nothing on it.
 
 use std::time::{Duration, Instant};
 
--- a/crates/jacinthbeam-entry/src/process/control/usage.rs
+++ b/crates/jacinthbeam-entry/src/process/control/usage.rs
@@ -28,7 +28,8 @@
 }
 
 impl Control {
-    /// Appends a batch when it is due. The same batch is appended until it surely stands in the log; its reader counts it once.
+    /// Appends a batch when it is due. The same batch is appended until it surely stands in the
+    /// log; its reader counts it once.
     pub(super) fn flush_usage(&mut self, now: Instant) {
         if now < self.usage.next || self.usage.pending {
             return;
@@ -48,8 +49,8 @@
         });
     }
 
-    /// Whether a stopping host has appended what it counted, or has tried for long enough: the log may be away for longer than a
-    /// stop may take.
+    /// Whether a stopping host has appended what it counted, or has tried for long enough: the log
+    /// may be away for longer than a stop may take.
     pub(super) fn usage_is_flushed(&mut self) -> bool {
         let now = self.clock.now();
         let give_up = *self.usage.give_up.get_or_insert(now + LAST_FLUSH);
--- a/crates/jacinthbeam-entry/src/process/metrics/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/metrics/mod.rs
@@ -1,7 +1,8 @@
 //! Metrics of the process, by `opentelemetry`, scraped as text.
 //!
-//! Traffic records what it does as it happens. The control thread leaves a [`Sample`] every second, from which a scrape
-//! takes the rest: nothing is left behind there of a backend server that is attended no more. `docs/OPERATORS.md` explains each name.
+//! Traffic records what it does as it happens. The control thread leaves a [`Sample`] every second,
+//! from which a scrape takes the rest: nothing is left behind there of a backend server that is
+//! attended no more. `docs/OPERATORS.md` explains each name.
 
 mod observe;
 mod sample;
--- a/crates/jacinthbeam-entry/src/process/usage.rs
+++ b/crates/jacinthbeam-entry/src/process/usage.rs
@@ -44,7 +44,8 @@
 
 /// A request that is being sent to a backend server. Dropped without a verdict, it counts as one that may have run.
 ///
-/// Its task is dropped when the caller goes away; without this such a request would appear in no count, though it may have run.
+/// Its task is dropped when the caller goes away; without this such a request would appear in no
+/// count, though it may have run.
 #[derive(Debug)]
 pub struct Sent {
     cx: Arc<Traffic>,
--- a/crates/jacinthbeam-entry/src/version/meter.rs
+++ b/crates/jacinthbeam-entry/src/version/meter.rs
@@ -5,7 +5,8 @@
 use jacinthbeam_placement::hot::Sketch;
 use jacinthbeam_types::prelude::*;
 
-/// Keys whose busy time is told apart for each backend server. A key with more than this fraction of the time is surely seen.
+/// Keys whose busy time is told apart for each backend server. A key with more than this fraction
+/// of the time is surely seen.
 const KEYS: usize = 64;
 
 /// Busy time since the last look.
--- a/crates/jacinthbeam-entry/src/version/route.rs
+++ b/crates/jacinthbeam-entry/src/version/route.rs
@@ -50,8 +50,8 @@
     /// Hosts to ask for a backend server, best first: its attendant as far as known, then the hosts of its cell.
     pub fn hosts_for(&self, server: &ServerId, hints: &Hints) -> Vec<SocketAddr> {
         let mut hosts = Vec::new();
-        // What the hosts of the own cell say now is newer than whom some request has found. A hint that names a host which
-        // has stopped answering would cost the request its deadline.
+        // What the hosts of the own cell say now is newer than whom some request has found. A hint
+        // that names a host which has stopped answering would cost the request its deadline.
         hosts.extend(self.attendants.get(server).copied());
         hosts.extend(hints.get(server));
         let cell = self.state.servers.get(server).map(|server| &server.cell);
--- a/crates/jacinthbeam-entry/src/version/unreachable.rs
+++ b/crates/jacinthbeam-entry/src/version/unreachable.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-/// How long a peer that could not be reached is left alone. Then one request tries it, while the others still pass it over.
+/// How long a peer that could not be reached is left alone. Then one request tries it, while the
+/// others still pass it over.
 pub const LEFT_ALONE_FOR: Duration = Duration::from_secs(1);
 /// Most peers kept. One is needed for each host of the failure domains that are cut off.
 const MAX_PEERS: usize = 4096;
--- a/crates/jacinthbeam-lease/src/attendant/contents.rs
+++ b/crates/jacinthbeam-lease/src/attendant/contents.rs
@@ -52,7 +52,8 @@
 }
 
 impl Sources<'_> {
-    /// The grant by which a host takes over: exactly what the server reported, less what the fold gives to others.
+    /// The grant by which a host takes over: exactly what the server reported, less what the fold
+    /// gives to others.
     pub(super) fn takeover(&self) -> Contents {
         let owned = self.owned();
         Contents {
--- a/crates/jacinthbeam-lease/src/attendant/lifetime.rs
+++ b/crates/jacinthbeam-lease/src/attendant/lifetime.rs
@@ -93,8 +93,9 @@
 
     /// The server accepted a higher token than this host's.
     ///
-    /// Two hosts that both believe to attend would take the server from each other at every round trip. A wait
-    /// of different length on each host lets their views of the members settle in between.
+    /// Two hosts that both believe to attend would take the server from each other at every round
+    /// trip. A wait of different length on each host lets their views of the members settle in
+    /// between.
     pub(super) fn fenced(&mut self, step: &mut Step<'_>) {
         let base = step.cx.timing.alive_within;
         let weight = rendezvous_weight(self.id.server.as_str(), self.id.host.as_str());
@@ -120,8 +121,8 @@
     /// record bumps the epochs of its slots, and so voids what a predecessor of this host may still append
     /// about them.
     pub(super) fn join(&mut self, step: &mut Step<'_>, reply: &Reply) {
-        // A process that was paused with the answer in hand may know less than the log by now, and would make an
-        // earlier life of the server a member again.
+        // A process that was paused with the answer in hand may know less than the log by now, and
+        // would make an earlier life of the server a member again.
         let is_recent =
             step.now.saturating_duration_since(reply.received) < step.cx.timing.renew_every;
         let is_leaving = step.cx.leaving || reply.state.draining;
--- a/crates/jacinthbeam-lease/src/attendant/mod.rs
+++ b/crates/jacinthbeam-lease/src/attendant/mod.rs
@@ -28,7 +28,8 @@
 
 /// Keeps the lease of one backend server, or stands by to do so.
 ///
-/// Every entry host of a cell has one for each backend server of the cell. The caller runs this loop for each:
+/// Every entry host of a cell has one for each backend server of the cell. The caller runs this
+/// loop for each:
 ///
 /// ```text
 /// loop {
--- a/crates/jacinthbeam-lease/src/attendant/moves.rs
+++ b/crates/jacinthbeam-lease/src/attendant/moves.rs
@@ -60,8 +60,8 @@
         step.push(Action::Hold { slots });
     }
 
-    /// Nothing is wanted while the log does not answer: the slot would be held and released, and then belong to
-    /// nobody until the log is back.
+    /// Nothing is wanted while the log does not answer: the slot would be held and released, and
+    /// then belong to nobody until the log is back.
     fn wanted_releases(&self, step: &Step<'_>) -> BTreeMap<SlotId, Releasing> {
         if !step.cx.log_is_fresh(step.now) {
             return BTreeMap::new();
@@ -82,7 +82,8 @@
         planned.chain(retired).collect()
     }
 
-    /// A slot that the grant still holds is opened again; one that was released already goes where it was to go.
+    /// A slot that the grant still holds is opened again; one that was released already goes where
+    /// it was to go.
     fn cancel_releases(&mut self, step: &mut Step<'_>, wanted: &BTreeMap<SlotId, Releasing>) {
         let Some(seen) = &self.seen else { return };
         let granted = &seen.state.slots;
--- a/crates/jacinthbeam-lease/src/attendant/silence.rs
+++ b/crates/jacinthbeam-lease/src/attendant/silence.rs
@@ -141,7 +141,8 @@
         if !self.appends.is_ready(step.now, step.cx) {
             return false;
         }
-        // Without a next owner nothing is gained, and the server could not go on where it was when it returns.
+        // Without a next owner nothing is gained, and the server could not go on where it was when
+        // it returns.
         if (step.cx.evict_targets)(&self.id.server).is_empty() {
             return false;
         }
@@ -176,7 +177,8 @@
         self.append(step, record, why);
     }
 
-    /// Waits until the fold shows what became of the record. If it was lost or void, everything is asked anew.
+    /// Waits until the fold shows what became of the record. If it was lost or void, everything is
+    /// asked anew.
     pub(super) fn judge_eviction(&mut self, step: &mut Step<'_>) -> Outcome<State> {
         let is_active = step.server(&self.id).is_some_and(|known| known.is_active());
         if !is_active {
--- a/crates/jacinthbeam-lease/src/grant.rs
+++ b/crates/jacinthbeam-lease/src/grant.rs
@@ -61,8 +61,8 @@
     /// A request may be written only while `now < until`. Checked again after every wait, however short: the
     /// process may have been paused in it.
     pub until: Instant,
-    /// Keys must be mapped to slots by a fold that contains this record. An older one may not know that a key was
-    /// split out, and would send it under a slot that the server still holds.
+    /// Keys must be mapped to slots by a fold that contains this record. An older one may not know
+    /// that a key was split out, and would send it under a slot that the server still holds.
     pub based_on: Offset,
 }
 
--- a/crates/jacinthbeam-lease/src/lib.rs
+++ b/crates/jacinthbeam-lease/src/lib.rs
@@ -1,4 +1,5 @@
-//! Who may speak to a backend server, until when, and which slots it may be granted: `docs/OWNERSHIP.md` as code.
+//! Who may speak to a backend server, until when, and which slots it may be granted:
+//! `docs/OWNERSHIP.md` as code.
 //!
 //! Everything here is pure. Events and `now` go in, actions come out; sockets, the log and timers belong to
 //! the entry host's process. What a record means is decided by `jacinthbeam-state`, which slots should move
--- a/crates/jacinthbeam-lease/src/membership.rs
+++ b/crates/jacinthbeam-lease/src/membership.rs
@@ -13,7 +13,8 @@
 
 use crate::timing::Timing;
 
-/// Most other hosts that are remembered. A cell has at most 16; restarts may leave a few more names for a while.
+/// Most other hosts that are remembered. A cell has at most 16; restarts may leave a few more names
+/// for a while.
 pub const MAX_MEMBERS: usize = 64;
 
 /// What a heartbeat says of its sender.
@@ -98,7 +99,8 @@
         self.own.stopping = true;
     }
 
-    /// Lives of hosts that promised to vouch no more under this epoch of the cell's witnesses, also if they have stopped since.
+    /// Lives of hosts that promised to vouch no more under this epoch of the cell's witnesses, also
+    /// if they have stopped since.
     pub fn retired(&self, epoch: Epoch) -> impl Iterator<Item = Incarnation> + '_ {
         let retired = self.retired.iter().filter(move |(_, of)| **of == epoch);
         retired.map(|(incarnation, _)| *incarnation)
--- a/crates/jacinthbeam-lease/src/proof.rs
+++ b/crates/jacinthbeam-lease/src/proof.rs
@@ -37,7 +37,8 @@
         Self::default()
     }
 
-    /// Notes a read of the control stream that reached its end: no record stands before `end` that was not read.
+    /// Notes a read of the control stream that reached its end: no record stands before `end` that
+    /// was not read.
     ///
     /// `started` is the local time just before the request was sent; for a read through another host, less
     /// the age of the proof that this host states. A long poll proves the time of its start only, so it must
@@ -91,7 +92,8 @@
         self.log(state).max(witnesses)
     }
 
-    /// Whether some witness has promised silence for the server at its present epoch, as far as this host knows.
+    /// Whether some witness has promised silence for the server at its present epoch, as far as
+    /// this host knows.
     pub fn promised(&self, state: &State, server: &ServerId, own: &Witness) -> bool {
         let names = |vouch: &Vouch| vouch.names(state, server);
         own.vouch(state).as_ref().is_some_and(names)
--- a/crates/jacinthbeam-lease/src/watch.rs
+++ b/crates/jacinthbeam-lease/src/watch.rs
@@ -1,9 +1,11 @@
 //! When a cell counts as silent for the hosts of other cells.
 //!
-//! A few hosts of other failure domains watch each cell, picked by rendezvous, so that what watching costs a host does not
-//! grow with the fleet. A cell is silent when, for [`SILENT_AFTER`], none of its hosts has told a watcher that it still reads
-//! the log. One watcher can't tell whether the cell or its own failure domain is cut off, so watchers in a majority of the
-//! failure domains have to agree. A wrong judgement costs churn and no safety: see [`evictions`](crate::abandoned::evictions).
+//! A few hosts of other failure domains watch each cell, picked by rendezvous, so that what
+//! watching costs a host does not grow with the fleet. A cell is silent when, for [`SILENT_AFTER`],
+//! none of its hosts has told a watcher that it still reads the log. One watcher can't tell whether
+//! the cell or its own failure domain is cut off, so watchers in a majority of the failure domains
+//! have to agree. A wrong judgement costs churn and no safety: see
+//! [`evictions`](crate::abandoned::evictions).
 
 use std::{
     cmp::Reverse,
@@ -24,9 +26,10 @@
 
 /// All listed hosts, for finding out who watches which cell.
 ///
-/// A host has to find the cells that it watches among more than a thousand, and the watchers of one are picked among twenty
-/// thousand hosts; ranking all of them for each cell takes seconds, in which a control thread renews no lease. So hosts are ranked only
-/// in the failure domains that are picked, and first in the asking host's own.
+/// A host has to find the cells that it watches among more than a thousand, and the watchers of one
+/// are picked among twenty thousand hosts; ranking all of them for each cell takes seconds, in
+/// which a control thread renews no lease. So hosts are ranked only in the failure domains that are
+/// picked, and first in the asking host's own.
 #[derive(Debug)]
 pub struct Fleet<'a>(BTreeMap<FailureDomain, Vec<&'a HostId>>);
 
@@ -51,7 +54,8 @@
         picked.into_iter().map(|(_, host)| host).collect()
     }
 
-    /// Whether `host`, which lies in failure domain `own`, is among [`Self::watchers`]; at a fraction of the cost.
+    /// Whether `host`, which lies in failure domain `own`, is among [`Self::watchers`]; at a
+    /// fraction of the cost.
     pub fn is_watched_by(&self, cell: &CellId, own: &FailureDomain, host: &HostId) -> bool {
         self.domains_for(cell).contains(&own)
             && self.picked_in(own, cell).iter().any(|(_, picked)| *picked == host)
@@ -95,7 +99,8 @@
     own: FailureDomain,
     /// Failure domains that have a say: that of the cell and those of its watchers.
     domains: BTreeSet<FailureDomain>,
-    /// Start of the present time of watching without a gap, or the last time at which a host of the cell read the log.
+    /// Start of the present time of watching without a gap, or the last time at which a host of the
+    /// cell read the log.
     since: Instant,
     /// When each other failure domain was last asked and found the cell silent.
     agreed: BTreeMap<FailureDomain, Instant>,
@@ -121,10 +126,11 @@
         self.domains.insert(self.own.clone());
     }
 
-    /// This host has not read the log of late, so it can't tell whether a cell reads it. Watching starts anew.
+    /// This host has not read the log of late, so it can't tell whether a cell reads it. Watching
+    /// starts anew.
     ///
-    /// After an outage of the log the hosts find it back at different times. The first one would else judge all cells by the
-    /// time before the outage.
+    /// After an outage of the log the hosts find it back at different times. The first one would
+    /// else judge all cells by the time before the outage.
     pub fn interrupted(&mut self, now: Instant) {
         self.since = now;
         self.agreed.clear();
--- a/crates/jacinthbeam-lease/src/witnesses.rs
+++ b/crates/jacinthbeam-lease/src/witnesses.rs
@@ -10,7 +10,8 @@
 
 use crate::membership::{Heard, Members};
 
-/// How long a change must have been wanted before it is made, so that a short pause of a host changes nothing.
+/// How long a change must have been wanted before it is made, so that a short pause of a host
+/// changes nothing.
 pub const SETTLE: Duration = Duration::from_secs(2);
 
 /// A change of the set that is worth making.
@@ -22,7 +23,8 @@
     pub base: Option<Epoch>,
     /// The new set.
     pub members: Vec<Witness>,
-    /// Live members of the old set. All are asked to retire under `base`, this host included if it is one of them.
+    /// Live members of the old set. All are asked to retire under `base`, this host included if it
+    /// is one of them.
     pub ask: Vec<Witness>,
     /// Members of the old set that have retired already, as a host does that stops.
     pub already: BTreeSet<Incarnation>,
--- a/crates/jacinthbeam-lease/tests/attendant/answer.rs
+++ b/crates/jacinthbeam-lease/tests/attendant/answer.rs
@@ -117,7 +117,8 @@
     assert!(!joins(10));
 }
 
-/// The server was granted by a host that has read more. This one may not know which slots the server has lost.
+/// The server was granted by a host that has read more. This one may not know which slots the
+/// server has lost.
 #[test]
 fn a_host_that_has_read_less_than_the_grant_was_based_on_grants_nothing() {
     let mut desk = Desk::new();
--- a/crates/jacinthbeam-lease/tests/attendant/session.rs
+++ b/crates/jacinthbeam-lease/tests/attendant/session.rs
@@ -1,6 +1,7 @@
 //! Golden sessions: faults in, what the attendants do out, with the time since the start.
 //!
-//! Three hosts a, b, c and three servers s1, s2, s3 of two slots each. Once started, c attends s1, b s2 and a s3.
+//! Three hosts a, b, c and three servers s1, s2, s3 of two slots each. Once started, c attends s1,
+//! b s2 and a s3.
 
 use crate::support::{FOREVER, Fault, Out, World};
 
@@ -82,7 +83,8 @@
     insta::assert_snapshot!(session(6000, "", &faults));
 }
 
-/// The server s1 restarts and has lost its fence. It gets no grant before its new life was recorded and read back.
+/// The server s1 restarts and has lost its fence. It gets no grant before its new life was recorded
+/// and read back.
 #[test]
 fn a_restarted_server_joins_before_it_is_granted_anything() {
     insta::assert_snapshot!(session(4000, "", &[(2100, Fault::Restart { server: S1 })]));
--- a/crates/jacinthbeam-lease/tests/proof/mod.rs
+++ b/crates/jacinthbeam-lease/tests/proof/mod.rs
@@ -1,4 +1,5 @@
-//! Proof times and promises. The fold is that of the fake: hosts a, b, c, d with lives 100 to 103 are witnesses.
+//! Proof times and promises. The fold is that of the fake: hosts a, b, c, d with lives 100 to 103
+//! are witnesses.
 
 use std::time::{Duration, Instant};
 
--- a/crates/jacinthbeam-lease/tests/support/mod.rs
+++ b/crates/jacinthbeam-lease/tests/support/mod.rs
@@ -1,4 +1,5 @@
-//! A small fake of what surrounds the attendants: servers with their fence, the log, and messages that take time.
+//! A small fake of what surrounds the attendants: servers with their fence, the log, and messages
+//! that take time.
 
 mod start;
 mod trace;
--- a/crates/jacinthbeam-lease/tests/watch/mod.rs
+++ b/crates/jacinthbeam-lease/tests/watch/mod.rs
@@ -19,8 +19,8 @@
     Watch::new(now, &name("a"), name("b"), domains(&["b", "c"]))
 }
 
-/// A host of a failure domain that is cut off hears nothing of all others. If it alone judged, it would evict their servers,
-/// while they evict its own. One failure domain of three is no majority.
+/// A host of a failure domain that is cut off hears nothing of all others. If it alone judged, it
+/// would evict their servers, while they evict its own. One failure domain of three is no majority.
 #[test]
 fn one_failure_domain_alone_judges_nobody() {
     let start = Instant::now();
@@ -68,8 +68,8 @@
     assert!(watch.is_silent(again));
 }
 
-/// The log is away for a minute, and back. This host reads it first. Every cell's last read is a minute old by then; none is
-/// silent for that.
+/// The log is away for a minute, and back. This host reads it first. Every cell's last read is a
+/// minute old by then; none is silent for that.
 #[test]
 fn outage_of_the_log_makes_no_cell_silent() {
     let start = Instant::now();
--- a/crates/jacinthbeam-lease/tests/witnesses/mod.rs
+++ b/crates/jacinthbeam-lease/tests/witnesses/mod.rs
@@ -45,8 +45,9 @@
     assert!(plan.record(&(100..=101).map(Incarnation).collect()).is_some());
 }
 
-/// Three of four hosts are replaced faster than the set can follow. Each promised, before it stopped, to vouch no more. Only one
-/// member of the old set still lives, too few to change it; with the promises of those that have gone the set changes all the same.
+/// Three of four hosts are replaced faster than the set can follow. Each promised, before it
+/// stopped, to vouch no more. Only one member of the old set still lives, too few to change it;
+/// with the promises of those that have gone the set changes all the same.
 #[test]
 fn hosts_that_stopped_as_planned_do_not_block_a_change() {
     let state = World::new(4, 3, "", 1).state;
--- a/crates/jacinthbeam-peer/examples/measure.rs
+++ b/crates/jacinthbeam-peer/examples/measure.rs
@@ -124,7 +124,8 @@
     let Exchange { asked, heard } =
         exchange_bytes(Question::Heartbeat(question), answer.clone()).await;
     let full = exchange_bytes(Question::Heartbeat(full), answer).await.asked;
-    // A witness asks the other witnesses, and is asked by every other host, five times a second. No host has more to say.
+    // A witness asks the other witnesses, and is asked by every other host, five times a second. No
+    // host has more to say.
     let witnesses = members.min(MAX_WITNESSES);
     let out = 5 * ((witnesses - 1) * asked + (members - 1) * heard);
     let in_ = 5 * ((witnesses - 1) * heard + (members - 1) * asked);
--- a/crates/jacinthbeam-peer/src/client/mod.rs
+++ b/crates/jacinthbeam-peer/src/client/mod.rs
@@ -67,11 +67,11 @@
 
     /// Forwards a request and waits for the head of its answer until `deadline`.
     ///
-    /// `head.deadline` is replaced by the time left when the head is sent, and `head.body_length` is filled in if
-    /// the body knows its length. The request's body goes on being sent
-    /// while the answer's body is read. Dropping this future, or the answer's body before its end, resets the
-    /// stream, which sets [`Cancelled`](crate::server::Cancelled) at the other end. The answer's body has no deadline here; its reader
-    /// drops it when it has waited long enough.
+    /// `head.deadline` is replaced by the time left when the head is sent, and `head.body_length`
+    /// is filled in if the body knows its length. The request's body goes on being sent while the
+    /// answer's body is read. Dropping this future, or the answer's body before its end, resets the
+    /// stream, which sets [`Cancelled`](crate::server::Cancelled) at the other end. The answer's
+    /// body has no deadline here; its reader drops it when it has waited long enough.
     pub async fn forward(
         &self,
         addr: SocketAddr,
--- a/crates/jacinthbeam-peer/src/message/memory.rs
+++ b/crates/jacinthbeam-peer/src/message/memory.rs
@@ -116,7 +116,8 @@
 pub struct Claimed {
     /// What the host knows of the slots; those that it knows nothing of are absent.
     pub slots: Vec<KnownSlot>,
-    /// Whether the token before the sender's is one of this host's, and was used for no request with an idempotency key.
+    /// Whether the token before the sender's is one of this host's, and was used for no request
+    /// with an idempotency key.
     pub unused_before: bool,
 }
 
--- a/crates/jacinthbeam-peer/src/message/mod.rs
+++ b/crates/jacinthbeam-peer/src/message/mod.rs
@@ -38,8 +38,8 @@
         /// The backend server.
         server: ServerId,
     },
-    /// Let me read the control stream through you. Answered at once if there are records, else when your own read of the
-    /// log ends, with records or with a newer proof.
+    /// Let me read the control stream through you. Answered at once if there are records, else when
+    /// your own read of the log ends, with records or with a newer proof.
     ReadLog {
         /// First record wanted.
         from: Offset,
@@ -58,7 +58,8 @@
     Fetch(Fetch),
     /// How busy are the backend servers that you attend?
     Loads,
-    /// How long ago did a host of this cell read the log to its end? Asked of the cell's hosts and of its other watchers.
+    /// How long ago did a host of this cell read the log to its end? Asked of the cell's hosts and
+    /// of its other watchers.
     LastRead {
         /// The cell.
         cell: CellId,
--- a/crates/jacinthbeam-peer/tests/peer/client/ask.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/ask.rs
@@ -27,8 +27,9 @@
     assert_eq!(answer, Ok(Answer::Done { agreed: true }));
 }
 
-/// Every host asks a few others how busy their backend servers are, and no answer arrives: the client takes it for one of
-/// another kind. Nothing fails; slots just never move to servers of other hosts.
+/// Every host asks a few others how busy their backend servers are, and no answer arrives: the
+/// client takes it for one of another kind. Nothing fails; slots just never move to servers of
+/// other hosts.
 #[tokio::test]
 async fn answer_of_loads_fits_its_question() {
     let load = ServerLoad { server: "brine-3".parse().unwrap(), milli_busy: 700 };
--- a/crates/jacinthbeam-peer/tests/peer/client/unreachable.rs
+++ b/crates/jacinthbeam-peer/tests/peer/client/unreachable.rs
@@ -11,9 +11,10 @@
 
 use crate::support::{agree, any_port, bytes, echo, forward, options};
 
-/// A failure domain is cut off, and callers outside ask for its keys. The connection opens, as systems accept on behalf of their
-/// programs, but nobody answers on it. The first request waits for the bound of a connect. Those that follow are refused at
-/// once as not run, and the peer is tried again behind them; did each wait for itself, callers would hear near their deadlines.
+/// A failure domain is cut off, and callers outside ask for its keys. The connection opens, as
+/// systems accept on behalf of their programs, but nobody answers on it. The first request waits
+/// for the bound of a connect. Those that follow are refused at once as not run, and the peer is
+/// tried again behind them; did each wait for itself, callers would hear near their deadlines.
 #[tokio::test]
 async fn requests_to_a_peer_that_does_not_answer_fail_at_once() {
     let silent = TcpListener::bind(any_port()).await.unwrap();
--- a/crates/jacinthbeam-placement/examples/policies.rs
+++ b/crates/jacinthbeam-placement/examples/policies.rs
@@ -1,5 +1,6 @@
-//! Runs each policy as pure decision steps on the same seeded, drifting Zipf load and prints imbalance, churn and the
-//! time a decision takes. Measures the decision functions only: no messages, no failures, no cluster.
+//! Runs each policy as pure decision steps on the same seeded, drifting Zipf load and prints
+//! imbalance, churn and the time a decision takes. Measures the decision functions only: no
+//! messages, no failures, no cluster.
 
 use jacinthbeam_config::{Balance, Weights};
 use jacinthbeam_placement::policy::Kind;
@@ -14,7 +15,8 @@
 /// Mean load of a server, of a capacity of 3.
 const MEAN: f64 = 1.8;
 
-/// Name, servers, hosts, exponent, seconds between changes of hot keys, seeds, moves a minute, weight of churn, least stay.
+/// Name, servers, hosts, exponent, seconds between changes of hot keys, seeds, moves a minute,
+/// weight of churn, least stay.
 type Setup = (&'static str, usize, usize, f64, u64, u64, u32, f64, u64);
 const SETUPS: [Setup; 4] = [
     ("constant", 20, 11, 0.9, u64::MAX, 10, 600, 1.0, 30),
@@ -23,7 +25,8 @@
     ("thousand", 1000, 500, 0.5, 10, 1, 6000, 1.0, 30),
 ];
 
-/// Slots, their owners and loads, and the loads of servers so far. Server `i` is attended by host `i % hosts`.
+/// Slots, their owners and loads, and the loads of servers so far. Server `i` is attended by host
+/// `i % hosts`.
 #[derive(Default)]
 struct World {
     ids: Vec<ServerId>,
--- a/crates/jacinthbeam-placement/src/accept.rs
+++ b/crates/jacinthbeam-placement/src/accept.rs
@@ -1,7 +1,8 @@
 //! The say of the gaining side.
 //!
-//! Hosts decide on samples that are seconds old, so several may pick the same idle server at once. Its attendant knows
-//! its load and every move towards it, and declines what would make it the next one to be relieved.
+//! Hosts decide on samples that are seconds old, so several may pick the same idle server at once.
+//! Its attendant knows its load and every move towards it, and declines what would make it the next
+//! one to be relieved.
 
 use std::time::Instant;
 
--- a/crates/jacinthbeam-placement/src/convert.rs
+++ b/crates/jacinthbeam-placement/src/convert.rs
@@ -27,7 +27,8 @@
 pub struct Known<'a> {
     /// Servers that this host attends, with the load of each slot that had any.
     pub attended: &'a BTreeMap<ServerId, BTreeMap<SlotId, Load>>,
-    /// Others that the host may give slots to; at most [`MAX_SAMPLE`](crate::sample::MAX_SAMPLE) for a bounded cost.
+    /// Others that the host may give slots to; at most [`MAX_SAMPLE`](crate::sample::MAX_SAMPLE)
+    /// for a bounded cost.
     pub sample: &'a [ServerId],
     /// Measured loads of servers, attended or not.
     pub loads: &'a BTreeMap<ServerId, Measured>,
@@ -41,8 +42,9 @@
 
 /// The view of a keyed service; `None` if it is not configured or not divided yet.
 ///
-/// `read_at` tells when this process read a record; a record read by an earlier process counts as read at the start of this one.
-/// The cost depends on the servers attended and sampled and not on the fleet.
+/// `read_at` tells when this process read a record; a record read by an earlier process counts as
+/// read at the start of this one. The cost depends on the servers attended and sampled and not on
+/// the fleet.
 pub fn view(
     state: &State,
     service: &ServiceName,
@@ -53,7 +55,8 @@
     let capacity = Load(f64::from(state.service(service)?.concurrency));
     let active = division.owning_servers();
     let per_slot = load_per_slot(state, division, known, capacity);
-    // Only a split-out key's own slot may move at once. The slot that it left, or came back to, may have moved of late.
+    // Only a split-out key's own slot may move at once. The slot that it left, or came back to, may
+    // have moved of late.
     let since = |slot: &SlotId, owner: &Owner| match owner.how {
         How::Split if slot.0 >= division.slots() => None,
         _ => Some(read_at(owner.since).unwrap_or(known.started)),
@@ -110,7 +113,8 @@
     }
 }
 
-/// Average load of a slot on the measured servers, for an estimate of the others; without any, that of full servers.
+/// Average load of a slot on the measured servers, for an estimate of the others; without any, that
+/// of full servers.
 fn load_per_slot(state: &State, division: &Division, known: &Known<'_>, capacity: Load) -> Load {
     let slots = |id: &ServerId| state.servers.get(id).map_or(0, |server| server.slots().len());
     let measured: Load = known.loads.values().map(|measured| measured.load).sum();
--- a/crates/jacinthbeam-placement/src/draft.rs
+++ b/crates/jacinthbeam-placement/src/draft.rs
@@ -180,8 +180,8 @@
         self.progress.towards(to) + planned < self.policy.pace.to_one_server
     }
 
-    /// The heaviest slot of up to `wanted`, since fewer moves are less churn; else the lightest above that still
-    /// leaves both servers better off.
+    /// The heaviest slot of up to `wanted`, since fewer moves are less churn; else the lightest
+    /// above that still leaves both servers better off.
     fn best_slot(
         &self,
         from: &ServerId,
--- a/crates/jacinthbeam-placement/src/evict.rs
+++ b/crates/jacinthbeam-placement/src/evict.rs
@@ -17,7 +17,8 @@
 /// measurement may be stale or that of a server with a fault.
 const MAX_SHARE: f64 = 2.0;
 
-/// A new owner for each of `slots`, which are all slots of `lost`, so that ownership changes for no other slot.
+/// A new owner for each of `slots`, which are all slots of `lost`, so that ownership changes for no
+/// other slot.
 ///
 /// Heavy slots go first, each to the server of the view that is then least loaded. Slots without a
 /// measurement (`None`) count as average ones. Empty if the view has no other active server.
--- a/crates/jacinthbeam-placement/src/found.rs
+++ b/crates/jacinthbeam-placement/src/found.rs
@@ -5,9 +5,10 @@
 
 /// The owner of each slot, in the order of the slots: every server gets the same number, give or take one.
 ///
-/// Depends on the set of servers alone and not on their order. Each server gets adjacent slots, which keeps records and
-/// grants short. Servers of different cells take turns, so that with fewer slots than servers the slots
-/// still lie in as many cells as there can be. Empty if there is no server.
+/// Depends on the set of servers alone and not on their order. Each server gets adjacent slots,
+/// which keeps records and grants short. Servers of different cells take turns, so that with fewer
+/// slots than servers the slots still lie in as many cells as there can be. Empty if there is no
+/// server.
 pub fn found(servers: &[(ServerId, CellId)], slots: u32) -> Vec<ServerId> {
     let servers = by_turns(servers);
     let count = servers.len() as u64;
--- a/crates/jacinthbeam-placement/src/hot/mod.rs
+++ b/crates/jacinthbeam-placement/src/hot/mod.rs
@@ -1,5 +1,5 @@
-//! Hot keys: a key that needs much of a server's capacity gets a slot of its own, so that it can move without the
-//! other keys of its slot, and they without it.
+//! Hot keys: a key that needs much of a server's capacity gets a slot of its own, so that it can
+//! move without the other keys of its slot, and they without it.
 
 mod plan;
 mod sketch;
--- a/crates/jacinthbeam-placement/src/hot/plan.rs
+++ b/crates/jacinthbeam-placement/src/hot/plan.rs
@@ -19,7 +19,8 @@
 pub struct Options {
     /// A key is split out once it needs more than this share of a server's capacity.
     pub split_above: f64,
-    /// It has cooled once it needs less than this share. Well below `split_above`, lest keys be split and merged in turn.
+    /// It has cooled once it needs less than this share. Well below `split_above`, lest keys be
+    /// split and merged in turn.
     pub merge_below: f64,
     /// How long it must have cooled before it goes back.
     pub cool_for: Duration,
@@ -56,7 +57,8 @@
 /// What should be done about a hot key.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Give the key a slot of its own, which the owner of its parent slot keeps at first. It may move at once.
+    /// Give the key a slot of its own, which the owner of its parent slot keeps at first. It may
+    /// move at once.
     Split {
         /// The key.
         key: KeyHash,
@@ -120,9 +122,9 @@
 
 /// Splits for the keys of one attended server, and merges for the keys split out that it owns.
 ///
-/// A slot that moved within the least age is left alone, since a split-out key may move at once and would so change
-/// its owner twice in a short time. At most [`Options::max_split`] keys are split out, give or take those that
-/// other hosts split at the same moment.
+/// A slot that moved within the least age is left alone, since a split-out key may move at once and
+/// would so change its owner twice in a short time. At most [`Options::max_split`] keys are split
+/// out, give or take those that other hosts split at the same moment.
 pub fn plan(
     owned: &Owned<'_>,
     keys: &Keys<'_>,
--- a/crates/jacinthbeam-placement/src/hot/sketch.rs
+++ b/crates/jacinthbeam-placement/src/hot/sketch.rs
@@ -1,4 +1,5 @@
-//! The heaviest keys of one backend server in bounded memory, by the space-saving algorithm of Metwally, Agrawal and El Abbadi.
+//! The heaviest keys of one backend server in bounded memory, by the space-saving algorithm of
+//! Metwally, Agrawal and El Abbadi.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/jacinthbeam-placement/src/join.rs
+++ b/crates/jacinthbeam-placement/src/join.rs
@@ -15,12 +15,13 @@
 /// A new server is filled up to this part of the mean; the rest is left to [`rebalance`](crate::rebalance).
 const FILL: f64 = 0.9;
 
-/// Moves that should begin now from the servers that this host attends to `server`, which owns fewer slots than its
-/// share.
+/// Moves that should begin now from the servers that this host attends to `server`, which owns
+/// fewer slots than its share.
 ///
-/// Needed since a new server makes no other server exceed the mean by much. Every host gives only the
-/// attended part of what the new server may still gain, so that together they don't overfill it; a part smaller than
-/// a slot is given with a chance in proportion. The server's room grows while it warms up.
+/// Needed since a new server makes no other server exceed the mean by much. Every host gives only
+/// the attended part of what the new server may still gain, so that together they don't overfill
+/// it; a part smaller than a slot is given with a chance in proportion. The server's room grows
+/// while it warms up.
 pub fn joined(
     view: &View,
     server: &ServerId,
--- a/crates/jacinthbeam-placement/src/lib.rs
+++ b/crates/jacinthbeam-placement/src/lib.rs
@@ -1,9 +1,10 @@
 //! Decides which backend server should own which slot, and which hot keys get a slot of their own.
 //!
-//! Everything here is pure: loads, time and randomness are handed in, decisions come out. Each entry host decides
-//! alone, for the backend servers it attends, from a bounded and possibly stale sample of the loads of others, so the
-//! cost of a decision does not grow with the fleet. Carrying a decision out (draining, records, grants) is the job of
-//! the lease crate. `docs/PLACEMENT.md` tells what was weighed.
+//! Everything here is pure: loads, time and randomness are handed in, decisions come out. Each
+//! entry host decides alone, for the backend servers it attends, from a bounded and possibly stale
+//! sample of the loads of others, so the cost of a decision does not grow with the fleet. Carrying
+//! a decision out (draining, records, grants) is the job of the lease crate. `docs/PLACEMENT.md`
+//! tells what was weighed.
 
 pub mod accept;
 pub mod convert;
--- a/crates/jacinthbeam-placement/src/planned.rs
+++ b/crates/jacinthbeam-placement/src/planned.rs
@@ -19,17 +19,20 @@
     pub load: Load,
     /// Load expected to be left at the losing server.
     pub left: Load,
-    /// Number of heavy slots at the losing server with this one, if this one is [heavy](crate::View::is_heavy); else 0.
+    /// Number of heavy slots at the losing server with this one, if this one is
+    /// [heavy](crate::View::is_heavy); else 0.
     pub heavy: usize,
     /// Reason, for the record in the log.
     pub why: Why,
 }
 
 impl PlannedMove {
-    /// By how many heavy slots the gaining server must have fewer than the losing one for a move of [`Why::Crowded`].
+    /// By how many heavy slots the gaining server must have fewer than the losing one for a move of
+    /// [`Why::Crowded`].
     ///
-    /// One fewer is asked of every other move of a heavy slot. So the sum of the squared numbers of heavy slots never grows,
-    /// and shrinks where the sum of squared loads may grow. Under constant load moves come to an end therefore.
+    /// One fewer is asked of every other move of a heavy slot. So the sum of the squared numbers of
+    /// heavy slots never grows, and shrinks where the sum of squared loads may grow. Under constant
+    /// load moves come to an end therefore.
     pub const FEWER_HEAVY: usize = 2;
 }
 
--- a/crates/jacinthbeam-placement/src/policy.rs
+++ b/crates/jacinthbeam-placement/src/policy.rs
@@ -54,7 +54,8 @@
     pub start: f64,
     /// It is then relieved down to the mean times this factor, which also bounds the gaining server.
     pub stop: f64,
-    /// No server is relieved that uses less than this share of its capacity: imbalance among idle servers costs nothing.
+    /// No server is relieved that uses less than this share of its capacity: imbalance among idle
+    /// servers costs nothing.
     pub quiet: f64,
     /// How fast slots move.
     pub pace: Pace,
@@ -117,8 +118,9 @@
 
     /// The policy of a service for a host that attends the part `share`, from 0 to 1, of its active servers.
     ///
-    /// The configured pace counts for the whole service, and a host takes the part of it that its servers stand for.
-    /// So no host needs to know the moves of others for the whole to keep to the pace.
+    /// The configured pace counts for the whole service, and a host takes the part of it that its
+    /// servers stand for. So no host needs to know the moves of others for the whole to keep to the
+    /// pace.
     pub fn configured(balance: &Balance, share: f64) -> Self {
         let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
         let a_minute = f64::from(balance.moves_per_minute) * share;
--- a/crates/jacinthbeam-placement/src/progress.rs
+++ b/crates/jacinthbeam-placement/src/progress.rs
@@ -29,8 +29,8 @@
 }
 
 impl Begun {
-    /// Part of the load that a measurement which ended at `measured` does not show: all of it until the move ends, and
-    /// less as the window of measurement passes over that time.
+    /// Part of the load that a measurement which ended at `measured` does not show: all of it until
+    /// the move ends, and less as the window of measurement passes over that time.
     fn hidden(&self, measured: Option<Instant>, policy: &Policy) -> f64 {
         let (Some(end), Some(measured)) = (self.ended, measured) else { return 1.0 };
         let window = policy.window.as_secs_f64().max(f64::MIN_POSITIVE);
@@ -92,9 +92,11 @@
         }
     }
 
-    /// Adds to each server in the view the load of moves that its measurement does not show, and forgets old moves.
+    /// Adds to each server in the view the load of moves that its measurement does not show, and
+    /// forgets old moves.
     ///
-    /// Without this a host would go on relieving a server for as long as the window of measurement lasts, and empty it.
+    /// Without this a host would go on relieving a server for as long as the window of measurement
+    /// lasts, and empty it.
     pub fn add_pending(&mut self, view: &mut View, policy: &Policy, now: Instant) {
         let keep = policy.window + policy.stale_after;
         self.moves.retain(|begun| {
--- a/crates/jacinthbeam-placement/src/rebalance/idle.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/idle.rs
@@ -1,5 +1,6 @@
-//! Underloaded servers ask for load, after the work stealing of Cilk-NOW (Blumofe and Lisiecki, 1997): who has too little
-//! asks one other chosen at random, and asks another one next time if it gets nothing.
+//! Underloaded servers ask for load, after the work stealing of Cilk-NOW (Blumofe and Lisiecki,
+//! 1997): who has too little asks one other chosen at random, and asks another one next time if it
+//! gets nothing.
 
 use std::time::Instant;
 
@@ -25,7 +26,8 @@
     pub from: ServerId,
 }
 
-/// At most one request for each attended server with too little load, to the attendant of a server drawn at random.
+/// At most one request for each attended server with too little load, to the attendant of a server
+/// drawn at random.
 ///
 /// A server counts as underloaded as far below the mean as one must be above it to be relieved.
 pub fn ask(view: &View, policy: &Policy, now: Instant, rng: &mut fastrand::Rng) -> Vec<Ask> {
--- a/crates/jacinthbeam-placement/src/rebalance/mod.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/mod.rs
@@ -19,8 +19,8 @@
 
 /// Moves that should begin now, away from servers that this host attends.
 ///
-/// `asks` are those that reached this host since the last decision; only [`Kind::IdleInitiated`] heeds them. The
-/// caller notes each move that it carries out with [`Progress::begin`].
+/// `asks` are those that reached this host since the last decision; only [`Kind::IdleInitiated`]
+/// heeds them. The caller notes each move that it carries out with [`Progress::begin`].
 pub fn rebalance(
     view: &View,
     asks: &[Ask],
--- a/crates/jacinthbeam-placement/src/rebalance/relocate.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/relocate.rs
@@ -1,4 +1,5 @@
-//! Overloaded servers with several heavy slots, of which none fits anywhere, give one of them away all the same.
+//! Overloaded servers with several heavy slots, of which none fits anywhere, give one of them away
+//! all the same.
 //!
 //! The gaining server is overloaded next, but can give away light slots, which the losing one has too few of.
 //! Without this two hot keys that meet at one server stay there for as long as they are hot.
@@ -11,7 +12,8 @@
     view::Load,
 };
 
-/// The gaining server may exceed the present load of the losing one by this factor until it gave light slots away.
+/// The gaining server may exceed the present load of the losing one by this factor until it gave
+/// light slots away.
 const MAX_WORSE: f64 = 1.1;
 
 pub(super) fn plan(draft: &mut Draft<'_>, rng: &mut fastrand::Rng) {
--- a/crates/jacinthbeam-placement/src/rebalance/threshold.rs
+++ b/crates/jacinthbeam-placement/src/rebalance/threshold.rs
@@ -19,8 +19,8 @@
 
 /// Draws a server with a chance in proportion to its room.
 ///
-/// Hosts decide at once and apart from each other. Were the idlest server taken always, all of them would pick the same
-/// one, and it would be overloaded next.
+/// Hosts decide at once and apart from each other. Were the idlest server taken always, all of them
+/// would pick the same one, and it would be overloaded next.
 fn by_room<'a>(
     draft: &Draft<'_>,
     targets: &[&'a ServerId],
--- a/crates/jacinthbeam-placement/src/sample.rs
+++ b/crates/jacinthbeam-placement/src/sample.rs
@@ -2,8 +2,8 @@
 
 use jacinthbeam_types::prelude::*;
 
-/// Servers whose load one host keeps for one service, apart from those it attends. The cost of a decision is bounded
-/// by it, and a mean over this many is near enough to that of the service.
+/// Servers whose load one host keeps for one service, apart from those it attends. The cost of a
+/// decision is bounded by it, and a mean over this many is near enough to that of the service.
 pub const MAX_SAMPLE: usize = 16;
 
 /// Draws at most `count` different servers at random.
--- a/crates/jacinthbeam-placement/src/view.rs
+++ b/crates/jacinthbeam-placement/src/view.rs
@@ -92,8 +92,8 @@
     pub active: usize,
 }
 
-/// A slot is heavy above this share of a server's capacity. Taken of the capacity and not of the mean load, so that all
-/// hosts agree on it.
+/// A slot is heavy above this share of a server's capacity. Taken of the capacity and not of the
+/// mean load, so that all hosts agree on it.
 const HEAVY: f64 = 0.1;
 
 impl View {
@@ -117,8 +117,9 @@
     pub standing: Standing,
     /// Measured load.
     pub load: Load,
-    /// End of the window that `load` was measured over; `None` if it is an estimate. Estimates and old measurements
-    /// count only for the slots of a lost or leaving server, which must go somewhere.
+    /// End of the window that `load` was measured over; `None` if it is an estimate. Estimates and
+    /// old measurements count only for the slots of a lost or leaving server, which must go
+    /// somewhere.
     pub measured: Option<Instant>,
     /// Load of moves begun that `load` does not show yet: positive if the server gains.
     pub pending: Load,
@@ -163,9 +164,9 @@
 pub struct SlotView {
     /// Its part of the server's load.
     pub load: Load,
-    /// When it last changed its owner, or the start of this host's process if that is later, so that a restarted
-    /// host does not take slots that were moved moments ago for old ones. `None` for a hot key that was just split
-    /// out and may move at once.
+    /// When it last changed its owner, or the start of this host's process if that is later, so
+    /// that a restarted host does not take slots that were moved moments ago for old ones. `None`
+    /// for a hot key that was just split out and may move at once.
     pub since: Option<Instant>,
 }
 
--- a/crates/jacinthbeam-placement/tests/accept/mod.rs
+++ b/crates/jacinthbeam-placement/tests/accept/mod.rs
@@ -15,9 +15,10 @@
 
 #[test]
 fn second_host_that_picks_the_same_idle_server_is_declined() {
-    // Two hosts see the same idle server in their samples and each plans to fill it up, at the same moment. Callers would
-    // meet a server with twice the load it should have. Its attendant accepts the first offer, counts it
-    // at once, and declines the second, whose host looks for another server.
+    // Two hosts see the same idle server in their samples and each plans to fill it up, at the same
+    // moment. Callers would meet a server with twice the load it should have. Its attendant accepts
+    // the first offer, counts it at once, and declines the second, whose host looks for another
+    // server.
     let mut view = view([server(0, &[0.2]), other(1, 1.6), other(2, 1.2)]);
     let policy = eager();
     let mut progress = Progress::default();
@@ -63,8 +64,9 @@
 
 #[test]
 fn server_with_as_many_hot_keys_takes_no_other_in_exchange() {
-    // A server with two heavy slots offers one to a server that has one itself. Taken, the load would only be
-    // crowded there instead, and come back: the same two slots would move for ever. It takes two fewer heavy slots.
+    // A server with two heavy slots offers one to a server that has one itself. Taken, the load
+    // would only be crowded there instead, and come back: the same two slots would move for ever.
+    // It takes two fewer heavy slots.
     let light_and_one_heavy: Vec<f64> = [0.4].into_iter().chain([0.02; 60]).collect();
     let view = view([server(0, &light_and_one_heavy), other(1, 2.0), other(2, 1.6)]);
     let answer = |heavy| {
--- a/crates/jacinthbeam-placement/tests/convert/mod.rs
+++ b/crates/jacinthbeam-placement/tests/convert/mod.rs
@@ -77,8 +77,9 @@
 
 #[test]
 fn restarted_host_does_not_take_fresh_moves_for_old_ones() {
-    // An entry host restarts and learns the state from a snapshot, which tells no times. A slot that another host moved seconds ago
-    // would look old and move again. Unknown times count as the start of the process, so the least age passes first.
+    // An entry host restarts and learns the state from a snapshot, which tells no times. A slot
+    // that another host moved seconds ago would look old and move again. Unknown times count as the
+    // start of the process, so the least age passes first.
     let policy = Policy::default();
     let moves = |started| {
         let view = tilecast(&state(), started, None);
--- a/crates/jacinthbeam-placement/tests/evict/mod.rs
+++ b/crates/jacinthbeam-placement/tests/evict/mod.rs
@@ -16,9 +16,9 @@
 
 #[test]
 fn one_idle_server_does_not_get_everything() {
-    // A server's measurement says that it is idle, since the one that measured it has just begun. The slots of a lost
-    // server go to the least loaded ones, so all of them would land there and overload it. The
-    // limit of twice the even share holds whatever the measurement says.
+    // A server's measurement says that it is idle, since the one that measured it has just begun.
+    // The slots of a lost server go to the least loaded ones, so all of them would land there and
+    // overload it. The limit of twice the even share holds whatever the measurement says.
     let view = view([server(0, &[]), other(1, 0.0), other(2, 2.0), other(3, 2.0), other(4, 2.0)]);
     let targets = evict_targets(&view, &name("s0"), &slots(100), &Policy::default(), &mut rng());
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/jacinthbeam-placement/tests/hot/mod.rs
+++ b/crates/jacinthbeam-placement/tests/hot/mod.rs
@@ -68,8 +68,9 @@
 
 #[test]
 fn overestimated_key_is_not_split_out() {
-    // The sketch has fewer counters than there are keys, so a new key takes over the time of the lightest one. Taken at its word
-    // it would have a slot of its own for nothing. Only time that is certainly the key's own counts.
+    // The sketch has fewer counters than there are keys, so a new key takes over the time of the
+    // lightest one. Taken at its word it would have a slot of its own for nothing. Only time that
+    // is certainly the key's own counts.
     let mut sketch = Sketch::new(1);
     sketch.record(KeyHash(8), SECOND * 9);
     sketch.record(KEY, SECOND);
@@ -97,8 +98,9 @@
 
 #[test]
 fn key_goes_back_once_it_has_been_cool_for_long() {
-    // A key whose load swings around the threshold would be split and merged in turn, each time at the price of a record. It goes
-    // back only after it stayed below a lower threshold; a warm moment starts the time anew.
+    // A key whose load swings around the threshold would be split and merged in turn, each time at
+    // the price of a record. It goes back only after it stayed below a lower threshold; a warm
+    // moment starts the time anew.
     let (sketch, mut cooling) = (Sketch::new(8), Cooling::default());
     let mut at_load =
         |load, second| actions(&owner(load), &sketch, &[split("s0")], &mut cooling, NOW + second);
--- a/crates/jacinthbeam-placement/tests/join/mod.rs
+++ b/crates/jacinthbeam-placement/tests/join/mod.rs
@@ -11,8 +11,9 @@
 
 #[test]
 fn new_server_is_filled_as_it_warms_up() {
-    // A server that has just started answers slowly until its caches are warm. Given its whole share at once, it would
-    // queue requests and refuse some. It gets a fifth of the mean at first, and more as the warm-up goes on.
+    // A server that has just started answers slowly until its caches are warm. Given its whole
+    // share at once, it would queue requests and refuse some. It gets a fifth of the mean at first,
+    // and more as the warm-up goes on.
     let loads = [0.02; 100];
     let mut service = Service {
         view: view((0..=10).map(|i| server(i, if i == 10 { &[][..] } else { &loads }))),
--- a/crates/jacinthbeam-placement/tests/progress/mod.rs
+++ b/crates/jacinthbeam-placement/tests/progress/mod.rs
@@ -45,9 +45,10 @@
 
 #[test]
 fn measurement_made_during_a_move_does_not_relieve_a_server_twice() {
-    // Load is the mean of ten seconds, so it still shows a slot that has just moved away. A host that took it at its word
-    // would go on moving slots for ten seconds and empty the server. What was moved is therefore
-    // subtracted, less and less as the window of measurement passes over the end of the move.
+    // Load is the mean of ten seconds, so it still shows a slot that has just moved away. A host
+    // that took it at its word would go on moving slots for ten seconds and empty the server. What
+    // was moved is therefore subtracted, less and less as the window of measurement passes over the
+    // end of the move.
     let policy = Policy { window: Duration::from_secs(10), ..Policy::default() };
     let mut progress = Progress::default();
     let expected = |progress: &mut Progress, second| {
--- a/crates/jacinthbeam-placement/tests/rebalance/mod.rs
+++ b/crates/jacinthbeam-placement/tests/rebalance/mod.rs
@@ -46,8 +46,9 @@
 
 #[test]
 fn stale_measurements_draw_no_slots() {
-    // A server fills up, but the sample of it is a minute old and says that it is idle. Slots moved there would
-    // overload it. Measurements older than the limit are ignored, so nothing is left to give to.
+    // A server fills up, but the sample of it is a minute old and says that it is idle. Slots moved
+    // there would overload it. Measurements older than the limit are ignored, so nothing is left to
+    // give to.
     let mut view = view([server(0, &[0.5; 4]), other(1, 0.1)]);
     view.servers.get_mut(&name::<ServerId>("s1")).expect("it is there").measured =
         Some(at(NOW - 60));
@@ -83,9 +84,10 @@
 
 #[test]
 fn two_hot_keys_at_one_server_are_parted() {
-    // Two keys get hot at the same server, which has little else to give away. Neither fits anywhere, since all other servers
-    // carry their share of light slots, and callers of both keys would wait for as long as they are hot. One
-    // is moved all the same to a server that can give light slots away, which then does.
+    // Two keys get hot at the same server, which has little else to give away. Neither fits
+    // anywhere, since all other servers carry their share of light slots, and callers of both keys
+    // would wait for as long as they are hot. One is moved all the same to a server that can give
+    // light slots away, which then does.
     for kind in [Kind::Threshold, Kind::TwoChoices] {
         let light = [0.02; 50];
         let servers =
@@ -101,8 +103,9 @@
 
 #[test]
 fn ask_of_a_server_that_leaves_by_now_gets_nothing() {
-    // An idle server asks for load and is told to leave a moment later. Slots sent there would have to move again at once. The
-    // host that is asked looks at the standing it knows now and not at the ask.
+    // An idle server asks for load and is told to leave a moment later. Slots sent there would have
+    // to move again at once. The host that is asked looks at the standing it knows now and not at
+    // the ask.
     let mut view = uneven();
     let ask = rebalance::Ask { to: name("s2"), load: Load(0.8), room: Load(0.4), from: name("s0") };
     let policy = Policy { kind: Kind::IdleInitiated, ..eager() };
--- a/crates/jacinthbeam-platform/src/backend/failure.rs
+++ b/crates/jacinthbeam-platform/src/backend/failure.rs
@@ -31,8 +31,9 @@
 
     /// The refusal told by the head of an answer, `Ok(None)` if the answer is that of a request that ran.
     ///
-    /// The header alone is no proof: an application that ran the request may set a header of that name. The format
-    /// ties it to three statuses, so it counts with these only; with any other status nobody knows.
+    /// The header alone is no proof: an application that ran the request may set a header of that
+    /// name. The format ties it to three statuses, so it counts with these only; with any other
+    /// status nobody knows.
     pub(super) fn told_by(status: StatusCode, headers: &HeaderMap) -> Result<Option<Self>, Self> {
         let Some(text) = headers.get(REFUSED) else { return Ok(None) };
         if !REFUSAL_STATUSES.contains(&status) {
--- a/crates/jacinthbeam-platform/src/backend/head.rs
+++ b/crates/jacinthbeam-platform/src/backend/head.rs
@@ -22,8 +22,9 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// Headers that stay whatever `connection` names: without its token a request would pass the fence of a server that
-/// takes unfenced ones too, and without its length its body would be read as the next request.
+/// Headers that stay whatever `connection` names: without its token a request would pass the fence
+/// of a server that takes unfenced ones too, and without its length its body would be read as the
+/// next request.
 const KEPT: [HeaderName; 7] = [
     HeaderName::from_static(TOKEN),
     HeaderName::from_static(SLOT),
@@ -53,8 +54,8 @@
 
 /// Sees to it that the end of the request's body is where its head says.
 ///
-/// hyper writes a `content-length` as given. If the body has another one, the server takes the next request on the
-/// connection for the rest of this one, or this one is run with a part of its body.
+/// hyper writes a `content-length` as given. If the body has another one, the server takes the next
+/// request on the connection for the rest of this one, or this one is run with a part of its body.
 fn frame(req: &mut Request<RequestBody>) -> Result<(), Failure> {
     let exact = if req.body().is_end_stream() { Some(0) } else { req.body().size_hint().exact() };
     let mut given = req.headers().get_all(header::CONTENT_LENGTH).iter();
--- a/crates/jacinthbeam-platform/src/format/backend.rs
+++ b/crates/jacinthbeam-platform/src/format/backend.rs
@@ -3,8 +3,9 @@
 //! - `GET /grant` answers its [`GrantState`]; `POST /grant` with a [`Grant`] answers `200` and the new state,
 //!   or `409` and the present state if the grant is refused.
 //! - `GET /health` and `GET /load` answer text that lags or misleads.
-//! - Any other request is work. It carries the headers below. A refusal before the request ran is `409`, `503`
-//!   or `429` with header [`REFUSED`]; an answer without that header means that the request ran.
+//! - Any other request is work. It carries the headers below. A refusal before the request ran is
+//!   `409`, `503` or `429` with header [`REFUSED`]; an answer without that header means that the
+//!   request ran.
 //! - Closing the connection cancels the request.
 
 use std::fmt;
@@ -18,8 +19,8 @@
 pub const SLOT: &str = "grant-slot";
 /// Request header: the caller's key.
 pub const KEY: &str = "request-key";
-/// Request header: [`RequestId`] in its text form. An answer may repeat it; one that names another request is not
-/// taken.
+/// Request header: [`RequestId`] in its text form. An answer may repeat it; one that names another
+/// request is not taken.
 pub const REQUEST: &str = "request-id";
 /// Request header: milliseconds left until the request's deadline.
 pub const DEADLINE: &str = "request-deadline-ms";
--- a/crates/jacinthbeam-platform/src/grant.rs
+++ b/crates/jacinthbeam-platform/src/grant.rs
@@ -92,8 +92,8 @@
 
     /// As [`Client::query`], over a new connection.
     ///
-    /// The kept connection may have gone silent while new ones work. Its timeout would make a live server look
-    /// lost, and an eviction would follow; a new connection tells the two apart.
+    /// The kept connection may have gone silent while new ones work. Its timeout would make a live
+    /// server look lost, and an eviction would follow; a new connection tells the two apart.
     pub async fn probe(&self) -> Result<GrantState, Error> {
         let res = self.line.exchange_anew(query(), self.timeout).await?;
         self.queried(&res)
--- a/crates/jacinthbeam-platform/src/lib.rs
+++ b/crates/jacinthbeam-platform/src/lib.rs
@@ -1,9 +1,10 @@
 //! Adapters to what the platform gives: its log, its host list and the backend servers.
 //!
-//! Each adapter is one module with a few public methods; when the users name their real protocol, that one
-//! module is replaced. Nothing here decides anything: retries and what to do about an error are the caller's.
-//! All calls are bounded in time, need a tokio runtime, and may be dropped at any await: a dropped call closes
-//! its connection. Opening a client does no I/O; it connects at the first call.
+//! Each adapter is one module with a few public methods; when the users name their real protocol,
+//! that one module is replaced. Nothing here decides anything: retries and what to do about an
+//! error are the caller's. All calls are bounded in time, need a tokio runtime, and may be dropped
+//! at any await: a dropped call closes its connection. Opening a client does no I/O; it connects at
+//! the first call.
 //!
 //! ```text
 //! log::Client::open(addr: SocketAddr, timeout: Duration) -> log::Client
--- a/crates/jacinthbeam-platform/src/log/append.rs
+++ b/crates/jacinthbeam-platform/src/log/append.rs
@@ -44,7 +44,8 @@
 }
 
 impl Client {
-    /// Appends a record and returns where it stands. Appends wait for each other, so they stand in call order.
+    /// Appends a record and returns where it stands. Appends wait for each other, so they stand in
+    /// call order.
     pub async fn append(&self, stream: &str, record: Vec<u8>) -> Result<Offset, Error> {
         if record.len() > MAX_RECORD {
             let len = record.len();
--- a/crates/jacinthbeam-platform/src/log/mod.rs
+++ b/crates/jacinthbeam-platform/src/log/mod.rs
@@ -19,7 +19,8 @@
 pub const MAX_READ: u32 = 4 << 20;
 /// Longest wait that one read asks for.
 pub const MAX_WAIT: Duration = Duration::from_secs(60);
-/// Bound of the memory that an answer takes: [`MAX_READ`] bytes in records of one byte each, and one more record.
+/// Bound of the memory that an answer takes: [`MAX_READ`] bytes in records of one byte each, and
+/// one more record.
 const MAX_READ_ANSWER: usize = MAX_READ as usize * (FRAME_HEAD + 1) + FRAME_HEAD + MAX_RECORD;
 const MAX_APPEND_ANSWER: usize = 16 << 10;
 
--- a/crates/jacinthbeam-platform/src/log/read.rs
+++ b/crates/jacinthbeam-platform/src/log/read.rs
@@ -57,8 +57,9 @@
 impl std::error::Error for Error {}
 
 impl Client {
-    /// Reads records from `from` on, at most `max_bytes` of them but at least one, waiting for up to `wait` if
-    /// there is none. The batch is empty if none came. Reads of one stream wait for each other.
+    /// Reads records from `from` on, at most `max_bytes` of them but at least one, waiting for up
+    /// to `wait` if there is none. The batch is empty if none came. Reads of one stream wait for
+    /// each other.
     ///
     /// A batch that reaches `end` proves that the stream held nothing more at some time after the call began.
     pub async fn read(
@@ -109,8 +110,9 @@
 
 /// Takes the frames apart.
 ///
-/// A gap would make this process fold another history than its peers, and two owners of a key could follow. So
-/// offsets have to be consecutive from the one asked for, or nothing of the answer is used.
+/// A gap would make this process fold another history than its peers, and two owners of a key could
+/// follow. So offsets have to be consecutive from the one asked for, or nothing of the answer is
+/// used.
 fn records(from: Offset, end: Offset, mut body: Bytes) -> Result<Vec<Record>, Error> {
     let garbled = |what: String| Error::Down(format!("its answer is garbled: {what}"));
     let mut records = Vec::new();
--- a/crates/jacinthbeam-platform/tests/backend/cut.rs
+++ b/crates/jacinthbeam-platform/tests/backend/cut.rs
@@ -7,8 +7,8 @@
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nbackend-server: s1\r\ntransfer-encoding: chunked\r\n\r\n\
                        3\r\nbri\r\n2\r\nne\r\n0\r\n\r\n";
 
-// The backend server dies in the middle of its answer, at any byte of it. The caller gets an error and never a
-// clean end with a part of the answer, and the next request goes over a new connection.
+// The backend server dies in the middle of its answer, at any byte of it. The caller gets an error
+// and never a clean end with a part of the answer, and the next request goes over a new connection.
 #[tokio::test]
 async fn an_answer_cut_at_any_byte_is_an_error() {
     let fake = Fake::bind().await;
@@ -29,8 +29,8 @@
     }
 }
 
-// An answer without length that ends with its connection looks the same whether it is whole or cut. It is refused
-// at its head, as may-have-run.
+// An answer without length that ends with its connection looks the same whether it is whole or cut.
+// It is refused at its head, as may-have-run.
 #[tokio::test]
 async fn an_answer_whose_end_cannot_be_told_is_refused() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/backend/limit.rs
+++ b/crates/jacinthbeam-platform/tests/backend/limit.rs
@@ -28,8 +28,8 @@
     }
 }
 
-// Five requests at once over two connections: two run, three wait for a connection to become idle, and none opens
-// a third one, which the backend server would refuse.
+// Five requests at once over two connections: two run, three wait for a connection to become idle,
+// and none opens a third one, which the backend server would refuse.
 #[tokio::test]
 async fn no_more_connections_are_opened_than_allowed() {
     let fake = Fake::bind().await;
@@ -50,8 +50,9 @@
     assert_eq!((pool.snapshot().open, pool.snapshot().idle), (2, 2));
 }
 
-// A caller goes away while its request runs. Its socket stays open for a moment, and the backend server counts it;
-// so its place stays taken until the socket is closed, and the next request waits for that.
+// A caller goes away while its request runs. Its socket stays open for a moment, and the backend
+// server counts it; so its place stays taken until the socket is closed, and the next request waits
+// for that.
 #[tokio::test]
 async fn an_abandoned_request_keeps_its_place_until_its_socket_is_closed() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/backend/reuse.rs
+++ b/crates/jacinthbeam-platform/tests/backend/reuse.rs
@@ -33,9 +33,9 @@
     again(&pool, &mut peer).await;
 }
 
-// The caller goes away in the middle of its answer. The rest of it is still on the connection, and the next
-// request on the same one would be answered with it. So the connection is closed, which also tells the backend
-// server that nobody waits.
+// The caller goes away in the middle of its answer. The rest of it is still on the connection, and
+// the next request on the same one would be answered with it. So the connection is closed, which
+// also tells the backend server that nobody waits.
 #[tokio::test]
 async fn an_abandoned_answer_closes_its_connection() {
     let fake = Fake::bind().await;
@@ -49,8 +49,8 @@
     exchange(&pool, &fake).await;
 }
 
-// As before, but the rest of the answer has arrived already; hyper would read it and keep the connection. It is
-// closed all the same, so that there is one rule.
+// As before, but the rest of the answer has arrived already; hyper would read it and keep the
+// connection. It is closed all the same, so that there is one rule.
 #[tokio::test]
 async fn an_answer_dropped_unread_closes_its_connection() {
     let fake = Fake::bind().await;
@@ -61,9 +61,9 @@
     exchange(&pool, &fake).await;
 }
 
-// The backend server answers before it has read the whole order, and closes nothing. The rest of the order is
-// still on its way, so a next request must not follow on this connection. It is closed, although the rest of the
-// order never comes and hyper would wait for it.
+// The backend server answers before it has read the whole order, and closes nothing. The rest of
+// the order is still on its way, so a next request must not follow on this connection. It is
+// closed, although the rest of the order never comes and hyper would wait for it.
 #[tokio::test]
 async fn an_answer_before_the_end_of_the_request_does_not_free_the_connection() {
     let fake = Fake::bind().await;
@@ -99,8 +99,9 @@
     assert_eq!(pool.snapshot().open, 0);
 }
 
-// The backend server closes a connection that waits for a request, just before the next order. The connection's own
-// task hasn't noticed yet, but the order is not written to it: it goes over a new one, and the caller sees nothing.
+// The backend server closes a connection that waits for a request, just before the next order. The
+// connection's own task hasn't noticed yet, but the order is not written to it: it goes over a new
+// one, and the caller sees nothing.
 #[tokio::test]
 async fn an_idle_connection_closed_by_the_server_costs_no_request() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/backend/session.rs
+++ b/crates/jacinthbeam-platform/tests/backend/session.rs
@@ -53,8 +53,9 @@
         .unwrap()
 }
 
-// A night at one backend server: a page, an order, a refusal, a cut answer and an answer of the wrong server. Whole
-// answers and refusals share one connection; each of the others ends the one it came on.
+// A night at one backend server: a page, an order, a refusal, a cut answer and an answer of the
+// wrong server. Whole answers and refusals share one connection; each of the others ends the one it
+// came on.
 #[tokio::test]
 async fn a_whole_session() {
     let log = Transcript::default();
--- a/crates/jacinthbeam-platform/tests/backend/silence.rs
+++ b/crates/jacinthbeam-platform/tests/backend/silence.rs
@@ -26,9 +26,9 @@
     peers
 }
 
-// Something between the two ends has lost track of both open connections. A brine order goes out on one of them
-// and gets no answer by its deadline: it may have run. The other one, idle and just as dead, is closed with it, so
-// that the next request is answered over a new connection at once.
+// Something between the two ends has lost track of both open connections. A brine order goes out on
+// one of them and gets no answer by its deadline: it may have run. The other one, idle and just as
+// dead, is closed with it, so that the next request is answered over a new connection at once.
 #[tokio::test]
 async fn after_a_silence_the_next_request_uses_a_new_connection() {
     let fake = Fake::bind().await;
@@ -46,8 +46,8 @@
     again(&pool, &mut third).await;
 }
 
-// While one connection goes silent, another one from before is busy with a long answer. That one is read to its
-// end, but not used again: whether it still works is not known.
+// While one connection goes silent, another one from before is busy with a long answer. That one is
+// read to its end, but not used again: whether it still works is not known.
 #[tokio::test]
 async fn a_connection_opened_before_a_silence_is_not_used_after_it() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/backend/verdict.rs
+++ b/crates/jacinthbeam-platform/tests/backend/verdict.rs
@@ -52,8 +52,8 @@
     assert_eq!((failure.verdict, failure.reason), (Verdict::NotRun, Reason::DeadlinePassed));
 }
 
-// The backend server dies when it has read a part of the order. The order counts as may-have-run, since nobody can
-// tell from here how much of it the server got.
+// The backend server dies when it has read a part of the order. The order counts as may-have-run,
+// since nobody can tell from here how much of it the server got.
 #[tokio::test]
 async fn a_half_written_request_may_have_run() {
     let fake = Fake::bind().await;
@@ -129,8 +129,9 @@
     }
 }
 
-// The server sends a late second answer after a whole one. It must not become the answer of the next request: its
-// bytes stand on the idle connection, which is closed for that, and the next request goes over a new one.
+// The server sends a late second answer after a whole one. It must not become the answer of the
+// next request: its bytes stand on the idle connection, which is closed for that, and the next
+// request goes over a new one.
 #[tokio::test]
 async fn a_late_answer_does_not_meet_the_next_request() {
     let fake = Fake::bind().await;
@@ -142,8 +143,8 @@
     exchange(&pool, &fake).await;
 }
 
-// A `content-length` that is not the body's own would make the server take the next request on the connection for
-// the rest of this one. Such a request is refused before anything is written.
+// A `content-length` that is not the body's own would make the server take the next request on the
+// connection for the rest of this one. Such a request is refused before anything is written.
 #[tokio::test]
 async fn a_request_with_a_wrong_length_is_refused() {
     let gone = Refusing::bind();
@@ -156,8 +157,8 @@
     }
 }
 
-// A caller names the token in `connection`, where a proxy takes named headers off. The token stays, or the backend
-// server could not tell a stale attendant.
+// A caller names the token in `connection`, where a proxy takes named headers off. The token stays,
+// or the backend server could not tell a stale attendant.
 #[tokio::test]
 async fn a_caller_cannot_take_the_token_off() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/connection/mod.rs
+++ b/crates/jacinthbeam-platform/tests/connection/mod.rs
@@ -13,8 +13,8 @@
     Request::post("/orders").header("host", "s1").body("brine".into()).unwrap()
 }
 
-// The connection ends before its task took the order up. hyper gives the order back, which proves that nothing of
-// it was written; the caller hears not-run.
+// The connection ends before its task took the order up. hyper gives the order back, which proves
+// that nothing of it was written; the caller hears not-run.
 #[tokio::test]
 async fn a_request_that_was_not_taken_up_is_given_back() {
     let fake = Fake::bind().await;
@@ -27,7 +27,8 @@
     assert!(again.unwrap_err().take_message().is_some());
 }
 
-// The connection ends after its task took the order up. The order is not given back, whether or not it was read.
+// The connection ends after its task took the order up. The order is not given back, whether or not
+// it was read.
 #[tokio::test]
 async fn a_request_that_was_taken_up_is_not_given_back() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/fake/mod.rs
+++ b/crates/jacinthbeam-platform/tests/fake/mod.rs
@@ -106,8 +106,8 @@
         while matches!(within(self.socket.read(&mut buf)).await, Ok(1..)) {}
     }
 
-    /// Closes the connection, and returns when the client's kernel has got everything up to its end. The client's
-    /// tasks have not run in between.
+    /// Closes the connection, and returns when the client's kernel has got everything up to its
+    /// end. The client's tasks have not run in between.
     pub fn close(self) {
         SockRef::from(&self.socket).set_linger(Some(HANGS)).expect("an open socket");
         drop(self);
--- a/crates/jacinthbeam-platform/tests/grant/mod.rs
+++ b/crates/jacinthbeam-platform/tests/grant/mod.rs
@@ -74,8 +74,9 @@
     assert!(matches!(state, Err(Error::Status(_))), "{state:?}");
 }
 
-// The kept connection went silent while new ones work. A query on it only ends at its timeout, and a live backend
-// server would look lost; a probe reaches it over a new connection, which serves the next query too.
+// The kept connection went silent while new ones work. A query on it only ends at its timeout, and
+// a live backend server would look lost; a probe reaches it over a new connection, which serves the
+// next query too.
 #[tokio::test]
 async fn a_probe_is_not_misled_by_a_silent_connection() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/log/append.rs
+++ b/crates/jacinthbeam-platform/tests/log/append.rs
@@ -24,8 +24,8 @@
     assert!(request.ends_with("\r\n\r\nmove"), "{request}");
 }
 
-// The record is written, and the answer to the append is lost. The caller must not append it again blindly, so the
-// error says that it may have been written.
+// The record is written, and the answer to the append is lost. The caller must not append it again
+// blindly, so the error says that it may have been written.
 #[tokio::test]
 async fn a_lost_answer_is_unknown() {
     let fake = Fake::bind().await;
@@ -39,8 +39,8 @@
     assert_eq!(appended, Ok(Offset(41)), "the next append uses a new connection");
 }
 
-// The log closes the kept connection just before the next append. Written to it, the record would be lost and its
-// fate unknown; it goes over a new connection.
+// The log closes the kept connection just before the next append. Written to it, the record would
+// be lost and its fate unknown; it goes over a new connection.
 #[tokio::test]
 async fn a_kept_connection_closed_by_the_log_costs_no_append() {
     let fake = Fake::bind().await;
@@ -52,8 +52,8 @@
     assert_eq!(appended, Ok(Offset(41)));
 }
 
-// The log takes the record and goes silent. The append ends at its timeout, as unknown, and the next one goes over
-// a new connection.
+// The log takes the record and goes silent. The append ends at its timeout, as unknown, and the
+// next one goes over a new connection.
 #[tokio::test]
 async fn a_silent_log_is_unknown() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-platform/tests/log/read.rs
+++ b/crates/jacinthbeam-platform/tests/log/read.rs
@@ -53,8 +53,8 @@
     assert_eq!(err, Error::Expired { earliest: Offset(4), end: Offset(9) });
 }
 
-// An answer with a gap, a surplus or a cut is not used at all: this host would fold another history than its peers,
-// and two of them could name two owners for a key.
+// An answer with a gap, a surplus or a cut is not used at all: this host would fold another history
+// than its peers, and two of them could name two owners for a key.
 #[tokio::test]
 async fn a_garbled_answer_gives_no_records() {
     let whole = frame(5, "move");
@@ -83,7 +83,8 @@
     assert!(matches!(batch, Err(Error::Down(_))), "{batch:?}");
 }
 
-// A read waits for records of one stream while another stream is read and a record appended. Neither has to wait.
+// A read waits for records of one stream while another stream is read and a record appended.
+// Neither has to wait.
 #[tokio::test]
 async fn a_waiting_read_delays_nothing_else() {
     let fake = Fake::bind().await;
--- a/crates/jacinthbeam-standin/src/backend/handle.rs
+++ b/crates/jacinthbeam-standin/src/backend/handle.rs
@@ -75,8 +75,8 @@
         self.shared.server.freeze.freeze();
     }
 
-    /// Goes on after [`Self::freeze`] as if nothing had happened. Requests that were due meanwhile come to their
-    /// effect before the server sees that their connections were closed.
+    /// Goes on after [`Self::freeze`] as if nothing had happened. Requests that were due meanwhile
+    /// come to their effect before the server sees that their connections were closed.
     pub fn unfreeze(&self) {
         self.shared.server.freeze.unfreeze();
     }
--- a/crates/jacinthbeam-standin/src/backend/mod.rs
+++ b/crates/jacinthbeam-standin/src/backend/mod.rs
@@ -1,14 +1,15 @@
 //! Stand-in for a backend server.
 //!
-//! It takes fenced grants as `docs/OWNERSHIP.md` tells and runs requests by echoing them. A server with
-//! [`Options::checks_grants`] admits a request only under its present grant, and looks again right before the effect;
-//! a request that fails there is [`Outcome::Aborted`], has had no effect, and is answered as a refusal. A
-//! server without it fences grants just the same, but runs every request that reaches it.
+//! It takes fenced grants as `docs/OWNERSHIP.md` tells and runs requests by echoing them. A server
+//! with [`Options::checks_grants`] admits a request only under its present grant, and looks again
+//! right before the effect; a request that fails there is [`Outcome::Aborted`], has had no effect,
+//! and is answered as a refusal. A server without it fences grants just the same, but runs every
+//! request that reaches it.
 //!
 //! - `GET /grant`, `POST /grant`, `GET /health`, `GET /load`: see `jacinthbeam_platform::format::backend`.
 //! - `GET /runs` answers [`Summary`] as JSON.
-//! - Anything else is work, answered with an [`Echo`] as JSON. Header [`SERVICE_MS`] overrides its time, [`ANSWER_BYTES`]
-//!   asks for a large answer.
+//! - Anything else is work, answered with an [`Echo`] as JSON. Header [`SERVICE_MS`] overrides its
+//!   time, [`ANSWER_BYTES`] asks for a large answer.
 
 mod fence;
 mod handle;
--- a/crates/jacinthbeam-standin/src/backend/work.rs
+++ b/crates/jacinthbeam-standin/src/backend/work.rs
@@ -187,8 +187,9 @@
     fn take_effect(mut self, deadline: Option<Instant>) -> Effect {
         let shared = self.shared.clone();
         let mut state = shared.lock();
-        // Another thread may be here while a kill closes the connection. An effect after the kill would be one of a
-        // dead process; since a kill changes the incarnation under the same lock, none can follow it.
+        // Another thread may be here while a kill closes the connection. An effect after the kill
+        // would be one of a dead process; since a kill changes the incarnation under the same lock,
+        // none can follow it.
         if state.fence.incarnation != self.incarnation {
             return Effect::Lost;
         }
--- a/crates/jacinthbeam-standin/src/net/freeze.rs
+++ b/crates/jacinthbeam-standin/src/net/freeze.rs
@@ -25,9 +25,9 @@
     Running,
     /// Work goes on, sockets not yet.
     ///
-    /// A process that was frozen resumes in the middle of its requests and learns only later that callers
-    /// have closed their connections. If sockets were read first, each such request would be cancelled, and the
-    /// dangerous case, an effect after a long pause, would never be seen.
+    /// A process that was frozen resumes in the middle of its requests and learns only later that
+    /// callers have closed their connections. If sockets were read first, each such request would
+    /// be cancelled, and the dangerous case, an effect after a long pause, would never be seen.
     Thawing,
     Frozen,
 }
--- a/crates/jacinthbeam-standin/src/relay.rs
+++ b/crates/jacinthbeam-standin/src/relay.rs
@@ -1,11 +1,12 @@
 //! Stand-in for the network between two programs: a TCP relay that fails for chosen sources.
 //!
-//! It tells the programs that connect to it apart by their IP number, so each needs one of its own, such as `127.1.0.7`.
+//! It tells the programs that connect to it apart by their IP number, so each needs one of its own,
+//! such as `127.1.0.7`.
 //!
 //! # Deviation
 //!
-//! The system accepts a connection before the relay sees it. So where a real network would drop the packets that open a
-//! connection, here it opens and then stays silent.
+//! The system accepts a connection before the relay sees it. So where a real network would drop the
+//! packets that open a connection, here it opens and then stays silent.
 
 use std::{
     collections::BTreeMap,
@@ -66,8 +67,8 @@
     faults: BTreeMap<IpAddr, Fault>,
 }
 
-/// Starts a relay that listens on `addr`. Connections are closed at once until there is a target. Must be called inside a
-/// tokio runtime.
+/// Starts a relay that listens on `addr`. Connections are closed at once until there is a target.
+/// Must be called inside a tokio runtime.
 pub fn spawn(addr: SocketAddr, target: Option<SocketAddr>) -> io::Result<Handle> {
     let keeper = bind(addr)?;
     let addr = keeper.local_addr()?;
@@ -101,8 +102,8 @@
         self.change(|state| state.refuses = refuses);
     }
 
-    /// What happens to the bytes of this source from now on, on open and on new connections. Bytes that were held back pass
-    /// once the fault is over, as TCP sends them again.
+    /// What happens to the bytes of this source from now on, on open and on new connections. Bytes
+    /// that were held back pass once the fault is over, as TCP sends them again.
     pub fn set_fault(&self, source: IpAddr, fault: Fault) {
         self.change(|state| match fault == Fault::default() {
             true => drop(state.faults.remove(&source)),
--- a/crates/jacinthbeam-standin/tests/backend/fault.rs
+++ b/crates/jacinthbeam-standin/tests/backend/fault.rs
@@ -26,8 +26,8 @@
     assert_eq!(bench.server.summary().ran, 0);
 }
 
-// Something between the two ends forgets a connection: the caller's next order on it gets no answer, and the server
-// never sees it. The same order on a new connection is served.
+// Something between the two ends forgets a connection: the caller's next order on it gets no
+// answer, and the server never sees it. The same order on a new connection is served.
 #[tokio::test]
 async fn silent_connection_stays_silent_while_new_ones_work() {
     let bench = Bench::new(|options| options.connections = 1);
@@ -93,8 +93,9 @@
     assert_eq!(client.get("/load").await.unwrap().text(), "99");
 }
 
-// A server dies with an order in progress and starts anew. The caller sees its connection break; the order never
-// takes effect, and nothing runs under the old grant, which the new life has never seen.
+// A server dies with an order in progress and starts anew. The caller sees its connection break;
+// the order never takes effect, and nothing runs under the old grant, which the new life has never
+// seen.
 #[tokio::test]
 async fn restart_loses_running_orders_and_the_grant() {
     let bench = Bench::new(|_| {});
@@ -172,8 +173,9 @@
     assert_eq!(got.json::<Echo>().padding.len(), 300_000);
 }
 
-// One failure domain loses sight of the server: connects from there are refused and its open connections go silent.
-// An order that came in before still takes effect, and the other failure domains are served.
+// One failure domain loses sight of the server: connects from there are refused and its open
+// connections go silent. An order that came in before still takes effect, and the other failure
+// domains are served.
 #[tokio::test]
 async fn cut_address_is_unreachable_while_others_are_served() {
     let bench = Bench::new(|_| {});
--- a/crates/jacinthbeam-standin/tests/backend/grant.rs
+++ b/crates/jacinthbeam-standin/tests/backend/grant.rs
@@ -65,8 +65,9 @@
     assert_eq!(work(&mut client, 1, &[]).await.unwrap().header(REFUSED), Some("not-owner"));
 }
 
-// A server is frozen between the admission of an order and its effect, and its lease ends meanwhile. When it goes
-// on, another server may own the key: the caller sees a refusal that says the order was not run.
+// A server is frozen between the admission of an order and its effect, and its lease ends
+// meanwhile. When it goes on, another server may own the key: the caller sees a refusal that says
+// the order was not run.
 #[tokio::test]
 async fn lease_that_lapses_during_a_freeze_aborts_the_run() {
     let bench = Bench::new(|_| {});
@@ -83,8 +84,9 @@
     assert_eq!((summary.ran, summary.aborted, summary.refused["lapsed"]), (0, 1, 1));
 }
 
-// The caller gives up while the server is frozen and closes its connection. The server goes on in the middle of
-// the order: its effect comes before it sees the close. Only a check right before the effect can stop it.
+// The caller gives up while the server is frozen and closes its connection. The server goes on in
+// the middle of the order: its effect comes before it sees the close. Only a check right before the
+// effect can stop it.
 #[tokio::test]
 async fn frozen_order_takes_effect_on_a_server_that_checks_nothing() {
     for (checks_grants, ran) in [(false, 1), (true, 0)] {
@@ -101,8 +103,8 @@
     }
 }
 
-// An order is in progress when a new attendant presents a higher token. The new attendant sees it as running under
-// an older token; whether it may still take effect is an option of the server.
+// An order is in progress when a new attendant presents a higher token. The new attendant sees it
+// as running under an older token; whether it may still take effect is an option of the server.
 #[tokio::test]
 async fn newer_token_fences_orders_in_progress_unless_they_may_finish() {
     for (older_tokens_finish, ran) in [(false, 0), (true, 1)] {
@@ -130,8 +132,8 @@
     assert_eq!(bench.server.grant_state().clock, 2_500_000);
 }
 
-/// What a judge of sole ownership reads: from when to when the server held which slots, renewals joined, and ended by
-/// the lease, by other slots, or by the server's death.
+/// What a judge of sole ownership reads: from when to when the server held which slots, renewals
+/// joined, and ended by the lease, by other slots, or by the server's death.
 #[tokio::test]
 async fn holdings_tell_when_which_slots_were_held() {
     let bench = Bench::new(|_| {});
--- a/crates/jacinthbeam-standin/tests/relay.rs
+++ b/crates/jacinthbeam-standin/tests/relay.rs
@@ -38,8 +38,8 @@
     assert_eq!(stream.read_u8().await.unwrap(), byte);
 }
 
-/// One host reaches the server and the other does not; neither side is told. After the fault what was held back arrives, as
-/// TCP would send it again.
+/// One host reaches the server and the other does not; neither side is told. After the fault what
+/// was held back arrives, as TCP would send it again.
 #[tokio::test]
 async fn one_source_is_held_back_while_another_passes() {
     let relay = relay::spawn(LOOPBACK, Some(echo().await)).unwrap();
--- a/crates/jacinthbeam-state/examples/size.rs
+++ b/crates/jacinthbeam-state/examples/size.rs
@@ -1,8 +1,8 @@
 //! Prints what the state of a large fleet costs: memory, time per record, clones and snapshots.
 //!
-//! `cargo run --release -p jacinthbeam-state --example size -- <slots> [slots of a server, 100]`. Memory is resident memory
-//! of the process, so each size needs a process of its own. Every record is applied while a clone of the state
-//! before it is held, as by threads that serve requests.
+//! `cargo run --release -p jacinthbeam-state --example size -- <slots> [slots of a server, 100]`.
+//! Memory is resident memory of the process, so each size needs a process of its own. Every record
+//! is applied while a clone of the state before it is held, as by threads that serve requests.
 
 use std::{fs, hint::black_box, time::Instant};
 
@@ -141,7 +141,8 @@
         })
     }
 
-    /// Applies records and returns the mean time of one, in microseconds. Stale ones are not counted as failures.
+    /// Applies records and returns the mean time of one, in microseconds. Stale ones are not
+    /// counted as failures.
     fn apply_all(&mut self, records: Vec<Record>) -> Result<f64, Failure> {
         let count = records.len() as f64;
         let mut total = 0.0;
@@ -156,7 +157,8 @@
         Ok(total / count)
     }
 
-    /// Gives every slot another owner by a record of its own, which is the worst case for the size of a snapshot.
+    /// Gives every slot another owner by a record of its own, which is the worst case for the size
+    /// of a snapshot.
     fn scatter(&mut self) -> Result<(), Failure> {
         let servers = self.service_slots() / self.of_server;
         for service in 0..self.services() {
--- a/crates/jacinthbeam-state/src/apply/evict.rs
+++ b/crates/jacinthbeam-state/src/apply/evict.rs
@@ -69,8 +69,8 @@
         Ok(Outcome::Applied { changes, void })
     }
 
-    /// The lease of a server may be renewed on the word of `r` witnesses. `n - r + 1` that promised silence leave too
-    /// few for that, so no lease outlives this record by more than its length.
+    /// The lease of a server may be renewed on the word of `r` witnesses. `n - r + 1` that promised
+    /// silence leave too few for that, so no lease outlives this record by more than its length.
     fn check_promises(
         &self,
         cell: &CellId,
@@ -92,7 +92,8 @@
         Ok(())
     }
 
-    /// A slot never stays with the evicted server: where its next owner is unfit it has none, until `Reassign` places it.
+    /// A slot never stays with the evicted server: where its next owner is unfit it has none, until
+    /// `Reassign` places it.
     fn check_target(&self, service: &ServiceName, to: &ServerId) -> Result<(), Why> {
         self.divided(service)?;
         self.check_active(to, service).map_err(|_| Why::BadTarget(to.clone()))
--- a/crates/jacinthbeam-state/src/apply/found.rs
+++ b/crates/jacinthbeam-state/src/apply/found.rs
@@ -34,8 +34,9 @@
         Ok(Outcome::one(Change::Founded { service, slots, owned, servers: names }))
     }
 
-    /// A division is replaced only after its last slot was released or taken by eviction. Until then its owners may
-    /// serve keys by the old slots, and a new division would give the same keys to others.
+    /// A division is replaced only after its last slot was released or taken by eviction. Until
+    /// then its owners may serve keys by the old slots, and a new division would give the same keys
+    /// to others.
     fn check_found(
         &self,
         service: &ServiceName,
