--- a/crates/jacinthbeam-state/src/apply/join.rs
+++ b/crates/jacinthbeam-state/src/apply/join.rs
@@ -104,8 +104,9 @@
     }
 }
 
-/// A server may change its service or cell only while it owns nothing: its leases are renewed in the cell, by the
-/// word of the cell's witnesses, and the new cell's witnesses would know nothing of them.
+/// A server may change its service or cell only while it owns nothing: its leases are renewed in
+/// the cell, by the word of the cell's witnesses, and the new cell's witnesses would know nothing
+/// of them.
 fn check_rejoin(
     server: &ServerId,
     known: &Server,
--- a/crates/jacinthbeam-state/src/apply/mod.rs
+++ b/crates/jacinthbeam-state/src/apply/mod.rs
@@ -31,8 +31,9 @@
     },
     /// The record was written by a newer release, which may give it a meaning that this one does not know.
     ///
-    /// Passing over it would lead to another state than that of newer readers, and so to two owners of a key. The
-    /// state up to here stays true, but nothing newer can be read: this host has no proof from the log any more.
+    /// Passing over it would lead to another state than that of newer readers, and so to two owners
+    /// of a key. The state up to here stays true, but nothing newer can be read: this host has no
+    /// proof from the log any more.
     Newer {
         /// Where it stands.
         offset: Offset,
@@ -60,7 +61,8 @@
 impl State {
     /// Applies the bytes of the next record.
     ///
-    /// Bytes that no release could have written are void for every reader. A record of a newer release is an error.
+    /// Bytes that no release could have written are void for every reader. A record of a newer
+    /// release is an error.
     pub fn apply_bytes(&mut self, offset: Offset, buf: &[u8]) -> Result<Outcome, Error> {
         self.check_next(offset)?;
         match Envelope::decode(buf) {
--- a/crates/jacinthbeam-state/src/apply/split.rs
+++ b/crates/jacinthbeam-state/src/apply/split.rs
@@ -4,8 +4,9 @@
 use crate::{How, division::MAX_SPLIT, record::SlotBase};
 
 impl State {
-    /// The key stays with the owner of its slot. Were it given to another server at once, a successor of that owner's
-    /// attendant that has not read this record could go on serving the key under the lease for the old slot.
+    /// The key stays with the owner of its slot. Were it given to another server at once, a
+    /// successor of that owner's attendant that has not read this record could go on serving the
+    /// key under the lease for the old slot.
     pub(super) fn apply_split(
         &mut self,
         at: Offset,
@@ -40,8 +41,8 @@
         Ok(Outcome::one(Change::Split { service: service.clone(), key, slot, server }))
     }
 
-    /// The slot that the key returns to gets a new epoch: a move of it that was prepared before would take the key
-    /// along although its lease still names the key's own slot.
+    /// The slot that the key returns to gets a new epoch: a move of it that was prepared before
+    /// would take the key along although its lease still names the key's own slot.
     pub(super) fn apply_merge(
         &mut self,
         at: Offset,
--- a/crates/jacinthbeam-state/src/apply/witnesses.rs
+++ b/crates/jacinthbeam-state/src/apply/witnesses.rs
@@ -20,8 +20,9 @@
             return Err(Why::Stale { of: Subject::Witnesses(cell.clone()), base, present });
         }
         check_members(members)?;
-        // Members of the old set that know nothing of the new one could go on vouching for each other, after an
-        // eviction that only the new set backed. With so many retired they are too few for a renewal.
+        // Members of the old set that know nothing of the new one could go on vouching for each
+        // other, after an eviction that only the new set backed. With so many retired they are too
+        // few for a renewal.
         if let Some(set) = set {
             let needed = set.eviction_quorum();
             let promised = self.promises(cell, set, retired);
--- a/crates/jacinthbeam-state/src/division/mod.rs
+++ b/crates/jacinthbeam-state/src/division/mod.rs
@@ -70,9 +70,9 @@
     pub how: How,
     /// Last record that took the slot from a server without its release, if there was one.
     ///
-    /// An earlier owner's lease may still run. Nobody grants the slot before lease and margin have passed since this
-    /// host read that record. A move passes it on: else a slot that moves on right after an eviction
-    /// would be granted at once, while the evicted server still serves it.
+    /// An earlier owner's lease may still run. Nobody grants the slot before lease and margin have
+    /// passed since this host read that record. A move passes it on: else a slot that moves on
+    /// right after an eviction would be granted at once, while the evicted server still serves it.
     pub lapse: Option<Offset>,
 }
 
--- a/crates/jacinthbeam-state/src/division/table.rs
+++ b/crates/jacinthbeam-state/src/division/table.rs
@@ -13,14 +13,16 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Entry {
     seat: u32,
-    /// 0 if the slot was never taken without a release; else 1 + the number of records between that one and the last.
+    /// 0 if the slot was never taken without a release; else 1 + the number of records between that
+    /// one and the last.
     lapse: u32,
     since: u64,
 }
 
 impl Entry {
     pub(super) fn new(seat: Option<u32>, since: Offset, how: How, lapse: Option<Offset>) -> Self {
-        // A distance beyond 32 bits is dropped: a lease of seconds ended long before four billion more records.
+        // A distance beyond 32 bits is dropped: a lease of seconds ended long before four billion
+        // more records.
         let lapse = lapse
             .and_then(|lapse| since.0.checked_sub(lapse.0))
             .and_then(|distance| u32::try_from(distance).ok()?.checked_add(1))
--- a/crates/jacinthbeam-state/src/load.rs
+++ b/crates/jacinthbeam-state/src/load.rs
@@ -1,10 +1,11 @@
 //! Finds the state in a stream whose first records have expired.
 //!
-//! A reader starts at any offset that is kept, and pushes one record after the other. At offset 0 the state is empty
-//! and known at once. Elsewhere the loader waits for all parts of a snapshot that begins no earlier than the reader, and
-//! then applies the records which it kept meanwhile. Snapshots of later offsets lead to the same state, so the first
-//! complete one will do; a reader that wants to apply as few records as possible starts near the end of the
-//! stream, and further back if it reaches the end without a state.
+//! A reader starts at any offset that is kept, and pushes one record after the other. At offset 0
+//! the state is empty and known at once. Elsewhere the loader waits for all parts of a snapshot
+//! that begins no earlier than the reader, and then applies the records which it kept meanwhile.
+//! Snapshots of later offsets lead to the same state, so the first complete one will do; a reader
+//! that wants to apply as few records as possible starts near the end of the stream, and further
+//! back if it reaches the end without a state.
 
 use std::collections::VecDeque;
 
--- a/crates/jacinthbeam-state/src/snapshot/mod.rs
+++ b/crates/jacinthbeam-state/src/snapshot/mod.rs
@@ -1,4 +1,5 @@
-//! Copies of the state: appended to the stream in parts, so that older records may expire, and sent to new hosts.
+//! Copies of the state: appended to the stream in parts, so that older records may expire, and sent
+//! to new hosts.
 //!
 //! Equal states encode to equal bytes. So parts that two hosts appended of the same state fit together, and a
 //! reader that has state can check itself against them.
@@ -96,7 +97,8 @@
 
     /// Whether a part was made of this very state; `None` if that can't be said.
     ///
-    /// It can be said while no record has changed the state since the snapshot. Costs as much as [`State::encode`].
+    /// It can be said while no record has changed the state since the snapshot. Costs as much as
+    /// [`State::encode`].
     pub fn agrees_with(&self, part: &SnapshotPart) -> Option<bool> {
         if self.changed > part.upto || self.next < part.upto {
             return None;
--- a/crates/jacinthbeam-state/src/snapshot/parts.rs
+++ b/crates/jacinthbeam-state/src/snapshot/parts.rs
@@ -40,7 +40,8 @@
     checksum: u64,
 }
 
-/// Snapshots of which not all parts have come yet. Parts may come in any order, twice, and mixed with those of others.
+/// Snapshots of which not all parts have come yet. Parts may come in any order, twice, and mixed
+/// with those of others.
 #[derive(Debug, Default)]
 pub struct Sets(BTreeMap<Key, BTreeMap<u32, Vec<u8>>>);
 
--- a/crates/jacinthbeam-state/src/state.rs
+++ b/crates/jacinthbeam-state/src/state.rs
@@ -17,12 +17,14 @@
     pub next: Offset,
     /// Accepted files and the configuration they lead to.
     pub config: fold::State,
-    /// Divisions of the keyed services that are configured. A service without one waits for its `Found` record.
+    /// Divisions of the keyed services that are configured. A service without one waits for its
+    /// `Found` record.
     pub services: BTreeMap<ServiceName, Arc<Division>>,
     /// Divisions of services that the configuration no longer has, while slots of theirs are owned.
     ///
-    /// A domain that is cut off may go on serving them under its old configuration. Were they forgotten, a service
-    /// added again under the name could give the same keys to others at once: two owners.
+    /// A domain that is cut off may go on serving them under its old configuration. Were they
+    /// forgotten, a service added again under the name could give the same keys to others at once:
+    /// two owners.
     pub retired: BTreeMap<ServiceName, Arc<Division>>,
     /// Backend servers that have joined and not left.
     pub servers: Servers,
@@ -106,9 +108,10 @@
 
     /// Whether the eviction of a server needs promises of its cell's witnesses.
     ///
-    /// It does not for a service that yields: there no lease is renewed on the word of witnesses. Nor in a
-    /// cell without witnesses, for the same reason. A service that is configured no more is treated as one that holds,
-    /// because a host that is cut off may still follow the old configuration.
+    /// It does not for a service that yields: there no lease is renewed on the word of witnesses.
+    /// Nor in a cell without witnesses, for the same reason. A service that is configured no more
+    /// is treated as one that holds, because a host that is cut off may still follow the old
+    /// configuration.
     pub fn needs_promises(&self, server: &Server) -> bool {
         let cut_off = self.service(&server.service).map_or(CutOff::Hold, |service| service.cut_off);
         cut_off == CutOff::Hold && self.cells.contains_key(&server.cell)
@@ -124,7 +127,8 @@
         set.members.iter().filter(|member| counts(&member.incarnation)).count()
     }
 
-    /// The last records that changed something about a server, oldest first, as far as this process applied them.
+    /// The last records that changed something about a server, oldest first, as far as this process
+    /// applied them.
     pub fn recent(&self, server: &ServerId) -> impl Iterator<Item = &Entry> + '_ {
         let place = self.servers.place(server);
         place.into_iter().flat_map(|place| self.recent.of(place))
--- a/crates/jacinthbeam-state/src/witness.rs
+++ b/crates/jacinthbeam-state/src/witness.rs
@@ -31,13 +31,15 @@
 impl WitnessSet {
     /// Words that a renewal without the log needs: `r`, a majority.
     ///
-    /// With half of the members, two of four that are lost at once, as with a rack, would block every eviction in the cell for good. While the log
-    /// answers, renewals need no words; evictions always need promises.
+    /// With half of the members, two of four that are lost at once, as with a rack, would block
+    /// every eviction in the cell for good. While the log answers, renewals need no words;
+    /// evictions always need promises.
     pub fn renewal_quorum(&self) -> usize {
         self.members.len() / 2 + 1
     }
 
-    /// Promises that an eviction or a change of the set needs: `n - r + 1`, so that they meet every renewal quorum.
+    /// Promises that an eviction or a change of the set needs: `n - r + 1`, so that they meet every
+    /// renewal quorum.
     pub fn eviction_quorum(&self) -> usize {
         self.members.len() - self.renewal_quorum() + 1
     }
--- a/crates/jacinthbeam-state/tests/apply/config.rs
+++ b/crates/jacinthbeam-state/tests/apply/config.rs
@@ -8,8 +8,9 @@
   }
 }"#;
 
-// An operator removes a service by mistake and puts it back. Domains that were cut off meanwhile never heard of it and still
-// serve. Owners must be the same as before; a new division could give their keys to others.
+// An operator removes a service by mistake and puts it back. Domains that were cut off meanwhile
+// never heard of it and still serve. Owners must be the same as before; a new division could give
+// their keys to others.
 #[test]
 fn service_that_returns_has_the_owners_it_had() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/apply/evict.rs
+++ b/crates/jacinthbeam-state/tests/apply/evict.rs
@@ -3,9 +3,9 @@
 
 use crate::support::*;
 
-// t1 is silent. Its lease may be renewed without the log on the word of 2 of 4 witnesses.
-// Two promises leave two other witnesses that could vouch, so t1 might serve on while its slots are served by t2.
-// Three leave one.
+// t1 is silent. Its lease may be renewed without the log on the word of 2 of 4 witnesses. Two
+// promises leave two other witnesses that could vouch, so t1 might serve on while its slots are
+// served by t2. Three leave one.
 #[test]
 fn eviction_needs_promises_that_leave_too_few_witnesses_for_a_renewal() {
     let mut session = Session::witnessed();
@@ -19,8 +19,8 @@
     assert_eq!(session.owners(), "t2 t3 - - t2 t2 t2 t2");
 }
 
-// A host that restarted, or one of another cell, promises silence. It would not vouch anyway, so that proves nothing; nor
-// does one promise named twice.
+// A host that restarted, or one of another cell, promises silence. It would not vouch anyway, so
+// that proves nothing; nor does one promise named twice.
 #[test]
 fn promises_of_others_than_members_and_repeated_ones_do_not_count() {
     let mut session = Session::witnessed();
@@ -29,7 +29,8 @@
     assert_eq!(why(outcome), Why::TooFewPromises { promised: 2, needed: 3 });
 }
 
-// Two of four witnesses are gone for good and can't promise, so evictions are stuck until an operator says so.
+// Two of four witnesses are gone for good and can't promise, so evictions are stuck until an
+// operator says so.
 #[test]
 fn hosts_declared_lost_count_as_promised() {
     let mut session = Session::witnessed();
@@ -48,7 +49,8 @@
     assert!(session.append("t1 is silent", record).is_applied());
 }
 
-// A service that yields renews no lease on the word of witnesses: the log alone decides, and the record is in it.
+// A service that yields renews no lease on the word of witnesses: the log alone decides, and the
+// record is in it.
 #[test]
 fn eviction_from_a_service_that_yields_needs_no_promise() {
     let mut session = Session::witnessed();
@@ -57,8 +59,8 @@
     assert!(session.append("t7 is silent", record).is_applied());
 }
 
-// The evictor collected promises; meanwhile t1 answered and was kept, or the witnesses changed. The promises have ended, so
-// the late record must not take the slots.
+// The evictor collected promises; meanwhile t1 answered and was kept, or the witnesses changed. The
+// promises have ended, so the late record must not take the slots.
 #[test]
 fn eviction_based_on_an_old_epoch_is_void() {
     let mut session = Session::witnessed();
@@ -73,8 +75,9 @@
     assert_eq!(session.owners(), "t1 t1 t1 t1 t2 t2 t2 t2");
 }
 
-// The chosen next owner of slot 0 is evicted itself before the record arrives. The slot must not stay with t1, which no
-// longer gets a lease, nor go to t3. It has no owner until a record places it.
+// The chosen next owner of slot 0 is evicted itself before the record arrives. The slot must not
+// stay with t1, which no longer gets a lease, nor go to t3. It has no owner until a record places
+// it.
 #[test]
 fn slot_whose_next_owner_is_unfit_has_no_owner_until_it_is_placed() {
     let mut session = Session::witnessed();
@@ -88,8 +91,8 @@
     assert_eq!(session.owners(), "t2 t2 t2 t2 t2 t2 t2 t2");
 }
 
-// t1 is evicted; t2 gets its slot and moves it on to t3 before t1's lease has run out. t3 must wait for that lease
-// as t2 would have had to, else t1 and t3 serve the key at once.
+// t1 is evicted; t2 gets its slot and moves it on to t3 before t1's lease has run out. t3 must wait
+// for that lease as t2 would have had to, else t1 and t3 serve the key at once.
 #[test]
 fn wait_for_the_evicted_lease_is_passed_on_by_moves_and_restarts() {
     let mut session = Session::witnessed();
@@ -101,8 +104,8 @@
     assert_eq!((owner.server, owner.lapse), (name("t3"), Some(evicted)));
 }
 
-// A key's own slot came to t1 by an eviction and is merged at once. The wait for the evicted lease is the key's, and must
-// hold for the slot that takes it in.
+// A key's own slot came to t1 by an eviction and is merged at once. The wait for the evicted lease
+// is the key's, and must hold for the slot that takes it in.
 #[test]
 fn wait_for_the_evicted_lease_survives_a_merge() {
     let mut session = Session::witnessed();
--- a/crates/jacinthbeam-state/tests/apply/found.rs
+++ b/crates/jacinthbeam-state/tests/apply/found.rs
@@ -12,7 +12,8 @@
     assert_eq!(session.owners(), "t1 t1 t1 t1 t2 t2 t2 t2");
 }
 
-// Somebody divides the service anew while owners of the old division serve. A key would have an owner in each.
+// Somebody divides the service anew while owners of the old division serve. A key would have an
+// owner in each.
 #[test]
 fn division_is_replaced_only_after_its_last_slot_is_released() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/apply/join.rs
+++ b/crates/jacinthbeam-state/tests/apply/join.rs
@@ -24,8 +24,8 @@
     assert!(matches!(why(session.append("late", late)), Why::Stale { .. }));
 }
 
-// t1 reappears as a server of another service while its slots are still leased in its cell. To let it go would leave
-// the slots with an owner that serves something else.
+// t1 reappears as a server of another service while its slots are still leased in its cell. To let
+// it go would leave the slots with an owner that serves something else.
 #[test]
 fn server_that_owns_slots_can_not_change_service() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/apply/moves.rs
+++ b/crates/jacinthbeam-state/tests/apply/moves.rs
@@ -3,8 +3,9 @@
 
 use crate::support::*;
 
-// Two attendants move slots of t1 at the same time, one of them unaware that it was replaced. Slot 1 was taken
-// back by a new epoch in between, so the late move must not take it; slot 0 was not touched and moves.
+// Two attendants move slots of t1 at the same time, one of them unaware that it was replaced. Slot
+// 1 was taken back by a new epoch in between, so the late move must not take it; slot 0 was not
+// touched and moves.
 #[test]
 fn move_is_void_only_for_slots_whose_epoch_is_stale() {
     let mut session = Session::divided();
@@ -17,8 +18,9 @@
     assert_eq!(session.owners(), "t2 t1 t1 t1 t2 t2 t2 t2");
 }
 
-// t1 restarts after a predecessor took a slot out of its grant and before that predecessor's move arrives. The new life
-// was granted all slots again, so the move must not give one of them to t2 as well.
+// t1 restarts after a predecessor took a slot out of its grant and before that predecessor's move
+// arrives. The new life was granted all slots again, so the move must not give one of them to t2 as
+// well.
 #[test]
 fn late_move_is_void_after_a_restart() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/apply/split.rs
+++ b/crates/jacinthbeam-state/tests/apply/split.rs
@@ -3,9 +3,9 @@
 
 use crate::support::*;
 
-// An attendant that does not know it was replaced appends a merge late. The present one has taken the slot out of the
-// grant for a move, but the key's own slot is still in it. Were the move valid, the key would go to t2 along with the
-// slot while t1 still serves it under its own.
+// An attendant that does not know it was replaced appends a merge late. The present one has taken
+// the slot out of the grant for a move, but the key's own slot is still in it. Were the move valid,
+// the key would go to t2 along with the slot while t1 still serves it under its own.
 #[test]
 fn merge_voids_a_move_of_the_slot_that_was_prepared_before() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/apply/witnesses.rs
+++ b/crates/jacinthbeam-state/tests/apply/witnesses.rs
@@ -3,8 +3,9 @@
 
 use crate::support::*;
 
-// Hosts 103 and 104 are cut off together with t1 and know nothing of a new set. Were it valid on two promises, they
-// could go on vouching for t1 under the old epoch, after an eviction that the new set alone backed.
+// Hosts 103 and 104 are cut off together with t1 and know nothing of a new set. Were it valid on
+// two promises, they could go on vouching for t1 under the old epoch, after an eviction that the
+// new set alone backed.
 #[test]
 fn set_changes_only_if_the_old_one_can_no_longer_vouch() {
     let mut session = Session::witnessed();
--- a/crates/jacinthbeam-state/tests/load/mod.rs
+++ b/crates/jacinthbeam-state/tests/load/mod.rs
@@ -27,8 +27,9 @@
     Ok(state)
 }
 
-// The first records have expired. A host that starts then reads a snapshot whose parts stand between other records: those
-// before its last part, which the snapshot does not contain, count too.
+// The first records have expired. A host that starts then reads a snapshot whose parts stand
+// between other records: those before its last part, which the snapshot does not contain, count
+// too.
 #[test]
 fn reader_finds_the_snapshot_and_the_records_between_its_parts() {
     let mut session = rich();
@@ -72,8 +73,8 @@
     assert_eq!(err.err(), Some(apply::Error::Gap { next: Offset(1), came: Offset(2) }));
 }
 
-// A record of a newer release stands between the snapshot and the end. What it says is unknown, so there is no state to
-// start from; before the snapshot it does no harm.
+// A record of a newer release stands between the snapshot and the end. What it says is unknown, so
+// there is no state to start from; before the snapshot it does no harm.
 #[test]
 fn newer_record_counts_only_after_the_snapshot() {
     let mut session = rich();
--- a/crates/jacinthbeam-state/tests/property/mod.rs
+++ b/crates/jacinthbeam-state/tests/property/mod.rs
@@ -81,8 +81,8 @@
     Ok(session)
 }
 
-// Owner tables and the servers' own lists must say the same: an attendant grants by the list, an entry host routes by the
-// table. A slot in two lists would be served twice.
+// Owner tables and the servers' own lists must say the same: an attendant grants by the list, an
+// entry host routes by the table. A slot in two lists would be served twice.
 #[test]
 fn each_slot_has_at_most_one_owner_and_it_is_active() {
     let property = |u: &mut Unstructured<'_>| {
@@ -149,8 +149,9 @@
     arbtest::arbtest(property).size_min(SIZE).budget_ms(BUDGET_MS);
 }
 
-// Hosts keep nothing. One reads the stream from its start, one from a snapshot after the first records expired, one is given
-// the state by a peer. All must know the same owners, and each acknowledged one.
+// Hosts keep nothing. One reads the stream from its start, one from a snapshot after the first
+// records expired, one is given the state by a peer. All must know the same owners, and each
+// acknowledged one.
 #[test]
 fn readers_agree_wherever_they_start() {
     let property = |u: &mut Unstructured<'_>| {
--- a/crates/jacinthbeam-state/tests/record/mod.rs
+++ b/crates/jacinthbeam-state/tests/record/mod.rs
@@ -21,8 +21,9 @@
     assert_eq!(Envelope::decode(&buf), Ok(envelope()));
 }
 
-// During an update a newer release appends a record that this one can't read. It may be an eviction. A reader that passed
-// over it would go on granting slots that others own by then, so it must stop here and say so.
+// During an update a newer release appends a record that this one can't read. It may be an
+// eviction. A reader that passed over it would go on granting slots that others own by then, so it
+// must stop here and say so.
 #[test]
 fn record_of_a_newer_release_stops_the_reader() {
     let mut session = Session::divided();
--- a/crates/jacinthbeam-state/tests/session/mod.rs
+++ b/crates/jacinthbeam-state/tests/session/mod.rs
@@ -4,8 +4,9 @@
 
 use crate::support::*;
 
-// A night at kamloops-a: t1 freezes, its eviction is first refused, then backed by enough witnesses; it returns as if nothing
-// had happened, and a hot key is moved to it. A late move of an attendant that was replaced changes nothing.
+// A night at kamloops-a: t1 freezes, its eviction is first refused, then backed by enough
+// witnesses; it returns as if nothing had happened, and a hot key is moved to it. A late move of an
+// attendant that was replaced changes nothing.
 #[test]
 fn frozen_server_is_evicted_and_returns() {
     let mut session = Session::witnessed();
@@ -28,7 +29,8 @@
     insta::assert_snapshot!(session.text);
 }
 
-// Hosts come and go until the witnesses can't be replaced; an operator declares the lost ones, and the set changes.
+// Hosts come and go until the witnesses can't be replaced; an operator declares the lost ones, and
+// the set changes.
 #[test]
 fn witnesses_are_replaced_after_a_loss() {
     let mut session = Session::witnessed();
--- a/crates/jacinthbeam-state/tests/snapshot/mod.rs
+++ b/crates/jacinthbeam-state/tests/snapshot/mod.rs
@@ -81,8 +81,8 @@
     assert_eq!(crate::support::owners(&read), owners);
 }
 
-// Two hosts append a snapshot of the same state at once, and one stops half-way. Parts stand mixed in the stream, some
-// twice. A reader needs each part once, whoever wrote it.
+// Two hosts append a snapshot of the same state at once, and one stops half-way. Parts stand mixed
+// in the stream, some twice. A reader needs each part once, whoever wrote it.
 #[test]
 fn parts_of_two_hosts_fit_together() {
     let state = rich().state;
@@ -100,8 +100,8 @@
     assert_eq!(last, Ok(Some(state)));
 }
 
-// A host stops in the middle of a snapshot and another one appends a snapshot of a later state. The parts that are left
-// over must not end up in it.
+// A host stops in the middle of a snapshot and another one appends a snapshot of a later state. The
+// parts that are left over must not end up in it.
 #[test]
 fn half_a_snapshot_does_no_harm_to_the_next_one() {
     let mut session = rich();
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -147,8 +147,9 @@
 name! {
     /// A group of entry hosts and backend servers of one failure domain that attend each other.
     ///
-    /// Written `<failure domain>` where the domain has one cell, else `<failure domain>:<n>`. Heartbeats stay inside a cell, so the cost of membership
-    /// per host is bounded by the size of the cell and not by that of the fleet.
+    /// Written `<failure domain>` where the domain has one cell, else `<failure domain>:<n>`.
+    /// Heartbeats stay inside a cell, so the cost of membership per host is bounded by the size of
+    /// the cell and not by that of the fleet.
     CellId
 }
 name! {
