feat(platform): a place is free as soon as the backend server has ended an abandoned request

A request that was given up, by its caller or at its deadline, held its place at the backend server until a report of none running or until deadline + 250 ms; with other requests running all the time, that was the deadline. Its connection is now closed for writing only and read on for at most 500 ms or 256 KiB. If the server closes its end, the attendant reports Closed and the next request starts; if not, the place is held as before. The handle of a connection is dropped before the future of its answer, since hyper closes the whole socket when it sees that nobody waits. The stand-in keeps its socket open until the request is dropped, so that its close proves what it should.

--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -100,7 +100,7 @@
         self.attended.check(self.slot, self.next)?;
         let key = self.slot.map(|_| KeyHash::of(&head.key));
         let offered = self.cx.clock.now();
-        let place = self.attended.admit(ticket, key).await?;
+        let mut place = self.attended.admit(ticket, key).await?;
         let waited = self.cx.clock.now().saturating_duration_since(offered);
         self.cx.metrics.queued(&head.service, waited);
         let (team, service) = self.share(&head);
@@ -114,7 +114,8 @@
             }
         };
         let sent = Sent::new(self.cx.clone(), team, service);
-        match self.attended.pool.send(req, self.deadline).await {
+        let closed = place.watch();
+        match self.attended.pool.send_watched(req, self.deadline, closed).await {
             Ok(answer) => {
                 sent.end(Verdict::Ran);
                 Ok(stream_answer(id, is_head, answer, place))
--- a/crates/jacinthbeam-entry/src/version/attended/admit.rs
+++ b/crates/jacinthbeam-entry/src/version/attended/admit.rs
@@ -7,7 +7,7 @@
 
 use jacinthbeam_admission::server::{MIN_RETRY_AFTER, Offer, Outcome, Ticket};
 use jacinthbeam_types::prelude::*;
-use tokio::sync::oneshot;
+use tokio::{runtime::Handle, sync::oneshot};
 
 use super::Attended;
 
@@ -70,6 +70,13 @@
         inner.admission.finished(now, place.id, outcome);
         self.start_waiting(inner);
     }
+
+    /// A request that was lost has surely ended at the backend server.
+    fn closed(&self, id: RequestId) {
+        let mut inner = self.lock();
+        inner.admission.finished(self.clock.now(), id, Outcome::Closed);
+        self.start_waiting(inner);
+    }
 }
 
 /// A ticket in the queue; leaves it when the caller gives up.
@@ -98,6 +105,7 @@
     key: Option<KeyHash>,
     since: Instant,
     ended: bool,
+    closed: Option<oneshot::Receiver<()>>,
 }
 
 impl Place {
@@ -109,13 +117,33 @@
     ) -> Self {
         attended.admitted.fetch_add(1, Ordering::Relaxed);
         let since = attended.clock.now();
-        Self { attended, id, slot, key, since, ended: false }
+        Self { attended, id, slot, key, since, ended: false, closed: None }
+    }
+
+    /// To be told when the backend server has closed its end of the connection of the request, once it was given up.
+    pub fn watch(&mut self) -> oneshot::Sender<()> {
+        let (closed, is_closed) = oneshot::channel();
+        self.closed = Some(is_closed);
+        closed
     }
 
     /// Reports how the request ended.
     pub fn finish(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
         self.ended = true;
-        self.attended.finished(&self, outcome);
+        self.attended.finished(self, outcome);
+        let closed = self.closed.take().filter(|_| outcome == Outcome::Lost);
+        // A runtime that is being shut down has no more use for places.
+        let (Some(closed), Ok(runtime)) = (closed, Handle::try_current()) else { return };
+        let (attended, id) = (self.attended.clone(), self.id);
+        runtime.spawn(async move {
+            if closed.await.is_ok() {
+                attended.closed(id);
+            }
+        });
     }
 }
 
@@ -123,7 +151,7 @@
     /// The caller went away or a task was cancelled: the connection is being closed, but the backend server may not know yet.
     fn drop(&mut self) {
         if !self.ended {
-            self.attended.finished(self, Outcome::Lost);
+            self.end(Outcome::Lost);
         }
     }
 }
--- a/crates/jacinthbeam-entry/tests/request/cancel.rs
+++ b/crates/jacinthbeam-entry/tests/request/cancel.rs
@@ -38,6 +38,31 @@
     assert_eq!((summary.ran, summary.cancelled, summary.max_running), (3, 3, 3));
 }
 
+/// Two of three places are taken by orders that run on, the third by one whose caller goes away. The backend server goes on saying that requests
+/// run, which frees nothing, since one of them could be the abandoned one. That it has closed the connection frees the place; without
+/// that, it would be held until the deadline of the abandoned order, and the next one would wait as long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn place_of_an_abandoned_order_is_free_while_others_run_on() {
+    let cluster = Cluster::start(PAIR).await;
+    let server = cluster.server("orders-0");
+    server.set_hold(true);
+    let addr = cluster.callers("birch-0");
+    let long = |key: u32| order(key).header("jacinthbeam-deadline-ms", 30_000);
+    let kept = [0, 1].map(|key| start(addr, long(key), "x"));
+    let gone = start(addr, long(2), "x");
+    cluster.until_running("orders-0", 3).await;
+    gone.abort();
+    until("the order is cancelled", async || server.summary().cancelled == 1).await;
+    let next = start(addr, order(3).header("jacinthbeam-deadline-ms", 20_000), "x");
+    cluster.until_running("orders-0", 3).await;
+    server.set_hold(false);
+    assert_eq!(next.await.unwrap().told(), (200, "ran"));
+    for kept in kept {
+        assert_eq!(kept.await.unwrap().told(), (200, "ran"));
+    }
+    assert_eq!(server.summary().max_running, 3);
+}
+
 /// The deadline of an order passes while it runs. Its caller is told `may-have-run`, the backend server sees its connection closed, and the place
 /// is given to another order only when it is surely free.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/jacinthbeam-platform/src/backend/answer.rs
+++ b/crates/jacinthbeam-platform/src/backend/answer.rs
@@ -38,12 +38,13 @@
 /// Body of an answer. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct AnswerBody {
+    /// `None` once the body has ended, in whichever way. Dropped before `incoming`: hyper closes the whole socket when it sees
+    /// that nobody reads.
+    held: Option<Held>,
     incoming: Incoming,
     /// Bytes still to come, if the answer said how many.
     left: Option<u64>,
     late: Pin<Box<Sleep>>,
-    /// `None` once the body has ended, in whichever way.
-    held: Option<Held>,
     shared: Arc<Shared>,
 }
 
--- a/crates/jacinthbeam-platform/src/backend/pool.rs
+++ b/crates/jacinthbeam-platform/src/backend/pool.rs
@@ -11,7 +11,10 @@
 use http_body::Body;
 use hyper::{body::Incoming, client::conn::TrySendError};
 use jacinthbeam_types::prelude::*;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
 
 use super::{
     AnswerBody, Failure, RequestBody, Snapshot, head,
@@ -85,9 +88,21 @@
     /// Waits for a connection if all are in use. Dropping the future or the answer's body closes the connection,
     /// which cancels the request at the backend server.
     pub async fn send(
+        &self,
+        req: Request<RequestBody>,
+        deadline: std::time::Instant,
+    ) -> Result<Answer, Failure> {
+        let (closed, _) = oneshot::channel();
+        self.send_watched(req, deadline, closed).await
+    }
+
+    /// The same. `closed` is told when the request was given up and the backend server has then closed its end of the connection, which
+    /// says that it has ended the request. In every other case `closed` is dropped, half a second after the request was given up at the latest.
+    pub async fn send_watched(
         &self,
         mut req: Request<RequestBody>,
         deadline: std::time::Instant,
+        closed: oneshot::Sender<()>,
     ) -> Result<Answer, Failure> {
         let left = deadline.saturating_duration_since(self.shared.clock.now());
         if left.is_zero() {
@@ -96,8 +111,11 @@
         let deadline = Instant::now() + left;
         let id = head::prepare(&mut req, self.shared.addr)?;
         let mut held = self.connection(deadline).await?;
-        let sent = held.connection.sender.try_send_request(req);
-        match timeout_at(deadline, sent).await {
+        let mut sent = pin!(held.connection.sender.try_send_request(req));
+        // Bound after `sent`, so dropped before it: hyper closes the whole socket when it sees that nobody waits.
+        let mut held = held;
+        held.connection.closed = Some(closed);
+        match timeout_at(deadline, sent.as_mut()).await {
             Ok(Ok(res)) => self.judge(held, res, id.as_ref(), deadline),
             Ok(Err(err)) => Err(unanswered(err)),
             Err(_) => {
--- a/crates/jacinthbeam-platform/src/backend/shared.rs
+++ b/crates/jacinthbeam-platform/src/backend/shared.rs
@@ -133,6 +133,7 @@
 
     /// Takes a connection back after a whole answer.
     pub(super) fn give_back(self: &Arc<Self>, mut held: Held) {
+        held.connection.closed = None;
         if held.connection.sender.is_ready() {
             self.put(held);
             return;
--- a/crates/jacinthbeam-platform/src/connection/socket.rs
+++ b/crates/jacinthbeam-platform/src/connection/socket.rs
@@ -23,6 +23,38 @@
 #[derive(Debug)]
 pub(super) struct Watch(Weak<TcpStream>);
 
+/// Keeps the socket open, to see how it ends.
+#[derive(Debug)]
+pub(super) struct Ending(Arc<TcpStream>);
+
+/// Bytes of an abandoned answer that are read on the way to its end.
+const MAX_REST: usize = 256 << 10;
+
+impl Ending {
+    /// Closes the socket for writing. Returns whether the server has closed its end, when it has, or when that will not be known.
+    ///
+    /// A reset counts as unknown: it may come from something between the two ends.
+    pub(super) async fn wait(&self) -> bool {
+        if SockRef::from(&*self.0).shutdown(Shutdown::Write).is_err() {
+            return false;
+        }
+        let mut buf = [0; 4096];
+        let mut rest = 0;
+        while rest <= MAX_REST {
+            if self.0.readable().await.is_err() {
+                return false;
+            }
+            match self.0.try_read(&mut buf) {
+                Ok(0) => return true,
+                Ok(len) => rest += len,
+                Err(err) if err.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+}
+
 impl Socket {
     /// Connects, from an IP number of this host if one is given.
     pub(super) async fn connect(source: Option<IpAddr>, addr: SocketAddr) -> io::Result<Self> {
@@ -37,6 +69,10 @@
     pub(super) fn watch(&self) -> Watch {
         Watch(Arc::downgrade(&self.0))
     }
+
+    pub(super) fn ending(&self) -> Ending {
+        Ending(self.0.clone())
+    }
 }
 
 async fn connect_from(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/jacinthbeam-platform/tests/backend/mod.rs
+++ b/crates/jacinthbeam-platform/tests/backend/mod.rs
@@ -1,3 +1,4 @@
+mod closed;
 mod cut;
 mod limit;
 mod reuse;
--- a/crates/jacinthbeam-standin/src/net/listener.rs
+++ b/crates/jacinthbeam-standin/src/net/listener.rs
@@ -5,6 +5,7 @@
     future::{Future, poll_fn},
     io,
     net::SocketAddr,
+    os::fd::AsFd,
     pin::pin,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -210,6 +211,11 @@
         F: Future<Output = Answer> + Send + 'static,
     {
         let _ = stream.set_nodelay(true);
+        // A client may take the end of the connection as proof that its request has ended. hyper drops the socket before the
+        // request; this one is dropped after both.
+        let Ok(kept) = stream.as_fd().try_clone_to_owned() else {
+            return self.0.server.leave();
+        };
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
@@ -219,6 +225,7 @@
         let stop = self.0.server.stop.subscribe();
         let task = self.0.server.runtime.spawn(async move {
             let _open = open;
+            let _kept = kept;
             serve_connection(stream, serve, stop).await;
         });
         state.connections.insert(number, Connection { silent, task: task.abort_handle() });
