--- a/crates/jacinthbeam-admission/src/process/budget.rs
+++ b/crates/jacinthbeam-admission/src/process/budget.rs
@@ -25,7 +25,7 @@
 /// Retry budget of one service on one entry host.
 ///
 /// Without it an outage multiplies the load: every request in progress is tried again and again,
-/// and the backend servers that come back drown in retries.
+/// and the backend servers that come back are overloaded by retries.
 #[derive(Debug, Clone)]
 pub struct Budget {
     options: Options,
--- a/crates/jacinthbeam-lease/src/attendant/machine.rs
+++ b/crates/jacinthbeam-lease/src/attendant/machine.rs
@@ -266,7 +266,7 @@
 
 impl Machine {
     /// A process that was paused has asked nothing meanwhile, so the server's silence says nothing of the
-    /// server. Without this a host that wakes up would start to evict servers that others attend.
+    /// server. Without this a host that runs on after a pause would start to evict servers that others attend.
     fn note_time(
         &mut self,
         _: StateOrSuperstate<'_, State, Superstate>,
--- a/crates/jacinthbeam-lease/tests/attendant/session.rs
+++ b/crates/jacinthbeam-lease/tests/attendant/session.rs
@@ -41,7 +41,7 @@
     insta::assert_snapshot!(session(6000, "", &faults));
 }
 
-/// The host c stands still for three seconds. It is replaced meanwhile; when it wakes up its permit has
+/// The host c is paused for three seconds. It is replaced meanwhile; when it runs again its permit has
 /// ended, its next grant is refused for the stale token, and it stands by until members agree on it again.
 #[test]
 fn a_paused_attendant_finds_itself_replaced() {
--- a/crates/jacinthbeam-state/src/outcome/mod.rs
+++ b/crates/jacinthbeam-state/src/outcome/mod.rs
@@ -1,4 +1,4 @@
-//! What a record changed, or why it is void, for operators and for the host's own bookkeeping.
+//! What a record changed, or why it is void, for operators and for what the host keeps itself.
 
 mod text;
 
