refactor(admission): take out a breaker and a silence rule that nothing used

Cause: health::Judge and silence stood in the library without a caller; connections are judged by the pool and by pings, servers by their lease. No test of anything in use was touched. Conclusion: they come back with a measurement that asks for them.

--- a/crates/jacinthbeam-admission/src/connection/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! What lives as long as one connection.
-
-pub mod silence;
--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -4,10 +4,8 @@
 //! clock; the entry host's process feeds it and acts on what it decides. The reasons, the table of
 //! verdicts and the bounds are in `docs/REQUESTS.md`.
 
-pub mod connection;
 pub mod process;
 pub mod request;
 
-pub use connection::silence;
-pub use process::{budget, duplicate, fair, health, server, usage};
+pub use process::{budget, duplicate, fair, server, usage};
 pub use request::retry;
--- a/crates/jacinthbeam-admission/src/process/mod.rs
+++ b/crates/jacinthbeam-admission/src/process/mod.rs
@@ -3,6 +3,5 @@
 pub mod budget;
 pub mod duplicate;
 pub mod fair;
-pub mod health;
 pub mod server;
 pub mod usage;
--- a/crates/jacinthbeam-admission/tests/process/main.rs
+++ b/crates/jacinthbeam-admission/tests/process/main.rs
@@ -3,7 +3,6 @@
 mod budget;
 mod duplicate;
 mod fair;
-mod health;
 mod server;
 mod usage;
 
