fix(entry): a host that is behind when the log goes away learns from its peers

The word of a witness counts only for a fold that holds all the witness has read. A host that had read one record less than the others of its cell when the failure domain was cut off from the log could use no word, lost its leases 1.2 s later, and kept its servers without an attendant until the log was back, since it lived and was elected. It takes the state of a peer now, which it also did before, but only while it had none.

--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -17,6 +17,8 @@
 const MAX_READ: u32 = 4 << 20;
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time between two questions for the state of peers that have read further.
+const CATCH_UP_EVERY: Duration = Duration::from_millis(200);
 /// Failed reads after which a host without state asks its peers for theirs.
 const ASK_PEERS_AFTER: u32 = 2;
 
@@ -26,6 +28,8 @@
     /// Set while the state is being searched for in a stream whose first records have expired.
     loader: Option<Loader>,
     failures: u32,
+    /// When the peers may next be asked for their state because they have read further.
+    next_catch_up: Option<Instant>,
     /// Offset at which this host must stop reading, because a newer release wrote it.
     stuck: Option<Offset>,
     /// Where the read goes that is on the way.
@@ -35,7 +39,7 @@
 impl Follow {
     /// At the start of the stream.
     pub fn new() -> Self {
-        Self { loader: None, failures: 0, stuck: None, source: Source::Log }
+        Self { loader: None, failures: 0, next_catch_up: None, stuck: None, source: Source::Log }
     }
 
     /// Failed reads since the last one that succeeded.
@@ -55,6 +59,23 @@
 }
 
 impl Control {
+    /// Takes the state of a peer that has read further, while the log does not answer this host.
+    ///
+    /// The word of a witness counts only for a fold that contains all that the witness has read. A host that was one record
+    /// behind when its failure domain was cut off from the log could use no word, and lost all its leases for as long as
+    /// the cut lasted; nobody else took them, since it lived and was elected.
+    pub(super) fn catch_up_with_peers(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < self.timing.lease / 3;
+        let is_due = self.follow.next_catch_up.is_none_or(|due| now >= due);
+        if !is_due || self.proofs.log(&self.state).is_some_and(is_recent) {
+            return;
+        }
+        if self.book.peers().values().any(|peer| peer.next > self.state.next) {
+            self.follow.next_catch_up = Some(now + CATCH_UP_EVERY);
+            self.fetch_state();
+        }
+    }
+
     /// Starts the next read of the stream, by the way that is due.
     pub(super) fn read_on(&mut self, pause: Duration) {
         match self.next_source(self.clock.now()) {
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -257,6 +257,7 @@
         self.look_up_hosts(now);
         self.beat(now);
         self.relay.refuse_late(now);
+        self.catch_up_with_peers(now);
         self.elect(now);
         self.tick_attendants();
         self.keep_memory(now);
