--- a/crates/jacinthbeam-measure/src/capacity/host.rs
+++ b/crates/jacinthbeam-measure/src/capacity/host.rs
@@ -22,6 +22,8 @@
 const ADDED: usize = 4;
 /// Entry hosts of a cell of the fleet.
 const CELL: u32 = 16;
+/// Failure domains of the fleet.
+const DOMAINS: u32 = 28;
 /// Bound of one append.
 const APPEND: Duration = Duration::from_secs(5);
 
@@ -186,11 +188,16 @@
     deployment.hosts.set_list(HostList { ..list });
 }
 
-/// Entry hosts of other cells.
+/// Entry hosts of other cells, in as many failure domains as the fleet has. One of them is that of the hosts under measurement: what
+/// the hosts of a failure domain share must not fall on these few alone.
 pub(super) fn others(count: u32) -> impl Iterator<Item = EntryHost> {
-    (0..count).map(|n| EntryHost {
+    let cell = |n: u32| match n % DOMAINS {
+        0 => format!("{DOMAIN}:{}", 1 + n / DOMAINS / CELL),
+        domain => format!("other-{domain}:{}", n / DOMAINS / CELL),
+    };
+    (0..count).map(move |n| EntryHost {
         id: format!("entry-{n:05}").parse().expect("a proper name"),
-        cell: format!("other-{}:{}", n % 28, n / 28 / CELL).parse().expect("a proper name"),
+        cell: cell(n).parse().expect("a proper name"),
         peer_address: ([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 8081).into(),
         leaving: false,
     })
