test(entry): an answer that no chain of socket buffers can take

Cause: caller_gone_from_an_answer_frees_everything failed now and then (1 of 6, 4 of 8 under load): its answer of 24 MiB sometimes fits into the buffers of the sockets on its way, so that nothing is left to abandon. Change: 96 MiB. Conclusion: the test is deterministic as far as the system's buffer limits go.

--- a/crates/jacinthbeam-entry/tests/request/cancel.rs
+++ b/crates/jacinthbeam-entry/tests/request/cancel.rs
@@ -111,7 +111,8 @@
     cluster.spawn_entry_with("cedar-0", one);
     cluster.until_served().await;
     let addr = cluster.callers("cedar-0");
-    let large = order(1).header(ANSWER_BYTES, 24 << 20);
+    // More than the buffers of all sockets on its way can take, which the system lets grow to about 10 MiB a hop.
+    let large = order(1).header(ANSWER_BYTES, 96 << 20);
     let mut caller = Caller::open_narrow(addr).await.unwrap();
     let res = caller.send(large, caller::whole("x")).await.unwrap();
     assert_eq!(res.status(), 200);
