feat(config): how long a split key must be cool is a setting; idle-initiated moves are none

`idle_initiated` did nothing: nobody ever passed an ask to the decision.

A slot stays for at least the window of measurement: before that, the load of one that came looks too small and it would move on.

--- a/crates/jacinthbeam-config/src/check/service.rs
+++ b/crates/jacinthbeam-config/src/check/service.rs
@@ -35,12 +35,7 @@
 const MAX_FACTOR: f64 = 1e6;
 
 const CUT_OFF: &[(&str, CutOff)] = &[("hold", CutOff::Hold), ("yield", CutOff::Yield)];
-const POLICIES: &[(&str, Policy)] = &[
-    ("static", Policy::Static),
-    ("threshold", Policy::Threshold),
-    ("power_of_two_choices", Policy::PowerOfTwoChoices),
-    ("idle_initiated", Policy::IdleInitiated),
-];
+const POLICIES: &[(&str, Policy)] = &Policy::ALL;
 
 /// Reads the service at `path`; `None` if something that it can't do without is wrong.
 pub(super) fn read(node: &Node, path: String) -> (Option<Service>, Vec<Problem>) {
@@ -189,6 +184,7 @@
     let hot_key = HotKey {
         split_above: fields.or("split_above", default.split_above, &share),
         merge_below: fields.or("merge_below", default.merge_below, &share),
+        cool_for: fields.or("cool_for_ms", default.cool_for, read::millis(0..=MAX_REST_MS)),
         most: fields.or("most", default.most, read::whole(0..=MAX_SPLIT)),
     };
     if hot_key.merge_below >= hot_key.split_above {
--- a/crates/jacinthbeam-config/src/config.rs
+++ b/crates/jacinthbeam-config/src/config.rs
@@ -117,8 +117,22 @@
     Threshold,
     /// A server above the threshold gives slots to the less loaded of two picked at random.
     PowerOfTwoChoices,
-    /// A server below the mean asks one above the threshold for slots.
-    IdleInitiated,
+}
+
+impl Policy {
+    /// All policies, by their words in a file.
+    pub const ALL: [(&str, Self); 3] = [
+        ("static", Self::Static),
+        ("threshold", Self::Threshold),
+        ("power_of_two_choices", Self::PowerOfTwoChoices),
+    ];
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let word = Self::ALL.iter().find(|(_, policy)| policy == self).map(|(word, _)| *word);
+        f.write_str(word.unwrap_or_default())
+    }
 }
 
 /// Relative costs that decide whether a move pays.
@@ -137,6 +151,8 @@
     pub split_above: f64,
     /// Merge it back once it takes less than this share; lower than `split_above`.
     pub merge_below: f64,
+    /// For how long it must take less than that before it is merged back.
+    pub cool_for: Duration,
     /// Most keys of the service that are split out at a time; 0 turns splitting off.
     pub most: u32,
 }
@@ -175,6 +191,6 @@
 
 impl Default for HotKey {
     fn default() -> Self {
-        Self { split_above: 0.5, merge_below: 0.2, most: 16 }
+        Self { split_above: 0.5, merge_below: 0.2, cool_for: Duration::from_secs(300), most: 16 }
     }
 }
--- a/crates/jacinthbeam-placement/src/policy.rs
+++ b/crates/jacinthbeam-placement/src/policy.rs
@@ -16,7 +16,7 @@
     Threshold,
     /// An overloaded server gives to the less loaded of two servers drawn at random from the sample.
     TwoChoices,
-    /// An underloaded server asks another one for load.
+    /// An underloaded server asks another one for load. Not configurable: it lost where it was weighed.
     IdleInitiated,
 }
 
@@ -124,7 +124,7 @@
     pub fn configured(balance: &Balance, share: f64) -> Self {
         let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
         let a_minute = f64::from(balance.moves_per_minute) * share;
-        let HotKey { split_above, merge_below, most } = balance.hot_key;
+        let HotKey { split_above, merge_below, cool_for, most } = balance.hot_key;
         let default = Self::default();
         let burst = (a_minute / 10.0).ceil() as usize;
         let in_progress = if a_minute > 0.0 { default.pace.in_progress } else { 0 };
@@ -137,9 +137,10 @@
             start: balance.start_above,
             stop: balance.stop_below,
             pace: Pace { per_second: Rate(a_minute / 60.0), burst, in_progress, ..default.pace },
-            min_age: balance.min_stay,
+            // Before that the load of a slot that came is not fully measured; it would move on as a light one.
+            min_age: balance.min_stay.max(default.window),
             warm_up: balance.warm_up,
-            hot: hot::Options { split_above, merge_below, max_split: most as usize, ..default.hot },
+            hot: hot::Options { split_above, merge_below, cool_for, max_split: most as usize },
             ..default
         }
     }
@@ -150,6 +151,5 @@
         ConfiguredKind::Static => Kind::Static,
         ConfiguredKind::Threshold => Kind::Threshold,
         ConfiguredKind::PowerOfTwoChoices => Kind::TwoChoices,
-        ConfiguredKind::IdleInitiated => Kind::IdleInitiated,
     }
 }
