--- a/crates/jacinthbeam-entry/src/process/control/answer.rs
+++ b/crates/jacinthbeam-entry/src/process/control/answer.rs
@@ -19,6 +19,7 @@
             Question::FetchState => self.answer_state(),
             Question::Loads => self.answer_loads(),
             Question::LastRead { cell } => self.answer_last_read(&cell),
+            Question::Offer(offer) => self.answer_offer(offer),
             Question::ReadLog { from, max_bytes, wait } => {
                 return self.asked_to_read(Wanted { from, max_bytes, wait, reply });
             }
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -8,6 +8,7 @@
 use jacinthbeam_admission::usage::BatchId;
 use jacinthbeam_lease::attendant;
 use jacinthbeam_peer::message::{Answer, Heartbeat, Probe, Question, ServerLoad};
+use jacinthbeam_placement::PlannedMove;
 use jacinthbeam_platform::{format::hosts::HostList, log::read};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
@@ -80,7 +81,21 @@
         event: attendant::Event,
     },
     /// A peer told the loads of the servers that it attends.
-    Loads(Vec<ServerLoad>),
+    Loads {
+        /// Where it takes peers.
+        by: SocketAddr,
+        /// The loads.
+        loads: Vec<ServerLoad>,
+    },
+    /// The host that attends the gaining server of a planned move answered, or did not.
+    Offered {
+        /// The service.
+        service: ServiceName,
+        /// The move.
+        planned: PlannedMove,
+        /// Whether it may go on.
+        agreed: bool,
+    },
     /// A host told when the log was last read in a cell that this host watches.
     Sign {
         /// The cell.
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -236,7 +236,10 @@
             Event::Attendant { server, event } => self.attendant_event(&server, event),
             Event::Copied { server } => self.copied(&server),
             Event::Retired { incarnation, epoch } => self.retired(incarnation, epoch),
-            Event::Loads(loads) => self.heard_loads(loads),
+            Event::Loads { by, loads } => self.heard_loads(by, loads),
+            Event::Offered { service, planned, agreed } => {
+                self.offered(&service, &planned, agreed);
+            }
             Event::Sign { cell, watcher, asked, ago } => {
                 self.heard_sign(&cell, watcher, asked, ago);
             }
--- a/crates/jacinthbeam-peer/src/client/ask.rs
+++ b/crates/jacinthbeam-peer/src/client/ask.rs
@@ -135,7 +135,9 @@
         Question::Heartbeat(_) => matches!(answer, Answer::Heartbeat(_)),
         Question::Probe(_) => matches!(answer, Answer::Probed(_)),
         Question::Retire { .. } => matches!(answer, Answer::Retired { .. }),
-        Question::Attend { .. } | Question::Remember(_) => matches!(answer, Answer::Done { .. }),
+        Question::Attend { .. } | Question::Remember(_) | Question::Offer(_) => {
+            matches!(answer, Answer::Done { .. })
+        }
         Question::ReadLog { .. } => matches!(answer, Answer::Records(_)),
         Question::FetchState => matches!(answer, Answer::State { .. }),
         Question::Claim(_) => matches!(answer, Answer::Claimed(_)),
--- a/crates/jacinthbeam-peer/src/message/mod.rs
+++ b/crates/jacinthbeam-peer/src/message/mod.rs
@@ -64,6 +64,8 @@
         /// The cell.
         cell: CellId,
     },
+    /// May this slot go to a backend server that you attend?
+    Offer(Offer),
 }
 
 /// Answer to a [`Question`].
@@ -78,7 +80,7 @@
         /// Whether the promise is given.
         promised: bool,
     },
-    /// To [`Question::Attend`] and [`Question::Remember`].
+    /// To [`Question::Attend`], [`Question::Remember`] and [`Question::Offer`].
     Done {
         /// Whether the host agrees.
         agreed: bool,
@@ -119,6 +121,27 @@
     pub milli_busy: u32,
 }
 
+/// See [`Question::Offer`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// The service.
+    pub service: ServiceName,
+    /// The slot.
+    pub slot: SlotId,
+    /// Its owner, which the sender attends.
+    pub from: ServerId,
+    /// Its owner to be.
+    pub to: ServerId,
+    /// Load that goes with the slot, in thousandths of a request running.
+    pub milli_load: u32,
+    /// Load expected to be left at the owner.
+    pub milli_left: u32,
+    /// Number of heavy slots at the owner if this is one of them, else 0.
+    pub heavy: u32,
+    /// Whether the slot goes because the owner has several heavy ones, and not for its load.
+    pub crowded: bool,
+}
+
 /// See [`Question::ReadLog`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
--- a/crates/jacinthbeam-peer/tests/peer/message.rs
+++ b/crates/jacinthbeam-peer/tests/peer/message.rs
@@ -2,7 +2,7 @@
 
 use jacinthbeam_peer::message::{
     Answer, Claim, ClaimSlots, Claimed, ClaimedSlot, Copies, Details, Edition, EntryId, Fetch,
-    Fetched, ForwardReply, Heartbeat, KnownSlot, Probe, Probed, Progress, Question, Records,
+    Fetched, ForwardReply, Heartbeat, KnownSlot, Offer, Probe, Probed, Progress, Question, Records,
     Remembered, ServerLoad, Stage, StoredAnswer, Vouch,
 };
 use jacinthbeam_types::prelude::*;
@@ -121,6 +121,16 @@
     questions.extend(claim_questions());
     questions.push(Question::Loads);
     questions.push(Question::LastRead { cell: "kelowna-b".parse().unwrap() });
+    questions.push(Question::Offer(Offer {
+        service: "brinedesk".parse().unwrap(),
+        slot: SlotId(9),
+        from: "brine-3".parse().unwrap(),
+        to: "brine-4".parse().unwrap(),
+        milli_load: 120,
+        milli_left: 1900,
+        heavy: 0,
+        crowded: false,
+    }));
     questions
 }
 
