--- a/justfile
+++ b/justfile
@@ -19,3 +19,7 @@
 # Experiments on real code over loopback; see docs/MEASUREMENTS.md.
 measure *args="":
     cargo run --release --bin jacinthbeam -- measure {{args}}
+
+# What the router costs; see docs/MEASUREMENTS.md.
+bench *args="":
+    cargo run --release --bin jacinthbeam -- bench {{args}}
