fix(entry): a host named as the attendant is asked although it was unreachable a moment ago

A host that found a peer unreachable leaves it alone for a second. A peer that starts anew in that time takes its backend servers over, and the host went on to refuse their requests as not-attended though every other host of the cell named the peer. There is no test of its own yet.

--- a/crates/jacinthbeam-entry/src/request/serve.rs
+++ b/crates/jacinthbeam-entry/src/request/serve.rs
@@ -211,6 +211,7 @@
         let mut to_ask = VecDeque::from(hosts);
         let mut last = Failed::new(Refusal::not_run(Reason::Unreachable), false);
         let mut tried = 0;
+        let mut named = None;
         // In the own cell a host may be about to take over, or not have heard of the others yet.
         let owner = version.state.servers.get(&target.server);
         let mut cut_off = owner.is_some_and(|server| server.cell != self.cx.me.cell);
@@ -220,7 +221,11 @@
                 cut_off = false;
                 break;
             }
-            if !asked.insert(addr) || !self.cx.unreachable.may_try(self.cx.clock.now(), addr) {
+            // A host that another one names as the attendant was heard there a moment ago. It may have started anew since it
+            // was found unreachable from here, and must not be left alone for that.
+            let is_named = named == Some(addr);
+            let may_try = is_named || self.cx.unreachable.may_try(self.cx.clock.now(), addr);
+            if !asked.insert(addr) || !may_try {
                 continue;
             }
             tried += 1;
@@ -240,6 +245,7 @@
             if failed.refusal.reason != Reason::NotAttendant || !last.left_host {
                 last = failed;
             }
+            named = attendant;
             attendant.into_iter().for_each(|addr| to_ask.push_front(addr));
         }
         if cut_off {
