fix(entry): a planned stop answers callers whose connections were still waiting

Change: at a stop the connections that wait are taken up for 50 ms, beyond the bound of connections too, the listener is closed, and connections are closed only 100 ms later. The first request of a connection is served in that time, a later one is refused not-run. Seen: the new test fails without the taking up and passes 4 of 4 runs with it; the test of the planned stop is as it was. Conclusion: what reached the host before its listener closed gets an answer with a verdict.

--- a/crates/jacinthbeam-entry/src/connection/callers.rs
+++ b/crates/jacinthbeam-entry/src/connection/callers.rs
@@ -1,20 +1,35 @@
 //! HTTP connections of callers.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
-use http::Request;
+use http::{Request, Response};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
-use tokio::{net::TcpListener, sync::watch};
+use jacinthbeam_types::prelude::*;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
+};
 
 use super::{
     first::First,
     listen::{Accepted, Bounded},
 };
-use crate::{process::Traffic, request::serve::serve};
+use crate::{
+    process::Traffic,
+    request::{answer, body::OutBody, serve::serve},
+};
 
 /// Bounds of a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,10 +67,18 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        spawn_connection(&cx, accepted, options, &graceful);
+        spawn_connection(&cx, accepted, options, &graceful, &stop);
+    }
+    // The system has accepted connections that wait to be taken up. Closing the listener would reset them, and their callers
+    // would get no verdict, though nothing of theirs was run.
+    let last = Instant::now() + LAST_ACCEPTS;
+    while let Ok(accepted) = timeout_at(last, listener.accept_beyond_bound()).await {
+        spawn_connection(&cx, accepted, options, &graceful, &stop);
     }
     // A listener that stays open would take callers in that nobody serves any more.
     drop(listener);
+    // A connection whose first bytes are still unread counts as idle and would be closed on them.
+    sleep(LINGER).await;
     graceful.shutdown().await;
 }
 
@@ -64,12 +87,23 @@
     accepted: Accepted,
     options: Options,
     graceful: &GracefulShutdown,
+    stop: &watch::Receiver<bool>,
 ) {
     let Accepted { stream, from, room } = accepted;
     let cx = cx.clone();
+    let stop = stop.clone();
+    let used = AtomicBool::new(false);
     let service = service_fn(move |req: Request<Incoming>| {
         let cx = cx.clone();
-        async move { Ok::<_, Infallible>(serve(cx, req).await) }
+        // The first request of a connection was on its way when the stop began, and is served; on a connection in use the
+        // caller learns of the stop and goes elsewhere.
+        let refused = used.swap(true, Ordering::Relaxed) && *stop.borrow();
+        async move {
+            Ok::<_, Infallible>(match refused {
+                true => refuse_stopping(&cx),
+                false => serve(cx, req).await,
+            })
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -94,6 +128,15 @@
     });
 }
 
+fn refuse_stopping(cx: &Traffic) -> Response<OutBody> {
+    let id = cx.ids.next(cx.me.incarnation);
+    answer::refused(id, &Refusal::not_run(Reason::Stopping))
+}
+
+/// Time in which the connections that wait are taken up. Bounded as a whole, since new ones may go on coming.
+const LAST_ACCEPTS: Duration = Duration::from_millis(50);
+/// Time in which a request that is on its way when the listener closes is read.
+const LINGER: Duration = Duration::from_millis(100);
 /// Time that a caller has to answer a PING.
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
 /// `hyper` reads heads up to this times the limit, so that a head somewhat too long is refused with
--- a/crates/jacinthbeam-entry/src/connection/listen.rs
+++ b/crates/jacinthbeam-entry/src/connection/listen.rs
@@ -38,7 +38,7 @@
     /// The other end.
     pub from: SocketAddr,
     /// Room taken in the bound.
-    pub room: OwnedSemaphorePermit,
+    pub room: Option<OwnedSemaphorePermit>,
 }
 
 impl Bounded {
@@ -51,12 +51,17 @@
     pub async fn accept(&self) -> Accepted {
         let room = self.room.clone().acquire_owned().await;
         let room = room.expect("the semaphore is never closed");
+        Accepted { room: Some(room), ..self.accept_beyond_bound().await }
+    }
+
+    /// The next connection, also if the bound is reached. For a listener that is about to be closed.
+    pub async fn accept_beyond_bound(&self) -> Accepted {
         loop {
             match self.listener.accept().await {
                 Ok((stream, from)) => {
                     // Without it an answer's last segment waits for the acknowledgement of the one before.
                     let _ = stream.set_nodelay(true);
-                    return Accepted { stream, from, room };
+                    return Accepted { stream, from, room: None };
                 }
                 Err(err) => {
                     log::warn!("listen: accept failed: {err}");
--- a/crates/jacinthbeam-entry/tests/request/stop.rs
+++ b/crates/jacinthbeam-entry/tests/request/stop.rs
@@ -1,6 +1,7 @@
 //! A planned stop of an entry host under load.
 
 use jacinthbeam_admission::usage::Totals;
+use jacinthbeam_config::settings::Limits;
 use tokio::net::TcpStream;
 
 use crate::support::{
@@ -50,3 +51,28 @@
     let all = Totals { ran: 3, may_have_run: 0 };
     until("all is counted", async || cluster.usage("field", "orders") == all).await;
 }
+
+/// Two callers come while the host's one place for connections is taken; their connections wait in the system's queue. Then the host is stopped.
+/// Closing its listener would reset them without a verdict, and nobody could tell whether their orders ran. They are taken up and answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_wait_at_a_stop_are_answered() {
+    let mut cluster = Cluster::start(SPARE).await;
+    let one = Limits { max_connections: 1, ..Limits::default() };
+    cluster.spawn_entry_with("cedar-0", one);
+    cluster.until_served().await;
+    let addr = cluster.callers("cedar-0");
+    cluster.server("orders-0").set_hold(true);
+    let first = start(addr, post("/orders/1"), "x");
+    cluster.until_running("orders-0", 1).await;
+    let waiting = [start(addr, post("/orders/2"), "x"), start(addr, post("/orders/3"), "x")];
+    until("they wait", async || Caller::open(addr).await.is_ok()).await;
+    let stopping = tokio::spawn(cluster.entries.remove("cedar-0").unwrap().stop());
+    until("it takes no connection", async || TcpStream::connect(addr).await.is_err()).await;
+    cluster.server("orders-0").set_hold(false);
+    assert_eq!(first.await.unwrap().told(), (200, "ran"));
+    for waiting in waiting {
+        let told = waiting.await.unwrap();
+        assert!(matches!(told.told(), (200, "ran") | (503, "not-run")), "{:?}", told.told());
+    }
+    stopping.await.unwrap();
+}
