fix(entry): the permit is looked at again after the wait for a connection

Cause: found on the last reading: a request was built under a valid permit and then waited for a connection, up to its deadline, before it was written. A lease that ended in that wait was not noticed. A server that checks grants refuses such a request; one that checks nothing (checks_grants: false) would have run it, which only the longer wait of an eviction covered. Change: the pool asks right before it writes; the entry host checks permit, slot and token again, and a refusal is not-run with the connection kept. Conclusion: what remains exposed is a pause between that look and the write to the socket, as docs/OWNERSHIP.md says.

--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -115,7 +115,9 @@
         };
         let sent = Sent::new(self.cx.clone(), team, service);
         let closed = place.watch();
-        match self.attended.pool.send_watched(req, self.deadline, closed).await {
+        let sent_under = req.headers().get(format::TOKEN).cloned();
+        let may_send = || self.check_again(sent_under.as_ref());
+        match self.attended.pool.send_watched(req, self.deadline, closed, may_send).await {
             Ok(answer) => {
                 sent.end(Verdict::Ran);
                 Ok(stream_answer(id, is_head, answer, place))
@@ -250,6 +252,16 @@
         Ok(req)
     }
 
+    /// Whether the permit that the request was built under still holds, after the wait for a connection.
+    fn check_again(&self, sent_under: Option<&HeaderValue>) -> Result<(), Reason> {
+        let permit = self.attended.check(self.slot, self.next).map_err(|refusal| refusal.reason)?;
+        let token = permit.token.to_string();
+        match sent_under.is_some_and(|sent| sent.as_bytes() == token.as_bytes()) {
+            true => Ok(()),
+            false => Err(Reason::NoLease),
+        }
+    }
+
     fn share(&self, head: &ForwardHead) -> (TeamName, ServiceName) {
         let version = self.cx.version.load();
         let team = version.state.service(&head.service).map(|service| service.team.clone());
--- a/crates/jacinthbeam-platform/src/backend/pool.rs
+++ b/crates/jacinthbeam-platform/src/backend/pool.rs
@@ -93,16 +93,19 @@
         deadline: std::time::Instant,
     ) -> Result<Answer, Failure> {
         let (closed, _) = oneshot::channel();
-        self.send_watched(req, deadline, closed).await
+        self.send_watched(req, deadline, closed, || Ok(())).await
     }
 
-    /// The same. `closed` is told when the request was given up and the backend server has then closed its end of the connection, which
+    /// The same. `may_send` is asked when there is a connection, right before the request is written; its refusal is `not-run`.
+    ///
+    /// `closed` is told when the request was given up and the backend server has then closed its end of the connection, which
     /// says that it has ended the request. In every other case `closed` is dropped, half a second after the request was given up at the latest.
     pub async fn send_watched(
         &self,
         mut req: Request<RequestBody>,
         deadline: std::time::Instant,
         closed: oneshot::Sender<()>,
+        may_send: impl Fn() -> Result<(), Reason>,
     ) -> Result<Answer, Failure> {
         let left = deadline.saturating_duration_since(self.shared.clock.now());
         if left.is_zero() {
@@ -111,6 +114,12 @@
         let deadline = Instant::now() + left;
         let id = head::prepare(&mut req, self.shared.addr)?;
         let mut held = self.connection(deadline).await?;
+        // The lease that the request is sent under may have ended while it waited for a connection, and its slot may have
+        // another owner. Sent all the same, it would run there at a server that checks nothing.
+        if let Err(reason) = may_send() {
+            self.shared.put(held);
+            return Err(Failure::not_run(reason));
+        }
         let mut sent = pin!(held.connection.sender.try_send_request(req));
         // Bound after `sent`, so dropped before it: hyper closes the whole socket when it sees that nobody waits.
         let mut held = held;
--- a/crates/jacinthbeam-platform/src/backend/shared.rs
+++ b/crates/jacinthbeam-platform/src/backend/shared.rs
@@ -148,7 +148,7 @@
         });
     }
 
-    fn put(&self, held: Held) {
+    pub(super) fn put(&self, held: Held) {
         let since = self.clock.now();
         let mut state = self.state();
         // A connection that ended meanwhile must not be put, since its place won't take it out any more.
--- a/crates/jacinthbeam-platform/tests/backend/closed.rs
+++ b/crates/jacinthbeam-platform/tests/backend/closed.rs
@@ -9,7 +9,7 @@
 
 /// Sends a request whose sender goes away while it runs. Returns the server's end of the connection.
 async fn give_up(pool: &Pool, fake: &Fake, closed: oneshot::Sender<()>) -> Peer {
-    let sent = pool.send_watched(get("/"), far(), closed);
+    let sent = pool.send_watched(get("/"), far(), closed, || Ok(()));
     tokio::select! {
         _ = sent => unreachable!("nobody answers"),
         peer = async {
@@ -56,7 +56,7 @@
     let pool = pool(fake.addr(), 1);
     let (closed, mut is_closed) = oneshot::channel();
     let (answer, mut peer) = tokio::join!(
-        pool.send_watched(get("/"), far(), closed),
+        pool.send_watched(get("/"), far(), closed, || Ok(())),
         fake.serve(&WHOLE[..WHOLE.len() - 2])
     );
     drop(answer.unwrap());
@@ -74,7 +74,7 @@
     let pool = pool(fake.addr(), 1);
     let (closed, is_closed) = oneshot::channel();
     let (answer, _peer) =
-        tokio::join!(pool.send_watched(get("/"), far(), closed), fake.serve(WHOLE));
+        tokio::join!(pool.send_watched(get("/"), far(), closed, || Ok(())), fake.serve(WHOLE));
     assert_eq!(whole(answer.unwrap()).await.unwrap(), "brine");
     assert!(within(is_closed).await.is_err());
     assert_eq!(pool.snapshot().idle, 1);
--- a/crates/jacinthbeam-platform/tests/backend/limit.rs
+++ b/crates/jacinthbeam-platform/tests/backend/limit.rs
@@ -86,3 +86,30 @@
     let failure = pool.send(get("/"), soon).await.unwrap_err();
     assert_eq!(failure.verdict, Verdict::NotRun);
 }
+
+// Two requests share the only connection. The second one waits for it, and the lease that it is sent
+// under ends meanwhile. It is refused as not-run and no byte of it reaches the server, which may not
+// be the owner of its key any more. The connection serves the next request.
+#[tokio::test]
+async fn a_request_whose_lease_ended_in_the_wait_is_not_written() {
+    let fake = Fake::bind().await;
+    let pool = pool(fake.addr(), 1);
+    let (closed, _) = tokio::sync::oneshot::channel();
+    let late = pool.send_watched(get("/late"), far(), closed, || Err(Reason::NoLease));
+    let first = async { whole(pool.send(get("/first"), far()).await.unwrap()).await.unwrap() };
+    let serve = async {
+        let mut peer = fake.accept().await;
+        assert!(peer.request().await.contains("/first"));
+        peer.say(WHOLE).await;
+        peer
+    };
+    let (_, refused, mut peer) = tokio::join!(first, late, serve);
+    let refused = refused.unwrap_err();
+    assert_eq!((refused.verdict, refused.reason), (Verdict::NotRun, Reason::NoLease));
+    let next = async { whole(pool.send(get("/next"), far()).await.unwrap()).await.unwrap() };
+    let serve = async {
+        assert!(peer.request().await.contains("/next"));
+        peer.say(WHOLE).await;
+    };
+    tokio::join!(next, serve);
+}
