--- a/crates/jacinthbeam-platform/src/connection/mod.rs
+++ b/crates/jacinthbeam-connection/src/connection.rs
@@ -1,8 +1,5 @@
 //! One HTTP/1.1 connection, closed as soon as its handle is dropped.
 
-pub(crate) mod line;
-mod socket;
-
 use std::{
     io,
     net::{IpAddr, SocketAddr},
@@ -16,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
-use socket::{Ending, Socket, Watch};
+use crate::socket::{Ending, Socket, Watch};
 
 /// What a streamed request body may fail with.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -25,15 +22,15 @@
 const CLOSES_WITHIN: Duration = Duration::from_millis(500);
 
 /// Told when a server has closed its end of a connection; dropped if that is never known.
-pub(crate) type Closed = oneshot::Sender<()>;
+pub type Closed = oneshot::Sender<()>;
 
 /// Handle of a connection; dropping it closes the socket, whatever is in progress on it.
 #[derive(Debug)]
-pub(crate) struct Connection<B> {
+pub struct Connection<B> {
     /// Takes one request at a time.
-    pub(crate) sender: SendRequest<B>,
+    pub sender: SendRequest<B>,
     /// Who is told, if the connection is dropped now, that the server has closed its end.
-    pub(crate) closed: Option<Closed>,
+    pub closed: Option<Closed>,
     driver: AbortHandle,
     given_up: Option<oneshot::Sender<Closed>>,
     watch: Watch,
@@ -41,7 +38,7 @@
 
 impl<B> Connection<B> {
     /// Whether an idle connection can take a request: it is open, and nothing has arrived on it.
-    pub(crate) fn is_quiet(&self) -> bool {
+    pub fn is_quiet(&self) -> bool {
         !self.sender.is_closed() && self.watch.is_quiet()
     }
 }
@@ -60,17 +57,22 @@
     }
 }
 
-/// Connects, from the IP number `source` if one is given. `guard` is dropped when the socket is closed, not before.
-pub(crate) async fn open<B, G>(
-    source: Option<IpAddr>,
-    addr: SocketAddr,
-    guard: G,
-) -> io::Result<Connection<B>>
+/// How to connect.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Options {
+    /// IP number of this host that the connection comes from. Default `None`: the system picks one.
+    pub source: Option<IpAddr>,
+    /// Whether closing the connection resets it, which takes back what has not arrived. Default `false`.
+    pub reset: bool,
+}
+
+/// Connects. `guard` is dropped when the socket is closed, not before.
+pub async fn open<B, G>(options: Options, addr: SocketAddr, guard: G) -> io::Result<Connection<B>>
 where
     B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
     G: Send + Unpin + 'static,
 {
-    let socket = Socket::connect(source, addr).await?;
+    let socket = Socket::connect(options, addr).await?;
     let watch = socket.watch();
     let kept = Kept { ending: socket.ending(), guard };
     let (sender, conn) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
--- a/crates/jacinthbeam-platform/src/connection/line.rs
+++ b/crates/jacinthbeam-connection/src/line.rs
@@ -11,13 +11,13 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::MapErr};
 use tokio::{sync::Mutex, time::Instant};
 
-use super::{BoxError, Connection};
+use crate::connection::{self, BoxError, Connection};
 
 type LineBody = MapErr<Full<Bytes>, fn(std::convert::Infallible) -> BoxError>;
 
 /// Why an exchange got no whole answer.
 #[derive(Debug)]
-pub(crate) enum Error {
+pub enum Error {
     /// Nothing of the request was written.
     NotSent(String),
     /// The request may have arrived; no whole answer came.
@@ -33,29 +33,39 @@
     }
 }
 
+/// Longest attempt to connect. A path that loses the first packet sends the next one after a second.
+const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
+
 /// A kept connection to one address. Exchanges wait for each other.
 #[derive(Debug)]
-pub(crate) struct Line {
-    source: Option<IpAddr>,
+pub struct Line {
     addr: SocketAddr,
     max_answer: usize,
+    how: connection::Options,
     kept: Mutex<Option<Connection<LineBody>>>,
 }
 
 impl Line {
     /// A line that is not connected yet. An answer's body may have up to `max_answer` bytes.
-    pub(crate) fn new(addr: SocketAddr, max_answer: usize) -> Self {
-        Self { source: None, addr, max_answer, kept: Mutex::new(None) }
+    pub fn new(addr: SocketAddr, max_answer: usize) -> Self {
+        Self { addr, max_answer, how: connection::Options::default(), kept: Mutex::new(None) }
     }
 
     /// Connects from this IP number of the host; the system picks one for `None`.
-    pub(crate) fn bound_to(mut self, source: Option<IpAddr>) -> Self {
-        self.source = source;
+    pub fn bound_to(mut self, source: Option<IpAddr>) -> Self {
+        self.how.source = source;
+        self
+    }
+
+    /// Resets the connection when an exchange is given up. What was written and has not arrived is then lost for certain,
+    /// in place of arriving when a broken path heals.
+    pub fn resetting(mut self) -> Self {
+        self.how.reset = true;
         self
     }
 
     /// Sends a request and reads its whole answer; `timeout` covers the wait for the line too.
-    pub(crate) async fn exchange(
+    pub async fn exchange(
         &self,
         req: Request<Bytes>,
         timeout: Duration,
@@ -72,7 +82,7 @@
     }
 
     /// As [`Line::exchange`], over a new connection, which is kept in place of the old one.
-    pub(crate) async fn exchange_anew(
+    pub async fn exchange_anew(
         &self,
         req: Request<Bytes>,
         timeout: Duration,
@@ -115,7 +125,8 @@
     }
 
     async fn connect(&self, deadline: Instant) -> Result<Connection<LineBody>, Error> {
-        match tokio::time::timeout_at(deadline, super::open(self.source, self.addr, ())).await {
+        let by = deadline.min(Instant::now() + CONNECT_WITHIN);
+        match tokio::time::timeout_at(by, connection::open(self.how, self.addr, ())).await {
             Ok(Ok(conn)) => Ok(conn),
             Ok(Err(err)) => Err(Error::NotSent(format!("no connection to {}: {err}", self.addr))),
             Err(_) => Err(Error::NotSent(format!("no connection to {} in time", self.addr))),
--- a/crates/jacinthbeam-platform/src/connection/socket.rs
+++ b/crates/jacinthbeam-connection/src/socket.rs
@@ -7,25 +7,29 @@
     pin::Pin,
     sync::{Arc, Weak},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
+
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpSocket, TcpStream},
 };
 
+use crate::connection::Options;
+
 /// The socket, for the one task that reads and writes it.
 #[derive(Debug)]
-pub(super) struct Socket(Arc<TcpStream>);
+pub(crate) struct Socket(Arc<TcpStream>);
 
 /// Looks at the socket of an idle connection. Does not keep it open.
 #[derive(Debug)]
-pub(super) struct Watch(Weak<TcpStream>);
+pub(crate) struct Watch(Weak<TcpStream>);
 
 /// Keeps the socket open, to see how it ends.
 #[derive(Debug)]
-pub(super) struct Ending(Arc<TcpStream>);
+pub(crate) struct Ending(Arc<TcpStream>);
 
 /// Bytes of an abandoned answer that are read on the way to its end.
 const MAX_REST: usize = 256 << 10;
@@ -34,7 +38,7 @@
     /// Closes the socket for writing. Returns whether the server has closed its end, when it has, or when that will not be known.
     ///
     /// A reset counts as unknown: it may come from something between the two ends.
-    pub(super) async fn wait(&self) -> bool {
+    pub(crate) async fn wait(&self) -> bool {
         if SockRef::from(&*self.0).shutdown(Shutdown::Write).is_err() {
             return false;
         }
@@ -56,25 +60,44 @@
 }
 
 impl Socket {
-    /// Connects, from an IP number of this host if one is given.
-    pub(super) async fn connect(source: Option<IpAddr>, addr: SocketAddr) -> io::Result<Self> {
-        let stream = match source {
+    pub(crate) async fn connect(options: Options, addr: SocketAddr) -> io::Result<Self> {
+        let stream = match options.source {
             None => TcpStream::connect(addr).await?,
             Some(source) => connect_from(source, addr).await?,
         };
         stream.set_nodelay(true)?;
+        notice_silence(&SockRef::from(&stream))?;
+        if options.reset {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        }
         Ok(Self(Arc::new(stream)))
     }
 
-    pub(super) fn watch(&self) -> Watch {
+    pub(crate) fn watch(&self) -> Watch {
         Watch(Arc::downgrade(&self.0))
     }
 
-    pub(super) fn ending(&self) -> Ending {
+    pub(crate) fn ending(&self) -> Ending {
         Ending(self.0.clone())
     }
 }
 
+/// A connection may go silent for good while new ones work. Without probes a wait on it would last to the end of its
+/// timeout, which for a long poll is half a minute of missed changes; with them it ends after [`SILENT_FOR`] or so.
+fn notice_silence(socket: &SockRef<'_>) -> io::Result<()> {
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY).with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENT_FOR))
+}
+
+/// Pause between probes of a connection on which nothing comes. Whole seconds are all that the system counts in.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Bytes or probes unacknowledged for this long end a connection: some hundred round trips, and short enough that a change
+/// missed meanwhile can still act within its two seconds.
+const SILENT_FOR: Duration = Duration::from_millis(1200);
+
 async fn connect_from(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.bind(SocketAddr::new(source, 0))?;
@@ -87,7 +110,7 @@
     /// What has arrived on an idle connection is its end, or bytes that nobody asked for. The connection's task may
     /// not have run since. A request sent now would be lost in the first case, though the server never saw it, and in
     /// the second it could be given another one's answer. Asking the kernel leaves only what is still on its way.
-    pub(super) fn is_quiet(&self) -> bool {
+    pub(crate) fn is_quiet(&self) -> bool {
         let Some(stream) = self.0.upgrade() else { return false };
         let mut buf = [MaybeUninit::uninit(); 1];
         let seen = SockRef::from(&*stream).peek(&mut buf);
--- /dev/null
+++ b/crates/jacinthbeam-dispatch/src/budget.rs
@@ -0,0 +1,85 @@
+//! How many requests this host may send to a second backend server.
+//!
+//! All hosts together have a budget for each service: a share of the requests of a window of time, and a fixed number besides.
+//! A host can't know what the others spend, so each keeps to the share of its own requests and to its part of the fixed number.
+//! The sum over all hosts then stays within the budget without a message between them.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// The budget of all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, in each window.
+    pub burst: f64,
+    /// Length of the window, which may lie anywhere.
+    pub window: Duration,
+}
+
+/// Parts that a window is counted in. Counts leave the window one part late, so what is allowed is low by a tenth at most.
+const PARTS: u32 = 10;
+
+/// This host's share of the budget of one service.
+#[derive(Debug)]
+pub struct Budget {
+    options: Options,
+    /// Hosts among which the fixed number is divided.
+    hosts: u32,
+    parts: VecDeque<Part>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    since: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+impl Budget {
+    /// A budget of which nothing is used, to be shared among `hosts`.
+    pub fn new(options: Options, hosts: u32) -> Self {
+        Self { options, hosts: hosts.max(1), parts: VecDeque::new() }
+    }
+
+    /// Changes the number of hosts that share.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Counts a request of a caller.
+    pub fn on_request(&mut self, now: Instant) {
+        self.part(now).requests += 1;
+    }
+
+    /// Takes one repeat out of the budget, if there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.part(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        let fixed = self.options.burst / f64::from(self.hosts);
+        let allowed = self.options.ratio * f64::from(requests) + fixed;
+        let may = f64::from(repeats) + 1.0 <= allowed;
+        if may {
+            self.part(now).repeats += 1;
+        }
+        may
+    }
+
+    fn part(&mut self, now: Instant) -> &mut Part {
+        let length = self.options.window / PARTS;
+        let keep = self.options.window + length;
+        let old = |part: &Part| now.saturating_duration_since(part.since) >= keep;
+        while self.parts.front().is_some_and(old) {
+            self.parts.pop_front();
+        }
+        let last = self.parts.back().map(|part| part.since);
+        if last.is_none_or(|since| now.saturating_duration_since(since) >= length) {
+            self.parts.push_back(Part { since: now, requests: 0, repeats: 0 });
+        }
+        self.parts.back_mut().expect("a part was just added if there was none")
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-dispatch/src/server.rs
@@ -0,0 +1,101 @@
+//! What this host has seen of one backend server.
+
+use std::time::{Duration, Instant};
+
+/// Weight of a new answer in the mean: the last eight or so count, which a host sees of a server within some seconds.
+const WEIGHT: f64 = 0.2;
+
+/// Time of an answer assumed before the first: a middling value, so that a new server is tried but not flooded.
+const ASSUMED: Duration = Duration::from_millis(200);
+
+/// Pause after a server refused a request for want of room. Half the time that one of its requests takes, so that about one
+/// slot has become free.
+const FULL_FOR: Duration = Duration::from_millis(100);
+
+/// Pause after a server could not be reached, doubled with each further failure up to [`LONGEST_AVOIDED`].
+const AVOIDED_FOR: Duration = Duration::from_millis(500);
+
+/// Longest such pause: a server that has come back gets work again within it.
+const LONGEST_AVOIDED: Duration = Duration::from_secs(4);
+
+/// Part of a server's requests that failed, above which it is used only when the others are no better.
+const FAILING: f64 = 0.25;
+
+/// Observations of one server, by one host.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Requests of this host that are at the server now.
+    pub in_flight: u32,
+    mean: Duration,
+    /// Faded share of requests that ended without a good answer.
+    failed: f64,
+    failures_in_row: u32,
+    full_until: Option<Instant>,
+    avoided_until: Option<Instant>,
+}
+
+impl Default for Seen {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            mean: ASSUMED,
+            failed: 0.0,
+            failures_in_row: 0,
+            full_until: None,
+            avoided_until: None,
+        }
+    }
+}
+
+impl Seen {
+    /// A whole answer came after this time.
+    pub fn on_answer(&mut self, took: Duration) {
+        self.mean = self.mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT);
+        self.failed *= 1.0 - WEIGHT;
+        self.failures_in_row = 0;
+        self.avoided_until = None;
+    }
+
+    /// The server refused a request for want of room.
+    pub fn on_full(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL_FOR);
+    }
+
+    /// The server answered with an error of its own.
+    pub fn on_error(&mut self) {
+        self.failed = self.failed * (1.0 - WEIGHT) + WEIGHT;
+    }
+
+    /// The server could not be reached, fell silent or broke off.
+    pub fn on_failure(&mut self, now: Instant) {
+        self.on_error();
+        let pause = AVOIDED_FOR * 2u32.pow(self.failures_in_row.min(3));
+        self.failures_in_row += 1;
+        self.avoided_until = Some(now + pause.min(LONGEST_AVOIDED));
+    }
+
+    /// Whether the server was full a moment ago.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the server failed a moment ago.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether many of its requests fail though it answers.
+    pub fn is_failing(&self) -> bool {
+        self.failed > FAILING
+    }
+
+    /// Mean time of an answer.
+    pub fn mean(&self) -> Duration {
+        self.mean
+    }
+
+    /// Time after which one more request would be answered, as far as this host can tell.
+    pub fn expected(&self, slots: u32) -> Duration {
+        self.mean.mul_f64(1.0 + f64::from(self.in_flight) / f64::from(slots.max(1)))
+    }
+}
--- a/crates/jacinthbeam-entry/examples/control.rs
+++ b/crates/jacinthbeam-entry/examples/control.rs
@@ -13,7 +13,7 @@
 
 use jacinthbeam_config::settings::{Limits, Settings, TimingSettings};
 use jacinthbeam_entry::process::{Handle, dump::Dump, spawn};
-use jacinthbeam_platform::format::hosts::{EntryHost, HostList};
+use jacinthbeam_native::format::hosts::{EntryHost, HostList};
 use jacinthbeam_standin as standin;
 use jacinthbeam_types::prelude::*;
 
--- a/crates/jacinthbeam-entry/src/process/control/append.rs
+++ b/crates/jacinthbeam-entry/src/process/control/append.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use jacinthbeam_platform::log;
+use jacinthbeam_native::log;
 use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId};
 use jacinthbeam_types::prelude::*;
 
--- a/crates/jacinthbeam-entry/src/process/control/attend/exchange.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend/exchange.rs
@@ -7,11 +7,11 @@
     attendant::{self, AppendId, Reply},
     witness::Probe,
 };
-use jacinthbeam_peer::message::{self, Answer, Question};
-use jacinthbeam_platform::{
+use jacinthbeam_native::{
     format::backend as format,
     grant::{self, Outcome},
 };
+use jacinthbeam_peer::message::{self, Answer, Question};
 use jacinthbeam_state::Record;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
--- a/crates/jacinthbeam-entry/src/process/control/attend/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend/mod.rs
@@ -7,7 +7,7 @@
     Action, Attendant, Cx,
     attendant::{self, Identity, PlannedMove},
 };
-use jacinthbeam_platform::grant;
+use jacinthbeam_native::grant;
 use jacinthbeam_types::prelude::*;
 
 use super::Control;
--- a/crates/jacinthbeam-entry/src/process/control/attend/traffic.rs
+++ b/crates/jacinthbeam-entry/src/process/control/attend/traffic.rs
@@ -4,7 +4,7 @@
 
 use jacinthbeam_admission::server::Report;
 use jacinthbeam_lease::{Permit, attendant};
-use jacinthbeam_platform::backend::{self, Pool};
+use jacinthbeam_native::backend::{self, Pool};
 use jacinthbeam_state::Division;
 use jacinthbeam_types::prelude::*;
 
--- a/crates/jacinthbeam-entry/src/process/control/cell.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cell.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jacinthbeam_platform::format::hosts::HostList;
+use jacinthbeam_native::format::hosts::HostList;
 use jacinthbeam_types::prelude::*;
 
 use super::{Control, Event, snapshot::rank};
--- a/crates/jacinthbeam-entry/src/process/control/cells.rs
+++ b/crates/jacinthbeam-entry/src/process/control/cells.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use jacinthbeam_platform::format::hosts::HostList;
+use jacinthbeam_native::format::hosts::HostList;
 use jacinthbeam_state::State;
 use jacinthbeam_types::prelude::*;
 
--- a/crates/jacinthbeam-entry/src/process/control/event.rs
+++ b/crates/jacinthbeam-entry/src/process/control/event.rs
@@ -7,9 +7,9 @@
 
 use jacinthbeam_admission::usage::BatchId;
 use jacinthbeam_lease::attendant;
+use jacinthbeam_native::{format::hosts::HostList, log::read};
 use jacinthbeam_peer::message::{Answer, Heartbeat, Probe, Question, ServerLoad};
 use jacinthbeam_placement::PlannedMove;
-use jacinthbeam_platform::{format::hosts::HostList, log::read};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
 
--- a/crates/jacinthbeam-entry/src/process/control/fanout.rs
+++ b/crates/jacinthbeam-entry/src/process/control/fanout.rs
@@ -10,8 +10,8 @@
 };
 
 use jacinthbeam_lease::Timing;
+use jacinthbeam_native::log::read::{Batch, Error, Record};
 use jacinthbeam_peer::message::{Answer, Question, Records};
-use jacinthbeam_platform::log::read::{Batch, Error, Record};
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
 
 use super::{
--- a/crates/jacinthbeam-entry/src/process/control/follow.rs
+++ b/crates/jacinthbeam-entry/src/process/control/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jacinthbeam_platform::log::read::{Batch, Error};
+use jacinthbeam_native::log::read::{Batch, Error};
 use jacinthbeam_state::{
     CONTROL, Change, Outcome, State,
     load::{Loader, Step},
--- a/crates/jacinthbeam-entry/src/process/control/mod.rs
+++ b/crates/jacinthbeam-entry/src/process/control/mod.rs
@@ -37,8 +37,8 @@
 use jacinthbeam_lease::{
     Members, Observed, Proofs, Timing, Witness, membership::Heard, witnesses::Planner,
 };
+use jacinthbeam_native::{format::hosts::HostList, hosts, log};
 use jacinthbeam_peer::{Client, message::Details};
-use jacinthbeam_platform::{format::hosts::HostList, hosts, log};
 use jacinthbeam_state::State;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::mpsc;
--- a/crates/jacinthbeam-entry/src/process/control/snapshot.rs
+++ b/crates/jacinthbeam-entry/src/process/control/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jacinthbeam_platform::format::hosts::HostList;
+use jacinthbeam_native::format::hosts::HostList;
 use jacinthbeam_state::CONTROL;
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
 
--- a/crates/jacinthbeam-entry/src/process/control/totals.rs
+++ b/crates/jacinthbeam-entry/src/process/control/totals.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use jacinthbeam_admission::usage::{self, Fold, Pace, Record};
-use jacinthbeam_platform::log::read::{Batch, Error};
+use jacinthbeam_native::log::read::{Batch, Error};
 use jacinthbeam_state::USAGE;
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
 
--- a/crates/jacinthbeam-entry/src/process/control/usage.rs
+++ b/crates/jacinthbeam-entry/src/process/control/usage.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use jacinthbeam_admission::usage::{BatchId, Record, encode, flush_every};
-use jacinthbeam_platform::log::append::Error;
+use jacinthbeam_native::log::append::Error;
 use jacinthbeam_state::USAGE;
 
 use super::{Control, Event};
--- a/crates/jacinthbeam-entry/src/request/run.rs
+++ b/crates/jacinthbeam-entry/src/request/run.rs
@@ -8,15 +8,15 @@
     duplicate::{Begin, Scope, StoredAnswer},
     server::{Outcome, Ticket},
 };
+use jacinthbeam_native::{
+    backend::{self, AnswerBody, Failure},
+    format::backend as format,
+};
 use jacinthbeam_peer::{
     Body,
     body::Cut,
     message::{ForwardHead, ForwardReply},
 };
-use jacinthbeam_platform::{
-    backend::{self, AnswerBody, Failure},
-    format::backend as format,
-};
 use jacinthbeam_types::prelude::*;
 
 use super::body::{OutBody, fingerprint};
@@ -278,7 +278,7 @@
 }
 
 fn outcome(failure: &Failure) -> Outcome {
-    use jacinthbeam_platform::format::backend::RefusedBecause;
+    use jacinthbeam_native::format::backend::RefusedBecause;
     match (failure.verdict, failure.refused) {
         (Verdict::NotRun, Some(RefusedBecause::Shed)) => Outcome::Shed,
         (Verdict::NotRun, Some(_)) => Outcome::Refused,
--- a/crates/jacinthbeam-entry/src/version/attended/mod.rs
+++ b/crates/jacinthbeam-entry/src/version/attended/mod.rs
@@ -13,8 +13,8 @@
     Admission, Gate, MIN_RETRY_AFTER, Options, Outcome, Refused, Report,
 };
 use jacinthbeam_lease::Permit;
+use jacinthbeam_native::backend::Pool;
 use jacinthbeam_placement::hot::Sketch;
-use jacinthbeam_platform::backend::Pool;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::oneshot;
 
--- a/crates/jacinthbeam-entry/tests/memory/support.rs
+++ b/crates/jacinthbeam-entry/tests/memory/support.rs
@@ -21,7 +21,7 @@
     settings::{Limits, Settings, TimingSettings},
 };
 use jacinthbeam_entry::process::{Handle, dump::Dump, spawn};
-use jacinthbeam_platform::format::hosts::{BackendServer, EntryHost, HostList};
+use jacinthbeam_native::format::hosts::{BackendServer, EntryHost, HostList};
 use jacinthbeam_standin as standin;
 use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId, State};
 use jacinthbeam_types::{key::rendezvous_weight, prelude::*};
--- a/crates/jacinthbeam-entry/tests/process/cells.rs
+++ b/crates/jacinthbeam-entry/tests/process/cells.rs
@@ -1,5 +1,5 @@
 use jacinthbeam_entry::process::control::cells::CellBook;
-use jacinthbeam_platform::format::hosts::{EntryHost, HostList};
+use jacinthbeam_native::format::hosts::{EntryHost, HostList};
 use jacinthbeam_state::{Envelope, Record, RecordId, State, witness::Witness};
 use jacinthbeam_types::prelude::*;
 
--- a/crates/jacinthbeam-entry/tests/process/fanout.rs
+++ b/crates/jacinthbeam-entry/tests/process/fanout.rs
@@ -1,11 +1,11 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use jacinthbeam_entry::process::{Handle, dump::Dump, spawn};
+use jacinthbeam_native::format::hosts::{EntryHost, HostList};
 use jacinthbeam_peer::{
     Client,
     message::{Answer, Question, Records},
 };
-use jacinthbeam_platform::format::hosts::{EntryHost, HostList};
 use jacinthbeam_standin as standin;
 use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId};
 use jacinthbeam_types::prelude::*;
--- a/crates/jacinthbeam-entry/tests/process/snapshot.rs
+++ b/crates/jacinthbeam-entry/tests/process/snapshot.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use jacinthbeam_entry::process::control::snapshot::{Pace, rank};
-use jacinthbeam_platform::format::hosts::{EntryHost, HostList};
+use jacinthbeam_native::format::hosts::{EntryHost, HostList};
 use jacinthbeam_types::prelude::*;
 
 const HOSTS: usize = 2000;
--- a/crates/jacinthbeam-entry/tests/support/mod.rs
+++ b/crates/jacinthbeam-entry/tests/support/mod.rs
@@ -17,8 +17,8 @@
     settings::{Limits, Settings, TimingSettings},
 };
 use jacinthbeam_entry::{Handle, process::dump::Dump};
+use jacinthbeam_native::format::hosts::{BackendServer, EntryHost, HostList};
 use jacinthbeam_peer::server::{self, Handler};
-use jacinthbeam_platform::format::hosts::{BackendServer, EntryHost, HostList};
 use jacinthbeam_standin::{backend, hosts, log};
 use jacinthbeam_state::{CONTROL, Envelope, Record, RecordId, USAGE};
 use jacinthbeam_types::prelude::*;
--- a/crates/jacinthbeam-entry/tests/version/attended.rs
+++ b/crates/jacinthbeam-entry/tests/version/attended.rs
@@ -13,7 +13,7 @@
 use jacinthbeam_admission::server::{Options, Outcome, Report, Ticket};
 use jacinthbeam_entry::version::attended::{Attended, Place};
 use jacinthbeam_lease::Permit;
-use jacinthbeam_platform::backend::Pool;
+use jacinthbeam_native::backend::Pool;
 use jacinthbeam_types::{clock::ManualClock, prelude::*};
 
 /// The lease runs for this long.
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -0,0 +1,178 @@
+//! Calls to backend servers that grant keys or take them back.
+
+use std::{
+    cell::Cell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_connection::{Line, line};
+use jacinthbeam_range::{
+    KeyRange, Owner,
+    grantor::{Call, NoAnswer, Outcome, timing::HOLD},
+};
+use jacinthbeam_types::prelude::*;
+use tokio::task::spawn_local;
+
+use super::input::{Input, Tx};
+use crate::{
+    Wire,
+    wire::{Granted, Released},
+};
+
+/// Time for the answer to a grant. A server answers in a millisecond or two, and a connection that loses a packet in half a
+/// second; while it is waited for, nothing else is granted to the server.
+const GRANT_WITHIN: Duration = Duration::from_millis(600);
+
+/// Time for the answer to a release, which comes when the running requests of the keys have ended. After it the keys wait for
+/// the end of the hold, which is about as long.
+const RELEASE_WITHIN: Duration = Duration::from_millis(4000);
+
+/// Longest body of an answer.
+const MAX_ANSWER: usize = 64 << 10;
+
+/// The epoch that this process leads in; calls of an earlier one are not sent any more.
+pub(super) type Leads = Rc<Cell<Option<Epoch>>>;
+
+/// Connections for grants, one to each server. They are reset when a call is given up: a grant that would arrive after that
+/// could outlast the wait for its end.
+#[derive(Debug)]
+pub(super) struct Caller {
+    wire: Wire,
+    clock: Arc<dyn Clock>,
+    tx: Tx,
+    lines: BTreeMap<SocketAddr, Rc<Line>>,
+}
+
+impl Caller {
+    pub(super) fn new(wire: Wire, clock: Arc<dyn Clock>, tx: Tx) -> Self {
+        Self { wire, clock, tx, lines: BTreeMap::new() }
+    }
+
+    /// Closes connections to servers other than these.
+    pub(super) fn keep_only(&mut self, addrs: &[SocketAddr]) {
+        self.lines.retain(|addr, line| addrs.contains(addr) || Rc::strong_count(line) > 1);
+    }
+
+    /// Sends grants to one server, one after the other, for as long as `until` and `epoch` allow.
+    pub(super) fn grant(
+        &mut self,
+        service: ServiceName,
+        to: Owner,
+        calls: Vec<Call>,
+        until: Instant,
+        epoch: Epoch,
+        leads: Leads,
+    ) {
+        let new = || Rc::new(Line::new(to.addr, MAX_ANSWER).resetting());
+        let line = self.lines.entry(to.addr).or_insert_with(new).clone();
+        let (wire, clock, tx) = (self.wire, self.clock.clone(), self.tx.clone());
+        spawn_local(async move {
+            let mut round = Round::new();
+            for call in &calls {
+                // Asked right before each call: this process may have been suspended, or replaced, since it was ordered.
+                if clock.now() >= until || leads.get() != Some(epoch) {
+                    round.outcome = Outcome::NotSent;
+                    break;
+                }
+                if !round.send(wire, &*clock, &line, &to, call).await {
+                    break;
+                }
+            }
+            log_round(&service, &to, &round, calls.len());
+            let Round { outcome, last_call, confirmed, refused } = round;
+            let server = to.server;
+            let input = Input::Granted { service, server, outcome, last_call, confirmed, refused };
+            if tx.send(input).is_err() {
+                log::debug!("grant: event=stopped-meanwhile");
+            }
+        });
+    }
+
+    /// Takes keys back, over a connection of its own: the answer may take as long as a request.
+    pub(super) fn release(&self, service: ServiceName, from: Owner, range: KeyRange, token: Token) {
+        let (wire, tx) = (self.wire, self.tx.clone());
+        spawn_local(async move {
+            let line = Line::new(from.addr, MAX_ANSWER);
+            let req = (wire.release)(&from, range, token);
+            let answer = line.exchange(req, RELEASE_WITHIN).await;
+            let handover = match answer.map(|res| (wire.released)(&from, &res)) {
+                Ok(Released::Done(handover)) => Ok(handover),
+                // The life that held the keys has ended.
+                Ok(Released::OtherServer) => Ok(None),
+                Ok(Released::Unclear) | Err(_) => Err(NoAnswer),
+            };
+            log::info!(
+                "grant: event=release service={service} server={} range={range} token={token} outcome={handover:?}",
+                from.server
+            );
+            if tx.send(Input::Released { service, range, token, handover }).is_err() {
+                log::debug!("grant: event=stopped-meanwhile");
+            }
+        });
+    }
+}
+
+/// What came of the calls to one server so far.
+struct Round {
+    outcome: Outcome,
+    last_call: Option<Instant>,
+    confirmed: Vec<(KeyRange, Token)>,
+    refused: Vec<KeyRange>,
+}
+
+impl Round {
+    fn new() -> Self {
+        Self {
+            outcome: Outcome::Answered,
+            last_call: None,
+            confirmed: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    /// Sends one grant. Returns whether to go on with the next.
+    async fn send(
+        &mut self,
+        wire: Wire,
+        clock: &dyn Clock,
+        line: &Line,
+        to: &Owner,
+        call: &Call,
+    ) -> bool {
+        let answer = line.exchange((wire.grant)(to, call, HOLD), GRANT_WITHIN).await;
+        let granted = match answer {
+            Ok(res) => (wire.granted)(to, &res),
+            Err(line::Error::NotSent(_)) => {
+                self.outcome = Outcome::Silent;
+                return false;
+            }
+            Err(line::Error::Lost(_)) => Granted::Unclear,
+        };
+        self.last_call = Some(clock.now());
+        match granted {
+            Granted::Held => self.confirmed.push((call.range, call.token)),
+            Granted::HigherSeen => self.refused.push(call.range),
+            Granted::OtherServer => self.outcome = Outcome::Ended,
+            Granted::Unclear => self.outcome = Outcome::Silent,
+        }
+        self.outcome == Outcome::Answered
+    }
+}
+
+fn log_round(service: &ServiceName, to: &Owner, round: &Round, calls: usize) {
+    if round.outcome == Outcome::Answered && round.refused.is_empty() {
+        log::debug!("grant: event=round service={service} server={} calls={calls}", to.server);
+        return;
+    }
+    log::info!(
+        "grant: event=round service={service} server={} calls={calls} outcome={:?} confirmed={} refused={}",
+        to.server,
+        round.outcome,
+        round.confirmed.len(),
+        round.refused.len(),
+    );
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -0,0 +1,83 @@
+//! Following the store.
+
+use std::{sync::Arc, time::Duration};
+
+use jacinthbeam_store::{
+    Backoff, Client, Error, Partition,
+    keyed::{Changes, Follower},
+};
+use jacinthbeam_types::prelude::*;
+
+use super::input::{Input, Tx};
+
+/// Where records change seldom, a read waits this long for the next: two calls a minute, and a change is heard of at once.
+pub(super) const LONG_POLL: Duration = Duration::from_secs(25);
+
+/// Pause between reads of the backend servers' entries. Each of them writes once a second or so, so that a read that waits
+/// would come back at once. What is learnt of a server's leaving has two seconds to act.
+pub(super) const SERVERS_EVERY: Duration = Duration::from_millis(500);
+
+/// Pause between reads of the hosts' entries, all of which come within the same second.
+pub(super) const HOSTS_EVERY: Duration = Duration::from_millis(2000);
+
+/// Pauses after failed reads.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// How one partition is followed.
+pub(super) struct Followed {
+    /// The partition.
+    pub(super) partition: Partition,
+    /// Longest wait of a read.
+    pub(super) wait: Duration,
+    /// Pause between reads.
+    pub(super) every: Duration,
+}
+
+/// Follows a partition for ever. `input` makes an input of what was read and when the read was sent.
+pub(super) async fn follow(
+    store: Client,
+    followed: Followed,
+    clock: Arc<dyn Clock>,
+    tx: Tx,
+    input: impl Fn(std::time::Instant, Changes) -> Input,
+) {
+    let lane = store.lane();
+    let mut follower = Follower::new(followed.partition);
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+    let mut lost = false;
+    loop {
+        let asked = clock.now();
+        match follower.look(&lane, followed.wait).await {
+            Ok(changes) => {
+                if std::mem::take(&mut lost) {
+                    log::info!("store: event=regained partition={}", follower.partition());
+                }
+                backoff.reset();
+                if tx.send(input(asked, changes)).is_err() {
+                    return;
+                }
+                tokio::time::sleep(followed.every).await;
+            }
+            Err(err) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!("store: event=lost partition={} error={err}", follower.partition());
+                }
+                tokio::time::sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
+
+/// Looks once whether a partition has anything after `at`.
+pub(super) async fn is_unchanged(
+    lane: &jacinthbeam_store::Lane,
+    partition: Partition,
+    at: Offset,
+) -> Result<bool, Error> {
+    let call = jacinthbeam_store::Call::Read { from: partition, at, wait: Duration::ZERO };
+    match lane.call(&call).await? {
+        jacinthbeam_store::Reply::Records { records, end } => Ok(records.is_empty() && end == at),
+        _ => Err(Error::Malformed("not the answer to a read".into())),
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -0,0 +1,148 @@
+//! The control thread: what this host knows, and its part in granting keys.
+//!
+//! All state is in one [`Control`], changed by one [`Input`] at a time. Everything that waits (reads of the store, calls to
+//! backend servers) runs in tasks that send an input when they are done.
+
+mod calls;
+mod duty;
+mod follow;
+mod input;
+mod state;
+
+use std::{
+    net::{TcpListener, UdpSocket},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use jacinthbeam_types::prelude::*;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::spawn_local,
+};
+
+use super::{metrics::Counters, pages, peers};
+use crate::{Settings, Wire, connection::accept::Phase, request::answer, version::View};
+use input::{Input, Tx};
+use state::Control;
+
+/// What the thread is started with.
+pub(super) struct Start {
+    pub(super) settings: Settings,
+    pub(super) wire: Wire,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) counters: Arc<Counters>,
+    pub(super) incarnation: Incarnation,
+    pub(super) view: watch::Sender<Arc<View>>,
+    pub(super) phase: watch::Receiver<Phase>,
+    /// Ends when the traffic thread has answered its last request.
+    pub(super) served: oneshot::Receiver<()>,
+}
+
+/// Pause between two looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time for the last calls to the store after the last request.
+const LAST_CALLS: Duration = Duration::from_millis(100);
+
+pub(super) async fn run(start: Start, ready: TcpListener, metrics: TcpListener, peers: UdpSocket) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    serve_pages(&start, ready, metrics, &tx);
+    spawn_local(hear(peers, tx.clone()));
+    spawn_local(tick(tx.clone()));
+    spawn_local(await_stop(start.phase.clone(), tx.clone()));
+    let mut served = start.served;
+    let mut control = Control::new(
+        start.settings,
+        start.wire,
+        start.clock,
+        start.counters,
+        start.incarnation,
+        start.view,
+        tx,
+    );
+    control.begin();
+    loop {
+        tokio::select! {
+            input = rx.recv() => match input {
+                Some(input) => control.on(input),
+                None => break,
+            },
+            // An error is the end: the sender is dropped.
+            _ = &mut served => break,
+        }
+    }
+    tokio::time::sleep(LAST_CALLS).await;
+    log::info!("process: event=stop");
+}
+
+fn serve_pages(start: &Start, ready: TcpListener, metrics: TcpListener, tx: &Tx) {
+    let (view, phase) = (start.view.subscribe(), start.phase.clone());
+    serve_page(ready, move |_| {
+        pages::ready(view.borrow().config.is_some() && *phase.borrow() == Phase::Serving)
+    });
+    let (counters, view) = (start.counters.clone(), start.view.subscribe());
+    let tx = tx.clone();
+    serve_page(metrics, move |path| match path {
+        "/metrics" => answer::plain(http::StatusCode::OK, counters.text()),
+        "/dump" => {
+            // The dump of the granting side goes to the log; that of the view is small enough for the answer.
+            tx.send(Input::Dump).unwrap_or_else(|_| log::debug!("pages: event=no-dump"));
+            answer::plain(http::StatusCode::OK, format!("{:#?}", view.borrow()))
+        }
+        _ => answer::plain(http::StatusCode::NOT_FOUND, "pages: /metrics, /dump".into()),
+    });
+}
+
+fn serve_page(
+    listener: TcpListener,
+    page: impl Fn(&str) -> http::Response<http_body_util::Full<bytes::Bytes>> + 'static,
+) {
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => drop(spawn_local(pages::serve(listener, page))),
+        Err(err) => log::error!("pages: event=no-listener error={err:?}"),
+    }
+}
+
+async fn tick(tx: Tx) {
+    let mut every = tokio::time::interval(TICK);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while tx.send(Input::Tick).is_ok() {
+        every.tick().await;
+    }
+}
+
+async fn await_stop(mut phase: watch::Receiver<Phase>, tx: Tx) {
+    if phase.wait_for(|phase| *phase > Phase::Serving).await.is_ok()
+        && tx.send(Input::Stop).is_err()
+    {
+        log::debug!("process: event=stopped-already");
+    }
+}
+
+/// Takes datagrams of other hosts.
+async fn hear(socket: UdpSocket, tx: Tx) {
+    let socket = match tokio::net::UdpSocket::from_std(socket) {
+        Ok(socket) => Rc::new(socket),
+        Err(err) => return log::error!("peers: event=no-socket error={err:?}"),
+    };
+    let mut buf = [0; peers::LONGEST * 2];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::debug!("peers: event=receive-failed error={err:?}");
+                continue;
+            }
+        };
+        match peers::Message::from_bytes(&buf[..len]) {
+            Ok(peers::Message::Load { service, report }) => {
+                if tx.send(Input::Load { service, report }).is_err() {
+                    return;
+                }
+            }
+            Err(err) => log::warn!("peers: event=unreadable from={from} error={err:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and latency of one process, by `opentelemetry`, read as text.
+
+use std::{sync::Arc, time::Duration};
+
+use jacinthbeam_types::prelude::*;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the time buckets in seconds, around the objectives of callers.
+const SECONDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
+
+/// Instruments of the process.
+#[derive(Debug)]
+pub struct Counters {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    /// Requests that could not be read.
+    pub bad_requests: Counter<u64>,
+    /// Answers of backend servers passed on, by whether they were successes.
+    answers: Counter<u64>,
+    /// Time from a request's arrival to its answer.
+    latency: Histogram<f64>,
+    /// Refusals and failures, by verdict and reason.
+    refusals: Counter<u64>,
+    /// Calls that changed or confirmed something in the store, by outcome.
+    pub store: Counter<u64>,
+    /// Grants and releases, by outcome.
+    pub grants: Counter<u64>,
+    /// Whether this process grants keys.
+    pub leads: Gauge<u64>,
+}
+
+impl Counters {
+    /// Instruments in a registry of their own.
+    pub fn new() -> Arc<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("the registry is new, so nothing in it clashes");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("jacinthbeam");
+        let count = |name: &'static str| meter.u64_counter(name).build();
+        let latency = meter.f64_histogram("jacinthbeam_answer_seconds");
+        Arc::new(Self {
+            bad_requests: count("jacinthbeam_bad_requests"),
+            answers: count("jacinthbeam_answers"),
+            latency: latency.with_boundaries(SECONDS.to_vec()).build(),
+            refusals: count("jacinthbeam_refusals"),
+            store: count("jacinthbeam_store_calls"),
+            grants: count("jacinthbeam_grants"),
+            leads: meter.u64_gauge("jacinthbeam_leads").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer of a backend server.
+    pub fn on_answer(&self, good: bool, took: Duration) {
+        self.answers.add(1, &[KeyValue::new("good", good)]);
+        self.latency.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a request that got no answer of a backend server.
+    pub fn on_refusal(&self, refusal: &Refusal) {
+        let verdict = KeyValue::new("verdict", refusal.verdict.as_str());
+        let reason = KeyValue::new("reason", format!("{:?}", refusal.reason));
+        self.refusals.add(1, &[verdict, reason]);
+    }
+
+    /// All values, as text.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(err) => format!("# the metrics can't be written: {err}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -0,0 +1,177 @@
+//! What lives as long as the process: its threads, and what they keep.
+//!
+//! One thread controls: it follows the store, takes part in granting keys, and publishes a [`View`] at each change. The other
+//! serves callers with the view that is current. Nothing on the traffic thread waits for the control thread.
+
+pub mod clock;
+mod control;
+pub mod logs;
+pub mod metrics;
+mod pages;
+mod peers;
+mod serving;
+pub mod traffic;
+
+use std::{
+    fmt, io,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use jacinthbeam_types::prelude::*;
+use tokio::sync::watch;
+
+use crate::{Settings, Wire, connection::accept::Phase, version::View};
+use metrics::Counters;
+
+/// A running host.
+#[derive(Debug)]
+pub struct Handle {
+    phase: watch::Sender<Phase>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Why a host did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address can't be listened at.
+    Bind {
+        /// What the address is for.
+        what: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        err: io::Error,
+    },
+    /// A thread can't be started.
+    Thread(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { what, addr, err } => {
+                write!(f, "can't listen for {what} at {addr}: {err}; is another process using it?")
+            }
+            Self::Thread(err) => write!(f, "can't start a thread: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Handle {
+    /// Begins to stop: no new callers, running requests are answered. Returns at once.
+    pub fn stop(&self) {
+        self.phase.send_if_modified(|phase| {
+            let first = *phase == Phase::Serving;
+            if first {
+                *phase = Phase::Leaving;
+            }
+            first
+        });
+    }
+
+    /// Waits until the host has stopped.
+    pub fn join(self) {
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("process: event=thread-panicked");
+            }
+        }
+    }
+}
+
+/// Sockets that are bound before anything else starts, so that a clash ends the process with a clear line.
+struct Sockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+    peers: UdpSocket,
+}
+
+fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(addr).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    bound.map_err(|err| Error::Bind { what, addr, err })
+}
+
+impl Sockets {
+    fn bind(settings: &Settings) -> Result<Self, Error> {
+        let addr = settings.peers;
+        let peers = UdpSocket::bind(addr).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            Ok(socket)
+        });
+        Ok(Self {
+            callers: listen("callers", settings.callers)?,
+            ready: listen("the balancer", settings.ready)?,
+            metrics: listen("metrics", settings.metrics)?,
+            peers: peers.map_err(|err| Error::Bind { what: "other hosts", addr, err })?,
+        })
+    }
+}
+
+/// Starts a host.
+pub fn spawn(settings: Settings, wire: Wire) -> Result<Handle, Error> {
+    let sockets = Sockets::bind(&settings)?;
+    let clock: Arc<dyn Clock> = Arc::new(clock::SuspendClock::new());
+    let counters = Counters::new();
+    let incarnation = Incarnation(fastrand::u64(1..));
+    let (view_tx, view) = watch::channel(Arc::new(View { hosts: 1, ..View::default() }));
+    let (phase, phase_rx) = watch::channel(Phase::Serving);
+    let (done_tx, done) = tokio::sync::oneshot::channel();
+    log::info!(
+        "process: event=start host={} domain={} incarnation={incarnation} callers={} store={}",
+        settings.host,
+        settings.domain,
+        settings.callers,
+        settings.store,
+    );
+    let control = control::Start {
+        settings: settings.clone(),
+        wire,
+        clock: clock.clone(),
+        counters: counters.clone(),
+        incarnation,
+        view: view_tx,
+        phase: phase_rx.clone(),
+        served: done,
+    };
+    let (ready, metrics, peers) = (sockets.ready, sockets.metrics, sockets.peers);
+    let reports = peers.try_clone().map_err(Error::Thread)?;
+    let traffic = serving::Start {
+        settings,
+        wire,
+        clock,
+        counters,
+        view,
+        phase: phase.clone(),
+        callers: sockets.callers,
+        reports,
+        served: done_tx,
+    };
+    let threads = vec![
+        run("control", move || control::run(control, ready, metrics, peers))?,
+        run("traffic", move || serving::run(traffic))?,
+    ];
+    Ok(Handle { phase, threads })
+}
+
+/// Starts a thread with a runtime of its own.
+fn run<F: Future<Output = ()>>(
+    name: &'static str,
+    main: impl FnOnce() -> F + Send + 'static,
+) -> Result<JoinHandle<()>, Error> {
+    let run = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        match runtime {
+            Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, async { main().await }),
+            Err(err) => log::error!("process: event=no-runtime thread={name} error={err:?}"),
+        }
+    };
+    thread::Builder::new().name(name.into()).spawn(run).map_err(Error::Thread)
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/pages.rs
@@ -0,0 +1,46 @@
+//! Small pages that this process serves to others than callers: readiness, metrics, dump.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::spawn_local};
+
+use crate::request::answer;
+
+/// Serves `page`, which gets the path, on every connection. Runs for ever.
+pub async fn serve(listener: TcpListener, page: impl Fn(&str) -> Response<Full<Bytes>> + 'static) {
+    let page = Rc::new(page);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("pages: event=accept-failed error={err:?}");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let page = page.clone();
+        let service = service_fn(move |req: http::Request<hyper::body::Incoming>| {
+            let res = page(req.uri().path());
+            async move { Ok::<_, Infallible>(res) }
+        });
+        spawn_local(async move {
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(err) = conn.await {
+                log::debug!("pages: event=ended error={err:?}");
+            }
+        });
+    }
+}
+
+/// The page for a balancer: whether this host takes new callers.
+pub fn ready(ready: bool) -> Response<Full<Bytes>> {
+    match ready {
+        true => answer::plain(StatusCode::OK, "ready".into()),
+        false => answer::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready".into()),
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -0,0 +1,105 @@
+//! The traffic thread.
+
+use std::{
+    cell::Cell,
+    net::{TcpListener, UdpSocket},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use jacinthbeam_types::prelude::*;
+use tokio::{
+    sync::{oneshot, watch},
+    task::spawn_local,
+    time::Instant,
+};
+
+use super::{metrics::Counters, peers::Message, traffic::Traffic};
+use crate::{
+    Settings, Wire,
+    connection::accept::{self, Phase},
+    request,
+    version::View,
+};
+
+/// What the thread is started with.
+pub(super) struct Start {
+    pub(super) settings: Settings,
+    pub(super) wire: Wire,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) counters: Arc<Counters>,
+    pub(super) view: watch::Receiver<Arc<View>>,
+    pub(super) phase: watch::Sender<Phase>,
+    pub(super) callers: TcpListener,
+    pub(super) reports: UdpSocket,
+    /// Dropped when the last request was answered.
+    pub(super) served: oneshot::Sender<()>,
+}
+
+/// Pause between two reports of load to the host that grants. Its decisions are made about as often.
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+
+/// After the word to stop, callers' connections stay open for this long: the balancer needs two misses, a second apart, to
+/// send no new ones, and some milliseconds.
+const LEAVE_FOR: Duration = Duration::from_millis(2300);
+
+/// Kept between the end of the last request and the forced end of the process.
+const BEFORE_FORCED: Duration = Duration::from_millis(300);
+
+pub(super) async fn run(start: Start) {
+    let Start { settings, wire, clock, counters, view, phase, callers, reports, served } = start;
+    let stop_within = settings.stop_within;
+    let traffic = Rc::new(Traffic::new(settings, wire, clock, counters, view));
+    let listener = match tokio::net::TcpListener::from_std(callers) {
+        Ok(listener) => listener,
+        Err(err) => return log::error!("process: event=no-listener error={err:?}"),
+    };
+    match tokio::net::UdpSocket::from_std(reports) {
+        Ok(socket) => drop(spawn_local(report(traffic.clone(), socket))),
+        Err(err) => log::error!("process: event=no-reports error={err:?}"),
+    }
+    let open = Rc::new(Cell::new(0));
+    let cx = accept::Context { phase: phase.subscribe(), open: open.clone() };
+    let (limits, serving) = (traffic.clone(), traffic.clone());
+    let serve = move |req| request::serve(serving.clone(), req);
+    let limits = move || limits.view().config.as_ref().map(|cfg| cfg.limits);
+    spawn_local(accept::run(listener, cx, limits, serve));
+    leave(&phase, &open, stop_within).await;
+    log::info!("process: event=served connections={}", open.get());
+    drop(served);
+}
+
+/// Waits for the word to stop, and then until the last connection is closed or time is up.
+async fn leave(phase: &watch::Sender<Phase>, open: &Cell<usize>, stop_within: Duration) {
+    let mut changes = phase.subscribe();
+    if changes.wait_for(|phase| *phase > Phase::Serving).await.is_err() {
+        return;
+    }
+    let begun = Instant::now();
+    log::info!("process: event=stopping connections={}", open.get());
+    tokio::time::sleep(LEAVE_FOR).await;
+    phase.send_replace(Phase::Closing);
+    let end = begun + stop_within.saturating_sub(BEFORE_FORCED);
+    while open.get() > 0 && Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Reports what was asked of keyed services to the hosts that grant their keys.
+async fn report(traffic: Rc<Traffic>, socket: tokio::net::UdpSocket) {
+    loop {
+        tokio::time::sleep(REPORT_EVERY).await;
+        traffic.tidy();
+        let view = traffic.view();
+        for (service, report) in traffic.take_reports() {
+            let leader = view.maps.get(&service).and_then(|map| map.leader.as_ref());
+            let Some(leader) = leader else { continue };
+            for message in Message::loads(&service, report) {
+                if let Err(err) = socket.send_to(&message.to_bytes(), leader.addr).await {
+                    log::debug!("peers: event=report-not-sent to={} error={err:?}", leader.addr);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -0,0 +1,186 @@
+//! What the traffic thread keeps for as long as the process lives.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_dispatch::{Budget, Seen};
+use jacinthbeam_range::{Key, demand::Report};
+use jacinthbeam_route::{Route, Server, Target, route::Dealer};
+use jacinthbeam_types::prelude::*;
+use tokio::sync::watch;
+
+use crate::{Settings, Wire, connection::Pool, process::metrics::Counters, version::View};
+
+/// State of the traffic thread. One thread only, so plain cells do.
+#[derive(Debug)]
+pub struct Traffic {
+    /// Where this host stands.
+    pub settings: Settings,
+    /// How requests look on the wire.
+    pub wire: Wire,
+    /// A clock that counts suspension, so that no deadline is stretched by one.
+    pub clock: Arc<dyn Clock>,
+    /// Counts for the metrics.
+    pub counters: Arc<Counters>,
+    /// Bytes of request bodies that are held.
+    pub body_bytes: Cell<usize>,
+    view: watch::Receiver<Arc<View>>,
+    servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
+    budgets: RefCell<BTreeMap<ServiceName, Budget>>,
+    dealers: RefCell<BTreeMap<String, Dealer>>,
+    reports: RefCell<BTreeMap<ServiceName, Report>>,
+}
+
+/// What this host has to do with one backend server.
+#[derive(Debug)]
+pub struct ServerState {
+    /// Connections.
+    pub pool: Pool,
+    /// Observations.
+    pub seen: RefCell<Seen>,
+}
+
+/// Part of a server's connections that all hosts together use. The rest is for grants, and for hosts that come and go.
+const CONNECTIONS_USED: f64 = 0.8;
+
+/// A host may have this many connections to a server in any case.
+const LEAST_CONNECTIONS: u32 = 2;
+
+impl Traffic {
+    /// State of a process that has served nothing yet.
+    pub fn new(
+        settings: Settings,
+        wire: Wire,
+        clock: Arc<dyn Clock>,
+        counters: Arc<Counters>,
+        view: watch::Receiver<Arc<View>>,
+    ) -> Self {
+        Self {
+            settings,
+            wire,
+            clock,
+            counters,
+            body_bytes: Cell::new(0),
+            view,
+            servers: RefCell::default(),
+            budgets: RefCell::default(),
+            dealers: RefCell::default(),
+            reports: RefCell::default(),
+        }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// What is known now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Waits until something else is known, up to `most`.
+    pub async fn view_changed(&self, most: Duration) {
+        let mut view = self.view.clone();
+        view.mark_unchanged();
+        // Its sender lives as long as the process; an error here means that the process is about to end.
+        let _ = tokio::time::timeout(most, view.changed()).await;
+    }
+
+    /// State of a server, made at its first use.
+    pub fn server(&self, server: &Server) -> Rc<ServerState> {
+        let mut servers = self.servers.borrow_mut();
+        let new = || {
+            let (pool, seen) = (Pool::new(server.addr), RefCell::default());
+            Rc::new(ServerState { pool, seen })
+        };
+        servers.entry(server.id.clone()).or_insert_with(new).clone()
+    }
+
+    /// Connections that this host may have to one server of a service.
+    pub fn most_connections(&self, of_service: u32, hosts: u32) -> u32 {
+        let share = f64::from(of_service) * CONNECTIONS_USED / f64::from(hosts.max(1));
+        (share as u32).max(LEAST_CONNECTIONS)
+    }
+
+    /// The service of the next request on a route.
+    pub fn deal(&self, route: &Route) -> Option<ServiceName> {
+        match &route.target {
+            Target::Service(service) => Some(service.clone()),
+            Target::Split(parts) => {
+                let mut dealers = self.dealers.borrow_mut();
+                dealers.entry(route.name.clone()).or_default().next(parts)
+            }
+        }
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn on_request(&self, service: &ServiceName, key: Option<Key>, hosts: u32) {
+        self.with_budget(service, hosts, |budget, now| budget.on_request(now));
+        if let Some(key) = key {
+            let mut reports = self.reports.borrow_mut();
+            *reports.entry(service.clone()).or_default().keys.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Whether one more repeat is within the budget; takes it if so.
+    pub fn may_repeat(&self, service: &ServiceName, hosts: u32) -> bool {
+        self.with_budget(service, hosts, Budget::take)
+    }
+
+    fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        hosts: u32,
+        f: impl FnOnce(&mut Budget, Instant) -> R,
+    ) -> R {
+        let mut budgets = self.budgets.borrow_mut();
+        let new = || Budget::new(self.settings.repeats, hosts);
+        let budget = budgets.entry(service.clone()).or_insert_with(new);
+        budget.set_hosts(hosts);
+        f(budget, self.now())
+    }
+
+    /// Notes that a server of a keyed service gave a whole answer.
+    pub fn on_keyed_answer(&self, service: &ServiceName, server: &ServerId, took: Duration) {
+        let mut reports = self.reports.borrow_mut();
+        let work = reports.entry(service.clone()).or_default().servers.entry(server.clone());
+        let work = work.or_default();
+        work.answers += 1;
+        work.busy_us += took.as_micros() as u64;
+    }
+
+    /// The counts since the last call.
+    pub fn take_reports(&self) -> BTreeMap<ServiceName, Report> {
+        std::mem::take(&mut self.reports.borrow_mut())
+    }
+
+    /// Forgets servers that are gone, and closes connections that were idle for too long.
+    pub fn tidy(&self) {
+        let (view, now) = (self.view(), self.now());
+        let mut servers = self.servers.borrow_mut();
+        servers.retain(|id, state| {
+            state.pool.expire(now);
+            let known = view.servers.get(id).is_some() || view.leaving.contains_key(id);
+            known || state.seen.borrow().in_flight > 0
+        });
+    }
+
+    /// What was seen of each server, for the dump.
+    pub fn seen(&self) -> Vec<(ServerId, Seen, u32)> {
+        let servers = self.servers.borrow();
+        let seen = |state: &ServerState| (state.seen.borrow().clone(), state.pool.open_count());
+        servers
+            .iter()
+            .map(|(id, state)| {
+                let (seen, open) = seen(state);
+                (id.clone(), seen, open)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/answer.rs
@@ -0,0 +1,44 @@
+//! Answers of this host's own: refusals and failures.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use jacinthbeam_types::prelude::*;
+
+use crate::Wire;
+
+/// The status that tells a caller what may have become of its request: only a refusal that is proven says that it did not run.
+pub fn status(refusal: &Refusal) -> StatusCode {
+    match (refusal.verdict, refusal.reason) {
+        (Verdict::NotRun, Reason::UnknownService) => StatusCode::NOT_FOUND,
+        (Verdict::NotRun, Reason::BadRequest) => StatusCode::BAD_REQUEST,
+        (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, Reason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        (_, _) => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// The answer to a request that got none of a backend server.
+pub fn refused(wire: &Wire, refusal: &Refusal) -> Response<Full<Bytes>> {
+    let mut res = plain(status(refusal), refusal.to_string());
+    if let Some(after) = refusal.retry_after {
+        (wire.retry_after)(res.headers_mut(), after);
+    }
+    res
+}
+
+/// An answer with a line of text.
+pub fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(Bytes::from(text + "\n")));
+    *res.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
+}
+
+/// Seconds of a header value, with fractions.
+pub fn seconds(after: Duration) -> String {
+    format!("{:.3}", after.as_secs_f64())
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as one request.
+
+pub mod answer;
+mod body;
+mod headers;
+pub mod send;
+pub mod serve;
+
+pub use serve::serve;
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -0,0 +1,268 @@
+//! One request to one backend server, and what became of it.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use jacinthbeam_route::Server;
+use jacinthbeam_types::prelude::ServerId;
+use tokio::time::Instant as TimerInstant;
+
+use super::headers;
+use crate::{
+    connection::pool::{self, Lent},
+    process::traffic::{ServerState, Traffic},
+    wire::{Forward, Told},
+};
+
+/// A request that was read whole.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    /// Its method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub target: Uri,
+    /// Its headers, without those of the caller's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The caller's name for the attempt.
+    pub id: HeaderValue,
+}
+
+/// What became of a request at one server.
+#[derive(Debug)]
+pub enum Sent {
+    /// The server's answer, whole.
+    Answered {
+        /// As the server gave it, without headers of its connection.
+        res: Response<Full<Bytes>>,
+        /// Whether it is a signed success.
+        good: bool,
+    },
+    /// It did not run there.
+    NotRun(NotRun),
+    /// It may have run; no answer that can be passed on has come.
+    Lost(Lost),
+}
+
+/// Why a request did not run at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRun {
+    /// The server has no room.
+    Full,
+    /// The server doesn't hold the key.
+    NotOwner,
+    /// Another server has the address.
+    OtherServer,
+    /// The server can't be reached.
+    Unreachable,
+    /// This host has no connection left for the server.
+    NoConnection,
+    /// Another reason of the server's.
+    Refused,
+}
+
+/// Why the fate of a request is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// The connection ended, or what came is not the answer.
+    Broken,
+    /// No whole answer came in time.
+    Late,
+}
+
+/// Longest answer that is held. It is read whole before the caller gets any of it, so that one that breaks off can't look
+/// complete and can be asked for again.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// How long hyper may take to see that an exchange is over; it takes one turn of the connection's task.
+const READY_WITHIN: Duration = Duration::from_millis(5);
+
+/// How much longer than the time given to the server its own word of the deadline is waited for.
+const LAST_WORD: Duration = Duration::from_millis(60);
+
+/// Counts a request at a server for as long as it is there.
+struct InFlight(Rc<ServerState>);
+
+impl InFlight {
+    fn new(state: Rc<ServerState>) -> Self {
+        state.seen.borrow_mut().in_flight += 1;
+        Self(state)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.seen.borrow_mut().in_flight -= 1;
+    }
+}
+
+/// Sends a request and waits for the whole answer until `deadline`. Dropping the future cancels the request at the server.
+pub async fn send(
+    traffic: &Traffic,
+    whole: &Whole,
+    server: &Server,
+    most_connections: u32,
+    deadline: Instant,
+) -> Sent {
+    let state = traffic.server(server);
+    let _in_flight = InFlight::new(state.clone());
+    let begun = traffic.now();
+    let sent = match exchange(traffic, whole, server, &state, most_connections, deadline).await {
+        Ok(sent) => sent,
+        Err(not_run) => Sent::NotRun(not_run),
+    };
+    observe(traffic, &state, &sent, begun);
+    sent
+}
+
+fn observe(traffic: &Traffic, state: &ServerState, sent: &Sent, begun: Instant) {
+    let now = traffic.now();
+    let mut seen = state.seen.borrow_mut();
+    match sent {
+        Sent::Answered { good: true, .. } => seen.on_answer(now.saturating_duration_since(begun)),
+        Sent::Answered { good: false, .. } => seen.on_error(),
+        Sent::NotRun(NotRun::Full) => seen.on_full(now),
+        Sent::NotRun(NotRun::Unreachable | NotRun::OtherServer) => seen.on_failure(now),
+        Sent::NotRun(NotRun::NotOwner | NotRun::NoConnection | NotRun::Refused) => {}
+        Sent::Lost(_) => {
+            seen.on_failure(now);
+            // Whatever ended this connection may have ended the idle ones without their showing it.
+            state.pool.clear();
+        }
+    }
+}
+
+async fn exchange(
+    traffic: &Traffic,
+    whole: &Whole,
+    server: &Server,
+    state: &ServerState,
+    most: u32,
+    deadline: Instant,
+) -> Result<Sent, NotRun> {
+    let mut lent = lend(state.pool.lend(traffic.now(), most).await)?;
+    loop {
+        let left = deadline.saturating_duration_since(traffic.now());
+        let by = TimerInstant::now() + left + LAST_WORD;
+        let req = prepare(traffic, whole, server, left);
+        let sent = tokio::time::timeout_at(by, lent.connection.sender.try_send_request(req)).await;
+        match sent {
+            Err(_) => return Ok(Sent::Lost(Lost::Late)),
+            Ok(Ok(res)) => return Ok(take(traffic, whole, &server.id, state, lent, res, by).await),
+            Ok(Err(mut err)) => match (err.take_message(), lent.reused) {
+                // hyper gives a request back only if nothing of it was written.
+                (Some(_), true) => lent = lend(state.pool.lend_new(most).await)?,
+                (Some(_), false) => return Err(NotRun::Unreachable),
+                (None, _) => {
+                    let (id, err) = (&whole.id, err.into_error());
+                    log::debug!("request: id={id:?} event=connection-ended error={err:?}");
+                    return Ok(Sent::Lost(Lost::Broken));
+                }
+            },
+        }
+    }
+}
+
+fn lend(lent: Result<Lent, pool::Error>) -> Result<Lent, NotRun> {
+    lent.map_err(|err| match err {
+        pool::Error::Full => NotRun::NoConnection,
+        pool::Error::Connect(_) | pool::Error::Silent => NotRun::Unreachable,
+    })
+}
+
+fn prepare(
+    traffic: &Traffic,
+    whole: &Whole,
+    server: &Server,
+    left: Duration,
+) -> Request<pool::Body> {
+    let mut req = Request::new(pool::body(whole.body.clone()));
+    *req.method_mut() = whole.method.clone();
+    *req.uri_mut() = whole.target.clone();
+    *req.headers_mut() = whole.headers.clone();
+    (traffic.wire.forward)(req.headers_mut(), &Forward { left, server: &server.id });
+    req
+}
+
+async fn take(
+    traffic: &Traffic,
+    whole: &Whole,
+    server: &ServerId,
+    state: &ServerState,
+    lent: Lent,
+    res: Response<Incoming>,
+    by: TimerInstant,
+) -> Sent {
+    let told = (traffic.wire.answer)(res.status(), res.headers(), &whole.id, server);
+    if told == Told::Foreign {
+        let (id, status) = (&whole.id, res.status());
+        log::info!("request: id={id:?} event=foreign-answer status={status}");
+        return Sent::Lost(Lost::Broken);
+    }
+    let keep_alive = keep_alive(res.headers());
+    let last = says_close(res.headers());
+    let (mut head, body) = res.into_parts();
+    let read = tokio::time::timeout_at(by, Limited::new(body, MOST_ANSWER).collect()).await;
+    let bytes = match read {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(err)) => {
+            log::info!("request: id={:?} event=answer-cut error={err:?}", whole.id);
+            return refusal(told).unwrap_or(Sent::Lost(Lost::Broken));
+        }
+        Err(_) => return refusal(told).unwrap_or(Sent::Lost(Lost::Late)),
+    };
+    if !last {
+        keep(traffic, state, lent, keep_alive).await;
+    }
+    if let Some(refused) = refusal(told) {
+        return refused;
+    }
+    headers::strip(&mut head.headers);
+    // hyper writes the length of the body that it is given.
+    head.headers.remove(header::CONTENT_LENGTH);
+    let good = told == Told::Answer { good: true };
+    Sent::Answered { res: Response::from_parts(head, Full::new(bytes)), good }
+}
+
+/// Keeps a connection whose answer was read whole, if the request was written whole too and nothing more has come.
+///
+/// A server may answer before it has read a long body. What it reads next must be the rest of that body, not another request.
+async fn keep(traffic: &Traffic, state: &ServerState, mut lent: Lent, bound: Option<Duration>) {
+    let ready = tokio::time::timeout(READY_WITHIN, lent.connection.sender.ready()).await;
+    if matches!(ready, Ok(Ok(()))) && lent.connection.is_quiet() {
+        state.pool.give_back(lent, traffic.now(), bound);
+    }
+}
+
+/// What an answer says whose body is of no interest.
+fn refusal(told: Told) -> Option<Sent> {
+    let not_run = match told {
+        Told::Full => NotRun::Full,
+        Told::NotOwner => NotRun::NotOwner,
+        Told::OtherServer => NotRun::OtherServer,
+        Told::Refused => NotRun::Refused,
+        Told::Answer { .. } | Told::Foreign => return None,
+    };
+    Some(Sent::NotRun(not_run))
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION);
+    let mut names =
+        values.iter().filter_map(|value| value.to_str().ok()).flat_map(|v| v.split(','));
+    names.any(|name| name.trim().eq_ignore_ascii_case("close"))
+}
+
+/// The server's bound of an idle connection, if it says one: `timeout=` in whole seconds.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(timeout.trim().parse().ok()?))
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -0,0 +1,345 @@
+//! From a caller's request to its answer: read, routed, sent, sent once more where that is allowed, or refused.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jacinthbeam_dispatch::{
+    choose::{self, Candidate},
+    refusal::retry_after,
+};
+use jacinthbeam_range::Key;
+use jacinthbeam_route::{Config, Route, Server, Service};
+use jacinthbeam_types::prelude::*;
+use tokio::task::spawn_local;
+
+use super::{
+    answer, body, headers,
+    send::{self, Lost, NotRun, Sent, Whole},
+};
+use crate::{process::traffic::Traffic, version::View, wire::BadCaller};
+
+/// A server that is leaving keeps its keys until they have moved, and may get requests for them this long after its word in
+/// the store. Learning of it takes up to half a second of the two that are allowed, and a request some milliseconds.
+const LEAVING_GRACE: Duration = Duration::from_millis(1100);
+
+/// Longest wait for a key that has no reachable owner at the moment: a planned move takes as long as the requests that run
+/// on its keys, some 0.3 s; a lost server takes seconds, which the caller had better spend elsewhere.
+const AWAIT_OWNER: Duration = Duration::from_millis(400);
+
+/// Hint for a caller whose key has no owner.
+const OWNER_IN: Duration = Duration::from_millis(500);
+
+/// Hint for a caller whose server is full: the time in which a slot or two become free.
+const ROOM_IN: Duration = Duration::from_millis(250);
+
+/// Hint from a host that has no configuration yet: the time of a read from the store.
+const CONFIG_IN: Duration = Duration::from_millis(500);
+
+/// Most sends of one request, refused ones included.
+const MOST_SENDS: u32 = 3;
+
+/// Everything that is decided once for a request.
+struct Job {
+    traffic: Rc<Traffic>,
+    whole: Whole,
+    route: Arc<Route>,
+    service: ServiceName,
+    connections: u32,
+    keyed: bool,
+    key: Option<Key>,
+    received: Instant,
+    /// When the final answer is due: the caller's deadline or the route's timeout.
+    deadline: Instant,
+}
+
+/// Answers a request.
+pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let received = traffic.now();
+    let (parts, incoming) = req.into_parts();
+    let view = traffic.view();
+    let caller = match (traffic.wire.caller)(&parts) {
+        Ok(caller) => caller,
+        Err(BadCaller::NoId) => return bad(&traffic, "the request has no id"),
+        Err(BadCaller::Header(name)) => {
+            return bad(&traffic, &format!("header {name} can't be read"));
+        }
+    };
+    let Some(cfg) = view.config.clone() else {
+        let refusal = Refusal::not_run(Reason::NoConfiguration).retry_after(CONFIG_IN);
+        return refuse(&traffic, &caller.id, "-", &refusal, received);
+    };
+    let Some(route) = find_route(&cfg, &parts) else {
+        let refusal = Refusal::not_run(Reason::UnknownService);
+        return refuse(&traffic, &caller.id, "-", &refusal, received);
+    };
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = received + patience;
+    let reading = body::read(incoming, cfg.limits.body, &traffic.body_bytes);
+    let read = tokio::time::timeout(patience, reading).await.unwrap_or(Err(body::Error::Silent));
+    let (body, _held) = match read {
+        Ok(read) => read,
+        Err(err) => return bad_body(&traffic, &caller.id, err),
+    };
+    let Some((name, service)) = pick_service(&traffic, &cfg, &route) else {
+        let refusal = Refusal::not_run(Reason::NoOwner);
+        return refuse(&traffic, &caller.id, &route.name, &refusal, received);
+    };
+    if service.keyed && caller.key.is_none() {
+        return bad(&traffic, "the service is divided by key and the request names none");
+    }
+    traffic.on_request(&name, caller.key.filter(|_| service.keyed), view.hosts);
+    let mut kept = parts.headers;
+    headers::strip(&mut kept);
+    kept.remove(header::CONTENT_LENGTH);
+    let target = parts.uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default();
+    let whole = Whole { method: parts.method, target, headers: kept, body, id: caller.id.clone() };
+    let job = Job {
+        traffic: traffic.clone(),
+        whole,
+        service: name,
+        connections: service.connections,
+        keyed: service.keyed,
+        key: caller.key,
+        received,
+        deadline,
+        route,
+    };
+    run(job).await
+}
+
+fn find_route(cfg: &Config, parts: &http::request::Parts) -> Option<Arc<Route>> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host())?;
+    cfg.routes.find(host, parts.uri.path()).cloned()
+}
+
+fn pick_service(traffic: &Traffic, cfg: &Config, route: &Route) -> Option<(ServiceName, Service)> {
+    let name = traffic.deal(route)?;
+    let service = cfg.services.get(&name)?.clone();
+    Some((name, service))
+}
+
+fn bad(traffic: &Traffic, why: &str) -> Response<Full<Bytes>> {
+    log::info!("request: outcome=bad-request why={why:?}");
+    traffic.counters.bad_requests.add(1, &[]);
+    answer::plain(StatusCode::BAD_REQUEST, format!("{}: {why}", Verdict::NotRun))
+}
+
+fn bad_body(traffic: &Traffic, id: &HeaderValue, err: body::Error) -> Response<Full<Bytes>> {
+    log::info!("request: id={id:?} outcome=no-body why={err:?}");
+    traffic.counters.bad_requests.add(1, &[]);
+    let (status, text) = match err {
+        body::Error::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+        body::Error::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "too many bodies are held"),
+        body::Error::Broken => (StatusCode::BAD_REQUEST, "the body is not framed as it should be"),
+        body::Error::Silent => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    };
+    let mut res = answer::plain(status, format!("{}: {text}", Verdict::NotRun));
+    // The rest of the body may still come, and must not be read as a request.
+    res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    res
+}
+
+fn refuse(
+    traffic: &Traffic,
+    id: &HeaderValue,
+    route: &str,
+    refusal: &Refusal,
+    received: Instant,
+) -> Response<Full<Bytes>> {
+    let took = traffic.now().saturating_duration_since(received).as_millis();
+    let after = refusal.retry_after.map_or(0, |after| after.as_millis());
+    log::info!(
+        "request: id={id:?} route={route} outcome=refused verdict={} reason={:?} retry_after_ms={after} took_ms={took}",
+        refusal.verdict,
+        refusal.reason,
+    );
+    traffic.counters.on_refusal(refusal);
+    answer::refused(&traffic.wire, refusal)
+}
+
+/// Sends the request until it is answered, has to be refused, or may have run and must not run again.
+async fn run(job: Job) -> Response<Full<Bytes>> {
+    let job = Rc::new(job);
+    let mut sends = 0;
+    let mut tried = Vec::new();
+    let mut last = None;
+    loop {
+        let view = job.traffic.view();
+        let server = match find_server(&job, &view, &tried) {
+            Some(server) => server,
+            None if job.keyed && job.may_wait() => {
+                job.traffic.view_changed(job.wait_left()).await;
+                continue;
+            }
+            None => return give_up(&job, last, &tried),
+        };
+        if sends > 0 && !job.traffic.may_repeat(&job.service, view.hosts) {
+            return give_up(&job, last, &tried);
+        }
+        sends += 1;
+        let sent = offer(&job, &view, &server).await;
+        log_sent(&job, &view, &server, &sent);
+        let again = match &sent {
+            Sent::Answered { good: true, .. } => false,
+            Sent::Answered { good: false, .. } => job.may_run_again(sends) && !job.keyed,
+            Sent::NotRun(NotRun::NotOwner) => {
+                await_other_owner(&job, &view).await;
+                sends < MOST_SENDS
+            }
+            Sent::NotRun(NotRun::Full) => !job.keyed && sends < MOST_SENDS,
+            Sent::NotRun(_) => sends < MOST_SENDS,
+            Sent::Lost(Lost::Late) => false,
+            Sent::Lost(Lost::Broken) => job.may_run_again(sends),
+        };
+        last = Some(worse(last, sent));
+        if !again || job.left().is_zero() {
+            return give_up(&job, last, &tried);
+        }
+        if !job.keyed {
+            tried.push(server.id);
+        }
+    }
+}
+
+/// Of two outcomes, the one that the caller has to be told: what may have run outweighs what surely did not.
+fn worse(earlier: Option<Sent>, later: Sent) -> Sent {
+    match (earlier, later) {
+        (Some(earlier @ (Sent::Answered { .. } | Sent::Lost(_))), Sent::NotRun(_)) => earlier,
+        (Some(earlier @ Sent::Answered { .. }), Sent::Lost(_)) => earlier,
+        (_, later) => later,
+    }
+}
+
+impl Job {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.traffic.now())
+    }
+
+    fn may_run_again(&self, sends: u32) -> bool {
+        self.route.idempotent && sends < self.route.attempts
+    }
+
+    /// What is left of the time that a request may wait for an owner.
+    fn wait_left(&self) -> Duration {
+        let until = (self.received + AWAIT_OWNER).min(self.deadline);
+        until.saturating_duration_since(self.traffic.now())
+    }
+
+    fn may_wait(&self) -> bool {
+        !self.wait_left().is_zero()
+    }
+}
+
+fn find_server(job: &Job, view: &View, tried: &[ServerId]) -> Option<Server> {
+    let now = job.traffic.now();
+    if job.keyed {
+        let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
+        let server = view.servers.get(&owner.server);
+        return server.filter(|server| view.may_send(&server.id, now, LEAVING_GRACE)).cloned();
+    }
+    let open = view.servers.of(&job.service).filter(|server| !tried.contains(&server.id));
+    let states: Vec<_> = open.map(|server| (server, job.traffic.server(server))).collect();
+    let seen: Vec<_> = states.iter().map(|(_, state)| state.seen.borrow()).collect();
+    let candidates = states.iter().zip(&seen).map(|((server, _), seen)| Candidate {
+        id: *server,
+        seen,
+        slots: server.slots,
+        near: server.domain == job.traffic.settings.domain,
+        cold: !server.warmup_left.is_zero(),
+    });
+    choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
+}
+
+/// Sends the request to one server. One that must not run twice goes on if its caller leaves, since cancelling it would leave
+/// nobody knowing whether it ran; any other is cancelled with the caller.
+async fn offer(job: &Rc<Job>, view: &View, server: &Server) -> Sent {
+    let most = job.traffic.most_connections(job.connections, view.hosts);
+    let begun = job.traffic.now();
+    let sent = if job.route.idempotent {
+        send::send(&job.traffic, &job.whole, server, most, job.deadline).await
+    } else {
+        let (job, server) = (job.clone(), server.clone());
+        let task = spawn_local(async move {
+            send::send(&job.traffic, &job.whole, &server, most, job.deadline).await
+        });
+        task.await.unwrap_or(Sent::Lost(Lost::Broken))
+    };
+    if let (Sent::Answered { good: true, .. }, true) = (&sent, job.keyed) {
+        let took = job.traffic.now().saturating_duration_since(begun);
+        job.traffic.on_keyed_answer(&job.service, &server.id, took);
+    }
+    sent
+}
+
+/// Waits until the key has another owner or token than in `view`.
+async fn await_other_owner(job: &Job, view: &View) {
+    let of = |view: &View| {
+        let held = view.maps.get(&job.service)?.of(job.key?);
+        Some((held.owner.clone(), held.token))
+    };
+    let before = of(view);
+    while job.may_wait() && of(&job.traffic.view()) == before {
+        job.traffic.view_changed(job.wait_left()).await;
+    }
+}
+
+fn log_sent(job: &Job, view: &View, server: &Server, sent: &Sent) {
+    let outcome = match sent {
+        Sent::Answered { res, .. } => format!("answered status={}", res.status().as_u16()),
+        Sent::NotRun(why) => format!("not-run why={why:?}"),
+        Sent::Lost(why) => format!("may-have-run why={why:?}"),
+    };
+    let version = view.config.as_ref().map_or(0, |cfg| cfg.version.0);
+    let map = view.maps.get(&job.service).map_or((0, 0), |map| (map.epoch.0, map.version));
+    log::info!(
+        "request: id={:?} route={} service={} key={} server={} config={version} map={}.{} took_ms={} outcome={outcome}",
+        job.whole.id,
+        job.route.name,
+        job.service,
+        job.key.map_or_else(|| "-".into(), |key| key.to_string()),
+        server.id,
+        map.0,
+        map.1,
+        job.traffic.now().saturating_duration_since(job.received).as_millis(),
+    );
+}
+
+fn give_up(job: &Job, last: Option<Sent>, tried: &[ServerId]) -> Response<Full<Bytes>> {
+    let refusal = match last {
+        Some(Sent::Answered { mut res, good }) => {
+            job.traffic.counters.on_answer(good, job.traffic.now() - job.received);
+            res.headers_mut().remove(header::CONNECTION);
+            return res;
+        }
+        Some(Sent::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
+        Some(Sent::Lost(Lost::Broken)) => Refusal::may_have_run(Reason::ConnectionLost),
+        Some(Sent::NotRun(why)) => not_run(why),
+        None if tried.is_empty() => Refusal::not_run(Reason::NoOwner).retry_after(OWNER_IN),
+        None => Refusal::not_run(Reason::Overloaded).retry_after(ROOM_IN),
+    };
+    let left = job.left();
+    let hint = refusal.retry_after.map(|room_in| retry_after(room_in, left, fastrand::f64()));
+    let refusal = Refusal { retry_after: hint, ..refusal };
+    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received)
+}
+
+fn not_run(why: NotRun) -> Refusal {
+    match why {
+        NotRun::Full | NotRun::NoConnection => {
+            Refusal::not_run(Reason::Overloaded).retry_after(ROOM_IN)
+        }
+        NotRun::NotOwner => Refusal::not_run(Reason::Moving).retry_after(OWNER_IN),
+        NotRun::OtherServer | NotRun::Unreachable => {
+            Refusal::not_run(Reason::Unreachable).retry_after(OWNER_IN)
+        }
+        NotRun::Refused => Refusal::not_run(Reason::RefusedByServer).retry_after(ROOM_IN),
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -0,0 +1,33 @@
+//! What a process is told at its start.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jacinthbeam_dispatch::budget;
+use jacinthbeam_types::prelude::*;
+
+/// Where this host stands, and the bounds that it works within.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Where it runs.
+    pub domain: FailureDomain,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this host takes callers.
+    pub ready: SocketAddr,
+    /// Where other hosts send reports to.
+    pub peers: SocketAddr,
+    /// Where metrics and the dump are read.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Partitions of a topic in the store.
+    pub partitions: u32,
+    /// Budget of repeats of each service, of all hosts together.
+    pub repeats: budget::Options,
+    /// Time after which a backend server that is leaving must get no request any more, from its word in the store.
+    pub drain_within: Duration,
+    /// Time between a request to stop and the forced end of the process.
+    pub stop_within: Duration,
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/version/mod.rs
@@ -0,0 +1,5 @@
+//! What requests are decided by at one moment.
+
+mod view;
+
+pub use view::View;
--- /dev/null
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -0,0 +1,129 @@
+//! What an adapter says of the wire: plain functions between messages and this crate's types.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
+use jacinthbeam_range::{Key, KeyRange, Owner, grantor::Call};
+use jacinthbeam_route::{Config, Server};
+use jacinthbeam_store::Partition;
+use jacinthbeam_types::prelude::*;
+
+/// How everything outside this host speaks.
+#[derive(Debug, Clone, Copy)]
+pub struct Wire {
+    /// Calls to the store.
+    pub store: jacinthbeam_store::Wire,
+    /// Where things lie in the store.
+    pub places: Places,
+    /// What the head of a caller's request says.
+    pub caller: fn(&Parts) -> Result<Caller, BadCaller>,
+    /// Sets the headers that a request carries from this host to a backend server.
+    pub forward: fn(&mut HeaderMap, &Forward<'_>),
+    /// What the head of an answer says, given the request's id and the server that was asked.
+    pub answer: fn(StatusCode, &HeaderMap, &HeaderValue, &ServerId) -> Told,
+    /// Sets the hint in a refusal's head when to come back.
+    pub retry_after: fn(&mut HeaderMap, Duration),
+    /// The call that grants keys for this long.
+    pub grant: fn(&Owner, &Call, Duration) -> Request<Bytes>,
+    /// What the answer to a grant says.
+    pub granted: fn(&Owner, &Response<Bytes>) -> Granted,
+    /// The call that takes keys back.
+    pub release: fn(&Owner, KeyRange, Token) -> Request<Bytes>,
+    /// What the answer to a release says.
+    pub released: fn(&Owner, &Response<Bytes>) -> Released,
+    /// A configuration as kept in the store.
+    pub config: fn(&[u8]) -> Result<Config, String>,
+    /// A backend server's entry in the store, given its key.
+    pub server: fn(&str, &[u8]) -> Result<Server, String>,
+}
+
+/// Names in the store.
+#[derive(Debug, Clone, Copy)]
+pub struct Places {
+    /// Holds the operator's records.
+    pub operator: fn() -> Partition,
+    /// Key of the configuration among them.
+    pub config_key: &'static str,
+    /// Holds the entries of the backend servers.
+    pub servers: fn() -> Partition,
+    /// Keyed topic for the ownership maps.
+    pub maps: &'static str,
+    /// Keyed topic in which each host says where it is.
+    pub hosts: &'static str,
+    /// Topic whose partitions stand for the duties to grant.
+    pub duties: &'static str,
+}
+
+/// What a caller's request says besides its method, path and body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Caller {
+    /// Name of this attempt of the caller; answers repeat it.
+    pub id: HeaderValue,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key that the request is about.
+    pub key: Option<Key>,
+}
+
+/// Why the head of a request can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BadCaller {
+    /// The attempt has no name.
+    NoId,
+    /// A header is not what it should be.
+    Header(&'static str),
+}
+
+/// What a request carries to a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Forward<'a> {
+    /// Time left for the answer.
+    pub left: Duration,
+    /// The server that is meant.
+    pub server: &'a ServerId,
+}
+
+/// What the head of an answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// The answer to the request: it ran. `good` if it succeeded and is signed.
+    Answer {
+        /// Whether it may be passed on as a success.
+        good: bool,
+    },
+    /// The request did not run, for want of room.
+    Full,
+    /// The request did not run: the server doesn't hold its key.
+    NotOwner,
+    /// The request did not run: another server has the address.
+    OtherServer,
+    /// The request did not run, for another reason.
+    Refused,
+    /// Not the answer to this request, or none that may be passed on. The request may have run.
+    Foreign,
+}
+
+/// What the answer to a grant says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Granted {
+    /// The keys are held.
+    Held,
+    /// A higher token was seen on one of the keys.
+    HigherSeen,
+    /// Another server has the address.
+    OtherServer,
+    /// None of these.
+    Unclear,
+}
+
+/// What the answer to a release says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Released {
+    /// No request of the keys runs any more; what to hand over.
+    Done(Option<String>),
+    /// Another server has the address.
+    OtherServer,
+    /// None of these.
+    Unclear,
+}
--- a/crates/jacinthbeam-platform/src/backend/body.rs
+++ b/crates/jacinthbeam-native/src/backend/body.rs
@@ -4,7 +4,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
 
-pub use crate::connection::BoxError;
+pub use jacinthbeam_connection::BoxError;
 
 /// Body of a request, streamed as the connection takes it. An error of it closes the connection.
 pub type RequestBody = UnsyncBoxBody<Bytes, BoxError>;
--- a/crates/jacinthbeam-platform/src/backend/pool.rs
+++ b/crates/jacinthbeam-native/src/backend/pool.rs
@@ -20,7 +20,7 @@
     AnswerBody, Failure, RequestBody, Snapshot, head,
     shared::{Checkout, Held, Place, Shared},
 };
-use crate::connection;
+use jacinthbeam_connection as connection;
 
 /// Largest body of a refusal that is read so that its connection can be used again, in bytes.
 const MAX_REFUSAL_BODY: usize = 16 << 10;
@@ -168,7 +168,8 @@
     async fn dial(&self, place: Place, deadline: Instant) -> Result<Held, Failure> {
         let (id, generation) = (place.id, place.generation);
         let connect_by = deadline.min(Instant::now() + self.connect_timeout);
-        match timeout_at(connect_by, connection::open(self.source, self.shared.addr, place)).await {
+        let how = connection::Options { source: self.source, reset: false };
+        match timeout_at(connect_by, connection::open(how, self.shared.addr, place)).await {
             Ok(Ok(connection)) => Ok(Held { connection, id, generation }),
             Err(_) if connect_by == deadline => Err(Failure::not_run(Reason::DeadlinePassed)),
             Ok(Err(_)) | Err(_) => Err(Failure::not_run(Reason::Unreachable)),
--- a/crates/jacinthbeam-platform/src/backend/shared.rs
+++ b/crates/jacinthbeam-native/src/backend/shared.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 
 use super::RequestBody;
-use crate::connection::Connection;
+use jacinthbeam_connection::Connection;
 
 /// How long a connection whose answer was read may take until it is ready for the next request.
 const READY_WITHIN: Duration = Duration::from_millis(100);
--- a/crates/jacinthbeam-platform/src/grant.rs
+++ b/crates/jacinthbeam-native/src/grant.rs
@@ -8,12 +8,10 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
+use jacinthbeam_connection::line::{self, Line};
 use jacinthbeam_types::prelude::ServerId;
 
-use crate::{
-    connection::line::{self, Line},
-    format::backend::{Grant, GrantState},
-};
+use crate::format::backend::{Grant, GrantState};
 
 const PATH: &str = "/grant";
 const MAX_STATE: usize = 1 << 20;
--- a/crates/jacinthbeam-platform/src/hosts.rs
+++ b/crates/jacinthbeam-native/src/hosts.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 
-use crate::{connection::line::Line, format::hosts::HostList};
+use jacinthbeam_connection::Line;
+
+use crate::format::hosts::HostList;
 
 /// Longest list that is read, in bytes; some 110 for each host and backend server.
 const MAX_LIST: usize = 16 << 20;
--- a/crates/jacinthbeam-platform/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -30,7 +30,6 @@
 //! ```
 
 pub mod backend;
-mod connection;
 pub mod format;
 pub mod grant;
 pub mod hosts;
--- a/crates/jacinthbeam-platform/src/log/append.rs
+++ b/crates/jacinthbeam-native/src/log/append.rs
@@ -4,13 +4,11 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use jacinthbeam_connection::line;
 use jacinthbeam_types::prelude::Offset;
 
 use super::Client;
-use crate::{
-    connection::line,
-    format::log::{Appended, MAX_RECORD},
-};
+use crate::format::log::{Appended, MAX_RECORD};
 
 /// Why an append was not acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/jacinthbeam-platform/src/log/mod.rs
+++ b/crates/jacinthbeam-native/src/log/mod.rs
@@ -10,10 +10,9 @@
     time::Duration,
 };
 
-use crate::{
-    connection::line::Line,
-    format::log::{FRAME_HEAD, MAX_RECORD},
-};
+use jacinthbeam_connection::Line;
+
+use crate::format::log::{FRAME_HEAD, MAX_RECORD};
 
 /// Most bytes of records that one read asks for.
 pub const MAX_READ: u32 = 4 << 20;
--- a/crates/jacinthbeam-platform/tests/backend/closed.rs
+++ b/crates/jacinthbeam-native/tests/backend/closed.rs
@@ -1,7 +1,7 @@
 //! A request is given up, and the backend server's own close of the connection says that it has ended.
 
 use futures_util::FutureExt;
-use jacinthbeam_platform::backend::Pool;
+use jacinthbeam_native::backend::Pool;
 use tokio::sync::oneshot;
 
 use super::{WHOLE, far, get, pool, whole};
--- a/crates/jacinthbeam-platform/tests/backend/cut.rs
+++ b/crates/jacinthbeam-native/tests/backend/cut.rs
@@ -1,4 +1,4 @@
-use jacinthbeam_platform::backend::Cut;
+use jacinthbeam_native::backend::Cut;
 use jacinthbeam_types::prelude::*;
 
 use super::{WHOLE, exchange, far, get, pool, whole};
--- a/crates/jacinthbeam-platform/tests/backend/mod.rs
+++ b/crates/jacinthbeam-native/tests/backend/mod.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http::Request;
-use jacinthbeam_platform::backend::{Answer, Cut, Options, Pool, RequestBody, empty};
+use jacinthbeam_native::backend::{Answer, Cut, Options, Pool, RequestBody, empty};
 use jacinthbeam_types::prelude::*;
 
 use crate::fake::{Fake, Peer};
--- a/crates/jacinthbeam-platform/tests/backend/reuse.rs
+++ b/crates/jacinthbeam-native/tests/backend/reuse.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::Request;
-use jacinthbeam_platform::backend::{Options, Pool, full, stream};
+use jacinthbeam_native::backend::{Options, Pool, full, stream};
 use jacinthbeam_types::{clock::ManualClock, prelude::*};
 
 use super::{WHOLE, again, exchange, far, get, limit::Upload, pool, whole};
--- a/crates/jacinthbeam-platform/tests/backend/session.rs
+++ b/crates/jacinthbeam-native/tests/backend/session.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, fmt::Write};
 
 use http::Request;
-use jacinthbeam_platform::backend::{Pool, RequestBody, full};
+use jacinthbeam_native::backend::{Pool, RequestBody, full};
 
 use super::{far, get, pool, whole};
 use crate::fake::{Fake, Peer, Refusing};
--- a/crates/jacinthbeam-platform/tests/backend/silence.rs
+++ b/crates/jacinthbeam-native/tests/backend/silence.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use http::Request;
-use jacinthbeam_platform::backend::{Cut, full};
+use jacinthbeam_native::backend::{Cut, full};
 use jacinthbeam_types::prelude::*;
 
 use super::{WHOLE, again, exchange, far, get, pool, whole};
@@ -11,7 +11,7 @@
 const BOUND: Duration = Duration::from_secs(1);
 
 /// Two idle connections.
-async fn two_idle(pool: &jacinthbeam_platform::backend::Pool, fake: &Fake) -> (Peer, Peer) {
+async fn two_idle(pool: &jacinthbeam_native::backend::Pool, fake: &Fake) -> (Peer, Peer) {
     let ask = || async { whole(pool.send(get("/"), far()).await.unwrap()).await.unwrap() };
     let serve = async {
         let (mut first, mut second) = (fake.accept().await, fake.accept().await);
--- a/crates/jacinthbeam-platform/tests/backend/verdict.rs
+++ b/crates/jacinthbeam-native/tests/backend/verdict.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Instant};
 
 use http::Request;
-use jacinthbeam_platform::{
+use jacinthbeam_native::{
     backend::{Failure, Options, Pool, full, stream},
     format::backend::RefusedBecause,
 };
@@ -10,7 +10,7 @@
 use super::{again, exchange, far, pool};
 use crate::fake::{Fake, Refusing, within};
 
-fn order() -> Request<jacinthbeam_platform::backend::RequestBody> {
+fn order() -> Request<jacinthbeam_native::backend::RequestBody> {
     let order = Request::post("/orders").header("request-id", "7-1");
     order.body(full("brine for pass 4".into())).unwrap()
 }
@@ -168,7 +168,7 @@
         .header("grant-token", "3")
         .header("x-hop", "1")
         .header("host", "s1")
-        .body(jacinthbeam_platform::backend::empty())
+        .body(jacinthbeam_native::backend::empty())
         .unwrap();
     let serve = async {
         let mut peer = fake.accept().await;
--- a/crates/jacinthbeam-platform/tests/format/mod.rs
+++ b/crates/jacinthbeam-native/tests/format/mod.rs
@@ -1,4 +1,4 @@
-use jacinthbeam_platform::format::backend::SlotSet;
+use jacinthbeam_native::format::backend::SlotSet;
 use jacinthbeam_types::prelude::*;
 
 #[test]
--- a/crates/jacinthbeam-platform/tests/grant/mod.rs
+++ b/crates/jacinthbeam-native/tests/grant/mod.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use jacinthbeam_platform::{
+use jacinthbeam_native::{
     format::backend::Grant,
     grant::{Client, Error, Outcome},
 };
--- a/crates/jacinthbeam-platform/tests/hosts/mod.rs
+++ b/crates/jacinthbeam-native/tests/hosts/mod.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use jacinthbeam_platform::hosts::{Client, Error};
+use jacinthbeam_native::hosts::{Client, Error};
 
 use crate::fake::{Fake, Peer, Refusing};
 
--- a/crates/jacinthbeam-platform/tests/log/append.rs
+++ b/crates/jacinthbeam-native/tests/log/append.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use jacinthbeam_platform::log::{Client, append::Error};
+use jacinthbeam_native::log::{Client, append::Error};
 use jacinthbeam_types::prelude::*;
 
 use super::client;
--- a/crates/jacinthbeam-platform/tests/log/read.rs
+++ b/crates/jacinthbeam-native/tests/log/read.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use jacinthbeam_platform::log::read::{Batch, Error, Record};
+use jacinthbeam_native::log::read::{Batch, Error, Record};
 use jacinthbeam_types::prelude::*;
 
 use super::client;
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/contact.rs
@@ -0,0 +1,133 @@
+//! What the granting host knows of one backend server that owns keys.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_types::prelude::*;
+
+use super::timing::{ASK_AGAIN, CLOCK_SLACK, GIVE_UP, HOLD, MARGIN, RENEW_EVERY};
+use crate::{key::KeyRange, map::Owner};
+
+/// How a round of grants to one server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Every call was answered by the server.
+    Answered,
+    /// A call got no answer. Those after it were not sent.
+    Silent,
+    /// Another life of a server answered at the address: this one has ended.
+    Ended,
+    /// The right to send had lapsed; the rest of the calls was not sent.
+    NotSent,
+}
+
+/// Dealings with one server since this host began to grant.
+#[derive(Debug)]
+pub(super) struct Contact {
+    pub(super) owner: Owner,
+    /// End of the last call that may have granted something: answered, or given up with its connection reset.
+    last_call: Option<Instant>,
+    next_round: Option<Instant>,
+    /// First of the calls without an answer since the last answer.
+    silent_since: Option<Instant>,
+    /// A round of grants is under way.
+    pub(super) busy: bool,
+    /// This life of the server has surely ended.
+    pub(super) ended: bool,
+    /// No grant is sent any more, so that its hold runs out.
+    pub(super) given_up: bool,
+    /// What the server has confirmed.
+    confirmed: BTreeSet<(KeyRange, Token)>,
+}
+
+impl Contact {
+    pub(super) fn new(owner: Owner) -> Self {
+        Self {
+            owner,
+            last_call: None,
+            next_round: None,
+            silent_since: None,
+            busy: false,
+            ended: false,
+            given_up: false,
+            confirmed: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn has_confirmed(&self, range: KeyRange, token: Token) -> bool {
+        self.confirmed.iter().any(|(held, of)| *of == token && held.covers(range))
+    }
+
+    /// Whether a round of renewals may start now.
+    pub(super) fn is_due(&self, now: Instant) -> bool {
+        self.next_round.is_none_or(|at| now >= at)
+    }
+
+    /// Whether the server answered the last time it was asked, or was not asked yet.
+    pub(super) fn is_well(&self) -> bool {
+        self.silent_since.is_none() && !self.ended && !self.given_up
+    }
+
+    pub(super) fn on_round(
+        &mut self,
+        now: Instant,
+        outcome: Outcome,
+        last_call: Option<Instant>,
+        confirmed: &[(KeyRange, Token)],
+    ) {
+        self.busy = false;
+        self.last_call = self.last_call.max(last_call);
+        self.confirmed.extend(confirmed.iter().copied());
+        match outcome {
+            Outcome::Answered => {
+                self.silent_since = None;
+                self.next_round = Some(now + RENEW_EVERY);
+            }
+            Outcome::Silent => {
+                self.silent_since.get_or_insert(now);
+                self.next_round = Some(now + ASK_AGAIN);
+            }
+            Outcome::Ended => self.ended = true,
+            Outcome::NotSent => self.next_round = Some(now + ASK_AGAIN),
+        }
+    }
+
+    /// Keeps only what the present map still says, so that the set doesn't grow with each move.
+    pub(super) fn forget_but(&mut self, held: &[(KeyRange, Token)]) {
+        let is_current = |range: KeyRange, token| {
+            held.iter().any(|(other, of)| *of == token && other.overlaps(range))
+        };
+        self.confirmed.retain(|(range, token)| is_current(*range, *token));
+    }
+
+    /// Whether the silence has lasted long enough to give the server up.
+    pub(super) fn is_lost(&self, now: Instant) -> bool {
+        let lost = |since: Instant| now.saturating_duration_since(since) >= GIVE_UP;
+        self.silent_since.is_some_and(lost)
+    }
+
+    /// Whether nothing that was granted to the server can be in force any more, given that nothing more is granted.
+    ///
+    /// `others_until` is the time until which somebody else may still have renewed its grants.
+    pub(super) fn has_lapsed(&self, now: Instant, others_until: Instant) -> bool {
+        if self.ended {
+            return true;
+        }
+        let last = self.last_call.map_or(others_until, |call| call.max(others_until));
+        !self.busy && now >= last + longest_hold()
+    }
+
+    /// Starts over with a server whose hold has run out, since there is nobody else to take its keys.
+    pub(super) fn try_anew(&mut self) {
+        self.given_up = false;
+        self.silent_since = None;
+        self.confirmed.clear();
+    }
+}
+
+/// How long a grant can last from its arrival on the slowest clock, and the margin.
+pub fn longest_hold() -> Duration {
+    HOLD.mul_f64(CLOCK_SLACK) + MARGIN
+}
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -0,0 +1,339 @@
+//! Decides, for one service, what the host that grants its keys does next.
+//!
+//! At most one life of a process leads at a time: the one that the newest record names. It goes on only within [`timing::PROOF`]
+//! of the last confirmation by the store, and everything it changes is recorded in the store, on the condition that nothing
+//! else was, before a new owner hears of it. A leader that is replaced, cut off or suspended therefore can't name an owner,
+//! and its renewals are refused by servers that its successor has reached, or end with its last confirmation.
+
+mod contact;
+mod leading;
+mod moving;
+pub mod timing;
+
+use std::time::Instant;
+
+use jacinthbeam_route::Servers;
+use jacinthbeam_types::prelude::*;
+
+pub use contact::{Outcome, longest_hold};
+use leading::Leading;
+
+use crate::{
+    balance::{self, Candidate},
+    demand::Report,
+    key::KeyRange,
+    map::{Leader, Map, Owner},
+};
+
+/// What has happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The store's group gave this host the duty to grant, or took it away. Advice only: it may name two hosts at a time.
+    Duty(bool),
+    /// The newest record as read from the store.
+    Read {
+        /// When the read was sent. Nothing newer was there at some moment after that.
+        asked: Instant,
+        /// The record; `None` if there is none.
+        map: Option<Map>,
+    },
+    /// The record of the last [`Order::Record`] is kept. The append was sent at `asked`.
+    Recorded {
+        /// Nobody had replaced this host at some moment after that.
+        asked: Instant,
+    },
+    /// That record was surely not kept, or it isn't known. The newest one is read next.
+    NotRecorded,
+    /// A round of grants has ended.
+    Granted {
+        /// Who was granted.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// End of the last call that may have had an effect.
+        last_call: Option<Instant>,
+        /// What the server confirmed.
+        confirmed: Vec<(KeyRange, Token)>,
+        /// What it refused, since it has seen a higher token for one of the keys.
+        refused: Vec<KeyRange>,
+    },
+    /// A release was answered with what to hand over, if anything; `Err` if no answer came.
+    Released {
+        /// The keys.
+        range: KeyRange,
+        /// Token of the release.
+        token: Token,
+        /// What the old owner gave out, or no answer.
+        handover: Result<Option<String>, NoAnswer>,
+    },
+    /// Counts of one host.
+    Load(Report),
+    /// Time has passed.
+    Tick,
+    /// This process is about to stop.
+    Stop,
+}
+
+/// A call got no answer that could be trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoAnswer;
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    /// Keep this map in the store if the newest record is still the one that was read last.
+    Record(Map),
+    /// Ask the store whether the newest record is still the same.
+    Check,
+    /// Grant ranges to their owner, one call after the other.
+    Grant {
+        /// Who gets them.
+        to: Owner,
+        /// The ranges.
+        calls: Vec<Call>,
+        /// No call may be sent later than this, on a clock that counts suspension.
+        until: Instant,
+    },
+    /// Take a range back from its owner.
+    Release {
+        /// Who gives it back.
+        from: Owner,
+        /// The keys.
+        range: KeyRange,
+        /// A token above that of the grant.
+        token: Token,
+    },
+    /// Give the duty back: most owners can't be reached from here.
+    Resign,
+}
+
+/// One grant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The keys.
+    pub range: KeyRange,
+    /// Its token.
+    pub token: Token,
+    /// What the last owner handed over, on the first grant only.
+    pub handover: Option<String>,
+}
+
+/// What is known at the time of an event.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// Now, on a clock that counts suspension.
+    pub now: Instant,
+    /// The backend servers.
+    pub servers: &'a Servers,
+    /// Whether the list has been known and unchanged for a while, so that a first division is worth making.
+    pub settled: bool,
+}
+
+/// The part of one host in granting the keys of one service.
+#[derive(Debug)]
+pub struct Grantor {
+    service: ServiceName,
+    me: Leader,
+    duty: bool,
+    stopping: bool,
+    /// Whether a read has told what the newest record is.
+    known: bool,
+    newest: Option<Map>,
+    claim: Option<Claim>,
+    next_claim: Option<Instant>,
+    leading: Option<Leading>,
+}
+
+/// A claim that is on its way to the store, or whose fate is not known.
+#[derive(Debug)]
+struct Claim {
+    map: Map,
+    /// A predecessor may go on renewing for as long as it has a confirmation from before the claim.
+    replaces: bool,
+}
+
+impl Grantor {
+    /// A grantor that knows nothing yet.
+    pub fn new(service: ServiceName, me: Leader) -> Self {
+        Self {
+            service,
+            me,
+            duty: false,
+            stopping: false,
+            known: false,
+            newest: None,
+            claim: None,
+            next_claim: None,
+            leading: None,
+        }
+    }
+
+    /// Whether this process leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.leading.is_some()
+    }
+
+    /// The newest map known, also when others lead.
+    pub fn map(&self) -> Option<&Map> {
+        self.leading.as_ref().map(|leading| &leading.map).or(self.newest.as_ref())
+    }
+
+    /// Takes an event and says what to do.
+    pub fn step(&mut self, view: View<'_>, event: Event) -> Vec<Order> {
+        match event {
+            Event::Duty(duty) => self.duty = duty,
+            Event::Read { asked, map } => self.on_read(view, asked, map),
+            Event::Recorded { asked } => self.on_recorded(view, asked),
+            Event::NotRecorded => self.on_not_recorded(view),
+            Event::Stop => return self.stop(),
+            Event::Load(report) => self.while_leading(|leading| leading.demand.add(&report)),
+            Event::Granted { server, outcome, last_call, confirmed, refused } => {
+                self.while_leading(|leading| {
+                    leading.on_granted(view.now, &server, outcome, last_call, &confirmed, refused);
+                });
+            }
+            Event::Released { range, token, handover } => {
+                self.while_leading(|leading| leading.on_released(view.now, range, token, handover));
+            }
+            Event::Tick => {}
+        }
+        self.act(view)
+    }
+
+    fn while_leading(&mut self, f: impl FnOnce(&mut Leading)) {
+        if let Some(leading) = &mut self.leading {
+            f(leading);
+        }
+    }
+
+    fn act(&mut self, view: View<'_>) -> Vec<Order> {
+        if self.stopping {
+            return Vec::new();
+        }
+        match &mut self.leading {
+            Some(leading) if leading.reaches_too_few(view) => self.resign(view),
+            Some(leading) => leading.act(view, &self.service),
+            None => self.try_claim(view).into_iter().collect(),
+        }
+    }
+
+    /// Most owners are silent although they are listed: it is rather this host that is cut off. It must not take their keys
+    /// away; another host may reach them.
+    fn resign(&mut self, view: View<'_>) -> Vec<Order> {
+        self.duty = false;
+        self.next_claim = Some(view.now + timing::REST);
+        let mut orders = self.retire();
+        orders.push(Order::Resign);
+        orders
+    }
+
+    fn is_me(&self, map: Option<&Map>) -> bool {
+        map.is_some_and(|map| map.leader.as_ref() == Some(&self.me))
+    }
+
+    fn on_read(&mut self, view: View<'_>, asked: Instant, map: Option<Map>) {
+        self.known = true;
+        let mine = self.is_me(map.as_ref());
+        self.newest = map;
+        let Some(newest) = self.newest.clone().filter(|_| mine) else {
+            self.leading = None;
+            return;
+        };
+        match (&mut self.leading, self.claim.take()) {
+            (Some(leading), _) => leading.on_own_record(asked, newest),
+            (None, Some(claim)) => self.begin(view, asked, newest, &claim),
+            // Without a claim there is nothing to lead: this process has stopped.
+            (None, None) => {}
+        }
+    }
+
+    fn on_recorded(&mut self, view: View<'_>, asked: Instant) {
+        if let Some(leading) = &mut self.leading {
+            leading.on_recorded(view.now, asked);
+            self.newest = Some(leading.map.clone());
+        } else if let Some(claim) = self.claim.take() {
+            self.newest = Some(claim.map.clone());
+            self.begin(view, asked, claim.map.clone(), &claim);
+        }
+    }
+
+    fn on_not_recorded(&mut self, view: View<'_>) {
+        self.next_claim = Some(view.now + timing::CLAIM_AGAIN);
+        self.while_leading(Leading::on_not_recorded);
+    }
+
+    fn begin(&mut self, view: View<'_>, asked: Instant, map: Map, claim: &Claim) {
+        let others = if claim.replaces { timing::PROOF } else { std::time::Duration::ZERO };
+        self.leading = Some(Leading::new(map, asked, view.now + others));
+    }
+
+    fn try_claim(&mut self, view: View<'_>) -> Option<Order> {
+        let early = self.next_claim.is_some_and(|at| view.now < at);
+        if !self.duty || !self.known || early {
+            return None;
+        }
+        let mut map = self.newest.clone().unwrap_or_else(Map::unowned);
+        if self.newest.is_none() && !self.divide(view, &mut map) {
+            return None;
+        }
+        // An earlier claim may still be kept late; what it would have replaced counts too.
+        let earlier = self.claim.take().is_some_and(|claim| claim.replaces);
+        let replaces = earlier || map.leader.is_some();
+        map.begin_epoch(self.me.clone());
+        self.claim = Some(Claim { map: map.clone(), replaces });
+        self.next_claim = Some(view.now + timing::CLAIM_AGAIN);
+        Some(Order::Record(map))
+    }
+
+    /// Divides the keys for the first time. Returns whether there was anyone to give them to.
+    fn divide(&self, view: View<'_>, map: &mut Map) -> bool {
+        if !view.settled {
+            return false;
+        }
+        let servers: Vec<_> = view.servers.of(&self.service).collect();
+        let slots: u32 = servers.iter().map(|server| server.slots).sum();
+        let mut below = 0;
+        for server in &servers {
+            let at = |slots_below: u32| crate::key::KEYS * slots_below / slots;
+            let (first, end) = (at(below), at(below + server.slots));
+            below += server.slots;
+            let Some(range) = KeyRange::new(first as u16, end.saturating_sub(1) as u16) else {
+                continue;
+            };
+            let owner = Owner { server: server.id.clone(), addr: server.addr };
+            map.assign(range, Some(owner), map.first_token(), None);
+        }
+        slots > 0
+    }
+
+    fn stop(&mut self) -> Vec<Order> {
+        self.stopping = true;
+        self.retire()
+    }
+
+    /// Says in the store that this process sends no grant any more, so that a successor has nobody to wait for.
+    fn retire(&mut self) -> Vec<Order> {
+        self.claim = None;
+        let Some(leading) = self.leading.take() else { return Vec::new() };
+        let mut map = leading.map;
+        map.leader = None;
+        map.version += 1;
+        vec![Order::Record(map)]
+    }
+}
+
+/// The servers of a service that can be given keys, with what they can work off.
+fn candidates(leading: &Leading, view: View<'_>, service: &ServiceName) -> Vec<Candidate> {
+    let servers = view.servers.of(service).filter(|server| leading.is_usable(&server.id));
+    let mean = leading.mean_work(view.servers, service);
+    servers
+        .map(|server| {
+            let work = leading.demand.work(&server.id, server.slots).unwrap_or(mean);
+            let owner = Owner { server: server.id.clone(), addr: server.addr };
+            // A server that has just started is slow for a while, and is given its share when it no longer is.
+            let warm = if server.warmup_left.is_zero() { 1.0 } else { balance::COLD_SHARE };
+            let capacity = warm * f64::from(server.slots) / work.as_secs_f64().max(0.001);
+            Candidate { owner, capacity }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/timing.rs
@@ -0,0 +1,57 @@
+//! Every time span of granting, and why it has that length.
+
+use std::time::Duration;
+
+/// How long a grant lasts from its arrival.
+///
+/// Keys of a server that fell silent are unserved for this long at the least, which asks for a short one. It has to outlast
+/// the loss of the granting host: a lease in the store's group of 1 s that runs out, a claim, and the grants of the successor,
+/// together some 3 s, after up to [`RENEW_EVERY`].
+pub const HOLD: Duration = Duration::from_secs(4);
+
+/// A backend server's clock may run this much slow, so that a hold lasts longer than it says.
+pub const CLOCK_SLACK: f64 = 1.02;
+
+/// Added to each wait for the end of a hold, for what passes between a clock's reading and the use made of it.
+pub const MARGIN: Duration = Duration::from_millis(200);
+
+/// Pause between two grants of the same keys: four in a hold, so that three lost in a row cost nothing.
+pub const RENEW_EVERY: Duration = Duration::from_millis(900);
+
+/// How long a host goes on renewing after the store last confirmed that nobody replaced it.
+///
+/// Longer lets keys outlive a longer outage of the store (this and [`HOLD`] together, 12 s). Shorter would spare a successor
+/// a part of its wait before it takes keys off a server that neither answers nor was granted anything by itself.
+pub const PROOF: Duration = Duration::from_secs(8);
+
+/// Age of that confirmation at which a new one is asked for: a small part of [`PROOF`], for two thirds of a call a second.
+pub const CHECK_EVERY: Duration = Duration::from_millis(1500);
+
+/// A server that answered no grant for this long counts as lost, and its hold is left to run out. A restart of the network
+/// path or a full accept queue takes up to a second.
+pub const GIVE_UP: Duration = Duration::from_millis(1000);
+
+/// Pause before a server that gave no answer is asked again.
+pub const ASK_AGAIN: Duration = Duration::from_millis(250);
+
+/// Pause between two looks at the balance of load.
+pub const BALANCE_EVERY: Duration = Duration::from_millis(700);
+
+/// Ranges that one look moves at the most. Each is three calls, and its keys are away while their requests end.
+pub const MOVES_AT_ONCE: usize = 6;
+
+/// Releases that may be under way; the answer of one comes only when the running requests of its keys have ended.
+pub const RELEASES_AT_ONCE: usize = 48;
+
+/// A range that has just moved is left alone for this long: its owner's load is not yet known.
+pub const SETTLE: Duration = Duration::from_millis(2500);
+
+/// A host that gave the duty back since it reaches too few servers leaves it to the others for this long: the others' claim
+/// and first grants take some 3 s.
+pub const REST: Duration = Duration::from_secs(5);
+
+/// Pause before a claim is tried again.
+pub const CLAIM_AGAIN: Duration = Duration::from_millis(300);
+
+/// Ranges for each owner above which neighbours of one owner are joined: each range is a call every [`RENEW_EVERY`].
+pub const RANGES_PER_OWNER: usize = 4;
--- /dev/null
+++ b/crates/jacinthbeam-range/src/key.rs
@@ -0,0 +1,112 @@
+//! Keys and ranges of them.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// One key of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key(pub u16);
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Key {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Adjacent keys, both ends included. Never empty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyRange {
+    /// The lowest key.
+    pub first: Key,
+    /// The highest key, not below `first`.
+    pub last: Key,
+}
+
+/// Number of keys that a service has.
+pub const KEYS: u32 = 1 << 16;
+
+impl KeyRange {
+    /// Every key.
+    pub const ALL: Self = Self { first: Key(0), last: Key(u16::MAX) };
+
+    /// The keys from `first` to `last`, or `None` if there are none.
+    pub fn new(first: u16, last: u16) -> Option<Self> {
+        (first <= last).then_some(Self { first: Key(first), last: Key(last) })
+    }
+
+    /// Whether `key` is in the range.
+    pub fn contains(self, key: Key) -> bool {
+        self.first <= key && key <= self.last
+    }
+
+    /// Whether the ranges share a key.
+    pub fn overlaps(self, other: Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// Whether all keys of `other` are in this range.
+    pub fn covers(self, other: Self) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+
+    /// Number of keys, at least 1.
+    pub fn width(self) -> u32 {
+        u32::from(self.last.0) - u32::from(self.first.0) + 1
+    }
+
+    /// The keys below `other`, if there are any.
+    pub fn below(self, other: Self) -> Option<Self> {
+        (self.first < other.first).then(|| Self { first: self.first, last: Key(other.first.0 - 1) })
+    }
+
+    /// The keys above `other`, if there are any.
+    pub fn above(self, other: Self) -> Option<Self> {
+        (self.last > other.last).then(|| Self { first: Key(other.last.0 + 1), last: self.last })
+    }
+
+    /// Cuts the range into at most `pieces` ranges whose widths differ by one at the most.
+    pub fn cut(self, pieces: u32) -> Vec<Self> {
+        let pieces = pieces.clamp(1, self.width());
+        let at = |n: u32| u32::from(self.first.0) + (self.width() * n) / pieces;
+        (0..pieces)
+            .map(|n| Self { first: Key(at(n) as u16), last: Key((at(n + 1) - 1) as u16) })
+            .collect()
+    }
+}
+
+impl fmt::Display for KeyRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.first, self.last)
+    }
+}
+
+/// A range is written `first-last`, two numbers of which the second is not below the first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseError;
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a key range is written <first>-<last>, with 0 <= first <= last <= 65535")
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+impl FromStr for KeyRange {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (first, last) = text.split_once('-').ok_or(ParseError)?;
+        let number = |text: &str| text.parse().map_err(|_| ParseError);
+        Self::new(number(first)?, number(last)?).ok_or(ParseError)
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-route/src/server.rs
@@ -0,0 +1,67 @@
+//! The backend servers, as they report themselves.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use jacinthbeam_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// One life of a backend server. It has another id after a restart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Drawn at each start.
+    pub id: ServerId,
+    /// What it does.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Where it runs.
+    pub domain: FailureDomain,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is leaving: no new work may reach it some seconds after it said so.
+    pub draining: bool,
+    /// How much longer it was to be slow after its start when it reported this.
+    pub warmup_left: Duration,
+}
+
+/// All backend servers that are known to be there.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Servers {
+    by_id: BTreeMap<ServerId, Server>,
+}
+
+impl Servers {
+    /// Adds a server or replaces what was known of it. Returns whether anything changed.
+    pub fn insert(&mut self, server: Server) -> bool {
+        if self.by_id.get(&server.id) == Some(&server) {
+            return false;
+        }
+        self.by_id.insert(server.id.clone(), server);
+        true
+    }
+
+    /// Takes a server off the list. Returns whether it was there.
+    pub fn remove(&mut self, id: &ServerId) -> bool {
+        self.by_id.remove(id).is_some()
+    }
+
+    /// The server with this id.
+    pub fn get(&self, id: &ServerId) -> Option<&Server> {
+        self.by_id.get(id)
+    }
+
+    /// All servers by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.by_id.values()
+    }
+
+    /// The servers of a service that take new work.
+    pub fn of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Server> {
+        self.iter().filter(move |server| server.service == *service && !server.draining)
+    }
+
+    /// Whether `id` is on the list and takes new work.
+    pub fn takes_work(&self, id: &ServerId) -> bool {
+        self.get(id).is_some_and(|server| !server.draining)
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-route/tests/route.rs
@@ -0,0 +1,92 @@
+//! Routes by host and prefix, and shares of split routes.
+
+use std::time::Duration;
+
+use jacinthbeam_route::{
+    Part, Route, Routes, Target,
+    config::{Config, Error, Limits},
+    route::Dealer,
+};
+use jacinthbeam_types::prelude::*;
+
+fn service(name: &str) -> ServiceName {
+    name.parse().unwrap()
+}
+
+fn route(name: &str, prefix: &str, target: Target) -> Route {
+    Route {
+        name: name.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(600),
+        priority: 1,
+        attempts: 2,
+        target,
+    }
+}
+
+fn to(name: &str) -> Target {
+    Target::Service(service(name))
+}
+
+fn config(target: Target, prefix: &str) -> Config {
+    let mut routes = Routes::default();
+    routes.insert("a.example", route("r", prefix, target));
+    let limits = Limits {
+        head: 16 << 10,
+        body: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Config { version: ConfigVersion(1), routes, services: Default::default(), limits }
+}
+
+#[test]
+fn the_longest_prefix_that_begins_the_path_wins() {
+    let mut routes = Routes::default();
+    routes.insert("a.example", route("short", "/x/", to("s")));
+    routes.insert("A.example", route("long", "/x/y/", to("s")));
+    routes.insert("b.example", route("other", "/", to("s")));
+    let found = |host, path| routes.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("a.example", "/x/y/z"), Some("long"));
+    assert_eq!(found("a.example:8080", "/x/yy"), Some("short"));
+    assert_eq!(found("A.EXAMPLE", "/x/1"), Some("short"));
+    assert_eq!(found("a.example", "/x"), None);
+    assert_eq!(found("b.example", "/x/y/"), Some("other"));
+    assert_eq!(found("c.example", "/x/y/"), None);
+}
+
+#[test]
+fn every_prefix_of_a_split_is_within_one_request_of_its_shares() {
+    let parts = [("a", 90.0), ("b", 7.0), ("c", 3.0)]
+        .map(|(name, weight)| Part { service: service(name), weight });
+    let mut dealer = Dealer::default();
+    let mut dealt = [0.0; 3];
+    for n in 1..=1000 {
+        let next = dealer.next(&parts).unwrap();
+        let at = parts.iter().position(|part| part.service == next).unwrap();
+        dealt[at] += 1.0;
+        for (dealt, part) in dealt.iter().zip(&parts) {
+            assert!((dealt - part.weight / 100.0 * f64::from(n)).abs() < 1.5, "after {n}");
+        }
+    }
+}
+
+#[test]
+fn a_split_without_weight_deals_nothing() {
+    let parts = [Part { service: service("a"), weight: 0.0 }];
+    assert_eq!(Dealer::default().next(&parts), None);
+}
+
+#[test]
+fn a_configuration_that_contradicts_itself_is_refused_with_the_route_named() {
+    let unknown = config(to("nobody"), "/x/").check().unwrap_err();
+    assert_eq!(unknown, Error::UnknownService { route: "r".into(), service: service("nobody") });
+    assert!(unknown.to_string().contains("nobody"));
+    let part = Part { service: service("nobody"), weight: 0.0 };
+    let weightless = config(Target::Split(vec![part]), "/x/").check().unwrap_err();
+    assert_eq!(weightless, Error::NoTarget { route: "r".into() });
+    let prefix = config(to("nobody"), "/x").check().unwrap_err();
+    assert_eq!(prefix, Error::Prefix { route: "r".into(), prefix: "/x".into() });
+}
--- a/crates/jacinthbeam-standin/src/backend/fence.rs
+++ b/crates/jacinthbeam-standin/src/backend/fence.rs
@@ -1,6 +1,6 @@
 //! The server's memory of grants.
 
-use jacinthbeam_platform::format::backend::{Grant, RefusedBecause, SlotSet};
+use jacinthbeam_native::format::backend::{Grant, RefusedBecause, SlotSet};
 use jacinthbeam_types::prelude::*;
 
 /// Last grant accepted in this life of the server.
--- a/crates/jacinthbeam-standin/src/backend/handle.rs
+++ b/crates/jacinthbeam-standin/src/backend/handle.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use jacinthbeam_platform::format::backend::GrantState;
+use jacinthbeam_native::format::backend::GrantState;
 use jacinthbeam_types::prelude::*;
 
 use super::{
--- a/crates/jacinthbeam-standin/src/backend/holding.rs
+++ b/crates/jacinthbeam-standin/src/backend/holding.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use jacinthbeam_platform::format::backend::SlotSet;
+use jacinthbeam_native::format::backend::SlotSet;
 use jacinthbeam_types::prelude::*;
 
 /// Holdings that are remembered; older ones are dropped.
--- a/crates/jacinthbeam-standin/src/backend/mod.rs
+++ b/crates/jacinthbeam-standin/src/backend/mod.rs
@@ -6,7 +6,7 @@
 //! and is answered as a refusal. A server without it fences grants just the same, but runs every
 //! request that reaches it.
 //!
-//! - `GET /grant`, `POST /grant`, `GET /health`, `GET /load`: see `jacinthbeam_platform::format::backend`.
+//! - `GET /grant`, `POST /grant`, `GET /health`, `GET /load`: see `jacinthbeam_native::format::backend`.
 //! - `GET /runs` answers [`Summary`] as JSON.
 //! - Anything else is work, answered with an [`Echo`] as JSON. Header [`SERVICE_MS`] overrides its
 //!   time, [`ANSWER_BYTES`] asks for a large answer.
--- a/crates/jacinthbeam-standin/src/backend/run.rs
+++ b/crates/jacinthbeam-standin/src/backend/run.rs
@@ -5,7 +5,7 @@
     time::Instant,
 };
 
-use jacinthbeam_platform::format::backend::RefusedBecause;
+use jacinthbeam_native::format::backend::RefusedBecause;
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
--- a/crates/jacinthbeam-standin/src/backend/serve.rs
+++ b/crates/jacinthbeam-standin/src/backend/serve.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use jacinthbeam_platform::format::backend::{Grant, SERVER};
+use jacinthbeam_native::format::backend::{Grant, SERVER};
 
 use super::{run::Summary, state::Shared, work};
 use crate::net::{Answer, Body, Dropped, Listener, answer, json, read_body};
--- a/crates/jacinthbeam-standin/src/backend/state.rs
+++ b/crates/jacinthbeam-standin/src/backend/state.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_platform::format::backend::GrantState;
+use jacinthbeam_native::format::backend::GrantState;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::{Semaphore, watch};
 
--- a/crates/jacinthbeam-standin/src/backend/work.rs
+++ b/crates/jacinthbeam-standin/src/backend/work.rs
@@ -7,7 +7,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use jacinthbeam_platform::format::backend::{
+use jacinthbeam_native::format::backend::{
     DEADLINE, KEY, REFUSED, REQUEST, RefusedBecause, SLOT, TOKEN,
 };
 use jacinthbeam_types::prelude::*;
--- a/crates/jacinthbeam-standin/src/hosts.rs
+++ b/crates/jacinthbeam-standin/src/hosts.rs
@@ -10,7 +10,7 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use jacinthbeam_platform::format::hosts::HostList;
+use jacinthbeam_native::format::hosts::HostList;
 use jacinthbeam_types::prelude::*;
 
 use crate::net::{Answer, Body, Dropped, Listener, Server, answer, json, read_body};
--- a/crates/jacinthbeam-standin/src/lib.rs
+++ b/crates/jacinthbeam-standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for what the platform gives: its log, its host list and its backend servers.
 //!
-//! They speak the formats of `jacinthbeam_platform::format` over HTTP/1.1 and can be made to fail
+//! They speak the formats of `jacinthbeam_native::format` over HTTP/1.1 and can be made to fail
 //! on demand. They are for tests, measurements and a run on one machine; they keep everything in
 //! memory and decide nothing for the system itself.
 //!
--- a/crates/jacinthbeam-standin/src/log/serve.rs
+++ b/crates/jacinthbeam-standin/src/log/serve.rs
@@ -7,7 +7,7 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use jacinthbeam_platform::format::log::{Appended, EARLIEST, END, MAX_RECORD};
+use jacinthbeam_native::format::log::{Appended, EARLIEST, END, MAX_RECORD};
 
 use super::{Shared, store::Found};
 use crate::net::{Answer, Body, Dropped, answer, json, read_body};
--- a/crates/jacinthbeam-standin/src/log/store.rs
+++ b/crates/jacinthbeam-standin/src/log/store.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::{BufMut, Bytes, BytesMut};
-use jacinthbeam_platform::format::log::FRAME_HEAD;
+use jacinthbeam_native::format::log::FRAME_HEAD;
 use jacinthbeam_types::prelude::*;
 
 use super::Retention;
--- a/crates/jacinthbeam-standin/src/main.rs
+++ b/crates/jacinthbeam-standin/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use jacinthbeam_platform::format::hosts::HostList;
+use jacinthbeam_native::format::hosts::HostList;
 use jacinthbeam_standin::{backend, hosts, log as record_log};
 use jacinthbeam_types::prelude::*;
 use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
--- a/crates/jacinthbeam-standin/tests/backend/bench.rs
+++ b/crates/jacinthbeam-standin/tests/backend/bench.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jacinthbeam_platform::format::backend::{Grant, GrantState, SLOT, TOKEN};
+use jacinthbeam_native::format::backend::{Grant, GrantState, SLOT, TOKEN};
 use jacinthbeam_standin::backend::{self, Handle, Options};
 use jacinthbeam_types::{clock::ManualClock, prelude::*};
 
--- a/crates/jacinthbeam-standin/tests/backend/fault.rs
+++ b/crates/jacinthbeam-standin/tests/backend/fault.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use jacinthbeam_platform::format::backend::REFUSED;
+use jacinthbeam_native::format::backend::REFUSED;
 use jacinthbeam_standin::backend::{ANSWER_BYTES, ColdStart, Echo, Outcome, SERVICE_MS};
 
 use crate::{
--- a/crates/jacinthbeam-standin/tests/backend/grant.rs
+++ b/crates/jacinthbeam-standin/tests/backend/grant.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jacinthbeam_platform::format::backend::{
+use jacinthbeam_native::format::backend::{
     DEADLINE, Grant, GrantState, REFUSED, RefusedBecause, SLOT, TOKEN,
 };
 use jacinthbeam_standin::backend::{Echo, Outcome};
--- a/crates/jacinthbeam-standin/tests/backend/session.rs
+++ b/crates/jacinthbeam-standin/tests/backend/session.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, time::Duration};
 
-use jacinthbeam_platform::format::backend::{DEADLINE, Grant, KEY, REQUEST, SLOT, TOKEN};
+use jacinthbeam_native::format::backend::{DEADLINE, Grant, KEY, REQUEST, SLOT, TOKEN};
 use jacinthbeam_types::prelude::*;
 
 use crate::{
--- a/crates/jacinthbeam-standin/tests/hosts.rs
+++ b/crates/jacinthbeam-standin/tests/hosts.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
-use jacinthbeam_platform::format::hosts::{EntryHost, HostList};
+use jacinthbeam_native::format::hosts::{EntryHost, HostList};
 use jacinthbeam_standin::hosts::{self, Options};
 use jacinthbeam_types::clock::ManualClock;
 use support::{ANY, Client};
--- a/crates/jacinthbeam-standin/tests/log.rs
+++ b/crates/jacinthbeam-standin/tests/log.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
-use jacinthbeam_platform::format::log::{Appended, EARLIEST, END};
+use jacinthbeam_native::format::log::{Appended, EARLIEST, END};
 use jacinthbeam_standin::log::{self, Handle, Options, Retention};
 use jacinthbeam_types::clock::ManualClock;
 use support::{ANY, Client};
--- /dev/null
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -0,0 +1,133 @@
+//! Following a keyed partition: the newest value of each key, and every change after it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use jacinthbeam_types::prelude::Offset;
+
+use crate::{Call, Error, Item, Lane, Page, Partition, Reply};
+
+/// Follows one partition. Never goes back: a record is passed on only if it is newer than the last one of its key.
+///
+/// The store may forget its history, or show a state of some seconds ago after that. Both end with a page of the newest
+/// records, whose older parts must not undo what is known.
+#[derive(Debug)]
+pub struct Follower {
+    partition: Partition,
+    /// Next record to read; `None` before the first page and after the history was lost.
+    next: Option<Offset>,
+    seen: BTreeMap<String, Offset>,
+}
+
+/// What one look at the partition gave.
+#[derive(Debug, Default)]
+pub struct Changes {
+    /// Newer records, in their order.
+    pub items: Vec<Item>,
+    /// End of the partition as far as it was read.
+    pub end: Offset,
+    /// Keys known before that a page of all keys no longer has.
+    pub gone: Vec<String>,
+}
+
+impl Follower {
+    /// A follower that has read nothing.
+    pub fn new(partition: Partition) -> Self {
+        Self { partition, next: None, seen: BTreeMap::new() }
+    }
+
+    /// The partition.
+    pub fn partition(&self) -> &Partition {
+        &self.partition
+    }
+
+    /// End of what was read so far.
+    pub fn end(&self) -> Option<Offset> {
+        self.next
+    }
+
+    /// Reads what is new, and waits for it up to `wait` if there is nothing.
+    pub async fn look(&mut self, lane: &Lane, wait: Duration) -> Result<Changes, Error> {
+        let Some(at) = self.next else { return self.all(lane).await };
+        let call = Call::Read { from: self.partition.clone(), at, wait };
+        match lane.call(&call).await {
+            Ok(Reply::Records { records, end }) => self.take(at, &records, end),
+            Ok(_) => Err(Error::Malformed("not the answer to a read".into())),
+            Err(Error::Expired) => {
+                log::info!("store: records of {} were deleted, reading the newest", self.partition);
+                self.next = None;
+                self.all(lane).await
+            }
+            Err(err) => Err(err),
+        }
+    }
+
+    async fn all(&mut self, lane: &Lane) -> Result<Changes, Error> {
+        let mut items = Vec::new();
+        let mut after = None;
+        let mut end = None;
+        loop {
+            let call = Call::Newest { from: self.partition.clone(), after: after.clone() };
+            let page = match lane.call(&call).await? {
+                Reply::Page(page) => page,
+                _ => return Err(Error::Malformed("not the answer to a read of the newest".into())),
+            };
+            let Page { items: more_items, more, end: page_end } = page;
+            // Pages aren't one moment: what changed after the first is read from its end on.
+            end = Some(end.map_or(page_end, |end: Offset| end.min(page_end)));
+            after = more_items.last().map(|item| item.key.clone());
+            items.extend(more_items);
+            if !more || after.is_none() {
+                break;
+            }
+        }
+        Ok(self.take_all(items, end.unwrap_or_default()))
+    }
+
+    /// Takes all keys as they were at `end`.
+    pub fn take_all(&mut self, items: Vec<Item>, end: Offset) -> Changes {
+        let listed: Vec<&String> = items.iter().map(|item| &item.key).collect();
+        // A key that is missing was removed, unless its newest record is from after the state that is shown.
+        let missing = |key: &&String| !listed.contains(key) && self.seen[*key] < end;
+        let gone: Vec<String> = self.seen.keys().filter(missing).cloned().collect();
+        for key in &gone {
+            self.seen.remove(key);
+        }
+        let items = items.into_iter().filter(|item| self.is_newer(item)).collect();
+        self.next = Some(end);
+        Changes { items, end, gone }
+    }
+
+    fn take(&mut self, at: Offset, records: &[Bytes], end: Offset) -> Result<Changes, Error> {
+        let mut items = Vec::new();
+        for (n, record) in records.iter().enumerate() {
+            let offset = Offset(at.0 + n as u64);
+            match split(record) {
+                Some((key, value)) => items.push(Item { key, value, offset }),
+                None => {
+                    log::warn!("store: {} holds no keyed record at {offset}", self.partition);
+                }
+            }
+        }
+        let items = items.into_iter().filter(|item| self.is_newer(item)).collect();
+        let next = Offset(at.0 + records.len() as u64);
+        self.next = Some(next);
+        Ok(Changes { items, end: end.max(next), gone: Vec::new() })
+    }
+
+    fn is_newer(&mut self, item: &Item) -> bool {
+        let newer = self.seen.get(&item.key).is_none_or(|seen| *seen < item.offset);
+        if newer {
+            self.seen.insert(item.key.clone(), item.offset);
+        }
+        newer
+    }
+}
+
+/// A keyed record: the length of the key in one byte, the key, the value.
+fn split(record: &Bytes) -> Option<(String, Bytes)> {
+    let len = usize::from(*record.first()?);
+    let key = record.get(1..=len)?;
+    let key = String::from_utf8(key.to_vec()).ok()?;
+    Some((key, record.slice(len + 1..)))
+}
