fix(host): a lost owner is asked once, and a stopping process lets nobody wait

Change: a server that another has answered for is not asked again; a repeat for a key needs another owner; nothing waits once the process is stopping, and the listener is closed in the last phase.

--- a/crates/jacinthbeam-host/src/connection/accept.rs
+++ b/crates/jacinthbeam-host/src/connection/accept.rs
@@ -50,7 +50,8 @@
     pub open: Rc<Cell<usize>>,
 }
 
-/// Serves every connection with `serve`, which gets each request. Runs for ever.
+/// Serves every connection with `serve`, which gets each request. Ends, and closes the listener, in phase [`Phase::Closing`]:
+/// a request that came later might not be answered before the process is ended.
 pub async fn run<S, F>(
     listener: TcpListener,
     cx: Context,
@@ -60,8 +61,13 @@
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
+    let mut phase = cx.phase.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let limits = limits().unwrap_or(LIMITS_UNKNOWN);
                 spawn_local(one(stream, cx.clone(), limits, serve.clone()));
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -50,7 +50,7 @@
 pub(super) async fn run(start: Start) {
     let Start { settings, wire, clock, counters, view, phase, callers, reports, served } = start;
     let stop_within = settings.stop_within;
-    let traffic = Rc::new(Traffic::new(settings, wire, clock, counters, view));
+    let traffic = Rc::new(Traffic::new(settings, wire, clock, counters, view, phase.subscribe()));
     let listener = match tokio::net::TcpListener::from_std(callers) {
         Ok(listener) => listener,
         Err(err) => return log::error!("process: event=no-listener error={err:?}"),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -14,7 +14,12 @@
 use jacinthbeam_types::prelude::*;
 use tokio::sync::watch;
 
-use crate::{Settings, Wire, connection::Pool, process::metrics::Counters, version::View};
+use crate::{
+    Settings, Wire,
+    connection::{Pool, accept::Phase},
+    process::metrics::Counters,
+    version::View,
+};
 
 /// State of the traffic thread. One thread only, so plain cells do.
 #[derive(Debug)]
@@ -30,6 +35,7 @@
     /// Bytes of request bodies that are held.
     pub body_bytes: Cell<usize>,
     view: watch::Receiver<Arc<View>>,
+    phase: watch::Receiver<Phase>,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
     budgets: RefCell<BTreeMap<ServiceName, Budget>>,
     dealers: RefCell<BTreeMap<String, Dealer>>,
@@ -43,6 +49,8 @@
     pub pool: Pool,
     /// Observations.
     pub seen: RefCell<Seen>,
+    /// Another server has answered at the address, so that this one has ended.
+    pub ended: Cell<bool>,
 }
 
 /// Part of a server's connections that all hosts together use. The rest is for grants, and for hosts that come and go.
@@ -59,6 +67,7 @@
         clock: Arc<dyn Clock>,
         counters: Arc<Counters>,
         view: watch::Receiver<Arc<View>>,
+        phase: watch::Receiver<Phase>,
     ) -> Self {
         Self {
             settings,
@@ -67,6 +76,7 @@
             counters,
             body_bytes: Cell::new(0),
             view,
+            phase,
             servers: RefCell::default(),
             budgets: RefCell::default(),
             dealers: RefCell::default(),
@@ -84,6 +94,11 @@
         self.view.borrow().clone()
     }
 
+    /// Whether this process is about to stop, so that no request may wait for anything.
+    pub fn is_stopping(&self) -> bool {
+        *self.phase.borrow() > Phase::Serving
+    }
+
     /// Waits until something else is known, up to `most`.
     pub async fn view_changed(&self, most: Duration) {
         let mut view = self.view.clone();
@@ -96,8 +111,8 @@
     pub fn server(&self, server: &Server) -> Rc<ServerState> {
         let mut servers = self.servers.borrow_mut();
         let new = || {
-            let (pool, seen) = (Pool::new(server.addr), RefCell::default());
-            Rc::new(ServerState { pool, seen })
+            let (pool, seen, ended) = (Pool::new(server.addr), RefCell::default(), Cell::default());
+            Rc::new(ServerState { pool, seen, ended })
         };
         servers.entry(server.id.clone()).or_insert_with(new).clone()
     }
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -129,7 +129,8 @@
         Sent::Answered { good: true, .. } => seen.on_answer(now.saturating_duration_since(begun)),
         Sent::Answered { good: false, .. } => seen.on_error(),
         Sent::NotRun(NotRun::Full) => seen.on_full(now),
-        Sent::NotRun(NotRun::Unreachable | NotRun::OtherServer) => seen.on_failure(now),
+        Sent::NotRun(NotRun::Unreachable) => seen.on_failure(now),
+        Sent::NotRun(NotRun::OtherServer) => state.ended.set(true),
         Sent::NotRun(NotRun::NotOwner | NotRun::NoConnection | NotRun::Refused) => {}
         Sent::Lost(_) => {
             seen.on_failure(now);
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -191,7 +191,9 @@
             Sent::Answered { good: true, .. } => false,
             Sent::Answered { good: false, .. } => job.may_run_again(sends) && !job.keyed,
             // The same server would refuse it again, and each arrival counts against the budget of all hosts.
-            Sent::NotRun(NotRun::NotOwner) => {
+            Sent::NotRun(NotRun::NotOwner | NotRun::OtherServer | NotRun::Unreachable)
+                if job.keyed =>
+            {
                 sends < MOST_SENDS && await_other_owner(&job, &view).await
             }
             Sent::NotRun(NotRun::Full) => !job.keyed && sends < MOST_SENDS,
@@ -233,8 +235,9 @@
         until.saturating_duration_since(self.traffic.now())
     }
 
+    /// A process that is about to stop has no time to wait: the caller is answered while it can be, and goes elsewhere.
     fn may_wait(&self) -> bool {
-        !self.wait_left().is_zero()
+        !self.traffic.is_stopping() && !self.wait_left().is_zero()
     }
 }
 
@@ -242,11 +245,14 @@
     let now = job.traffic.now();
     if job.keyed {
         let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
-        let server = view.servers.get(&owner.server);
-        return server.filter(|server| view.may_send(&server.id, now, LEAVING_GRACE)).cloned();
+        let server = view.servers.get(&owner.server)?;
+        let ended = job.traffic.server(server).ended.get();
+        let may = !ended && view.may_send(&server.id, now, LEAVING_GRACE);
+        return may.then(|| server.clone());
     }
     let open = view.servers.of(&job.service).filter(|server| !tried.contains(&server.id));
-    let states: Vec<_> = open.map(|server| (server, job.traffic.server(server))).collect();
+    let states = open.map(|server| (server, job.traffic.server(server)));
+    let states: Vec<_> = states.filter(|(_, state)| !state.ended.get()).collect();
     let seen: Vec<_> = states.iter().map(|(_, state)| state.seen.borrow()).collect();
     let candidates = states.iter().zip(&seen).map(|((server, _), seen)| Candidate {
         id: *server,
