feat(host): news of the store through one host of each failure domain

Change: in each failure domain hosts ask those before them in the order of names, over h2 with bincode, and only one that finds nobody fresh reads the store. A host that loses the store asks any other. Known keeps everything by offset or version, from either source.

--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -11,7 +11,7 @@
 
 use jacinthbeam_connection::{Line, line};
 use jacinthbeam_range::{
-    KeyRange, Owner,
+    Event, KeyRange, Owner,
     grantor::{Call, NoAnswer, Outcome, timing::HOLD},
 };
 use jacinthbeam_types::prelude::*;
@@ -85,8 +85,8 @@
             log_round(&service, &to, &round, calls.len());
             let Round { outcome, last_call, confirmed, refused } = round;
             let server = to.server;
-            let input = Input::Granted { service, server, outcome, last_call, confirmed, refused };
-            if tx.send(input).is_err() {
+            let event = Event::Granted { server, outcome, last_call, confirmed, refused };
+            if tx.send(Input::Granted { service, event }).is_err() {
                 log::debug!("grant: event=stopped-meanwhile");
             }
         });
@@ -109,7 +109,8 @@
                 "grant: event=release service={service} server={} range={range} token={token} outcome={handover:?}",
                 from.server
             );
-            if tx.send(Input::Released { service, range, token, handover }).is_err() {
+            let event = Event::Released { range, token, handover };
+            if tx.send(Input::Granted { service, event }).is_err() {
                 log::debug!("grant: event=stopped-meanwhile");
             }
         });
--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -7,6 +7,7 @@
     keyed::{Changes, Follower},
 };
 use jacinthbeam_types::prelude::*;
+use tokio::sync::watch;
 
 use super::input::{Input, Tx};
 
@@ -24,6 +25,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a host that can't read the store looks for another host that can: a pause between reads, and as much again
+/// for a slow answer. What the store acknowledges has two seconds to act everywhere.
+pub(super) const LOST_AFTER: Duration = Duration::from_millis(950);
+
 /// How one partition is followed.
 pub(super) struct Followed {
     /// The partition.
@@ -32,12 +37,14 @@
     pub(super) wait: Duration,
     /// Pause between reads.
     pub(super) every: Duration,
+    /// Whether it is read at all now; else the same comes from another host.
+    pub(super) gate: watch::Receiver<bool>,
 }
 
 /// Follows a partition for ever. `input` makes an input of what was read and when the read was sent.
 pub(super) async fn follow(
     store: Client,
-    followed: Followed,
+    mut followed: Followed,
     clock: Arc<dyn Clock>,
     tx: Tx,
     input: impl Fn(std::time::Instant, Changes) -> Input,
@@ -47,6 +54,14 @@
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut lost = false;
     loop {
+        if !*followed.gate.borrow() {
+            // What comes meanwhile is mostly heartbeats; the newest of each key is less than all of them.
+            follower.start_over();
+            // An error is the end of the process.
+            if followed.gate.wait_for(|open| *open).await.is_err() {
+                return;
+            }
+        }
         let asked = clock.now();
         match follower.look(&lane, followed.wait).await {
             Ok(changes) => {
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -2,14 +2,12 @@
 
 use std::{collections::BTreeSet, time::Instant};
 
-use jacinthbeam_range::{
-    KeyRange,
-    demand::Report,
-    grantor::{NoAnswer, Outcome},
-};
+use jacinthbeam_range::{Event, Map, demand::Report};
 use jacinthbeam_store::{Error, keyed::Changes};
 use jacinthbeam_types::prelude::*;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+
+use crate::process::peers::news::{Asked, News};
 
 /// Where tasks send what they found.
 pub(super) type Tx = UnboundedSender<Input>;
@@ -19,8 +17,8 @@
 pub(super) enum Input {
     /// Newer records of the operator.
     Operator(Changes),
-    /// Newer entries of backend servers.
-    Servers(Changes),
+    /// Newer entries of backend servers, by a read that was sent then.
+    Servers(Instant, Changes),
     /// Newer entries of hosts.
     Hosts(Changes),
     /// Newer ownership maps in a partition.
@@ -32,14 +30,25 @@
         /// The records.
         changes: Changes,
     },
+    /// What another host knows.
+    News(Box<News>),
+    /// The feed asks what to ask another host for.
+    Question(oneshot::Sender<Asked>),
+    /// Another host asks for news.
+    Answer {
+        /// What it knows.
+        asked: Asked,
+        /// Where the news go.
+        reply: oneshot::Sender<News>,
+    },
     /// The duties that fall to this host.
     Duties(BTreeSet<u32>),
     /// An append of an ownership map has ended.
     Put {
         /// Of this service.
         service: ServiceName,
-        /// Bytes of the map, as appended.
-        bytes: bytes::Bytes,
+        /// The map, as appended.
+        map: Map,
         /// When it was sent.
         asked: Instant,
         /// The end of the partition that it was conditional on.
@@ -56,31 +65,12 @@
         /// The end up to which everything was known, if there was nothing newer.
         unchanged: Option<Offset>,
     },
-    /// A round of grants has ended.
+    /// A round of grants or a release has ended.
     Granted {
         /// Of this service.
         service: ServiceName,
-        /// By this server.
-        server: ServerId,
-        /// How it ended.
-        outcome: Outcome,
-        /// End of the last call that may have had an effect.
-        last_call: Option<Instant>,
-        /// What the server confirmed.
-        confirmed: Vec<(KeyRange, Token)>,
-        /// What it refused.
-        refused: Vec<KeyRange>,
-    },
-    /// A release has ended.
-    Released {
-        /// Of this service.
-        service: ServiceName,
-        /// The keys.
-        range: KeyRange,
-        /// Its token.
-        token: Token,
-        /// What was handed over.
-        handover: Result<Option<String>, NoAnswer>,
+        /// How.
+        event: Event,
     },
     /// Counts of one host.
     Load {
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/known.rs
@@ -0,0 +1,289 @@
+//! What this host knows of the store, from whichever source it came. No I/O.
+//!
+//! Records may come from the store itself and from other hosts, in any order and more than once. Each carries the offset at
+//! which the store keeps it, or a version, so that the newer one always wins and nothing ever goes back.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_range::Map;
+use jacinthbeam_route::{Config, Server, Servers};
+use jacinthbeam_types::prelude::*;
+
+use crate::{
+    process::peers::{
+        HostEntry,
+        news::{Asked, News},
+    },
+    version::View,
+};
+
+/// A server that has left the list is remembered for this long: longer than other hosts may be behind, and than any use of
+/// its having left.
+const LEFT_FOR: Duration = Duration::from_secs(30);
+
+/// The newest record of one backend server.
+#[derive(Debug, Clone)]
+struct Entry {
+    offset: Offset,
+    server: Option<Server>,
+    /// When this host learned that the server is leaving or has left.
+    leaving: Option<Instant>,
+}
+
+/// Everything that this host knows.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    config: Option<Arc<Config>>,
+    servers: BTreeMap<ServerId, Entry>,
+    servers_end: Offset,
+    /// Entries that left before this offset may have been forgotten.
+    forgotten_before: Offset,
+    /// When a server last came, left or changed; `None` until the list was read.
+    servers_changed: Option<Instant>,
+    hosts: BTreeMap<HostId, (Offset, HostEntry)>,
+    hosts_end: Offset,
+    maps: BTreeMap<ServiceName, Arc<Map>>,
+    /// The list that requests see, made anew at each change.
+    list: Arc<Servers>,
+    leaving: Arc<BTreeMap<ServerId, Instant>>,
+}
+
+/// What a step changed.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Changed {
+    pub(super) config: bool,
+    pub(super) servers: bool,
+    pub(super) hosts: bool,
+    pub(super) maps: bool,
+}
+
+impl Changed {
+    pub(super) fn any(self) -> bool {
+        self.config || self.servers || self.hosts || self.maps
+    }
+}
+
+impl Known {
+    pub(super) fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    pub(super) fn servers(&self) -> &Servers {
+        &self.list
+    }
+
+    pub(super) fn servers_changed(&self) -> Option<Instant> {
+        self.servers_changed
+    }
+
+    pub(super) fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
+        self.hosts.iter().map(|(host, (_, entry))| (host, entry))
+    }
+
+    /// What requests are decided by.
+    pub(super) fn view(&self) -> View {
+        View {
+            config: self.config.clone(),
+            servers: self.list.clone(),
+            leaving: self.leaving.clone(),
+            maps: self.maps.clone(),
+            hosts: self.hosts.len() as u32,
+        }
+    }
+
+    /// Takes a configuration. Returns whether it is newer and sound.
+    pub(super) fn take_config(&mut self, cfg: Config) -> bool {
+        let known = self.config.as_ref().map(|cfg| cfg.version);
+        if known.is_some_and(|known| cfg.version <= known) {
+            return false;
+        }
+        if let Err(err) = cfg.check() {
+            log::error!(
+                "config: event=refused version={} error={:?}",
+                cfg.version,
+                err.to_string()
+            );
+            return false;
+        }
+        log::info!("config: event=in-force version={} before={known:?}", cfg.version);
+        self.config = Some(Arc::new(cfg));
+        true
+    }
+
+    /// Takes the record of a server, `None` if it has left. Returns whether it changed anything.
+    pub(super) fn take_server(
+        &mut self,
+        id: ServerId,
+        offset: Offset,
+        server: Option<Server>,
+        now: Instant,
+    ) -> bool {
+        let before = self.servers.get(&id);
+        if before.is_some_and(|before| before.offset >= offset) {
+            return false;
+        }
+        let was = before.and_then(|before| before.server.as_ref());
+        let leaves = server.as_ref().is_none_or(|server| server.draining);
+        let known_leaving = before.and_then(|before| before.leaving);
+        log_server(&id, was, server.as_ref());
+        let changed = was != server.as_ref();
+        // An entry that had lapsed and is back belongs to a server that lives and goes on.
+        let leaving = leaves.then(|| known_leaving.unwrap_or(now));
+        self.servers.insert(id, Entry { offset, server, leaving });
+        changed
+    }
+
+    /// Takes note that everything of the servers before `end` is known.
+    pub(super) fn servers_known_to(&mut self, end: Offset, changed: bool, now: Instant) {
+        self.servers_end = self.servers_end.max(end);
+        if changed || self.servers_changed.is_none() {
+            self.servers_changed = Some(now);
+            self.forget(now);
+            let mut list = Servers::default();
+            for server in self.servers.values().filter_map(|entry| entry.server.clone()) {
+                list.insert(server);
+            }
+            self.list = Arc::new(list);
+            let leaving = |(id, entry): (&ServerId, &Entry)| Some((id.clone(), entry.leaving?));
+            self.leaving = Arc::new(self.servers.iter().filter_map(leaving).collect());
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let old = |entry: &Entry| {
+            let left =
+                entry.leaving.is_some_and(|at| now.saturating_duration_since(at) >= LEFT_FOR);
+            left && entry.server.is_none()
+        };
+        let forgotten = self.servers.values().filter(|entry| old(entry)).map(|entry| entry.offset);
+        self.forgotten_before = self.forgotten_before.max(forgotten.max().unwrap_or_default());
+        self.servers.retain(|_, entry| !old(entry));
+    }
+
+    /// Takes the record of a host. Returns whether it is newer.
+    pub(super) fn take_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
+        let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < offset);
+        if newer {
+            self.hosts.insert(host, (offset, entry));
+        }
+        newer
+    }
+
+    pub(super) fn hosts_known_to(&mut self, end: Offset) {
+        self.hosts_end = self.hosts_end.max(end);
+    }
+
+    /// Takes an ownership map. Returns whether it is newer.
+    pub(super) fn take_map(&mut self, service: ServiceName, map: Map) -> bool {
+        let newer = self.maps.get(&service).is_none_or(|known| known.is_older_than(&map));
+        if newer {
+            self.maps.insert(service, Arc::new(map));
+        }
+        newer
+    }
+
+    /// What this host would ask another for.
+    pub(super) fn question(&self, wait: Duration) -> Asked {
+        let version =
+            |(service, map): (&ServiceName, &Arc<Map>)| (service.clone(), (map.epoch, map.version));
+        Asked {
+            config: self.config.as_ref().map(|cfg| cfg.version),
+            servers_end: self.servers_end,
+            hosts_end: self.hosts_end,
+            maps: self.maps.iter().map(version).collect(),
+            wait,
+        }
+    }
+
+    /// What this host knows and the other doesn't.
+    pub(super) fn news_for(&self, asked: &Asked, age: Duration) -> News {
+        let config = self.config.as_ref().filter(|cfg| asked.config < Some(cfg.version));
+        let all_servers = asked.servers_end <= self.forgotten_before;
+        let servers =
+            self.servers.iter().filter(|(_, e)| all_servers || e.offset >= asked.servers_end);
+        let hosts = self.hosts.iter().filter(|(_, (offset, _))| *offset >= asked.hosts_end);
+        let newer = |service: &ServiceName, map: &Map| {
+            asked.maps.get(service).is_none_or(|known| *known < (map.epoch, map.version))
+        };
+        let maps = self.maps.iter().filter(|(service, map)| newer(service, map));
+        News {
+            age,
+            config: config.map(|cfg| (**cfg).clone()),
+            servers: servers.map(|(id, e)| (id.clone(), e.offset, e.server.clone())).collect(),
+            servers_end: self.servers_end,
+            all_servers,
+            hosts: hosts
+                .map(|(id, (offset, entry))| (id.clone(), *offset, entry.clone()))
+                .collect(),
+            hosts_end: self.hosts_end,
+            maps: maps.map(|(service, map)| (service.clone(), (**map).clone())).collect(),
+        }
+    }
+
+    /// Takes what another host knows.
+    pub(super) fn take_news(&mut self, news: News, now: Instant) -> Changed {
+        let mut changed = Changed::default();
+        if let Some(cfg) = news.config {
+            changed.config = self.take_config(cfg);
+        }
+        if news.all_servers {
+            changed.servers = self.drop_unlisted(&news.servers, news.servers_end, now);
+        }
+        for (id, offset, server) in news.servers {
+            changed.servers |= self.take_server(id, offset, server, now);
+        }
+        if news.servers_end > Offset(0) {
+            self.servers_known_to(news.servers_end, changed.servers, now);
+        }
+        for (host, offset, entry) in news.hosts {
+            changed.hosts |= self.take_host(host, offset, entry);
+        }
+        self.hosts_known_to(news.hosts_end);
+        for (service, map) in news.maps {
+            changed.maps |= self.take_map(service, map);
+        }
+        changed
+    }
+
+    /// Drops servers that a whole list lacks, unless they came after it.
+    fn drop_unlisted(
+        &mut self,
+        listed: &[(ServerId, Offset, Option<Server>)],
+        end: Offset,
+        now: Instant,
+    ) -> bool {
+        let listed: Vec<&ServerId> = listed.iter().map(|(id, _, _)| id).collect();
+        let missing =
+            |(id, entry): &(&ServerId, &Entry)| entry.offset < end && !listed.contains(id);
+        let missing: Vec<ServerId> =
+            self.servers.iter().filter(missing).map(|(id, _)| id.clone()).collect();
+        let last = Offset(end.0.saturating_sub(1));
+        missing
+            .into_iter()
+            .fold(false, |changed, id| self.take_server(id, last, None, now) || changed)
+    }
+}
+
+fn log_server(id: &ServerId, before: Option<&Server>, now: Option<&Server>) {
+    match (before, now) {
+        (None, Some(server)) => log::info!(
+            "servers: event=joined server={id} service={} addr={} domain={} slots={} draining={}",
+            server.service,
+            server.addr,
+            server.domain,
+            server.slots,
+            server.draining,
+        ),
+        (Some(before), Some(server)) if before.draining != server.draining => log::info!(
+            "servers: event=changed server={id} service={} draining={}",
+            server.service,
+            server.draining,
+        ),
+        (Some(_), None) => log::info!("servers: event=gone server={id}"),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/maps.rs
@@ -0,0 +1,69 @@
+//! The partitions of the store that hold ownership maps, as far as this host writes them.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use jacinthbeam_range::Map;
+use jacinthbeam_store::{Lane, keyed::Changes};
+use jacinthbeam_types::prelude::*;
+use tokio::sync::watch;
+
+/// One partition that this host reads itself, since it may have to write it.
+#[derive(Debug)]
+pub(super) struct MapPartition {
+    /// Everything before this offset is known.
+    pub(super) end: Offset,
+    /// Whether it was read at all.
+    pub(super) read: bool,
+    /// Offset and map of each service's newest record.
+    newest: BTreeMap<ServiceName, (Offset, Map)>,
+    /// Connection for appends and checks, one call at a time.
+    pub(super) lane: Rc<Lane>,
+    /// Whether it is followed now.
+    pub(super) gate: watch::Sender<bool>,
+}
+
+impl MapPartition {
+    pub(super) fn new(lane: Lane, gate: watch::Sender<bool>) -> Self {
+        let (end, newest) = (Offset(0), BTreeMap::new());
+        Self { end, read: false, newest, lane: Rc::new(lane), gate }
+    }
+
+    pub(super) fn newest(&self, service: &ServiceName) -> Option<&Map> {
+        self.newest.get(service).map(|(_, map)| map)
+    }
+
+    /// Takes what was read. Returns the maps that are newer.
+    pub(super) fn take(&mut self, changes: Changes) -> Vec<(ServiceName, Map)> {
+        self.read = true;
+        self.end = self.end.max(changes.end);
+        let mut newer = Vec::new();
+        for item in changes.items {
+            match (item.key.parse::<ServiceName>(), Map::from_bytes(&item.value)) {
+                (Ok(service), Ok(map)) => {
+                    if self.put(service.clone(), item.offset, map.clone()) {
+                        newer.push((service, map));
+                    }
+                }
+                (Err(err), _) => log::error!("maps: event=unreadable-name error={err}"),
+                (_, Err(err)) => {
+                    log::error!("maps: event=unreadable service={} error={err}", item.key)
+                }
+            }
+        }
+        newer
+    }
+
+    /// Takes a record of this host's own that is kept at `at`.
+    pub(super) fn take_own(&mut self, service: ServiceName, at: Offset, end: Offset, map: Map) {
+        self.end = self.end.max(end);
+        self.put(service, at, map);
+    }
+
+    fn put(&mut self, service: ServiceName, at: Offset, map: Map) -> bool {
+        let newer = self.newest.get(&service).is_none_or(|(known, _)| *known < at);
+        if newer {
+            self.newest.insert(service, (at, map));
+        }
+        newer
+    }
+}
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -5,8 +5,11 @@
 
 mod calls;
 mod duty;
+mod feed;
 mod follow;
 mod input;
+mod known;
+mod maps;
 mod state;
 
 use std::{
@@ -46,22 +49,26 @@
 /// Time for the last calls to the store after the last request.
 const LAST_CALLS: Duration = Duration::from_millis(100);
 
-pub(super) async fn run(start: Start, ready: TcpListener, metrics: TcpListener, peers: UdpSocket) {
+/// The sockets of the thread.
+pub(super) struct Sockets {
+    pub(super) ready: TcpListener,
+    pub(super) metrics: TcpListener,
+    /// For reports of load.
+    pub(super) reports: UdpSocket,
+    /// For hosts that ask for news.
+    pub(super) news: TcpListener,
+}
+
+pub(super) async fn run(mut start: Start, sockets: Sockets) {
     let (tx, mut rx) = mpsc::unbounded_channel();
+    let Sockets { ready, metrics, reports, news } = sockets;
     serve_pages(&start, ready, metrics, &tx);
-    spawn_local(hear(peers, tx.clone()));
+    spawn_local(hear(reports, tx.clone()));
+    spawn_local(serve_news(news, tx.clone(), start.view.subscribe()));
     spawn_local(tick(tx.clone()));
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
-    let mut served = start.served;
-    let mut control = Control::new(
-        start.settings,
-        start.wire,
-        start.clock,
-        start.counters,
-        start.incarnation,
-        start.view,
-        tx,
-    );
+    let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
+    let mut control = Control::new(start, tx);
     control.begin();
     loop {
         tokio::select! {
@@ -77,6 +84,11 @@
     log::info!("process: event=stop");
 }
 
+async fn serve_news(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
+    let find = move |asked| feed::find(tx.clone(), changes.clone(), asked);
+    peers::serve::run(listener, find).await;
+}
+
 fn serve_pages(start: &Start, ready: TcpListener, metrics: TcpListener, tx: &Tx) {
     let (view, phase) = (start.view.subscribe(), start.phase.clone());
     serve_page(ready, move |_| {
@@ -127,7 +139,7 @@
         Ok(socket) => Rc::new(socket),
         Err(err) => return log::error!("peers: event=no-socket error={err:?}"),
     };
-    let mut buf = [0; peers::LONGEST * 2];
+    let mut buf = [0; peers::load::LONGEST * 2];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
@@ -136,8 +148,8 @@
                 continue;
             }
         };
-        match peers::Message::from_bytes(&buf[..len]) {
-            Ok(peers::Message::Load { service, report }) => {
+        match peers::load::Message::from_bytes(&buf[..len]) {
+            Ok(peers::load::Message::Load { service, report }) => {
                 if tx.send(Input::Load { service, report }).is_err() {
                     return;
                 }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -1,6 +1,7 @@
-//! What the control thread knows, and what it does about each input.
+//! What the control thread does about each input.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
@@ -12,36 +13,29 @@
     Event, Grantor, Leader, Map, Order,
     grantor::{View as GrantView, timing::REST},
 };
-use jacinthbeam_route::{Config, Servers};
 use jacinthbeam_store::{Call, Client, Error, Item, Lane, Partition, Reply, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 use tokio::{sync::watch, task::spawn_local};
 
 use super::{
+    Start,
     calls::{Caller, Leads},
     duty,
+    feed::{self, Feed, Neighbours},
     follow::{self, Followed, HOSTS_EVERY, LONG_POLL, SERVERS_EVERY},
     input::{Input, Tx},
+    known::{Changed, Known},
+    maps::MapPartition,
+};
+use crate::{
+    Settings, Wire,
+    process::{metrics::Counters, peers::HostEntry},
+    version::View,
 };
-use crate::{Settings, Wire, process::metrics::Counters, version::View};
 
 /// The list of backend servers counts as settled when it has not changed for this long: they all start within a second.
 const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 
-/// A server that has left the list is remembered for this long, which is longer than any use of its having left.
-const LEFT_FOR: Duration = Duration::from_secs(30);
-
-/// One partition of the ownership maps.
-#[derive(Debug)]
-struct MapPartition {
-    /// Everything before this offset is known.
-    end: Offset,
-    /// Offset and map of each service's newest record.
-    newest: BTreeMap<ServiceName, (Offset, Map)>,
-    /// Connection for appends and checks, one call at a time.
-    lane: Rc<Lane>,
-}
-
 /// A grantor and what goes with it.
 #[derive(Debug)]
 struct Granting {
@@ -61,30 +55,21 @@
     tx: Tx,
     store: Client,
     caller: Caller,
-    config: Option<Arc<Config>>,
-    servers: Servers,
-    /// When the list last changed; `None` until it was read.
-    servers_changed: Option<Instant>,
-    leaving: BTreeMap<ServerId, Instant>,
-    hosts: BTreeSet<String>,
+    known: Known,
+    /// When this host last heard of the store, by itself or through others.
+    heard: Rc<Cell<Option<Instant>>>,
+    direct: Rc<watch::Sender<bool>>,
+    neighbours: watch::Sender<Neighbours>,
     duties: BTreeSet<u32>,
     wish: Rc<duty::Wish>,
     has_joined: bool,
-    followed: BTreeSet<u32>,
     partitions: BTreeMap<u32, MapPartition>,
     granting: BTreeMap<ServiceName, Granting>,
 }
 
 impl Control {
-    pub(super) fn new(
-        settings: Settings,
-        wire: Wire,
-        clock: Arc<dyn Clock>,
-        counters: Arc<Counters>,
-        incarnation: Incarnation,
-        view: watch::Sender<Arc<View>>,
-        tx: Tx,
-    ) -> Self {
+    pub(super) fn new(start: Start, tx: Tx) -> Self {
+        let Start { settings, wire, clock, counters, incarnation, view, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         Self {
             store: Client::open(settings.store, wire.store, clock.clone()),
@@ -96,28 +81,36 @@
             me,
             view,
             tx,
-            config: None,
-            servers: Servers::default(),
-            servers_changed: None,
-            leaving: BTreeMap::new(),
-            hosts: BTreeSet::new(),
+            known: Known::default(),
+            heard: Rc::default(),
+            direct: Rc::new(watch::channel(true).0),
+            neighbours: watch::channel(Neighbours::default()).0,
             duties: BTreeSet::new(),
             wish: Rc::default(),
             has_joined: false,
-            followed: BTreeSet::new(),
             partitions: BTreeMap::new(),
             granting: BTreeMap::new(),
         }
     }
 
-    /// Starts to follow the store.
+    /// Starts to follow the store, or hosts that do.
     pub(super) fn begin(&mut self) {
         let places = self.wire.places;
-        self.follow((places.operator)(), LONG_POLL, Duration::ZERO, |_, c| Input::Operator(c));
-        self.follow((places.servers)(), Duration::ZERO, SERVERS_EVERY, |_, c| Input::Servers(c));
+        let gate = self.direct.subscribe();
+        let once = Duration::ZERO;
+        self.follow((places.operator)(), LONG_POLL, once, gate.clone(), |_, c| Input::Operator(c));
+        self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), Input::Servers);
         let hosts = Partition { topic: places.hosts.into(), number: 0 };
-        self.follow(hosts.clone(), LONG_POLL, HOSTS_EVERY, |_, c| Input::Hosts(c));
-        spawn_local(announce(self.store.lane(), hosts, self.me.clone()));
+        self.follow(hosts.clone(), LONG_POLL, HOSTS_EVERY, gate, |_, c| Input::Hosts(c));
+        let entry = HostEntry { addr: self.settings.peers, domain: self.settings.domain.clone() };
+        spawn_local(announce(self.store.lane(), hosts, self.me.host.clone(), entry));
+        spawn_local(feed::run(Feed {
+            clock: self.clock.clone(),
+            neighbours: self.neighbours.subscribe(),
+            direct: self.direct.clone(),
+            heard: self.heard.clone(),
+            tx: self.tx.clone(),
+        }));
     }
 
     fn follow(
@@ -125,9 +118,10 @@
         partition: Partition,
         wait: Duration,
         every: Duration,
+        gate: watch::Receiver<bool>,
         input: impl Fn(Instant, Changes) -> Input + 'static,
     ) {
-        let followed = Followed { partition, wait, every };
+        let followed = Followed { partition, wait, every, gate };
         let (store, clock, tx) = (self.store.clone(), self.clock.clone(), self.tx.clone());
         spawn_local(follow::follow(store, followed, clock, tx, input));
     }
@@ -136,23 +130,29 @@
     pub(super) fn on(&mut self, input: Input) {
         match input {
             Input::Operator(changes) => self.on_operator(&changes),
-            Input::Servers(changes) => self.on_servers(&changes),
+            Input::Servers(asked, changes) => self.on_servers(asked, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
             Input::Maps { partition, asked, changes } => self.on_maps(partition, asked, changes),
+            Input::News(news) => {
+                let changed = self.known.take_news(*news, self.clock.now());
+                self.on_changed(changed);
+            }
+            Input::Question(reply) => {
+                // The task that asked may have been given up meanwhile.
+                let _ = reply.send(self.known.question(feed::WAIT));
+            }
+            Input::Answer { asked, reply } => {
+                // As above.
+                let _ = reply.send(self.known.news_for(&asked, self.age()));
+            }
             Input::Duties(duties) => self.on_duties(duties),
-            Input::Put { service, bytes, asked, at, result } => {
-                self.on_put(&service, &bytes, asked, at, result);
+            Input::Put { service, map, asked, at, result } => {
+                self.on_put(&service, map, asked, at, result);
             }
             Input::Checked { partition, asked, unchanged } => {
                 self.on_checked(partition, asked, unchanged);
             }
-            Input::Granted { service, server, outcome, last_call, confirmed, refused } => {
-                let event = Event::Granted { server, outcome, last_call, confirmed, refused };
-                self.step(&service, event);
-            }
-            Input::Released { service, range, token, handover } => {
-                self.step(&service, Event::Released { range, token, handover });
-            }
+            Input::Granted { service, event } => self.step(&service, event),
             Input::Load { service, report } => self.step(&service, Event::Load(report)),
             Input::Tick => self.step_all(&Event::Tick),
             Input::Dump => log::info!("process: event=dump state={self:?}"),
@@ -163,35 +163,101 @@
         }
     }
 
+    fn age(&self) -> Duration {
+        let now = self.clock.now();
+        self.heard.get().map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     fn on_operator(&mut self, changes: &Changes) {
         let newest =
             changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
         let Some(item) = newest.filter(|item| !item.value.is_empty()) else { return };
         match (self.wire.config)(&item.value) {
-            Ok(cfg) => self.on_config(cfg),
+            Ok(cfg) => {
+                let config = self.known.take_config(cfg);
+                self.on_changed(Changed { config, ..Changed::default() });
+            }
             Err(err) => {
                 log::error!("config: event=unreadable offset={} error={err:?}", item.offset);
             }
         }
     }
 
-    fn on_config(&mut self, cfg: Config) {
-        let known = self.config.as_ref().map(|cfg| cfg.version);
-        if known.is_some_and(|known| cfg.version <= known) {
-            return;
+    fn on_servers(&mut self, asked: Instant, changes: Changes) {
+        let now = self.clock.now();
+        self.heard.set(self.heard.get().max(Some(asked)));
+        let mut changed = false;
+        for item in &changes.items {
+            changed |= self.on_server(item, now);
+        }
+        let last = Offset(changes.end.0.saturating_sub(1));
+        for id in changes.gone.iter().filter_map(|id| id.parse().ok()) {
+            changed |= self.known.take_server(id, last, None, now);
         }
-        if let Err(err) = cfg.check() {
-            log::error!(
-                "config: event=refused version={} error={:?}",
-                cfg.version,
-                err.to_string()
-            );
+        self.known.servers_known_to(changes.end, changed, now);
+        self.on_changed(Changed { servers: changed, ..Changed::default() });
+    }
+
+    fn on_server(&mut self, item: &Item, now: Instant) -> bool {
+        let Ok(id) = item.key.parse::<ServerId>() else {
+            log::warn!("servers: event=unreadable-name server={:?}", item.key);
+            return false;
+        };
+        if item.value.is_empty() {
+            return self.known.take_server(id, item.offset, None, now);
+        }
+        match (self.wire.server)(&item.key, &item.value) {
+            Ok(server) => self.known.take_server(id, item.offset, Some(server), now),
+            Err(err) => {
+                log::warn!("servers: event=unreadable server={id} error={err:?}");
+                false
+            }
+        }
+    }
+
+    fn on_hosts(&mut self, changes: &Changes) {
+        let mut changed = false;
+        for item in &changes.items {
+            match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
+                (Ok(host), Ok(entry)) => changed |= self.known.take_host(host, item.offset, entry),
+                _ => log::warn!("hosts: event=unreadable host={:?}", item.key),
+            }
+        }
+        self.known.hosts_known_to(changes.end);
+        self.on_changed(Changed { hosts: changed, ..Changed::default() });
+    }
+
+    /// Makes what is known act.
+    fn on_changed(&mut self, changed: Changed) {
+        if !changed.any() {
             return;
         }
-        log::info!("config: event=in-force version={} before={known:?}", cfg.version);
-        let cfg = Arc::new(cfg);
-        self.config = Some(cfg.clone());
-        self.publish();
+        self.view.send_replace(Arc::new(self.known.view()));
+        if changed.hosts {
+            self.neighbours.send_replace(self.order_hosts());
+        }
+        if changed.config {
+            self.meet_services();
+        }
+        if changed.servers {
+            self.step_all(&Event::Tick);
+        }
+    }
+
+    fn order_hosts(&self) -> Neighbours {
+        let mut neighbours = Neighbours::default();
+        for (host, entry) in self.known.hosts().filter(|(host, _)| **host != self.me.host) {
+            let near = entry.domain == self.settings.domain;
+            if near && *host < self.me.host {
+                neighbours.before.push((host.clone(), entry.addr));
+            }
+            neighbours.others.push((host.clone(), entry.addr));
+        }
+        neighbours
+    }
+
+    fn meet_services(&mut self) {
+        let Some(cfg) = self.known.config().cloned() else { return };
         let keyed = cfg.services.iter().filter(|(_, service)| service.keyed);
         for (name, _) in keyed {
             self.meet_service(name);
@@ -201,12 +267,12 @@
     /// Begins to follow the map of a keyed service, and to take part in granting its keys.
     fn meet_service(&mut self, name: &ServiceName) {
         let number = self.partition_of(name);
-        if self.followed.insert(number) {
+        if !self.partitions.contains_key(&number) {
             let partition = Partition { topic: self.wire.places.maps.into(), number };
-            self.follow(partition, LONG_POLL, Duration::ZERO, move |asked, changes| Input::Maps {
-                partition: number,
-                asked,
-                changes,
+            let (gate, is_open) = watch::channel(true);
+            self.partitions.insert(number, MapPartition::new(self.store.lane(), gate));
+            self.follow(partition, LONG_POLL, Duration::ZERO, is_open, move |asked, changes| {
+                Input::Maps { partition: number, asked, changes }
             });
         }
         if !std::mem::replace(&mut self.has_joined, true) {
@@ -230,76 +296,6 @@
         (hash.0 % u64::from(self.settings.partitions.max(1))) as u32
     }
 
-    fn on_servers(&mut self, changes: &Changes) {
-        let now = self.clock.now();
-        let mut changed = self.servers_changed.is_none();
-        for item in &changes.items {
-            changed |= self.on_server(item, now);
-        }
-        for id in &changes.gone {
-            changed |= self.on_server_gone(id, now);
-        }
-        self.leaving.retain(|_, since| now.saturating_duration_since(*since) < LEFT_FOR);
-        if changed {
-            self.servers_changed = Some(now);
-            self.publish();
-            self.step_all(&Event::Tick);
-        }
-    }
-
-    fn on_server(&mut self, item: &Item, now: Instant) -> bool {
-        if item.value.is_empty() {
-            return self.on_server_gone(&item.key, now);
-        }
-        let server = match (self.wire.server)(&item.key, &item.value) {
-            Ok(server) => server,
-            Err(err) => {
-                log::warn!("servers: event=unreadable server={} error={err:?}", item.key);
-                return false;
-            }
-        };
-        match (server.draining, self.leaving.contains_key(&server.id)) {
-            (true, false) => {
-                log::info!(
-                    "servers: event=draining server={} service={}",
-                    server.id,
-                    server.service
-                );
-                self.leaving.insert(server.id.clone(), now);
-            }
-            // An entry that had lapsed is back: the server lives and goes on.
-            (false, true) => drop(self.leaving.remove(&server.id)),
-            _ => {}
-        }
-        let new = self.servers.get(&server.id).is_none();
-        if new {
-            log::info!(
-                "servers: event=joined server={} service={} addr={} domain={} slots={}",
-                server.id,
-                server.service,
-                server.addr,
-                server.domain,
-                server.slots,
-            );
-        }
-        self.servers.insert(server)
-    }
-
-    fn on_server_gone(&mut self, id: &str, now: Instant) -> bool {
-        let Ok(id) = id.parse::<ServerId>() else { return false };
-        let was_there = self.servers.remove(&id);
-        if was_there {
-            log::info!("servers: event=gone server={id}");
-            self.leaving.entry(id).or_insert(now);
-        }
-        was_there
-    }
-
-    fn on_hosts(&mut self, changes: &Changes) {
-        self.hosts.extend(changes.items.iter().map(|item| item.key.clone()));
-        self.publish();
-    }
-
     fn on_duties(&mut self, duties: BTreeSet<u32>) {
         if duties == self.duties {
             return;
@@ -314,25 +310,13 @@
     }
 
     fn on_maps(&mut self, number: u32, asked: Instant, changes: Changes) {
-        let lane = || Rc::new(self.store.lane());
-        let new = || MapPartition { end: Offset(0), newest: BTreeMap::new(), lane: lane() };
-        let partition = self.partitions.entry(number).or_insert_with(new);
-        partition.end = partition.end.max(changes.end);
-        for item in changes.items {
-            match (item.key.parse::<ServiceName>(), Map::from_bytes(&item.value)) {
-                (Ok(service), Ok(map)) => {
-                    let known = partition.newest.get(&service);
-                    if known.is_none_or(|(offset, _)| *offset < item.offset) {
-                        partition.newest.insert(service, (item.offset, map));
-                    }
-                }
-                (Err(err), _) => log::error!("maps: event=unreadable-name error={err}"),
-                (_, Err(err)) => {
-                    log::error!("maps: event=unreadable service={} error={err}", item.key)
-                }
-            }
+        let Some(partition) = self.partitions.get_mut(&number) else { return };
+        let newer = partition.take(changes);
+        let mut changed = Changed::default();
+        for (service, map) in newer {
+            changed.maps |= self.known.take_map(service, map);
         }
-        self.publish();
+        self.on_changed(changed);
         self.read_all(number, asked);
     }
 
@@ -347,8 +331,9 @@
     }
 
     fn read(&mut self, service: &ServiceName, number: u32, asked: Instant) {
-        let Some(partition) = self.partitions.get(&number) else { return };
-        let map = partition.newest.get(service).map(|(_, map)| map.clone());
+        let partition = self.partitions.get(&number).filter(|partition| partition.read);
+        let Some(partition) = partition else { return };
+        let map = partition.newest(service).cloned();
         self.step(service, Event::Read { asked, map });
     }
 
@@ -363,22 +348,20 @@
     fn on_put(
         &mut self,
         service: &ServiceName,
-        bytes: &Bytes,
+        map: Map,
         asked: Instant,
         at: Offset,
         result: Result<Offset, Error>,
     ) {
-        let number = self.partition_of(service);
         match result {
             Ok(end) => {
-                if let (Some(partition), Ok(map)) =
-                    (self.partitions.get_mut(&number), Map::from_bytes(bytes))
-                {
-                    partition.end = partition.end.max(end);
-                    partition.newest.insert(service.clone(), (at, map));
+                let number = self.partition_of(service);
+                if let Some(partition) = self.partitions.get_mut(&number) {
+                    partition.take_own(service.clone(), at, end, map.clone());
                 }
                 self.step(service, Event::Recorded { asked });
-                self.publish();
+                let maps = self.known.take_map(service.clone(), map);
+                self.on_changed(Changed { maps, ..Changed::default() });
             }
             Err(err) => {
                 log::info!("maps: event=not-recorded service={service} at={at} error={err}");
@@ -387,23 +370,6 @@
         }
     }
 
-    fn publish(&mut self) {
-        let newest = self.partitions.values().flat_map(|partition| &partition.newest);
-        let known = self.view.borrow().maps.clone();
-        let maps = newest.map(|(service, (_, map))| {
-            let kept = known.get(service).filter(|known| ***known == *map);
-            (service.clone(), kept.cloned().unwrap_or_else(|| Arc::new(map.clone())))
-        });
-        let view = View {
-            config: self.config.clone(),
-            servers: Arc::new(self.servers.clone()),
-            leaving: Arc::new(self.leaving.clone()),
-            maps: maps.collect(),
-            hosts: self.hosts.len() as u32,
-        };
-        self.view.send_replace(Arc::new(view));
-    }
-
     fn step_all(&mut self, event: &Event) {
         let services: Vec<ServiceName> = self.granting.keys().cloned().collect();
         for service in services {
@@ -411,17 +377,29 @@
         }
         let leading = self.granting.values().filter(|granting| granting.grantor.leads()).count();
         self.counters.leads.record(leading as u64, &[]);
+        self.open_gates();
+    }
+
+    /// A partition of maps is read by hosts that read the store for others, and by those that may have to write it.
+    fn open_gates(&self) {
+        let direct = *self.direct.borrow();
+        for (number, partition) in &self.partitions {
+            let leads = |(service, granting): (&ServiceName, &Granting)| {
+                granting.grantor.leads() && self.partition_of(service) == *number
+            };
+            let wanted = direct || self.duties.contains(number) || self.granting.iter().any(leads);
+            partition.gate.send_if_modified(|open| std::mem::replace(open, wanted) != wanted);
+        }
     }
 
     fn step(&mut self, service: &ServiceName, event: Event) {
         let now = self.clock.now();
-        let settled = self
-            .servers_changed
-            .is_some_and(|at| now.saturating_duration_since(at) >= SETTLED_AFTER);
+        let unchanged = self.known.servers_changed().map(|at| now.saturating_duration_since(at));
+        let settled = unchanged.is_some_and(|since| since >= SETTLED_AFTER);
         let Some(granting) = self.granting.get_mut(service) else { return };
         let led = granting.grantor.leads();
-        let orders =
-            granting.grantor.step(GrantView { now, servers: &self.servers, settled }, event);
+        let view = GrantView { now, servers: self.known.servers(), settled };
+        let orders = granting.grantor.step(view, event);
         let leads = granting.grantor.leads();
         let epoch = granting.grantor.map().map(|map| map.epoch);
         granting.leads.set(epoch.filter(|_| leads));
@@ -439,7 +417,7 @@
     fn carry_out(&mut self, service: &ServiceName, order: Order) {
         let number = self.partition_of(service);
         match order {
-            Order::Record(map) => self.put(service, number, &map),
+            Order::Record(map) => self.put(service, number, map),
             Order::Check => self.check(number),
             Order::Grant { to, calls, until } => {
                 let Some(granting) = self.granting.get(service) else { return };
@@ -457,29 +435,28 @@
         }
     }
 
-    fn put(&self, service: &ServiceName, number: u32, map: &Map) {
+    fn put(&self, service: &ServiceName, number: u32, map: Map) {
         let Some(partition) = self.partitions.get(&number) else { return };
         let (lane, at) = (partition.lane.clone(), partition.end);
-        let (service, bytes) = (service.clone(), Bytes::from(map.to_bytes()));
+        let (service, value) = (service.clone(), Bytes::from(map.to_bytes()));
         log::info!(
             "maps: event=record service={service} epoch={} version={} at={at} ranges={} bytes={}",
             map.epoch,
             map.version,
             map.held().len(),
-            bytes.len(),
+            value.len(),
         );
         let to = Partition { topic: self.wire.places.maps.into(), number };
         let (clock, tx) = (self.clock.clone(), self.tx.clone());
         spawn_local(async move {
             let asked = clock.now();
-            let (key, value) = (service.as_str().to_owned(), bytes.clone());
-            let call = Call::Put { to, key, value, only_at: Some(at) };
+            let call = Call::Put { to, key: service.to_string(), value, only_at: Some(at) };
             let result = match lane.call(&call).await {
                 Ok(Reply::Kept(end)) => Ok(end),
                 Ok(_) => Err(Error::Malformed("not the answer to an append".into())),
                 Err(err) => Err(err),
             };
-            if tx.send(Input::Put { service, bytes, asked, at, result }).is_err() {
+            if tx.send(Input::Put { service, map, asked, at, result }).is_err() {
                 log::debug!("maps: event=stopped-meanwhile");
             }
         });
@@ -506,11 +483,11 @@
     }
 }
 
-/// Says in the store that this host is there, until it is kept.
-async fn announce(lane: Lane, to: Partition, me: Leader) {
+/// Says in the store where this host is, until that is kept.
+async fn announce(lane: Lane, to: Partition, host: HostId, entry: HostEntry) {
     let mut backoff = jacinthbeam_store::Backoff::new(Duration::from_millis(200), REST);
-    let value = Bytes::from(me.addr.to_string());
-    let call = Call::Put { to, key: me.host.to_string(), value, only_at: None };
+    let value = Bytes::from(entry.to_bytes());
+    let call = Call::Put { to, key: host.to_string(), value, only_at: None };
     while let Err(err) = lane.call(&call).await {
         log::info!("hosts: event=not-announced error={err}");
         tokio::time::sleep(backoff.pause()).await;
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -88,7 +88,8 @@
     callers: TcpListener,
     ready: TcpListener,
     metrics: TcpListener,
-    peers: UdpSocket,
+    reports: UdpSocket,
+    news: TcpListener,
 }
 
 fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
@@ -110,7 +111,8 @@
             callers: listen("callers", settings.callers)?,
             ready: listen("the balancer", settings.ready)?,
             metrics: listen("metrics", settings.metrics)?,
-            peers: peers.map_err(|err| Error::Bind { what: "other hosts", addr, err })?,
+            reports: peers.map_err(|err| Error::Bind { what: "other hosts", addr, err })?,
+            news: listen("other hosts", addr)?,
         })
     }
 }
@@ -141,8 +143,13 @@
         phase: phase_rx.clone(),
         served: done,
     };
-    let (ready, metrics, peers) = (sockets.ready, sockets.metrics, sockets.peers);
-    let reports = peers.try_clone().map_err(Error::Thread)?;
+    let reports = sockets.reports.try_clone().map_err(Error::Thread)?;
+    let control_sockets = control::Sockets {
+        ready: sockets.ready,
+        metrics: sockets.metrics,
+        reports: sockets.reports,
+        news: sockets.news,
+    };
     let traffic = serving::Start {
         settings,
         wire,
@@ -155,7 +162,7 @@
         served: done_tx,
     };
     let threads = vec![
-        run("control", move || control::run(control, ready, metrics, peers))?,
+        run("control", move || control::run(control, control_sockets))?,
         run("traffic", move || serving::run(traffic))?,
     ];
     Ok(Handle { phase, threads })
--- a/crates/jacinthbeam-host/src/process/peers.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -1,4 +1,4 @@
-//! Datagrams between hosts.
+//! Datagrams with counts of load.
 //!
 //! Counts of load are sent twice a second and matter for some seconds, so a lost one costs nothing. A stream would cost a
 //! connection from every host to every granting host.
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -0,0 +1,34 @@
+//! What hosts say to each other: reports of load as datagrams, news of the store as h2 streams.
+
+pub(super) mod link;
+pub mod load;
+pub mod news;
+pub(super) mod serve;
+
+use std::net::SocketAddr;
+
+use jacinthbeam_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Where a host is, as it says in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Takes datagrams and streams of other hosts.
+    pub addr: SocketAddr,
+    /// Where it runs.
+    pub domain: FailureDomain,
+}
+
+impl HostEntry {
+    /// The entry as kept in the store.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let cfg = bincode::config::standard();
+        bincode::serde::encode_to_vec(self, cfg)
+            .expect("an entry has no type that can't be encoded")
+    }
+
+    /// Reads back what [`HostEntry::to_bytes`] gave.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
+        Ok(bincode::serde::decode_from_slice(bytes, bincode::config::standard())?.0)
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -0,0 +1,74 @@
+//! What one host knows of the store and another doesn't yet.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jacinthbeam_range::Map;
+use jacinthbeam_route::{Config, Server};
+use jacinthbeam_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::HostEntry;
+
+/// What the asking host knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Asked {
+    /// Version of its configuration.
+    pub config: Option<ConfigVersion>,
+    /// Everything of the backend servers' entries before this offset.
+    pub servers_end: Offset,
+    /// Everything of the hosts' entries before this offset.
+    pub hosts_end: Offset,
+    /// Epoch and version of each ownership map.
+    pub maps: BTreeMap<ServiceName, (Epoch, u32)>,
+    /// Longest wait if there is nothing newer.
+    pub wait: Duration,
+}
+
+/// What is newer than that.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// How long ago the answering host last heard of the store, by itself or through others.
+    pub age: Duration,
+    /// A newer configuration.
+    pub config: Option<Config>,
+    /// Newer entries of backend servers with the offsets of their records; `None` for one that has left.
+    pub servers: Vec<(ServerId, Offset, Option<Server>)>,
+    /// Everything before this offset is known after them.
+    pub servers_end: Offset,
+    /// Whether `servers` are all there are, since what has left meanwhile is no longer known.
+    pub all_servers: bool,
+    /// Newer entries of hosts.
+    pub hosts: Vec<(HostId, Offset, HostEntry)>,
+    /// Everything before this offset is known after them.
+    pub hosts_end: Offset,
+    /// Newer ownership maps.
+    pub maps: Vec<(ServiceName, Map)>,
+}
+
+impl News {
+    /// Whether there is nothing newer.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none()
+            && self.servers.is_empty()
+            && self.hosts.is_empty()
+            && self.maps.is_empty()
+    }
+}
+
+/// Writes a message between hosts.
+pub(crate) fn to_bytes(message: &impl Serialize) -> Vec<u8> {
+    let cfg = bincode::config::standard();
+    bincode::serde::encode_to_vec(message, cfg)
+        .expect("a message has no type that can't be encoded")
+}
+
+/// Longest message between hosts: a configuration of thousands of routes, or ten thousand servers.
+pub(crate) const LONGEST: usize = 4 << 20;
+
+/// Reads a message between hosts.
+pub(crate) fn from_bytes<T: for<'de> Deserialize<'de>>(
+    bytes: &[u8],
+) -> Result<T, bincode::error::DecodeError> {
+    let cfg = bincode::config::standard().with_limit::<{ LONGEST * 4 }>();
+    Ok(bincode::serde::decode_from_slice(bytes, cfg)?.0)
+}
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -15,7 +15,7 @@
     time::Instant,
 };
 
-use super::{metrics::Counters, peers::Message, traffic::Traffic};
+use super::{metrics::Counters, peers::load::Message, traffic::Traffic};
 use crate::{
     Settings, Wire,
     connection::accept::{self, Phase},
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -46,6 +46,11 @@
         self.next
     }
 
+    /// Begins with the newest records of all keys at the next look.
+    pub fn start_over(&mut self) {
+        self.next = None;
+    }
+
     /// Reads what is new, and waits for it up to `wait` if there is nothing.
     pub async fn look(&mut self, lane: &Lane, wait: Duration) -> Result<Changes, Error> {
         let Some(at) = self.next else { return self.all(lane).await };
