fix(host): a whole list drops what came from another host; bounded waits for the configuration

Change: the follower hands on whole lists and Known drops what they lack; reads wait 1 s for a configuration and 4 s for a map, answers 0.8 s; a host that hasn't heard of the configuration for 1.9 s is no source for others.

--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -23,10 +23,7 @@
     follow::LOST_AFTER,
     input::{Input, Tx},
 };
-use crate::process::peers::{
-    link::Link,
-    news::{Asked, News},
-};
+use crate::process::peers::{link::Link, news::Asked};
 
 /// Longest wait for news at another host; its answer without news shows that it is there, and how fresh it is.
 pub(super) const WAIT: Duration = Duration::from_millis(700);
@@ -165,30 +162,3 @@
     tx.send(Input::Question(reply)).ok()?;
     asked.await.ok()
 }
-
-/// Finds news for another host, waiting for some if there are none.
-pub(super) async fn find(
-    tx: Tx,
-    mut changes: watch::Receiver<Arc<crate::version::View>>,
-    asked: Asked,
-) -> News {
-    let end = tokio::time::Instant::now() + asked.wait.min(WAIT);
-    let mut last = false;
-    loop {
-        changes.mark_unchanged();
-        let (reply, news) = oneshot::channel();
-        let sent = tx.send(Input::Answer { asked: asked.clone(), reply });
-        let news = match sent {
-            Ok(()) => news.await.unwrap_or_default(),
-            Err(_) => return News { age: Duration::MAX, ..News::default() },
-        };
-        // The age is told as it is at the answer, not as it was at the question: hosts that ask each other in a ring would
-        // otherwise find each other fresh for ever. And as soon as it is too high, so that the other can turn elsewhere.
-        let left = LOST_AFTER.saturating_sub(news.age);
-        if !news.is_empty() || last || left.is_zero() {
-            return news;
-        }
-        let until = end.min(tokio::time::Instant::now() + left);
-        last = !matches!(tokio::time::timeout_at(until, changes.changed()).await, Ok(Ok(())));
-    }
-}
--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -11,8 +11,15 @@
 
 use super::input::{Input, Tx};
 
-/// Where records change seldom, a read waits this long for the next: two calls a minute, and a change is heard of at once.
-pub(super) const LONG_POLL: Duration = Duration::from_secs(25);
+/// Longest wait of a read for the next host: two calls a minute, and nothing depends on hearing of one at once.
+pub(super) const HOSTS_WAIT: Duration = Duration::from_secs(25);
+
+/// Longest wait of a read for the next configuration. A change is heard of at once; but if the answer is lost, only the end of
+/// the wait shows it, and what was acknowledged has two seconds to act.
+pub(super) const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
+
+/// Longest wait of a read for the next ownership map. A missed one shows as refusals by former owners.
+pub(super) const MAPS_WAIT: Duration = Duration::from_secs(4);
 
 /// Pause between reads of the backend servers' entries. Each of them writes once a second or so, so that a read that waits
 /// would come back at once. What is learnt of a server's leaving has two seconds to act.
@@ -25,6 +32,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a host that has heard nothing of the configuration is not followed by others.
+pub(super) const OPERATOR_LOST_AFTER: Duration = Duration::from_millis(1900);
+
 /// Time after which a host that can't read the store looks for another host that can: a pause between reads, and as much again
 /// for a slow answer. What the store acknowledges has two seconds to act everywhere.
 pub(super) const LOST_AFTER: Duration = Duration::from_millis(950);
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -8,7 +8,6 @@
 mod feed;
 mod follow;
 mod input;
-mod known;
 mod maps;
 mod state;
 
@@ -25,7 +24,14 @@
     task::spawn_local,
 };
 
-use super::{metrics::Counters, pages, peers};
+use super::{
+    metrics::Counters,
+    pages,
+    peers::{
+        self,
+        news::{Asked, News},
+    },
+};
 use crate::{Settings, Wire, connection::accept::Phase, request::answer, version::View};
 use input::{Input, Tx};
 use state::Control;
@@ -85,10 +91,27 @@
 }
 
 async fn serve_news(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
-    let find = move |asked| feed::find(tx.clone(), changes.clone(), asked);
+    let find = move |asked: Asked| {
+        let (tx, changes) = (tx.clone(), changes.clone());
+        let wait = asked.wait.min(feed::WAIT);
+        async move {
+            let look = async || look(&tx, &asked).await;
+            peers::find::find(look, changes, wait, follow::LOST_AFTER).await
+        }
+    };
     peers::serve::run(listener, find).await;
 }
 
+/// What this host knows and the other doesn't, at this moment.
+async fn look(tx: &Tx, asked: &Asked) -> News {
+    let (reply, news) = oneshot::channel();
+    let nothing = || News { age: Duration::MAX, ..News::default() };
+    match tx.send(Input::Answer { asked: asked.clone(), reply }) {
+        Ok(()) => news.await.unwrap_or_else(|_| nothing()),
+        Err(_) => nothing(),
+    }
+}
+
 fn serve_pages(start: &Start, ready: TcpListener, metrics: TcpListener, tx: &Tx) {
     let (view, phase) = (start.view.subscribe(), start.phase.clone());
     serve_page(ready, move |_| {
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -22,14 +22,20 @@
     calls::{Caller, Leads},
     duty,
     feed::{self, Feed, Neighbours},
-    follow::{self, Followed, HOSTS_EVERY, LONG_POLL, SERVERS_EVERY},
+    follow::{
+        self, Followed, HOSTS_EVERY, HOSTS_WAIT, MAPS_WAIT, OPERATOR_LOST_AFTER, OPERATOR_WAIT,
+        SERVERS_EVERY,
+    },
     input::{Input, Tx},
-    known::{Changed, Known},
     maps::MapPartition,
 };
 use crate::{
     Settings, Wire,
-    process::{metrics::Counters, peers::HostEntry},
+    process::{
+        known::{Changed, Known},
+        metrics::Counters,
+        peers::HostEntry,
+    },
     version::View,
 };
 
@@ -58,6 +64,8 @@
     known: Known,
     /// When this host last heard of the store, by itself or through others.
     heard: Rc<Cell<Option<Instant>>>,
+    /// When this host itself last read the operator's records.
+    heard_operator: Option<Instant>,
     direct: Rc<watch::Sender<bool>>,
     neighbours: watch::Sender<Neighbours>,
     duties: BTreeSet<u32>,
@@ -83,6 +91,7 @@
             tx,
             known: Known::default(),
             heard: Rc::default(),
+            heard_operator: None,
             direct: Rc::new(watch::channel(true).0),
             neighbours: watch::channel(Neighbours::default()).0,
             duties: BTreeSet::new(),
@@ -98,10 +107,12 @@
         let places = self.wire.places;
         let gate = self.direct.subscribe();
         let once = Duration::ZERO;
-        self.follow((places.operator)(), LONG_POLL, once, gate.clone(), |_, c| Input::Operator(c));
+        self.follow((places.operator)(), OPERATOR_WAIT, once, gate.clone(), |_, c| {
+            Input::Operator(c)
+        });
         self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), Input::Servers);
         let hosts = Partition { topic: places.hosts.into(), number: 0 };
-        self.follow(hosts.clone(), LONG_POLL, HOSTS_EVERY, gate, |_, c| Input::Hosts(c));
+        self.follow(hosts.clone(), HOSTS_WAIT, HOSTS_EVERY, gate, |_, c| Input::Hosts(c));
         let entry = HostEntry { addr: self.settings.peers, domain: self.settings.domain.clone() };
         spawn_local(announce(self.store.lane(), hosts, self.me.host.clone(), entry));
         spawn_local(feed::run(Feed {
@@ -163,12 +174,18 @@
         }
     }
 
+    /// How old what is known is. A host that reads the store itself must hear of the servers and of the configuration.
     fn age(&self) -> Duration {
         let now = self.clock.now();
-        self.heard.get().map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+        let since =
+            |at: Option<Instant>| at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let hears_operator =
+            !*self.direct.borrow() || since(self.heard_operator) < OPERATOR_LOST_AFTER;
+        if hears_operator { since(self.heard.get()) } else { since(self.heard_operator) }
     }
 
     fn on_operator(&mut self, changes: &Changes) {
+        self.heard_operator = Some(self.clock.now());
         let newest =
             changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
         let Some(item) = newest.filter(|item| !item.value.is_empty()) else { return };
@@ -190,9 +207,9 @@
         for item in &changes.items {
             changed |= self.on_server(item, now);
         }
-        let last = Offset(changes.end.0.saturating_sub(1));
-        for id in changes.gone.iter().filter_map(|id| id.parse().ok()) {
-            changed |= self.known.take_server(id, last, None, now);
+        if changes.whole {
+            let listed: Vec<&str> = changes.items.iter().map(|item| item.key.as_str()).collect();
+            changed |= self.known.drop_unlisted(&listed, changes.end, now);
         }
         self.known.servers_known_to(changes.end, changed, now);
         self.on_changed(Changed { servers: changed, ..Changed::default() });
@@ -271,7 +288,7 @@
             let partition = Partition { topic: self.wire.places.maps.into(), number };
             let (gate, is_open) = watch::channel(true);
             self.partitions.insert(number, MapPartition::new(self.store.lane(), gate));
-            self.follow(partition, LONG_POLL, Duration::ZERO, is_open, move |asked, changes| {
+            self.follow(partition, MAPS_WAIT, Duration::ZERO, is_open, move |asked, changes| {
                 Input::Maps { partition: number, asked, changes }
             });
         }
--- a/crates/jacinthbeam-host/src/process/control/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -36,7 +36,7 @@
 
 /// Everything that this host knows.
 #[derive(Debug, Default)]
-pub(super) struct Known {
+pub struct Known {
     config: Option<Arc<Config>>,
     servers: BTreeMap<ServerId, Entry>,
     servers_end: Offset,
@@ -54,38 +54,47 @@
 
 /// What a step changed.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Changed {
-    pub(super) config: bool,
-    pub(super) servers: bool,
-    pub(super) hosts: bool,
-    pub(super) maps: bool,
+pub struct Changed {
+    /// There is another configuration.
+    pub config: bool,
+    /// A backend server came, left or changed.
+    pub servers: bool,
+    /// A host came or moved.
+    pub hosts: bool,
+    /// There is another ownership map.
+    pub maps: bool,
 }
 
 impl Changed {
-    pub(super) fn any(self) -> bool {
+    /// Whether anything changed.
+    pub fn any(self) -> bool {
         self.config || self.servers || self.hosts || self.maps
     }
 }
 
 impl Known {
-    pub(super) fn config(&self) -> Option<&Arc<Config>> {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
         self.config.as_ref()
     }
 
-    pub(super) fn servers(&self) -> &Servers {
+    /// The backend servers.
+    pub fn servers(&self) -> &Servers {
         &self.list
     }
 
-    pub(super) fn servers_changed(&self) -> Option<Instant> {
+    /// When the list of backend servers last changed; `None` until it was read.
+    pub fn servers_changed(&self) -> Option<Instant> {
         self.servers_changed
     }
 
-    pub(super) fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
+    /// The hosts and where they are.
+    pub fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
     }
 
     /// What requests are decided by.
-    pub(super) fn view(&self) -> View {
+    pub fn view(&self) -> View {
         View {
             config: self.config.clone(),
             servers: self.list.clone(),
@@ -96,7 +105,7 @@
     }
 
     /// Takes a configuration. Returns whether it is newer and sound.
-    pub(super) fn take_config(&mut self, cfg: Config) -> bool {
+    pub fn take_config(&mut self, cfg: Config) -> bool {
         let known = self.config.as_ref().map(|cfg| cfg.version);
         if known.is_some_and(|known| cfg.version <= known) {
             return false;
@@ -115,7 +124,7 @@
     }
 
     /// Takes the record of a server, `None` if it has left. Returns whether it changed anything.
-    pub(super) fn take_server(
+    pub fn take_server(
         &mut self,
         id: ServerId,
         offset: Offset,
@@ -138,7 +147,7 @@
     }
 
     /// Takes note that everything of the servers before `end` is known.
-    pub(super) fn servers_known_to(&mut self, end: Offset, changed: bool, now: Instant) {
+    pub fn servers_known_to(&mut self, end: Offset, changed: bool, now: Instant) {
         self.servers_end = self.servers_end.max(end);
         if changed || self.servers_changed.is_none() {
             self.servers_changed = Some(now);
@@ -165,7 +174,7 @@
     }
 
     /// Takes the record of a host. Returns whether it is newer.
-    pub(super) fn take_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
+    pub fn take_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
         let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < offset);
         if newer {
             self.hosts.insert(host, (offset, entry));
@@ -173,12 +182,13 @@
         newer
     }
 
-    pub(super) fn hosts_known_to(&mut self, end: Offset) {
+    /// Takes note that everything of the hosts before `end` is known.
+    pub fn hosts_known_to(&mut self, end: Offset) {
         self.hosts_end = self.hosts_end.max(end);
     }
 
     /// Takes an ownership map. Returns whether it is newer.
-    pub(super) fn take_map(&mut self, service: ServiceName, map: Map) -> bool {
+    pub fn take_map(&mut self, service: ServiceName, map: Map) -> bool {
         let newer = self.maps.get(&service).is_none_or(|known| known.is_older_than(&map));
         if newer {
             self.maps.insert(service, Arc::new(map));
@@ -187,7 +197,7 @@
     }
 
     /// What this host would ask another for.
-    pub(super) fn question(&self, wait: Duration) -> Asked {
+    pub fn question(&self, wait: Duration) -> Asked {
         let version =
             |(service, map): (&ServiceName, &Arc<Map>)| (service.clone(), (map.epoch, map.version));
         Asked {
@@ -200,7 +210,7 @@
     }
 
     /// What this host knows and the other doesn't.
-    pub(super) fn news_for(&self, asked: &Asked, age: Duration) -> News {
+    pub fn news_for(&self, asked: &Asked, age: Duration) -> News {
         let config = self.config.as_ref().filter(|cfg| asked.config < Some(cfg.version));
         let all_servers = asked.servers_end <= self.forgotten_before;
         let servers =
@@ -225,13 +235,14 @@
     }
 
     /// Takes what another host knows.
-    pub(super) fn take_news(&mut self, news: News, now: Instant) -> Changed {
+    pub fn take_news(&mut self, news: News, now: Instant) -> Changed {
         let mut changed = Changed::default();
         if let Some(cfg) = news.config {
             changed.config = self.take_config(cfg);
         }
         if news.all_servers {
-            changed.servers = self.drop_unlisted(&news.servers, news.servers_end, now);
+            let listed: Vec<&str> = news.servers.iter().map(|(id, _, _)| id.as_str()).collect();
+            changed.servers = self.drop_unlisted(&listed, news.servers_end, now);
         }
         for (id, offset, server) in news.servers {
             changed.servers |= self.take_server(id, offset, server, now);
@@ -249,16 +260,11 @@
         changed
     }
 
-    /// Drops servers that a whole list lacks, unless they came after it.
-    fn drop_unlisted(
-        &mut self,
-        listed: &[(ServerId, Offset, Option<Server>)],
-        end: Offset,
-        now: Instant,
-    ) -> bool {
-        let listed: Vec<&ServerId> = listed.iter().map(|(id, _, _)| id).collect();
-        let missing =
-            |(id, entry): &(&ServerId, &Entry)| entry.offset < end && !listed.contains(id);
+    /// Drops servers that a whole list lacks, unless they came after it. Returns whether there were any.
+    pub fn drop_unlisted(&mut self, listed: &[&str], end: Offset, now: Instant) -> bool {
+        let missing = |(id, entry): &(&ServerId, &Entry)| {
+            entry.server.is_some() && entry.offset < end && !listed.contains(&id.as_str())
+        };
         let missing: Vec<ServerId> =
             self.servers.iter().filter(missing).map(|(id, _)| id.clone()).collect();
         let last = Offset(end.0.saturating_sub(1));
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -5,10 +5,11 @@
 
 pub mod clock;
 mod control;
+pub mod known;
 pub mod logs;
 pub mod metrics;
 mod pages;
-mod peers;
+pub mod peers;
 mod serving;
 pub mod traffic;
 
--- a/crates/jacinthbeam-host/src/process/peers/mod.rs
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What hosts say to each other: reports of load as datagrams, news of the store as h2 streams.
 
+pub mod find;
 pub(super) mod link;
 pub mod load;
 pub mod news;
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -18,7 +18,8 @@
 const MAX_ANSWER: usize = 4 << 20;
 
 /// Time for an answer besides the wait that the call asks for. The store answers in milliseconds, a slow one in some hundred.
-const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+/// An answer that is lost holds up its lane for this long, and a change that was missed has two seconds to act.
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
 
 /// The store, for one process.
 #[derive(Debug, Clone)]
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -1,39 +1,38 @@
 //! Following a keyed partition: the newest value of each key, and every change after it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use jacinthbeam_types::prelude::Offset;
 
 use crate::{Call, Error, Item, Lane, Page, Partition, Reply};
 
-/// Follows one partition. Never goes back: a record is passed on only if it is newer than the last one of its key.
+/// Follows one partition.
 ///
 /// The store may forget its history, or show a state of some seconds ago after that. Both end with a page of the newest
-/// records, whose older parts must not undo what is known.
+/// records, whose older parts must not undo what is known: whoever keeps the records compares their offsets.
 #[derive(Debug)]
 pub struct Follower {
     partition: Partition,
     /// Next record to read; `None` before the first page and after the history was lost.
     next: Option<Offset>,
-    seen: BTreeMap<String, Offset>,
 }
 
 /// What one look at the partition gave.
 #[derive(Debug, Default)]
 pub struct Changes {
-    /// Newer records, in their order.
+    /// Records, in their order. Some may be known.
     pub items: Vec<Item>,
     /// End of the partition as far as it was read.
     pub end: Offset,
-    /// Keys known before that a page of all keys no longer has.
-    pub gone: Vec<String>,
+    /// Whether `items` are all keys that there are. Others whose records are from before `end` have been removed.
+    pub whole: bool,
 }
 
 impl Follower {
     /// A follower that has read nothing.
     pub fn new(partition: Partition) -> Self {
-        Self { partition, next: None, seen: BTreeMap::new() }
+        Self { partition, next: None }
     }
 
     /// The partition.
@@ -89,18 +88,9 @@
         Ok(self.take_all(items, end.unwrap_or_default()))
     }
 
-    /// Takes all keys as they were at `end`.
-    pub fn take_all(&mut self, items: Vec<Item>, end: Offset) -> Changes {
-        let listed: Vec<&String> = items.iter().map(|item| &item.key).collect();
-        // A key that is missing was removed, unless its newest record is from after the state that is shown.
-        let missing = |key: &&String| !listed.contains(key) && self.seen[*key] < end;
-        let gone: Vec<String> = self.seen.keys().filter(missing).cloned().collect();
-        for key in &gone {
-            self.seen.remove(key);
-        }
-        let items = items.into_iter().filter(|item| self.is_newer(item)).collect();
+    fn take_all(&mut self, items: Vec<Item>, end: Offset) -> Changes {
         self.next = Some(end);
-        Changes { items, end, gone }
+        Changes { items, end, whole: true }
     }
 
     fn take(&mut self, at: Offset, records: &[Bytes], end: Offset) -> Result<Changes, Error> {
@@ -114,18 +104,9 @@
                 }
             }
         }
-        let items = items.into_iter().filter(|item| self.is_newer(item)).collect();
         let next = Offset(at.0 + records.len() as u64);
         self.next = Some(next);
-        Ok(Changes { items, end: end.max(next), gone: Vec::new() })
-    }
-
-    fn is_newer(&mut self, item: &Item) -> bool {
-        let newer = self.seen.get(&item.key).is_none_or(|seen| *seen < item.offset);
-        if newer {
-            self.seen.insert(item.key.clone(), item.offset);
-        }
-        newer
+        Ok(Changes { items, end: end.max(next), whole: false })
     }
 }
 
