--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -268,9 +268,11 @@
         let missing: Vec<ServerId> =
             self.servers.iter().filter(missing).map(|(id, _)| id.clone()).collect();
         let last = Offset(end.0.saturating_sub(1));
-        missing
-            .into_iter()
-            .fold(false, |changed, id| self.take_server(id, last, None, now) || changed)
+        let mut changed = false;
+        for id in missing {
+            changed |= self.take_server(id, last, None, now);
+        }
+        changed
     }
 }
 
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -99,7 +99,7 @@
     }
 
     fn send_read(&mut self, n: usize) {
-        let (now, after) = (self.now, self.to_store());
+        let (now, after) = (self.now, self.store_way());
         let (end, map) = (self.log.len(), self.log.last().cloned());
         self.send(after, Message::Read { host: n, asked: now, end, map });
     }
@@ -123,12 +123,12 @@
         match order {
             Order::Record(map) => {
                 let at = self.hosts[n].end;
-                let after = self.to_store();
+                let after = self.store_way();
                 self.tell(format!("h{n} records {}.{} at {at}", map.epoch, map.version));
                 self.send(after, Message::Append { host: n, at, map, asked });
             }
             Order::Check if self.hosts[n].has_store => {
-                let (end, after) = (self.log.len(), self.to_store());
+                let (end, after) = (self.log.len(), self.store_way());
                 self.send(after, Message::Checked { host: n, asked, end });
             }
             Order::Grant { to, calls, until } => {
@@ -222,7 +222,7 @@
         }
         let late = self.odds.store_late * 0.3;
         let unanswered = self.chance(late);
-        let after = if unanswered { Duration::from_millis(800) } else { self.to_store() };
+        let after = if unanswered { Duration::from_millis(800) } else { self.store_way() };
         let kept = if unanswered { None } else { Some(kept) };
         self.send(after, Message::Appended { host, at, map, asked, kept });
     }
@@ -242,10 +242,9 @@
     fn on_read(&mut self, n: usize, asked: Instant, end: usize, map: Option<Map>) {
         let host = &mut self.hosts[n];
         host.end = host.end.max(end);
-        if let Some(map) = map.filter(|_| end > 0) {
-            if host.newest.as_ref().is_none_or(|(offset, _)| *offset < end - 1) {
-                host.newest = Some((end - 1, map));
-            }
+        let known = host.newest.as_ref().map_or(0, |(offset, _)| offset + 1);
+        if let Some(map) = map.filter(|_| known < end) {
+            host.newest = Some((end - 1, map));
         }
         let map = self.hosts[n].newest.clone().map(|(_, map)| map);
         self.feed(n, Event::Read { asked, map });
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -158,7 +158,7 @@
     }
 
     /// The way to the store or back: mostly short, at times up to a second.
-    fn to_store(&mut self) -> Duration {
+    fn store_way(&mut self) -> Duration {
         let late = self.odds.store_late;
         if self.chance(late) {
             return Duration::from_millis(self.rng.u64(1..1000));
--- a/crates/jacinthbeam-standin/src/lib.rs
+++ b/crates/jacinthbeam-standin/src/lib.rs
@@ -4,6 +4,9 @@
 //! on demand. They are for tests, measurements and a run on one machine; they keep everything in
 //! memory and decide nothing for the system itself.
 //!
+//! [`store::Store`] and [`keyed::Server`] are the rules alone, without a network: a store with conditional appends, keyed
+//! topics and groups, and a backend server that takes grants of key ranges. Whoever uses them gives them a wire.
+//!
 //! # Signatures
 //!
 //! All of these must be called inside a tokio runtime. A handle stops its stand-in when it is dropped, or
@@ -23,8 +26,10 @@
 
 pub mod backend;
 pub mod hosts;
+pub mod keyed;
 pub mod log;
 mod net;
 pub mod relay;
+pub mod store;
 
 pub use net::Listener;
