--- a/crates/jacinthbeam-dispatch/src/server.rs
+++ b/crates/jacinthbeam-dispatch/src/server.rs
@@ -24,8 +24,8 @@
 /// Observations of one server, by one host.
 #[derive(Debug, Clone)]
 pub struct Seen {
-    /// Requests of this host that are at the server now.
-    pub in_flight: u32,
+    /// When each request began that this host has at the server now, ascending.
+    begun: Vec<Instant>,
     mean: Duration,
     /// Faded share of requests that ended without a good answer.
     failed: f64,
@@ -37,7 +37,7 @@
 impl Default for Seen {
     fn default() -> Self {
         Self {
-            in_flight: 0,
+            begun: Vec::new(),
             mean: ASSUMED,
             failed: 0.0,
             failures_in_row: 0,
@@ -48,6 +48,23 @@
 }
 
 impl Seen {
+    /// A request is sent to the server.
+    pub fn begin(&mut self, now: Instant) {
+        self.begun.push(now);
+    }
+
+    /// A request that began at `begun` is there no more.
+    pub fn end(&mut self, begun: Instant) {
+        if let Some(at) = self.begun.iter().position(|other| *other == begun) {
+            self.begun.remove(at);
+        }
+    }
+
+    /// Requests of this host that are at the server now.
+    pub fn in_flight(&self) -> u32 {
+        self.begun.len() as u32
+    }
+
     /// A whole answer came after this time.
     pub fn on_answer(&mut self, took: Duration) {
         self.mean = self.mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT);
@@ -95,7 +112,12 @@
     }
 
     /// Time after which one more request would be answered, as far as this host can tell.
-    pub fn expected(&self, slots: u32) -> Duration {
-        self.mean.mul_f64(1.0 + f64::from(self.in_flight) / f64::from(slots.max(1)))
+    ///
+    /// A server that has become slow, or silent, gives no answers to learn it from, and goes on looking as fast as before while
+    /// requests gather there until their deadlines. The age of the oldest one tells after the time of an ordinary answer.
+    pub fn expected(&self, now: Instant, slots: u32) -> Duration {
+        let oldest = self.begun.first().map(|begun| now.saturating_duration_since(*begun));
+        let mean = self.mean.max(oldest.unwrap_or_default());
+        mean.mul_f64(1.0 + f64::from(self.in_flight()) / f64::from(slots.max(1)))
     }
 }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -171,7 +171,7 @@
             let owners = map.held().iter().filter_map(|held| held.owner.as_ref());
             for owner in owners {
                 let Some(state) = servers.get(&owner.server) else { continue };
-                let in_flight = state.seen.borrow().in_flight;
+                let in_flight = state.seen.borrow().in_flight();
                 if in_flight > 0 {
                     let report = reports.entry(service.clone()).or_default();
                     report.servers.entry(owner.server.clone()).or_default().in_flight = in_flight;
@@ -224,7 +224,7 @@
         servers.retain(|id, state| {
             state.pool.expire(now);
             let known = view.servers.get(id).is_some() || view.leaving.contains_key(id);
-            known || state.seen.borrow().in_flight > 0
+            known || state.seen.borrow().in_flight() > 0
         });
     }
 
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -88,18 +88,18 @@
 const LAST_WORD: Duration = Duration::from_millis(60);
 
 /// Counts a request at a server for as long as it is there.
-struct InFlight(Rc<ServerState>);
+struct InFlight(Rc<ServerState>, Instant);
 
 impl InFlight {
-    fn new(state: Rc<ServerState>) -> Self {
-        state.seen.borrow_mut().in_flight += 1;
-        Self(state)
+    fn new(state: Rc<ServerState>, begun: Instant) -> Self {
+        state.seen.borrow_mut().begin(begun);
+        Self(state, begun)
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.seen.borrow_mut().in_flight -= 1;
+        self.0.seen.borrow_mut().end(self.1);
     }
 }
 
@@ -112,8 +112,8 @@
     deadline: Instant,
 ) -> Sent {
     let state = traffic.server(server);
-    let _in_flight = InFlight::new(state.clone());
     let begun = traffic.now();
+    let _in_flight = InFlight::new(state.clone(), begun);
     let sent = match exchange(traffic, whole, server, &state, most_connections, deadline).await {
         Ok(sent) => sent,
         Err(not_run) => Sent::NotRun(not_run),
