feat(host): one JSON object a line, bounded by kind, and the story of a request from its id

Tests: flood, quota, story, and three failed requests (overload, lost order, owner gone) explained from captured lines alone.

--- a/crates/jacinthbeam-host/src/connection/accept.rs
+++ b/crates/jacinthbeam-host/src/connection/accept.rs
@@ -73,7 +73,7 @@
                 spawn_local(one(stream, cx.clone(), limits, serve.clone()));
             }
             Err(err) => {
-                log::warn!("connection: event=accept-failed error={err:?}");
+                tracing::warn!(part = "connection", event = "accept-failed", error = ?err);
                 tokio::time::sleep(AFTER_ERROR).await;
             }
         }
@@ -103,7 +103,7 @@
 {
     let _counted = Counted::new(cx.open.clone());
     if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("connection: event=nodelay-failed error={err:?}");
+        tracing::debug!(part = "connection", event = "nodelay-failed", error = ?err);
     }
     let activity = Activity::new();
     let io = TokioIo::new(Noted::new(stream, activity.clone()));
@@ -130,7 +130,7 @@
         tokio::select! {
             ended = conn.as_mut() => {
                 if let Err(err) = ended {
-                    log::debug!("connection: event=ended error={err:?}");
+                    tracing::debug!(part = "connection", event = "ended", error = ?err);
                 }
                 return;
             }
--- a/crates/jacinthbeam-host/src/lib.rs
+++ b/crates/jacinthbeam-host/src/lib.rs
@@ -8,6 +8,7 @@
 //! How requests and calls look on the wire is told by a [`Wire`], and where this host stands by [`Settings`].
 
 pub mod connection;
+pub mod explain;
 pub mod process;
 pub mod request;
 pub mod settings;
--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -87,7 +87,7 @@
             let server = to.server;
             let event = Event::Granted { server, outcome, last_call, confirmed, refused };
             if tx.send(Input::Granted { service, event }).is_err() {
-                log::debug!("grant: event=stopped-meanwhile");
+                tracing::debug!(part = "grant", event = "stopped-meanwhile");
             }
         });
     }
@@ -105,13 +105,10 @@
                 Ok(Released::OtherServer) => Ok(None),
                 Ok(Released::Unclear) | Err(_) => Err(NoAnswer),
             };
-            log::info!(
-                "grant: event=release service={service} server={} range={range} token={token} outcome={handover:?}",
-                from.server
-            );
+            tracing::info!(part = "grant", event = "release", service = %service, server = %from.server, range = %range, token = %token, outcome = ?handover);
             let event = Event::Released { range, token, handover };
             if tx.send(Input::Granted { service, event }).is_err() {
-                log::debug!("grant: event=stopped-meanwhile");
+                tracing::debug!(part = "grant", event = "stopped-meanwhile");
             }
         });
     }
@@ -166,14 +163,8 @@
 
 fn log_round(service: &ServiceName, to: &Owner, round: &Round, calls: usize) {
     if round.outcome == Outcome::Answered && round.refused.is_empty() {
-        log::debug!("grant: event=round service={service} server={} calls={calls}", to.server);
+        tracing::debug!(part = "grant", event = "round", service = %service, server = %to.server, calls = %calls);
         return;
     }
-    log::info!(
-        "grant: event=round service={service} server={} calls={calls} outcome={:?} confirmed={} refused={}",
-        to.server,
-        round.outcome,
-        round.confirmed.len(),
-        round.refused.len(),
-    );
+    tracing::info!(part = "grant", event = "round", service = %service, server = %to.server, calls = %calls, outcome = ?round.outcome, confirmed = %round.confirmed.len(), refused = %round.refused.len());
 }
--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_store::{Call, Client, Error, Reply};
+use jacinthbeam_store::{Call, Client, Reply};
 use jacinthbeam_types::prelude::*;
 
 use super::input::{Input, Tx};
@@ -42,12 +42,13 @@
 ) {
     let lane = store.lane();
     let mut generation = 0;
+    let mut lost = false;
     loop {
         let rests = wish.rest_until.get().is_some_and(|until| clock.now() < until);
         if rests || wish.leave.get() {
             let leave = Call::Leave { group: GROUP.into(), member: member.clone() };
             if let Err(err) = lane.call(&leave).await {
-                log::info!("duty: event=leave-failed error={err}");
+                tracing::info!(part = "duty", event = "leave-failed", error = %err);
             }
             generation = 0;
             if wish.leave.get() {
@@ -67,20 +68,23 @@
         match lane.call(&join).await {
             Ok(Reply::Member { generation: now, shares }) => {
                 generation = now;
+                if std::mem::take(&mut lost) {
+                    tracing::info!(part = "duty", event = "regained");
+                }
                 let duties: BTreeSet<u32> =
                     shares.iter().map(|share| share.partition.number).collect();
                 if tx.send(Input::Duties(duties)).is_err() {
                     return;
                 }
             }
-            Ok(_) => log::warn!("duty: event=wrong-answer"),
-            Err(err) => report(&err),
+            Ok(_) => tracing::warn!(part = "duty", event = "wrong-answer"),
+            // A duty that was had stays until the store says otherwise: it is advice, and the right to grant is proved elsewhere.
+            Err(err) => {
+                if !std::mem::replace(&mut lost, true) {
+                    tracing::warn!(part = "duty", event = "lost", error = %err);
+                }
+            }
         }
         tokio::time::sleep(JOIN_EVERY).await;
     }
 }
-
-/// A duty that was had stays until the store says otherwise: it is advice, and the right to grant is proved elsewhere.
-fn report(err: &Error) {
-    log::info!("duty: event=join-failed error={err}");
-}
--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -98,7 +98,7 @@
 fn set_direct(feed: &Feed, direct: bool) {
     let changed = feed.direct.send_if_modified(|known| std::mem::replace(known, direct) != direct);
     if changed {
-        log::info!("feed: event=source direct={direct}");
+        tracing::info!(part = "feed", event = "source", direct = %direct);
     }
 }
 
@@ -106,23 +106,24 @@
 async fn ask_on(feed: &Feed, host: &HostId, addr: SocketAddr) {
     let mut link = match Link::open(addr).await {
         Ok(link) => link,
-        Err(err) => return log::info!("feed: event=passed-over host={host} error={err}"),
+        Err(err) => {
+            return tracing::info!(part = "feed", event = "passed-over", host = %host, error = %err);
+        }
     };
     loop {
         match ask(feed, &mut link).await {
             Ok(age) if age <= LOST_AFTER => {
                 if *feed.direct.borrow() {
-                    log::info!("feed: event=follows host={host}");
+                    tracing::info!(part = "feed", event = "follows", host = %host);
                 }
                 set_direct(feed, false);
             }
             Ok(age) => {
-                return log::info!(
-                    "feed: event=passed-over host={host} age_ms={}",
-                    age.as_millis()
-                );
+                return tracing::info!(part = "feed", event = "passed-over", host = %host, age_ms = %age.as_millis());
+            }
+            Err(err) => {
+                return tracing::info!(part = "feed", event = "passed-over", host = %host, error = %err);
             }
-            Err(err) => return log::info!("feed: event=passed-over host={host} error={err}"),
         }
     }
 }
@@ -137,7 +138,7 @@
         if age > LOST_AFTER {
             return tokio::time::sleep(LEAST_PAUSE * 10).await;
         }
-        log::debug!("feed: event=store-lost host={host} age_ms={}", age.as_millis());
+        tracing::debug!(part = "feed", event = "store-lost", host = %host, age_ms = %age.as_millis());
     }
 }
 
--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -76,7 +76,7 @@
         match follower.look(&lane, followed.wait).await {
             Ok(changes) => {
                 if std::mem::take(&mut lost) {
-                    log::info!("store: event=regained partition={}", follower.partition());
+                    tracing::info!(part = "store", event = "regained", partition = %follower.partition());
                 }
                 backoff.reset();
                 if tx.send(input(asked, changes)).is_err() {
@@ -86,7 +86,7 @@
             }
             Err(err) => {
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!("store: event=lost partition={} error={err}", follower.partition());
+                    tracing::warn!(part = "store", event = "lost", partition = %follower.partition(), error = %err);
                 }
                 tokio::time::sleep(backoff.pause()).await;
             }
--- a/crates/jacinthbeam-host/src/process/control/maps.rs
+++ b/crates/jacinthbeam-host/src/process/control/maps.rs
@@ -44,9 +44,11 @@
                         newer.push((service, map));
                     }
                 }
-                (Err(err), _) => log::error!("maps: event=unreadable-name error={err}"),
+                (Err(err), _) => {
+                    tracing::error!(part = "maps", event = "unreadable-name", error = %err)
+                }
                 (_, Err(err)) => {
-                    log::error!("maps: event=unreadable service={} error={err}", item.key)
+                    tracing::error!(part = "maps", event = "unreadable", service = %item.key, error = %err)
                 }
             }
         }
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -73,7 +73,7 @@
     serve_pages(&start, ready, metrics, &tx);
     let reports = match tokio::net::UdpSocket::from_std(reports) {
         Ok(socket) => Rc::new(socket),
-        Err(err) => return log::error!("peers: event=no-socket error={err:?}"),
+        Err(err) => return tracing::error!(part = "peers", event = "no-socket", error = ?err),
     };
     spawn_local(hear(reports.clone(), tx.clone()));
     spawn_local(serve_news(news, tx.clone(), start.view.subscribe()));
@@ -93,7 +93,7 @@
         }
     }
     tokio::time::sleep(LAST_CALLS).await;
-    log::info!("process: event=stop");
+    tracing::info!(part = "process", event = "stop");
 }
 
 async fn serve_news(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
@@ -129,7 +129,8 @@
         "/metrics" => answer::plain(http::StatusCode::OK, counters.text()),
         "/dump" => {
             // The dump of the granting side goes to the log; that of the view is small enough for the answer.
-            tx.send(Input::Dump).unwrap_or_else(|_| log::debug!("pages: event=no-dump"));
+            tx.send(Input::Dump)
+                .unwrap_or_else(|_| tracing::debug!(part = "pages", event = "no-dump"));
             answer::plain(http::StatusCode::OK, format!("{:#?}", view.borrow()))
         }
         _ => answer::plain(http::StatusCode::NOT_FOUND, "pages: /metrics, /dump".into()),
@@ -142,7 +143,7 @@
 ) {
     match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => drop(spawn_local(pages::serve(listener, page))),
-        Err(err) => log::error!("pages: event=no-listener error={err:?}"),
+        Err(err) => tracing::error!(part = "pages", event = "no-listener", error = ?err),
     }
 }
 
@@ -158,7 +159,7 @@
     if phase.wait_for(|phase| *phase > Phase::Serving).await.is_ok()
         && tx.send(Input::Stop).is_err()
     {
-        log::debug!("process: event=stopped-already");
+        tracing::debug!(part = "process", event = "stopped-already");
     }
 }
 
@@ -169,7 +170,7 @@
         let (len, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(err) => {
-                log::debug!("peers: event=receive-failed error={err:?}");
+                tracing::debug!(part = "peers", event = "receive-failed", error = ?err);
                 continue;
             }
         };
@@ -179,7 +180,9 @@
                     return;
                 }
             }
-            Err(err) => log::warn!("peers: event=unreadable from={from} error={err:?}"),
+            Err(err) => {
+                tracing::warn!(part = "peers", event = "unreadable", from = %from, error = ?err)
+            }
         }
     }
 }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -186,7 +186,7 @@
                 self.step_all(&Event::Tick);
                 self.set_gates();
             }
-            Input::Dump => log::info!("process: event=dump state={self:?}"),
+            Input::Dump => tracing::info!(part = "process", event = "dump", state = ?self),
             Input::Stop => {
                 self.step_all(&Event::Stop);
                 self.wish.leave.set(true);
@@ -246,7 +246,7 @@
         let view = GrantView { now, servers: self.known.servers(), settled: true };
         let gates = granting.grantor.gates(view, objective);
         if !gates.is_empty() {
-            log::debug!("admission: event=gates service={service} gates={gates:?}");
+            tracing::debug!(part = "admission", event = "gates", service = %service, gates = ?gates);
         }
         gates
     }
@@ -264,7 +264,7 @@
         for (host, entry) in self.known.hosts().filter(|(host, _)| **host != self.me.host) {
             // A full send buffer loses the message, as the network may.
             if let Err(err) = self.socket.try_send_to(&bytes, entry.addr) {
-                log::debug!("peers: event=gates-not-sent host={host} error={err:?}");
+                tracing::debug!(part = "peers", event = "gates-not-sent", host = %host, error = ?err);
             }
         }
     }
@@ -280,7 +280,7 @@
                 self.on_changed(Changed { config, ..Changed::default() });
             }
             Err(err) => {
-                log::error!("config: event=unreadable offset={} error={err:?}", item.offset);
+                tracing::error!(part = "config", event = "unreadable", offset = %item.offset, error = ?err);
             }
         }
     }
@@ -302,7 +302,7 @@
 
     fn on_server(&mut self, item: &Item, now: Instant) -> bool {
         let Ok(id) = item.key.parse::<ServerId>() else {
-            log::warn!("servers: event=unreadable-name server={:?}", item.key);
+            tracing::warn!(part = "servers", event = "unreadable-name", server = ?item.key);
             return false;
         };
         if item.value.is_empty() {
@@ -311,7 +311,7 @@
         match (self.wire.server)(&item.key, &item.value) {
             Ok(server) => self.known.take_server(id, item.offset, Some(server), now),
             Err(err) => {
-                log::warn!("servers: event=unreadable server={id} error={err:?}");
+                tracing::warn!(part = "servers", event = "unreadable", server = %id, error = ?err);
                 false
             }
         }
@@ -322,7 +322,7 @@
         for item in &changes.items {
             match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
                 (Ok(host), Ok(entry)) => changed |= self.known.take_host(host, item.offset, entry),
-                _ => log::warn!("hosts: event=unreadable host={:?}", item.key),
+                _ => tracing::warn!(part = "hosts", event = "unreadable", host = ?item.key),
             }
         }
         self.known.hosts_known_to(changes.end);
@@ -402,7 +402,7 @@
         if duties == self.duties {
             return;
         }
-        log::info!("duty: event=dealt duties={duties:?}");
+        tracing::info!(part = "duty", event = "dealt", duties = ?duties);
         self.duties = duties;
         let services: Vec<ServiceName> = self.granting.keys().cloned().collect();
         for service in services {
@@ -466,7 +466,7 @@
                 self.on_changed(Changed { maps, ..Changed::default() });
             }
             Err(err) => {
-                log::info!("maps: event=not-recorded service={service} at={at} error={err}");
+                tracing::info!(part = "maps", event = "not-recorded", service = %service, at = %at, error = %err);
                 self.step(service, Event::NotRecorded);
             }
         }
@@ -506,7 +506,7 @@
         let epoch = granting.grantor.map().map(|map| map.epoch);
         granting.leads.set(epoch.filter(|_| leads));
         if led != leads {
-            log::info!("grant: event=leads service={service} leads={leads} epoch={epoch:?}");
+            tracing::info!(part = "grant", event = "leads", service = %service, leads = %leads, epoch = ?epoch);
         }
         if led && !leads {
             self.caller.keep_only(&[]);
@@ -531,7 +531,7 @@
                 self.caller.release(service.clone(), from, range, token);
             }
             Order::Resign => {
-                log::warn!("duty: event=resigned service={service} why=most-owners-unreachable");
+                tracing::warn!(part = "duty", event = "resigned", service = %service, why = "most-owners-unreachable");
                 self.wish.rest_until.set(Some(self.clock.now() + REST));
             }
         }
@@ -541,13 +541,7 @@
         let Some(partition) = self.partitions.get(&number) else { return };
         let (lane, at) = (partition.lane.clone(), partition.end);
         let (service, value) = (service.clone(), Bytes::from(map.to_bytes()));
-        log::info!(
-            "maps: event=record service={service} epoch={} version={} at={at} ranges={} bytes={}",
-            map.epoch,
-            map.version,
-            map.held().len(),
-            value.len(),
-        );
+        tracing::info!(part = "maps", event = "record", service = %service, epoch = %map.epoch, version = %map.version, at = %at, ranges = %map.held().len(), bytes = %value.len());
         let to = Partition { topic: self.wire.places.maps.into(), number };
         let (clock, tx) = (self.clock.clone(), self.tx.clone());
         spawn_local(async move {
@@ -559,7 +553,7 @@
                 Err(err) => Err(err),
             };
             if tx.send(Input::Put { service, map, asked, at, result }).is_err() {
-                log::debug!("maps: event=stopped-meanwhile");
+                tracing::debug!(part = "maps", event = "stopped-meanwhile");
             }
         });
     }
@@ -574,12 +568,12 @@
             let unchanged = match follow::is_unchanged(&lane, from, at).await {
                 Ok(unchanged) => unchanged.then_some(at),
                 Err(err) => {
-                    log::info!("maps: event=not-confirmed error={err}");
+                    tracing::info!(part = "maps", event = "not-confirmed", error = %err);
                     None
                 }
             };
             if tx.send(Input::Checked { partition: number, asked, unchanged }).is_err() {
-                log::debug!("maps: event=stopped-meanwhile");
+                tracing::debug!(part = "maps", event = "stopped-meanwhile");
             }
         });
     }
@@ -591,7 +585,7 @@
     let value = Bytes::from(entry.to_bytes());
     let call = Call::Put { to, key: host.to_string(), value, only_at: None };
     while let Err(err) = lane.call(&call).await {
-        log::info!("hosts: event=not-announced error={err}");
+        tracing::info!(part = "hosts", event = "not-announced", error = %err);
         tokio::time::sleep(backoff.pause()).await;
     }
 }
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -111,14 +111,10 @@
             return false;
         }
         if let Err(err) = cfg.check() {
-            log::error!(
-                "config: event=refused version={} error={:?}",
-                cfg.version,
-                err.to_string()
-            );
+            tracing::error!(part = "config", event = "refused", version = %cfg.version, error = ?err.to_string());
             return false;
         }
-        log::info!("config: event=in-force version={} before={known:?}", cfg.version);
+        tracing::info!(part = "config", event = "in-force", version = %cfg.version, before = ?known);
         self.config = Some(Arc::new(cfg));
         true
     }
@@ -278,20 +274,13 @@
 
 fn log_server(id: &ServerId, before: Option<&Server>, now: Option<&Server>) {
     match (before, now) {
-        (None, Some(server)) => log::info!(
-            "servers: event=joined server={id} service={} addr={} domain={} slots={} draining={}",
-            server.service,
-            server.addr,
-            server.domain,
-            server.slots,
-            server.draining,
-        ),
-        (Some(before), Some(server)) if before.draining != server.draining => log::info!(
-            "servers: event=changed server={id} service={} draining={}",
-            server.service,
-            server.draining,
-        ),
-        (Some(_), None) => log::info!("servers: event=gone server={id}"),
+        (None, Some(server)) => {
+            tracing::info!(part = "servers", event = "joined", server = %id, service = %server.service, addr = %server.addr, domain = %server.domain, slots = %server.slots, draining = %server.draining)
+        }
+        (Some(before), Some(server)) if before.draining != server.draining => {
+            tracing::info!(part = "servers", event = "changed", server = %id, service = %server.service, draining = %server.draining)
+        }
+        (Some(_), None) => tracing::info!(part = "servers", event = "gone", server = %id),
         _ => {}
     }
 }
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -78,7 +78,7 @@
     pub fn join(self) {
         for thread in self.threads {
             if thread.join().is_err() {
-                log::error!("process: event=thread-panicked");
+                tracing::error!(part = "process", event = "thread-panicked");
             }
         }
     }
@@ -128,13 +128,7 @@
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
-    log::info!(
-        "process: event=start host={} domain={} incarnation={incarnation} callers={} store={}",
-        settings.host,
-        settings.domain,
-        settings.callers,
-        settings.store,
-    );
+    tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
     let control = control::Start {
         settings: settings.clone(),
         wire,
@@ -181,7 +175,9 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         match runtime {
             Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, async { main().await }),
-            Err(err) => log::error!("process: event=no-runtime thread={name} error={err:?}"),
+            Err(err) => {
+                tracing::error!(part = "process", event = "no-runtime", thread = %name, error = ?err)
+            }
         }
     };
     thread::Builder::new().name(name.into()).spawn(run).map_err(Error::Thread)
--- a/crates/jacinthbeam-host/src/process/pages.rs
+++ b/crates/jacinthbeam-host/src/process/pages.rs
@@ -18,7 +18,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(err) => {
-                log::warn!("pages: event=accept-failed error={err:?}");
+                tracing::warn!(part = "pages", event = "accept-failed", error = ?err);
                 tokio::time::sleep(std::time::Duration::from_millis(50)).await;
                 continue;
             }
@@ -31,7 +31,7 @@
         spawn_local(async move {
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(err) = conn.await {
-                log::debug!("pages: event=ended error={err:?}");
+                tracing::debug!(part = "pages", event = "ended", error = ?err);
             }
         });
     }
--- a/crates/jacinthbeam-host/src/process/peers/link.rs
+++ b/crates/jacinthbeam-host/src/process/peers/link.rs
@@ -63,7 +63,7 @@
         let (sender, conn) = shaken.map_err(Error::Ended)?;
         spawn_local(async move {
             if let Err(err) = conn.await {
-                log::debug!("peers: event=link-ended error={err:?}");
+                tracing::debug!(part = "peers", event = "link-ended", error = ?err);
             }
         });
         Ok(Self { sender })
--- a/crates/jacinthbeam-host/src/process/peers/serve.rs
+++ b/crates/jacinthbeam-host/src/process/peers/serve.rs
@@ -35,20 +35,20 @@
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
-        Err(err) => return log::error!("peers: event=no-listener error={err:?}"),
+        Err(err) => return tracing::error!(part = "peers", event = "no-listener", error = ?err),
     };
     let find = Rc::new(find);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(err) => {
-                log::warn!("peers: event=accept-failed error={err:?}");
+                tracing::warn!(part = "peers", event = "accept-failed", error = ?err);
                 tokio::time::sleep(std::time::Duration::from_millis(50)).await;
                 continue;
             }
         };
         if let Err(err) = stream.set_nodelay(true) {
-            log::debug!("peers: event=nodelay-failed error={err:?}");
+            tracing::debug!(part = "peers", event = "nodelay-failed", error = ?err);
         }
         let find = find.clone();
         let service = service_fn(move |req| {
@@ -58,7 +58,7 @@
         spawn_local(async move {
             let conn = http2::Builder::new(LocalExecutor);
             if let Err(err) = conn.serve_connection(TokioIo::new(stream), service).await {
-                log::debug!("peers: event=ended error={err:?}");
+                tracing::debug!(part = "peers", event = "ended", error = ?err);
             }
         });
     }
@@ -78,7 +78,7 @@
     match news::from_bytes(&bytes) {
         Ok(asked) => Response::new(Full::new(Bytes::from(news::to_bytes(&find(asked).await)))),
         Err(err) => {
-            log::warn!("peers: event=unreadable-question error={err:?}");
+            tracing::warn!(part = "peers", event = "unreadable-question", error = ?err);
             answer::plain(StatusCode::BAD_REQUEST, "the question can't be read".into())
         }
     }
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -65,11 +65,11 @@
         Rc::new(Traffic::new(settings, wire, clock, counters, view, phase.subscribe(), gates));
     let listener = match tokio::net::TcpListener::from_std(callers) {
         Ok(listener) => listener,
-        Err(err) => return log::error!("process: event=no-listener error={err:?}"),
+        Err(err) => return tracing::error!(part = "process", event = "no-listener", error = ?err),
     };
     match tokio::net::UdpSocket::from_std(reports) {
         Ok(socket) => drop(spawn_local(report(traffic.clone(), socket))),
-        Err(err) => log::error!("process: event=no-reports error={err:?}"),
+        Err(err) => tracing::error!(part = "process", event = "no-reports", error = ?err),
     }
     let open = Rc::new(Cell::new(0));
     let cx = accept::Context { phase: phase.subscribe(), open: open.clone() };
@@ -78,7 +78,7 @@
     let limits = move || limits.view().config.as_ref().map(|cfg| cfg.limits);
     spawn_local(accept::run(listener, cx, limits, serve));
     leave(&phase, &open, stop_within).await;
-    log::info!("process: event=served connections={}", open.get());
+    tracing::info!(part = "process", event = "served", connections = %open.get());
     drop(served);
 }
 
@@ -89,7 +89,7 @@
         return;
     }
     let begun = Instant::now();
-    log::info!("process: event=stopping connections={}", open.get());
+    tracing::info!(part = "process", event = "stopping", connections = %open.get());
     tokio::time::sleep(LEAVE_FOR).await;
     phase.send_replace(Phase::Closing);
     let end = begun + stop_within.saturating_sub(BEFORE_FORCED);
@@ -112,7 +112,7 @@
             let Some(leader) = leader else { continue };
             for message in Message::loads(&traffic.settings.host, &service, report) {
                 if let Err(err) = socket.send_to(&message.to_bytes(), leader.addr).await {
-                    log::debug!("peers: event=report-not-sent to={} error={err:?}", leader.addr);
+                    tracing::debug!(part = "peers", event = "report-not-sent", to = %leader.addr, error = ?err);
                 }
             }
         }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -18,6 +18,7 @@
     Settings, Wire,
     connection::{Pool, accept::Phase},
     process::metrics::Counters,
+    request::story::Stories,
     version::View,
 };
 
@@ -35,6 +36,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counts for the metrics.
     pub counters: Arc<Counters>,
+    /// Tells the stories of requests.
+    pub stories: Stories,
     /// Bytes of request bodies that are held.
     pub body_bytes: Cell<usize>,
     view: watch::Receiver<Arc<View>>,
@@ -79,6 +82,7 @@
             wire,
             clock,
             counters,
+            stories: Stories::default(),
             body_bytes: Cell::new(0),
             view,
             phase,
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -5,5 +5,6 @@
 mod headers;
 pub mod send;
 pub mod serve;
+pub mod story;
 
 pub use serve::serve;
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -163,7 +163,7 @@
                 (Some(_), false) => return Err(NotRun::Unreachable),
                 (None, _) => {
                     let (id, err) = (&whole.id, err.into_error());
-                    log::debug!("request: id={id:?} event=connection-ended error={err:?}");
+                    tracing::debug!(part = "request", id = ?id, event = "connection-ended", error = ?err);
                     return Ok(Sent::Lost(Lost::Broken));
                 }
             },
@@ -204,7 +204,7 @@
     let told = (traffic.wire.answer)(res.status(), res.headers(), &whole.id, server);
     if told == Told::Foreign {
         let (id, status) = (&whole.id, res.status());
-        log::info!("request: id={id:?} event=foreign-answer status={status}");
+        tracing::info!(part = "request", id = ?id, event = "foreign-answer", status = %status);
         return Sent::Lost(Lost::Broken);
     }
     let keep_alive = keep_alive(res.headers());
@@ -214,7 +214,7 @@
     let bytes = match read {
         Ok(Ok(whole)) => whole.to_bytes(),
         Ok(Err(err)) => {
-            log::info!("request: id={:?} event=answer-cut error={err:?}", whole.id);
+            tracing::info!(part = "request", id = ?whole.id, event = "answer-cut", error = ?err);
             return refusal(told).unwrap_or(Sent::Lost(Lost::Broken));
         }
         Err(_) => return refusal(told).unwrap_or(Sent::Lost(Lost::Late)),
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -22,6 +22,7 @@
 use super::{
     answer, body, headers,
     send::{self, Lost, NotRun, Sent, Whole},
+    story,
 };
 use crate::{process::traffic::Traffic, version::View, wire::BadCaller};
 
@@ -142,13 +143,13 @@
 }
 
 fn bad(traffic: &Traffic, why: &str) -> Response<Full<Bytes>> {
-    log::info!("request: outcome=bad-request why={why:?}");
+    tracing::info!(part = "request", outcome = "bad-request", why = ?why);
     traffic.counters.bad_requests.add(1, &[]);
     answer::plain(StatusCode::BAD_REQUEST, format!("{}: {why}", Verdict::NotRun))
 }
 
 fn bad_body(traffic: &Traffic, id: &HeaderValue, err: body::Error) -> Response<Full<Bytes>> {
-    log::info!("request: id={id:?} outcome=no-body why={err:?}");
+    tracing::info!(part = "request", id = ?id, outcome = "no-body", why = ?err);
     traffic.counters.bad_requests.add(1, &[]);
     let (status, text) = match err {
         body::Error::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
@@ -169,13 +170,7 @@
     refusal: &Refusal,
     received: Instant,
 ) -> Response<Full<Bytes>> {
-    let took = traffic.now().saturating_duration_since(received).as_millis();
-    let after = refusal.retry_after.map_or(0, |after| after.as_millis());
-    log::info!(
-        "request: id={id:?} route={route} outcome=refused verdict={} reason={:?} retry_after_ms={after} took_ms={took}",
-        refusal.verdict,
-        refusal.reason,
-    );
+    traffic.stories.on_refused(traffic.now(), id, route, refusal, received);
     traffic.counters.on_refusal(refusal);
     answer::refused(&traffic.wire, refusal)
 }
@@ -201,7 +196,7 @@
         }
         sends += 1;
         let sent = offer(&job, &view, &server).await;
-        log_sent(&job, &view, &server, &sent);
+        job.tell(&view, &server, sends, &sent);
         let again = match &sent {
             Sent::Answered { good: true, .. } => false,
             Sent::Answered { good: false, .. } => job.may_run_again(sends) && !job.keyed,
@@ -236,6 +231,19 @@
 }
 
 impl Job {
+    fn tell(&self, view: &View, server: &Server, number: u32, sent: &Sent) {
+        let send = story::Send {
+            id: &self.whole.id,
+            route: &self.route.name,
+            service: &self.service,
+            key: self.key.filter(|_| self.keyed),
+            server: &server.id,
+            number,
+            received: self.received,
+        };
+        self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent);
+    }
+
     fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.traffic.now())
     }
@@ -311,27 +319,6 @@
     of(&job.traffic.view()) != before
 }
 
-fn log_sent(job: &Job, view: &View, server: &Server, sent: &Sent) {
-    let outcome = match sent {
-        Sent::Answered { res, .. } => format!("answered status={}", res.status().as_u16()),
-        Sent::NotRun(why) => format!("not-run why={why:?}"),
-        Sent::Lost(why) => format!("may-have-run why={why:?}"),
-    };
-    let version = view.config.as_ref().map_or(0, |cfg| cfg.version.0);
-    let map = view.maps.get(&job.service).map_or((0, 0), |map| (map.epoch.0, map.version));
-    log::info!(
-        "request: id={:?} route={} service={} key={} server={} config={version} map={}.{} took_ms={} outcome={outcome}",
-        job.whole.id,
-        job.route.name,
-        job.service,
-        job.key.map_or_else(|| "-".into(), |key| key.to_string()),
-        server.id,
-        map.0,
-        map.1,
-        job.traffic.now().saturating_duration_since(job.received).as_millis(),
-    );
-}
-
 fn give_up(job: &Job, last: Option<Sent>, tried: &[ServerId]) -> Response<Full<Bytes>> {
     let refusal = match last {
         Some(Sent::Answered { mut res, good }) => {
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/story.rs
@@ -0,0 +1,113 @@
+//! The lines that tell the story of a request.
+//!
+//! Each send to a server that was no plain success is told, and each refusal and failure, with what decided it and how old
+//! that was. Successes are told for one request in [`SAMPLE`] and counted for all.
+
+use std::{cell::RefCell, time::Instant};
+
+use http::HeaderValue;
+use jacinthbeam_types::prelude::*;
+
+use super::send::Sent;
+use crate::{process::logs::Quota, version::View};
+
+/// Plain successes of which one is told. A host answers some thirty a second; three lines a second are enough to compare with.
+const SAMPLE: u64 = 10;
+
+/// Lines of each kind a second at the most. A host refuses some tens a second under overload; beyond that they say the same.
+const PER_SECOND: u32 = 100;
+
+/// What the lines of all requests share.
+#[derive(Debug)]
+pub struct Stories {
+    sends: RefCell<Quota>,
+    ends: RefCell<Quota>,
+}
+
+impl Default for Stories {
+    fn default() -> Self {
+        let quota = || RefCell::new(Quota::new(PER_SECOND));
+        Self { sends: quota(), ends: quota() }
+    }
+}
+
+/// One send of a request to a server.
+pub struct Send<'a> {
+    /// The caller's name for the attempt.
+    pub id: &'a HeaderValue,
+    /// The route.
+    pub route: &'a str,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The key, if the service has any.
+    pub key: Option<jacinthbeam_range::Key>,
+    /// The server.
+    pub server: &'a ServerId,
+    /// Counts the sends of the request from 1.
+    pub number: u32,
+    /// When the request came.
+    pub received: Instant,
+}
+
+impl Stories {
+    /// Tells of a send.
+    pub fn on_sent(&self, now: Instant, send: &Send<'_>, view: &View, sent: &Sent) {
+        let (outcome, why, status) = match sent {
+            Sent::Answered { res, good } => {
+                if *good && send.number == 1 && fastrand::u64(..SAMPLE) > 0 {
+                    return;
+                }
+                ("answered", String::new(), res.status().as_u16())
+            }
+            Sent::NotRun(why) => ("not-run", format!("{why:?}"), 0),
+            Sent::Lost(why) => ("may-have-run", format!("{why:?}"), 0),
+        };
+        let Some(left_out) = self.sends.borrow_mut().take(now) else { return };
+        let map = view.maps.get(send.service);
+        tracing::info!(
+            part = "request",
+            event = "sent",
+            id = ?send.id,
+            route = send.route,
+            service = %send.service,
+            key = send.key.map(|key| key.0),
+            server = %send.server,
+            number = send.number,
+            outcome,
+            why,
+            status,
+            took_ms = millis(now, send.received),
+            config = view.config.as_ref().map(|cfg| cfg.version.0),
+            map_epoch = map.map(|map| map.epoch.0),
+            map_version = map.map(|map| map.version),
+            left_out,
+        );
+    }
+
+    /// Tells of a request that got no answer of a server.
+    pub fn on_refused(
+        &self,
+        now: Instant,
+        id: &HeaderValue,
+        route: &str,
+        refusal: &Refusal,
+        received: Instant,
+    ) {
+        let Some(left_out) = self.ends.borrow_mut().take(now) else { return };
+        tracing::info!(
+            part = "request",
+            event = "refused",
+            id = ?id,
+            route,
+            verdict = %refusal.verdict,
+            reason = ?refusal.reason,
+            retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
+            took_ms = millis(now, received),
+            left_out,
+        );
+    }
+}
+
+fn millis(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_millis() as u64
+}
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -68,7 +68,7 @@
         })?;
         let reply = (self.client.wire.decode)(call, res.status(), res.body());
         if let Err(err) = &reply {
-            log::debug!("store: {call:?} failed: {err}");
+            tracing::debug!(part = "store", event = "failed", ?call, error = %err);
         }
         reply
     }
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -58,7 +58,7 @@
             Ok(Reply::Records { records, end }) => self.take(at, &records, end),
             Ok(_) => Err(Error::Malformed("not the answer to a read".into())),
             Err(Error::Expired) => {
-                log::info!("store: records of {} were deleted, reading the newest", self.partition);
+                tracing::info!(part = "store", event = "expired", partition = %self.partition);
                 self.next = None;
                 self.all(lane).await
             }
@@ -100,7 +100,7 @@
             match split(record) {
                 Some((key, value)) => items.push(Item { key, value, offset }),
                 None => {
-                    log::warn!("store: {} holds no keyed record at {offset}", self.partition);
+                    tracing::warn!(part = "store", event = "no-key", partition = %self.partition, %offset);
                 }
             }
         }
