fix(range): a server that answers some grants is there; callers of a lost owner hear so at once

Change: a round goes on after a silent call if others were answered, in random order; a partial round is a sign of life. Waits are parts of the route's objective: 0.4 for a move, 0.12 without an owner.

--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -72,18 +72,22 @@
         let (wire, clock, tx) = (self.wire, self.clock.clone(), self.tx.clone());
         spawn_local(async move {
             let mut round = Round::new();
+            // In another order each time: a round may end early, and must not leave out the same keys again and again.
+            let mut calls = calls;
+            fastrand::shuffle(&mut calls);
             for call in &calls {
                 // Asked right before each call: this process may have been suspended, or replaced, since it was ordered.
                 if clock.now() >= until || leads.get() != Some(epoch) {
                     round.outcome = Outcome::NotSent;
                     break;
                 }
-                if !round.send(wire, &*clock, &line, &to, call).await {
+                round.send(wire, &*clock, &line, &to, call).await;
+                if round.is_over() {
                     break;
                 }
             }
             log_round(&service, &to, &round, calls.len());
-            let Round { outcome, last_call, confirmed, refused } = round;
+            let Round { outcome, last_call, confirmed, refused, .. } = round;
             let server = to.server;
             let event = Event::Granted { server, outcome, last_call, confirmed, refused };
             if tx.send(Input::Granted { service, event }).is_err() {
@@ -120,8 +124,13 @@
     last_call: Option<Instant>,
     confirmed: Vec<(KeyRange, Token)>,
     refused: Vec<KeyRange>,
+    silent: u32,
 }
 
+/// Calls without an answer after which a round ends, if the server answered others. Each takes [`GRANT_WITHIN`], in which the
+/// other keys come closer to the end of their hold.
+const MOST_SILENT: u32 = 2;
+
 impl Round {
     fn new() -> Self {
         Self {
@@ -129,24 +138,26 @@
             last_call: None,
             confirmed: Vec::new(),
             refused: Vec::new(),
+            silent: 0,
         }
     }
 
-    /// Sends one grant. Returns whether to go on with the next.
-    async fn send(
-        &mut self,
-        wire: Wire,
-        clock: &dyn Clock,
-        line: &Line,
-        to: &Owner,
-        call: &Call,
-    ) -> bool {
+    /// Whether further calls are of no use: the server is not there, or does not answer now.
+    fn is_over(&self) -> bool {
+        let answers = !self.confirmed.is_empty() || !self.refused.is_empty();
+        let most = if answers { MOST_SILENT } else { 1 };
+        self.outcome == Outcome::Ended || self.silent >= most
+    }
+
+    /// Sends one grant.
+    async fn send(&mut self, wire: Wire, clock: &dyn Clock, line: &Line, to: &Owner, call: &Call) {
         let answer = line.exchange((wire.grant)(to, call, HOLD), GRANT_WITHIN).await;
         let granted = match answer {
             Ok(res) => (wire.granted)(to, &res),
             Err(line::Error::NotSent(_)) => {
                 self.outcome = Outcome::Silent;
-                return false;
+                self.silent += 1;
+                return;
             }
             Err(line::Error::Lost(_)) => Granted::Unclear,
         };
@@ -155,9 +166,11 @@
             Granted::Held => self.confirmed.push((call.range, call.token)),
             Granted::HigherSeen => self.refused.push(call.range),
             Granted::OtherServer => self.outcome = Outcome::Ended,
-            Granted::Unclear => self.outcome = Outcome::Silent,
+            Granted::Unclear => {
+                self.outcome = Outcome::Silent;
+                self.silent += 1;
+            }
         }
-        self.outcome == Outcome::Answered
     }
 }
 
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -30,9 +30,13 @@
 /// the store. Learning of it takes up to half a second of the two that are allowed, and a request some milliseconds.
 const LEAVING_GRACE: Duration = Duration::from_millis(1100);
 
-/// Longest wait for a key that has no reachable owner at the moment: a planned move takes as long as the requests that run
-/// on its keys, some 0.3 s; a lost server takes seconds, which the caller had better spend elsewhere.
-const AWAIT_OWNER: Duration = Duration::from_millis(400);
+/// Part of the objective that a request waits for a key whose owner has just given it back: a planned move takes as long as
+/// the requests that run on its keys, mostly below this, and leaves time for the request itself.
+const AWAIT_MOVE: f64 = 0.4;
+
+/// Part of the objective that a request waits for a key without an owner that could be asked. A map that is on its way comes
+/// in milliseconds. An owner that is lost is away for seconds, and its callers are told so.
+const AWAIT_OWNER: f64 = 0.12;
 
 /// Hint for a caller whose key has no owner.
 const OWNER_IN: Duration = Duration::from_millis(500);
@@ -185,8 +189,8 @@
         let view = job.traffic.view();
         let server = match find_server(&job, &view, &tried) {
             Some(server) => server,
-            None if job.keyed && job.may_wait() => {
-                job.traffic.view_changed(job.wait_left()).await;
+            None if sends == 0 && job.keyed && job.may_wait(AWAIT_OWNER) => {
+                job.traffic.view_changed(job.wait_left(AWAIT_OWNER)).await;
                 continue;
             }
             None => return give_up(&job, last, &tried),
@@ -201,11 +205,10 @@
             Sent::Answered { good: true, .. } => false,
             Sent::Answered { good: false, .. } => job.may_run_again(sends) && !job.keyed,
             // The same server would refuse it again, and each arrival counts against the budget of all hosts.
-            Sent::NotRun(NotRun::NotOwner | NotRun::OtherServer | NotRun::Unreachable)
-                if job.keyed =>
-            {
+            Sent::NotRun(NotRun::NotOwner) if job.keyed => {
                 sends < MOST_SENDS && await_other_owner(&job, &view).await
             }
+            Sent::NotRun(NotRun::OtherServer | NotRun::Unreachable) if job.keyed => false,
             Sent::NotRun(NotRun::Full) => !job.keyed && sends < MOST_SENDS,
             Sent::NotRun(_) => sends < MOST_SENDS,
             Sent::Lost(Lost::Late) => false,
@@ -252,15 +255,15 @@
         self.route.idempotent && sends < self.route.attempts
     }
 
-    /// What is left of the time that a request may wait for an owner.
-    fn wait_left(&self) -> Duration {
-        let until = (self.received + AWAIT_OWNER).min(self.deadline);
+    /// What is left of the time that a request may wait: a part of its objective.
+    fn wait_left(&self, part: f64) -> Duration {
+        let until = (self.received + self.route.objective.mul_f64(part)).min(self.deadline);
         until.saturating_duration_since(self.traffic.now())
     }
 
     /// A process that is about to stop has no time to wait: the caller is answered while it can be, and goes elsewhere.
-    fn may_wait(&self) -> bool {
-        !self.traffic.is_stopping() && !self.wait_left().is_zero()
+    fn may_wait(&self, part: f64) -> bool {
+        !self.traffic.is_stopping() && !self.wait_left(part).is_zero()
     }
 }
 
@@ -313,8 +316,8 @@
         Some((held.owner.clone(), held.token))
     };
     let before = of(view);
-    while job.may_wait() && of(&job.traffic.view()) == before {
-        job.traffic.view_changed(job.wait_left()).await;
+    while job.may_wait(AWAIT_MOVE) && of(&job.traffic.view()) == before {
+        job.traffic.view_changed(job.wait_left(AWAIT_MOVE)).await;
     }
     of(&job.traffic.view()) != before
 }
--- a/crates/jacinthbeam-range/src/grantor/contact.rs
+++ b/crates/jacinthbeam-range/src/grantor/contact.rs
@@ -15,7 +15,7 @@
 pub enum Outcome {
     /// Every call was answered by the server.
     Answered,
-    /// A call got no answer. Those after it were not sent.
+    /// A call got no answer.
     Silent,
     /// Another life of a server answered at the address: this one has ended.
     Ended,
@@ -96,6 +96,11 @@
                 self.next_round = Some(now + if refused { ASK_AGAIN } else { RENEW_EVERY });
             }
             Outcome::Silent => {
+                // A server that answers some of the calls is there. Given up, all its keys would be away for a whole hold
+                // because a part of the answers is lost on the way.
+                if !confirmed.is_empty() {
+                    self.silent_since = None;
+                }
                 self.silent_since.get_or_insert(now);
                 self.next_round = Some(now + ASK_AGAIN);
             }
