--- a/crates/jacinthbeam-host/src/explain.rs
+++ b/crates/jacinthbeam-host/src/explain.rs
@@ -80,7 +80,7 @@
         for name in ["part", "event"] {
             write!(f, " {}", self.get(name).unwrap_or("-"))?;
         }
-        let told = ["timestamp", "level", "part", "event", "id"];
+        let told = ["timestamp", "level", "target", "part", "event", "id"];
         for (name, value) in self.fields.iter().filter(|(name, _)| !told.contains(&name.as_str())) {
             match value {
                 Value::Null => {}
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -180,7 +180,10 @@
             Input::Checked { partition, asked, unchanged } => {
                 self.on_checked(partition, asked, unchanged);
             }
-            Input::Granted { service, event } => self.step(&service, event),
+            Input::Granted { service, event } => {
+                self.counters.on_grant(&event);
+                self.step(&service, event);
+            }
             Input::Datagram(message) => self.on_datagram(message),
             Input::Tick => {
                 self.step_all(&Event::Tick);
@@ -455,6 +458,7 @@
         at: Offset,
         result: Result<Offset, Error>,
     ) {
+        self.counters.on_record(result.as_ref().err());
         match result {
             Ok(end) => {
                 let number = self.partition_of(service);
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jacinthbeam_range::Event;
+use jacinthbeam_store::Error;
 use jacinthbeam_types::prelude::*;
 use opentelemetry::{
     KeyValue,
@@ -27,10 +29,10 @@
     latency: Histogram<f64>,
     /// Refusals and failures, by verdict and reason.
     refusals: Counter<u64>,
-    /// Calls that changed or confirmed something in the store, by outcome.
-    pub store: Counter<u64>,
-    /// Grants and releases, by outcome.
-    pub grants: Counter<u64>,
+    /// Records of owners, by outcome.
+    records: Counter<u64>,
+    /// Rounds of grants and releases, by outcome.
+    grants: Counter<u64>,
     /// Whether this process grants keys.
     pub leads: Gauge<u64>,
 }
@@ -53,7 +55,7 @@
             answers: count("jacinthbeam_answers"),
             latency: latency.with_boundaries(SECONDS.to_vec()).build(),
             refusals: count("jacinthbeam_refusals"),
-            store: count("jacinthbeam_store_calls"),
+            records: count("jacinthbeam_records"),
             grants: count("jacinthbeam_grants"),
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
             registry,
@@ -74,6 +76,29 @@
         self.refusals.add(1, &[verdict, reason]);
     }
 
+    /// Counts a record of owners that was kept, or not.
+    pub fn on_record(&self, err: Option<&Error>) {
+        let outcome = match err {
+            None => "kept",
+            Some(Error::Conflict) => "conflict",
+            Some(err) if err.may_be_done() => "unknown",
+            Some(_) => "refused",
+        };
+        self.records.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a round of grants or a release that has ended.
+    pub fn on_grant(&self, event: &Event) {
+        let (kind, outcome) = match event {
+            Event::Granted { outcome, .. } => ("round", format!("{outcome:?}")),
+            Event::Released { handover, .. } => {
+                ("release", if handover.is_ok() { "Answered" } else { "Silent" }.to_owned())
+            }
+            _ => return,
+        };
+        self.grants.add(1, &[KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)]);
+    }
+
     /// All values, as text.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/jacinthbeam-native/src/format/mod.rs
+++ b/crates/jacinthbeam-native/src/format/mod.rs
@@ -1,4 +1,4 @@
-//! What is said on the wire to the platform and to backend servers. `docs/PLATFORM.md` shows it by example.
+//! What is said on the wire to the platform and to backend servers. `docs/NATIVE.md` shows it by example.
 
 pub mod backend;
 pub mod hosts;
