--- a/crates/jacinthbeam-range/src/grantor/leading.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading.rs
@@ -21,7 +21,7 @@
     balance::{self, Candidate, Move},
     demand::Demand,
     key::KeyRange,
-    map::{Held, Map, Owner},
+    map::{Held, Map},
 };
 
 /// Pause between two questions for a confirmation if the last one got no answer.
@@ -173,7 +173,7 @@
         may_record: bool,
     ) -> Vec<Order> {
         self.pass_time(view);
-        self.meet_owners(view.servers);
+        self.meet_owners();
         self.give_up_lost(view.now);
         let mut orders = Vec::new();
         orders.extend(self.check(view.now));
@@ -192,27 +192,17 @@
         self.settling.retain(|(until, _)| *until > view.now);
     }
 
-    /// Keeps a contact for every owner, and notes those whose address has gone to another server.
-    fn meet_owners(&mut self, servers: &Servers) {
+    /// Keeps a contact for every owner, and for those that ranges come from or go to.
+    fn meet_owners(&mut self) {
         for owner in self.map.held().iter().filter_map(|held| held.owner.as_ref()) {
             if !self.contacts.contains_key(&owner.server) {
                 self.contacts.insert(owner.server.clone(), Contact::new(owner.clone()));
             }
         }
-        for server in servers.iter() {
-            let replaced =
-                |c: &&mut Contact| c.owner.addr == server.addr && c.owner.server != server.id;
-            for contact in self.contacts.values_mut().filter(replaced) {
-                contact.ended = true;
-            }
-        }
-        let moves = &self.moves;
-        let map = &self.map;
-        self.contacts.retain(|id, contact| {
-            contact.busy
-                || map.of_server(id).next().is_some()
-                || moves.iter().any(|m| m.from.server == *id || m.to.server == *id)
-        });
+        let owners = self.map.held().iter().filter_map(|held| held.owner.as_ref());
+        let moving = self.moves.iter().flat_map(|moving| [&moving.from, &moving.to]);
+        let needed: BTreeSet<&ServerId> = owners.chain(moving).map(|owner| &owner.server).collect();
+        self.contacts.retain(|id, contact| contact.busy || needed.contains(id));
     }
 
     fn give_up_lost(&mut self, now: Instant) {
@@ -431,34 +421,40 @@
     }
 
     fn grants(&mut self, now: Instant) -> Vec<Order> {
-        if !self.has_right(now) {
-            return Vec::new();
-        }
-        let until = self.proof + PROOF;
-        let mut orders = Vec::new();
-        let owners: Vec<Owner> = self.contacts.values().map(|c| c.owner.clone()).collect();
-        for owner in owners {
-            let calls = self.calls(&owner, now);
-            if calls.is_empty() {
-                continue;
+        let mut of_owner: BTreeMap<ServerId, Vec<Held>> = BTreeMap::new();
+        for held in self.map.held() {
+            if let Some(owner) = &held.owner {
+                of_owner.entry(owner.server.clone()).or_default().push(held.clone());
             }
-            if let Some(contact) = self.contacts.get_mut(&owner.server) {
-                contact.busy = true;
-            }
-            orders.push(Order::Grant { to: owner, calls, until });
         }
-        orders
+        of_owner.iter().filter_map(|(server, held)| self.grant_held(server, held, now)).collect()
+    }
+
+    /// What one server should be granted now.
+    pub(super) fn grant(&mut self, server: &ServerId, now: Instant) -> Option<Order> {
+        let held: Vec<Held> = self.map.of_server(server).cloned().collect();
+        self.grant_held(server, &held, now)
+    }
+
+    fn grant_held(&mut self, server: &ServerId, held: &[Held], now: Instant) -> Option<Order> {
+        if !self.has_right(now) {
+            return None;
+        }
+        let calls = self.calls(self.contacts.get(server)?, held, now);
+        let contact = self.contacts.get_mut(server)?;
+        contact.busy |= !calls.is_empty();
+        let (to, until) = (contact.owner.clone(), self.proof + PROOF);
+        (!calls.is_empty()).then_some(Order::Grant { to, calls, until })
     }
 
     /// What to grant to one server now: all its ranges if a renewal is due, else those it has not confirmed.
-    fn calls(&self, owner: &Owner, now: Instant) -> Vec<Call> {
-        let Some(contact) = self.contacts.get(&owner.server) else { return Vec::new() };
+    fn calls(&self, contact: &Contact, held: &[Held], now: Instant) -> Vec<Call> {
         if contact.busy || contact.ended || contact.given_up {
             return Vec::new();
         }
         let due = contact.is_due(now);
         let mut calls = Vec::new();
-        for held in self.map.of_server(&owner.server) {
+        for held in held {
             for range in self.still_held(held.range) {
                 let new = !contact.has_confirmed(range, held.token);
                 if due || (new && contact.takes_new()) {
@@ -472,7 +468,7 @@
 
     /// What of a range is not on its way to another owner.
     fn still_held(&self, range: KeyRange) -> Vec<KeyRange> {
-        let moving: Vec<KeyRange> = self.moves.iter().map(|m| m.range).collect();
-        balance::without(range, &moving)
+        let moving = self.moves.iter().map(|m| m.range).filter(|moving| moving.overlaps(range));
+        balance::without(range, &moving.collect::<Vec<_>>())
     }
 }
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -226,13 +226,16 @@
             Event::Recorded { asked } => self.on_recorded(view, asked),
             Event::NotRecorded => self.on_not_recorded(view),
             Event::Stop => return self.stop(),
+            // These two come hundreds of times a second from a large fleet, and a look at everything takes a time that grows
+            // with it. The next tick is soon enough for what they change, but for new ranges of the same server.
             Event::Load { from, report } => {
                 self.while_leading(|leading| leading.demand.add(&from, view.now, &report));
+                return Vec::new();
             }
             Event::Granted { server, outcome, last_call, confirmed, refused } => {
-                self.while_leading(|leading| {
-                    leading.on_granted(view.now, &server, outcome, last_call, &confirmed, refused);
-                });
+                let Some(leading) = &mut self.leading else { return Vec::new() };
+                leading.on_granted(view.now, &server, outcome, last_call, &confirmed, refused);
+                return leading.grant(&server, view.now).into_iter().collect();
             }
             Event::Released { range, token, handover } => {
                 self.while_leading(|leading| leading.on_released(view.now, range, token, handover));
