fix(host,entry): a refusal reaches a caller that is still sending

Cause: a connection that is closed with unread bytes is reset, and the reset overtakes the refusal. bad_input::refusal_overtakes_the_body failed once in a full run (19:42) for that: the entry host dropped the rest of a streamed body with its refusal, and the caller's send broke before it read the answer. jacinthbeam-host had the same fault for bodies that are too long.

Change: both read on for two seconds or 24 MiB after they have answered. fanout::a_relay_that_is_cut_from_the_log_stops_nobody_else failed once too: it asserted at one moment that a reader had turned to the log, though records can reach it by a peer's state first. It waits for that now, within the test's bound, and is as strict.

--- a/crates/jacinthbeam-entry/src/request/body.rs
+++ b/crates/jacinthbeam-entry/src/request/body.rs
@@ -7,6 +7,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -16,12 +17,59 @@
 use hyper::body::Incoming;
 use jacinthbeam_peer::{Body, body::Cut};
 use jacinthbeam_types::prelude::*;
+use tokio::runtime::Handle;
 
 use super::entered::Entered;
 
 /// Bodies up to this size are held, so that the request can be repeated after a `not-run`.
 pub const HELD: u64 = 64 << 10;
 
+/// Bytes of an abandoned body that are read and dropped, and for how long.
+const MOST_DISCARDED: usize = 24 << 20;
+const DISCARD_FOR: Duration = Duration::from_secs(2);
+
+/// A caller's body. What is left of it when it is dropped is read on for a while.
+///
+/// A connection that is closed with unread bytes is reset, and the reset overtakes a refusal on its way: the caller, who is still
+/// sending, would be cut off without a word.
+#[derive(Debug)]
+struct Rest(Option<Incoming>);
+
+impl Rest {
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let frame = self.0.as_mut()?.frame().await;
+        if !matches!(frame, Some(Ok(_))) {
+            self.0 = None;
+        }
+        frame
+    }
+}
+
+impl Drop for Rest {
+    fn drop(&mut self) {
+        let rest = self.0.take().filter(|rest| !rest.is_end_stream());
+        // Without a runtime the process is about to end, and its connections with it.
+        if let (Some(rest), Ok(runtime)) = (rest, Handle::try_current()) {
+            runtime.spawn(discard(rest));
+        }
+    }
+}
+
+async fn discard(mut rest: Incoming) {
+    let mut seen = 0;
+    let read = async {
+        while let Some(Ok(frame)) = rest.frame().await {
+            seen += frame.data_ref().map_or(0, Bytes::len);
+            if seen > MOST_DISCARDED {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_FOR, read).await.is_err() {
+        log::debug!("request: the rest of a refused body did not come in time");
+    }
+}
+
 /// Whether a body that was passed on as a stream turned out longer than the service allows.
 #[derive(Debug, Clone, Default)]
 pub struct TooLong(Arc<AtomicBool>);
@@ -64,10 +112,12 @@
         too_long: &TooLong,
     ) -> Result<Self, Error> {
         let length = incoming.size_hint().exact();
+        let ends = incoming.is_end_stream();
+        let incoming = Rest(Some(incoming));
         if length.is_some_and(|length| length > max) {
             return Err(Error::TooLarge(max));
         }
-        if incoming.is_end_stream() {
+        if ends {
             return Ok(Self::Whole(Bytes::new()));
         }
         if hold || length.is_some_and(|length| length <= HELD) {
@@ -103,7 +153,7 @@
     }
 }
 
-async fn collect(mut incoming: Incoming, max: u64) -> Result<Bytes, Error> {
+async fn collect(mut incoming: Rest, max: u64) -> Result<Bytes, Error> {
     let mut buf = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame.map_err(|_| Error::Cut)?.into_data() else { continue };
@@ -117,7 +167,7 @@
 
 /// The caller's body as a stream that is cut after `max` bytes or where the caller breaks off.
 fn limit(
-    incoming: Incoming,
+    incoming: Rest,
     max: u64,
     too_long: TooLong,
 ) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
--- a/crates/jacinthbeam-entry/tests/process/fanout.rs
+++ b/crates/jacinthbeam-entry/tests/process/fanout.rs
@@ -183,8 +183,9 @@
     cell.until_read(Some(&relay)).await;
     let dumps = cell.dumps().await;
     let read = dumps[&relay].log_reads.direct;
-    let fallbacks: u64 = dumps.values().map(|dump| dump.log_reads.fallbacks).sum();
-    assert!(fallbacks > 0);
+    // The records may reach a reader by the state of a peer before its read at the relay has failed, but no proof does: it must
+    // turn to the log all the same.
+    cell.until(|dumps| dumps.values().any(|dump| dump.log_reads.fallbacks > 0)).await;
     cell.append(50);
     cell.until_read(Some(&relay)).await;
     // It may know the records by the state of a peer, but has read none of them itself.
--- a/crates/jacinthbeam-host/src/request/body.rs
+++ b/crates/jacinthbeam-host/src/request/body.rs
@@ -9,10 +9,15 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::task::spawn_local;
 
 /// Bytes of bodies that one process holds at a time: a quarter of the memory of the smallest host.
 const MOST_HELD: usize = 64 << 20;
 
+/// Bytes that are read and dropped after a refusal, and for how long: what a link of 100 Mbit/s brings in two seconds.
+const MOST_DISCARDED: usize = 24 << 20;
+const DISCARD_FOR: Duration = Duration::from_secs(2);
+
 /// Longest pause within a body.
 const PAUSE: Duration = Duration::from_secs(10);
 
@@ -60,6 +65,37 @@
     most: usize,
     count: &Cell<usize>,
 ) -> Result<(Bytes, Held<'_>), Error> {
+    let read = read_whole(&mut body, most, count).await;
+    if matches!(read, Err(Error::TooLong | Error::NoRoom)) {
+        spawn_local(discard(body));
+    }
+    read
+}
+
+/// Reads on after a refusal, for as long as a caller usually needs to send the rest.
+///
+/// A connection that is closed with unread bytes is reset, and the reset overtakes the refusal: the caller would learn nothing
+/// and send the same again.
+async fn discard(mut body: Incoming) {
+    let mut seen = 0;
+    let rest = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            seen += frame.data_ref().map_or(0, Bytes::len);
+            if seen > MOST_DISCARDED {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_FOR, rest).await.is_err() {
+        tracing::debug!(part = "request", event = "rest-not-read");
+    }
+}
+
+async fn read_whole<'a>(
+    body: &mut Incoming,
+    most: usize,
+    count: &'a Cell<usize>,
+) -> Result<(Bytes, Held<'a>), Error> {
     let mut held = Held { count, mine: 0 };
     if body.size_hint().lower() > most as u64 {
         return Err(Error::TooLong);
