refactor(host,range): control thread and leading host in files of one job each; headers stripped in one place

Hop-by-hop headers stood in two crates. No behaviour changes; tests of range, host, platform and native pass.

--- a/crates/jacinthbeam-host/src/request/headers.rs
+++ b/crates/jacinthbeam-connection/src/headers.rs
@@ -1,7 +1,8 @@
-//! Headers that speak of one connection only are kept off the next one.
+//! Headers that speak of one connection only, and are kept off the next one.
 
 use http::{HeaderMap, HeaderName, header};
 
+/// They end at each connection. `expect` is among them since bodies are sent without waiting.
 const OF_ONE_CONNECTION: [HeaderName; 9] = [
     header::CONNECTION,
     header::EXPECT,
@@ -14,9 +15,10 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// Takes them off, those that `connection` names included. The length and the host stay: without its length a body would be
-/// read as the next request.
-pub(super) fn strip(headers: &mut HeaderMap) {
+/// Takes them off, those that `connection` names included, but for those in `kept`.
+///
+/// Whoever could name the length of a body in `connection` would have the body read as the next request.
+pub fn strip(headers: &mut HeaderMap, kept: &[HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -24,7 +26,6 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    let kept = [header::CONTENT_LENGTH, header::HOST];
     for name in named.iter().filter(|name| !kept.contains(name)) {
         headers.remove(name);
     }
--- a/crates/jacinthbeam-connection/src/lib.rs
+++ b/crates/jacinthbeam-connection/src/lib.rs
@@ -5,6 +5,7 @@
 //! What is sent, and what an answer is worth, is up to the caller.
 
 pub mod connection;
+pub mod headers;
 pub mod line;
 mod socket;
 
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -0,0 +1,89 @@
+//! Datagrams of load, and the word to all hosts about owners that are asked for too much.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_range::{Event, admission::Gate, grantor::View as GrantView};
+use jacinthbeam_types::prelude::*;
+
+use super::state::Control;
+use crate::process::peers::load::Message;
+
+/// Pause between two words to all hosts about owners that are asked for too much. What they say rests on reports that come as
+/// often.
+const GATES_EVERY: Duration = Duration::from_millis(250);
+
+/// Such a word stands for this long, so that a lost one, or two, change nothing.
+const GATES_STAND: Duration = Duration::from_millis(800);
+impl Control {
+    pub(super) fn on_datagram(&mut self, message: Message) {
+        match message {
+            Message::Load { from, service, report } => {
+                self.step(&service, Event::Load { from, report });
+            }
+            Message::Gates { gates, .. } => {
+                let until = self.clock.now() + GATES_STAND;
+                self.gates.send_modify(|known| {
+                    known.extend(gates.into_iter().map(|(owner, gate)| (owner, (until, gate))));
+                });
+            }
+        }
+    }
+
+    /// Tells all hosts which owners are asked for too much.
+    pub(super) fn set_gates(&mut self) {
+        let now = self.clock.now();
+        self.gates.send_if_modified(|known| {
+            let before = known.len();
+            known.retain(|_, (until, _)| now < *until);
+            known.len() != before
+        });
+        if self.gated.is_some_and(|at| now < at + GATES_EVERY) {
+            return;
+        }
+        self.gated = Some(now);
+        let services: Vec<ServiceName> = self.granting.keys().cloned().collect();
+        for service in services {
+            let gates = self.find_gates(&service, now);
+            for message in Message::gates(&service, &gates) {
+                self.tell_hosts(&message);
+                self.on_datagram(message);
+            }
+        }
+    }
+
+    pub(super) fn find_gates(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> BTreeMap<ServerId, Gate> {
+        let Some(objective) = self.objective(service) else { return BTreeMap::new() };
+        let Some(granting) = self.granting.get(service) else { return BTreeMap::new() };
+        let view = GrantView { now, servers: self.known.servers(), settled: true };
+        let gates = granting.grantor.gates(view, objective);
+        if !gates.is_empty() {
+            tracing::debug!(part = "admission", event = "gates", service = %service, gates = ?gates);
+        }
+        gates
+    }
+
+    /// The objective of the least urgent requests of a service: they are the first to be refused.
+    pub(super) fn objective(&self, service: &ServiceName) -> Option<Duration> {
+        let cfg = self.known.config()?;
+        let routes =
+            cfg.routes.iter().filter(|route| route.target.services().any(|s| s == service));
+        routes.max_by_key(|route| route.priority).map(|route| route.objective)
+    }
+
+    pub(super) fn tell_hosts(&self, message: &Message) {
+        let bytes = message.to_bytes();
+        for (host, entry) in self.known.hosts().filter(|(host, _)| **host != self.me.host) {
+            // A full send buffer loses the message, as the network may.
+            if let Err(err) = self.socket.try_send_to(&bytes, entry.addr) {
+                tracing::debug!(part = "peers", event = "gates-not-sent", host = %host, error = ?err);
+            }
+        }
+    }
+}
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -7,6 +7,8 @@
 mod duty;
 mod feed;
 mod follow;
+mod gates;
+mod granting;
 mod input;
 mod maps;
 mod state;
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod answer;
 mod body;
-mod headers;
 pub mod send;
 pub mod serve;
 pub mod story;
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -9,11 +9,11 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use jacinthbeam_connection::headers::strip;
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::ServerId;
 use tokio::time::Instant as TimerInstant;
 
-use super::headers;
 use crate::{
     connection::pool::{self, Lent},
     process::traffic::{ServerState, Traffic},
@@ -225,7 +225,7 @@
     if let Some(refused) = refusal(told) {
         return refused;
     }
-    headers::strip(&mut head.headers);
+    strip(&mut head.headers, &[]);
     // hyper writes the length of the body that it is given.
     head.headers.remove(header::CONTENT_LENGTH);
     let good = told == Told::Answer { good: true };
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -7,9 +7,10 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use jacinthbeam_connection::headers::strip;
 use jacinthbeam_dispatch::{
     choose::{self, Candidate},
     refusal::retry_after,
@@ -20,7 +21,7 @@
 use tokio::task::spawn_local;
 
 use super::{
-    answer, body, headers,
+    answer, body,
     send::{self, Lost, NotRun, Sent, Whole},
     story,
 };
@@ -38,6 +39,9 @@
 /// in milliseconds. An owner that is lost is away for seconds, and its callers are told so.
 const AWAIT_OWNER: f64 = 0.12;
 
+/// Headers of a request that stay whatever `connection` names.
+const KEPT: [HeaderName; 2] = [header::CONTENT_LENGTH, header::HOST];
+
 /// Hint for a caller whose key has no owner.
 const OWNER_IN: Duration = Duration::from_millis(500);
 
@@ -101,7 +105,7 @@
     }
     traffic.on_request(&name, view.hosts);
     let mut kept = parts.headers;
-    headers::strip(&mut kept);
+    strip(&mut kept, &KEPT);
     kept.remove(header::CONTENT_LENGTH);
     let target = parts.uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default();
     let whole = Whole { method: parts.method, target, headers: kept, body, id: caller.id.clone() };
--- a/crates/jacinthbeam-native/src/backend/head.rs
+++ b/crates/jacinthbeam-native/src/backend/head.rs
@@ -4,24 +4,12 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version, header};
 use http_body::Body;
+use jacinthbeam_connection::headers;
 use jacinthbeam_types::prelude::*;
 
 use super::{Failure, RequestBody};
 use crate::format::backend::{DEADLINE, KEY, REQUEST, SERVER, SLOT, TOKEN};
 
-/// Headers that speak of one connection only. `expect` is among them since bodies are sent without waiting.
-const OF_ONE_CONNECTION: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::EXPECT,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Headers that stay whatever `connection` names: without its token a request would pass the fence
 /// of a server that takes unfenced ones too, and without its length its body would be read as the
 /// next request.
@@ -99,17 +87,5 @@
 
 /// Takes off all headers that speak of one connection only, those named by `connection` included.
 pub(super) fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().filter(|name| !KEPT.contains(name)) {
-        headers.remove(name);
-    }
-    for name in &OF_ONE_CONNECTION {
-        headers.remove(name);
-    }
+    headers::strip(headers, &KEPT);
 }
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -0,0 +1,235 @@
+//! The state of a host that leads, and what it does at a tick.
+
+mod plan;
+mod record;
+mod renew;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_route::Servers;
+use jacinthbeam_types::prelude::*;
+
+use super::{
+    NoAnswer, Order, View,
+    contact::{Contact, Outcome},
+    moving::{Moving, Stage},
+    timing::{CHECK_EVERY, SETTLE},
+};
+use crate::{demand::Demand, key::KeyRange, map::Map};
+
+/// Pause between two questions for a confirmation if the last one got no answer.
+const CHECK_AGAIN: Duration = Duration::from_millis(500);
+
+/// Owners below which their silence says nothing of this host's own links.
+const FEWEST_TO_JUDGE: usize = 3;
+
+/// Time that a request takes, assumed before any answer was measured. Only the proportions between servers matter.
+const ASSUMED_WORK: Duration = Duration::from_millis(200);
+
+#[derive(Debug)]
+pub(in crate::grantor) struct Leading {
+    /// The newest record, which names this process.
+    pub(in crate::grantor) map: Map,
+    pub(in crate::grantor) demand: Demand,
+    /// When the read was sent that last confirmed the record.
+    proof: Instant,
+    checked: Option<Instant>,
+    /// Until then the predecessor may have renewed grants.
+    others_until: Instant,
+    /// The record that is being written.
+    writing: Option<Map>,
+    /// The last token given out. Kept apart from the map, since moves take tokens while a record is being written.
+    token: Token,
+    contacts: BTreeMap<ServerId, Contact>,
+    moves: Vec<Moving>,
+    /// Ranges whose owner refused its token; they need a higher one.
+    refused: BTreeSet<KeyRange>,
+    settling: Vec<(Instant, KeyRange)>,
+    balanced: Option<Instant>,
+}
+
+impl Leading {
+    pub(in crate::grantor) fn new(map: Map, proof: Instant, others_until: Instant) -> Self {
+        Self {
+            token: map.first_token(),
+            map,
+            demand: Demand::default(),
+            proof,
+            checked: None,
+            others_until,
+            writing: None,
+            contacts: BTreeMap::new(),
+            moves: Vec::new(),
+            refused: BTreeSet::new(),
+            settling: Vec::new(),
+            balanced: None,
+        }
+    }
+
+    /// A read found a record of this process: the present one, or one whose acknowledgement was lost.
+    pub(in crate::grantor) fn on_own_record(&mut self, asked: Instant, map: Map) {
+        self.proof = self.proof.max(asked);
+        if map.is_older_than(&self.map) {
+            // A read that was sent before the last record was kept.
+            return;
+        }
+        if self.writing.as_ref() == Some(&map) {
+            self.writing = None;
+        }
+        self.adopt(map);
+    }
+
+    pub(in crate::grantor) fn on_recorded(&mut self, now: Instant, asked: Instant) {
+        self.proof = self.proof.max(asked);
+        if let Some(map) = self.writing.take() {
+            for moving in &self.moves {
+                if matches!(moving.stage, Stage::Free(_)) {
+                    self.settling.push((now + SETTLE, moving.range));
+                }
+            }
+            self.adopt(map);
+        }
+    }
+
+    pub(in crate::grantor) fn on_not_recorded(&mut self) {
+        self.writing = None;
+    }
+
+    /// Takes a record over as the one in force. Moves that it contains are done.
+    fn adopt(&mut self, map: Map) {
+        self.map = map;
+        let map = &self.map;
+        self.moves.retain(|moving| {
+            let held = map.of(moving.range.first);
+            held.token < moving.token || held.owner.as_ref() != Some(&moving.to)
+        });
+        for contact in self.contacts.values_mut() {
+            let held = map.of_server(&contact.owner.server);
+            contact.forget_but(&held.map(|h| (h.range, h.token)).collect::<Vec<_>>());
+        }
+    }
+
+    pub(in crate::grantor) fn on_granted(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        outcome: Outcome,
+        last_call: Option<Instant>,
+        confirmed: &[(KeyRange, Token)],
+        refused: Vec<KeyRange>,
+    ) {
+        if let Some(contact) = self.contacts.get_mut(server) {
+            contact.on_round(now, outcome, last_call, confirmed, !refused.is_empty());
+        }
+        self.refused.extend(refused);
+    }
+
+    pub(in crate::grantor) fn on_released(
+        &mut self,
+        now: Instant,
+        range: KeyRange,
+        token: Token,
+        handover: Result<Option<String>, NoAnswer>,
+    ) {
+        let Some(moving) = self.moves.iter_mut().find(|m| m.range == range && m.token == token)
+        else {
+            return;
+        };
+        moving.stage = match handover {
+            Ok(handover) => Stage::Free(handover),
+            Err(NoAnswer) => {
+                // Renewals of the range had ended before the release was sent, so the present is a safe bound of the last one.
+                Stage::Lapsing(now)
+            }
+        };
+    }
+
+    /// Whether a server may be given keys: it is not known to be lost or silent.
+    pub(in crate::grantor) fn is_usable(&self, server: &ServerId) -> bool {
+        self.contacts.get(server).is_none_or(Contact::is_well)
+    }
+
+    /// Mean time of a request over the servers that were measured.
+    pub(in crate::grantor) fn mean_work(
+        &self,
+        servers: &Servers,
+        service: &ServiceName,
+    ) -> Duration {
+        let measured: Vec<Duration> =
+            servers.of(service).filter_map(|server| self.demand.work(&server.id)).collect();
+        if measured.is_empty() {
+            return ASSUMED_WORK;
+        }
+        measured.iter().sum::<Duration>() / measured.len() as u32
+    }
+
+    pub(in crate::grantor) fn act(
+        &mut self,
+        view: View<'_>,
+        service: &ServiceName,
+        may_record: bool,
+    ) -> Vec<Order> {
+        self.pass_time(view);
+        self.meet_owners();
+        self.give_up_lost(view.now);
+        let mut orders = Vec::new();
+        orders.extend(self.check(view.now));
+        self.plan(view, service);
+        orders.extend(self.releases());
+        self.free_lapsed(view.now);
+        if may_record {
+            orders.extend(self.record(view, service));
+        }
+        orders.extend(self.grants(view.now));
+        orders
+    }
+
+    fn pass_time(&mut self, view: View<'_>) {
+        self.demand.pass_time(view.now, |id| view.servers.get(id).map(|server| server.slots));
+        self.settling.retain(|(until, _)| *until > view.now);
+    }
+
+    /// Keeps a contact for every owner, and for those that ranges come from or go to.
+    fn meet_owners(&mut self) {
+        for owner in self.map.held().iter().filter_map(|held| held.owner.as_ref()) {
+            if !self.contacts.contains_key(&owner.server) {
+                self.contacts.insert(owner.server.clone(), Contact::new(owner.clone()));
+            }
+        }
+        let owners = self.map.held().iter().filter_map(|held| held.owner.as_ref());
+        let moving = self.moves.iter().flat_map(|moving| [&moving.from, &moving.to]);
+        let needed: BTreeSet<&ServerId> = owners.chain(moving).map(|owner| &owner.server).collect();
+        self.contacts.retain(|id, contact| contact.busy || needed.contains(id));
+    }
+
+    fn give_up_lost(&mut self, now: Instant) {
+        for contact in self.contacts.values_mut() {
+            contact.given_up |= contact.is_lost(now);
+        }
+    }
+
+    /// Whether more than half of the owners gave no answer although they are listed.
+    pub(in crate::grantor) fn reaches_too_few(&self, view: View<'_>) -> bool {
+        let listed = |c: &&Contact| !c.ended && view.servers.takes_work(&c.owner.server);
+        let lost = self.contacts.values().filter(listed).filter(|c| c.given_up).count();
+        self.contacts.len() >= FEWEST_TO_JUDGE && lost * 2 > self.contacts.len()
+    }
+
+    fn check(&mut self, now: Instant) -> Option<Order> {
+        let old = now.saturating_duration_since(self.proof) >= CHECK_EVERY;
+        let asked = self.checked.is_some_and(|at| now < at + CHECK_AGAIN);
+        if !old || asked {
+            return None;
+        }
+        self.checked = Some(now);
+        Some(Order::Check)
+    }
+
+    fn next_token(&mut self) -> Token {
+        self.token = self.token.next();
+        self.token
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/leading/plan.rs
@@ -0,0 +1,105 @@
+//! Which ranges change their owner, and how far they are.
+
+use std::time::Instant;
+
+use jacinthbeam_route::Servers;
+use jacinthbeam_types::prelude::*;
+
+use super::Leading;
+use crate::{
+    balance::{self, Move},
+    grantor::{
+        Order, View, candidates,
+        contact::longest_hold,
+        moving::{Moving, Stage},
+        timing::{BALANCE_EVERY, MOVES_AT_ONCE, RELEASES_AT_ONCE},
+    },
+    key::KeyRange,
+    map::{Held, Map},
+};
+
+impl Leading {
+    /// Starts moves: off servers that leave, and off owners that have too much to do.
+    pub(super) fn plan(&mut self, view: View<'_>, service: &ServiceName) {
+        let candidates = candidates(self, view, service);
+        let leaving: Vec<KeyRange> = self
+            .map
+            .held()
+            .iter()
+            .filter(|held| self.is_leaving(held, view.servers) && !self.is_moving(held.range))
+            .map(|held| held.range)
+            .collect();
+        let room = RELEASES_AT_ONCE.saturating_sub(self.moves.len());
+        if !leaving.is_empty() {
+            let moves = balance::place(&self.expected(), &self.demand, &candidates, &leaving);
+            self.start(moves.into_iter().take(room));
+            return;
+        }
+        let due = self.balanced.is_none_or(|at| view.now >= at + BALANCE_EVERY);
+        if due {
+            self.balanced = Some(view.now);
+            let fixed: Vec<KeyRange> = self
+                .moves
+                .iter()
+                .map(|m| m.range)
+                .chain(self.settling.iter().map(|(_, range)| *range))
+                .collect();
+            let most = MOVES_AT_ONCE.min(room);
+            let moves = balance::relieve(&self.expected(), &self.demand, &candidates, &fixed, most);
+            self.start(moves.into_iter());
+        }
+    }
+
+    /// The map as it will be when all moves are done.
+    pub(super) fn expected(&self) -> Map {
+        let mut map = self.map.clone();
+        for moving in &self.moves {
+            map.assign(moving.range, Some(moving.to.clone()), moving.token, None);
+        }
+        map
+    }
+
+    /// Whether the owner can still be asked to give the range up, and should be.
+    pub(super) fn is_leaving(&self, held: &Held, servers: &Servers) -> bool {
+        let Some(owner) = &held.owner else { return false };
+        self.is_usable(&owner.server) && !servers.takes_work(&owner.server)
+    }
+
+    pub(super) fn is_moving(&self, range: KeyRange) -> bool {
+        self.moves.iter().any(|moving| moving.range.overlaps(range))
+    }
+
+    pub(super) fn start(&mut self, moves: impl Iterator<Item = Move>) {
+        for Move { range, to } in moves {
+            let held = self.map.of(range.first);
+            let Some(from) = held.owner.clone().filter(|from| *from != to) else { continue };
+            let token = self.next_token();
+            self.moves.push(Moving { range, from, to, token, stage: Stage::Waiting });
+        }
+    }
+
+    /// Releases of ranges whose owner has no renewal under way.
+    pub(super) fn releases(&mut self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for moving in &mut self.moves {
+            let contact = self.contacts.get(&moving.from.server);
+            if moving.stage != Stage::Waiting || contact.is_some_and(|contact| contact.busy) {
+                continue;
+            }
+            moving.stage = Stage::Releasing;
+            let (from, range, token) = (moving.from.clone(), moving.range, moving.token);
+            orders.push(Order::Release { from, range, token });
+        }
+        orders
+    }
+
+    pub(super) fn free_lapsed(&mut self, now: Instant) {
+        for moving in &mut self.moves {
+            let Stage::Lapsing(last) = moving.stage else { continue };
+            let ended = self.contacts.get(&moving.from.server).is_some_and(|c| c.ended);
+            if ended || now >= last.max(self.others_until) + longest_hold() {
+                moving.stage = Stage::Free(None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -0,0 +1,119 @@
+//! What the next record says.
+
+use std::time::Instant;
+
+use jacinthbeam_types::prelude::*;
+
+use super::Leading;
+use crate::{
+    balance::{self, Candidate, Move},
+    grantor::{Order, View, candidates, contact::Contact, moving::Stage, timing::RANGES_PER_OWNER},
+    key::KeyRange,
+    map::{Held, Map},
+};
+
+impl Leading {
+    /// The next record, if there is something to record.
+    pub(super) fn record(&mut self, view: View<'_>, service: &ServiceName) -> Option<Order> {
+        if !self.has_right(view.now) {
+            return None;
+        }
+        let mut map = self.map.clone();
+        let changed = self.put_free(&mut map);
+        let changed = self.put_lapsed(&mut map, view, service) || changed;
+        let changed = self.raise_refused(&mut map) || changed;
+        if !changed {
+            return None;
+        }
+        self.join(&mut map);
+        map.version += 1;
+        self.writing = Some(map.clone());
+        Some(Order::Record(map))
+    }
+
+    pub(super) fn put_free(&self, map: &mut Map) -> bool {
+        let mut changed = false;
+        for moving in &self.moves {
+            if let Stage::Free(handover) = &moving.stage {
+                map.assign(moving.range, Some(moving.to.clone()), moving.token, handover.clone());
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    pub(super) fn put_lapsed(
+        &mut self,
+        map: &mut Map,
+        view: View<'_>,
+        service: &ServiceName,
+    ) -> bool {
+        let lapsed = self.lapsed(view.now);
+        if lapsed.is_empty() {
+            return false;
+        }
+        let candidates: Vec<Candidate> = candidates(self, view, service);
+        let moves = balance::place(&self.expected(), &self.demand, &candidates, &lapsed);
+        if moves.is_empty() {
+            self.contacts.values_mut().filter(|c| !c.ended).for_each(Contact::try_anew);
+            return false;
+        }
+        let token = self.next_token();
+        for Move { range, to } in moves {
+            map.assign(range, Some(to), token, None);
+        }
+        true
+    }
+
+    /// A token above the refused one, for the same owner.
+    pub(super) fn raise_refused(&mut self, map: &mut Map) -> bool {
+        let refused = std::mem::take(&mut self.refused);
+        let open: Vec<KeyRange> =
+            refused.into_iter().filter(|range| !self.is_moving(*range)).collect();
+        if open.is_empty() {
+            return false;
+        }
+        let token = self.next_token();
+        for range in open {
+            let Held { owner, .. } = map.of(range.first).clone();
+            if map.of(range.first).range.covers(range) {
+                map.assign(range, owner, token, None);
+            }
+        }
+        true
+    }
+
+    /// Joins neighbouring ranges of one owner under a new token, once there are many ranges.
+    pub(super) fn join(&mut self, map: &mut Map) {
+        map.join_neighbours();
+        if map.held().len() <= RANGES_PER_OWNER * self.contacts.len() {
+            return;
+        }
+        for range in map.mergeable() {
+            let owner = map.of(range.first).owner.clone();
+            let steady = map.held().iter().filter(|held| range.covers(held.range)).all(|held| {
+                let id = held.owner.as_ref().map(|owner| &owner.server);
+                let contact = id.and_then(|id| self.contacts.get(id));
+                contact.is_some_and(|c| c.has_confirmed(held.range, held.token))
+            });
+            if !steady || self.is_moving(range) {
+                continue;
+            }
+            let token = self.next_token();
+            map.assign(range, owner, token, None);
+        }
+    }
+
+    /// Ranges of lost servers whose holds have run out. Nobody has them.
+    pub(super) fn lapsed(&self, now: Instant) -> Vec<KeyRange> {
+        let free = |held: &&Held| {
+            let Some(owner) = &held.owner else { return true };
+            self.contacts.get(&owner.server).is_some_and(|contact| {
+                let lost = contact.given_up || contact.ended;
+                lost && contact.has_lapsed(now, self.others_until)
+            })
+        };
+        let ranges = self.map.held().iter().filter(free).map(|held| held.range);
+        ranges.filter(|range| !self.is_moving(*range)).collect()
+    }
+}
