fix(host): a replaced host sends no release; the time of leaving follows the settings

Cause: a server takes a release under a lower token too, so a host that was replaced could take keys away that its successor had granted, until the next renewal (read in the diff, not seen in play). The time for which a leaving server still gets requests was a constant that fits a bound of 2 s only; the platform's settings name the bound.

Change: a release looks at the epoch right before it is sent; the grace is the settings' bound less 0.9 s for learning of it.

--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -97,9 +97,22 @@
     }
 
     /// Takes keys back, over a connection of its own: the answer may take as long as a request.
-    pub(super) fn release(&self, service: ServiceName, from: Owner, range: KeyRange, token: Token) {
+    ///
+    /// A server takes a release under a lower token too. One of a host that was replaced would take keys away that its successor
+    /// has granted, until the next renewal.
+    pub(super) fn release(
+        &self,
+        service: ServiceName,
+        from: Owner,
+        (range, token): (KeyRange, Token),
+        epoch: Epoch,
+        leads: Leads,
+    ) {
         let (wire, tx) = (self.wire, self.tx.clone());
         spawn_local(async move {
+            if leads.get() != Some(epoch) {
+                return;
+            }
             let line = Line::new(from.addr, MAX_ANSWER);
             let req = (wire.release)(&from, range, token);
             let answer = line.exchange(req, RELEASE_WITHIN).await;
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -198,7 +198,10 @@
                 self.caller.grant(service.clone(), to, calls, until, epoch, leads);
             }
             Order::Release { from, range, token } => {
-                self.caller.release(service.clone(), from, range, token);
+                let Some(granting) = self.granting.get(service) else { return };
+                let Some(epoch) = granting.leads.get() else { return };
+                let leads = granting.leads.clone();
+                self.caller.release(service.clone(), from, (range, token), epoch, leads);
             }
             Order::TellStopped { to, others_left } => {
                 let leader = self.me.clone();
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -27,9 +27,10 @@
 };
 use crate::{process::traffic::Traffic, version::View, wire::BadCaller};
 
-/// A server that is leaving keeps its keys until they have moved, and may get requests for them this long after its word in
-/// the store. Learning of it takes up to half a second of the two that are allowed, and a request some milliseconds.
-const LEAVING_GRACE: Duration = Duration::from_millis(1100);
+/// Of the time in which a server that is leaving may still get requests, this much goes by until a host learns of it: half a
+/// second between reads, the answers of the store and of the host that is followed, and the way of a request. For the rest the
+/// server keeps getting requests for keys that have not moved yet.
+const LEARNING: Duration = Duration::from_millis(900);
 
 /// Part of the objective that a request waits for a key whose owner has just given it back: a planned move takes as long as
 /// the requests that run on its keys, mostly below this, and leaves time for the request itself.
@@ -277,7 +278,8 @@
         let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
         let server = view.servers.get(&owner.server)?;
         let ended = job.traffic.server(server).ended.get();
-        let may = !ended && view.may_send(&server.id, now, LEAVING_GRACE);
+        let grace = job.traffic.settings.drain_within.saturating_sub(LEARNING);
+        let may = !ended && view.may_send(&server.id, now, grace);
         return may.then(|| server.clone());
     }
     let open = view.servers.of(&job.service).filter(|server| !tried.contains(&server.id));
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -6,8 +6,10 @@
 //! and its renewals are refused by servers that its successor has reached, or end with its last confirmation.
 
 mod contact;
+mod event;
 mod leading;
 mod moving;
+mod order;
 pub mod timing;
 
 use std::{
@@ -19,130 +21,17 @@
 use jacinthbeam_types::prelude::*;
 
 pub use contact::{Outcome, longest_hold};
+pub use event::{Event, NoAnswer};
 use leading::Leading;
+pub use order::{Call, Order};
 
 use crate::{
     admission::{self, Gate},
     balance::{self, Candidate},
-    demand::Report,
     key::KeyRange,
     map::{Leader, Map, Owner},
 };
 
-/// What has happened.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// The store's group gave this host the duty to grant, or took it away. Advice only: it may name two hosts at a time.
-    Duty(bool),
-    /// The newest record as read from the store.
-    Read {
-        /// When the read was sent. Nothing newer was there at some moment after that.
-        asked: Instant,
-        /// The record; `None` if there is none.
-        map: Option<Map>,
-    },
-    /// The record of the last [`Order::Record`] is kept. The append was sent at `asked`.
-    Recorded {
-        /// Nobody had replaced this host at some moment after that.
-        asked: Instant,
-    },
-    /// That record was surely not kept, or it isn't known. The newest one is read next.
-    NotRecorded,
-    /// A round of grants has ended.
-    Granted {
-        /// Who was granted.
-        server: ServerId,
-        /// How it ended.
-        outcome: Outcome,
-        /// End of the last call that may have had an effect.
-        last_call: Option<Instant>,
-        /// What the server confirmed.
-        confirmed: Vec<(KeyRange, Token)>,
-        /// What it refused, since it has seen a higher token for one of the keys.
-        refused: Vec<KeyRange>,
-    },
-    /// A release was answered with what to hand over, if anything; `Err` if no answer came.
-    Released {
-        /// The keys.
-        range: KeyRange,
-        /// Token of the release.
-        token: Token,
-        /// What the old owner gave out, or no answer.
-        handover: Result<Option<String>, NoAnswer>,
-    },
-    /// Counts of one host.
-    Load {
-        /// The host.
-        from: HostId,
-        /// Its counts since its last report.
-        report: Report,
-    },
-    /// Another host knows this record. It may be older than what is known here.
-    Heard(Map),
-    /// A host that led has been replaced, and sends no grant any more.
-    Stopped {
-        /// It.
-        leader: Leader,
-        /// For how long hosts that led before it may still renew.
-        others_left: Duration,
-    },
-    /// Time has passed.
-    Tick,
-    /// This process is about to stop.
-    Stop,
-}
-
-/// A call got no answer that could be trusted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoAnswer;
-
-/// What is to be done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Order {
-    /// Keep this map in the store if the newest record is still the one that was read last.
-    Record(Map),
-    /// Ask the store whether the newest record is still the same.
-    Check,
-    /// Grant ranges to their owner, one call after the other.
-    Grant {
-        /// Who gets them.
-        to: Owner,
-        /// The ranges.
-        calls: Vec<Call>,
-        /// No call may be sent later than this, on a clock that counts suspension.
-        until: Instant,
-    },
-    /// Take a range back from its owner.
-    Release {
-        /// Who gives it back.
-        from: Owner,
-        /// The keys.
-        range: KeyRange,
-        /// A token above that of the grant.
-        token: Token,
-    },
-    /// Tell the host that leads now that this one has stopped, so that it need not wait for the end of this one's right.
-    TellStopped {
-        /// Who leads.
-        to: Leader,
-        /// For how long hosts that led before this one may still renew.
-        others_left: Duration,
-    },
-    /// Give the duty back: most owners can't be reached from here.
-    Resign,
-}
-
-/// One grant.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Call {
-    /// The keys.
-    pub range: KeyRange,
-    /// Its token.
-    pub token: Token,
-    /// What the last owner handed over, on the first grant only.
-    pub handover: Option<String>,
-}
-
 /// What is known at the time of an event.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
