fix(range): a host that stops soon after it took over doesn't hide its predecessor

Cause: a leader that stopped or resigned recorded that nobody leads, also within 8 s of its claim, while the host that it had replaced might be cut off from the store and still renew. The next leader saw only that record and waited for the hold alone: a silent server's keys could have had two owners.

Change: such a leader leaves its own name in the record, and the next one waits as for a lost host; after a clean stop the successor waits for calls under way too.

Test: grantor::a_host_that_stops_soon_does_not_hide_its_predecessor; it fails without the check.

--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -141,7 +141,7 @@
             Event::Read { asked, map } => self.on_read(view, asked, map),
             Event::Recorded { asked } => self.on_recorded(view, asked),
             Event::NotRecorded => self.on_not_recorded(view),
-            Event::Stop => return self.stop(),
+            Event::Stop => return self.stop(view.now),
             // These two come hundreds of times a second from a large fleet, and a look at everything takes a time that grows
             // with it. The next tick is soon enough for what they change, but for new ranges of the same server.
             Event::Load { from, report } => {
@@ -215,7 +215,7 @@
     fn resign(&mut self, view: View<'_>) -> Vec<Order> {
         self.duty = false;
         self.next_claim = Some(view.now + timing::REST);
-        let mut orders = self.retire();
+        let mut orders = self.retire(view.now);
         orders.push(Order::Resign);
         orders
     }
@@ -259,7 +259,8 @@
     }
 
     fn begin(&mut self, view: View<'_>, asked: Instant, map: Map, claim: &Claim) {
-        let others = if claim.replaces.is_empty() { Duration::ZERO } else { timing::PROOF };
+        // A host that said that it has stopped may have had a call under way.
+        let others = if claim.replaces.is_empty() { timing::CALL_TAKES } else { timing::PROOF };
         let replaces = claim.replaces.clone();
         self.replaced = None;
         self.leading = Some(Leading::new(map, asked, view.now + others, replaces));
@@ -304,15 +305,21 @@
         slots > 0
     }
 
-    fn stop(&mut self) -> Vec<Order> {
+    fn stop(&mut self, now: Instant) -> Vec<Order> {
         self.stopping = true;
-        self.retire()
+        self.retire(now)
     }
 
     /// Says in the store that this process sends no grant any more, so that a successor has nobody to wait for.
-    fn retire(&mut self) -> Vec<Order> {
+    ///
+    /// Not while hosts before this one may still renew: the successor, which sees only this record, would not wait for them, and
+    /// give the keys of a server away that one of them still renews. It then waits as for a host that was lost.
+    fn retire(&mut self, now: Instant) -> Vec<Order> {
         self.claim = None;
         let Some(leading) = self.leading.take() else { return Vec::new() };
+        if now < leading.others_until() {
+            return Vec::new();
+        }
         let mut map = leading.map;
         map.leader = None;
         map.version += 1;
--- a/crates/jacinthbeam-range/tests/grantor.rs
+++ b/crates/jacinthbeam-range/tests/grantor.rs
@@ -264,6 +264,21 @@
     assert!(play.now >= begun + others_left + longest_hold());
 }
 
+/// A host takes over and is stopped a second later. The one that it replaced is cut off and may renew for seven seconds more; if the
+/// record said that nobody leads, the third host would not know of it.
+#[test]
+fn a_host_that_stops_soon_does_not_hide_its_predecessor() {
+    let first = Play::leading();
+    let mut second = Play::new(2, first.map.clone());
+    second.run(Duration::from_secs(1));
+    second.feed(Event::Stop);
+    let mut play = Play::new(3, second.map.clone());
+    play.silent.push(server(1, false).id);
+    let begun = play.now;
+    play.until(|play| play.keys_of(1) == 0);
+    assert!(play.now >= begun + timing::PROOF + longest_hold());
+}
+
 /// The word of a host that was not the one replaced says nothing of the one that was.
 #[test]
 fn the_word_of_another_host_does_not_count() {
