feat(range): a majority of the owners bounds a silent predecessor

Cause: a host that takes over a duty and hears nothing of its predecessor waited for PROOF (8 s) and the hold before it gave the keys of a dead server away.

Change: backend servers refuse lower tokens, so a majority of them serves as the acceptors of the leader's lease. A leader renews only while the store confirmed it or most owners took its grants within MAJORITY_LASTS. A successor whose grants were confirmed by most owners of the record that it took over waits for that time in place of PROOF, if nobody before its predecessor may still renew (Map::alone). Tests: four single failures, and a property in which the leader is left with one server that nobody else reaches; with the wait taken out the property fails, with the bound of the right or the condition on earlier leaders taken out a single test fails. The tests of the wait for PROOF now keep the server silent from before the takeover: they had let the successor reach all owners first.

A refused append now reads the partition at once, over the connection for appends, and the leader's question for a confirmation is the same read.

--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use jacinthbeam_store::{
-    Backoff, Client, Error, Partition,
+    Backoff, Client, Partition,
     keyed::{Changes, Follower},
 };
 use jacinthbeam_types::prelude::*;
@@ -93,16 +93,3 @@
         }
     }
 }
-
-/// Looks once whether a partition has anything after `at`.
-pub(super) async fn is_unchanged(
-    lane: &jacinthbeam_store::Lane,
-    partition: Partition,
-    at: Offset,
-) -> Result<bool, Error> {
-    let call = jacinthbeam_store::Call::Read { from: partition, at, wait: Duration::ZERO };
-    match lane.call(&call).await? {
-        jacinthbeam_store::Reply::Records { records, end } => Ok(records.is_empty() && end == at),
-        _ => Err(Error::Malformed("not the answer to a read".into())),
-    }
-}
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -11,13 +11,16 @@
     Event, Grantor, Map, Order,
     grantor::{View as GrantView, timing::REST},
 };
-use jacinthbeam_store::{Call, Error, Partition, Reply, keyed::Changes};
+use jacinthbeam_store::{
+    Call, Error, Partition, Reply,
+    keyed::{Changes, Follower},
+};
 use jacinthbeam_types::prelude::*;
 use tokio::{sync::watch, task::spawn_local};
 
 use super::{
     duty,
-    follow::{self, MAPS_WAIT},
+    follow::MAPS_WAIT,
     input::Input,
     maps::MapPartition,
     state::{Control, Granting},
@@ -108,14 +111,6 @@
         self.step(service, Event::Read { asked, map });
     }
 
-    pub(super) fn on_checked(&mut self, number: u32, asked: Instant, unchanged: Option<Offset>) {
-        let end = self.partitions.get(&number).map(|partition| partition.end);
-        // What was found newer comes through the follower.
-        if unchanged.is_some() && unchanged == end {
-            self.read_all(number, asked);
-        }
-    }
-
     pub(super) fn on_put(
         &mut self,
         service: &ServiceName,
@@ -138,6 +133,11 @@
             Err(err) => {
                 tracing::info!(part = "maps", event = "not-recorded", service = %service, at = %at, error = %err);
                 self.step(service, Event::NotRecorded);
+                if err == Error::Conflict {
+                    // There is something newer. The read that waits for it may be one whose answer is lost, and would come to an
+                    // end only after seconds, in which no claim of this host can succeed.
+                    self.look(self.partition_of(service));
+                }
             }
         }
     }
@@ -190,7 +190,7 @@
         let number = self.partition_of(service);
         match order {
             Order::Record(map) => self.put(service, number, map),
-            Order::Check => self.check(number),
+            Order::Check => self.look(number),
             Order::Grant { to, calls, until } => {
                 let Some(granting) = self.granting.get(service) else { return };
                 let Some(epoch) = granting.leads.get() else { return };
@@ -239,21 +239,22 @@
         });
     }
 
-    pub(super) fn check(&self, number: u32) {
+    /// Reads at once what is new in a partition of maps. If there is nothing, that confirms what is known.
+    pub(super) fn look(&self, number: u32) {
         let Some(partition) = self.partitions.get(&number) else { return };
-        let (lane, at) = (partition.lane.clone(), partition.end);
+        let lane = partition.lane.clone();
         let from = Partition { topic: self.wire.places.maps.into(), number };
+        let mut follower = Follower::after(from, partition.end);
         let (clock, tx) = (self.clock.clone(), self.tx.clone());
         spawn_local(async move {
             let asked = clock.now();
-            let unchanged = match follow::is_unchanged(&lane, from, at).await {
-                Ok(unchanged) => unchanged.then_some(at),
+            let changes = match follower.look(&lane, Duration::ZERO).await {
+                Ok(changes) => changes,
                 Err(err) => {
-                    tracing::info!(part = "maps", event = "not-confirmed", error = %err);
-                    None
+                    return tracing::info!(part = "maps", event = "not-read", partition = %follower.partition(), error = %err);
                 }
             };
-            if tx.send(Input::Checked { partition: number, asked, unchanged }).is_err() {
+            if tx.send(Input::Maps { partition: number, asked, changes }).is_err() {
                 tracing::debug!(part = "maps", event = "stopped-meanwhile");
             }
         });
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -59,15 +59,6 @@
         /// The end after it.
         result: Result<Offset, Error>,
     },
-    /// A look for newer records has ended.
-    Checked {
-        /// Number of the partition.
-        partition: u32,
-        /// When it was sent.
-        asked: Instant,
-        /// The end up to which everything was known, if there was nothing newer.
-        unchanged: Option<Offset>,
-    },
     /// A round of grants or a release has ended.
     Granted {
         /// Of this service.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -166,9 +166,6 @@
             Input::Put { service, map, asked, at, result } => {
                 self.on_put(&service, map, asked, at, result);
             }
-            Input::Checked { partition, asked, unchanged } => {
-                self.on_checked(partition, asked, unchanged);
-            }
             Input::Granted { service, event } => {
                 self.counters.on_grant(&event);
                 self.step(&service, event);
--- a/crates/jacinthbeam-range/src/grantor/contact.rs
+++ b/crates/jacinthbeam-range/src/grantor/contact.rs
@@ -36,6 +36,10 @@
     silent_since: Option<Instant>,
     /// A round of grants is under way.
     pub(super) busy: bool,
+    /// When the present round began, or the last one.
+    begun: Option<Instant>,
+    /// When the last round began of which the server took a call and refused none.
+    took_at: Option<Instant>,
     /// This life of the server has surely ended.
     pub(super) ended: bool,
     /// No grant is sent any more, so that its hold runs out.
@@ -53,6 +57,8 @@
             refused: false,
             silent_since: None,
             busy: false,
+            begun: None,
+            took_at: None,
             ended: false,
             given_up: false,
             confirmed: BTreeSet::new(),
@@ -63,6 +69,17 @@
         self.confirmed.iter().any(|(held, of)| *of == token && held.covers(range))
     }
 
+    /// A round of grants is ordered. None of its calls is sent before this.
+    pub(super) fn begin_round(&mut self, now: Instant) {
+        self.busy = true;
+        self.begun = Some(now);
+    }
+
+    /// A time after which the server took a grant.
+    pub(super) fn took_at(&self) -> Option<Instant> {
+        self.took_at.filter(|_| !self.ended)
+    }
+
     /// Whether a round of renewals may start now.
     pub(super) fn is_due(&self, now: Instant) -> bool {
         self.next_round.is_none_or(|at| now >= at)
@@ -87,6 +104,9 @@
         refused: bool,
     ) {
         self.busy = false;
+        if !confirmed.is_empty() && !refused {
+            self.took_at = self.took_at.max(self.begun);
+        }
         self.refused = refused;
         self.last_call = self.last_call.max(last_call);
         self.confirmed.extend(confirmed.iter().copied());
--- /dev/null
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -0,0 +1,134 @@
+//! What a majority of the owners proves about hosts that lead, or led.
+//!
+//! Backend servers refuse tokens below the highest one that they have seen. They therefore can serve as the acceptors of a
+//! lease: a leader goes on renewing only for [`MAJORITY_LASTS`] after more than half of the owners took its grants (or the store
+//! confirmed it), and a successor whose grants were taken by more than half of the same owners knows that the predecessor has no
+//! majority from then on. Any two majorities share a server, and that one refuses the predecessor.
+//!
+//! Without it a successor that hears nothing of its predecessor has to wait for [`PROOF`] before it may count on the end of
+//! any hold, and the keys of a server that died at about the same time stay unserved for that long.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use jacinthbeam_types::prelude::*;
+
+use super::Leading;
+use crate::{
+    grantor::timing::{CALL_TAKES, MAJORITY_LASTS, MARGIN, PROOF},
+    map::Map,
+};
+
+/// How a leader learns that its predecessor can't renew any more.
+#[derive(Debug, Default)]
+pub(super) struct Fence {
+    /// The owners in the record that was taken over.
+    owners: BTreeSet<ServerId>,
+    /// Those that take no grant of the predecessor any more.
+    done: BTreeSet<ServerId>,
+    /// Those that may still take one: they were asked to release keys, and did not answer.
+    open: BTreeSet<ServerId>,
+}
+
+impl Fence {
+    /// Looks for a majority among the owners of `map`, the record that was taken over.
+    pub(super) fn of(map: &Map) -> Self {
+        Self { owners: owners(map), ..Self::default() }
+    }
+
+    pub(super) fn leave_open(&mut self, server: &ServerId) {
+        self.open.insert(server.clone());
+    }
+
+    fn is_complete(&self) -> bool {
+        self.done.len() * 2 > self.owners.len()
+    }
+}
+
+fn owners(map: &Map) -> BTreeSet<ServerId> {
+    let owners = map.held().iter().filter_map(|held| held.owner.as_ref());
+    owners.map(|owner| owner.server.clone()).collect()
+}
+
+impl Leading {
+    /// Until when grants may be sent.
+    pub(super) fn right_until(&self) -> Instant {
+        let seen = self.majority_took().map_or(self.proof, |at| at.max(self.proof));
+        (seen + MAJORITY_LASTS).min(self.proof + PROOF)
+    }
+
+    /// The latest time after which more than half of the owners took a grant that was sent then or later.
+    ///
+    /// Of the records that may be the newest one the worst counts, since a successor takes its majority from the one that was
+    /// kept.
+    fn majority_took(&self) -> Option<Instant> {
+        let maps = std::iter::once(&self.map).chain(&self.writing).chain(&self.doubtful);
+        let times = maps.map(|map| self.majority_of(map));
+        times.min().flatten()
+    }
+
+    fn majority_of(&self, map: &Map) -> Option<Instant> {
+        let owners = owners(map);
+        let taken = |id| self.contacts.get(id).and_then(|contact| contact.took_at());
+        let mut times: Vec<Instant> = owners.iter().filter_map(taken).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(owners.len() / 2).copied()
+    }
+
+    /// Shortens the wait for predecessors once most owners refuse them.
+    pub(super) fn meet_majority(&mut self, now: Instant) {
+        let Some(mut fence) = self.fence.take() else { return };
+        if now >= self.others_until {
+            return;
+        }
+        let fenced: BTreeSet<ServerId> =
+            fence.owners.iter().filter(|id| self.refuses_others(id, &fence)).cloned().collect();
+        fence.done.extend(fenced);
+        if !fence.is_complete() {
+            self.fence = Some(fence);
+            return;
+        }
+        // The predecessor's last majority is older than this moment, and its last call was sent within that majority's time.
+        let ends = now + MAJORITY_LASTS + CALL_TAKES + MARGIN;
+        self.others_until = self.others_until.min(ends);
+    }
+
+    /// Whether a server has confirmed all that it holds by the map, under this leader's tokens.
+    fn refuses_others(&self, id: &ServerId, fence: &Fence) -> bool {
+        let Some(contact) = self.contacts.get(id) else { return false };
+        if contact.ended {
+            return true;
+        }
+        let moving = self.moves.iter().any(|moving| moving.from.server == *id);
+        if moving || fence.open.contains(id) {
+            return false;
+        }
+        let mut held = self.map.of_server(id).peekable();
+        held.peek().is_some() && held.all(|held| contact.has_confirmed(held.range, held.token))
+    }
+}
+
+/// Keeps records whose fate is not known until a later one is kept.
+#[derive(Debug, Default)]
+pub(super) struct Doubtful(BTreeMap<u32, Map>);
+
+impl Doubtful {
+    pub(super) fn add(&mut self, map: Map) {
+        self.0.insert(map.version, map);
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+impl<'a> IntoIterator for &'a Doubtful {
+    type Item = &'a Map;
+    type IntoIter = std::collections::btree_map::Values<'a, u32, Map>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.values()
+    }
+}
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a host that leads, and what it does at a tick.
 
+mod majority;
 mod plan;
 mod record;
 mod renew;
@@ -12,6 +13,8 @@
 use jacinthbeam_route::Servers;
 use jacinthbeam_types::prelude::*;
 
+use majority::{Doubtful, Fence};
+
 use super::{
     NoAnswer, Order, View,
     contact::{Contact, Outcome},
@@ -45,8 +48,12 @@
     others_until: Instant,
     /// They.
     replaces: Vec<Leader>,
+    /// Set until most owners refuse the predecessor, if that would tell anything.
+    fence: Option<Fence>,
     /// The record that is being written.
     writing: Option<Map>,
+    /// Earlier ones that may still be kept.
+    doubtful: Doubtful,
     /// The last token given out. Kept apart from the map, since moves take tokens while a record is being written.
     token: Token,
     contacts: BTreeMap<ServerId, Contact>,
@@ -63,9 +70,13 @@
         proof: Instant,
         others_until: Instant,
         replaces: Vec<Leader>,
+        others_alone: bool,
     ) -> Self {
+        // Leaders further back may have known other owners, so that their majorities need not meet this one's.
+        let fence = (others_alone && replaces.len() == 1).then(|| Fence::of(&map));
         Self {
             replaces,
+            fence,
             token: map.first_token(),
             map,
             demand: Demand::default(),
@@ -73,6 +84,7 @@
             checked: None,
             others_until,
             writing: None,
+            doubtful: Doubtful::default(),
             contacts: BTreeMap::new(),
             moves: Vec::new(),
             refused: BTreeSet::new(),
@@ -91,12 +103,16 @@
         if self.writing.as_ref() == Some(&map) {
             self.writing = None;
         }
+        if self.map.is_older_than(&map) {
+            self.doubtful.clear();
+        }
         self.adopt(map);
     }
 
     pub(in crate::grantor) fn on_recorded(&mut self, now: Instant, asked: Instant) {
         self.proof = self.proof.max(asked);
         if let Some(map) = self.writing.take() {
+            self.doubtful.clear();
             for moving in &self.moves {
                 if matches!(moving.stage, Stage::Free(_)) {
                     self.settling.push((now + SETTLE, moving.range));
@@ -106,8 +122,11 @@
         }
     }
 
+    /// The record was not kept, or may be kept later.
     pub(in crate::grantor) fn on_not_recorded(&mut self) {
-        self.writing = None;
+        if let Some(map) = self.writing.take() {
+            self.doubtful.add(map);
+        }
     }
 
     /// Takes a record over as the one in force. Moves that it contains are done.
@@ -169,6 +188,9 @@
         moving.stage = match handover {
             Ok(handover) => Stage::Free(handover),
             Err(NoAnswer) => {
+                if let Some(fence) = &mut self.fence {
+                    fence.leave_open(&moving.from.server);
+                }
                 // Renewals of the range had ended before the release was sent, so the present is a safe bound of the last one.
                 Stage::Lapsing(now)
             }
@@ -202,6 +224,7 @@
     ) -> Vec<Order> {
         self.pass_time(view);
         self.meet_owners();
+        self.meet_majority(view.now);
         self.give_up_lost(view.now);
         let mut orders = Vec::new();
         orders.extend(self.check(view.now));
--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -22,6 +22,7 @@
         let changed = self.put_free(&mut map);
         let changed = self.put_lapsed(&mut map, view, service) || changed;
         let changed = self.raise_refused(&mut map) || changed;
+        let changed = self.say_alone(&mut map, view.now) || changed;
         if !changed {
             return None;
         }
@@ -31,6 +32,13 @@
         Some(Order::Record(map))
     }
 
+    /// Says once that nobody before this leader can renew any more, so that a successor has only this one to wait for.
+    fn say_alone(&self, map: &mut Map, now: Instant) -> bool {
+        let news = !map.alone && now >= self.others_until;
+        map.alone |= news;
+        news
+    }
+
     pub(super) fn put_free(&self, map: &mut Map) -> bool {
         let mut changed = false;
         for moving in &self.moves {
--- a/crates/jacinthbeam-range/src/grantor/leading/renew.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/renew.rs
@@ -7,14 +7,14 @@
 use super::Leading;
 use crate::{
     balance,
-    grantor::{Call, Order, contact::Contact, timing::PROOF},
+    grantor::{Call, Order, contact::Contact},
     key::KeyRange,
     map::Held,
 };
 
 impl Leading {
     pub(super) fn has_right(&self, now: Instant) -> bool {
-        now < self.proof + PROOF
+        now < self.right_until()
     }
 
     pub(super) fn grants(&mut self, now: Instant) -> Vec<Order> {
@@ -43,10 +43,13 @@
             return None;
         }
         let calls = self.calls(self.contacts.get(server)?, held, now);
+        if calls.is_empty() {
+            return None;
+        }
+        let until = self.right_until();
         let contact = self.contacts.get_mut(server)?;
-        contact.busy |= !calls.is_empty();
-        let (to, until) = (contact.owner.clone(), self.proof + PROOF);
-        (!calls.is_empty()).then_some(Order::Grant { to, calls, until })
+        contact.begin_round(now);
+        Some(Order::Grant { to: contact.owner.clone(), calls, until })
     }
 
     /// What to grant to one server now: all its ranges if a renewal is due, else those it has not confirmed.
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -72,6 +72,8 @@
     /// Predecessors, which may go on renewing for as long as they have a confirmation from before the claim. More than one if
     /// an earlier claim may be the one that is kept.
     replaces: Vec<Leader>,
+    /// Whether nobody before them can renew.
+    others_alone: bool,
 }
 
 /// A host that was replaced, which tells its successor so.
@@ -263,7 +265,8 @@
         let others = if claim.replaces.is_empty() { timing::CALL_TAKES } else { timing::PROOF };
         let replaces = claim.replaces.clone();
         self.replaced = None;
-        self.leading = Some(Leading::new(map, asked, view.now + others, replaces));
+        self.leading =
+            Some(Leading::new(map, asked, view.now + others, replaces, claim.others_alone));
     }
 
     fn try_claim(&mut self, view: View<'_>) -> Option<Order> {
@@ -276,10 +279,11 @@
             return None;
         }
         // An earlier claim may still be kept late; what it would have replaced counts too.
+        let others_alone = map.alone;
         let mut replaces = self.claim.take().map_or_else(Vec::new, |claim| claim.replaces);
         replaces.extend(map.leader.clone().filter(|leader| !replaces.contains(leader)));
         map.begin_epoch(self.me.clone());
-        self.claim = Some(Claim { map: map.clone(), replaces });
+        self.claim = Some(Claim { map: map.clone(), replaces, others_alone });
         self.next_claim = Some(view.now + timing::CLAIM_AGAIN);
         Some(Order::Record(map))
     }
--- a/crates/jacinthbeam-range/src/grantor/timing.rs
+++ b/crates/jacinthbeam-range/src/grantor/timing.rs
@@ -24,6 +24,12 @@
 /// a part of its wait before it takes keys off a server that neither answers nor was granted anything by itself.
 pub const PROOF: Duration = Duration::from_secs(8);
 
+/// How long a host goes on renewing after most owners took its grants, if the store has not confirmed it since.
+///
+/// Two rounds of renewals may be lost, each with the time of a call that gets no answer. A successor waits for it, so each
+/// second of it is a second in which the keys of a dead server are not served.
+pub const MAJORITY_LASTS: Duration = Duration::from_millis(2500);
+
 /// A call that was sent before a host stopped arrives within this, or its connection is reset: the time that a grant is waited
 /// for, and some of the host's own.
 pub const CALL_TAKES: Duration = Duration::from_millis(800);
--- a/crates/jacinthbeam-range/src/map.rs
+++ b/crates/jacinthbeam-range/src/map.rs
@@ -49,6 +49,8 @@
     pub leader: Option<Leader>,
     /// Counts the records of this epoch.
     pub version: u32,
+    /// Whether leaders of earlier epochs surely send no grant any more.
+    pub alone: bool,
     held: Vec<Held>,
 }
 
@@ -82,7 +84,7 @@
     pub fn unowned() -> Self {
         let token = Token(0);
         let all = Held { range: KeyRange::ALL, owner: None, token, handover: None };
-        Self { epoch: Epoch(0), leader: None, version: 0, held: vec![all] }
+        Self { epoch: Epoch(0), leader: None, version: 0, alone: true, held: vec![all] }
     }
 
     /// The ranges in ascending order.
@@ -119,6 +121,7 @@
         self.epoch = self.epoch.next();
         self.leader = Some(leader);
         self.version = 0;
+        self.alone = false;
         let token = self.first_token();
         for held in &mut self.held {
             held.token = token;
--- a/crates/jacinthbeam-range/tests/grantor.rs
+++ b/crates/jacinthbeam-range/tests/grantor.rs
@@ -60,11 +60,17 @@
         play
     }
 
-    /// A host that has the duty, and finds this record.
+    /// A host that has the duty, and finds this record. Two servers are listed, and both answer.
     fn new(n: u64, map: Option<Map>) -> Self {
+        Self::among(2, n, map, &[])
+    }
+
+    /// The same among some servers, of which these have been silent from before.
+    fn among(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
         let mut servers = Servers::default();
-        servers.insert(server(1, false));
-        servers.insert(server(2, false));
+        for n in 1..=count {
+            servers.insert(server(n, false));
+        }
         let grantor = Grantor::new("tiles".parse().unwrap(), leader(n));
         let now = Instant::now();
         let mut play = Self {
@@ -72,7 +78,7 @@
             servers,
             grantor,
             map: map.clone(),
-            silent: Vec::new(),
+            silent: silent.iter().map(|n| server(*n, false).id).collect(),
             ended: Vec::new(),
             releases: Vec::new(),
             sent: Vec::new(),
@@ -133,6 +139,20 @@
         }
     }
 
+    /// Runs while questions to the store are not answered.
+    fn run_without_store(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            let view = View { now: self.now, servers: &self.servers, settled: true };
+            for order in self.grantor.step(view, Event::Tick) {
+                if !matches!(order, Order::Check | Order::Record(_)) {
+                    self.carry_out(order);
+                }
+            }
+        }
+    }
+
     /// Runs until `what` holds, and returns how long that took.
     fn until(&mut self, what: impl Fn(&Self) -> bool) -> Duration {
         let begun = self.now;
@@ -224,20 +244,73 @@
 #[test]
 fn a_successor_waits_for_its_predecessor() {
     let first = Play::leading();
-    let mut play = Play::new(2, first.map.clone());
-    play.silent.push(server(1, false).id);
+    let mut play = Play::among(2, 2, first.map.clone(), &[1]);
+    let begun = play.now;
+    play.until(|play| play.keys_of(1) == 0);
+    assert!(play.now >= begun + timing::PROOF + longest_hold());
+}
+
+/// The host that led has died, and a server a moment later. Most servers take the successor's grants, so that the predecessor,
+/// were it alive, could not have had most of them since, and would renew for a bounded time only. The dead server's keys are served
+/// again seconds sooner than by waiting for the predecessor's confirmation to grow old.
+#[test]
+fn a_majority_of_servers_bounds_a_silent_predecessor() {
+    let mut first = Play::among(3, 1, None, &[]);
+    first.run(Duration::from_secs(2));
+    let mut play = Play::among(3, 2, first.map.clone(), &[1]);
+    let begun = play.now;
+    play.until(|play| play.keys_of(1) == 0);
+    let bound = timing::MAJORITY_LASTS + timing::CALL_TAKES + timing::MARGIN;
+    assert!(play.now >= begun + bound + longest_hold());
+    assert!(play.now < begun + bound + longest_hold() + Duration::from_secs(1));
+    assert!(bound < timing::PROOF);
+}
+
+/// The host that led has replaced another a second before it died. The other one may know owners that this one doesn't, so the
+/// majority of these says nothing of it.
+#[test]
+fn a_majority_says_nothing_of_hosts_further_back() {
+    let mut first = Play::among(3, 1, None, &[]);
+    first.run(Duration::from_secs(2));
+    let mut second = Play::among(3, 2, first.map.clone(), &[1]);
+    second.run(Duration::from_secs(1));
+    let mut play = Play::among(3, 3, second.map.clone(), &[1]);
     let begun = play.now;
     play.until(|play| play.keys_of(1) == 0);
     assert!(play.now >= begun + timing::PROOF + longest_hold());
 }
 
+/// A host is cut off from the store and from every other server than one, which nobody else reaches. It stops to renew before a
+/// successor, which has the others, gives that one's keys away.
+#[test]
+fn a_host_without_most_servers_stops_early() {
+    let mut play = Play::among(2, 1, None, &[]);
+    play.run(Duration::from_secs(2));
+    let cut = play.now;
+    play.silent = vec![server(2, false).id];
+    play.sent.clear();
+    play.run_without_store(Duration::from_secs(6));
+    assert!(play.last_grant_to(1) <= cut + timing::MAJORITY_LASTS);
+}
+
+/// The store is away, and most servers take the host's grants. No other host can have them, so it goes on for longer than
+/// without their word.
+#[test]
+fn a_host_with_most_servers_goes_on_without_the_store() {
+    let mut play = Play::among(3, 1, None, &[3]);
+    play.run(Duration::from_secs(1));
+    let cut = play.now;
+    play.run_without_store(Duration::from_secs(12));
+    assert!(play.last_grant_to(1) > cut + timing::MAJORITY_LASTS * 2);
+    assert!(play.last_grant_to(1) <= cut + timing::PROOF);
+}
+
 /// The store turns a host away that leads, and another takes over. The first hears of it from a third, stops, and says so. Its
 /// successor then has only the calls under way and the hold to wait for before a dead server's keys are served again.
 #[test]
 fn a_predecessor_that_says_it_has_stopped_is_not_waited_for() {
     let mut first = Play::leading();
-    let mut play = Play::new(2, first.map.clone());
-    play.silent.push(server(1, false).id);
+    let mut play = Play::among(2, 2, first.map.clone(), &[1]);
     let (begun, record) = (play.now, play.map.clone().unwrap());
     first.sent.clear();
     first.feed(Event::Heard(record));
@@ -255,8 +328,7 @@
 #[test]
 fn predecessors_of_the_predecessor_are_waited_for() {
     let first = Play::leading();
-    let mut play = Play::new(2, first.map.clone());
-    play.silent.push(server(1, false).id);
+    let mut play = Play::among(2, 2, first.map.clone(), &[1]);
     let begun = play.now;
     let others_left = Duration::from_secs(5);
     play.feed(Event::Stopped { leader: leader(1), others_left });
@@ -269,11 +341,10 @@
 #[test]
 fn a_host_that_stops_soon_does_not_hide_its_predecessor() {
     let first = Play::leading();
-    let mut second = Play::new(2, first.map.clone());
+    let mut second = Play::among(2, 2, first.map.clone(), &[1]);
     second.run(Duration::from_secs(1));
     second.feed(Event::Stop);
-    let mut play = Play::new(3, second.map.clone());
-    play.silent.push(server(1, false).id);
+    let mut play = Play::among(2, 3, second.map.clone(), &[1]);
     let begun = play.now;
     play.until(|play| play.keys_of(1) == 0);
     assert!(play.now >= begun + timing::PROOF + longest_hold());
@@ -283,8 +354,7 @@
 #[test]
 fn the_word_of_another_host_does_not_count() {
     let first = Play::leading();
-    let mut play = Play::new(2, first.map.clone());
-    play.silent.push(server(1, false).id);
+    let mut play = Play::among(2, 2, first.map.clone(), &[1]);
     let begun = play.now;
     play.feed(Event::Stopped { leader: leader(3), others_left: Duration::ZERO });
     play.until(|play| play.keys_of(1) == 0);
@@ -310,16 +380,7 @@
     let confirmed = play.now;
     play.sent.clear();
     let view_ends = confirmed + timing::PROOF + timing::CHECK_EVERY;
-    // No order to check is carried out any more.
-    while play.now < view_ends + Duration::from_secs(5) {
-        play.now += TICK;
-        let view = View { now: play.now, servers: &play.servers, settled: true };
-        for order in play.grantor.step(view, Event::Tick) {
-            if !matches!(order, Order::Check) {
-                play.carry_out(order);
-            }
-        }
-    }
+    play.run_without_store(view_ends + Duration::from_secs(5) - play.now);
     let last = play.last_grant_to(1);
     assert!(last > confirmed + timing::PROOF - timing::CHECK_EVERY - timing::RENEW_EVERY * 2);
     assert!(last <= confirmed + timing::PROOF);
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -58,6 +58,7 @@
         store_late: 0.2,
         store_cut: 0.01,
         server_cut: 0.02,
+        split: 0.005,
         pause: 0.01,
         drain: 0.002,
         crash: 0.005,
@@ -68,6 +69,14 @@
     arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
 }
 
+/// The host that leads is left with one server that nobody else reaches, and without the store. It goes on renewing that server's
+/// keys until it has to stop; the other hosts, which have the rest, give them away once it must have stopped.
+#[test]
+fn a_leader_left_with_one_server_does_not_make_two_owners() {
+    let odds = Odds { split: 0.01, store_late: 0.1, lost_grant: 0.05, deal: 0.002, ..Odds::CALM };
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+}
+
 /// Nothing goes wrong: every key is owned soon, a move leaves its keys without an owner for less than a second, and records are
 /// written for changes only.
 #[test]
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -97,14 +97,17 @@
         let known = self.hosts[n].newest.clone().map(|(_, map)| map);
         if let (Some(map), true) = (known, self.rng.f64() < 0.1) {
             let (to, after) = (self.rng.usize(0..self.hosts.len()), self.short());
-            self.send(after, Message::Heard { to, map });
+            if self.meet(n, to) {
+                self.send(after, Message::Heard { to, map });
+            }
         }
     }
 
     /// Reads come back some time after the record, before or after the answer to the append that made it.
     fn follow(&mut self, n: usize) {
-        let (now, host) = (self.now, &mut self.hosts[n]);
-        if !host.has_store || host.next_read.is_some_and(|at| now < at) {
+        let (now, has_store) = (self.now, self.has_store(n));
+        let host = &mut self.hosts[n];
+        if !has_store || host.next_read.is_some_and(|at| now < at) {
             return;
         }
         host.next_read = Some(now + Duration::from_millis(400));
@@ -140,7 +143,7 @@
                 self.tell(format!("h{n} records {}.{} at {at}", map.epoch, map.version));
                 self.send(after, Message::Append { host: n, at, map, asked });
             }
-            Order::Check if self.hosts[n].has_store => {
+            Order::Check if self.has_store(n) => {
                 let (end, after) = (self.log.len(), self.store_way());
                 self.send(after, Message::Checked { host: n, asked, end });
             }
@@ -163,7 +166,7 @@
                 let odds = self.odds.lost_release;
                 let (lost, answered) = (self.chance(odds), !self.chance(odds));
                 let server = from.server;
-                if lost || self.cut_servers.contains(&(n, server.clone())) {
+                if lost || !self.reaches(n, &server) {
                     let answer = Message::Released {
                         host: n,
                         range,
@@ -181,7 +184,7 @@
                 let leader = self.hosts[n].me.clone();
                 let to = (0..self.hosts.len()).find(|n| self.hosts[*n].me == to);
                 let after = self.store_way();
-                if let Some(to) = to.filter(|_| self.rng.bool()) {
+                if let Some(to) = to.filter(|to| self.meet(n, *to) && self.rng.bool()) {
                     self.send(after, Message::Stopped { to, leader, others_left });
                 }
             }
@@ -234,7 +237,7 @@
     }
 
     fn on_append(&mut self, host: usize, at: usize, map: Map, asked: Instant) {
-        if !self.hosts[host].has_store {
+        if !self.has_store(host) {
             // Nothing arrives; the host learns of it by its timeout.
             let lost = Message::Appended { host, at, map, asked, kept: None };
             return self.send(Duration::from_millis(500), lost);
@@ -243,7 +246,7 @@
         if kept {
             self.log.push(map.clone());
             // Hosts wait for the next record, so they hear of it at once, perhaps before the answer arrives.
-            let waiting = (0..self.hosts.len()).filter(|n| self.hosts[*n].has_store);
+            let waiting = (0..self.hosts.len()).filter(|n| self.has_store(*n));
             waiting.collect::<Vec<_>>().into_iter().for_each(|n| self.send_read(n));
         }
         let late = self.odds.store_late * 0.3;
@@ -285,7 +288,7 @@
             return self.end_round(n, round, Outcome::NotSent);
         }
         let odds = self.odds.lost_grant;
-        let cut = self.cut_servers.contains(&(n, round.to.server.clone()));
+        let cut = !self.reaches(n, &round.to.server);
         let lost = cut || self.chance(odds);
         if lost {
             // Perhaps it arrives all the same, and only the answer is lost.
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -26,6 +26,9 @@
     pub store_cut: f64,
     /// A host loses or regains a server.
     pub server_cut: f64,
+    /// The host that has the duty is left with one server, without the store, and nobody else reaches that server; for up to
+    /// 20 s. The duty goes to another host.
+    pub split: f64,
     /// A host stands still for up to 15 s.
     pub pause: f64,
     /// A server says that it leaves, and ends some seconds later.
@@ -46,6 +49,7 @@
         store_late: 0.0,
         store_cut: 0.0,
         server_cut: 0.0,
+        split: 0.0,
         pause: 0.0,
         drain: 0.0,
         crash: 0.0,
@@ -96,11 +100,19 @@
     reborn: Vec<(Instant, usize)>,
     lives: u32,
     cut_servers: BTreeSet<(usize, ServerId)>,
+    split: Option<Split>,
     queue: Vec<(Instant, u64, Message)>,
     sent: u64,
     story: Vec<String>,
 }
 
+/// One host and one server on one side, the store and all others on the other.
+struct Split {
+    host: usize,
+    server: ServerId,
+    until: Instant,
+}
+
 const HOSTS: usize = 3;
 const SERVERS: usize = 4;
 
@@ -127,6 +139,7 @@
             reborn: Vec::new(),
             lives: 0,
             cut_servers: BTreeSet::new(),
+            split: None,
             queue: Vec::new(),
             sent: 0,
             story: vec![format!("seed {seed}")],
@@ -216,6 +229,7 @@
             let to = self.rng.usize(0..HOSTS);
             self.deal(to);
         }
+        self.split_or_heal();
         for n in 0..HOSTS {
             if self.chance(odds.store_cut) {
                 self.hosts[n].has_store = !self.hosts[n].has_store;
@@ -256,6 +270,43 @@
         due.into_iter().for_each(|(_, place)| self.bear(place));
     }
 
+    fn split_or_heal(&mut self) {
+        if self.split.as_ref().is_some_and(|split| split.until <= self.now) {
+            self.split = None;
+            self.tell("the split has healed".into());
+        }
+        let odds = self.odds.split;
+        if self.split.is_some() || !self.chance(odds) || self.servers.is_empty() {
+            return;
+        }
+        let host = self.hosts.iter().position(|host| host.duty).unwrap_or_default();
+        let at = self.rng.usize(0..self.servers.len());
+        let server = self.servers.keys().nth(at).cloned().expect("the place is below their number");
+        let until = self.now + Duration::from_millis(self.rng.u64(1000..20_000));
+        self.tell(format!("h{host} and {server} are split off"));
+        self.split = Some(Split { host, server, until });
+        let next = (host + 1) % HOSTS;
+        self.deal(next);
+    }
+
+    /// Whether a host reaches the store.
+    fn has_store(&self, n: usize) -> bool {
+        let split = self.split.as_ref().is_some_and(|split| split.host == n);
+        self.hosts[n].has_store && !split
+    }
+
+    /// Whether a host reaches a server.
+    fn reaches(&self, n: usize, id: &ServerId) -> bool {
+        let split = self.split.as_ref();
+        let split = split.is_some_and(|split| (split.host == n) != (split.server == *id));
+        !split && !self.cut_servers.contains(&(n, id.clone()))
+    }
+
+    /// Whether two hosts reach each other.
+    fn meet(&self, a: usize, b: usize) -> bool {
+        self.split.as_ref().is_none_or(|split| (split.host == a) == (split.host == b))
+    }
+
     /// A few hot keys side by side, which move on every four seconds.
     fn load(&mut self) -> Report {
         let mut report = Report::default();
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -35,6 +35,11 @@
         Self { partition, next: None }
     }
 
+    /// A follower that knows everything before `at`.
+    pub fn after(partition: Partition, at: Offset) -> Self {
+        Self { partition, next: Some(at) }
+    }
+
     /// The partition.
     pub fn partition(&self) -> &Partition {
         &self.partition
@@ -94,6 +99,10 @@
     }
 
     fn take(&mut self, at: Offset, records: &[Bytes], end: Offset) -> Result<Changes, Error> {
+        if end < at {
+            // Taken for news, an answer of some time ago would confirm what may have been replaced since.
+            return Err(Error::Malformed(format!("the partition ends at {end}, {at} was known")));
+        }
         let mut items = Vec::new();
         for (n, record) in records.iter().enumerate() {
             let offset = Offset(at.0 + n as u64);
