--- a/crates/jacinthbeam-cli/src/command/adopt.rs
+++ b/crates/jacinthbeam-cli/src/command/adopt.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{EXIT_CODES, Error, arg};
-use crate::{Terminal, control::Reader, publication::open_folder};
+use crate::{Terminal, publication::open_folder, records::Records};
 
 const LONG: &str = "\
 Bring a folder up to what is in force, and keep the edits made in it.
@@ -28,8 +28,8 @@
 pub struct Options {
     /// The folder.
     pub folder: PathBuf,
-    /// The platform's log.
-    pub log: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
     /// Files in conflict whose text in the folder stays; the next publication replaces what is in force.
     pub keep: BTreeSet<FileName>,
     /// Files in conflict whose edit is given up.
@@ -52,7 +52,7 @@
         .long_about(LONG)
         .after_long_help(EXIT_CODES)
         .arg(arg::folder())
-        .arg(arg::log().required(true))
+        .arg(arg::store())
         .arg(files("keep", "Files in conflict: keep the text here, to be published next"))
         .arg(files("take", "Files in conflict: take what is in force, the edit here is lost"))
 }
@@ -62,7 +62,7 @@
     let names = |id| args.get_many::<FileName>(id).into_iter().flatten().cloned().collect();
     let options = Options {
         folder: arg::folder_of(args),
-        log: arg::log_of(args),
+        store: arg::store_of(args),
         keep: names("keep"),
         take: names("take"),
     };
@@ -75,10 +75,10 @@
     let folder = &options.folder;
     let snapshot = open_folder(folder).await?;
     let known = synced::load(folder).map_err(|err| failed(&err))?;
-    let mut reader = Reader::open(options.log);
-    let read = reader.to_end(|_| ()).await;
-    read.map_err(|err| Error::Unavailable(format!("{err}; nothing was changed")))?;
-    let state = &reader.state().config;
+    let current = Records::open(options.store).config().await;
+    let current =
+        current.map_err(|err| Error::Unavailable(format!("{err}; nothing was changed")))?;
+    let state = &current.state;
     let adoption = plan(&snapshot, &known, state, |name| {
         let keep = options.keep.contains(name).then_some(Choice::Keep);
         keep.or(options.take.contains(name).then_some(Choice::Take))
--- a/crates/jacinthbeam-cli/src/command/check.rs
+++ b/crates/jacinthbeam-cli/src/command/check.rs
@@ -16,7 +16,7 @@
 Merge a folder's files in the order of their names and check the result.
 
 Prints the merged configuration as JSON with comments; with --origins each value is followed by file, line and column that
-set it. Values that no file sets have the defaults of docs/CONFIGURATION.md. Needs no log and no host: what is in force
+set it. Values that no file sets have the defaults of docs/CONFIGURATION.md. Needs no store and no host: what is in force
 is not looked at, so a folder that passes may still be refused by publish.";
 
 /// The command's arguments.
--- a/crates/jacinthbeam-cli/src/command/error.rs
+++ b/crates/jacinthbeam-cli/src/command/error.rs
@@ -12,7 +12,7 @@
     /// The request was understood and refused: wrong configuration, or a conflict. Nothing changed.
     /// Exit code 3.
     Refused(String),
-    /// The log or a host can't be reached. Nothing changed. Exit code 4.
+    /// The store or a host can't be reached. Nothing changed. Exit code 4.
     Unavailable(String),
     /// Nobody knows at present whether the change was accepted. Exit code 5.
     InDoubt(String),
@@ -58,7 +58,7 @@
   1  something on this side can't be used, such as the folder
   2  wrong arguments
   3  refused: wrong configuration, or a conflict; nothing changed
-  4  unavailable: the log or a host can't be reached; nothing changed
+  4  unavailable: the store or a host can't be reached; nothing changed
   5  in doubt: run the same command again to learn what became of it
   6  incomplete: there is an answer, and it shows that something is behind or missing
   7  an experiment showed that something which must always hold did not";
--- a/crates/jacinthbeam-cli/src/command/mod.rs
+++ b/crates/jacinthbeam-cli/src/command/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod adopt;
 pub mod arg;
-pub mod bench;
 pub mod check;
 pub mod dump;
+pub mod entry;
 mod error;
 pub mod explain;
 pub mod local;
@@ -13,6 +13,8 @@
 pub mod status;
 pub mod usage;
 
+use std::process::ExitCode;
+
 use clap::{ArgMatches, Command};
 
 pub use error::{EXIT_CODES, Error};
@@ -29,9 +31,9 @@
         explain::command(),
         usage::command(),
         dump::command(),
+        entry::command(),
         local::command(),
         measure::command(),
-        bench::command(),
     ]
 }
 
@@ -45,9 +47,28 @@
         "explain" => explain::run(args, terminal).await,
         "usage" => usage::run(args, terminal).await,
         "dump" => dump::run(args, terminal).await,
+        "entry" => entry::run(args, terminal).await,
         "local" => local::run(args, terminal).await,
         "measure" => measure::run(args, terminal).await,
-        "bench" => bench::run(args, terminal).await,
         _ => Err(Error::Failed(format!("there is no command {name}"))),
     }
 }
+
+/// Runs a command on threads of its own.
+pub fn block_on(command: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let runtime = tokio::runtime::Runtime::new();
+    let runtime =
+        runtime.map_err(|err| Error::Failed(format!("no threads can be started: {err}")))?;
+    runtime.block_on(command)
+}
+
+/// Says why a command did not succeed, and with which code the process ends.
+pub fn end(done: Result<(), Error>, terminal: &mut Terminal<'_>) -> ExitCode {
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            terminal.warn(&why);
+            ExitCode::from(why.exit_code())
+        }
+    }
+}
--- a/crates/jacinthbeam-cli/src/command/publish.rs
+++ b/crates/jacinthbeam-cli/src/command/publish.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use jacinthbeam::{
-    config::FileName, entry::process::identity::draw_incarnation, types::clock::SystemClock,
-};
+use jacinthbeam::config::FileName;
 
 use super::{EXIT_CODES, Error, arg};
 use crate::{
@@ -13,13 +11,11 @@
     publication::{Options, publish},
 };
 
-const ABOUT: &str = "Bring the edits of a folder into force";
 const LONG: &str = "\
 Bring the edits of a folder into force.
 
-Reads the folder until two reads agree, folds the log, compares both with what the folder was last in sync with, and
-appends all edits as one record. The record is accepted as a whole or not at all. The command ends when it has read its
-own record back: it says the version that is in force, or which file is in conflict with whose version.
+Reads the folder until two reads agree, compares it with what is in force and with what it was last in sync with, and keeps
+all edits as one record, on the condition that no other record came first. The record is accepted as a whole or not at all.
 
 Files that others changed and that are not edited here are left alone. To leave out a file from the folder removes it
 from the configuration.";
@@ -27,17 +23,17 @@
 /// The command's arguments.
 pub fn command() -> Command {
     Command::new("publish")
-        .about(ABOUT)
+        .about("Bring the edits of a folder into force")
         .long_about(LONG)
         .after_long_help(EXIT_CODES)
         .arg(arg::folder())
-        .arg(arg::log().required(true))
+        .arg(arg::store())
         .arg(
             Arg::new("wait")
                 .long("wait")
                 .value_name("TIME")
                 .value_parser(arg::time)
-                .help("Keep trying for this long while the log is down, such as 30s or 5m"),
+                .help("Keep trying for this long while the store is away, such as 30s or 5m"),
         )
         .arg(
             Arg::new("put-back")
@@ -59,12 +55,12 @@
 /// Runs the command.
 pub async fn run(args: &ArgMatches, terminal: &mut Terminal<'_>) -> Result<(), Error> {
     let put_back = args.get_many::<FileName>("put-back").into_iter().flatten();
-    let run = draw_incarnation(&SystemClock);
     let options = Options {
+        folder: arg::folder_of(args),
+        store: arg::store_of(args),
         wait: args.get_one::<Duration>("wait").copied().unwrap_or_default(),
         put_back: put_back.cloned().collect(),
         dry_run: args.get_flag("dry-run"),
-        ..Options::new(arg::folder_of(args), arg::log_of(args), run)
     };
     publish(&options, terminal).await
 }
--- a/crates/jacinthbeam-cli/src/operators.rs
+++ b/crates/jacinthbeam-cli/src/operators.rs
@@ -1,14 +1,12 @@
-//! Asks an entry host's operators' port.
+//! Asks a host's port for operators.
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use jacinthbeam::types::prelude::*;
-use serde::Deserialize;
 use tokio::{net::TcpStream, time::timeout};
 
 /// Time within which a host must answer.
@@ -41,92 +39,12 @@
 
 impl std::error::Error for Error {}
 
-/// What the commands use of a host's dump. The rest of it is for people.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Dump {
-    /// Who it is.
-    pub host: Host,
-    /// Whether it is stopping.
-    pub stopping: bool,
-    /// Configuration in force.
-    pub config_version: Option<ConfigVersion>,
-    /// First record of the control stream that it has not read.
-    pub log_next: Offset,
-    /// Milliseconds since the last read that reached the end of the stream.
-    pub log_read_age_ms: Option<u64>,
-    /// Other entry hosts of the cell.
-    pub members: Vec<Member>,
-    /// Backend servers of the cell.
-    pub backend_servers: BTreeMap<ServerId, BackendServer>,
+/// The text of a page of a host.
+pub async fn get(addr: SocketAddr, path: &str) -> Result<String, Error> {
+    timeout(TIMEOUT, fetch(addr, path)).await.unwrap_or(Err(Error::Silent))
 }
 
-/// Who a host is.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Host {
-    /// Its name.
-    pub host: HostId,
-    /// Its cell.
-    pub cell: CellId,
-}
-
-/// Another entry host, as heard by the one that was asked.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Member {
-    /// Its name.
-    pub host: HostId,
-    /// Milliseconds since its last heartbeat.
-    pub age_ms: Option<u64>,
-    /// Whether it counts as alive.
-    pub alive: bool,
-    /// Configuration in force there.
-    pub config_version: Option<ConfigVersion>,
-    /// First record that it has not read.
-    pub log_next: Option<Offset>,
-}
-
-/// A backend server as the host sees it.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct BackendServer {
-    /// What the host does about it.
-    pub attendant: String,
-    /// Present if the host attends it.
-    pub admission: Option<Admission>,
-}
-
-/// The host's right to send requests to a backend server.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Admission {
-    /// Requests that run there.
-    pub in_use: u32,
-    /// Requests that wait.
-    pub waiting: usize,
-    /// Token of the lease.
-    pub token: Option<Token>,
-    /// Milliseconds until the lease ends.
-    pub permit_left_ms: Option<u64>,
-}
-
-impl Dump {
-    /// Leases that run at present, by backend server.
-    pub fn leases(&self) -> impl Iterator<Item = (&ServerId, &Admission)> {
-        let attended = self.backend_servers.iter();
-        let attended = attended.filter_map(|(id, server)| Some((id, server.admission.as_ref()?)));
-        attended.filter(|(_, admission)| admission.permit_left_ms > Some(0))
-    }
-}
-
-/// The host's whole dump as JSON text.
-pub async fn dump_text(addr: SocketAddr) -> Result<String, Error> {
-    timeout(TIMEOUT, get(addr, "/dump")).await.unwrap_or(Err(Error::Silent))
-}
-
-/// What the commands use of the host's dump.
-pub async fn dump(addr: SocketAddr) -> Result<Dump, Error> {
-    let text = dump_text(addr).await?;
-    serde_json::from_str(&text).map_err(|err| Error::Unexpected(format!("no dump ({err})")))
-}
-
-async fn get(addr: SocketAddr, path: &str) -> Result<String, Error> {
+async fn fetch(addr: SocketAddr, path: &str) -> Result<String, Error> {
     let unreachable = |err: &dyn fmt::Display| Error::Unreachable(err.to_string());
     let stream = TcpStream::connect(addr).await.map_err(|err| unreachable(&err))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/jacinthbeam-config/src/document/fields.rs
+++ b/crates/jacinthbeam-config/src/document/fields.rs
@@ -63,30 +63,6 @@
         }
     }
 
-    /// Reads a list as a set, if it is there; a problem is noted for each wrong item.
-    pub fn set<T: Ord>(
-        &mut self,
-        name: &'static str,
-        item: impl Fn(&Value) -> Result<T, Expected>,
-    ) -> Option<BTreeSet<T>> {
-        let node = self.node(name)?;
-        let path = self.path(name);
-        let Value::List(items) = &node.value else {
-            self.problems.push(node.unexpected(&path, "a list"));
-            return None;
-        };
-        let mut set = BTreeSet::new();
-        for node in items {
-            match item(&node.value) {
-                Ok(value) => {
-                    set.insert(value);
-                }
-                Err(expected) => self.problems.push(node.unexpected(&path, expected)),
-            }
-        }
-        Some(set)
-    }
-
     /// Reads a field that has a default.
     pub fn or<T>(
         &mut self,
@@ -269,20 +245,19 @@
         }
     }
 
-    /// One of a few words.
-    pub fn word<T: Copy>(
-        words: &'static [(&'static str, T)],
-    ) -> impl Fn(&Value) -> Result<T, Expected> {
-        move |value| {
-            let found = match value {
-                Value::Text(text) => words.iter().find(|(word, _)| word == text),
-                _ => None,
-            };
-            found.map(|(_, value)| *value).ok_or_else(|| {
-                let words: Vec<String> =
-                    words.iter().map(|(word, _)| format!("{word:?}")).collect();
-                format!("one of {}", words.join(", "))
-            })
+    /// Any text that isn't empty.
+    pub fn plain(value: &Value) -> Result<String, Expected> {
+        match value {
+            Value::Text(text) if !text.is_empty() => Ok(text.clone()),
+            _ => Err("a text".into()),
+        }
+    }
+
+    /// An absolute path.
+    pub fn path(value: &Value) -> Result<String, Expected> {
+        match value {
+            Value::Text(text) if text.starts_with('/') => Ok(text.clone()),
+            _ => Err("a path that begins with a slash".into()),
         }
     }
 }
--- a/crates/jacinthbeam-config/src/fold/in_use.rs
+++ b/crates/jacinthbeam-config/src/fold/in_use.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use jacinthbeam_route::{Config, Service};
 use jacinthbeam_types::prelude::*;
 
 use crate::{
-    config::{Config, CutOff, Service},
     document::Node,
     merge::Origins,
     problem::{Kind, Problem},
@@ -17,9 +17,8 @@
 /// Checks a new configuration against the one in force and against the services that were removed
 /// before. It was read from `merged`.
 ///
-/// Entry hosts that are cut off still follow the configuration they read last, for as long as they
-/// are cut off. So a removed service still counts: to remove it and add it again must not get
-/// around these rules.
+/// Hosts that are cut off still follow the configuration they read last, for as long as they are cut off. So a removed service
+/// still counts: to remove it and add it again must not get around this.
 pub(super) fn check(
     old: &Config,
     former: &BTreeMap<ServiceName, Service>,
@@ -29,9 +28,7 @@
     let mut broken = Vec::new();
     for (name, service) in &new.services {
         let Some(before) = old.services.get(name).or_else(|| former.get(name)) else { continue };
-        for rule in [division, cut_off, max_deadline] {
-            broken.extend(rule(before, service).map(|broken| (name, broken)));
-        }
+        broken.extend(keyed(before, service).map(|broken| (name, broken)));
     }
     let mut problems = located(broken, merged);
     let gone = old.services.keys().filter(|name| !new.services.contains_key(*name));
@@ -80,38 +77,12 @@
     }
 }
 
-/// With another number of slots nearly every key would change its slot. A failure domain that is
-/// cut off would go on serving a key by the old division while others serve it by the new one: two
-/// owners.
-fn division(old: &Service, new: &Service) -> Option<Broken> {
-    (old.division != new.division).then(|| Broken {
-        field: "division",
-        what: format!("the division can't change from {} to {}", old.division, new.division),
+/// A host that is cut off goes on by the configuration that it read last. It would send requests to any server of a service whose
+/// keys have owners elsewhere, or grant keys of servers that others take for alike.
+fn keyed(old: &Service, new: &Service) -> Option<Broken> {
+    (old.keyed != new.keyed).then(|| Broken {
+        field: "keyed",
+        what: format!("can't change from {} to {}", old.keyed, new.keyed),
         remedy: "keep it, or add a service of another name",
     })
 }
-
-/// A failure domain that is cut off and knows the service as `hold` goes on serving. Were others
-/// allowed to take over, as `yield` says, a key would have two owners. The way back is safe: to
-/// hold asks more of whoever takes over.
-fn cut_off(old: &Service, new: &Service) -> Option<Broken> {
-    (old.cut_off == CutOff::Hold && new.cut_off == CutOff::Yield).then(|| Broken {
-        field: "cut_off",
-        what: "can't change from \"hold\" to \"yield\": a domain that is cut off would not learn of it".into(),
-        remedy: "keep \"hold\", or add a service of another name",
-    })
-}
-
-/// Where backend servers check no grants, whoever takes over waits for the longest deadline. A
-/// request that was sent under a longer one could run after that wait, next to the new owner.
-fn max_deadline(old: &Service, new: &Service) -> Option<Broken> {
-    (!new.checks_grants && new.max_deadline < old.max_deadline).then(|| Broken {
-        field: "max_deadline_ms",
-        what: format!(
-            "can't be lowered from {} to {} while `checks_grants` is false",
-            old.max_deadline.as_millis(),
-            new.max_deadline.as_millis()
-        ),
-        remedy: "lower `default_deadline_ms` instead",
-    })
-}
--- a/crates/jacinthbeam-config/src/fold/mod.rs
+++ b/crates/jacinthbeam-config/src/fold/mod.rs
@@ -1,21 +1,20 @@
-//! Which configuration is in force: a pure function of the changes in the log.
+//! Which configuration is in force, and what a change makes of it: a pure function of the state before and the change.
 //!
-//! Every reader of the log folds the same changes in the same order, and so comes to the same
-//! verdict on each. What this module accepts is therefore part of the log's format: a release that
-//! judges differently must not read the same stream next to an older one.
+//! The state is one record in the store. Whoever publishes applies a change to the newest record and keeps the result on the
+//! condition that no other record came first, so that changes follow one another in one order.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
+use jacinthbeam_route::{Config, Service};
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     change::{Base, Change, FileChange},
     check,
-    config::{Config, Service},
     file::{ContentHash, FileName, MAX_SIZE},
     merge::merge,
     problem::{Kind, Problem},
@@ -105,7 +104,7 @@
         newest_first.find(|replaced| replaced.hash == hash).map(|replaced| replaced.version)
     }
 
-    /// Folds the change that stands at `offset` of the log. Changes must be folded in the order of the log.
+    /// Folds the change that is kept at `offset`. Changes must be folded in their order.
     ///
     /// A change that asks only for what is in force already is accepted without a new version, so
     /// that a repeated record does no harm.
@@ -167,7 +166,7 @@
             Err(problems) => return Outcome::Invalid(problems),
         };
         in_use::retire(&self.config, &config, Arc::make_mut(&mut next.former));
-        next.config = Arc::new(config);
+        next.config = Arc::new(Config { version, ..config });
         next.version = Some(version);
         *self = next;
         Outcome::Accepted(version)
--- a/crates/jacinthbeam-host/src/explain.rs
+++ b/crates/jacinthbeam-host/src/explain.rs
@@ -3,7 +3,7 @@
 //! A request's own lines name the servers that it was sent to. What hosts said of these servers shortly before and after is
 //! the other half of the story: that they joined or left, that their keys moved, that they fell silent.
 
-use std::{collections::BTreeSet, fmt};
+use std::{collections::BTreeSet, fmt, fs, io, path::Path};
 
 use serde_json::{Map, Value};
 
@@ -24,8 +24,15 @@
 }
 
 /// Why a request has no story.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Error {
+    /// A log can't be read.
+    File {
+        /// Its path.
+        path: String,
+        /// Why not.
+        err: io::Error,
+    },
     /// No line names it.
     Unknown {
         /// The request.
@@ -38,6 +45,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::File { path, err } => write!(f, "{path} can't be read: {err}"),
             Self::Unknown { id, lines } => write!(
                 f,
                 "none of {lines} lines names request {id}: give the logs of all hosts that may have taken it; \
@@ -93,6 +101,19 @@
     }
 }
 
+/// The story of request `id`, from a log of each host. A file without its ending is named as its host.
+pub fn from_files(id: &str, paths: &[impl AsRef<Path>]) -> Result<Vec<Line>, Error> {
+    let mut lines = Vec::new();
+    for path in paths {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path)
+            .map_err(|err| Error::File { path: path.display().to_string(), err })?;
+        let host = path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy();
+        lines.extend(text.lines().filter_map(|line| Line::read(&host, line)));
+    }
+    story(id, lines)
+}
+
 /// The lines that tell what became of request `id`, in the order of time.
 pub fn story(id: &str, lines: Vec<Line>) -> Result<Vec<Line>, Error> {
     let own: Vec<&Line> = lines.iter().filter(|line| line.is_about(id)).collect();
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -33,7 +33,9 @@
         self,
         news::{Asked, News},
     },
+    status,
     traffic::Gates,
+    usage,
 };
 use crate::{Settings, Wire, connection::accept::Phase, request::answer, version::View};
 use input::{Input, Tx};
@@ -45,6 +47,7 @@
     pub(super) wire: Wire,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) counters: Arc<Counters>,
+    pub(super) usage: usage::Counted,
     pub(super) incarnation: Incarnation,
     pub(super) view: watch::Sender<Arc<View>>,
     pub(super) gates: watch::Sender<Gates>,
@@ -82,8 +85,11 @@
     spawn_local(tick(tx.clone()));
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
+    let usage = start.usage.clone();
     let mut control = Control::new(start, tx, reports);
     control.begin();
+    let mut last = control.recorder(usage.clone());
+    spawn_local(control.recorder(usage).run());
     loop {
         tokio::select! {
             input = rx.recv() => match input {
@@ -94,7 +100,7 @@
             _ = &mut served => break,
         }
     }
-    tokio::time::sleep(LAST_CALLS).await;
+    tokio::join!(tokio::time::sleep(LAST_CALLS), last.record());
     tracing::info!(part = "process", event = "stop");
 }
 
@@ -126,16 +132,22 @@
         pages::ready(view.borrow().config.is_some() && *phase.borrow() == Phase::Serving)
     });
     let (counters, view) = (start.counters.clone(), start.view.subscribe());
+    let (settings, phase) = (start.settings.clone(), start.phase.clone());
     let tx = tx.clone();
     serve_page(metrics, move |path| match path {
         "/metrics" => answer::plain(http::StatusCode::OK, counters.text()),
+        "/status" => {
+            let status = status::of(&settings, &view.borrow(), *phase.borrow());
+            let text = serde_json::to_string_pretty(&status);
+            answer::plain(http::StatusCode::OK, text.expect("names and numbers can be written"))
+        }
         "/dump" => {
             // The dump of the granting side goes to the log; that of the view is small enough for the answer.
             tx.send(Input::Dump)
                 .unwrap_or_else(|_| tracing::debug!(part = "pages", event = "no-dump"));
             answer::plain(http::StatusCode::OK, format!("{:#?}", view.borrow()))
         }
-        _ => answer::plain(http::StatusCode::NOT_FOUND, "pages: /metrics, /dump".into()),
+        _ => answer::plain(http::StatusCode::NOT_FOUND, "pages: /metrics, /status, /dump".into()),
     });
 }
 
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -32,6 +32,7 @@
         metrics::Counters,
         peers::HostEntry,
         traffic::Gates,
+        usage,
     },
     version::View,
 };
@@ -126,6 +127,17 @@
         }));
     }
 
+    /// Records what this process counts against teams.
+    pub(super) fn recorder(&self, counted: usage::Counted) -> usage::Recorder {
+        usage::Recorder {
+            lane: self.store.lane(),
+            to: Partition { topic: self.wire.places.usage.into(), number: 0 },
+            key: format!("{}:{}", self.me.host, self.me.incarnation),
+            counted,
+            recorded: usage::Usage::default(),
+        }
+    }
+
     pub(super) fn follow(
         &self,
         partition: Partition,
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -11,7 +11,9 @@
 mod pages;
 pub mod peers;
 mod serving;
+pub mod status;
 pub mod traffic;
+pub mod usage;
 
 use std::{
     fmt, io,
@@ -123,6 +125,7 @@
     let sockets = Sockets::bind(&settings)?;
     let clock: Arc<dyn Clock> = Arc::new(clock::SuspendClock::new());
     let counters = Counters::new();
+    let usage = usage::Counted::default();
     let incarnation = Incarnation(fastrand::u64(1..));
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
@@ -134,6 +137,7 @@
         wire,
         clock: clock.clone(),
         counters: counters.clone(),
+        usage: usage.clone(),
         incarnation,
         view: view_tx,
         gates: gates_tx,
@@ -147,16 +151,21 @@
         reports: sockets.reports,
         news: sockets.news,
     };
-    let traffic = serving::Start {
+    let traffic = traffic::Start {
         settings,
         wire,
         clock,
         counters,
+        usage,
         view,
+        phase: phase.subscribe(),
+        gates,
+    };
+    let traffic = serving::Start {
+        traffic,
         phase: phase.clone(),
         callers: sockets.callers,
         reports,
-        gates,
         served: done_tx,
     };
     let threads = vec![
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -5,7 +5,6 @@
     collections::BTreeMap,
     net::{TcpListener, UdpSocket},
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
@@ -21,28 +20,20 @@
 };
 
 use super::{
-    metrics::Counters,
     peers::load::Message,
-    traffic::{Gates, Traffic},
+    traffic::{self, Traffic},
 };
 use crate::{
-    Settings, Wire,
     connection::accept::{self, Phase},
     request,
-    version::View,
 };
 
 /// What the thread is started with.
 pub(super) struct Start {
-    pub(super) settings: Settings,
-    pub(super) wire: Wire,
-    pub(super) clock: Arc<dyn Clock>,
-    pub(super) counters: Arc<Counters>,
-    pub(super) view: watch::Receiver<Arc<View>>,
+    pub(super) traffic: traffic::Start,
     pub(super) phase: watch::Sender<Phase>,
     pub(super) callers: TcpListener,
     pub(super) reports: UdpSocket,
-    pub(super) gates: watch::Receiver<Gates>,
     /// Dropped when the last request was answered.
     pub(super) served: oneshot::Sender<()>,
 }
@@ -58,11 +49,9 @@
 const BEFORE_FORCED: Duration = Duration::from_millis(300);
 
 pub(super) async fn run(start: Start) {
-    let Start { settings, wire, clock, counters, view, phase, callers, reports, gates, served } =
-        start;
-    let stop_within = settings.stop_within;
-    let traffic =
-        Rc::new(Traffic::new(settings, wire, clock, counters, view, phase.subscribe(), gates));
+    let stop_within = start.traffic.settings.stop_within;
+    let Start { phase, callers, reports, served, .. } = start;
+    let traffic = Rc::new(Traffic::new(start.traffic));
     let listener = match tokio::net::TcpListener::from_std(callers) {
         Ok(listener) => listener,
         Err(err) => return tracing::error!(part = "process", event = "no-listener", error = ?err),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -17,7 +17,7 @@
 use crate::{
     Settings, Wire,
     connection::{Pool, accept::Phase},
-    process::metrics::Counters,
+    process::{metrics::Counters, usage},
     request::story::Stories,
     version::View,
 };
@@ -36,6 +36,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counts for the metrics.
     pub counters: Arc<Counters>,
+    /// What requests count against their teams.
+    pub usage: usage::Counted,
     /// Tells the stories of requests.
     pub stories: Stories,
     /// Bytes of request bodies that are held.
@@ -66,22 +68,37 @@
 /// A host may have this many connections to a server in any case.
 const LEAST_CONNECTIONS: u32 = 2;
 
+/// What the thread is told at its start.
+#[derive(Debug)]
+pub struct Start {
+    /// Where this host stands.
+    pub settings: Settings,
+    /// How requests look on the wire.
+    pub wire: Wire,
+    /// A clock that counts suspension.
+    pub clock: Arc<dyn Clock>,
+    /// Counts for the metrics.
+    pub counters: Arc<Counters>,
+    /// What requests count against their teams.
+    pub usage: usage::Counted,
+    /// What is known, as it changes.
+    pub view: watch::Receiver<Arc<View>>,
+    /// How far a stop has come.
+    pub phase: watch::Receiver<Phase>,
+    /// What busy owners may be sent, as it changes.
+    pub gates: watch::Receiver<Gates>,
+}
+
 impl Traffic {
     /// State of a process that has served nothing yet.
-    pub fn new(
-        settings: Settings,
-        wire: Wire,
-        clock: Arc<dyn Clock>,
-        counters: Arc<Counters>,
-        view: watch::Receiver<Arc<View>>,
-        phase: watch::Receiver<Phase>,
-        gates: watch::Receiver<Gates>,
-    ) -> Self {
+    pub fn new(start: Start) -> Self {
+        let Start { settings, wire, clock, counters, usage, view, phase, gates } = start;
         Self {
             settings,
             wire,
             clock,
             counters,
+            usage,
             stories: Stories::default(),
             body_bytes: Cell::new(0),
             view,
--- a/crates/jacinthbeam-host/src/request/answer.rs
+++ b/crates/jacinthbeam-host/src/request/answer.rs
@@ -22,10 +22,18 @@
 
 /// The answer to a request that got none of a backend server.
 pub fn refused(wire: &Wire, refusal: &Refusal) -> Response<Full<Bytes>> {
-    let mut res = plain(status(refusal), refusal.to_string());
-    if let Some(after) = refusal.retry_after {
-        (wire.retry_after)(res.headers_mut(), after);
-    }
+    refused_as(wire, status(refusal), refusal, &refusal.reason.to_string())
+}
+
+/// The same with a status and words of its own.
+pub fn refused_as(
+    wire: &Wire,
+    status: StatusCode,
+    refusal: &Refusal,
+    why: &str,
+) -> Response<Full<Bytes>> {
+    let mut res = plain(status, format!("{}: {why}", refusal.verdict));
+    (wire.refused)(res.headers_mut(), refusal);
     res
 }
 
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -188,7 +188,7 @@
     *req.method_mut() = whole.method.clone();
     *req.uri_mut() = whole.target.clone();
     *req.headers_mut() = whole.headers.clone();
-    (traffic.wire.forward)(req.headers_mut(), &Forward { left, server: &server.id });
+    (traffic.wire.forward)(req.headers_mut(), &Forward { id: &whole.id, left, server: &server.id });
     req
 }
 
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -25,7 +25,11 @@
     send::{self, Lost, NotRun, Sent, Whole},
     story,
 };
-use crate::{process::traffic::Traffic, version::View, wire::BadCaller};
+use crate::{
+    process::{traffic::Traffic, usage::Use},
+    version::View,
+    wire::BadCaller,
+};
 
 /// Of the time in which a server that is leaving may still get requests, this much goes by until a host learns of it: half a
 /// second between reads, the answers of the store and of the host that is followed, and the way of a request. For the rest the
@@ -64,6 +68,10 @@
     connections: u32,
     keyed: bool,
     key: Option<Key>,
+    /// Whether it may run more than once.
+    idempotent: bool,
+    /// What it counts against its team.
+    usage: Use,
     received: Instant,
     /// When the final answer is due: the caller's deadline or the route's timeout.
     deadline: Instant,
@@ -110,6 +118,7 @@
     kept.remove(header::CONTENT_LENGTH);
     let target = parts.uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default();
     let whole = Whole { method: parts.method, target, headers: kept, body, id: caller.id.clone() };
+    let usage = Use::new(&traffic.usage, service.team.as_ref(), &name);
     let job = Job {
         traffic: traffic.clone(),
         whole,
@@ -117,6 +126,8 @@
         connections: service.connections,
         keyed: service.keyed,
         key: caller.key,
+        idempotent: caller.idempotent.unwrap_or(route.idempotent),
+        usage,
         received,
         deadline,
         route,
@@ -154,7 +165,8 @@
 fn bad(traffic: &Traffic, why: &str) -> Response<Full<Bytes>> {
     tracing::info!(part = "request", outcome = "bad-request", why = ?why);
     traffic.counters.bad_requests.add(1, &[]);
-    answer::plain(StatusCode::BAD_REQUEST, format!("{}: {why}", Verdict::NotRun))
+    let refusal = Refusal::not_run(Reason::BadRequest);
+    answer::refused_as(&traffic.wire, StatusCode::BAD_REQUEST, &refusal, why)
 }
 
 fn bad_body(traffic: &Traffic, id: &HeaderValue, err: body::Error) -> Response<Full<Bytes>> {
@@ -166,7 +178,8 @@
         body::Error::Broken => (StatusCode::BAD_REQUEST, "the body is not framed as it should be"),
         body::Error::Silent => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
     };
-    let mut res = answer::plain(status, format!("{}: {text}", Verdict::NotRun));
+    let refusal = Refusal::not_run(Reason::BadRequest);
+    let mut res = answer::refused_as(&traffic.wire, status, &refusal, text);
     // The rest of the body may still come, and must not be read as a request.
     res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     res
@@ -257,7 +270,7 @@
     }
 
     fn may_run_again(&self, sends: u32) -> bool {
-        self.route.idempotent && sends < self.route.attempts
+        self.idempotent && sends < self.route.attempts
     }
 
     /// What is left of the time that a request may wait: a part of its objective.
@@ -300,13 +313,11 @@
 /// nobody knowing whether it ran; any other is cancelled with the caller.
 async fn offer(job: &Rc<Job>, view: &View, server: &Server) -> Sent {
     let most = job.traffic.most_connections(job.connections, view.hosts);
-    let sent = if job.route.idempotent {
-        send::send(&job.traffic, &job.whole, server, most, job.deadline).await
+    let sent = if job.idempotent {
+        send_counted(job, server, most).await
     } else {
         let (job, server) = (job.clone(), server.clone());
-        let task = spawn_local(async move {
-            send::send(&job.traffic, &job.whole, &server, most, job.deadline).await
-        });
+        let task = spawn_local(async move { send_counted(&job, &server, most).await });
         task.await.unwrap_or(Sent::Lost(Lost::Broken))
     };
     if let (Sent::Answered { .. }, true) = (&sent, job.keyed) {
@@ -315,6 +326,13 @@
     sent
 }
 
+async fn send_counted(job: &Job, server: &Server, most_connections: u32) -> Sent {
+    job.usage.begin();
+    let sent = send::send(&job.traffic, &job.whole, server, most_connections, job.deadline).await;
+    job.usage.end(&sent);
+    sent
+}
+
 /// Waits until the key has another owner or token than in `view`. Returns whether it has.
 async fn await_other_owner(job: &Job, view: &View) -> bool {
     let of = |view: &View| {
@@ -333,6 +351,7 @@
         Some(Sent::Answered { mut res, good }) => {
             job.traffic.counters.on_answer(good, job.traffic.now() - job.received);
             res.headers_mut().remove(header::CONNECTION);
+            (job.traffic.wire.delivered)(res.headers_mut());
             return res;
         }
         Some(Sent::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -22,8 +22,10 @@
     pub forward: fn(&mut HeaderMap, &Forward<'_>),
     /// What the head of an answer says, given the request's id and the server that was asked.
     pub answer: fn(StatusCode, &HeaderMap, &HeaderValue, &ServerId) -> Told,
-    /// Sets the hint in a refusal's head when to come back.
-    pub retry_after: fn(&mut HeaderMap, Duration),
+    /// Sets what a refusal's head says besides its status: when to come back, what may have become of the request.
+    pub refused: fn(&mut HeaderMap, &Refusal),
+    /// Sets what an answer's head says besides what its backend server said.
+    pub delivered: fn(&mut HeaderMap),
     /// The call that grants keys for this long.
     pub grant: fn(&Owner, &Call, Duration) -> Request<Bytes>,
     /// What the answer to a grant says.
@@ -53,6 +55,8 @@
     pub hosts: &'static str,
     /// Topic whose partitions stand for the duties to grant.
     pub duties: &'static str,
+    /// Keyed topic for what each host counted against teams.
+    pub usage: &'static str,
 }
 
 /// What a caller's request says besides its method, path and body.
@@ -64,6 +68,8 @@
     pub patience: Option<Duration>,
     /// The key that the request is about.
     pub key: Option<Key>,
+    /// Whether this request may run more than once, if the caller says so. Else its route does.
+    pub idempotent: Option<bool>,
 }
 
 /// Why the head of a request can't be read.
@@ -78,6 +84,8 @@
 /// What a request carries to a backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Forward<'a> {
+    /// Name of the attempt.
+    pub id: &'a HeaderValue,
     /// Time left for the answer.
     pub left: Duration,
     /// The server that is meant.
--- /dev/null
+++ b/crates/jacinthbeam-measure/src/deployment.rs
@@ -0,0 +1,418 @@
+//! A store, backend servers and hosts on loopback.
+
+use std::{
+    collections::BTreeMap,
+    fmt, fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use jacinthbeam::{
+    config::{change::Change, change::FileChange, fold::Outcome, fold::State, folder::Snapshot},
+    host::{self, Settings},
+    native::{self, PLACES},
+    store::{Call, Client},
+    types::prelude::*,
+};
+use jacinthbeam_standin::{backend, serve};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Any free port of the loopback interface.
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Partitions of a topic in the stand-in store.
+const PARTITIONS: u32 = 12;
+
+/// Longest wait until a new deployment serves every key.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Names of the failure domains.
+    pub domains: Vec<FailureDomain>,
+    /// Hosts in each of them.
+    pub hosts: u32,
+    /// Backend servers of each service in each of them.
+    pub servers: u32,
+    /// Requests that a backend server works on at a time.
+    pub slots: u32,
+    /// Time that one request takes there.
+    pub work: Duration,
+    /// Runs each host as a process of its own: this program with these arguments, then `--settings FILE`. Else hosts are threads.
+    pub program: Option<(PathBuf, Vec<String>)>,
+}
+
+impl Plan {
+    /// Three failure domains with two hosts and two servers of each service.
+    pub fn new(domains: Vec<FailureDomain>) -> Self {
+        Self {
+            domains,
+            hosts: 2,
+            servers: 2,
+            slots: 3,
+            work: Duration::from_millis(20),
+            program: None,
+        }
+    }
+}
+
+/// Why a deployment can't be started.
+#[derive(Debug)]
+pub enum Error {
+    /// The configuration is wrong.
+    Config(String),
+    /// A stand-in or a file can't be started or written.
+    Io(io::Error),
+    /// A host can't be started.
+    Host(String),
+    /// Not every key was served in time.
+    NotReady(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Config(why) => write!(f, "the configuration can't be used: {why}"),
+            Self::Io(err) => write!(f, "the deployment can't be started: {err}"),
+            Self::Host(why) => write!(f, "a host can't be started: {why}"),
+            Self::NotReady(what) => {
+                write!(f, "the deployment is not ready after {READY_WITHIN:?}: {what}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(err: io::Error) -> Self {
+        Self::Io(err)
+    }
+}
+
+/// How a host runs.
+#[derive(Debug)]
+enum Running {
+    Threads(host::Handle),
+    Process(Child),
+    Ended,
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct Host {
+    /// Its settings.
+    pub settings: Settings,
+    running: Running,
+}
+
+/// A running deployment. What it started ends with it.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The store.
+    pub store: serve::Handle,
+    /// The configuration in force.
+    pub state: State,
+    /// Backend servers that run.
+    pub servers: Vec<backend::Handle>,
+    /// Hosts, by name.
+    pub hosts: BTreeMap<HostId, Host>,
+    plan: Plan,
+    lives: u32,
+    /// What servers ran that have ended.
+    runs: Vec<backend::Run>,
+    /// Settings and logs of hosts that are processes.
+    folder: Option<PathBuf>,
+}
+
+impl Deployment {
+    /// Starts everything, and waits until each host serves and every key has an owner.
+    pub async fn spawn(plan: Plan, files: &Snapshot) -> Result<Self, Error> {
+        let state = accept(files)?;
+        let store = serve::spawn(LOOPBACK, PARTITIONS).await?;
+        let folder = plan.program.as_ref().map(|_| {
+            std::env::temp_dir().join(format!(
+                "jacinthbeam-{}-{}",
+                std::process::id(),
+                store.addr().port()
+            ))
+        });
+        if let Some(folder) = &folder {
+            fs::create_dir_all(folder)?;
+        }
+        let mut deployment = Self {
+            store,
+            state,
+            servers: Vec::new(),
+            hosts: BTreeMap::new(),
+            plan,
+            lives: 0,
+            runs: Vec::new(),
+            folder,
+        };
+        deployment.publish().await?;
+        deployment.spawn_servers().await?;
+        for domain in deployment.plan.domains.clone() {
+            for n in 1..=deployment.plan.hosts {
+                deployment.spawn_host(&format!("{domain}-{n}"), &domain)?;
+            }
+        }
+        deployment.await_ready().await?;
+        Ok(deployment)
+    }
+
+    async fn publish(&self) -> Result<(), Error> {
+        let client = Client::open(self.store.addr(), native::wire().store, Arc::new(SystemClock));
+        let value = Bytes::from(native::config::write(&self.state));
+        let key = PLACES.config_key.to_owned();
+        let call = Call::Put { to: (PLACES.operator)(), key, value, only_at: None };
+        let kept = client.lane().call(&call).await;
+        kept.map(drop).map_err(|err| Error::Config(err.to_string()))
+    }
+
+    async fn spawn_servers(&mut self) -> Result<(), Error> {
+        let services: Vec<ServiceName> = self.state.config().services.keys().cloned().collect();
+        for service in services {
+            for domain in self.plan.domains.clone() {
+                for _ in 0..self.plan.servers {
+                    self.spawn_server(&service, &domain).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts one more backend server, as a life of its own.
+    pub async fn spawn_server(
+        &mut self,
+        service: &ServiceName,
+        domain: &FailureDomain,
+    ) -> Result<(), Error> {
+        self.lives += 1;
+        let id = format!("{service}-{}", self.lives);
+        let options = backend::Options {
+            id: id.parse().expect("a service's name and a number make a name"),
+            service: service.clone(),
+            domain: domain.clone(),
+            keyed: self.state.config().services[service].keyed,
+            slots: self.plan.slots,
+            work: self.plan.work,
+        };
+        self.servers.push(backend::spawn(LOOPBACK, self.store.addr(), options).await?);
+        Ok(())
+    }
+
+    fn spawn_host(&mut self, name: &str, domain: &FailureDomain) -> Result<(), Error> {
+        let ports = free_ports::<4>()?;
+        let text = |err: &dyn fmt::Display| Error::Host(err.to_string());
+        let settings = Settings {
+            host: name.parse().map_err(|err| text(&err))?,
+            domain: domain.clone(),
+            callers: ports[0],
+            ready: ports[1],
+            peers: ports[2],
+            metrics: ports[3],
+            store: self.store.addr(),
+            partitions: PARTITIONS,
+            repeats: jacinthbeam::dispatch::budget::Options {
+                ratio: native::settings::DEFAULT_REPEAT_RATIO,
+                burst: native::settings::DEFAULT_REPEAT_BURST,
+                window: native::settings::DEFAULT_REPEAT_WINDOW,
+            },
+            drain_within: native::settings::DEFAULT_DRAIN,
+            stop_within: native::settings::DEFAULT_STOP,
+        };
+        let running = self.start(&settings)?;
+        self.hosts.insert(settings.host.clone(), Host { settings, running });
+        Ok(())
+    }
+
+    fn start(&self, settings: &Settings) -> Result<Running, Error> {
+        let (Some((program, args)), Some(folder)) = (&self.plan.program, &self.folder) else {
+            let handle = host::spawn(settings.clone(), native::wire());
+            return handle.map(Running::Threads).map_err(|err| Error::Host(err.to_string()));
+        };
+        let path = folder.join(format!("{}.json", settings.host));
+        fs::write(&path, native::settings::write(settings))?;
+        let log = folder.join(format!("{}.log", settings.host));
+        let log = fs::File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .arg("--settings")
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        Ok(Running::Process(child))
+    }
+
+    /// Starts a host again that has ended.
+    pub fn restart(&mut self, host: &HostId) -> Result<(), Error> {
+        let settings = self.hosts[host].settings.clone();
+        let running = self.start(&settings)?;
+        self.hosts.get_mut(host).expect("it was just found").running = running;
+        Ok(())
+    }
+
+    /// Ends a backend server without a word. What it ran is kept.
+    pub fn retire(&mut self, at: usize) {
+        let server = self.servers.remove(at);
+        self.runs.extend(server.take_runs());
+    }
+
+    /// Everything that backend servers ran so far.
+    pub fn take_runs(&mut self) -> Vec<backend::Run> {
+        let mut runs = std::mem::take(&mut self.runs);
+        runs.extend(self.servers.iter().flat_map(|server| server.take_runs()));
+        runs
+    }
+
+    /// Folder with settings and logs of the hosts, if they are processes.
+    pub fn folder(&self) -> Option<&PathBuf> {
+        self.folder.as_ref()
+    }
+
+    async fn await_ready(&self) -> Result<(), Error> {
+        let end = Instant::now() + READY_WITHIN;
+        loop {
+            let Some(missing) = self.missing().await else { return Ok(()) };
+            if Instant::now() >= end {
+                return Err(Error::NotReady(missing));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// What is not served yet.
+    async fn missing(&self) -> Option<String> {
+        for (name, host) in &self.hosts {
+            if !crate::load::is_ready(host.settings.ready).await {
+                return Some(format!("host {name} takes no callers"));
+            }
+        }
+        let services = self.state.config().services.iter();
+        let keyed = services.filter(|(_, service)| service.keyed);
+        for (service, _) in keyed {
+            let of = self.servers.iter().filter(|server| server.options.service == *service);
+            let held: u32 = of.flat_map(|server| server.holds()).map(|(r, _)| r.width()).sum();
+            if held < jacinthbeam::range::key::KEYS {
+                return Some(format!("{held} keys of {service} have an owner"));
+            }
+        }
+        None
+    }
+
+    /// Tells all hosts to stop, and waits for their end.
+    pub async fn stop(mut self) {
+        for host in self.hosts.values_mut() {
+            host.tell_to_stop();
+        }
+        for host in self.hosts.values_mut() {
+            host.join().await;
+        }
+        if let Some(folder) = &self.folder
+            && let Err(err) = fs::remove_dir_all(folder)
+        {
+            eprintln!("{} can't be removed: {err}", folder.display());
+        }
+    }
+}
+
+impl Host {
+    /// Asks it to stop, as a platform does.
+    pub fn tell_to_stop(&mut self) {
+        match &self.running {
+            Running::Threads(handle) => handle.stop(),
+            Running::Process(child) => signal(child, Signal::TERM),
+            Running::Ended => {}
+        }
+    }
+
+    /// Ends it without a word. Only a process can end like that; threads are told to stop.
+    pub async fn kill(&mut self) {
+        if let Running::Process(child) = &self.running {
+            signal(child, Signal::KILL);
+        } else {
+            self.tell_to_stop();
+        }
+        self.join().await;
+    }
+
+    /// Makes a process stand still, or go on.
+    pub fn freeze(&mut self, frozen: bool) {
+        if let Running::Process(child) = &self.running {
+            signal(child, if frozen { Signal::STOP } else { Signal::CONT });
+        }
+    }
+
+    /// Waits for its end.
+    pub async fn join(&mut self) {
+        let ended = match std::mem::replace(&mut self.running, Running::Ended) {
+            Running::Threads(handle) => tokio::task::spawn_blocking(|| handle.join()).await,
+            Running::Process(mut child) => {
+                tokio::task::spawn_blocking(move || drop(child.wait())).await
+            }
+            Running::Ended => Ok(()),
+        };
+        if let Err(err) = ended {
+            eprintln!("{} can't be waited for: {err}", self.settings.host);
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        match &mut self.running {
+            Running::Threads(handle) => handle.stop(),
+            Running::Process(child) => {
+                signal(child, Signal::KILL);
+                // Its id must not stay taken for as long as this process lives.
+                let _ = child.wait();
+            }
+            Running::Ended => {}
+        }
+    }
+}
+
+/// Sends a signal to a process that this one started and has not waited for, so that the id is still its own.
+fn signal(child: &Child, signal: Signal) {
+    let pid = Pid::from_raw(child.id() as i32).expect("the id of a process is above 0");
+    if let Err(err) = kill_process(pid, signal) {
+        eprintln!("process {} gets no signal: {err}", child.id());
+    }
+}
+
+fn accept(files: &Snapshot) -> Result<State, Error> {
+    let change = |(name, text): (&jacinthbeam::config::FileName, &String)| FileChange {
+        name: name.clone(),
+        base: Default::default(),
+        text: Some(text.clone()),
+    };
+    let change = Change { files: files.files.iter().map(change).collect() };
+    let mut state = State::default();
+    match state.apply(Offset(1), &change) {
+        Outcome::Accepted(_) => Ok(state),
+        Outcome::Conflict(names) => Err(Error::Config(format!("{names:?} clash"))),
+        Outcome::Invalid(problems) => {
+            let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            Err(Error::Config(lines.join("\n")))
+        }
+    }
+}
+
+/// Ports that nobody listens at now.
+fn free_ports<const N: usize>() -> io::Result<[SocketAddr; N]> {
+    let listeners: Vec<TcpListener> =
+        (0..N).map(|_| TcpListener::bind(LOOPBACK)).collect::<Result<_, _>>()?;
+    let mut addrs = [LOOPBACK; N];
+    for (addr, listener) in addrs.iter_mut().zip(&listeners) {
+        *addr = listener.local_addr()?;
+    }
+    Ok(addrs)
+}
--- /dev/null
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -0,0 +1,134 @@
+//! Settings of a host's process: one file of JSON with comments.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jacinthbeam_config::{
+    document::{self, Fields, Value, read},
+    problem::Problem,
+};
+use jacinthbeam_dispatch::budget;
+use jacinthbeam_host::Settings;
+
+/// Partitions of a topic in the store, unless set: enough that the duties of a dozen services fall to different hosts.
+pub const DEFAULT_PARTITIONS: u32 = 12;
+/// Repeats allowed for each request, unless set.
+pub const DEFAULT_REPEAT_RATIO: f64 = 0.2;
+/// Repeats allowed besides in each window, unless set.
+pub const DEFAULT_REPEAT_BURST: f64 = 64.0;
+/// The window, unless set.
+pub const DEFAULT_REPEAT_WINDOW: Duration = Duration::from_secs(10);
+/// Time in which a leaving backend server must stop to get requests, unless set.
+pub const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
+/// Time between a request to stop and the forced end, unless set.
+pub const DEFAULT_STOP: Duration = Duration::from_secs(6);
+
+const MAX_PARTITIONS: u32 = 4096;
+const MAX_BURST: f64 = 1e6;
+const MAX_MS: u64 = 600_000;
+
+/// Parses and checks the settings in `text`; `file` names it in problems.
+pub fn read(file: &str, text: &str) -> Result<Settings, Vec<Problem>> {
+    let node = document::parse(Arc::from(file), text)?;
+    let mut fields = Fields::of(&node, "");
+    let settings = settings(&mut fields);
+    let problems = fields.finish();
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(problems),
+    }
+}
+
+fn settings(fields: &mut Fields<'_>) -> Option<Settings> {
+    let host = fields.required("host", "the name of this host", read::text);
+    let domain = fields.required("domain", "the failure domain of this host", read::text);
+    let callers = address(fields, "callers");
+    let ready = address(fields, "ready");
+    let peers = address(fields, "peers");
+    let operators = address(fields, "operators");
+    let store = address(fields, "store");
+    let partitions = fields.or("partitions", DEFAULT_PARTITIONS, read::whole(1..=MAX_PARTITIONS));
+    let repeats = fields.object("repeats", repeats_default(), repeats);
+    let time = read::millis(1..=MAX_MS);
+    let drain_within = fields.or("drain_within_ms", DEFAULT_DRAIN, &time);
+    let stop_within = fields.or("stop_within_ms", DEFAULT_STOP, &time);
+    for (name, addr) in [("peers", peers), ("store", store)] {
+        if addr.is_some_and(|addr| addr.ip().is_unspecified()) {
+            let remedy = "give the IP number of one host";
+            fields.unfit(name, "others can't connect to this address", remedy);
+        }
+    }
+    let listen =
+        [("callers", callers), ("ready", ready), ("peers", peers), ("operators", operators)];
+    for (at, (name, addr)) in listen.iter().enumerate() {
+        let other = listen[..at].iter().find(|(_, other)| other.is_some() && other == addr);
+        if let Some((other, _)) = other {
+            let what = format!("the address is used for `{other}` too");
+            fields.unfit(name, what, "give each its own port");
+        }
+    }
+    Some(Settings {
+        host: host?,
+        domain: domain?,
+        callers: callers?,
+        ready: ready?,
+        peers: peers?,
+        metrics: operators?,
+        store: store?,
+        partitions,
+        repeats,
+        drain_within,
+        stop_within,
+    })
+}
+
+fn repeats_default() -> budget::Options {
+    budget::Options {
+        ratio: DEFAULT_REPEAT_RATIO,
+        burst: DEFAULT_REPEAT_BURST,
+        window: DEFAULT_REPEAT_WINDOW,
+    }
+}
+
+fn repeats(fields: &mut Fields<'_>) -> budget::Options {
+    let default = repeats_default();
+    budget::Options {
+        ratio: fields.or("ratio", default.ratio, read::number(0.0..=1.0)),
+        burst: fields.or("burst", default.burst, read::number(0.0..=MAX_BURST)),
+        window: fields.or("window_ms", default.window, read::millis(1..=MAX_MS)),
+    }
+}
+
+fn address(fields: &mut Fields<'_>, name: &'static str) -> Option<SocketAddr> {
+    fields.required(name, "an address such as \"10.0.0.7:8080\"", |value| match value {
+        Value::Text(text) => text.parse().map_err(|_| expected()),
+        _ => Err(expected()),
+    })
+}
+
+fn expected() -> String {
+    "an IP number and a port, such as \"10.0.0.7:8080\"".into()
+}
+
+/// The file of these settings, as [`read`] takes it.
+pub fn write(settings: &Settings) -> String {
+    let text = |value: &dyn std::fmt::Display| serde_json::Value::from(value.to_string());
+    let millis = |time: Duration| serde_json::Value::from(time.as_millis() as u64);
+    let file = serde_json::json!({
+        "host": text(&settings.host),
+        "domain": text(&settings.domain),
+        "callers": text(&settings.callers),
+        "ready": text(&settings.ready),
+        "peers": text(&settings.peers),
+        "operators": text(&settings.metrics),
+        "store": text(&settings.store),
+        "partitions": settings.partitions,
+        "repeats": {
+            "ratio": settings.repeats.ratio,
+            "burst": settings.repeats.burst,
+            "window_ms": millis(settings.repeats.window),
+        },
+        "drain_within_ms": millis(settings.drain_within),
+        "stop_within_ms": millis(settings.stop_within),
+    });
+    format!("{file:#}\n")
+}
--- a/crates/jacinthbeam-route/src/config.rs
+++ b/crates/jacinthbeam-route/src/config.rs
@@ -8,7 +8,7 @@
 use crate::{Routes, Target};
 
 /// Everything that one version says.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Versions only ever rise on a host.
     pub version: ConfigVersion,
@@ -23,6 +23,8 @@
 /// A service: a set of backend servers that do the same work.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
+    /// The team that its use is counted against; `None` where the configuration names none.
+    pub team: Option<TeamName>,
     /// Path at which a backend server answers whether it is well.
     pub health_path: String,
     /// Connections that one backend server accepts from all hosts together.
@@ -46,6 +48,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: 16 << 10,
+            body: 1 << 20,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
 /// Why a configuration can't be followed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
--- a/crates/jacinthbeam-route/src/lib.rs
+++ b/crates/jacinthbeam-route/src/lib.rs
@@ -9,5 +9,5 @@
 pub mod server;
 
 pub use config::{Config, Limits, Service};
-pub use route::{Part, Route, Routes, Target};
+pub use route::{ANY_HOST, Part, Route, Routes, Target};
 pub use server::{Server, Servers};
--- a/crates/jacinthbeam-route/src/route.rs
+++ b/crates/jacinthbeam-route/src/route.rs
@@ -55,6 +55,9 @@
     }
 }
 
+/// Stands for every host that has no route of its own for a path.
+pub const ANY_HOST: &str = "*";
+
 /// All routes of a configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Routes {
@@ -73,8 +76,12 @@
     /// The route with the longest prefix that begins `path`. `host` may carry a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let routes = self.by_host.get(&name.to_ascii_lowercase())?;
-        routes.iter().find(|route| path.starts_with(&route.prefix))
+        self.of_host(&name.to_ascii_lowercase(), path).or_else(|| self.of_host(ANY_HOST, path))
+    }
+
+    fn of_host(&self, name: &str, path: &str) -> Option<&Arc<Route>> {
+        let mut routes = self.by_host.get(name)?.iter();
+        routes.find(|route| path.starts_with(&route.prefix))
     }
 
     /// All routes.
--- a/crates/jacinthbeam-store/src/call.rs
+++ b/crates/jacinthbeam-store/src/call.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use jacinthbeam_types::prelude::Offset;
+use serde::{Deserialize, Serialize};
 
 /// One partition of a topic.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Partition {
     /// Name of the topic.
     pub topic: String,
@@ -22,7 +23,7 @@
 }
 
 /// One call.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Adds a record under a key to a keyed partition.
     Put {
@@ -74,7 +75,7 @@
 }
 
 /// The answer to a call that succeeded.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// To [`Call::Put`]: the partition's end after the record.
     Kept(Offset),
@@ -99,7 +100,7 @@
 }
 
 /// A page of the newest records.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// Ascending by key.
     pub items: Vec<Item>,
@@ -110,7 +111,7 @@
 }
 
 /// The newest record of one key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: String,
@@ -121,7 +122,7 @@
 }
 
 /// A partition that a member of a group holds.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Share {
     /// The partition.
     pub partition: Partition,
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -125,7 +125,7 @@
 }
 
 name! {
-    /// A service that callers address, as named in the configuration.
+    /// A service that routes lead to, as named in the configuration.
     ServiceName
 }
 name! {
@@ -133,52 +133,27 @@
     TeamName
 }
 name! {
-    /// An entry host, stable across restarts of its process.
+    /// A host of the system, stable across restarts of its process.
     HostId
 }
 name! {
-    /// A backend server, stable across its restarts.
+    /// One life of a backend server: it has another id after a restart.
     ServerId
 }
 name! {
     /// A failure domain of the platform.
     FailureDomain
 }
-name! {
-    /// A group of entry hosts and backend servers of one failure domain that attend each other.
-    ///
-    /// Written `<failure domain>` where the domain has one cell, else `<failure domain>:<n>`.
-    /// Heartbeats stay inside a cell, so the cost of membership per host is bounded by the size of
-    /// the cell and not by that of the fleet.
-    CellId
-}
-name! {
-    /// The caller's own name for one effect it wants at most once.
-    IdempotencyKey
-}
-
-impl CellId {
-    /// The failure domain that the cell lies in.
-    pub fn failure_domain(&self) -> FailureDomain {
-        let domain = self.as_str().split(':').next().unwrap_or_default();
-        FailureDomain(domain.into())
-    }
-}
-
 number! {
     /// One life of a process. Drawn at its start so that no two lives share it.
     Incarnation(u64)
 }
 number! {
-    /// One share of a service's keys. Numbers from the service's slot count upward are hot keys split out.
-    SlotId(u32)
-}
-number! {
-    /// Counts the changes of one fact in the log; a record based on an older epoch is void.
+    /// Counts the processes that granted the keys of a service, one after the other.
     Epoch(u64)
 }
 number! {
-    /// Position of a record in a stream of the platform's log.
+    /// Position of a record in a partition of the platform's store.
     Offset(u64)
 }
 number! {
@@ -186,45 +161,6 @@
     Token(u64)
 }
 number! {
-    /// Number of an accepted configuration: the offset of the record that completed it.
+    /// Number of an accepted configuration; rises with each.
     ConfigVersion(u64)
 }
-
-/// Names one request of one process life, on every host it passes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestId {
-    /// The process that received the request from the caller.
-    pub incarnation: Incarnation,
-    /// Counts up within that process.
-    pub sequence: u64,
-}
-
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}-{}", self.incarnation, self.sequence)
-    }
-}
-
-/// A request id is two decimal numbers joined by `-`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RequestIdError;
-
-impl fmt::Display for RequestIdError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a request id is written <incarnation>-<sequence>")
-    }
-}
-
-impl std::error::Error for RequestIdError {}
-
-impl FromStr for RequestId {
-    type Err = RequestIdError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (incarnation, sequence) = text.split_once('-').ok_or(RequestIdError)?;
-        Ok(Self {
-            incarnation: incarnation.parse().map_err(|_| RequestIdError)?,
-            sequence: sequence.parse().map_err(|_| RequestIdError)?,
-        })
-    }
-}
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -3,10 +3,10 @@
 pub use crate::{
     clock::{Clock, SystemClock},
     id::{
-        CellId, ConfigVersion, Epoch, FailureDomain, HostId, IdempotencyKey, Incarnation, Offset,
-        RequestId, ServerId, ServiceName, SlotId, TeamName, Token,
+        ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, ServerId, ServiceName,
+        TeamName, Token,
     },
     key::KeyHash,
-    size::{Bytes, Rate},
+    size::Bytes,
     verdict::{Reason, Refusal, Verdict},
 };
--- a/crates/jacinthbeam-types/src/size.rs
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -1,4 +1,4 @@
-//! Sizes and rates with their units.
+//! Sizes with their units.
 
 use std::{fmt, str::FromStr};
 
@@ -8,17 +8,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Bytes(pub u64);
 
-/// Events a second.
-#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
-pub struct Rate(pub f64);
-
-/// The text is no size or rate.
+/// The text is no size.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseError(String);
 
 impl fmt::Display for ParseError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} is no number with an optional unit (KiB, MiB, GiB or /s)", self.0)
+        write!(f, "{:?} is no number with an optional unit (KiB, MiB or GiB)", self.0)
     }
 }
 
@@ -49,18 +45,3 @@
         number.checked_mul(factor).map(Self).ok_or_else(err)
     }
 }
-
-impl fmt::Display for Rate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/s", self.0)
-    }
-}
-
-impl FromStr for Rate {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let number = text.strip_suffix("/s").unwrap_or(text);
-        number.trim().parse().map(Self).map_err(|_| ParseError(text.into()))
-    }
-}
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -19,7 +19,7 @@
     /// All verdicts, weakest claim about an effect first.
     pub const ALL: [Self; 3] = [Self::NotRun, Self::MayHaveRun, Self::Ran];
 
-    /// The text used in the response header and in usage records.
+    /// The text used in headers and logs.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotRun => "not-run",
@@ -60,69 +60,39 @@
 pub enum Reason {
     /// The request itself is malformed or names no key, or its limits are exceeded.
     BadRequest,
-    /// No service of that name is configured.
+    /// No route is configured for the request.
     UnknownService,
-    /// The entry host has not yet read a configuration.
+    /// The host has not yet read a configuration.
     NoConfiguration,
-    /// No backend server owns the slot at present.
+    /// No backend server owns the key at present.
     NoOwner,
-    /// The slot is being moved to another backend server.
+    /// The key is being moved to another backend server.
     Moving,
-    /// The host that was asked does not attend the owner.
-    NotAttendant,
-    /// The attendant holds no valid lease for the owner at present.
-    NoLease,
-    /// The attendant of the owner can't be reached from here.
+    /// The owner can't be reached from here.
     Unreachable,
-    /// The queue of the owner is full, or the request can't be served within its deadline.
+    /// Backend servers have no room, or can't answer in time.
     Overloaded,
     /// The deadline passed.
     DeadlinePassed,
-    /// The caller went away.
-    Cancelled,
     /// The backend server refused it before running it.
     RefusedByServer,
-    /// The connection to the backend server or to the attendant broke or went silent.
+    /// The connection to the backend server broke or went silent.
     ConnectionLost,
-    /// The answer was cut short.
-    AnswerCut,
-    /// The idempotency key was used before with another body.
-    KeyReused,
-    /// An earlier request with this idempotency key is still in progress.
-    InProgress,
-    /// Memory of requests with this idempotency key may have been lost.
-    MemoryLost,
-    /// The entry host is stopping.
-    Stopping,
-    /// A peer speaks another version of the protocol or sent garbage.
-    PeerProtocol,
-    /// No second host holds what is remembered of idempotency keys at present, or it is still being gathered.
-    NoCopy,
 }
 
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::BadRequest => "the request is malformed",
-            Self::UnknownService => "no such service is configured",
+            Self::UnknownService => "no route is configured for the request",
             Self::NoConfiguration => "this host has read no configuration yet",
             Self::NoOwner => "no backend server owns the key at present",
             Self::Moving => "the key is being moved to another backend server",
-            Self::NotAttendant => "the host asked does not attend the owner of the key",
-            Self::NoLease => "the owner of the key holds no valid lease at present",
-            Self::Unreachable => "the owner of the key can't be reached from here",
-            Self::Overloaded => "the owner of the key has no capacity left within the deadline",
+            Self::Unreachable => "the backend server can't be reached from here",
+            Self::Overloaded => "no backend server has room for the request at present",
             Self::DeadlinePassed => "the deadline passed",
-            Self::Cancelled => "the caller went away",
             Self::RefusedByServer => "the backend server refused the request before running it",
             Self::ConnectionLost => "the connection was lost before the answer arrived",
-            Self::AnswerCut => "the answer was cut short",
-            Self::KeyReused => "the idempotency key was used before with another request",
-            Self::InProgress => "an earlier request with this idempotency key is still in progress",
-            Self::MemoryLost => "an earlier request with this idempotency key may have run",
-            Self::Stopping => "this host is stopping",
-            Self::PeerProtocol => "a peer did not keep to the protocol",
-            Self::NoCopy => "no second host keeps the memory of idempotency keys at present",
         })
     }
 }
