--- a/crates/jacinthbeam-dispatch/src/budget.rs
+++ b/crates/jacinthbeam-dispatch/src/budget.rs
@@ -71,17 +71,21 @@
 
     /// Takes one repeat out of the budget, if there is one.
     pub fn take(&mut self, now: Instant) -> bool {
-        self.part(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let allowed = self.options.ratio * f64::from(requests) + self.fixed();
-        let may = f64::from(repeats) + 1.0 <= allowed;
+        let may = self.left(now) >= 1.0;
         if may {
             self.part(now).repeats += 1;
         }
         may
     }
 
+    /// Repeats that are left now.
+    pub fn left(&mut self, now: Instant) -> f64 {
+        self.part(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        self.options.ratio * f64::from(requests) + self.fixed() - f64::from(repeats)
+    }
+
     fn part(&mut self, now: Instant) -> &mut Part {
         let length = self.options.window / PARTS;
         let keep = self.options.window + length;
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -29,6 +29,10 @@
 
 /// The list of backend servers counts as settled when it has not changed for this long: they all start within a second.
 const SETTLED_AFTER: Duration = Duration::from_millis(1500);
+
+/// Pause between two notes for the metrics.
+const NOTE_EVERY: Duration = Duration::from_secs(1);
+
 impl Control {
     pub(super) fn meet_services(&mut self) {
         let Some(cfg) = self.known.config().cloned() else { return };
@@ -127,6 +131,8 @@
                     partition.take_own(service.clone(), at, end, map.clone());
                 }
                 self.step(service, Event::Recorded { asked });
+                let moved = self.known.map(service).map_or(0, |known| map.moved_since(known));
+                self.counters.on_moved(service, moved);
                 let maps = self.known.take_map(service.clone(), map);
                 self.on_changed(Changed { maps, ..Changed::default() });
             }
@@ -147,11 +153,35 @@
         for service in services {
             self.step(&service, event.clone());
         }
+        self.note_owners();
         let leading = self.granting.values().filter(|granting| granting.grantor.leads()).count();
         self.counters.leads.record(leading as u64, &[]);
         self.open_gates();
     }
 
+    /// Notes for the metrics how old what is known is, and who owns keys. Once a second is enough for whoever reads them.
+    fn note_owners(&mut self) {
+        let now = self.clock.now();
+        let since = self.noted.map(|at| now.saturating_duration_since(at));
+        if since.is_some_and(|since| since < NOTE_EVERY) {
+            return;
+        }
+        self.noted = Some(now);
+        let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
+        for (what, at) in [("store", self.heard.get()), ("operator", self.heard_operator)] {
+            age(at).into_iter().for_each(|age| self.counters.on_known(what, age));
+        }
+        for (service, granting) in &self.granting {
+            if let Some(map) = self.known.map(service) {
+                let since = since.unwrap_or_default();
+                self.counters.on_owners(service, map.unowned_keys(), since);
+            }
+            if let Some(proof_age) = granting.grantor.proof_age(now) {
+                self.counters.on_leading(service, proof_age, granting.grantor.imbalance());
+            }
+        }
+    }
+
     /// A partition of maps is read by hosts that read the store for others, and by those that may have to write it.
     pub(super) fn open_gates(&self) {
         let direct = *self.direct.borrow();
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use jacinthbeam_range::{Event, Grantor, Leader, grantor::timing::REST};
-use jacinthbeam_store::{Call, Client, Item, Lane, Partition, keyed::Changes};
+use jacinthbeam_store::{Call, Client, Item, Lane, Observer, Partition, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 use tokio::{net::UdpSocket, sync::watch, task::spawn_local};
 
@@ -56,6 +56,8 @@
     pub(super) gates: watch::Sender<Gates>,
     /// When gates were last told.
     pub(super) gated: Option<Instant>,
+    /// When ages and owners were last noted for the metrics.
+    pub(super) noted: Option<Instant>,
     /// Datagrams to other hosts go out here.
     pub(super) socket: Rc<UdpSocket>,
     pub(super) tx: Tx,
@@ -80,7 +82,7 @@
         let Start { settings, wire, clock, counters, incarnation, view, gates, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         Self {
-            store: Client::open(settings.store, wire.store, clock.clone()),
+            store: open_store(&settings, wire, clock.clone(), counters.clone()),
             caller: Caller::new(wire, clock.clone(), tx.clone()),
             settings,
             wire,
@@ -90,6 +92,7 @@
             view,
             gates,
             gated: None,
+            noted: None,
             socket,
             tx,
             known: Known::default(),
@@ -295,6 +298,16 @@
     }
 }
 
+fn open_store(
+    settings: &Settings,
+    wire: Wire,
+    clock: Arc<dyn Clock>,
+    counters: Arc<Counters>,
+) -> Client {
+    let observer = Observer::new(move |call, err| counters.on_store_call(call, err));
+    Client::open(settings.store, wire.store, clock).observed(observer)
+}
+
 /// Says in the store where this host is, until that is kept.
 async fn announce(lane: Lane, to: Partition, host: HostId, entry: HostEntry) {
     let mut backoff = jacinthbeam_store::Backoff::new(Duration::from_millis(200), REST);
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -88,6 +88,11 @@
         self.servers_changed
     }
 
+    /// The newest ownership map of a service.
+    pub fn map(&self, service: &ServiceName) -> Option<&Map> {
+        self.maps.get(service).map(|map| &**map)
+    }
+
     /// The hosts and where they are.
     pub fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use jacinthbeam_range::Event;
-use jacinthbeam_store::Error;
+use jacinthbeam_store::{Call, Error};
 use jacinthbeam_types::prelude::*;
 use opentelemetry::{
     KeyValue,
@@ -12,6 +12,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::request::send::Sent;
+
 /// Bounds of the time buckets in seconds, around the objectives of callers.
 const SECONDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
 
@@ -33,8 +35,30 @@
     records: Counter<u64>,
     /// Rounds of grants and releases, by outcome.
     grants: Counter<u64>,
-    /// Whether this process grants keys.
+    /// Keyed services whose keys this process grants.
     pub leads: Gauge<u64>,
+    /// Requests sent to backend servers, by what became of them there.
+    sends: Counter<u64>,
+    /// Repeats that the budget allowed or refused, by service.
+    repeats: Counter<u64>,
+    /// Repeats left in this host's share of the budget, by service.
+    repeats_left: Gauge<f64>,
+    /// Time that requests waited for a key to get an owner.
+    waits: Histogram<f64>,
+    /// Calls to the store, by kind and outcome.
+    store_calls: Counter<u64>,
+    /// Time since the last word of the store, by what it was about.
+    known_age: Gauge<f64>,
+    /// For the granting host, time since the store confirmed its right, by service.
+    proof_age: Gauge<f64>,
+    /// Keys without an owner, by service.
+    unowned: Gauge<u64>,
+    /// Keys without an owner, added up over time: the unavailable time of all keys together.
+    unowned_seconds: Counter<f64>,
+    /// Keys that were given another owner by this process, by service.
+    moved: Counter<u64>,
+    /// For the granting host, requests of the busiest owner over the mean of all, by service.
+    imbalance: Gauge<f64>,
 }
 
 impl Counters {
@@ -49,15 +73,29 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("jacinthbeam");
         let count = |name: &'static str| meter.u64_counter(name).build();
-        let latency = meter.f64_histogram("jacinthbeam_answer_seconds");
+        let gauge = |name: &'static str| meter.f64_gauge(name).build();
+        let seconds = |name: &'static str| {
+            meter.f64_histogram(name).with_boundaries(SECONDS.to_vec()).build()
+        };
         Arc::new(Self {
             bad_requests: count("jacinthbeam_bad_requests"),
             answers: count("jacinthbeam_answers"),
-            latency: latency.with_boundaries(SECONDS.to_vec()).build(),
+            latency: seconds("jacinthbeam_answer_seconds"),
             refusals: count("jacinthbeam_refusals"),
             records: count("jacinthbeam_records"),
             grants: count("jacinthbeam_grants"),
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
+            sends: count("jacinthbeam_sends"),
+            repeats: count("jacinthbeam_repeats"),
+            repeats_left: gauge("jacinthbeam_repeats_left"),
+            waits: seconds("jacinthbeam_wait_seconds"),
+            store_calls: count("jacinthbeam_store_calls"),
+            known_age: gauge("jacinthbeam_known_age_seconds"),
+            proof_age: gauge("jacinthbeam_proof_age_seconds"),
+            unowned: meter.u64_gauge("jacinthbeam_unowned_keys").build(),
+            unowned_seconds: meter.f64_counter("jacinthbeam_unowned_key_seconds").build(),
+            moved: count("jacinthbeam_moved_keys"),
+            imbalance: gauge("jacinthbeam_imbalance"),
             registry,
             _provider: provider,
         })
@@ -76,6 +114,62 @@
         self.refusals.add(1, &[verdict, reason]);
     }
 
+    /// Counts a request that was at a backend server.
+    pub fn on_sent(&self, sent: &Sent) {
+        let outcome = match sent {
+            Sent::Answered { good: true, .. } => "answered".to_owned(),
+            Sent::Answered { good: false, .. } => "failed".to_owned(),
+            Sent::NotRun(why) => format!("not-run:{why:?}"),
+            Sent::Lost(why) => format!("may-have-run:{why:?}"),
+        };
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a repeat that was asked of the budget.
+    pub fn on_repeat(&self, service: &ServiceName, allowed: bool, left: f64) {
+        let of = of(service);
+        self.repeats.add(1, &[of.clone(), KeyValue::new("allowed", allowed)]);
+        self.repeats_left.record(left, &[of]);
+    }
+
+    /// Notes how long a request waited for an owner.
+    pub fn on_wait(&self, took: Duration) {
+        self.waits.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to the store.
+    pub fn on_store_call(&self, call: &Call, err: Option<&Error>) {
+        let outcome = err.map_or("done", Error::kind);
+        let labels = [KeyValue::new("kind", call.kind()), KeyValue::new("outcome", outcome)];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Notes how old a part of what is known is.
+    pub fn on_known(&self, what: &'static str, age: Duration) {
+        self.known_age.record(age.as_secs_f64(), &[KeyValue::new("what", what)]);
+    }
+
+    /// Notes who owns the keys of a service, for the time since the last note.
+    pub fn on_owners(&self, service: &ServiceName, unowned: u32, since: Duration) {
+        let of = [of(service)];
+        self.unowned.record(u64::from(unowned), &of);
+        self.unowned_seconds.add(f64::from(unowned) * since.as_secs_f64(), &of);
+    }
+
+    /// Notes what the granting host knows of a service's keys.
+    pub fn on_leading(&self, service: &ServiceName, proof_age: Duration, imbalance: Option<f64>) {
+        let of = [of(service)];
+        self.proof_age.record(proof_age.as_secs_f64(), &of);
+        if let Some(imbalance) = imbalance {
+            self.imbalance.record(imbalance, &of);
+        }
+    }
+
+    /// Counts keys that a record gave to another owner.
+    pub fn on_moved(&self, service: &ServiceName, keys: u32) {
+        self.moved.add(u64::from(keys), &[of(service)]);
+    }
+
     /// Counts a record of owners that was kept, or not.
     pub fn on_record(&self, err: Option<&Error>) {
         let outcome = match err {
@@ -108,3 +202,7 @@
         }
     }
 }
+
+fn of(service: &ServiceName) -> KeyValue {
+    KeyValue::new("service", service.to_string())
+}
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -60,7 +60,7 @@
             version: map.version,
             leader: map.leader.as_ref().map(|leader| leader.host.clone()),
             ranges: map.held().len(),
-            unowned: unowned(map),
+            unowned: map.unowned_keys(),
         });
         let servers = view.servers.of(name).count();
         (name.clone(), Service { team: service.team.clone(), servers, keys })
@@ -74,8 +74,3 @@
         services: services.collect(),
     }
 }
-
-fn unowned(map: &jacinthbeam_range::Map) -> u32 {
-    let free = map.held().iter().filter(|held| held.owner.is_none());
-    free.map(|held| held.range.width()).sum()
-}
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -210,7 +210,12 @@
 
     /// Whether one more repeat is within the budget; takes it if so.
     pub fn may_repeat(&self, service: &ServiceName, hosts: u32) -> bool {
-        self.with_budget(service, hosts, Budget::take)
+        let (may, left) = self.with_budget(service, hosts, |budget, now| {
+            let may = budget.take(now);
+            (may, budget.left(now))
+        });
+        self.counters.on_repeat(service, may, left);
+        may
     }
 
     fn with_budget<R>(
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -208,7 +208,9 @@
         let server = match find_server(&job, &view, &tried) {
             Some(server) => server,
             None if sends == 0 && job.keyed && job.may_wait(AWAIT_OWNER) => {
+                let begun = job.traffic.now();
                 job.traffic.view_changed(job.wait_left(AWAIT_OWNER)).await;
+                job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
                 continue;
             }
             None => return give_up(&job, last, &tried),
@@ -218,6 +220,7 @@
         }
         sends += 1;
         let sent = offer(&job, &view, &server).await;
+        job.traffic.counters.on_sent(&sent);
         job.tell(&view, &server, sends, &sent);
         let again = match &sent {
             Sent::Answered { good: true, .. } => false,
@@ -340,9 +343,11 @@
         Some((held.owner.clone(), held.token))
     };
     let before = of(view);
+    let begun = job.traffic.now();
     while job.may_wait(AWAIT_MOVE) && of(&job.traffic.view()) == before {
         job.traffic.view_changed(job.wait_left(AWAIT_MOVE)).await;
     }
+    job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
     of(&job.traffic.view()) != before
 }
 
--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -15,13 +15,13 @@
 
 /// Where things lie in the store.
 pub const PLACES: Places = Places {
-    operator: || Partition { topic: "keyed.operator".into(), number: 0 },
+    operator: || Partition { topic: "operator".into(), number: 0 },
     config_key: "config",
-    servers: || Partition { topic: "keyed.servers".into(), number: 0 },
-    maps: "keyed.owners",
-    hosts: "keyed.hosts",
+    servers: || Partition { topic: "servers".into(), number: 0 },
+    maps: "owners",
+    hosts: "hosts",
     duties: "duties",
-    usage: "keyed.usage",
+    usage: "usage",
 };
 
 /// How jacinthbeam itself speaks.
--- a/crates/jacinthbeam-range/src/balance.rs
+++ b/crates/jacinthbeam-range/src/balance.rs
@@ -115,6 +115,18 @@
     }
 }
 
+/// Requests for the busiest owner's keys over the mean of all owners. `None` while nothing is asked.
+pub fn imbalance(map: &Map, demand: &Demand) -> Option<f64> {
+    let mut load: BTreeMap<&ServerId, f64> = BTreeMap::new();
+    for held in map.held() {
+        let Some(owner) = &held.owner else { continue };
+        *load.entry(&owner.server).or_default() += demand.of(held.range);
+    }
+    let total: f64 = load.values().sum();
+    let most = load.values().copied().fold(0.0, f64::max);
+    (total > 0.0).then(|| most * load.len() as f64 / total)
+}
+
 /// Moves that relieve the busiest owners, at most `most`. `fixed` ranges stay where they are, since they are on their way
 /// already or have just come.
 pub fn relieve(
--- a/crates/jacinthbeam-range/src/grantor/leading/majority.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -21,21 +21,21 @@
     map::Map,
 };
 
-/// How a leader learns that its predecessor can't renew any more.
-#[derive(Debug, Default)]
+/// How a leader learns that nobody before it can renew any more.
+#[derive(Debug)]
 pub(super) struct Fence {
-    /// The owners in the record that was taken over.
-    owners: BTreeSet<ServerId>,
-    /// Those that take no grant of the predecessor any more.
+    /// For each that may, the owners that its majorities are taken from.
+    rivals: Vec<BTreeSet<ServerId>>,
+    /// Servers that take no grant of theirs any more.
     done: BTreeSet<ServerId>,
-    /// Those that may still take one: they were asked to release keys, and did not answer.
+    /// Servers that may still take one: they were asked to release keys, and did not answer.
     open: BTreeSet<ServerId>,
 }
 
 impl Fence {
-    /// Looks for a majority among the owners of `map`, the record that was taken over.
+    /// Looks for a majority against each rival that the first map of this leader names.
     pub(super) fn of(map: &Map) -> Self {
-        Self { owners: owners(map), ..Self::default() }
+        Self { rivals: map.rivals.clone(), done: BTreeSet::new(), open: BTreeSet::new() }
     }
 
     pub(super) fn leave_open(&mut self, server: &ServerId) {
@@ -43,15 +43,13 @@
     }
 
     fn is_complete(&self) -> bool {
-        self.done.len() * 2 > self.owners.len()
+        let has_most = |owners: &BTreeSet<ServerId>| {
+            owners.intersection(&self.done).count() * 2 > owners.len()
+        };
+        self.rivals.iter().all(has_most)
     }
 }
 
-fn owners(map: &Map) -> BTreeSet<ServerId> {
-    let owners = map.held().iter().filter_map(|held| held.owner.as_ref());
-    owners.map(|owner| owner.server.clone()).collect()
-}
-
 impl Leading {
     /// Until when grants may be sent.
     pub(super) fn right_until(&self) -> Instant {
@@ -70,7 +68,7 @@
     }
 
     fn majority_of(&self, map: &Map) -> Option<Instant> {
-        let owners = owners(map);
+        let owners = map.owners();
         let taken = |id| self.contacts.get(id).and_then(|contact| contact.took_at());
         let mut times: Vec<Instant> = owners.iter().filter_map(taken).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
@@ -83,14 +81,15 @@
         if now >= self.others_until {
             return;
         }
-        let fenced: BTreeSet<ServerId> =
-            fence.owners.iter().filter(|id| self.refuses_others(id, &fence)).cloned().collect();
-        fence.done.extend(fenced);
+        let servers: BTreeSet<&ServerId> = fence.rivals.iter().flatten().collect();
+        let refuse = servers.into_iter().filter(|id| self.refuses_others(id, &fence));
+        let refuse: Vec<ServerId> = refuse.cloned().collect();
+        fence.done.extend(refuse);
         if !fence.is_complete() {
             self.fence = Some(fence);
             return;
         }
-        // The predecessor's last majority is older than this moment, and its last call was sent within that majority's time.
+        // The last majority of each rival is older than this moment, and its last call was sent within that majority's time.
         let ends = now + MAJORITY_LASTS + CALL_TAKES + MARGIN;
         self.others_until = self.others_until.min(ends);
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -48,7 +48,7 @@
     others_until: Instant,
     /// They.
     replaces: Vec<Leader>,
-    /// Set until most owners refuse the predecessor, if that would tell anything.
+    /// Set until most owners refuse each predecessor.
     fence: Option<Fence>,
     /// The record that is being written.
     writing: Option<Map>,
@@ -70,13 +70,10 @@
         proof: Instant,
         others_until: Instant,
         replaces: Vec<Leader>,
-        others_alone: bool,
     ) -> Self {
-        // Leaders further back may have known other owners, so that their majorities need not meet this one's.
-        let fence = (others_alone && replaces.len() == 1).then(|| Fence::of(&map));
         Self {
             replaces,
-            fence,
+            fence: Some(Fence::of(&map)),
             token: map.first_token(),
             map,
             demand: Demand::default(),
@@ -143,6 +140,10 @@
         }
     }
 
+    pub(in crate::grantor) fn proof(&self) -> Instant {
+        self.proof
+    }
+
     pub(in crate::grantor) fn others_until(&self) -> Instant {
         self.others_until
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -34,8 +34,10 @@
 
     /// Says once that nobody before this leader can renew any more, so that a successor has only this one to wait for.
     fn say_alone(&self, map: &mut Map, now: Instant) -> bool {
-        let news = !map.alone && now >= self.others_until;
-        map.alone |= news;
+        let news = !map.rivals.is_empty() && now >= self.others_until;
+        if news {
+            map.rivals.clear();
+        }
         news
     }
 
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -72,8 +72,6 @@
     /// Predecessors, which may go on renewing for as long as they have a confirmation from before the claim. More than one if
     /// an earlier claim may be the one that is kept.
     replaces: Vec<Leader>,
-    /// Whether nobody before them can renew.
-    others_alone: bool,
 }
 
 /// A host that was replaced, which tells its successor so.
@@ -121,6 +119,18 @@
         servers.filter_map(gate).collect()
     }
 
+    /// While this process leads, the time since the store confirmed its right.
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        let leading = self.leading.as_ref()?;
+        Some(now.saturating_duration_since(leading.proof()))
+    }
+
+    /// While this process leads and something is asked, requests of the busiest owner over the mean of all owners.
+    pub fn imbalance(&self) -> Option<f64> {
+        let leading = self.leading.as_ref()?;
+        balance::imbalance(&leading.map, &leading.demand)
+    }
+
     /// The newest map known, also when others lead.
     pub fn map(&self) -> Option<&Map> {
         self.leading.as_ref().map(|leading| &leading.map).or(self.newest.as_ref())
@@ -265,8 +275,7 @@
         let others = if claim.replaces.is_empty() { timing::CALL_TAKES } else { timing::PROOF };
         let replaces = claim.replaces.clone();
         self.replaced = None;
-        self.leading =
-            Some(Leading::new(map, asked, view.now + others, replaces, claim.others_alone));
+        self.leading = Some(Leading::new(map, asked, view.now + others, replaces));
     }
 
     fn try_claim(&mut self, view: View<'_>) -> Option<Order> {
@@ -279,11 +288,10 @@
             return None;
         }
         // An earlier claim may still be kept late; what it would have replaced counts too.
-        let others_alone = map.alone;
         let mut replaces = self.claim.take().map_or_else(Vec::new, |claim| claim.replaces);
         replaces.extend(map.leader.clone().filter(|leader| !replaces.contains(leader)));
         map.begin_epoch(self.me.clone());
-        self.claim = Some(Claim { map: map.clone(), replaces, others_alone });
+        self.claim = Some(Claim { map: map.clone(), replaces });
         self.next_claim = Some(view.now + timing::CLAIM_AGAIN);
         Some(Order::Record(map))
     }
@@ -325,6 +333,7 @@
             return Vec::new();
         }
         let mut map = leading.map;
+        map.rivals.clear();
         map.leader = None;
         map.version += 1;
         vec![Order::Record(map)]
--- a/crates/jacinthbeam-range/src/grantor/timing.rs
+++ b/crates/jacinthbeam-range/src/grantor/timing.rs
@@ -5,9 +5,9 @@
 /// How long a grant lasts from its arrival.
 ///
 /// Keys of a server that fell silent are unserved for this long at the least, which asks for a short one. It has to outlast
-/// the loss of the granting host: a lease in the store's group of 1 s that runs out, a claim, and the grants of the successor,
-/// together some 3 s, after up to [`RENEW_EVERY`].
-pub const HOLD: Duration = Duration::from_secs(4);
+/// the loss of the granting host: a lease in the store's group of 1.5 s that runs out, half a second until the successor
+/// hears of its duty, a claim and its grants, together some 2.5 s, after up to [`RENEW_EVERY`].
+pub const HOLD: Duration = Duration::from_millis(3300);
 
 /// A backend server's clock may run this much slow, so that a hold lasts longer than it says.
 pub const CLOCK_SLACK: f64 = 1.02;
@@ -15,20 +15,20 @@
 /// Added to each wait for the end of a hold, for what passes between a clock's reading and the use made of it.
 pub const MARGIN: Duration = Duration::from_millis(200);
 
-/// Pause between two grants of the same keys: four in a hold, so that three lost in a row cost nothing.
-pub const RENEW_EVERY: Duration = Duration::from_millis(900);
+/// Pause between two grants of the same keys: five in a hold, so that four lost in a row cost nothing.
+pub const RENEW_EVERY: Duration = Duration::from_millis(600);
 
 /// How long a host goes on renewing after the store last confirmed that nobody replaced it.
 ///
-/// Longer lets keys outlive a longer outage of the store (this and [`HOLD`] together, 12 s). Shorter would spare a successor
-/// a part of its wait before it takes keys off a server that neither answers nor was granted anything by itself.
-pub const PROOF: Duration = Duration::from_secs(8);
+/// Longer lets keys outlive a longer outage of the store (this and [`HOLD`] together, 15 s). A successor waits for it where it
+/// can't get most owners; else [`MAJORITY_LASTS`] counts.
+pub const PROOF: Duration = Duration::from_secs(12);
 
 /// How long a host goes on renewing after most owners took its grants, if the store has not confirmed it since.
 ///
 /// Two rounds of renewals may be lost, each with the time of a call that gets no answer. A successor waits for it, so each
 /// second of it is a second in which the keys of a dead server are not served.
-pub const MAJORITY_LASTS: Duration = Duration::from_millis(2500);
+pub const MAJORITY_LASTS: Duration = Duration::from_millis(1800);
 
 /// A call that was sent before a host stopped arrives within this, or its connection is reset: the time that a grant is waited
 /// for, and some of the host's own.
--- a/crates/jacinthbeam-range/src/map.rs
+++ b/crates/jacinthbeam-range/src/map.rs
@@ -1,6 +1,6 @@
 //! Who owns which keys of one service.
 
-use std::{fmt, net::SocketAddr};
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -49,8 +49,8 @@
     pub leader: Option<Leader>,
     /// Counts the records of this epoch.
     pub version: u32,
-    /// Whether leaders of earlier epochs surely send no grant any more.
-    pub alone: bool,
+    /// For each leader of an earlier epoch that may still renew, the owners of its last map. Empty once nobody can.
+    pub rivals: Vec<BTreeSet<ServerId>>,
     held: Vec<Held>,
 }
 
@@ -84,7 +84,7 @@
     pub fn unowned() -> Self {
         let token = Token(0);
         let all = Held { range: KeyRange::ALL, owner: None, token, handover: None };
-        Self { epoch: Epoch(0), leader: None, version: 0, alone: true, held: vec![all] }
+        Self { epoch: Epoch(0), leader: None, version: 0, rivals: Vec::new(), held: vec![all] }
     }
 
     /// The ranges in ascending order.
@@ -109,6 +109,33 @@
         Token(self.epoch.0 * TOKENS_PER_EPOCH)
     }
 
+    /// Everybody who owns a key.
+    pub fn owners(&self) -> BTreeSet<ServerId> {
+        let owners = self.held.iter().filter_map(|held| held.owner.as_ref());
+        owners.map(|owner| owner.server.clone()).collect()
+    }
+
+    /// Keys that nobody owns.
+    pub fn unowned_keys(&self) -> u32 {
+        let free = self.held.iter().filter(|held| held.owner.is_none());
+        free.map(|held| held.range.width()).sum()
+    }
+
+    /// Keys that have another owner here than in `before`; first owners don't count.
+    pub fn moved_since(&self, before: &Self) -> u32 {
+        let mut moved = 0;
+        for held in &self.held {
+            for old in before.held.iter().filter(|old| old.range.overlaps(held.range)) {
+                let first = old.range.first.max(held.range.first);
+                let last = old.range.last.min(held.range.last);
+                if old.owner.is_some() && old.owner != held.owner {
+                    moved += KeyRange { first, last }.width();
+                }
+            }
+        }
+        moved
+    }
+
     /// Whether this is an earlier record of the same log than `other`.
     pub fn is_older_than(&self, other: &Self) -> bool {
         (self.epoch, self.version) < (other.epoch, other.version)
@@ -118,10 +145,12 @@
     ///
     /// A predecessor that doesn't know yet that it was replaced has its grants refused from then on.
     pub fn begin_epoch(&mut self, leader: Leader) {
+        if self.leader.is_some() {
+            self.rivals.push(self.owners());
+        }
         self.epoch = self.epoch.next();
         self.leader = Some(leader);
         self.version = 0;
-        self.alone = false;
         let token = self.first_token();
         for held in &mut self.held {
             held.token = token;
--- a/crates/jacinthbeam-range/tests/grantor.rs
+++ b/crates/jacinthbeam-range/tests/grantor.rs
@@ -266,10 +266,10 @@
     assert!(bound < timing::PROOF);
 }
 
-/// The host that led has replaced another a second before it died. The other one may know owners that this one doesn't, so the
-/// majority of these says nothing of it.
+/// The host that led has replaced another a second before it died. Most servers refuse both from the first grants of the third host
+/// on, which waits no longer for two than for one.
 #[test]
-fn a_majority_says_nothing_of_hosts_further_back() {
+fn a_majority_bounds_hosts_further_back() {
     let mut first = Play::among(3, 1, None, &[]);
     first.run(Duration::from_secs(2));
     let mut second = Play::among(3, 2, first.map.clone(), &[1]);
@@ -277,6 +277,27 @@
     let mut play = Play::among(3, 3, second.map.clone(), &[1]);
     let begun = play.now;
     play.until(|play| play.keys_of(1) == 0);
+    let bound = timing::MAJORITY_LASTS + timing::CALL_TAKES + timing::MARGIN;
+    assert!(play.now >= begun + bound + longest_hold());
+    assert!(play.now < begun + timing::PROOF);
+}
+
+/// A host has replaced another and gone on to give all keys to new servers. The one before it, cut off with the old ones, has most
+/// of the owners that it knows; the new owners' word says nothing of it.
+#[test]
+fn a_majority_of_new_owners_says_nothing_of_an_old_rival() {
+    let mut first = Play::among(3, 1, None, &[]);
+    first.run(Duration::from_secs(2));
+    let mut map = first.map.clone().unwrap();
+    map.begin_epoch(leader(2));
+    for (n, range) in KeyRange::ALL.cut(3).into_iter().enumerate() {
+        let server = server(n as u16 + 3, false);
+        let owner = jacinthbeam_range::Owner { server: server.id, addr: server.addr };
+        map.assign(range, Some(owner), map.first_token(), None);
+    }
+    let mut play = Play::among(5, 3, Some(map), &[5]);
+    let begun = play.now;
+    play.until(|play| play.keys_of(5) == 0);
     assert!(play.now >= begun + timing::PROOF + longest_hold());
 }
 
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -73,7 +73,7 @@
 /// keys until it has to stop; the other hosts, which have the rest, give them away once it must have stopped.
 #[test]
 fn a_leader_left_with_one_server_does_not_make_two_owners() {
-    let odds = Odds { split: 0.01, store_late: 0.1, lost_grant: 0.05, deal: 0.002, ..Odds::CALM };
+    let odds = Odds { split: 0.01, store_late: 0.1, lost_grant: 0.05, deal: 0.01, ..Odds::CALM };
     arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
 }
 
--- a/crates/jacinthbeam-store/src/call.rs
+++ b/crates/jacinthbeam-store/src/call.rs
@@ -74,6 +74,19 @@
     },
 }
 
+impl Call {
+    /// What kind of call it is, in a word.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Put { .. } => "put",
+            Self::Read { .. } => "read",
+            Self::Newest { .. } => "newest",
+            Self::Join { .. } => "join",
+            Self::Leave { .. } => "leave",
+        }
+    }
+}
+
 /// The answer to a call that succeeded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -164,6 +177,19 @@
 impl std::error::Error for Error {}
 
 impl Error {
+    /// What kind of failure it is, in a word.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Conflict => "conflict",
+            Self::Expired => "expired",
+            Self::Busy(_) => "busy",
+            Self::NotSent(_) => "not-sent",
+            Self::Lost(_) => "lost",
+            Self::Refused(_) => "refused",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+
     /// Whether a call that changes something may have done so, or may do so later.
     pub fn may_be_done(&self) -> bool {
         matches!(self, Self::Lost(_) | Self::Malformed(_))
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -1,6 +1,7 @@
 //! Calls over kept connections.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -21,6 +22,25 @@
 /// An answer that is lost holds up its lane for this long, and a change that was missed has two seconds to act.
 const ANSWER_WITHIN: Duration = Duration::from_millis(800);
 
+/// Is told of each call that has ended, and of its failure.
+#[derive(Clone)]
+pub struct Observer(Arc<OnEnd>);
+
+type OnEnd = dyn Fn(&Call, Option<&Error>) + Send + Sync;
+
+impl Observer {
+    /// Calls `on_end` with each call.
+    pub fn new(on_end: impl Fn(&Call, Option<&Error>) + Send + Sync + 'static) -> Self {
+        Self(Arc::new(on_end))
+    }
+}
+
+impl fmt::Debug for Observer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Observer")
+    }
+}
+
 /// The store, for one process.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -28,6 +48,7 @@
     wire: Wire,
     clock: Arc<dyn Clock>,
     pace: Arc<Mutex<Pace>>,
+    observer: Option<Observer>,
 }
 
 /// A connection of its own to the store, so that a call that waits holds up no other.
@@ -40,7 +61,13 @@
 impl Client {
     /// A client that is not connected yet.
     pub fn open(addr: SocketAddr, wire: Wire, clock: Arc<dyn Clock>) -> Self {
-        Self { addr, wire, clock, pace: Arc::new(Mutex::new(Pace::new())) }
+        Self { addr, wire, clock, pace: Arc::new(Mutex::new(Pace::new())), observer: None }
+    }
+
+    /// The same client, whose calls are told of.
+    #[must_use]
+    pub fn observed(self, observer: Observer) -> Self {
+        Self { observer: Some(observer), ..self }
     }
 
     /// A lane for one kind of calls. Calls on one lane wait for each other.
@@ -52,6 +79,17 @@
 impl Lane {
     /// Makes a call.
     pub async fn call(&self, call: &Call) -> Result<Reply, Error> {
+        let reply = self.exchange(call).await;
+        if let Some(Observer(on_end)) = &self.client.observer {
+            on_end(call, reply.as_ref().err());
+        }
+        if let Err(err) = &reply {
+            tracing::debug!(part = "store", event = "failed", ?call, error = %err);
+        }
+        reply
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<Reply, Error> {
         let pause = {
             let mut pace = self.client.pace.lock().expect("no holder of the lock panics");
             pace.take(self.client.clock.now())
@@ -66,10 +104,6 @@
             LineError::NotSent(why) => Error::NotSent(why),
             LineError::Lost(why) => Error::Lost(why),
         })?;
-        let reply = (self.client.wire.decode)(call, res.status(), res.body());
-        if let Err(err) = &reply {
-            tracing::debug!(part = "store", event = "failed", ?call, error = %err);
-        }
-        reply
+        (self.client.wire.decode)(call, res.status(), res.body())
     }
 }
--- a/crates/jacinthbeam-store/src/lib.rs
+++ b/crates/jacinthbeam-store/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use backoff::Backoff;
 pub use call::{Call, Error, Item, Page, Partition, Reply, Share, Wire};
-pub use client::{Client, Lane};
+pub use client::{Client, Lane, Observer};
--- a/justfile
+++ b/justfile
@@ -16,10 +16,6 @@
 golden:
     INSTA_UPDATE=always cargo test --workspace
 
-# Experiments on real code over loopback; see docs/MEASUREMENTS.md.
-measure *args="":
-    cargo run --release --bin jacinthbeam -- measure {{args}}
-
-# What the router costs; see docs/MEASUREMENTS.md.
-bench *args="":
-    cargo run --release --bin jacinthbeam -- bench {{args}}
+# Load and faults on a deployment of processes; see docs/MEASUREMENTS.md.
+measure folder="examples/rimefall" *args="":
+    cargo run --release --bin jacinthbeam -- measure --config {{folder}} {{args}}
