--- a/crates/jacinthbeam-cli/tests/cli/running.rs
+++ b/crates/jacinthbeam-cli/tests/cli/running.rs
@@ -1,11 +1,12 @@
 //! Commands against a running deployment.
 
-use std::{path::PathBuf, time::Duration};
+use std::{collections::BTreeSet, fs, path::PathBuf, time::Duration};
 
 use jacinthbeam::{config::folder, host::process::usage::Count, types::prelude::*};
 use jacinthbeam_cli::{
     Terminal,
     command::{self, Error},
+    operators,
     records::Records,
 };
 use jacinthbeam_measure::{
@@ -108,3 +109,44 @@
     assert!(matches!(ended, Err(Error::Partial(_))), "{text}");
     assert!(text.contains("can't be reached"), "{text}");
 }
+
+/// What a host knows can be read while it serves: configuration, servers, owners, and its part in granting.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_dump_shows_what_a_host_knows() {
+    let deployment = start().await;
+    let host = deployment.hosts.values().next().unwrap();
+    let text = operators::get(host.settings.metrics, "/dump").await.unwrap();
+    for part in ["config: Some", "tilecast-", "granting:", "neighbours", "held: ["] {
+        assert!(text.contains(part), "no {part:?} in {} bytes", text.len());
+    }
+    let missing = operators::get(host.settings.metrics, "/nowhere").await;
+    assert!(matches!(missing, Err(operators::Error::Unexpected(_))), "{missing:?}");
+}
+
+/// A name that the page doesn't explain helps nobody at night, and one that it explains and nobody serves sends them astray.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_page_explains_every_metric() {
+    let deployment = start().await;
+    let mut served: BTreeSet<String> = BTreeSet::new();
+    for host in deployment.hosts.values() {
+        ask(host.settings.callers, request(0, "tilecast", Some("some-key"))).await;
+        let text = operators::get(host.settings.metrics, "/metrics").await.unwrap();
+        let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next());
+        served.extend(names.map(str::to_owned));
+    }
+    let repository = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let page = fs::read_to_string(repository.join("docs/OPERATIONS.md")).unwrap();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `jacinthbeam_"));
+    let explained: BTreeSet<String> =
+        rows.map(|row| format!("jacinthbeam_{}", row.split(['`', '{']).next().unwrap())).collect();
+    let unexplained: Vec<&String> = served.difference(&explained).collect();
+    assert!(unexplained.is_empty(), "not on the page: {unexplained:?}");
+    assert!(served.len() > 8, "only {served:?} are served");
+    // Some are served only once there is something to tell; the code must know them all the same.
+    let code = repository.join("crates/jacinthbeam-host/src/process/metrics.rs");
+    let code = fs::read_to_string(code).unwrap();
+    let unknown =
+        |name: &&String| !code.contains(&format!("{:?}", name.trim_end_matches("_total")));
+    let unknown: Vec<&String> = explained.iter().filter(unknown).collect();
+    assert!(unknown.is_empty(), "served by nobody: {unknown:?}");
+}
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -70,8 +70,8 @@
     Datagram(Message),
     /// Time has passed.
     Tick,
-    /// Somebody asked for the state.
-    Dump,
+    /// Somebody asked for the state, as text.
+    Dump(oneshot::Sender<String>),
     /// The process is about to stop.
     Stop,
 }
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -20,6 +20,7 @@
     time::Duration,
 };
 
+use http::StatusCode;
 use jacinthbeam_types::prelude::*;
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -129,32 +130,51 @@
 fn serve_pages(start: &Start, ready: TcpListener, metrics: TcpListener, tx: &Tx) {
     let (view, phase) = (start.view.subscribe(), start.phase.clone());
     serve_page(ready, move |_| {
-        pages::ready(view.borrow().config.is_some() && *phase.borrow() == Phase::Serving)
+        let ready = view.borrow().config.is_some() && *phase.borrow() == Phase::Serving;
+        std::future::ready(pages::ready(ready))
     });
     let (counters, view) = (start.counters.clone(), start.view.subscribe());
     let (settings, phase) = (start.settings.clone(), start.phase.clone());
     let tx = tx.clone();
-    serve_page(metrics, move |path| match path {
-        "/metrics" => answer::plain(http::StatusCode::OK, counters.text()),
-        "/status" => {
-            let status = status::of(&settings, &view.borrow(), *phase.borrow());
-            let text = serde_json::to_string_pretty(&status);
-            answer::plain(http::StatusCode::OK, text.expect("names and numbers can be written"))
-        }
-        "/dump" => {
-            // The dump of the granting side goes to the log; that of the view is small enough for the answer.
-            tx.send(Input::Dump)
-                .unwrap_or_else(|_| tracing::debug!(part = "pages", event = "no-dump"));
-            answer::plain(http::StatusCode::OK, format!("{:#?}", view.borrow()))
+    serve_page(metrics, move |path| {
+        let text = match path {
+            "/metrics" => Some(counters.text()),
+            "/status" => {
+                let status = status::of(&settings, &view.borrow(), *phase.borrow());
+                let text = serde_json::to_string_pretty(&status);
+                Some(text.expect("names and numbers can be written"))
+            }
+            _ => None,
+        };
+        let dump = (path == "/dump").then(|| dump(tx.clone()));
+        async move {
+            let text = match dump {
+                Some(dump) => Some(dump.await),
+                None => text,
+            };
+            match text {
+                Some(text) => answer::plain(StatusCode::OK, text),
+                None => answer::plain(StatusCode::NOT_FOUND, PAGES.into()),
+            }
         }
-        _ => answer::plain(http::StatusCode::NOT_FOUND, "pages: /metrics, /status, /dump".into()),
     });
 }
 
-fn serve_page(
-    listener: TcpListener,
-    page: impl Fn(&str) -> http::Response<http_body_util::Full<bytes::Bytes>> + 'static,
-) {
+/// What the operators' port serves.
+const PAGES: &str = "pages: /metrics, /status, /dump";
+
+/// Everything that the control thread knows.
+async fn dump(tx: Tx) -> String {
+    let (reply, text) = oneshot::channel();
+    let asked = tx.send(Input::Dump(reply)).is_ok();
+    let text = if asked { text.await.ok() } else { None };
+    text.unwrap_or_else(|| "the process ends".into())
+}
+
+fn serve_page<F>(listener: TcpListener, page: impl Fn(&str) -> F + 'static)
+where
+    F: Future<Output = http::Response<http_body_util::Full<bytes::Bytes>>> + 'static,
+{
     match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => drop(spawn_local(pages::serve(listener, page))),
         Err(err) => tracing::error!(part = "pages", event = "no-listener", error = ?err),
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -190,7 +190,10 @@
                 self.step_all(&Event::Tick);
                 self.set_gates();
             }
-            Input::Dump => tracing::info!(part = "process", event = "dump", state = ?self),
+            Input::Dump(reply) => {
+                // Whoever asked may have left.
+                let _ = reply.send(format!("{self:#?}"));
+            }
             Input::Stop => {
                 self.step_all(&Event::Stop);
                 self.wish.leave.set(true);
--- a/crates/jacinthbeam-host/src/process/pages.rs
+++ b/crates/jacinthbeam-host/src/process/pages.rs
@@ -12,7 +12,10 @@
 use crate::request::answer;
 
 /// Serves `page`, which gets the path, on every connection. Runs for ever.
-pub async fn serve(listener: TcpListener, page: impl Fn(&str) -> Response<Full<Bytes>> + 'static) {
+pub async fn serve<F>(listener: TcpListener, page: impl Fn(&str) -> F + 'static)
+where
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
     let page = Rc::new(page);
     loop {
         let stream = match listener.accept().await {
@@ -26,7 +29,7 @@
         let page = page.clone();
         let service = service_fn(move |req: http::Request<hyper::body::Incoming>| {
             let res = page(req.uri().path());
-            async move { Ok::<_, Infallible>(res) }
+            async move { Ok::<_, Infallible>(res.await) }
         });
         spawn_local(async move {
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
