--- a/crates/jacinthbeam-config/src/check/mod.rs
+++ b/crates/jacinthbeam-config/src/check/mod.rs
@@ -1,6 +1,6 @@
 //! From merged files to a [`Config`], or to everything that is wrong with them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthbeam_route::{Config, Limits, Routes, Service};
 use jacinthbeam_types::prelude::{Bytes, ServiceName};
@@ -77,7 +77,7 @@
 pub(crate) fn config(merged: &Node) -> Result<Config, Vec<Problem>> {
     let mut fields = Fields::of(merged, "");
     let services = services(&mut fields);
-    let routes = routes(&mut fields, &services);
+    let routes = routes(&mut fields);
     let limits = fields.object("limits", Limits::default(), limits);
     let problems = fields.finish();
     match problems.is_empty() {
@@ -136,13 +136,22 @@
     services
 }
 
-fn routes(fields: &mut Fields<'_>, services: &BTreeMap<ServiceName, Service>) -> Routes {
+fn routes(fields: &mut Fields<'_>) -> Routes {
     let mut routes = Routes::default();
+    // By name: one that is wrong is told of where it stands, and not at each of its routes again.
+    let services: BTreeSet<&String> = match fields.node("services") {
+        Some(Node { value: Value::Object(members), .. }) => members.keys().collect(),
+        _ => BTreeSet::new(),
+    };
     for (name, member, path) in named(fields, "routes", MAX_ROUTES).collect::<Vec<_>>() {
         let (route, problems) = route::read(name, &member.node, path.clone());
         fields.extend(problems);
         let Some((host, route)) = route else { continue };
-        for service in route.target.services().filter(|name| !services.contains_key(*name)) {
+        for service in route
+            .target
+            .services()
+            .filter(|name| !services.iter().any(|known| *known == name.as_str()))
+        {
             let what = format!("service {service} is not configured");
             let kind = Kind::Unfit { what, remedy: "add it, or name another".into() };
             fields.extend([member.node.problem(&path, kind)]);
--- a/crates/jacinthbeam-config/tests/check.rs
+++ b/crates/jacinthbeam-config/tests/check.rs
@@ -126,3 +126,13 @@
     let deep = "[".repeat(100_000);
     insta::assert_snapshot!(say(&[("10.json", &deep)]));
 }
+
+/// An operator mistypes one field of a service. The routes to it are right, and are not called wrong beside it.
+#[test]
+fn routes_to_a_wrong_service_are_not_called_wrong() {
+    let wrong = r#"{ "services": { "yard": { "team": "a", "conections": 1 } },
+      "routes": { "yard": { "prefix": "/yard/", "service": "yard" } } }"#;
+    let told = say(&[("10.json", wrong)]);
+    assert!(!told.contains("/routes/"), "{told}");
+    assert!(told.contains("/services/yard/conections: unknown field"), "{told}");
+}
--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -2,16 +2,16 @@
 
 use std::{
     cell::Cell,
-    collections::BTreeSet,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use jacinthbeam_store::{Call, Client, Reply};
+use jacinthbeam_store::{Call, Client, Lane, Reply};
 use jacinthbeam_types::prelude::*;
 
 use super::input::{Input, Tx};
+use crate::process::membership::{Event, Membership, Next, Notice};
 
 /// Without a word of a host for this long its duties go to another.
 const LEASE: Duration = Duration::from_millis(1500);
@@ -31,60 +31,84 @@
     pub(super) leave: Cell<bool>,
 }
 
+/// The group as one host sees it.
+pub(super) struct Group {
+    pub(super) store: Client,
+    /// Its partitions are the duties.
+    pub(super) topic: &'static str,
+    /// Name of this life of the process.
+    pub(super) member: String,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) wish: Rc<Wish>,
+    pub(super) tx: Tx,
+}
+
 /// Stays a member of the group, and tells which duties fall to this host.
-pub(super) async fn run(
-    store: Client,
-    topic: &'static str,
-    member: String,
-    clock: Arc<dyn Clock>,
-    wish: Rc<Wish>,
-    tx: Tx,
-) {
-    let lane = store.lane();
-    let mut generation = 0;
-    let mut lost = false;
+pub(super) async fn run(group: Group) {
+    let lane = group.store.lane();
+    let mut membership = Membership::default();
     loop {
-        let rests = wish.rest_until.get().is_some_and(|until| clock.now() < until);
-        if rests || wish.leave.get() {
-            let leave = Call::Leave { group: GROUP.into(), member: member.clone() };
-            if let Err(err) = lane.call(&leave).await {
-                tracing::info!(part = "duty", event = "leave-failed", error = %err);
-            }
-            generation = 0;
-            if wish.leave.get() {
-                return;
-            }
-            while wish.rest_until.get().is_some_and(|until| clock.now() < until) {
-                tokio::time::sleep(JOIN_EVERY).await;
+        membership.handle(group.due());
+        match membership.next() {
+            Next::Nothing => {}
+            Next::Join(generation) => {
+                let event = match group.join(&lane, generation).await {
+                    Some(generation) => Event::Joined(generation),
+                    None => Event::Failed,
+                };
+                membership.handle(event);
             }
+            Next::Leave => group.leave(&lane).await,
+            Next::End => return,
+        }
+        match membership.take_notice() {
+            Some(Notice::Lost) => tracing::warn!(part = "duty", event = "lost"),
+            Some(Notice::Regained) => tracing::info!(part = "duty", event = "regained"),
+            None => {}
         }
+        tokio::time::sleep(JOIN_EVERY).await;
+    }
+}
+
+impl Group {
+    fn due(&self) -> Event {
+        let rests = self.wish.rest_until.get().is_some_and(|until| self.clock.now() < until);
+        Event::Due { rests, leaves: self.wish.leave.get() }
+    }
+
+    /// Joins or stays. Returns the generation, if the store answered.
+    async fn join(&self, lane: &Lane, generation: u64) -> Option<u64> {
         let join = Call::Join {
             group: GROUP.into(),
-            member: member.clone(),
-            topic: topic.into(),
+            member: self.member.clone(),
+            topic: self.topic.into(),
             lease: LEASE,
             generation,
         };
         match lane.call(&join).await {
-            Ok(Reply::Member { generation: now, shares }) => {
-                generation = now;
-                if std::mem::take(&mut lost) {
-                    tracing::info!(part = "duty", event = "regained");
-                }
-                let duties: BTreeSet<u32> =
-                    shares.iter().map(|share| share.partition.number).collect();
-                if tx.send(Input::Duties(duties)).is_err() {
-                    return;
+            Ok(Reply::Member { generation, shares }) => {
+                let duties = shares.iter().map(|share| share.partition.number).collect();
+                if self.tx.send(Input::Duties(duties)).is_err() {
+                    tracing::debug!(part = "duty", event = "stopped-meanwhile");
                 }
+                Some(generation)
+            }
+            Ok(_) => {
+                tracing::warn!(part = "duty", event = "wrong-answer");
+                None
             }
-            Ok(_) => tracing::warn!(part = "duty", event = "wrong-answer"),
             // A duty that was had stays until the store says otherwise: it is advice, and the right to grant is proved elsewhere.
             Err(err) => {
-                if !std::mem::replace(&mut lost, true) {
-                    tracing::warn!(part = "duty", event = "lost", error = %err);
-                }
+                tracing::debug!(part = "duty", event = "not-joined", error = %err);
+                None
             }
         }
-        tokio::time::sleep(JOIN_EVERY).await;
+    }
+
+    async fn leave(&self, lane: &Lane) {
+        let leave = Call::Leave { group: GROUP.into(), member: self.member.clone() };
+        if let Err(err) = lane.call(&leave).await {
+            tracing::info!(part = "duty", event = "leave-failed", error = %err);
+        }
     }
 }
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -54,10 +54,14 @@
             });
         }
         if !std::mem::replace(&mut self.has_joined, true) {
-            let member = format!("{}:{}", self.me.host, self.me.incarnation);
-            let (store, clock, tx) = (self.store.clone(), self.clock.clone(), self.tx.clone());
-            let topic = self.wire.places.duties;
-            spawn_local(duty::run(store, topic, member, clock, self.wish.clone(), tx));
+            spawn_local(duty::run(duty::Group {
+                store: self.store.clone(),
+                topic: self.wire.places.duties,
+                member: format!("{}:{}", self.me.host, self.me.incarnation),
+                clock: self.clock.clone(),
+                wish: self.wish.clone(),
+                tx: self.tx.clone(),
+            }));
         }
         if !self.granting.contains_key(name) {
             let grantor = Grantor::new(name.clone(), self.me.clone());
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 pub mod known;
 pub mod logs;
+pub mod membership;
 pub mod metrics;
 mod pages;
 pub mod peers;
--- /dev/null
+++ b/crates/jacinthbeam-host/tests/membership.rs
@@ -0,0 +1,63 @@
+//! When a host joins the group that shares duties out, stays, rests and leaves.
+
+use jacinthbeam_host::process::membership::{Event, Membership, Next, Notice};
+
+const DUE: Event = Event::Due { rests: false, leaves: false };
+const RESTS: Event = Event::Due { rests: true, leaves: false };
+const LEAVES: Event = Event::Due { rests: false, leaves: true };
+
+fn after(events: &[Event]) -> Membership {
+    let mut membership = Membership::default();
+    events.iter().for_each(|event| membership.handle(*event));
+    membership
+}
+
+fn next(events: &[Event]) -> Next {
+    after(events).next()
+}
+
+#[test]
+fn a_member_stays_by_the_last_generation() {
+    assert_eq!(next(&[DUE]), Next::Join(0));
+    assert_eq!(next(&[DUE, Event::Joined(7), DUE]), Next::Join(7));
+    assert_eq!(next(&[DUE, Event::Joined(7), DUE, Event::Joined(8), DUE]), Next::Join(8));
+}
+
+/// The store is away for some seconds. The host goes on asking by the generation that it knows, and the log has one line for the loss
+/// and one for the return, however many words got no answer.
+#[test]
+fn an_outage_is_told_once_and_ends_no_membership() {
+    let mut membership = after(&[DUE, Event::Joined(7), DUE, Event::Failed]);
+    assert_eq!(membership.take_notice(), Some(Notice::Lost));
+    for _ in 0..5 {
+        membership.handle(DUE);
+        assert_eq!(membership.next(), Next::Join(7));
+        membership.handle(Event::Failed);
+        assert_eq!(membership.take_notice(), None);
+    }
+    membership.handle(Event::Joined(9));
+    assert_eq!(membership.take_notice(), Some(Notice::Regained));
+    membership.handle(DUE);
+    assert_eq!(membership.next(), Next::Join(9));
+}
+
+/// A host that reaches too few backend servers gives its duties back for a while. Were it to name its old generation afterwards, the
+/// store might count it as having held them all the time.
+#[test]
+fn a_host_that_rests_leaves_and_joins_anew() {
+    let resting = [DUE, Event::Joined(7), RESTS];
+    assert_eq!(next(&resting), Next::Leave);
+    assert_eq!(next(&[&resting[..], &[RESTS]].concat()), Next::Nothing);
+    assert_eq!(next(&[&resting[..], &[RESTS, DUE]].concat()), Next::Join(0));
+    assert_eq!(next(&[&resting[..], &[LEAVES]].concat()), Next::End);
+}
+
+/// A process stops while its first join has no answer. The join may be in force, and the duties with a host that is gone: it says
+/// that it leaves all the same.
+#[test]
+fn a_host_that_stops_says_so_in_any_state() {
+    for events in [&[DUE][..], &[DUE, Event::Failed], &[DUE, Event::Joined(7)]] {
+        assert_eq!(next(&[events, &[LEAVES]].concat()), Next::Leave);
+        assert_eq!(next(&[events, &[LEAVES, DUE]].concat()), Next::End);
+    }
+}
