--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -109,7 +109,7 @@
     "an IP number and a port, such as \"10.0.0.7:8080\"".into()
 }
 
-/// The file of these settings, as [`read`] takes it.
+/// The file of these settings, as [`read()`] takes it.
 pub fn write(settings: &Settings) -> String {
     let text = |value: &dyn std::fmt::Display| serde_json::Value::from(value.to_string());
     let millis = |time: Duration| serde_json::Value::from(time.as_millis() as u64);
