--- a/crates/jacinthbeam-range/tests/grantor/main.rs
+++ b/crates/jacinthbeam-range/tests/grantor/main.rs
@@ -1,5 +1,6 @@
 //! What the granting host does about single failures.
 
+mod cost;
 mod play;
 mod server;
 mod store;
