feat(native): a refusal carries its request's id

Cause: the commands of docs/OPERATIONS.md, run as written on a fresh clone: a caller that named no request was refused, and the refusal bore no id, so that nobody could ask `explain` for it. Answers of backend servers did bear it.

Change: the adapter is given the id where it makes a refusal's head, and the native interface sets `jacinthbeam-request`. On the users' platform callers name their requests, and nothing changes there. The test of a refusal's head failed to compile before, and asks for the id.

--- a/crates/jacinthbeam-host/src/request/answer.rs
+++ b/crates/jacinthbeam-host/src/request/answer.rs
@@ -21,19 +21,20 @@
 }
 
 /// The answer to a request that got none of a backend server.
-pub fn refused(wire: &Wire, refusal: &Refusal) -> Response<Full<Bytes>> {
-    refused_as(wire, status(refusal), refusal, &refusal.reason.to_string())
+pub fn refused(wire: &Wire, id: &HeaderValue, refusal: &Refusal) -> Response<Full<Bytes>> {
+    refused_as(wire, status(refusal), Some(id), refusal, &refusal.reason.to_string())
 }
 
 /// The same with a status and words of its own.
 pub fn refused_as(
     wire: &Wire,
     status: StatusCode,
+    id: Option<&HeaderValue>,
     refusal: &Refusal,
     why: &str,
 ) -> Response<Full<Bytes>> {
     let mut res = plain(status, format!("{}: {why}", refusal.verdict));
-    (wire.refused)(res.headers_mut(), refusal);
+    (wire.refused)(res.headers_mut(), id, refusal);
     res
 }
 
--- a/crates/jacinthbeam-host/src/request/refuse.rs
+++ b/crates/jacinthbeam-host/src/request/refuse.rs
@@ -24,7 +24,7 @@
     tracing::info!(part = "request", outcome = "bad-request", why = ?why);
     traffic.counters.bad_requests.add(1, &[]);
     let refusal = Refusal::not_run(Reason::BadRequest);
-    answer::refused_as(&traffic.wire, StatusCode::BAD_REQUEST, &refusal, why)
+    answer::refused_as(&traffic.wire, StatusCode::BAD_REQUEST, None, &refusal, why)
 }
 
 /// The body of a request can't be used.
@@ -42,7 +42,7 @@
         body::Error::Silent => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
     };
     let refusal = Refusal::not_run(Reason::BadRequest);
-    let mut res = answer::refused_as(&traffic.wire, status, &refusal, text);
+    let mut res = answer::refused_as(&traffic.wire, status, Some(id), &refusal, text);
     // The rest of the body may still come, and must not be read as a request.
     res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     res
@@ -58,7 +58,7 @@
 ) -> Response<Full<Bytes>> {
     traffic.stories.on_refused(traffic.now(), id, route, refusal, received);
     traffic.counters.on_refusal(refusal);
-    answer::refused(&traffic.wire, refusal)
+    answer::refused(&traffic.wire, id, refusal)
 }
 
 /// What is said of a request that surely did not run.
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -22,8 +22,9 @@
     pub forward: fn(&mut HeaderMap, &Forward<'_>),
     /// What the head of an answer says, given the request's id and the server that was asked.
     pub answer: fn(StatusCode, &HeaderMap, &HeaderValue, &ServerId) -> Told,
-    /// Sets what a refusal's head says besides its status: when to come back, what may have become of the request.
-    pub refused: fn(&mut HeaderMap, &Refusal),
+    /// Sets what a refusal's head says besides its status: when to come back, what may have become of the request, and its
+    /// id if its head could be read.
+    pub refused: fn(&mut HeaderMap, Option<&HeaderValue>, &Refusal),
     /// Sets what an answer's head says besides what its backend server said.
     pub delivered: fn(&mut HeaderMap),
     /// The call that grants keys for this long.
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -87,8 +87,12 @@
     }
 }
 
-/// Sets verdict and hint of a refusal.
-pub fn refused(headers: &mut HeaderMap, refusal: &Refusal) {
+/// Sets verdict and hint of a refusal, and its id: a caller that sent none has nothing else by which an operator could find
+/// the request in the logs.
+pub fn refused(headers: &mut HeaderMap, id: Option<&HeaderValue>, refusal: &Refusal) {
+    if let Some(id) = id {
+        headers.insert(REQUEST, id.clone());
+    }
     headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
     if let Some(after) = refusal.retry_after
         && let Ok(value) = HeaderValue::from_str(&answer::seconds(after))
--- a/crates/jacinthbeam-native/tests/request.rs
+++ b/crates/jacinthbeam-native/tests/request.rs
@@ -74,10 +74,12 @@
 }
 
 #[test]
-fn a_refusal_says_verdict_and_time() {
+fn a_refusal_says_id_verdict_and_time() {
     let mut headers = HeaderMap::new();
     let refusal = Refusal::not_run(Reason::Overloaded).retry_after(Duration::from_millis(250));
-    request::refused(&mut headers, &refusal);
+    let id = HeaderValue::from_static("a-7");
+    request::refused(&mut headers, Some(&id), &refusal);
+    assert_eq!(headers["jacinthbeam-request"], "a-7");
     assert_eq!(headers["jacinthbeam-verdict"], "not-run");
     assert_eq!(headers[header::RETRY_AFTER], "0.250");
 }
