fix(host): a host that has not read who owns the keys says so

Cause: the deployment of experiments called itself ready once the servers had confirmed all keys. The host that granted them may be another one, so a host that answered at once had not read the record yet. The same gap in the product: `/status` had `keys: null` both for a service whose keys have no owners and for one whose record was not read, so that `jacinthbeam status` said "any server takes any request" of a host that refuses every key, and ended with 0.

Ruled out: a dump cut short (35,434 bytes, the other parts present), a slow machine alone (the host ends up with the map).

Change: `/status` tells the three cases apart (`shared`, `unknown`, `owned`); unknown owners count as missing keys for `status` and for the readiness of a deployment. The client of the operators' port moved from the command line to the host's crate, as experiments use it too.

Conclusion: the test was right, and the readiness it leaned on was not.

--- a/crates/jacinthbeam-cli/src/command/dump.rs
+++ b/crates/jacinthbeam-cli/src/command/dump.rs
@@ -1,9 +1,10 @@
 //! `jacinthbeam dump`: everything that one host knows.
 
 use clap::{ArgMatches, Command};
+use jacinthbeam::host::operators;
 
 use super::{EXIT_CODES, Error, arg};
-use crate::{Terminal, operators};
+use crate::Terminal;
 
 /// The command's arguments.
 pub fn command() -> Command {
--- a/crates/jacinthbeam-cli/src/command/status.rs
+++ b/crates/jacinthbeam-cli/src/command/status.rs
@@ -1,12 +1,13 @@
 //! `jacinthbeam status`: what is in force on each host, and which hosts lag.
 
-use std::net::SocketAddr;
-
 use clap::{ArgMatches, Command};
-use jacinthbeam::host::process::status::{Keys, Status};
+use jacinthbeam::host::{
+    operators,
+    process::status::{Keys, Owners, Status},
+};
 
 use super::{EXIT_CODES, Error, arg};
-use crate::{Terminal, operators};
+use crate::Terminal;
 
 const LONG: &str = "\
 Say for each host which configuration is in force there, how many backend servers it knows, and who grants and owns the keys of
@@ -26,7 +27,7 @@
     let mut found: Vec<Status> = Vec::new();
     let mut short = Vec::new();
     for addr in arg::operators_of(args) {
-        match ask(addr).await {
+        match operators::status(addr).await {
             Ok(status) => found.push(status),
             Err(err) => short.push(format!("{addr} {err}")),
         }
@@ -38,10 +39,9 @@
             short.push(format!("{} has an older configuration", status.host));
         }
         for (name, service) in &status.services {
-            let keys = service.keys.as_ref().map(describe);
-            let keys = keys.unwrap_or_else(|| "any server takes any request".into());
+            let keys = describe(&service.keys);
             terminal.say(format_args!("  {name}: {} servers, {keys}", service.servers));
-            let unowned = service.keys.as_ref().map_or(0, |keys| keys.unowned);
+            let unowned = service.unowned();
             if unowned > 0 {
                 short.push(format!("{} knows no owner of {unowned} keys of {name}", status.host));
             }
@@ -54,12 +54,6 @@
     }
 }
 
-async fn ask(addr: SocketAddr) -> Result<Status, operators::Error> {
-    let text = operators::get(addr, "/status").await?;
-    serde_json::from_str(&text)
-        .map_err(|err| operators::Error::Unexpected(format!("no status ({err})")))
-}
-
 fn line(status: &Status) -> String {
     let config = match status.config {
         Some(version) => format!("version {version}"),
@@ -73,9 +67,17 @@
 }
 
 fn describe(keys: &Keys) -> String {
-    let leader = keys.leader.as_ref().map_or("nobody".to_owned(), ToString::to_string);
+    match keys {
+        Keys::Shared => "any server takes any request".into(),
+        Keys::Unknown => "owners of keys not read yet".into(),
+        Keys::Owned(owners) => describe_owners(owners),
+    }
+}
+
+fn describe_owners(owners: &Owners) -> String {
+    let leader = owners.leader.as_ref().map_or("nobody".to_owned(), ToString::to_string);
     format!(
         "keys in {} ranges, map {}.{}, granted by {leader}",
-        keys.ranges, keys.epoch, keys.version
+        owners.ranges, owners.epoch, owners.version
     )
 }
--- a/crates/jacinthbeam-cli/src/lib.rs
+++ b/crates/jacinthbeam-cli/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod command;
 pub mod daemon;
-pub mod operators;
 pub mod publication;
 pub mod records;
 pub mod terminal;
--- a/crates/jacinthbeam-cli/tests/cli/running.rs
+++ b/crates/jacinthbeam-cli/tests/cli/running.rs
@@ -2,11 +2,14 @@
 
 use std::{collections::BTreeSet, fs, path::PathBuf, time::Duration};
 
-use jacinthbeam::{config::folder, host::process::usage::Count, types::prelude::*};
+use jacinthbeam::{
+    config::folder,
+    host::{operators, process::usage::Count},
+    types::prelude::*,
+};
 use jacinthbeam_cli::{
     Terminal,
     command::{self, Error},
-    operators,
     records::Records,
 };
 use jacinthbeam_measure::{
--- a/crates/jacinthbeam-host/src/lib.rs
+++ b/crates/jacinthbeam-host/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod connection;
 pub mod explain;
+pub mod operators;
 pub mod process;
 pub mod request;
 pub mod settings;
--- a/crates/jacinthbeam-cli/src/operators.rs
+++ b/crates/jacinthbeam-host/src/operators.rs
@@ -1,4 +1,4 @@
-//! Asks a host's port for operators.
+//! Asks the operators' port of a running host, for commands and experiments.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -9,6 +9,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
+use crate::process::status::Status;
+
 /// Time within which a host must answer.
 const TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest answer that is read, in bytes.
@@ -44,6 +46,12 @@
     timeout(TIMEOUT, fetch(addr, path)).await.unwrap_or(Err(Error::Silent))
 }
 
+/// What a host knows, in short.
+pub async fn status(addr: SocketAddr) -> Result<Status, Error> {
+    let text = get(addr, "/status").await?;
+    serde_json::from_str(&text).map_err(|err| Error::Unexpected(format!("no status ({err})")))
+}
+
 async fn fetch(addr: SocketAddr, path: &str) -> Result<String, Error> {
     let unreachable = |err: &dyn fmt::Display| Error::Unreachable(err.to_string());
     let stream = TcpStream::connect(addr).await.map_err(|err| unreachable(&err))?;
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use jacinthbeam_range::key::KEYS;
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -31,13 +32,36 @@
     pub team: Option<TeamName>,
     /// Backend servers that take new work.
     pub servers: usize,
-    /// Who owns its keys, if they have owners and a map is known.
-    pub keys: Option<Keys>,
+    /// Who owns its keys.
+    pub keys: Keys,
 }
 
-/// The owners of a service's keys.
+impl Service {
+    /// Keys, of 65,536, that this host knows no owner of, and so can't send requests for.
+    pub fn unowned(&self) -> u32 {
+        match &self.keys {
+            Keys::Shared => 0,
+            Keys::Unknown => KEYS,
+            Keys::Owned(owners) => owners.unowned,
+        }
+    }
+}
+
+/// Who owns the keys of a service, as far as a host knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Keys {
+#[serde(rename_all = "kebab-case")]
+pub enum Keys {
+    /// Keys have no owners: any backend server takes any request.
+    Shared,
+    /// Keys have owners, but no record of them was read yet.
+    Unknown,
+    /// The record of owners that is in force here.
+    Owned(Owners),
+}
+
+/// A record of the owners of a service's keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owners {
     /// Rises with each change of the granting host.
     pub epoch: Epoch,
     /// Counts the records of the epoch.
@@ -52,25 +76,34 @@
 
 /// What a host with this view knows.
 pub(super) fn of(settings: &Settings, view: &View, phase: Phase) -> Status {
-    let cfg = view.config.as_deref();
-    let services = cfg.into_iter().flat_map(|cfg| &cfg.services);
-    let services = services.map(|(name, service)| {
-        let keys = view.maps.get(name).map(|map| Keys {
-            epoch: map.epoch,
-            version: map.version,
-            leader: map.leader.as_ref().map(|leader| leader.host.clone()),
-            ranges: map.held().len(),
-            unowned: map.unowned_keys(),
-        });
-        let servers = view.servers.of(name).count();
-        (name.clone(), Service { team: service.team.clone(), servers, keys })
-    });
     Status {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         stopping: phase > Phase::Serving,
-        config: cfg.map(|cfg| cfg.version),
+        config: view.config.as_deref().map(|cfg| cfg.version),
         hosts: view.hosts,
-        services: services.collect(),
+        services: services(view),
     }
 }
+
+/// Each service of the configuration that a host with this view has.
+pub fn services(view: &View) -> BTreeMap<ServiceName, Service> {
+    let services = view.config.iter().flat_map(|cfg| &cfg.services);
+    let services = services.map(|(name, service)| {
+        let servers = view.servers.of(name).count();
+        let keys = if service.keyed { keys(view, name) } else { Keys::Shared };
+        (name.clone(), Service { team: service.team.clone(), servers, keys })
+    });
+    services.collect()
+}
+
+fn keys(view: &View, service: &ServiceName) -> Keys {
+    let Some(map) = view.maps.get(service) else { return Keys::Unknown };
+    Keys::Owned(Owners {
+        epoch: map.epoch,
+        version: map.version,
+        leader: map.leader.as_ref().map(|leader| leader.host.clone()),
+        ranges: map.held().len(),
+        unowned: map.unowned_keys(),
+    })
+}
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use jacinthbeam::{
     config::{change::Change, change::FileChange, fold::Outcome, fold::State, folder::Snapshot},
-    host::Settings,
+    host::{Settings, operators},
     native::{self, PLACES},
     store::{Call, Client},
     types::prelude::*,
@@ -119,7 +119,7 @@
 }
 
 impl Deployment {
-    /// Starts everything, and waits until each host serves and every key has an owner.
+    /// Starts everything, and waits until each host serves and knows the owner of every key, which has confirmed it.
     pub async fn spawn(plan: Plan, files: &Snapshot) -> Result<Self, Error> {
         let state = accept(files)?;
         let store = serve::spawn(LOOPBACK, PARTITIONS).await?;
@@ -283,6 +283,9 @@
             if !crate::load::is_ready(host.settings.ready).await {
                 return Some(format!("host {name} takes no callers"));
             }
+            if let Some(unknown) = unknown_to(host).await {
+                return Some(unknown);
+            }
         }
         let services = self.state.config().services.iter();
         let keyed = services.filter(|(_, service)| service.keyed);
@@ -312,6 +315,21 @@
     }
 }
 
+/// Keys that a host can't send requests for, since it has not read who owns them.
+///
+/// The host that grants keys may be another one. Its backend servers then hold their keys before this host has read the record.
+async fn unknown_to(host: &Host) -> Option<String> {
+    let name = &host.settings.host;
+    match operators::status(host.settings.metrics).await {
+        Err(err) => Some(format!("host {name} {err}")),
+        Ok(status) => status.services.iter().find(|(_, service)| service.unowned() > 0).map(
+            |(service, found)| {
+                format!("host {name} knows no owner of {} keys of {service}", found.unowned())
+            },
+        ),
+    }
+}
+
 fn accept(files: &Snapshot) -> Result<State, Error> {
     let change = |(name, text): (&jacinthbeam::config::FileName, &String)| FileChange {
         name: name.clone(),
