fix(host): a host chooses and binds a free port in one step

Tests and experiments looked for a free port, let it go and named it to the host; now and then a connection of a test that ran beside it was given that port in between.

Ruled out: two hosts with the same number (each port was looked up by itself), a listener left by an earlier test (the port was free a moment before).

Change: port 0 in the settings stands for any free port, and `Handle::settings` tells which was bound, so that no port is free in between. Datagrams and connections of other hosts need the same number, which is tried again if it is taken. The sockets have a module of their own. Experiments that run hosts as processes still name ports to them, which the code says.

The same search found no other address that is let go and bound again.

--- a/crates/jacinthbeam-host/src/lib.rs
+++ b/crates/jacinthbeam-host/src/lib.rs
@@ -16,6 +16,6 @@
 pub mod version;
 pub mod wire;
 
-pub use process::{Handle, spawn};
+pub use process::{Handle, Sockets, spawn};
 pub use settings::Settings;
 pub use wire::Wire;
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -12,13 +12,14 @@
 mod pages;
 pub mod peers;
 mod serving;
+mod sockets;
 pub mod status;
 pub mod traffic;
 pub mod usage;
 
 use std::{
     fmt, io,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
 };
@@ -29,9 +30,12 @@
 use crate::{Settings, Wire, connection::accept::Phase, version::View};
 use metrics::Counters;
 
+pub use sockets::Sockets;
+
 /// A running host.
 #[derive(Debug)]
 pub struct Handle {
+    settings: Settings,
     phase: watch::Sender<Phase>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -66,6 +70,11 @@
 impl std::error::Error for Error {}
 
 impl Handle {
+    /// The settings that the host runs with. Ports that were 0 are those that were bound.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Begins to stop: no new callers, running requests are answered. Returns at once.
     pub fn stop(&self) {
         self.phase.send_if_modified(|phase| {
@@ -87,43 +96,9 @@
     }
 }
 
-/// Sockets that are bound before anything else starts, so that a clash ends the process with a clear line.
-struct Sockets {
-    callers: TcpListener,
-    ready: TcpListener,
-    metrics: TcpListener,
-    reports: UdpSocket,
-    news: TcpListener,
-}
-
-fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(addr).and_then(|listener| {
-        listener.set_nonblocking(true)?;
-        Ok(listener)
-    });
-    bound.map_err(|err| Error::Bind { what, addr, err })
-}
-
-impl Sockets {
-    fn bind(settings: &Settings) -> Result<Self, Error> {
-        let addr = settings.peers;
-        let peers = UdpSocket::bind(addr).and_then(|socket| {
-            socket.set_nonblocking(true)?;
-            Ok(socket)
-        });
-        Ok(Self {
-            callers: listen("callers", settings.callers)?,
-            ready: listen("the balancer", settings.ready)?,
-            metrics: listen("metrics", settings.metrics)?,
-            reports: peers.map_err(|err| Error::Bind { what: "other hosts", addr, err })?,
-            news: listen("other hosts", addr)?,
-        })
-    }
-}
-
-/// Starts a host.
-pub fn spawn(settings: Settings, wire: Wire) -> Result<Handle, Error> {
-    let sockets = Sockets::bind(&settings)?;
+/// Starts a host. Each port 0 of `settings` stands for any free port; [`Handle::settings`] tells which.
+pub fn spawn(mut settings: Settings, wire: Wire) -> Result<Handle, Error> {
+    let sockets = Sockets::bind(&mut settings)?;
     let clock: Arc<dyn Clock> = Arc::new(clock::SuspendClock::new());
     let counters = Counters::new();
     let usage = usage::Counted::default();
@@ -153,7 +128,7 @@
         news: sockets.news,
     };
     let traffic = traffic::Start {
-        settings,
+        settings: settings.clone(),
         wire,
         clock,
         counters,
@@ -173,7 +148,7 @@
         run("control", move || control::run(control, control_sockets))?,
         run("traffic", move || serving::run(traffic))?,
     ];
-    Ok(Handle { phase, threads })
+    Ok(Handle { settings, phase, threads })
 }
 
 /// Starts a thread with a runtime of its own.
--- a/crates/jacinthbeam-measure/src/deployment/host.rs
+++ b/crates/jacinthbeam-measure/src/deployment/host.rs
@@ -8,7 +8,7 @@
 /// How a host runs.
 #[derive(Debug)]
 pub(super) enum Running {
-    Threads(host::Handle),
+    Threads(Box<host::Handle>),
     Process(Child),
     Ended,
 }
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     fmt, fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Command, Stdio},
     sync::Arc,
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use jacinthbeam::{
     config::{change::Change, change::FileChange, fold::Outcome, fold::State, folder::Snapshot},
-    host::{Settings, operators},
+    host::{Settings, Sockets, operators, process, spawn},
     native::{self, PLACES},
     store::{Call, Client},
     types::prelude::*,
@@ -196,15 +196,14 @@
     }
 
     fn spawn_host(&mut self, name: &str, domain: &FailureDomain) -> Result<(), Error> {
-        let ports = free_ports::<4>()?;
         let text = |err: &dyn fmt::Display| Error::Host(err.to_string());
         let settings = Settings {
             host: name.parse().map_err(|err| text(&err))?,
             domain: domain.clone(),
-            callers: ports[0],
-            ready: ports[1],
-            peers: ports[2],
-            metrics: ports[3],
+            callers: LOOPBACK,
+            ready: LOOPBACK,
+            peers: LOOPBACK,
+            metrics: LOOPBACK,
             store: self.store.addr(),
             partitions: PARTITIONS,
             repeats: jacinthbeam::dispatch::budget::Options {
@@ -215,18 +214,23 @@
             drain_within: native::settings::DEFAULT_DRAIN,
             stop_within: native::settings::DEFAULT_STOP,
         };
-        let running = self.start(&settings)?;
-        self.hosts.insert(settings.host.clone(), Host { settings, running });
+        let host = self.start(settings)?;
+        self.hosts.insert(host.settings.host.clone(), host);
         Ok(())
     }
 
-    fn start(&self, settings: &Settings) -> Result<Running, Error> {
+    /// Starts a host. Ports that are 0 in its settings are chosen, and keep their numbers when it is started again.
+    fn start(&self, mut settings: Settings) -> Result<Host, Error> {
+        let failed = |err: process::Error| Error::Host(err.to_string());
         let (Some((program, args)), Some(folder)) = (&self.plan.program, &self.folder) else {
-            let handle = jacinthbeam::host::spawn(settings.clone(), native::wire());
-            return handle.map(Running::Threads).map_err(|err| Error::Host(err.to_string()));
+            let handle = spawn(settings, native::wire()).map_err(failed)?;
+            let settings = handle.settings().clone();
+            return Ok(Host { settings, running: Running::Threads(Box::new(handle)) });
         };
+        // The process binds them again, so another one may take a port in between. It then fails to start, with that as its error.
+        drop(Sockets::bind(&mut settings).map_err(failed)?);
         let path = folder.join(format!("{}.json", settings.host));
-        fs::write(&path, native::settings::write(settings))?;
+        fs::write(&path, native::settings::write(&settings))?;
         let log = folder.join(format!("{}.log", settings.host));
         let log = fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
@@ -237,14 +241,14 @@
             .stdout(log)
             .stderr(Stdio::inherit())
             .spawn()?;
-        Ok(Running::Process(child))
+        Ok(Host { settings, running: Running::Process(child) })
     }
 
     /// Starts a host again that has ended.
     pub fn restart(&mut self, host: &HostId) -> Result<(), Error> {
         let settings = self.hosts[host].settings.clone();
-        let running = self.start(&settings)?;
-        self.hosts.get_mut(host).expect("it was just found").running = running;
+        let started = self.start(settings)?;
+        self.hosts.insert(host.clone(), started);
         Ok(())
     }
 
@@ -347,14 +351,3 @@
         }
     }
 }
-
-/// Ports that nobody listens at now.
-fn free_ports<const N: usize>() -> io::Result<[SocketAddr; N]> {
-    let listeners: Vec<TcpListener> =
-        (0..N).map(|_| TcpListener::bind(LOOPBACK)).collect::<Result<_, _>>()?;
-    let mut addrs = [LOOPBACK; N];
-    for (addr, listener) in addrs.iter_mut().zip(&listeners) {
-        *addr = listener.local_addr()?;
-    }
-    Ok(addrs)
-}
