refactor(range): a majority asks nothing of moves under way

Cause: two conditions of `refuses_others` (no move under way from the server, no release of it without an answer) had no test that failed without them.

By reading they can't matter. While a range is in the server's part of the map it has to be confirmed under the successor's token, moving or not; a range that is moved before that keeps the server out by itself. It leaves the map by an answered release, after which the server refuses lower tokens for it, or by `free_lapsed` after `others_until`, when the majority is no longer asked for.

Change: both conditions and the set of open releases are taken out.

Conclusion: less to read, the same promise.

--- a/crates/jacinthbeam-range/src/grantor/leading/majority.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -28,18 +28,12 @@
     rivals: Vec<BTreeSet<ServerId>>,
     /// Servers that take no grant of theirs any more.
     done: BTreeSet<ServerId>,
-    /// Servers that may still take one: they were asked to release keys, and did not answer.
-    open: BTreeSet<ServerId>,
 }
 
 impl Fence {
     /// Looks for a majority against each rival that the first map of this leader names.
     pub(super) fn of(map: &Map) -> Self {
-        Self { rivals: map.rivals.clone(), done: BTreeSet::new(), open: BTreeSet::new() }
-    }
-
-    pub(super) fn leave_open(&mut self, server: &ServerId) {
-        self.open.insert(server.clone());
+        Self { rivals: map.rivals.clone(), done: BTreeSet::new() }
     }
 
     fn is_complete(&self) -> bool {
@@ -83,7 +77,7 @@
             return;
         }
         let servers: BTreeSet<&ServerId> = fence.rivals.iter().flatten().collect();
-        let refuse = servers.into_iter().filter(|id| self.refuses_others(id, &fence));
+        let refuse = servers.into_iter().filter(|id| self.refuses_others(id));
         let refuse: Vec<ServerId> = refuse.cloned().collect();
         fence.done.extend(refuse);
         if !fence.is_complete() {
@@ -96,15 +90,17 @@
     }
 
     /// Whether a server has confirmed all that it holds by the map, under this leader's tokens.
-    fn refuses_others(&self, id: &ServerId, fence: &Fence) -> bool {
+    ///
+    /// A predecessor renews all that its own map gives to the server. The server refuses each part of it that the present map
+    /// still has, since it has taken a higher token for it. A part that has moved away meanwhile is refused as well if the
+    /// server answered the release, which bore a higher token; without an answer the part stays in the map, and has to be
+    /// confirmed, until `others_until` has passed, when this is no longer asked (`free_lapsed`). So moves under way need no
+    /// rule of their own here.
+    fn refuses_others(&self, id: &ServerId) -> bool {
         let Some(contact) = self.contacts.get(id) else { return false };
         if contact.ended {
             return true;
         }
-        let moving = self.moves.iter().any(|moving| moving.from.server == *id);
-        if moving || fence.open.contains(id) {
-            return false;
-        }
         let mut held = self.map.of_server(id).peekable();
         held.peek().is_some() && held.all(|held| contact.has_confirmed(held.range, held.token))
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -188,13 +188,8 @@
         };
         moving.stage = match handover {
             Ok(handover) => Stage::Free(handover),
-            Err(NoAnswer) => {
-                if let Some(fence) = &mut self.fence {
-                    fence.leave_open(&moving.from.server);
-                }
-                // Renewals of the range had ended before the release was sent, so the present is a safe bound of the last one.
-                Stage::Lapsing(now)
-            }
+            // Renewals of the range had ended before the release was sent, so the present is a safe bound of the last one.
+            Err(NoAnswer) => Stage::Lapsing(now),
         };
     }
 
