feat(measure): what hosts cost, from the system's own counts

Change: `measure` reads processor time and peak memory of each host's process (procfs) before and after the undisturbed span, whose length `--calm` sets; `--faults` without a value brings no fault about.

Counted in steps of 10 ms a host, so below 100 requests a second the figure is coarse.

--- a/crates/jacinthbeam-cli/src/command/measure.rs
+++ b/crates/jacinthbeam-cli/src/command/measure.rs
@@ -5,14 +5,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use jacinthbeam_measure::{Fault, Options};
 
-use super::{EXIT_CODES, Error, local};
+use super::{EXIT_CODES, Error, arg, local};
 use crate::{Terminal, publication::open_folder};
 
 const LONG: &str = "\
 Run hosts as processes of their own, with stand-ins of the platform, put an open loop of requests on them, and bring faults about
 one after the other. Says for each fault what callers were told and how long the keys that it concerns were not served, and
-compares what callers were told with what backend servers ran. Ends with code 7 if a promise was broken or something was not
-served again.";
+compares what callers were told with what backend servers ran. Tells what hosts cost before the first fault. Ends with code 7 if a
+promise was broken or something was not served again.";
 
 /// The command's arguments.
 pub fn command() -> Command {
@@ -27,9 +27,18 @@
                 .long("faults")
                 .value_name("FAULT")
                 .value_delimiter(',')
+                .num_args(0..)
                 .action(ArgAction::Append)
                 .value_parser(value_parser!(Fault))
-                .help("Faults in their order, such as host-killed,server-lost; without it, all"),
+                .help("Faults in their order, such as host-killed,server-lost; without it, all; without a value, none"),
+        )
+        .arg(
+            Arg::new("calm")
+                .long("calm")
+                .value_name("TIME")
+                .default_value("3s")
+                .value_parser(arg::time)
+                .help("Time of undisturbed load before the first fault, in which the cost of hosts is measured"),
         )
         .arg(
             Arg::new("rate")
@@ -61,6 +70,7 @@
     let options = Options {
         plan,
         rate: f64::from(*args.get_one::<u32>("rate").expect("it has a default")),
+        calm: *args.get_one("calm").expect("it has a default"),
         faults: faults.map_or_else(all, |faults| faults.copied().collect()),
         seed: *args.get_one("seed").expect("it has a default"),
     };
--- a/crates/jacinthbeam-measure/src/deployment/host.rs
+++ b/crates/jacinthbeam-measure/src/deployment/host.rs
@@ -5,6 +5,8 @@
 use jacinthbeam::host::{self, Settings};
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::Cost;
+
 /// How a host runs.
 #[derive(Debug)]
 pub(super) enum Running {
@@ -41,6 +43,14 @@
         self.join().await;
     }
 
+    /// What it took so far. `None` if it is no process of its own, or has ended.
+    pub fn cost(&self) -> Option<Cost> {
+        let Running::Process(child) = &self.running else { return None };
+        Cost::of(child.id())
+            .inspect_err(|err| eprintln!("cost of {} is not known: {err}", self.settings.host))
+            .ok()
+    }
+
     /// Makes a process stand still, or go on.
     pub fn freeze(&mut self, frozen: bool) {
         if let Running::Process(child) = &self.running {
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -22,6 +22,8 @@
 };
 use jacinthbeam_standin::{backend, serve};
 
+use crate::Cost;
+
 pub use host::Host;
 use host::Running;
 
@@ -244,6 +246,15 @@
         Ok(Host { settings, running: Running::Process(child) })
     }
 
+    /// What all hosts took so far. `None` unless each of them is a process that can be asked.
+    pub fn cost(&self) -> Option<Cost> {
+        let mut all = Cost::default();
+        for host in self.hosts.values() {
+            all += host.cost()?;
+        }
+        Some(all)
+    }
+
     /// Starts a host again that has ended.
     pub fn restart(&mut self, host: &HostId) -> Result<(), Error> {
         let settings = self.hosts[host].settings.clone();
--- a/crates/jacinthbeam-measure/src/experiment.rs
+++ b/crates/jacinthbeam-measure/src/experiment.rs
@@ -11,7 +11,7 @@
 use jacinthbeam::{config::folder::Snapshot, types::prelude::*};
 
 use crate::{
-    Deployment, Fault, Plan,
+    Cost, Deployment, Fault, Plan, Spent,
     deployment::Error,
     fault::Target,
     judge,
@@ -19,9 +19,6 @@
     report::{Report, Row},
 };
 
-/// Time of undisturbed load before each fault, and after it.
-pub const CALM: Duration = Duration::from_secs(3);
-
 /// Time after a fault in which everything has to be served again: the longest hold and the loss of a granting host.
 pub const RECOVERY: Duration = Duration::from_secs(9);
 
@@ -32,7 +29,9 @@
     pub plan: Plan,
     /// Requests a second, over all services.
     pub rate: f64,
-    /// Faults, in this order. None: load alone for [`CALM`] and [`RECOVERY`].
+    /// Time of undisturbed load before the first fault.
+    pub calm: Duration,
+    /// Faults, in this order.
     pub faults: Vec<Fault>,
     /// What random choices start from.
     pub seed: u64,
@@ -55,9 +54,10 @@
     let callers = Callers::new(&deployment, options.rate, rng.fork());
     let load = tokio::spawn(callers.run(notes.clone(), stop.clone()));
     let mut windows = Vec::new();
-    tokio::time::sleep(CALM).await;
-    let calm = Instant::now() - CALM;
-    windows.push(("calm".to_owned(), None, calm, Instant::now()));
+    let (begun, before) = (Instant::now(), deployment.cost());
+    tokio::time::sleep(options.calm).await;
+    let cost = since(before, deployment.cost());
+    windows.push(("calm".to_owned(), None, begun, Instant::now()));
     for fault in &options.faults {
         let Some(target) = fault.target(&deployment, &mut rng) else {
             say(format!("{fault}: there is nothing that it could strike"));
@@ -69,9 +69,6 @@
         tokio::time::sleep(RECOVERY).await;
         windows.push((fault.to_string(), Some(target), begun, Instant::now()));
     }
-    if options.faults.is_empty() {
-        tokio::time::sleep(RECOVERY).await;
-    }
     stop.store(true, Ordering::SeqCst);
     if load.await.is_err() {
         say("the load ended by a panic".into());
@@ -80,9 +77,14 @@
     let runs = deployment.take_runs();
     let calls = deployment.store.calls();
     let notes = std::mem::take(&mut *notes.lock().expect("no holder of the lock panics"));
-    let rows = windows.iter().map(|window| row(window, &notes)).collect();
+    let rows: Vec<Row> = windows.iter().map(|window| row(window, &notes)).collect();
     deployment.stop().await;
-    Ok(Report { rows, broken: judge::broken(&notes, &runs), runs: runs.len(), calls })
+    let spent = cost.map(|cost| Spent { cost, requests: rows[0].requests });
+    Ok(Report { rows, broken: judge::broken(&notes, &runs), runs: runs.len(), calls, spent })
+}
+
+fn since(before: Option<Cost>, now: Option<Cost>) -> Option<Cost> {
+    Some(now? - before?)
 }
 
 type Window = (String, Option<Target>, Instant, Instant);
--- a/crates/jacinthbeam-measure/src/report.rs
+++ b/crates/jacinthbeam-measure/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
-use crate::judge::Promise;
+use crate::{Spent, judge::Promise};
 
 /// One span of an experiment: calm, or a fault and the time after it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     pub runs: usize,
     /// Calls to the store.
     pub calls: u64,
+    /// What hosts took before the first fault, if they are processes.
+    pub spent: Option<Spent>,
 }
 
 impl Report {
@@ -82,6 +84,9 @@
             "backend servers ran {}, the store was called {} times",
             self.runs, self.calls
         )?;
+        if let Some(spent) = &self.spent {
+            writeln!(f, "{spent}")?;
+        }
         for promise in Promise::ALL {
             let cases = self.broken.get(&promise).map_or(&[][..], Vec::as_slice);
             writeln!(f, "{}: broken {} times", promise.text(), cases.len())?;
