fix(range): keys stay with their owners while the store takes no records

It went on to take busy keys off their owners for balance. No record could name the next ones, so every request for them was refused ("Moving", some 60 in 2 s) until the store took records again.

Ruled out: retries of the record in a tight loop (they fall to ten a second after half a second), and the new estimate of rates as such (the old one did the same, with fewer moves).

Change: a look at the balance moves nothing while a record is on its way, or after one that was not kept until the store has answered a call that was sent later. Keys of leaving and lost servers are moved as before, since nobody may send to those anyway.

Test: `busy_keys_stay_with_their_owners_while_records_are_not_kept` failed before. (A first trial bound this to records in doubt; those can stay in doubt with nothing left to record, and balance would have ended.)

Still open there: the granting host that the store turns away keeps the duty, and keys of lost servers wait for it.

--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -54,6 +54,8 @@
     writing: Option<Map>,
     /// Earlier ones that may still be kept.
     doubtful: Doubtful,
+    /// When a record was last not kept, as far as is known.
+    not_kept: Option<Instant>,
     /// The last token given out. Kept apart from the map, since moves take tokens while a record is being written.
     token: Token,
     contacts: BTreeMap<ServerId, Contact>,
@@ -82,6 +84,7 @@
             others_until,
             writing: None,
             doubtful: Doubtful::default(),
+            not_kept: None,
             contacts: BTreeMap::new(),
             moves: Vec::new(),
             refused: BTreeSet::new(),
@@ -120,7 +123,8 @@
     }
 
     /// The record was not kept, or may be kept later.
-    pub(in crate::grantor) fn on_not_recorded(&mut self) {
+    pub(in crate::grantor) fn on_not_recorded(&mut self, now: Instant) {
+        self.not_kept = Some(now);
         if let Some(map) = self.writing.take() {
             self.doubtful.add(map);
         }
--- a/crates/jacinthbeam-range/src/grantor/leading/plan.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/plan.rs
@@ -41,7 +41,7 @@
             return;
         }
         let due = self.balanced.is_none_or(|at| view.now >= at + BALANCE_EVERY);
-        if due {
+        if due && self.keeps_records() {
             self.balanced = Some(view.now);
             let fixed: Vec<KeyRange> = self
                 .moves
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Whether the store takes records of this host, by the last word from it.
+    ///
+    /// While it takes none, keys that are taken off an owner that can serve them have none until it does, and all requests for them are
+    /// refused; a busy owner answers a part.
+    fn keeps_records(&self) -> bool {
+        self.writing.is_none() && self.not_kept.is_none_or(|at| self.proof >= at)
+    }
+
     /// The map as it will be when all moves are done.
     pub(super) fn expected(&self) -> Map {
         let mut map = self.map.clone();
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -267,7 +267,7 @@
 
     fn on_not_recorded(&mut self, view: View<'_>) {
         self.next_claim = Some(view.now + timing::CLAIM_AGAIN);
-        self.while_leading(Leading::on_not_recorded);
+        self.while_leading(|leading| leading.on_not_recorded(view.now));
     }
 
     fn begin(&mut self, view: View<'_>, asked: Instant, map: Map, claim: &Claim) {
--- a/crates/jacinthbeam-range/tests/grantor/store.rs
+++ b/crates/jacinthbeam-range/tests/grantor/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jacinthbeam_range::{Event, Grantor, KeyRange, Map, grantor::timing};
+use jacinthbeam_range::{Event, Grantor, Key, KeyRange, Map, demand::Report, grantor::timing};
 use jacinthbeam_types::prelude::*;
 
 use crate::play::*;
@@ -89,6 +89,36 @@
     assert!(last <= confirmed + timing::PROOF);
 }
 
+/// Some keys are busy, and all requests for them are refused for as long as the store takes no records of this host.
+///
+/// The host takes busy keys off their owner, and the record that names the next one is not kept. Nobody has them until one is. Then
+/// other keys are busy, and each look at the balance adds some of them.
+#[test]
+fn busy_keys_stay_with_their_owners_while_records_are_not_kept() {
+    let mut play = Play::among(4, 1, None, &[]);
+    play.run(Duration::from_secs(2));
+    let busy = |play: &mut Play, first: u16| {
+        let keys = (first..first + 40).map(|key| (Key(key), 2)).collect();
+        let report = Report { keys, ..Report::default() };
+        play.feed_without_store(Event::Load { from: "h9".parse().unwrap(), report });
+        play.run_without_store(Duration::from_millis(250));
+    };
+    while play.releases.is_empty() {
+        busy(&mut play, 0);
+    }
+    for (range, token) in std::mem::take(&mut play.releases) {
+        play.feed_without_store(Event::Released { range, token, handover: Ok(None) });
+    }
+    play.feed_without_store(Event::NotRecorded);
+    (0..12).for_each(|_| busy(&mut play, 40_000));
+    assert_eq!(play.releases, []);
+
+    // Balance goes on once a record is kept.
+    play.feed(Event::NotRecorded);
+    (0..12).for_each(|_| busy(&mut play, 40_000));
+    assert!(!play.releases.is_empty());
+}
+
 /// Most owners are silent although they are listed: this host is cut off. It takes no keys away and lets another try.
 #[test]
 fn a_host_that_reaches_too_few_gives_the_duty_back() {
