feat(host): a host that starts without the store asks the hosts that its settings name

Change: settings have `seeds`. A host that has lost the store and knows no host asks one of them, as it asks any other host otherwise.

--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -5,7 +5,8 @@
 //! before it that answers, and only one that finds nobody reads the store. Nobody is elected: a host that dies, falls silent
 //! or is cut off from the store is passed over by those behind it within a second or so.
 //!
-//! A host that reads for itself and loses the store asks any other host. Hosts that the store turns away while it serves others
+//! A host that reads for itself and loses the store asks any other host. One that starts then and knows none, since the list of hosts is in the
+//! store, asks those that its settings name. Hosts that the store turns away while it serves others
 //! go on with news that are some milliseconds old.
 
 use std::{
@@ -51,6 +52,8 @@
 pub(super) struct Feed {
     pub(super) clock: Arc<dyn Clock>,
     pub(super) neighbours: watch::Receiver<Neighbours>,
+    /// Hosts that are asked while none is known.
+    pub(super) seeds: Vec<SocketAddr>,
     /// Whether this host reads the store itself.
     pub(super) direct: Rc<watch::Sender<bool>>,
     /// When this host last heard of the store.
@@ -75,15 +78,25 @@
             continue;
         }
         set_direct(&feed, true);
-        if feed.has_lost_store() && !neighbours.others.is_empty() {
-            let (host, addr) = &neighbours.others[fastrand::usize(..neighbours.others.len())];
-            ask_while_lost(&feed, host, *addr).await;
+        if feed.has_lost_store()
+            && let Some(addr) = any(&neighbours, &feed.seeds)
+        {
+            ask_while_lost(&feed, addr).await;
             continue;
         }
         tokio::time::sleep(if feed.has_lost_store() { LOOK_AGAIN / 4 } else { LOOK_AGAIN }).await;
     }
 }
 
+/// One of the others at random, or of the seeds while no host is known.
+fn any(neighbours: &Neighbours, seeds: &[SocketAddr]) -> Option<SocketAddr> {
+    let addrs: Vec<SocketAddr> = match neighbours.others.is_empty() {
+        true => seeds.to_vec(),
+        false => neighbours.others.iter().map(|(_, addr)| *addr).collect(),
+    };
+    fastrand::choice(addrs)
+}
+
 impl Feed {
     fn age(&self) -> Duration {
         let heard = self.heard.get();
@@ -129,7 +142,7 @@
 }
 
 /// Asks any host, for as long as this one can't read the store and the other is less behind.
-async fn ask_while_lost(feed: &Feed, host: &HostId, addr: SocketAddr) {
+async fn ask_while_lost(feed: &Feed, addr: SocketAddr) {
     let mut link = match Link::open(addr).await {
         Ok(link) => link,
         Err(_) => return tokio::time::sleep(LEAST_PAUSE * 10).await,
@@ -138,7 +151,7 @@
         if age > LOST_AFTER {
             return tokio::time::sleep(LEAST_PAUSE * 10).await;
         }
-        tracing::debug!(part = "feed", event = "store-lost", host = %host, age_ms = %age.as_millis());
+        tracing::debug!(part = "feed", event = "store-lost", asked = %addr, age_ms = %age.as_millis());
     }
 }
 
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -124,6 +124,7 @@
         spawn_local(feed::run(Feed {
             clock: self.clock.clone(),
             neighbours: self.neighbours.subscribe(),
+            seeds: self.settings.seeds.clone(),
             direct: self.direct.clone(),
             heard: self.heard.clone(),
             tx: self.tx.clone(),
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -18,6 +18,8 @@
     pub ready: SocketAddr,
     /// Where other hosts send reports to.
     pub peers: SocketAddr,
+    /// Where some other hosts hear reports, for a start while the store can't be read. They may be stale.
+    pub seeds: Vec<SocketAddr>,
     /// Where metrics and the dump are read.
     pub metrics: SocketAddr,
     /// The platform's store.
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -17,6 +17,7 @@
         callers: LOOPBACK,
         ready: LOOPBACK,
         peers,
+        seeds: Vec::new(),
         metrics: LOOPBACK,
         store: LOOPBACK,
         partitions: 1,
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -205,6 +205,7 @@
             callers: LOOPBACK,
             ready: LOOPBACK,
             peers: LOOPBACK,
+            seeds: Vec::new(),
             metrics: LOOPBACK,
             store: self.store.addr(),
             partitions: PARTITIONS,
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jacinthbeam_config::{
-    document::{self, Fields, Value, read},
+    document::{self, Fields, Node, Value, read},
     problem::Problem,
 };
 use jacinthbeam_dispatch::budget;
@@ -44,6 +44,7 @@
     let callers = address(fields, "callers");
     let ready = address(fields, "ready");
     let peers = address(fields, "peers");
+    let seeds = fields.or("seeds", Vec::new(), seeds);
     let operators = address(fields, "operators");
     let store = address(fields, "store");
     let partitions = fields.or("partitions", DEFAULT_PARTITIONS, read::whole(1..=MAX_PARTITIONS));
@@ -72,6 +73,7 @@
         callers: callers?,
         ready: ready?,
         peers: peers?,
+        seeds,
         metrics: operators?,
         store: store?,
         partitions,
@@ -98,6 +100,16 @@
     }
 }
 
+fn seeds(value: &Value) -> Result<Vec<SocketAddr>, String> {
+    let wrong = || "a list of addresses of other hosts, such as [\"10.0.0.7:8081\"]".to_owned();
+    let Value::List(list) = value else { return Err(wrong()) };
+    let addr = |node: &Node| match &node.value {
+        Value::Text(text) => text.parse().ok(),
+        _ => None,
+    };
+    list.iter().map(addr).collect::<Option<_>>().ok_or_else(wrong)
+}
+
 fn address(fields: &mut Fields<'_>, name: &'static str) -> Option<SocketAddr> {
     fields.required(name, "an address such as \"10.0.0.7:8080\"", |value| match value {
         Value::Text(text) => text.parse().map_err(|_| expected()),
@@ -119,6 +131,7 @@
         "callers": text(&settings.callers),
         "ready": text(&settings.ready),
         "peers": text(&settings.peers),
+        "seeds": settings.seeds.iter().map(|addr| text(addr)).collect::<Vec<_>>(),
         "operators": text(&settings.metrics),
         "store": text(&settings.store),
         "partitions": settings.partitions,
--- a/crates/jacinthbeam-native/tests/settings.rs
+++ b/crates/jacinthbeam-native/tests/settings.rs
@@ -30,6 +30,6 @@
     insta::assert_snapshot!(say(r#"{
   "host": "entry ka 1", "domain": "kamloops-a", "callers": "localhost:80", "ready": "10.1.0.11:8080",
   "peers": "0.0.0.0:8081", "operators": "10.1.0.11:8080", "store": 7001, "cell": "a",
-  "partitions": 0, "repeats": { "ratio": 2, "windw_ms": 5 }, "drain_within_ms": 0,
+  "seeds": ["10.1.0.12"], "partitions": 0, "repeats": { "ratio": 2, "windw_ms": 5 }, "drain_within_ms": 0,
 }"#));
 }
