fix(range): a server that comes back goes on with its keys, and none while a record is in doubt

Its servers had been given up, so that their holds would run out, and were back and listed two seconds before anybody else could be given their keys. Nobody granted them anything meanwhile; half of the keyed service was refused ("NotOwner", then "Moving").

A second one, found by reading for the first: if there was nobody to give a lost server's keys to, it was granted them again, also while a record that gave them to another server was in doubt. Kept after all, that record makes two owners.

Change: a server that was given up, left the list and is on it again goes on with what the record gives it; one that stays on the list doesn't, as it may take grants whose answers are lost. Neither happens while a record is on its way or in doubt. While one is in doubt another one is written, which settles it.

Tests: `a_server_that_is_listed_again_goes_on` failed before; `keys_that_a_record_in_doubt_gives_away_go_to_nobody` fails without either of the two conditions, and `sole_owner` found two owners without the first (servers leave the list there now). 45 s of each property: no clash.

--- a/crates/jacinthbeam-range/src/grantor/contact.rs
+++ b/crates/jacinthbeam-range/src/grantor/contact.rs
@@ -44,6 +44,8 @@
     pub(super) ended: bool,
     /// No grant is sent any more, so that its hold runs out.
     pub(super) given_up: bool,
+    /// The list has lacked the server since it was given up.
+    unlisted: bool,
     /// What the server has confirmed.
     confirmed: BTreeSet<(KeyRange, Token)>,
 }
@@ -61,6 +63,7 @@
             took_at: None,
             ended: false,
             given_up: false,
+            unlisted: false,
             confirmed: BTreeSet::new(),
         }
     }
@@ -154,9 +157,18 @@
         !self.busy && now >= last + longest_hold()
     }
 
-    /// Starts over with a server whose hold has run out, since there is nobody else to take its keys.
+    /// Whether a server that was given up has come back: it had left the list, and is on it again.
+    ///
+    /// One that stays on the list may take grants whose answers are lost, and its hold would never run out if it were asked again.
+    pub(super) fn is_back(&mut self, listed: bool) -> bool {
+        self.unlisted |= self.given_up && !listed;
+        self.unlisted && listed && !self.ended
+    }
+
+    /// Starts over with a server that was given up.
     pub(super) fn try_anew(&mut self) {
         self.given_up = false;
+        self.unlisted = false;
         self.silent_since = None;
         self.confirmed.clear();
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/majority.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -115,6 +115,10 @@
         self.0.insert(map.version, map);
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(super) fn clear(&mut self) {
         self.0.clear();
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -226,6 +226,7 @@
         self.meet_owners();
         self.meet_majority(view.now);
         self.give_up_lost(view.now);
+        self.take_back(view.servers);
         let mut orders = Vec::new();
         orders.extend(self.check(view.now));
         self.plan(view, service);
@@ -262,6 +263,21 @@
         }
     }
 
+    /// Goes on with servers that have come back while the record still names them.
+    ///
+    /// Without it the keys of a failure domain that was cut off for a few seconds stay without a server until holds have run out that
+    /// ended when the cut did. A record that may give them to another server, and is on its way or in doubt, forbids it: both would hold
+    /// them.
+    fn take_back(&mut self, servers: &Servers) {
+        let settled = self.writing.is_none() && self.doubtful.is_empty();
+        for contact in self.contacts.values_mut() {
+            let back = contact.is_back(servers.takes_work(&contact.owner.server));
+            if back && settled {
+                contact.try_anew();
+            }
+        }
+    }
+
     /// Whether more than half of the owners gave no answer although they are listed.
     pub(in crate::grantor) fn reaches_too_few(&self, view: View<'_>) -> bool {
         let listed = |c: &&Contact| !c.ended && view.servers.takes_work(&c.owner.server);
--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -23,6 +23,8 @@
         let changed = self.put_lapsed(&mut map, view, service) || changed;
         let changed = self.raise_refused(&mut map) || changed;
         let changed = self.say_alone(&mut map, view.now) || changed;
+        // One more record tells whether those in doubt were kept, and nothing can be done about their keys before that.
+        let changed = changed || !self.doubtful.is_empty();
         if !changed {
             return None;
         }
@@ -66,6 +68,9 @@
         let expected = self.expected();
         let moves = balance::place(&expected, &self.demand.rates(&self.map), &candidates, &lapsed);
         if moves.is_empty() {
+            if !self.doubtful.is_empty() {
+                return false;
+            }
             self.contacts.values_mut().filter(|c| !c.ended).for_each(Contact::try_anew);
             return false;
         }
--- a/crates/jacinthbeam-range/tests/grantor/server.rs
+++ b/crates/jacinthbeam-range/tests/grantor/server.rs
@@ -21,6 +21,37 @@
     assert_eq!(play.keys_of(2), 65_536);
 }
 
+/// A failure domain is cut off for three seconds. Its servers are back, and all requests for their keys are refused for three more.
+///
+/// The servers fell silent and left the list, so that nothing more was granted to them and their holds were to run out. Nobody else was
+/// given their keys yet, so the record still names them, and they can simply go on.
+#[test]
+fn a_server_that_is_listed_again_goes_on() {
+    let mut play = Play::leading();
+    play.silent.push(server(1, false).id);
+    play.run(Duration::from_millis(1500));
+    play.servers.remove(&server(1, false).id);
+    play.run(Duration::from_millis(1500));
+    play.silent.clear();
+    play.servers.insert(server(1, false));
+    let back = play.now;
+    play.run(Duration::from_millis(300));
+    assert!(play.last_grant_to(1) >= back, "nothing is granted to it");
+    play.run(Duration::from_secs(10));
+    assert_eq!((play.keys_of(1), play.keys_of(2)), (32_768, 32_768));
+}
+
+/// A server that stays on the list while it takes no grant is not granted any again and again: its hold would never run out.
+#[test]
+fn a_silent_server_that_was_listed_all_the_time_is_waited_out() {
+    let mut play = Play::leading();
+    play.silent.push(server(1, false).id);
+    play.run(Duration::from_millis(1500));
+    let last = play.last_grant_to(1);
+    play.run(Duration::from_millis(1500));
+    assert_eq!(play.last_grant_to(1), last);
+}
+
 /// Another life answers at the server's address, so that this one has ended for certain. Nobody has to wait.
 #[test]
 fn the_keys_of_a_server_that_has_surely_ended_go_at_once() {
--- a/crates/jacinthbeam-range/tests/grantor/store.rs
+++ b/crates/jacinthbeam-range/tests/grantor/store.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use jacinthbeam_range::{Event, Grantor, Key, KeyRange, Map, demand::Report, grantor::timing};
+use jacinthbeam_range::{
+    Event, Grantor, Key, KeyRange, Map,
+    demand::Report,
+    grantor::{longest_hold, timing},
+};
 use jacinthbeam_types::prelude::*;
 
 use crate::play::*;
@@ -89,6 +93,46 @@
     assert!(last <= confirmed + timing::PROOF);
 }
 
+/// Two servers hold the same keys, and an order for one of them runs on each.
+///
+/// A lost server's keys were given to another one by a record that got no answer. It may be kept. Then the other one leaves the list, so that
+/// there is nobody to give them to, and the lost one comes back. Granted its keys again, it would hold them beside the other, which
+/// gets them as soon as the record is read back.
+#[test]
+fn keys_that_a_record_in_doubt_gives_away_go_to_nobody() {
+    for returns in [false, true] {
+        let mut play = Play::leading();
+        play.silent.push(server(1, false).id);
+        // The store answers until shortly before the hold has run out.
+        play.run(timing::GIVE_UP);
+        play.run((play.last_grant_to(1) + longest_hold()).duration_since(play.now) - TICK * 2);
+        let sent = (0..20).any(|_| {
+            play.now += TICK;
+            play.feed_without_store(Event::Tick)
+        });
+        assert!(sent, "no record gives the keys away");
+        let last = play.last_grant_to(1);
+        play.servers.remove(&server(2, false).id);
+        play.feed_without_store(Event::NotRecorded);
+        if returns {
+            play.servers.remove(&server(1, false).id);
+            play.run_without_store(Duration::from_millis(200));
+            play.servers.insert(server(1, false));
+        }
+        play.silent.clear();
+        play.run_without_store(Duration::from_secs(2));
+        assert_eq!(play.last_grant_to(1), last, "returns: {returns}");
+        // With the store back the doubt is settled by one more record, and the keys have an owner again.
+        play.feed(Event::NotRecorded);
+        play.servers.insert(server(2, false));
+        play.run(Duration::from_secs(5));
+        assert_eq!(play.keys_of(1) + play.keys_of(2), 65_536);
+        assert!(
+            play.last_grant_to(1).max(play.last_grant_to(2)) > play.now - Duration::from_secs(1)
+        );
+    }
+}
+
 /// Some keys are busy, and all requests for them are refused for as long as the store takes no records of this host.
 ///
 /// The host takes busy keys off their owner, and the record that names the next one is not kept. Nobody has them until one is. Then
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -61,6 +61,7 @@
         split: 0.005,
         pause: 0.01,
         drain: 0.002,
+        unlist: 0.01,
         crash: 0.005,
         lost_grant: 0.1,
         refuse: 0.05,
@@ -77,6 +78,20 @@
     arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
 }
 
+/// Servers leave the list and come back while they are cut off, and while records that give their keys away are in doubt.
+#[test]
+fn servers_that_come_back_do_not_make_two_owners() {
+    let odds = Odds {
+        unlist: 0.02,
+        server_cut: 0.03,
+        store_late: 0.4,
+        deal: 0.01,
+        lost_grant: 0.1,
+        ..Odds::CALM
+    };
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+}
+
 /// Nothing goes wrong: every key is owned soon, a move leaves its keys without an owner for less than a second, and records are
 /// written for changes only.
 #[test]
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -33,6 +33,8 @@
     pub pause: f64,
     /// A server says that it leaves, and ends some seconds later.
     pub drain: f64,
+    /// A server's entry leaves the list, or comes back, while it serves on.
+    pub unlist: f64,
     /// A server ends; another life of it comes some seconds later.
     pub crash: f64,
     /// A grant is lost, or its answer.
@@ -52,6 +54,7 @@
         split: 0.0,
         pause: 0.0,
         drain: 0.0,
+        unlist: 0.0,
         crash: 0.0,
         lost_grant: 0.0,
         refuse: 0.0,
@@ -100,6 +103,7 @@
     reborn: Vec<(Instant, usize)>,
     lives: u32,
     cut_servers: BTreeSet<(usize, ServerId)>,
+    unlisted: BTreeSet<ServerId>,
     split: Option<Split>,
     queue: Vec<(Instant, u64, Message)>,
     sent: u64,
@@ -139,6 +143,7 @@
             reborn: Vec::new(),
             lives: 0,
             cut_servers: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             split: None,
             queue: Vec::new(),
             sent: 0,
@@ -185,7 +190,7 @@
 
     fn listed(&self) -> Servers {
         let mut listed = Servers::default();
-        for server in self.servers.values() {
+        for server in self.servers.values().filter(|server| !self.unlisted.contains(&server.id)) {
             listed.insert(Listed {
                 id: server.id.clone(),
                 service: service(),
@@ -250,6 +255,10 @@
                     self.cut_servers.insert(cut);
                 }
             }
+            if self.chance(odds.unlist) && !self.unlisted.remove(&id) {
+                self.unlisted.insert(id.clone());
+                self.tell(format!("{id} is on no list"));
+            }
             if self.chance(odds.drain) && self.servers[&id].leaves_at.is_none() {
                 let leaves_at = self.now + Duration::from_millis(self.rng.u64(2000..6000));
                 self.servers.get_mut(&id).unwrap().leaves_at = Some(leaves_at);
