refactor(range): what is asked now has a module of its own

Cause: `demand.rs` had two jobs after the estimate of the present came in: what servers do, and how much is asked of each key.

No behaviour changes.

Conclusion: each of the two files reads from top to bottom.

--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -5,8 +5,8 @@
 //! before it that answers, and only one that finds nobody reads the store. Nobody is elected: a host that dies, falls silent
 //! or is cut off from the store is passed over by those behind it within a second or so.
 //!
-//! A host that reads for itself and loses the store asks any other host. One that starts then and knows none, since the list of hosts is in the
-//! store, asks those that its settings name. Hosts that the store turns away while it serves others
+//! A host that reads for itself and loses the store asks any other host. One that starts then and knows none, since the list of
+//! hosts is in the store, asks those that its settings name. Hosts that the store turns away while it serves others
 //! go on with news that are some milliseconds old.
 
 use std::{
--- a/crates/jacinthbeam-measure/src/lib.rs
+++ b/crates/jacinthbeam-measure/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`deployment`] starts a store, backend servers and hosts; [`load`] asks for keys at a steady rate; [`fault`] takes something
 //! away and brings it back; [`judge`] compares what callers were told with what backend servers ran; [`experiment`] runs all of
-//! them and [`report`] prints what came of it, with what hosts [`cost`]. Hosts run the real code, in this process or as processes of their own.
+//! them and [`report`] prints what came of it, with what hosts [`cost`].
+//! Hosts run the real code, in this process or as processes of their own.
 
 pub mod cost;
 pub mod deployment;
--- a/crates/jacinthbeam-range/src/demand.rs
+++ b/crates/jacinthbeam-range/src/demand/mod.rs
@@ -1,19 +1,19 @@
 //! What hosts report of the load on keys, faded so that the present counts most.
 
+mod rates;
+
 use std::{
     collections::BTreeMap,
-    ops::Add,
     time::{Duration, Instant},
 };
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    admission::Load,
-    key::{Key, KeyRange},
-    map::Map,
-};
+use crate::{admission::Load, key::Key, map::Map};
+
+pub use rates::Rates;
+use rates::{Count, PRESENT_FADE};
 
 /// One host's counts since its last report.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -41,18 +41,6 @@
 /// ordinary server's traffic (seven requests a second) are some 28 requests, whose counting error is below 20 %.
 pub const FADE: Duration = Duration::from_secs(4);
 
-/// Time after which a count for the present has lost 63 % of its weight. See [`Demand::rates`].
-const PRESENT_FADE: Duration = Duration::from_millis(900);
-
-/// Standard errors by which the present of a range has to differ from its last seconds to be believed.
-///
-/// A faded count of a steady rate has a standard error of its root over 1.4, so that this is some 4 of them: once in 10,000 looks
-/// by chance. Twenty owners are looked at 50 times in 20 s, so that less than every fifth minute has one that is wrong.
-const CHANGED: f64 = 2.8;
-
-/// Requests of the present that say something of all keys together: their count is then right to a sixth.
-const FEWEST: f64 = 20.0;
-
 /// Counts below this weigh nothing and are dropped, so that the table holds only keys of the last [`FADE`] times 5.
 const DUST: f64 = 0.01;
 
@@ -74,46 +62,6 @@
     faded: Option<Instant>,
 }
 
-/// Requests for one key.
-#[derive(Debug, Clone, Copy, Default)]
-struct Count {
-    /// Faded by [`FADE`].
-    steady: f64,
-    /// Faded by [`PRESENT_FADE`].
-    present: f64,
-}
-
-/// What is asked of each key, as a count that a steady rate would have after some times [`FADE`].
-#[derive(Debug, Clone, Default)]
-pub struct Rates {
-    keys: BTreeMap<Key, f64>,
-}
-
-impl Add for Count {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
-        Self { steady: self.steady + other.steady, present: self.present + other.present }
-    }
-}
-
-impl Rates {
-    /// Count of all keys in a range.
-    pub fn of(&self, range: KeyRange) -> f64 {
-        self.keys.range(range.first..=range.last).map(|(_, count)| count).sum()
-    }
-
-    /// The keys of a range that were asked for, ascending, with their counts.
-    pub fn keys(&self, range: KeyRange) -> impl Iterator<Item = (Key, f64)> + '_ {
-        self.keys.range(range.first..=range.last).map(|(key, count)| (*key, *count))
-    }
-
-    /// Count of all keys.
-    pub fn total(&self) -> f64 {
-        self.keys.values().sum()
-    }
-}
-
 #[derive(Debug, Clone, Default)]
 struct Seen {
     /// Faded counts by rank.
@@ -131,38 +79,6 @@
     }
 }
 
-/// How many requests of the last seconds one of the present stands for.
-///
-/// Taken from all keys together, so that what changes for all of them alike is no change of any: callers that press more or less, a
-/// failure domain that is cut off, reports that are lost while the duty changes hands. Without it such a moment makes some ranges
-/// look changed and leaves others, and keys move for nothing: 0.005 less worth on a day without hot keys (18 plays).
-#[derive(Debug, Clone, Copy)]
-struct Present {
-    stands_for: f64,
-}
-
-impl Present {
-    fn of<'a>(counts: impl Iterator<Item = &'a Count>) -> Option<Self> {
-        let all = counts.fold(Count::default(), |sum, count| sum + *count);
-        (all.present >= FEWEST).then(|| Self { stands_for: all.steady / all.present })
-    }
-
-    /// Whether a count of the present differs from that of the last seconds by more than chance.
-    fn differs(self, count: Count) -> bool {
-        let expected = count.steady / self.stands_for;
-        (count.present - expected).abs() > CHANGED * expected.max(1.0).sqrt()
-    }
-
-    /// Whether a key that was asked for often has ceased to be. The other keys of its range would hide it for some seconds.
-    fn has_fallen(self, count: Count) -> bool {
-        self.estimate(count) < count.steady && self.differs(count)
-    }
-
-    fn estimate(self, count: Count) -> f64 {
-        count.present * self.stands_for
-    }
-}
-
 impl Demand {
     /// Adds a host's report.
     pub fn add(&mut self, from: &HostId, now: Instant, report: &Report) {
@@ -215,29 +131,8 @@
     }
 
     /// What is asked of each key now.
-    ///
-    /// The last seconds tell it best while it is steady. When a key begins to be asked for, its count over these seconds takes as
-    /// long to rise, and it is treated as one of many for two of them; when it ceases, its owner looks busy, and is given nothing to
-    /// do, for ten. So a range whose present is surely another one is counted by the present alone. With what the balance does for a
-    /// single key that takes two fifths off the refusals of a quiet day with two bursts (0.015 to 0.009 of all requests, 34 plays).
     pub fn rates(&self, map: &Map) -> Rates {
-        let Some(now) = Present::of(self.keys.values()) else {
-            return Rates {
-                keys: self.keys.iter().map(|(key, count)| (*key, count.steady)).collect(),
-            };
-        };
-        let mut keys = BTreeMap::new();
-        for held in map.held() {
-            let counts = || self.keys.range(held.range.first..=held.range.last);
-            let all = counts().fold(Count::default(), |sum, (_, count)| sum + *count);
-            let changed = now.differs(all);
-            let rate = |count: Count| match changed || now.has_fallen(count) {
-                true => now.estimate(count),
-                false => count.steady,
-            };
-            keys.extend(counts().map(|(key, count)| (*key, rate(*count))));
-        }
-        Rates { keys }
+        Rates::of_counts(&self.keys, map)
     }
 
     /// Time that one request takes in a slot of `server`: the time that its slots were taken over the answers that it gave.
--- a/crates/jacinthbeam-range/tests/grantor/store.rs
+++ b/crates/jacinthbeam-range/tests/grantor/store.rs
@@ -95,8 +95,8 @@
 
 /// Two servers hold the same keys, and an order for one of them runs on each.
 ///
-/// A lost server's keys were given to another one by a record that got no answer. It may be kept. Then the other one leaves the list, so that
-/// there is nobody to give them to, and the lost one comes back. Granted its keys again, it would hold them beside the other, which
+/// A lost server's keys were given to another one by a record that got no answer. It may be kept. Then the other one leaves the
+/// list, so that there is nobody to give them to, and the lost one comes back. Granted its keys again, it would hold them beside the other, which
 /// gets them as soon as the record is read back.
 #[test]
 fn keys_that_a_record_in_doubt_gives_away_go_to_nobody() {
--- a/crates/jacinthbeam-range/tests/onset.rs
+++ b/crates/jacinthbeam-range/tests/onset.rs
@@ -198,8 +198,8 @@
     f64::from(refused) / PLAYS as f64
 }
 
-/// Of some 216 requests for the hot keys the fastest owner can answer 150 in time. With counts of the last seconds alone, and the key left where
-/// it is, 97 are refused.
+/// Of some 216 requests for the hot keys the fastest owner can answer 150 in time. With counts of the last seconds alone, and the
+/// key left where it is, 97 are refused.
 #[test]
 fn a_burst_for_one_key_goes_to_an_owner_that_can_do_most_of_it() {
     let refused = refused(1);
