--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -145,13 +145,24 @@
 async fn ask_while_lost(feed: &Feed, addr: SocketAddr) {
     let mut link = match Link::open(addr).await {
         Ok(link) => link,
-        Err(_) => return tokio::time::sleep(LEAST_PAUSE * 10).await,
-    };
-    while let Ok(age) = ask(feed, &mut link).await {
-        if age > LOST_AFTER {
+        Err(err) => {
+            tracing::info!(part = "feed", event = "not-reached", asked = %addr, error = %err);
             return tokio::time::sleep(LEAST_PAUSE * 10).await;
         }
-        tracing::debug!(part = "feed", event = "store-lost", asked = %addr, age_ms = %age.as_millis());
+    };
+    loop {
+        match ask(feed, &mut link).await {
+            Ok(age) if age <= LOST_AFTER => {
+                tracing::debug!(part = "feed", event = "store-lost", asked = %addr, age_ms = %age.as_millis());
+            }
+            Ok(age) => {
+                tracing::debug!(part = "feed", event = "behind", asked = %addr, age_ms = %age.as_millis());
+                return tokio::time::sleep(LEAST_PAUSE * 10).await;
+            }
+            Err(err) => {
+                return tracing::info!(part = "feed", event = "no-news", asked = %addr, error = %err);
+            }
+        }
     }
 }
 
--- a/crates/jacinthbeam-range/src/balance.rs
+++ b/crates/jacinthbeam-range/src/balance.rs
@@ -53,7 +53,8 @@
 const WORTH_MOVING: f64 = 4.0;
 
 /// A key that overwhelms its owner moves to a server that can do this much more. The move costs its requests the time until the
-/// old owner has answered what it had, up to a second of the few that a burst lasts, and measured capacities are wrong by a fifth.
+/// old owner has answered what it had, up to a second of the few that a burst lasts, and a capacity is not well known: one
+/// server's was measured as 11 to 18 a second within four seconds. A factor of 1.2 gained nothing on the users' bench.
 const FASTER: f64 = 1.5;
 
 /// Loads and capacities of the candidates, as they would be after the moves proposed so far.
--- a/crates/jacinthbeam-range/src/demand/rates.rs
+++ b/crates/jacinthbeam-range/src/demand/rates.rs
@@ -8,6 +8,9 @@
 };
 
 /// Time after which a count for the present has lost 63 % of its weight. See [`Rates`].
+///
+/// In a second a key that is asked for 27 times shows 17 of them, right to a fifth. With 0.6 s, 1.3 s and 1.8 s about as many
+/// requests of a burst were refused (15.5, 14.6 and 14.4 against 15.4, in plays without network of bursts for 60 keys).
 pub(super) const PRESENT_FADE: Duration = Duration::from_millis(900);
 
 /// Standard errors by which the present of a range has to differ from its last seconds to be believed.
--- a/crates/jacinthbeam-range/src/grantor/leading/majority.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -8,10 +8,7 @@
 //! Without it a successor that hears nothing of its predecessor has to wait for [`PROOF`] before it may count on the end of
 //! any hold, and the keys of a server that died at about the same time stay unserved for that long.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Instant,
-};
+use std::{collections::BTreeSet, time::Instant};
 
 use jacinthbeam_types::prelude::*;
 
@@ -106,13 +103,19 @@
     }
 }
 
-/// Keeps records whose fate is not known until a later one is kept.
+/// Records whose fate is not known until a later one is kept.
+///
+/// They follow the same record and so bear the same version. Kept by version, the last one of them would hide the others, and the
+/// owners that only the first one names would not be asked for their word.
 #[derive(Debug, Default)]
-pub(super) struct Doubtful(BTreeMap<u32, Map>);
+pub(super) struct Doubtful(Vec<Map>);
 
 impl Doubtful {
     pub(super) fn add(&mut self, map: Map) {
-        self.0.insert(map.version, map);
+        // The same record is tried again several times a second for as long as the store takes none.
+        if !self.0.contains(&map) {
+            self.0.push(map);
+        }
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -126,9 +129,9 @@
 
 impl<'a> IntoIterator for &'a Doubtful {
     type Item = &'a Map;
-    type IntoIter = std::collections::btree_map::Values<'a, u32, Map>;
+    type IntoIter = std::slice::Iter<'a, Map>;
 
     fn into_iter(self) -> Self::IntoIter {
-        self.0.values()
+        self.0.iter()
     }
 }
