fix(dispatch): repeats of all hosts stay within their budget in every window

Cause: requests and repeats were both counted over 11 parts of a second, so what was allowed in 10 s was a fifth of the requests of 11 s; the comment claimed the opposite. Besides, each host took the share of the window that ended with its own last repeat: hosts whose load rises and falls at different times then add up shares of different windows, which no window of all of them bounds.

Change: each host takes the share of the mean of the three windows that the budget may be taken of. A mean is never above the largest, whichever that is for all hosts together, and it is the same windows for all of them. Windows are checked from each part of half a second on.

--- a/crates/jacinthbeam-dispatch/src/budget.rs
+++ b/crates/jacinthbeam-dispatch/src/budget.rs
@@ -1,8 +1,12 @@
 //! How many requests this host may send to a second backend server.
 //!
-//! All hosts together have a budget for each service: a share of the requests of a window of time, and a fixed number besides.
-//! A host can't know what the others spend, so each keeps to the share of its own requests and to its part of the fixed number.
-//! The sum over all hosts then stays within the budget without a message between them.
+//! All hosts together have a budget for each service: a share of the requests of a window of time, and a fixed number besides. The
+//! share may be taken of the window itself, of the one that began half a window before it, or of the one before it.
+//!
+//! A host can't know what the others spend, so each keeps to the share of its own requests and to its part of the fixed number. A sum
+//! of bounds is a bound of the sum only if all hosts take the share of the same window, and hosts see load rise and fall at
+//! different times. So none of them chooses: each takes the share of the mean of the three windows, which is never above the largest
+//! of them, summed over any number of hosts.
 
 use std::{
     collections::VecDeque,
@@ -20,8 +24,15 @@
     pub window: Duration,
 }
 
-/// Parts that a window is counted in. Counts leave the window one part late, so what is allowed is low by a tenth at most.
-const PARTS: u32 = 10;
+/// Parts that a window is counted in. A window that begins within a part holds one part of requests less than is known, so what
+/// is allowed is low by a twentieth.
+const PARTS: u64 = 20;
+
+/// Parts of half a window.
+const HALF: u64 = PARTS / 2;
+
+/// Parts that are kept: a window, the one before it, and the two that their ends cut.
+const KEPT: u64 = 2 * PARTS + 2;
 
 /// Lives of a process within one window that its part of the fixed number has to do for.
 const RESTARTS: f64 = 2.0;
@@ -32,20 +43,22 @@
     options: Options,
     /// Hosts among which the fixed number is divided; 0 while that is not known.
     hosts: u32,
+    begun: Instant,
+    /// In the order of their numbers; parts without any count are left out.
     parts: VecDeque<Part>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Part {
-    since: Instant,
+    number: u64,
     requests: u32,
     repeats: u32,
 }
 
 impl Budget {
-    /// A budget of which nothing is used, to be shared among `hosts`, or 0 if their number is not known.
-    pub fn new(options: Options, hosts: u32) -> Self {
-        Self { options, hosts, parts: VecDeque::new() }
+    /// A budget of which nothing is used at `now`, to be shared among `hosts`, or 0 if their number is not known.
+    pub fn new(options: Options, hosts: u32, now: Instant) -> Self {
+        Self { options, hosts, begun: now, parts: VecDeque::new() }
     }
 
     /// Changes the number of hosts that share.
@@ -78,24 +91,48 @@
         may
     }
 
-    /// Repeats that are left now.
-    pub fn left(&mut self, now: Instant) -> f64 {
-        self.part(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        self.options.ratio * f64::from(requests) + self.fixed() - f64::from(repeats)
+    /// Repeats that are left now: the least of what each window that holds this moment leaves.
+    pub fn left(&self, now: Instant) -> f64 {
+        let current = self.number(now);
+        let first = current.saturating_sub(PARTS);
+        let left = (first..=current).map(|begin| self.left_from(begin));
+        left.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Repeats that are left for the windows that begin within part `begin`.
+    ///
+    /// Such a window holds repeats of that part at the most, and all requests of the next one on at the least.
+    fn left_from(&self, begin: u64) -> f64 {
+        let repeats = self.sum(begin, begin + PARTS + 1, |part| part.repeats);
+        let requests = |back: u64| {
+            let end = (begin + PARTS).saturating_sub(back);
+            self.sum((begin + 1).saturating_sub(back), end, |part| part.requests)
+        };
+        let mean = (requests(0) + requests(HALF) + requests(PARTS)) / 3.0;
+        self.options.ratio * mean + self.fixed() - repeats
+    }
+
+    /// Sum over the parts from `first` to before `end`.
+    fn sum(&self, first: u64, end: u64, count: impl Fn(&Part) -> u32) -> f64 {
+        let within = self.parts.iter().filter(|part| (first..end).contains(&part.number));
+        within.map(|part| f64::from(count(part))).sum()
+    }
+
+    /// Number of the part that `now` lies in. The first ones are left out, so that windows before the beginning have numbers too.
+    fn number(&self, now: Instant) -> u64 {
+        let length = self.options.window.as_nanos() / u128::from(PARTS);
+        let since = now.saturating_duration_since(self.begun).as_nanos();
+        KEPT + (since / length.max(1)) as u64
     }
 
     fn part(&mut self, now: Instant) -> &mut Part {
-        let length = self.options.window / PARTS;
-        let keep = self.options.window + length;
-        let old = |part: &Part| now.saturating_duration_since(part.since) >= keep;
-        while self.parts.front().is_some_and(old) {
+        let number = self.number(now);
+        while self.parts.front().is_some_and(|part| part.number + KEPT < number) {
             self.parts.pop_front();
         }
-        let last = self.parts.back().map(|part| part.since);
-        if last.is_none_or(|since| now.saturating_duration_since(since) >= length) {
-            self.parts.push_back(Part { since: now, requests: 0, repeats: 0 });
+        // A clock that is read by several tasks never goes back, but the last part is as good as an earlier one.
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part { number, requests: 0, repeats: 0 });
         }
         self.parts.back_mut().expect("a part was just added if there was none")
     }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -225,7 +225,7 @@
         f: impl FnOnce(&mut Budget, Instant) -> R,
     ) -> R {
         let mut budgets = self.budgets.borrow_mut();
-        let new = || Budget::new(self.settings.repeats, hosts);
+        let new = || Budget::new(self.settings.repeats, hosts, self.now());
         let budget = budgets.entry(service.clone()).or_insert_with(new);
         budget.set_hosts(hosts);
         f(budget, self.now())
