--- a/crates/jacinthbeam-connection/src/line.rs
+++ b/crates/jacinthbeam-connection/src/line.rs
@@ -95,6 +95,41 @@
         Ok(res)
     }
 
+    /// Connects if the line isn't connected. Returns whether it had to.
+    pub async fn connect_if_closed(&self, timeout: Duration) -> Result<bool, Error> {
+        let deadline = Instant::now() + timeout;
+        let Ok(mut kept) = tokio::time::timeout_at(deadline, self.kept.lock()).await else {
+            return Err(Error::NotSent("an earlier exchange took all the time".into()));
+        };
+        if kept.as_ref().is_some_and(Connection::is_quiet) {
+            return Ok(false);
+        }
+        *kept = None;
+        *kept = Some(self.connect(deadline).await?);
+        Ok(true)
+    }
+
+    /// As [`Line::exchange`], but at once and over the connection that is open: nothing is sent if it was closed meanwhile, or if another
+    /// exchange is under way.
+    pub async fn exchange_kept(
+        &self,
+        req: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let deadline = Instant::now() + timeout;
+        let closed = || Error::NotSent("the connection was closed".into());
+        let busy = |_| Error::NotSent("another exchange is under way".into());
+        let mut kept = self.kept.try_lock().map_err(busy)?;
+        let conn = kept.take().filter(Connection::is_quiet).ok_or_else(closed)?;
+        match self.exchange_once(conn, self.prepare(req), deadline).await? {
+            Once::Answered(res, conn) => {
+                *kept = conn;
+                Ok(res)
+            }
+            Once::GivenBack(_) => Err(closed()),
+        }
+    }
+
     async fn exchange_on(
         &self,
         reused: Option<Connection<LineBody>>,
--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -37,6 +37,20 @@
 /// The epoch that this process leads in; calls of an earlier one are not sent any more.
 pub(super) type Leads = Rc<Cell<Option<Epoch>>>;
 
+/// The leadership that a call belongs to.
+#[derive(Debug, Clone)]
+pub(super) struct Leadership {
+    pub(super) epoch: Epoch,
+    pub(super) leads: Leads,
+}
+
+impl Leadership {
+    /// Whether this process still leads in the epoch of the call.
+    fn lasts(&self) -> bool {
+        self.leads.get() == Some(self.epoch)
+    }
+}
+
 /// Connections for grants, one to each server. They are reset when a call is given up: a grant that would arrive after that
 /// could outlast the wait for its end.
 #[derive(Debug)]
@@ -44,7 +58,7 @@
     wire: Wire,
     clock: Arc<dyn Clock>,
     tx: Tx,
-    lines: BTreeMap<SocketAddr, Rc<Line>>,
+    lines: BTreeMap<SocketAddr, Rc<GrantLine>>,
 }
 
 impl Caller {
@@ -57,17 +71,18 @@
         self.lines.retain(|addr, line| addrs.contains(addr) || Rc::strong_count(line) > 1);
     }
 
-    /// Sends grants to one server, one after the other, for as long as `until` and `epoch` allow.
+    /// Sends grants to one server, one after the other, until `until` and for as long as the leadership lasts, over
+    /// the connection `over`.
     pub(super) fn grant(
         &mut self,
         service: ServiceName,
         to: Owner,
         calls: Vec<Call>,
+        over: Option<Instant>,
         until: Instant,
-        epoch: Epoch,
-        leads: Leads,
+        leadership: Leadership,
     ) {
-        let new = || Rc::new(Line::new(to.addr, MAX_ANSWER).resetting());
+        let new = || Rc::new(GrantLine::new(to.addr));
         let line = self.lines.entry(to.addr).or_insert_with(new).clone();
         let (wire, clock, tx) = (self.wire, self.clock.clone(), self.tx.clone());
         spawn_local(async move {
@@ -76,8 +91,11 @@
             let mut calls = calls;
             fastrand::shuffle(&mut calls);
             for call in &calls {
+                if !round.is_open(&*clock, &line, over).await {
+                    break;
+                }
                 // Asked right before each call: this process may have been suspended, or replaced, since it was ordered.
-                if clock.now() >= until || leads.get() != Some(epoch) {
+                if clock.now() >= until || !leadership.lasts() {
                     round.outcome = Outcome::NotSent;
                     break;
                 }
@@ -105,12 +123,11 @@
         service: ServiceName,
         from: Owner,
         (range, token): (KeyRange, Token),
-        epoch: Epoch,
-        leads: Leads,
+        leadership: Leadership,
     ) {
         let (wire, tx) = (self.wire, self.tx.clone());
         spawn_local(async move {
-            if leads.get() != Some(epoch) {
+            if !leadership.lasts() {
                 return;
             }
             let line = Line::new(from.addr, MAX_ANSWER);
@@ -131,6 +148,29 @@
     }
 }
 
+/// The connection to one server, and when it was known to be open.
+///
+/// The time names the connection: grants go over one that was open early enough, and a grant and its renewals over the same one.
+#[derive(Debug)]
+struct GrantLine {
+    line: Line,
+    opened: Cell<Option<Instant>>,
+}
+
+impl GrantLine {
+    fn new(addr: SocketAddr) -> Self {
+        Self { line: Line::new(addr, MAX_ANSWER).resetting(), opened: Cell::new(None) }
+    }
+
+    /// Opens a connection if none is open. Returns when the present one was known to be open.
+    async fn open(&self, clock: &dyn Clock) -> Result<Instant, line::Error> {
+        let is_new = self.line.connect_if_closed(GRANT_WITHIN).await?;
+        let at = self.opened.get().filter(|_| !is_new).unwrap_or_else(|| clock.now());
+        self.opened.set(Some(at));
+        Ok(at)
+    }
+}
+
 /// What came of the calls to one server so far.
 struct Round {
     outcome: Outcome,
@@ -159,12 +199,38 @@
     fn is_over(&self) -> bool {
         let answers = !self.confirmed.is_empty() || !self.refused.is_empty();
         let most = if answers { MOST_SILENT } else { 1 };
-        self.outcome == Outcome::Ended || self.silent >= most
+        let is_other = matches!(self.outcome, Outcome::Ended | Outcome::Opened(_));
+        is_other || self.silent >= most
+    }
+
+    /// Opens a connection if there is none. Returns whether it is the one that the calls are meant for; else the round is over.
+    async fn is_open(
+        &mut self,
+        clock: &dyn Clock,
+        line: &GrantLine,
+        over: Option<Instant>,
+    ) -> bool {
+        match line.open(clock).await {
+            Ok(at) if Some(at) == over => return true,
+            Ok(at) => self.outcome = Outcome::Opened(at),
+            Err(_) => {
+                self.outcome = Outcome::Silent;
+                self.silent += 1;
+            }
+        }
+        false
     }
 
     /// Sends one grant.
-    async fn send(&mut self, wire: Wire, clock: &dyn Clock, line: &Line, to: &Owner, call: &Call) {
-        let answer = line.exchange((wire.grant)(to, call, HOLD), GRANT_WITHIN).await;
+    async fn send(
+        &mut self,
+        wire: Wire,
+        clock: &dyn Clock,
+        line: &GrantLine,
+        to: &Owner,
+        call: &Call,
+    ) {
+        let answer = line.line.exchange_kept((wire.grant)(to, call, HOLD), GRANT_WITHIN).await;
         let granted = match answer {
             Ok(res) => (wire.granted)(to, &res),
             Err(line::Error::NotSent(_)) => {
@@ -188,8 +254,9 @@
 }
 
 fn log_round(service: &ServiceName, to: &Owner, round: &Round, calls: usize) {
-    if round.outcome == Outcome::Answered && round.refused.is_empty() {
-        tracing::debug!(part = "grant", event = "round", service = %service, server = %to.server, calls = %calls);
+    let is_calm = matches!(round.outcome, Outcome::Answered | Outcome::Opened(_));
+    if is_calm && round.refused.is_empty() {
+        tracing::debug!(part = "grant", event = "round", service = %service, server = %to.server, calls = %calls, outcome = ?round.outcome);
         return;
     }
     tracing::info!(part = "grant", event = "round", service = %service, server = %to.server, calls = %calls, outcome = ?round.outcome, confirmed = %round.confirmed.len(), refused = %round.refused.len());
--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -169,8 +169,12 @@
 /// Asks once, hands on what came, and returns how old it is.
 async fn ask(feed: &Feed, link: &mut Link) -> Result<Duration, String> {
     let asked = question(&feed.tx).await.ok_or("the process ends")?;
+    let begun = feed.clock.now();
     let news = link.ask(&asked).await.map_err(|err| err.to_string())?;
     let age = news.age;
+    // The way of the question and that of the answer can't be told apart. Taken as if the answer's way were all of it, nothing seems newer
+    // than it is.
+    let answered = begun + news.waited;
     let at = feed.clock.now().checked_sub(age);
     if age <= LOST_AFTER {
         feed.heard.set(feed.heard.get().max(at));
@@ -178,7 +182,7 @@
     if news.is_empty() {
         tokio::time::sleep(LEAST_PAUSE).await;
     }
-    feed.tx.send(Input::News(Box::new(news))).map_err(|_| "the process ends")?;
+    feed.tx.send(Input::News(answered, Box::new(news))).map_err(|_| "the process ends")?;
     Ok(age)
 }
 
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -19,6 +19,7 @@
 use tokio::{sync::watch, task::spawn_local};
 
 use super::{
+    calls::Leadership,
     duty,
     follow::MAPS_WAIT,
     input::Input,
@@ -220,22 +221,25 @@
         }
     }
 
+    /// The present leadership of a service's keys, if it is this process's.
+    fn leadership(&self, service: &ServiceName) -> Option<Leadership> {
+        let leads = self.granting.get(service)?.leads.clone();
+        let epoch = leads.get()?;
+        Some(Leadership { epoch, leads })
+    }
+
     pub(super) fn carry_out(&mut self, service: &ServiceName, order: Order) {
         let number = self.partition_of(service);
         match order {
             Order::Record(map) => self.put(service, number, map),
             Order::Check => self.look(number),
-            Order::Grant { to, calls, until } => {
-                let Some(granting) = self.granting.get(service) else { return };
-                let Some(epoch) = granting.leads.get() else { return };
-                let leads = granting.leads.clone();
-                self.caller.grant(service.clone(), to, calls, until, epoch, leads);
+            Order::Grant { to, calls, over, until } => {
+                let Some(leadership) = self.leadership(service) else { return };
+                self.caller.grant(service.clone(), to, calls, over, until, leadership);
             }
             Order::Release { from, range, token } => {
-                let Some(granting) = self.granting.get(service) else { return };
-                let Some(epoch) = granting.leads.get() else { return };
-                let leads = granting.leads.clone();
-                self.caller.release(service.clone(), from, (range, token), epoch, leads);
+                let Some(leadership) = self.leadership(service) else { return };
+                self.caller.release(service.clone(), from, (range, token), leadership);
             }
             Order::TellStopped { to, others_left } => {
                 let leader = self.me.clone();
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -33,8 +33,8 @@
         /// The records.
         changes: Changes,
     },
-    /// What another host knows.
-    News(Box<News>),
+    /// What another host knew then, or later.
+    News(Instant, Box<News>),
     /// The feed asks what to ask another host for.
     Question(oneshot::Sender<Asked>),
     /// Another host asks for news.
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -12,6 +12,7 @@
 mod input;
 mod maps;
 mod state;
+mod unreadable;
 
 use std::{
     net::{TcpListener, UdpSocket},
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -24,6 +24,7 @@
     },
     input::{Input, Tx},
     maps::MapPartition,
+    unreadable::Unreadable,
 };
 use crate::{
     Settings, Wire,
@@ -34,7 +35,7 @@
         traffic::Gates,
         usage,
     },
-    version::View,
+    version::{Leaving, View},
 };
 
 /// A grantor and what goes with it.
@@ -75,6 +76,8 @@
     pub(super) has_joined: bool,
     pub(super) partitions: BTreeMap<u32, MapPartition>,
     pub(super) granting: BTreeMap<ServiceName, Granting>,
+    /// Records of the store that can't be read.
+    pub(super) unreadable: Unreadable,
 }
 
 impl Control {
@@ -105,6 +108,7 @@
             has_joined: false,
             partitions: BTreeMap::new(),
             granting: BTreeMap::new(),
+            unreadable: Unreadable::default(),
         }
     }
 
@@ -162,9 +166,9 @@
             Input::Servers(asked, changes) => self.on_servers(asked, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
             Input::Maps { partition, asked, changes } => self.on_maps(partition, asked, changes),
-            Input::News(news) => {
+            Input::News(at, news) => {
                 let heard = news.maps.clone();
-                let changed = self.known.take_news(*news, self.clock.now());
+                let changed = self.known.take_news(*news, at);
                 self.on_changed(changed);
                 for (service, map) in heard {
                     self.step(&service, Event::Heard(map));
@@ -176,7 +180,7 @@
             }
             Input::Answer { asked, reply } => {
                 // As above.
-                let _ = reply.send(self.known.news_for(&asked, self.age()));
+                let _ = reply.send(self.known.news_for(&asked, self.age(), self.clock.now()));
             }
             Input::Duties(duties) => self.on_duties(duties),
             Input::Put { service, map, asked, at, result } => {
@@ -231,32 +235,47 @@
     fn on_servers(&mut self, asked: Instant, changes: Changes) {
         let now = self.clock.now();
         self.heard.set(self.heard.get().max(Some(asked)));
+        // What this read shows first, the store took after the last one was sent.
+        let bound = Leaving::after(self.known.servers_as_of());
         let mut changed = false;
         for item in &changes.items {
-            changed |= self.on_server(item, now);
+            changed |= self.on_server(item, bound);
         }
         if changes.whole {
             let listed: Vec<&str> = changes.items.iter().map(|item| item.key.as_str()).collect();
-            changed |= self.known.drop_unlisted(&listed, changes.end, now);
+            changed |= self.known.drop_unlisted(&listed, changes.end, bound);
         }
-        self.known.servers_known_to(changes.end, changed, now);
+        self.known.servers_known_to(changes.end, Some(asked), changed, now);
         self.on_changed(Changed { servers: changed, ..Changed::default() });
     }
 
-    fn on_server(&mut self, item: &Item, now: Instant) -> bool {
-        let Ok(id) = item.key.parse::<ServerId>() else {
-            tracing::warn!(part = "servers", event = "unreadable-name", server = ?item.key);
-            return false;
+    /// Takes the entry of a server. One that another writer left and that can't be read names no server to use, whatever stood there
+    /// before: the store keeps only the newest, and a server that lives writes its own within a heartbeat.
+    fn on_server(&mut self, item: &Item, bound: Leaving) -> bool {
+        let name = match item.key.parse::<ServerName>() {
+            Ok(name) => name,
+            Err(err) => {
+                self.note_unreadable("server", item, &err.to_string());
+                return false;
+            }
         };
         if item.value.is_empty() {
-            return self.known.take_server(id, item.offset, None, now);
+            return self.known.take_server(name, item.offset, None, bound);
         }
-        match (self.wire.server)(&item.key, &item.value) {
-            Ok(server) => self.known.take_server(id, item.offset, Some(server), now),
+        let server = match (self.wire.server)(&item.key, &item.value) {
+            Ok(server) => Some(server),
             Err(err) => {
-                tracing::warn!(part = "servers", event = "unreadable", server = %id, error = ?err);
-                false
+                self.note_unreadable("server", item, &err);
+                None
             }
+        };
+        self.known.take_server(name, item.offset, server, bound)
+    }
+
+    fn note_unreadable(&mut self, what: &'static str, item: &Item, why: &str) {
+        self.counters.on_unreadable(what);
+        if self.unreadable.is_new(what, &item.key) {
+            tracing::warn!(part = "store", event = "unreadable", what = what, key = ?item.key, offset = %item.offset, error = ?why);
         }
     }
 
@@ -265,7 +284,8 @@
         for item in &changes.items {
             match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
                 (Ok(host), Ok(entry)) => changed |= self.known.take_host(host, item.offset, entry),
-                _ => tracing::warn!(part = "hosts", event = "unreadable", host = ?item.key),
+                (Err(err), _) => self.note_unreadable("host", item, &err.to_string()),
+                (_, Err(err)) => self.note_unreadable("host", item, &err.to_string()),
             }
         }
         self.known.hosts_known_to(changes.end);
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -16,9 +16,9 @@
 use crate::{
     process::peers::{
         HostEntry,
-        news::{Asked, News},
+        news::{Asked, News, ServerNews},
     },
-    version::View,
+    version::{Leaving, View},
 };
 
 /// A server that has left the list is remembered for this long: longer than other hosts may be behind, and than any use of
@@ -29,17 +29,21 @@
 #[derive(Debug, Clone)]
 struct Entry {
     offset: Offset,
+    /// The latest life that was listed under the name.
+    life: ServerId,
     server: Option<Server>,
-    /// When this host learned that the server is leaving or has left.
-    leaving: Option<Instant>,
+    /// When the store took the word that the server is leaving, or has left.
+    leaving: Option<Leaving>,
 }
 
 /// Everything that this host knows.
 #[derive(Debug, Default)]
 pub struct Known {
     config: Option<Arc<Config>>,
-    servers: BTreeMap<ServerId, Entry>,
+    servers: BTreeMap<ServerName, Entry>,
     servers_end: Offset,
+    /// Everything that the store had taken of the servers before this moment is known.
+    servers_as_of: Option<Instant>,
     /// Entries that left before this offset may have been forgotten.
     forgotten_before: Offset,
     /// When a server last came, left or changed; `None` until the list was read.
@@ -49,7 +53,7 @@
     maps: BTreeMap<ServiceName, Arc<Map>>,
     /// The list that requests see, made anew at each change.
     list: Arc<Servers>,
-    leaving: Arc<BTreeMap<ServerId, Instant>>,
+    leaving: Arc<BTreeMap<ServerId, Leaving>>,
 }
 
 /// What a step changed.
@@ -124,32 +128,59 @@
         true
     }
 
-    /// Takes the record of a server, `None` if it has left. Returns whether it changed anything.
+    /// Takes the record of a server, `None` if it has left. If it says that the server leaves, the store took it after `bound`.
+    /// Returns whether it changed anything.
     pub fn take_server(
         &mut self,
-        id: ServerId,
+        name: ServerName,
         offset: Offset,
         server: Option<Server>,
-        now: Instant,
+        bound: Leaving,
     ) -> bool {
-        let before = self.servers.get(&id);
-        if before.is_some_and(|before| before.offset >= offset) {
+        let Some(before) = self.servers.get_mut(&name) else {
+            log_server(&name, None, server.as_ref());
+            let changed = server.is_some();
+            let life = server.as_ref().map_or_else(|| name.clone().into(), |s| s.id.clone());
+            let leaving = leaves(server.as_ref()).then_some(bound);
+            self.servers.insert(name, Entry { offset, life, server, leaving });
+            return changed;
+        };
+        if before.offset >= offset {
+            return false;
+        }
+        before.offset = offset;
+        // A heartbeat that an earlier life had sent may be kept after the first one of the next life.
+        if server.as_ref().is_some_and(|server| server.id.born() < before.life.born()) {
+            tracing::info!(part = "servers", event = "late-entry", server = %name, of = ?server.map(|s| s.id.to_string()));
             return false;
         }
-        let was = before.and_then(|before| before.server.as_ref());
-        let leaves = server.as_ref().is_none_or(|server| server.draining);
-        let known_leaving = before.and_then(|before| before.leaving);
-        log_server(&id, was, server.as_ref());
-        let changed = was != server.as_ref();
-        // An entry that had lapsed and is back belongs to a server that lives and goes on.
-        let leaving = leaves.then(|| known_leaving.unwrap_or(now));
-        self.servers.insert(id, Entry { offset, server, leaving });
+        log_server(&name, before.server.as_ref(), server.as_ref());
+        let changed = before.server != server;
+        let life = server.as_ref().map_or_else(|| before.life.clone(), |server| server.id.clone());
+        // An entry that had lapsed and is back belongs to a server that lives and goes on; the word of an earlier life that it
+        // was leaving says nothing of the present one.
+        let since = before.leaving.filter(|_| life == before.life).unwrap_or(bound);
+        before.leaving = leaves(server.as_ref()).then_some(since);
+        before.life = life;
+        before.server = server;
         changed
     }
 
-    /// Takes note that everything of the servers before `end` is known.
-    pub fn servers_known_to(&mut self, end: Offset, changed: bool, now: Instant) {
+    /// The moment before which everything that the store took of the servers is known.
+    pub fn servers_as_of(&self) -> Option<Instant> {
+        self.servers_as_of
+    }
+
+    /// Takes note that everything of the servers before `end` is known, and all that the store took before `as_of`.
+    pub fn servers_known_to(
+        &mut self,
+        end: Offset,
+        as_of: Option<Instant>,
+        changed: bool,
+        now: Instant,
+    ) {
         self.servers_end = self.servers_end.max(end);
+        self.servers_as_of = self.servers_as_of.max(as_of);
         if changed || self.servers_changed.is_none() {
             self.servers_changed = Some(now);
             self.forget(now);
@@ -158,15 +189,14 @@
                 list.insert(server);
             }
             self.list = Arc::new(list);
-            let leaving = |(id, entry): (&ServerId, &Entry)| Some((id.clone(), entry.leaving?));
-            self.leaving = Arc::new(self.servers.iter().filter_map(leaving).collect());
+            let leaving = |entry: &Entry| Some((entry.life.clone(), entry.leaving?));
+            self.leaving = Arc::new(self.servers.values().filter_map(leaving).collect());
         }
     }
 
     fn forget(&mut self, now: Instant) {
         let old = |entry: &Entry| {
-            let left =
-                entry.leaving.is_some_and(|at| now.saturating_duration_since(at) >= LEFT_FOR);
+            let left = entry.leaving.is_some_and(|leaving| leaving.elapsed(now) >= LEFT_FOR);
             left && entry.server.is_none()
         };
         let forgotten = self.servers.values().filter(|entry| old(entry)).map(|entry| entry.offset);
@@ -211,7 +241,7 @@
     }
 
     /// What this host knows and the other doesn't.
-    pub fn news_for(&self, asked: &Asked, age: Duration) -> News {
+    pub fn news_for(&self, asked: &Asked, age: Duration, now: Instant) -> News {
         let config = self.config.as_ref().filter(|cfg| asked.config < Some(cfg.version));
         let all_servers = asked.servers_end <= self.forgotten_before;
         let servers =
@@ -221,10 +251,17 @@
             asked.maps.get(service).is_none_or(|known| *known < (map.epoch, map.version))
         };
         let maps = self.maps.iter().filter(|(service, map)| newer(service, map));
+        let entry = |(name, entry): (&ServerName, &Entry)| ServerNews {
+            name: name.clone(),
+            offset: entry.offset,
+            server: entry.server.clone(),
+            leaving_for: entry.leaving.map(|leaving| leaving.elapsed(now)),
+        };
         News {
             age,
+            waited: Duration::ZERO,
             config: config.map(|cfg| (**cfg).clone()),
-            servers: servers.map(|(id, e)| (id.clone(), e.offset, e.server.clone())).collect(),
+            servers: servers.map(entry).collect(),
             servers_end: self.servers_end,
             all_servers,
             hosts: hosts
@@ -235,21 +272,24 @@
         }
     }
 
-    /// Takes what another host knows.
-    pub fn take_news(&mut self, news: News, now: Instant) -> Changed {
+    /// Takes what another host knew at `at`, or later.
+    pub fn take_news(&mut self, news: News, at: Instant) -> Changed {
         let mut changed = Changed::default();
+        let bound = Leaving::after(self.servers_as_of);
         if let Some(cfg) = news.config {
             changed.config = self.take_config(cfg);
         }
         if news.all_servers {
-            let listed: Vec<&str> = news.servers.iter().map(|(id, _, _)| id.as_str()).collect();
-            changed.servers = self.drop_unlisted(&listed, news.servers_end, now);
+            let listed: Vec<&str> = news.servers.iter().map(|news| news.name.as_str()).collect();
+            changed.servers = self.drop_unlisted(&listed, news.servers_end, bound);
         }
-        for (id, offset, server) in news.servers {
-            changed.servers |= self.take_server(id, offset, server, now);
+        for ServerNews { name, offset, server, leaving_for } in news.servers {
+            let told = Leaving::after(leaving_for.and_then(|span| at.checked_sub(span)));
+            changed.servers |= self.take_server(name, offset, server, bound.closer(told));
         }
         if news.servers_end > Offset(0) {
-            self.servers_known_to(news.servers_end, changed.servers, now);
+            let as_of = at.checked_sub(news.age);
+            self.servers_known_to(news.servers_end, as_of, changed.servers, at);
         }
         for (host, offset, entry) in news.hosts {
             changed.hosts |= self.take_host(host, offset, entry);
@@ -262,30 +302,37 @@
     }
 
     /// Drops servers that a whole list lacks, unless they came after it. Returns whether there were any.
-    pub fn drop_unlisted(&mut self, listed: &[&str], end: Offset, now: Instant) -> bool {
-        let missing = |(id, entry): &(&ServerId, &Entry)| {
-            entry.server.is_some() && entry.offset < end && !listed.contains(&id.as_str())
+    pub fn drop_unlisted(&mut self, listed: &[&str], end: Offset, bound: Leaving) -> bool {
+        let missing = |(name, entry): &(&ServerName, &Entry)| {
+            entry.server.is_some() && entry.offset < end && !listed.contains(&name.as_str())
         };
-        let missing: Vec<ServerId> =
-            self.servers.iter().filter(missing).map(|(id, _)| id.clone()).collect();
+        let missing: Vec<ServerName> =
+            self.servers.iter().filter(missing).map(|(name, _)| name.clone()).collect();
         let last = Offset(end.0.saturating_sub(1));
         let mut changed = false;
-        for id in missing {
-            changed |= self.take_server(id, last, None, now);
+        for name in missing {
+            changed |= self.take_server(name, last, None, bound);
         }
         changed
     }
 }
 
-fn log_server(id: &ServerId, before: Option<&Server>, now: Option<&Server>) {
+fn leaves(server: Option<&Server>) -> bool {
+    server.is_none_or(|server| server.draining)
+}
+
+fn log_server(name: &ServerName, before: Option<&Server>, now: Option<&Server>) {
     match (before, now) {
+        (Some(before), Some(server)) if before.id != server.id => {
+            tracing::info!(part = "servers", event = "started-again", server = %server.id, before = %before.id, service = %server.service, addr = %server.addr)
+        }
         (None, Some(server)) => {
-            tracing::info!(part = "servers", event = "joined", server = %id, service = %server.service, addr = %server.addr, domain = %server.domain, slots = %server.slots, draining = %server.draining)
+            tracing::info!(part = "servers", event = "joined", server = %server.id, service = %server.service, addr = %server.addr, domain = %server.domain, slots = %server.slots, draining = %server.draining)
         }
         (Some(before), Some(server)) if before.draining != server.draining => {
-            tracing::info!(part = "servers", event = "changed", server = %id, service = %server.service, draining = %server.draining)
+            tracing::info!(part = "servers", event = "changed", server = %server.id, service = %server.service, draining = %server.draining)
         }
-        (Some(_), None) => tracing::info!(part = "servers", event = "gone", server = %id),
+        (Some(_), None) => tracing::info!(part = "servers", event = "gone", server = %name),
         _ => {}
     }
 }
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jacinthbeam_range::Event;
+use jacinthbeam_range::{Event, grantor::Outcome};
 use jacinthbeam_store::{Call, Error};
 use jacinthbeam_types::prelude::*;
 use opentelemetry::{
@@ -45,6 +45,8 @@
     repeats_left: Gauge<f64>,
     /// Time that requests waited for a key to get an owner.
     waits: Histogram<f64>,
+    /// Records of the store that can't be read, by what they should be.
+    unreadable: Counter<u64>,
     /// Calls to the store, by kind and outcome.
     store_calls: Counter<u64>,
     /// Time since the last word of the store, by what it was about.
@@ -89,6 +91,7 @@
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
             waits: seconds("jacinthbeam_wait_seconds"),
+            unreadable: count("jacinthbeam_unreadable_records"),
             store_calls: count("jacinthbeam_store_calls"),
             known_age: gauge("jacinthbeam_known_age_seconds"),
             proof_age: gauge("jacinthbeam_proof_age_seconds"),
@@ -137,6 +140,11 @@
         self.waits.record(took.as_secs_f64(), &[]);
     }
 
+    /// Counts a record of the store that can't be read.
+    pub fn on_unreadable(&self, what: &'static str) {
+        self.unreadable.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Counts a call to the store.
     pub fn on_store_call(&self, call: &Call, err: Option<&Error>) {
         let outcome = err.map_or("done", Error::kind);
@@ -184,6 +192,7 @@
     /// Counts a round of grants or a release that has ended.
     pub fn on_grant(&self, event: &Event) {
         let (kind, outcome) = match event {
+            Event::Granted { outcome: Outcome::Opened(_), .. } => ("round", "Opened".to_owned()),
             Event::Granted { outcome, .. } => ("round", format!("{outcome:?}")),
             Event::Released { handover, .. } => {
                 ("release", if handover.is_ok() { "Answered" } else { "Silent" }.to_owned())
--- a/crates/jacinthbeam-host/src/process/peers/find.rs
+++ b/crates/jacinthbeam-host/src/process/peers/find.rs
@@ -16,11 +16,12 @@
     wait: Duration,
     too_old: Duration,
 ) -> News {
-    let end = Instant::now() + wait;
+    let begun = Instant::now();
+    let end = begun + wait;
     let mut last = false;
     loop {
         changes.mark_unchanged();
-        let news = look().await;
+        let news = News { waited: begun.elapsed(), ..look().await };
         let left = too_old.saturating_sub(news.age);
         if !news.is_empty() || last || left.is_zero() {
             return news;
--- a/crates/jacinthbeam-host/src/process/peers/news.rs
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -29,10 +29,12 @@
 pub struct News {
     /// How long ago the answering host last heard of the store, by itself or through others.
     pub age: Duration,
+    /// How long the answer was held back until there was something new.
+    pub waited: Duration,
     /// A newer configuration.
     pub config: Option<Config>,
-    /// Newer entries of backend servers with the offsets of their records; `None` for one that has left.
-    pub servers: Vec<(ServerId, Offset, Option<Server>)>,
+    /// Newer entries of backend servers.
+    pub servers: Vec<ServerNews>,
     /// Everything before this offset is known after them.
     pub servers_end: Offset,
     /// Whether `servers` are all there are, since what has left meanwhile is no longer known.
@@ -45,6 +47,19 @@
     pub maps: Vec<(ServiceName, Map)>,
 }
 
+/// The newest entry of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerNews {
+    /// The server.
+    pub name: ServerName,
+    /// Offset of its record.
+    pub offset: Offset,
+    /// What it says; `None` if the server has left.
+    pub server: Option<Server>,
+    /// If the server leaves, or has left: how long before the answer the store took the word of it, at the most.
+    pub leaving_for: Option<Duration>,
+}
+
 impl News {
     /// Whether there is nothing newer.
     pub fn is_empty(&self) -> bool {
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -32,10 +32,10 @@
     wire::BadCaller,
 };
 
-/// Of the time in which a server that is leaving may still get requests, this much goes by until a host learns of it: half a
-/// second between reads, the answers of the store and of the host that is followed, and the way of a request. For the rest the
-/// server keeps getting requests for keys that have not moved yet.
-const LEARNING: Duration = Duration::from_millis(900);
+/// Of the time in which a server that is leaving may still get requests, this much is kept for the way of a request to it: a new
+/// connection whose first packet is lost takes 200 ms, and a host whose share of the processor is used up waits for 100 ms. For the rest
+/// the server keeps getting requests for keys that have not moved yet.
+const ON_THE_WAY: Duration = Duration::from_millis(300);
 
 /// Part of the objective that a request waits for a key whose owner has just given it back: a planned move takes as long as
 /// the requests that run on its keys, mostly below this, and leaves time for the request itself.
@@ -251,7 +251,7 @@
         let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
         let server = view.servers.get(&owner.server)?;
         let ended = job.traffic.server(server).ended.get();
-        let grace = job.traffic.settings.drain_within.saturating_sub(LEARNING);
+        let grace = job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY);
         let may = !ended && view.may_send(&server.id, now, grace);
         return may.then(|| server.clone());
     }
--- a/crates/jacinthbeam-host/src/version/mod.rs
+++ b/crates/jacinthbeam-host/src/version/mod.rs
@@ -2,4 +2,4 @@
 
 mod view;
 
-pub use view::View;
+pub use view::{Leaving, View};
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -17,8 +17,8 @@
     pub config: Option<Arc<Config>>,
     /// The backend servers.
     pub servers: Arc<Servers>,
-    /// When this host learned that a server is leaving, or has left the list.
-    pub leaving: Arc<BTreeMap<ServerId, Instant>>,
+    /// Servers that are leaving, or have left the list.
+    pub leaving: Arc<BTreeMap<ServerId, Leaving>>,
     /// Owners of the keys of each keyed service.
     pub maps: BTreeMap<ServiceName, Arc<Map>>,
     /// Hosts that share the budget of repeats; 0 until they are known.
@@ -26,11 +26,49 @@
 }
 
 impl View {
-    /// Whether a request may still be sent to `server`, given that it may be for `grace` after the word of its leaving.
+    /// Whether a request may still be sent to `server`, given that it may be for `grace` after the store took the word of its leaving.
     pub fn may_send(&self, server: &ServerId, now: Instant, grace: Duration) -> bool {
         match self.leaving.get(server) {
-            Some(since) => now.saturating_duration_since(*since) < grace,
+            Some(Leaving::Since(at)) => now.saturating_duration_since(*at) < grace,
+            Some(Leaving::LongAgo) => false,
             None => self.servers.takes_work(server),
         }
     }
 }
+
+/// When the store took the word that a server leaves, at the earliest.
+///
+/// The time at which this host heard of it is no bound: news that pass several hosts, or a host that is behind, were seen to take 1.4 s,
+/// and a server that is still used for a fixed time from then on gets requests after it has ended. The store can't have taken it
+/// before the last read that didn't show it was sent, however long the news took from there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    /// Not before this moment.
+    Since(Instant),
+    /// Nothing is known that would bound it.
+    LongAgo,
+}
+
+impl Leaving {
+    /// The word was not there at `as_of`, if that is known.
+    pub fn after(as_of: Option<Instant>) -> Self {
+        as_of.map_or(Self::LongAgo, Self::Since)
+    }
+
+    /// Of two bounds that both hold, the closer one.
+    #[must_use]
+    pub fn closer(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Since(at), Self::Since(other)) => Self::Since(at.max(other)),
+            (Self::LongAgo, bound) | (bound, Self::LongAgo) => bound,
+        }
+    }
+
+    /// How long ago that is; the longest time if it isn't known.
+    pub fn elapsed(self, now: Instant) -> Duration {
+        match self {
+            Self::Since(at) => now.saturating_duration_since(at),
+            Self::LongAgo => Duration::MAX,
+        }
+    }
+}
--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use arbtest::arbtest;
-use jacinthbeam_host::process::{known::Known, peers::HostEntry};
+use jacinthbeam_host::{
+    process::{known::Known, peers::HostEntry},
+    version::Leaving,
+};
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
@@ -25,8 +28,9 @@
 
 /// Takes one record as it comes from the store.
 fn take(known: &mut Known, now: Instant, offset: u64, n: u32, server: Option<Server>) {
-    let changed = known.take_server(id(n), Offset(offset), server, now);
-    known.servers_known_to(Offset(offset + 1), changed, now);
+    let changed =
+        known.take_server(id(n).name().clone(), Offset(offset), server, Leaving::Since(now));
+    known.servers_known_to(Offset(offset + 1), Some(now), changed, now);
 }
 
 /// A host sends requests to a backend server that left three seconds ago.
@@ -39,12 +43,12 @@
     let (mut near, mut host) = (Known::default(), Known::default());
     take(&mut near, now, 0, 1, Some(server(1, false)));
     take(&mut near, now, 1, 2, Some(server(2, false)));
-    let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO);
+    let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
     host.take_news(news, now);
     assert!(host.servers().takes_work(&id(2)));
 
-    let changed = host.drop_unlisted(&["s1"], Offset(5), now);
-    host.servers_known_to(Offset(5), changed, now);
+    let changed = host.drop_unlisted(&["s1"], Offset(5), Leaving::Since(now));
+    host.servers_known_to(Offset(5), Some(now), changed, now);
 
     assert!(changed && host.servers().get(&id(2)).is_none());
     assert!(host.servers().takes_work(&id(1)));
@@ -95,7 +99,7 @@
             take(&mut near, now, offset, n, record);
             offset += 1;
             if u.ratio(1, 3)? {
-                let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO);
+                let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
                 host.take_news(news, now);
                 assert_eq!(host.servers(), near.servers());
             }
@@ -106,6 +110,7 @@
 
 #[test]
 fn hosts_are_told_on_with_where_they_are() {
+    let now = Instant::now();
     let entry = |port| HostEntry {
         addr: format!("127.0.0.1:{port}").parse().unwrap(),
         domain: "a".parse().unwrap(),
@@ -115,9 +120,74 @@
     assert!(near.take_host(h1.clone(), Offset(4), entry(1)));
     assert!(!near.take_host(h1.clone(), Offset(2), entry(2)));
     near.hosts_known_to(Offset(5));
-    let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO);
-    host.take_news(news, Instant::now());
+    let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
+    host.take_news(news, now);
     assert_eq!(host.hosts().collect::<Vec<_>>(), [(&h1, &entry(1))]);
-    let again = near.news_for(&host.question(Duration::ZERO), Duration::ZERO);
+    let again = near.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
     assert!(again.is_empty());
 }
+
+/// A host sends requests to a server 2.9 s after the store took the word of its leaving, where 2 s are allowed.
+///
+/// The word passed two other hosts, one of them slow, and took 1.4 s. The host gave the server the usual time from the moment at which it
+/// heard of it. Each step must pass on how long ago the store took it, at the most.
+#[test]
+fn a_late_word_of_leaving_counts_from_the_store() {
+    let begun = Instant::now();
+    let after = |ms| begun + Duration::from_millis(ms);
+    let (mut reader, mut relay, mut host) = (Known::default(), Known::default(), Known::default());
+    take(&mut reader, after(0), 0, 1, Some(server(1, false)));
+    let news = reader.news_for(&relay.question(Duration::ZERO), Duration::ZERO, after(0));
+    relay.take_news(news, after(0));
+    let news = relay.news_for(&host.question(Duration::ZERO), Duration::ZERO, after(0));
+    host.take_news(news, after(0));
+    // The read of 500 ms lacked it.
+    reader.servers_known_to(Offset(1), Some(after(500)), false, after(510));
+    let bound = Leaving::after(reader.servers_as_of());
+    let changed = reader.take_server(id(1).name().clone(), Offset(1), Some(server(1, true)), bound);
+    reader.servers_known_to(Offset(2), Some(after(1000)), changed, after(1010));
+    let news = reader.news_for(&relay.question(Duration::ZERO), Duration::ZERO, after(1010));
+    relay.take_news(news, after(1010));
+    let news = relay.news_for(&host.question(Duration::ZERO), Duration::ZERO, after(1900));
+    host.take_news(news, after(1900));
+
+    let grace = Duration::from_millis(1700);
+    assert!(host.view().may_send(&id(1), after(2150), grace), "it may still be used");
+    assert!(!host.view().may_send(&id(1), after(2250), grace), "it is used for too long");
+}
+
+/// A host has just started, and the first thing that it hears of a server is that it leaves. Nothing says since when.
+#[test]
+fn a_server_that_leaves_for_an_unknown_time_is_sent_nothing() {
+    let now = Instant::now();
+    let mut known = Known::default();
+    let bound = Leaving::after(known.servers_as_of());
+    let changed = known.take_server(id(1).name().clone(), Offset(0), Some(server(1, true)), bound);
+    known.servers_known_to(Offset(1), Some(now), changed, now);
+    assert!(!known.view().may_send(&id(1), now, Duration::from_secs(2)));
+    let mut host = Known::default();
+    let news = known.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
+    host.take_news(news, now);
+    assert!(!host.view().may_send(&id(1), now, Duration::from_secs(2)));
+}
+
+/// A server that was leaving has ended and started again under its name. It takes work like any new one, and a heartbeat of its former
+/// life that is kept late changes nothing.
+#[test]
+fn a_life_that_begins_is_not_leaving() {
+    let now = Instant::now();
+    let life = |born| Server {
+        id: ServerId::new(id(1).name().clone(), Some(Born(born))),
+        ..server(1, false)
+    };
+    let mut known = Known::default();
+    take(&mut known, now, 0, 1, Some(life(5)));
+    take(&mut known, now, 1, 1, Some(Server { draining: true, ..life(5) }));
+    take(&mut known, now, 2, 1, Some(life(9)));
+    take(&mut known, now, 3, 1, Some(Server { draining: true, ..life(5) }));
+    let view = known.view();
+    assert!(view.may_send(&life(9).id, now, Duration::ZERO));
+    assert!(!view.may_send(&life(5).id, now, Duration::ZERO));
+    assert_eq!(view.servers.iter().count(), 1);
+    assert_eq!(view.servers.successor_of(&life(5).id).map(|server| &server.id), Some(&life(9).id));
+}
--- a/crates/jacinthbeam-host/tests/news.rs
+++ b/crates/jacinthbeam-host/tests/news.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use jacinthbeam_host::process::peers::{find::find, news::News};
+use jacinthbeam_host::process::peers::{
+    find::find,
+    news::{News, ServerNews},
+};
+use jacinthbeam_types::prelude::*;
 use tokio::{sync::watch, time::Instant};
 
 const TOO_OLD: Duration = Duration::from_millis(950);
@@ -38,8 +42,12 @@
     let (tx, rx) = watch::channel(0);
     let known = rx.clone();
     let look = async || {
-        let servers = (0..*known.borrow())
-            .map(|n: u32| (format!("s{n}").parse().unwrap(), Default::default(), None));
+        let servers = (0..*known.borrow()).map(|n: u32| ServerNews {
+            name: format!("s{n}").parse().unwrap(),
+            offset: Offset(0),
+            server: None,
+            leaving_for: None,
+        });
         News { servers: servers.collect(), ..News::default() }
     };
     let tell = async {
--- a/crates/jacinthbeam-measure/src/judge.rs
+++ b/crates/jacinthbeam-measure/src/judge.rs
@@ -74,7 +74,8 @@
     for run in runs {
         let Some(key) = run.key else { continue };
         // Servers are named as their service and a number.
-        let service = run.server.as_str().rsplit_once('-').map_or("", |(service, _)| service);
+        let service =
+            run.server.name().as_str().rsplit_once('-').map_or("", |(service, _)| service);
         by_key.entry((service, key.0)).or_default().push(run);
     }
     let mut found = Vec::new();
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -62,7 +62,8 @@
 
 /// An id as a header value.
 pub fn server_id(id: &ServerId) -> HeaderValue {
-    HeaderValue::from_str(id.as_str()).expect("an id has no character that a header can't hold")
+    HeaderValue::from_str(id.name().as_str())
+        .expect("a name has no character that a header can't hold")
 }
 
 /// Reads the head of a server's answer to the request `id`.
--- a/crates/jacinthbeam-native/src/server.rs
+++ b/crates/jacinthbeam-native/src/server.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use jacinthbeam_route::Server;
-use jacinthbeam_types::prelude::*;
+use jacinthbeam_types::{id::NameError, prelude::*};
 use serde::{Deserialize, Serialize};
 
 /// What a server says of itself, under its id.
@@ -22,6 +22,9 @@
     pub draining: bool,
     /// How much longer it is slow after its start.
     pub warmup_left_ms: u64,
+    /// When this life started, in milliseconds since the Unix epoch. Servers that take a new name at each start need not say it.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 impl Entry {
@@ -31,11 +34,12 @@
     }
 }
 
-/// Reads the entry of the server `id`.
-pub fn read(id: &str, bytes: &[u8]) -> Result<Server, String> {
+/// Reads the entry of the server `name`.
+pub fn read(name: &str, bytes: &[u8]) -> Result<Server, String> {
+    let name: ServerName = name.parse().map_err(|err: NameError| err.to_string())?;
     let entry: Entry = serde_json::from_slice(bytes).map_err(|err| err.to_string())?;
     Ok(Server {
-        id: id.parse::<ServerId>().map_err(|err| err.to_string())?,
+        id: ServerId::new(name, entry.born.map(Born)),
         service: entry.service,
         addr: entry.addr,
         domain: entry.domain,
--- a/crates/jacinthbeam-native/tests/records.rs
+++ b/crates/jacinthbeam-native/tests/records.rs
@@ -101,6 +101,7 @@
         slots: 3,
         draining: true,
         warmup_left_ms: 500,
+        born: None,
     };
     let read = server::read("s-1", &entry.to_bytes()).unwrap();
     assert_eq!((read.slots, read.draining), (3, true));
--- a/crates/jacinthbeam-range/src/grantor/contact.rs
+++ b/crates/jacinthbeam-range/src/grantor/contact.rs
@@ -21,12 +21,24 @@
     Ended,
     /// The right to send had lapsed; the rest of the calls was not sent.
     NotSent,
+    /// The connection that the calls were meant for is gone, or there was none. Another one was open from then on, and none of the
+    /// calls that are left was sent over it.
+    Opened(Instant),
 }
 
 /// Dealings with one server since this host began to grant.
 #[derive(Debug)]
 pub(super) struct Contact {
     pub(super) owner: Owner,
+    /// When the present connection was known to be open.
+    opened: Option<Instant>,
+    /// Lowest token for grants over the present connection.
+    ///
+    /// Whoever answers on a new connection may be another life of the server, which the list doesn't show yet. It knows nothing of the
+    /// tokens that the life before it took, and would hold keys under the very token that the other had; a request that the former life
+    /// still works on could not be told from its own. So a grant and its renewals go over one connection, and over the next one
+    /// under a token that no life has seen.
+    lowest: Token,
     /// End of the last call that may have granted something: answered, or given up with its connection reset.
     last_call: Option<Instant>,
     next_round: Option<Instant>,
@@ -54,6 +66,8 @@
     pub(super) fn new(owner: Owner) -> Self {
         Self {
             owner,
+            opened: None,
+            lowest: Token(0),
             last_call: None,
             next_round: None,
             refused: false,
@@ -68,10 +82,55 @@
         }
     }
 
+    /// Whether the server has taken the range that the map has under `token`.
     pub(super) fn has_confirmed(&self, range: KeyRange, token: Token) -> bool {
+        let token = self.token(token);
         self.confirmed.iter().any(|(held, of)| *of == token && held.covers(range))
     }
 
+    /// The same for a life to whose name grants under tokens below `lowest` may have gone.
+    pub(super) fn above(owner: Owner, lowest: Token) -> Self {
+        Self { lowest, ..Self::new(owner) }
+    }
+
+    /// The connection that calls may go over.
+    pub(super) fn line(&self) -> Option<Instant> {
+        self.opened
+    }
+
+    /// Whether no connection to the server is known yet, and one is being opened.
+    pub(super) fn is_opening(&self) -> bool {
+        self.busy && self.opened.is_none()
+    }
+
+    /// Whether the present connection was open before `proof`, or none is known.
+    ///
+    /// A server keeps the tokens that it saw for as long as it runs, and a connection ends with the life that it was opened to. Over
+    /// one that was open when no successor had a record yet, a leader reaches the life that refuses it from its successor's first
+    /// grant on. Over a later one it could reach a life that was born after that grant and has forgotten it, and two servers would
+    /// hold the same keys.
+    pub(super) fn is_proved(&self, proof: Instant) -> bool {
+        self.opened.is_none_or(|at| at < proof)
+    }
+
+    /// The token under which a range is granted that the map has under `token`.
+    pub(super) fn token(&self, token: Token) -> Token {
+        token.max(self.lowest)
+    }
+
+    /// Whether the range with this token came after the present connection.
+    pub(super) fn is_after_opening(&self, token: Token) -> bool {
+        token > self.lowest
+    }
+
+    /// Another connection was open at `at`. `fresh` is a token above all that were given out.
+    pub(super) fn on_opened(&mut self, at: Instant, fresh: impl FnOnce() -> Token) {
+        if self.opened.replace(at).is_some() {
+            self.lowest = fresh();
+            self.confirmed.clear();
+        }
+    }
+
     /// A round of grants is ordered. None of its calls is sent before this.
     pub(super) fn begin_round(&mut self, now: Instant) {
         self.busy = true;
@@ -129,13 +188,15 @@
             }
             Outcome::Ended => self.ended = true,
             Outcome::NotSent => self.next_round = Some(now + ASK_AGAIN),
+            Outcome::Opened(_) => self.next_round = Some(now),
         }
     }
 
     /// Keeps only what the present map still says, so that the set doesn't grow with each move.
     pub(super) fn forget_but(&mut self, held: &[(KeyRange, Token)]) {
+        let lowest = self.lowest;
         let is_current = |range: KeyRange, token| {
-            held.iter().any(|(other, of)| *of == token && other.overlaps(range))
+            held.iter().any(|(other, of)| lowest.max(*of) == token && other.overlaps(range))
         };
         self.confirmed.retain(|(range, token)| is_current(*range, *token));
     }
--- a/crates/jacinthbeam-range/src/grantor/leading/majority.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/majority.rs
@@ -15,7 +15,7 @@
 use super::Leading;
 use crate::{
     grantor::timing::{CALL_TAKES, MAJORITY_LASTS, MARGIN, PROOF},
-    map::Map,
+    map::{Held, Map},
 };
 
 /// How a leader learns that nobody before it can renew any more.
@@ -93,13 +93,15 @@
     /// server answered the release, which bore a higher token; without an answer the part stays in the map, and has to be
     /// confirmed, until `others_until` has passed, when this is no longer asked (`free_lapsed`). So moves under way need no
     /// rule of their own here.
+    ///
+    /// A server that has started again under its name counts by what its present life has confirmed: the predecessor reaches that life
+    /// only if it was there before this leader's first grants ([`Contact::is_proved`](crate::grantor::contact::Contact::is_proved)).
     fn refuses_others(&self, id: &ServerId) -> bool {
-        let Some(contact) = self.contacts.get(id) else { return false };
-        if contact.ended {
-            return true;
-        }
-        let mut held = self.map.of_server(id).peekable();
-        held.peek().is_some() && held.all(|held| contact.has_confirmed(held.range, held.token))
+        self.lives(id).any(|contact| {
+            let mut held = self.map.of_server(&contact.owner.server).peekable();
+            let confirmed = |held: &Held| contact.has_confirmed(held.range, held.token);
+            contact.ended || held.peek().is_some() && held.all(confirmed)
+        })
     }
 }
 
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -19,12 +19,12 @@
     NoAnswer, Order, View,
     contact::{Contact, Outcome},
     moving::{Moving, Stage},
-    timing::{CALL_TAKES, CHECK_EVERY, SETTLE},
+    timing::{CALL_TAKES, CHECK_EVERY, CHECK_SOON, SETTLE},
 };
 use crate::{
     demand::Demand,
     key::KeyRange,
-    map::{Leader, Map},
+    map::{Leader, Map, Owner},
 };
 
 /// Pause between two questions for a confirmation if the last one got no answer.
@@ -175,10 +175,23 @@
     ) {
         if let Some(contact) = self.contacts.get_mut(server) {
             contact.on_round(now, outcome, last_call, confirmed, !refused.is_empty());
+            if let Outcome::Opened(at) = outcome {
+                let token = &mut self.token;
+                contact.on_opened(at, || {
+                    *token = token.next();
+                    *token
+                });
+            }
         }
         self.refused.extend(refused);
     }
 
+    /// Asks for the confirmation that new connections wait for, once none is being opened any more.
+    pub(in crate::grantor) fn check_opened(&mut self, now: Instant) -> Option<Order> {
+        let opening = self.contacts.values().any(Contact::is_opening);
+        if opening { None } else { self.check(now) }
+    }
+
     pub(in crate::grantor) fn on_released(
         &mut self,
         now: Instant,
@@ -246,10 +259,16 @@
 
     /// Keeps a contact for every owner, and for those that ranges come from or go to.
     fn meet_owners(&mut self) {
-        for owner in self.map.held().iter().filter_map(|held| held.owner.as_ref()) {
-            if !self.contacts.contains_key(&owner.server) {
-                self.contacts.insert(owner.server.clone(), Contact::new(owner.clone()));
-            }
+        let new: BTreeSet<Owner> = self
+            .map
+            .held()
+            .iter()
+            .filter_map(|held| held.owner.as_ref())
+            .filter(|owner| !self.contacts.contains_key(&owner.server))
+            .cloned()
+            .collect();
+        for owner in new {
+            self.meet(owner);
         }
         let owners = self.map.held().iter().filter_map(|held| held.owner.as_ref());
         let moving = self.moves.iter().flat_map(|moving| [&moving.from, &moving.to]);
@@ -257,6 +276,27 @@
         self.contacts.retain(|id, contact| contact.busy || needed.contains(id));
     }
 
+    /// Begins to deal with an owner.
+    ///
+    /// Until the record that names this life was kept, grants to an earlier one went to whoever answered to the name, each over another
+    /// connection under a higher token than before. Those may be above the token of the record.
+    fn meet(&mut self, owner: Owner) {
+        let id = owner.server.clone();
+        let has_other_life = self.lives(&id).next().is_some();
+        let contact = match has_other_life {
+            true => Contact::above(owner, self.next_token()),
+            false => Contact::new(owner),
+        };
+        self.contacts.insert(id, contact);
+    }
+
+    /// All lives under the name of a server that this leader has dealings with.
+    fn lives(&self, id: &ServerId) -> impl Iterator<Item = &Contact> {
+        let first = ServerId::from(id.name().clone());
+        let lives = self.contacts.range(first..).take_while(|(life, _)| life.name() == id.name());
+        lives.map(|(_, contact)| contact)
+    }
+
     fn give_up_lost(&mut self, now: Instant) {
         for contact in self.contacts.values_mut() {
             contact.given_up |= contact.is_lost(now);
@@ -286,9 +326,13 @@
     }
 
     fn check(&mut self, now: Instant) -> Option<Order> {
+        let awaited = self.contacts.values().any(|contact| !contact.is_proved(self.proof));
         let old = now.saturating_duration_since(self.proof) >= CHECK_EVERY;
-        let asked = self.checked.is_some_and(|at| now < at + CHECK_AGAIN);
-        if !old || asked {
+        // A store that answered the last question answers the next one too.
+        let answered = self.checked.is_none_or(|at| self.proof >= at);
+        let pause = if awaited && answered { CHECK_SOON } else { CHECK_AGAIN };
+        let asked = self.checked.is_some_and(|at| now < at + pause);
+        if !(old || awaited) || asked {
             return None;
         }
         self.checked = Some(now);
--- a/crates/jacinthbeam-range/src/grantor/leading/plan.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/plan.rs
@@ -81,7 +81,10 @@
     /// Whether the owner can still be asked to give the range up, and should be.
     pub(super) fn is_leaving(&self, held: &Held, servers: &Servers) -> bool {
         let Some(owner) = &held.owner else { return false };
-        self.is_usable(&owner.server) && !servers.takes_work(&owner.server)
+        let id = &owner.server;
+        // Keys of a server that has started again under its name go to its present life.
+        let next = servers.successor_of(id).map_or(id, |life| &life.id);
+        self.is_usable(id) && !servers.takes_work(next)
     }
 
     pub(super) fn is_moving(&self, range: KeyRange) -> bool {
--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use jacinthbeam_route::Servers;
 use jacinthbeam_types::prelude::*;
 
 use super::Leading;
@@ -9,7 +10,7 @@
     balance::{self, Candidate, Move},
     grantor::{Order, View, candidates, contact::Contact, moving::Stage, timing::RANGES_PER_OWNER},
     key::KeyRange,
-    map::{Held, Map},
+    map::{Held, Map, Owner},
 };
 
 impl Leading {
@@ -20,6 +21,7 @@
         }
         let mut map = self.map.clone();
         let changed = self.put_free(&mut map);
+        let changed = self.put_successors(&mut map, view.servers) || changed;
         let changed = self.put_lapsed(&mut map, view, service) || changed;
         let changed = self.raise_refused(&mut map) || changed;
         let changed = self.say_alone(&mut map, view.now) || changed;
@@ -54,13 +56,35 @@
         changed
     }
 
+    /// Gives the keys of a server that has started again under its name to the present life, under a new token.
+    ///
+    /// Nobody waits for the end of a hold: grants to either life go to whoever answers to the name, so only the present life can have
+    /// taken one, and it is the one that gets the keys.
+    pub(super) fn put_successors(&mut self, map: &mut Map, servers: &Servers) -> bool {
+        let mut changed = false;
+        for held in self.map.held().to_vec() {
+            let Some(owner) = held.owner.as_ref().filter(|_| !self.is_moving(held.range)) else {
+                continue;
+            };
+            let life = servers.successor_of(&owner.server).filter(|life| !life.draining);
+            if let Some(life) = life {
+                let owner = Owner { server: life.id.clone(), addr: life.addr };
+                map.assign(held.range, Some(owner), self.next_token(), None);
+                changed = true;
+            }
+        }
+        changed
+    }
+
     pub(super) fn put_lapsed(
         &mut self,
         map: &mut Map,
         view: View<'_>,
         service: &ServiceName,
     ) -> bool {
-        let lapsed = self.lapsed(view.now);
+        let mut lapsed = self.lapsed(view.now);
+        // These have gone to the present life of their server.
+        lapsed.retain(|range| self.map.of(range.first).owner == map.of(range.first).owner);
         if lapsed.is_empty() {
             return false;
         }
--- a/crates/jacinthbeam-range/src/grantor/leading/renew.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/renew.rs
@@ -71,12 +71,13 @@
     ) -> Option<Order> {
         let contact = self.contacts.get_mut(server)?;
         contact.begin_round(now);
-        Some(Order::Grant { to: contact.owner.clone(), calls, until })
+        Some(Order::Grant { to: contact.owner.clone(), calls, over: contact.line(), until })
     }
 
     /// What to grant to one server now: all its ranges if a renewal is due, else those it has not confirmed.
     pub(super) fn calls(&self, contact: &Contact, held: &[Held], now: Instant) -> Vec<Call> {
-        if contact.busy || contact.ended || contact.given_up {
+        let may = contact.is_proved(self.proof) && !contact.busy;
+        if !may || contact.ended || contact.given_up {
             return Vec::new();
         }
         let due = contact.is_due(now);
@@ -85,8 +86,9 @@
             for range in self.still_held(held.range) {
                 let new = !contact.has_confirmed(range, held.token);
                 if due || (new && contact.takes_new()) {
-                    let handover = held.handover.clone().filter(|_| new);
-                    calls.push(Call { range, token: held.token, handover });
+                    let first = new && contact.is_after_opening(held.token);
+                    let handover = held.handover.clone().filter(|_| first);
+                    calls.push(Call { range, token: contact.token(held.token), handover });
                 }
             }
         }
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -163,7 +163,8 @@
             Event::Granted { server, outcome, last_call, confirmed, refused } => {
                 let Some(leading) = &mut self.leading else { return Vec::new() };
                 leading.on_granted(view.now, &server, outcome, last_call, &confirmed, refused);
-                return leading.grant(&server, view.now).into_iter().collect();
+                let grant = leading.grant(&server, view.now);
+                return grant.into_iter().chain(leading.check_opened(view.now)).collect();
             }
             Event::Released { range, token, handover } => {
                 self.while_leading(|leading| leading.on_released(view.now, range, token, handover));
--- a/crates/jacinthbeam-range/src/grantor/order.rs
+++ b/crates/jacinthbeam-range/src/grantor/order.rs
@@ -22,6 +22,9 @@
         to: Owner,
         /// The ranges.
         calls: Vec<Call>,
+        /// The connection that they may go over, named by when it was open; nothing is sent over another, which is opened and told of
+        /// instead ([`Outcome::Opened`](super::Outcome::Opened)).
+        over: Option<Instant>,
         /// No call may be sent later than this, on a clock that counts suspension.
         until: Instant,
     },
--- a/crates/jacinthbeam-range/src/grantor/timing.rs
+++ b/crates/jacinthbeam-range/src/grantor/timing.rs
@@ -40,6 +40,10 @@
 /// Age of that confirmation at which a new one is asked for: a small part of [`PROOF`], for two thirds of a call a second.
 pub const CHECK_EVERY: Duration = Duration::from_millis(1500);
 
+/// Pause between two such questions while a new connection waits for the answer: half a tick, so that a server that starts again
+/// under its name has its keys back some 0.1 s after the connection to it.
+pub const CHECK_SOON: Duration = Duration::from_millis(50);
+
 /// A server that answered no grant for this long counts as lost, and its hold is left to run out. A restart of the network
 /// path or a full accept queue takes up to a second.
 pub const GIVE_UP: Duration = Duration::from_millis(1000);
--- a/crates/jacinthbeam-range/tests/grantor/play.rs
+++ b/crates/jacinthbeam-range/tests/grantor/play.rs
@@ -1,6 +1,9 @@
 //! A granting host with its servers, step by step.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam_range::{
     Event, Grantor, KeyRange, Leader, Map, Order,
@@ -31,12 +34,22 @@
     }
 }
 
+/// The same server after it has started again under its name.
+pub fn started_again(n: u16) -> Server {
+    let before = server(n, false);
+    Server { id: ServerId::new(before.id.name().clone(), Some(Born(5))), ..before }
+}
+
 /// A granting host with its servers, whose answers the test chooses.
 pub struct Play {
     pub now: Instant,
     pub servers: Servers,
     pub grantor: Grantor,
     pub map: Option<Map>,
+    /// Whether questions to the store get no answer.
+    pub store_is_away: bool,
+    /// When the connection to each server was opened.
+    pub lines: BTreeMap<ServerId, Instant>,
     /// Servers that give no answer.
     pub silent: Vec<ServerId>,
     /// Servers at whose addresses another life answers.
@@ -78,6 +91,8 @@
             servers,
             grantor,
             map: map.clone(),
+            store_is_away: false,
+            lines: BTreeMap::new(),
             silent: silent.iter().map(|n| server(*n, false).id).collect(),
             ended: Vec::new(),
             releases: Vec::new(),
@@ -105,9 +120,22 @@
                 self.map = Some(map);
                 self.feed(Event::Recorded { asked: self.now });
             }
+            Order::Check if self.store_is_away => {}
             Order::Check => self.feed(Event::Read { asked: self.now, map: self.map.clone() }),
-            Order::Grant { to, calls, until } => {
+            Order::Grant { to, calls, over, until } => {
                 assert!(self.now < until);
+                // Open for long, unless the test says otherwise.
+                let long_ago = self.now - Duration::from_secs(1);
+                let line = *self.lines.entry(to.server.clone()).or_insert(long_ago);
+                if over != Some(line) {
+                    return self.feed(Event::Granted {
+                        server: to.server,
+                        outcome: Outcome::Opened(line),
+                        last_call: None,
+                        confirmed: Vec::new(),
+                        refused: Vec::new(),
+                    });
+                }
                 let silent = self.silent.contains(&to.server);
                 let ended = self.ended.contains(&to.server);
                 let outcome = match (ended, silent) {
@@ -143,6 +171,7 @@
     pub fn feed_without_store(&mut self, event: Event) -> bool {
         let view = View { now: self.now, servers: &self.servers, settled: true };
         let mut recorded = false;
+        self.store_is_away = true;
         for order in self.grantor.step(view, event) {
             match order {
                 Order::Record(_) => recorded = true,
@@ -150,6 +179,7 @@
                 order => self.carry_out(order),
             }
         }
+        self.store_is_away = false;
         recorded
     }
 
--- a/crates/jacinthbeam-range/tests/grantor/server.rs
+++ b/crates/jacinthbeam-range/tests/grantor/server.rs
@@ -1,12 +1,13 @@
 //! Servers that fall silent, end or leave.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jacinthbeam_range::{
-    Event, Order,
-    grantor::{NoAnswer, Outcome, View, longest_hold},
+    Event, Map, Order,
+    grantor::{Call, NoAnswer, Outcome, View, longest_hold},
 };
 use jacinthbeam_route::Server;
+use jacinthbeam_types::prelude::*;
 
 use crate::play::*;
 
@@ -125,3 +126,45 @@
     }
     assert_eq!((play.keys_of(1), play.keys_of(2)), (32_768, 32_768));
 }
+
+/// A server starts again under its name, and its callers are refused: it holds nothing.
+///
+/// The connection to it is gone, and the next one finds a server under the same name that takes every token. The granting host can't
+/// know whether it is the same life, so the keys are granted again under a token that no life has seen, and not before the store
+/// has confirmed that nobody leads meanwhile.
+#[test]
+fn a_new_connection_gets_a_new_token_and_a_confirmation() {
+    let mut play = Play::leading();
+    let id = server(1, false).id;
+    let before = play.sent.iter().map(|(_, _, call)| call.token).max().unwrap();
+    let opened = play.now;
+    play.lines.insert(id.clone(), opened);
+    let sent = play.sent.len();
+    play.run_without_store(Duration::from_secs(2));
+    let to = |(_, to, _): &&(Instant, ServerId, Call)| *to == id;
+    assert_eq!(play.sent[sent..].iter().filter(to).count(), 0, "granted without a confirmation");
+    play.run(Duration::from_millis(700));
+    let (at, _, call) = play.sent[sent..].iter().find(to).expect("it is granted its keys again");
+    assert!(*at > opened && call.token > before);
+    assert_eq!(play.keys_of(1), 32_768);
+}
+
+/// The entry of a server shows another life. Its keys go to that life at once, and not to others: only what answers to the name can have
+/// taken a grant of them, and its callers would wait for a hold to run out for nothing.
+#[test]
+fn keys_of_a_server_that_has_started_again_go_to_its_present_life() {
+    let mut play = Play::leading();
+    let old = play.map.clone().unwrap();
+    let again = started_again(1);
+    play.servers.remove(&server(1, false).id);
+    play.servers.insert(again.clone());
+    let took = play.until(|play| play.keys_of(1) == 0);
+    assert!(took <= TICK * 2, "{took:?}");
+    let map = play.map.as_ref().unwrap();
+    assert_eq!(map.of_server(&again.id).map(|held| held.range.width()).sum::<u32>(), 32_768);
+    assert_eq!(play.keys_of(2), 32_768);
+    let token = |map: &Map, id| map.of_server(id).map(|held| held.token).max();
+    assert!(token(map, &again.id) > token(&old, &server(1, false).id));
+    play.run(Duration::from_secs(5));
+    assert!(play.releases.is_empty(), "keys are taken from a life that has ended");
+}
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -63,6 +63,7 @@
         drain: 0.002,
         unlist: 0.01,
         crash: 0.005,
+        reborn: 0.0,
         lost_grant: 0.1,
         refuse: 0.05,
         lost_release: 0.2,
@@ -92,6 +93,32 @@
     arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
 }
 
+/// A caller's order runs at one server, and another order for the same key at a second one or at another life of the first.
+///
+/// Servers start again under their names and have forgotten all tokens. Hosts learn of it late or not at all, answers to grants are
+/// lost, and former leaders go on renewing until they hear of their successors.
+#[test]
+fn servers_that_forget_do_not_make_two_owners() {
+    let odds = Odds { reborn: 0.02, lost_grant: 0.05, deal: 0.01, store_late: 0.2, ..Odds::CALM };
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+    let odds = Odds {
+        reborn: 0.02,
+        deal: 0.01,
+        store_late: 0.2,
+        store_cut: 0.02,
+        server_cut: 0.02,
+        split: 0.01,
+        pause: 0.01,
+        drain: 0.002,
+        unlist: 0.01,
+        crash: 0.005,
+        lost_grant: 0.1,
+        refuse: 0.05,
+        lost_release: 0.2,
+    };
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(2 * BUDGET_MS);
+}
+
 /// Nothing goes wrong: every key is owned soon, a move leaves its keys without an owner for less than a second, and records are
 /// written for changes only.
 #[test]
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -1,6 +1,9 @@
 //! A host that may grant: what the process does around the grantor, without network.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam_range::{
     Event, Grantor, KeyRange, Leader, Map, Order, Owner,
@@ -29,11 +32,19 @@
     inbox: Vec<Message>,
 }
 
+/// A connection of a host to an address.
+pub struct Line {
+    opened: Instant,
+    /// Number of the life that it was opened to.
+    life: u32,
+}
+
 /// Grants to one server, one after the other.
 pub struct Round {
     to: Owner,
     calls: Vec<Call>,
     next: usize,
+    over: Option<Instant>,
     until: Instant,
     epoch: Epoch,
     last_call: Option<Instant>,
@@ -147,12 +158,13 @@
                 let (end, after) = (self.log.len(), self.store_way());
                 self.send(after, Message::Checked { host: n, asked, end });
             }
-            Order::Grant { to, calls, until } => {
+            Order::Grant { to, calls, over, until } => {
                 let epoch = self.hosts[n].epoch().expect("only a host that leads grants");
                 let round = Round {
                     to,
                     calls,
                     next: 0,
+                    over,
                     until,
                     epoch,
                     last_call: None,
@@ -166,7 +178,7 @@
                 let odds = self.odds.lost_release;
                 let (lost, answered) = (self.chance(odds), !self.chance(odds));
                 let server = from.server;
-                if lost || !self.reaches(n, &server) {
+                if lost || !self.reaches(n, server.name()) {
                     let answer = Message::Released {
                         host: n,
                         range,
@@ -225,7 +237,9 @@
             }
             Message::Heard { to, map } => self.feed(to, Event::Heard(map)),
             Message::Round { host, round } => self.on_round(host, round),
-            Message::Grant { host, round, arrived } => self.on_grant(host, round, arrived),
+            Message::Grant { host, round, life, arrived } => {
+                self.on_grant(host, round, life, arrived);
+            }
             Message::Release { host, server, range, token, answered } => {
                 self.on_release(host, &server, range, token, answered);
             }
@@ -279,44 +293,72 @@
         self.feed(n, Event::Read { asked, map });
     }
 
-    /// Sends the next grant of a round if the right to do so still holds.
+    /// The open connection to an address. One whose life has ended may not have been noticed yet.
+    fn line(&mut self, n: usize, addr: SocketAddr) -> Option<(Instant, u32)> {
+        let there = self.servers.values().find(|server| server.addr == addr);
+        let there = there.map(|server| (server.id.name().clone(), server.life));
+        let unnoticed = self.rng.bool();
+        if let Some(line) = self.lines.get(&(n, addr)) {
+            let lives = there.as_ref().is_some_and(|(_, life)| *life == line.life);
+            if lives || unnoticed {
+                return Some((line.opened, line.life));
+            }
+        }
+        self.lines.remove(&(n, addr));
+        let (_, life) = there.filter(|(name, _)| self.reaches(n, name))?;
+        self.lines.insert((n, addr), Line { opened: self.now, life });
+        Some((self.now, life))
+    }
+
+    /// Sends the next grant of a round if the right to do so still holds, and the connection is the one that is meant.
     fn on_round(&mut self, n: usize, round: Round) {
         if round.next == round.calls.len() {
             return self.end_round(n, round, Outcome::Answered);
         }
+        let Some((opened, life)) = self.line(n, round.to.addr) else {
+            return self
+                .send(GRANT_WITHIN, Message::Grant { host: n, round, life: 0, arrived: false });
+        };
+        if round.over != Some(opened) {
+            return self.end_round(n, round, Outcome::Opened(opened));
+        }
         if self.now >= round.until || self.hosts[n].epoch() != Some(round.epoch) {
             return self.end_round(n, round, Outcome::NotSent);
         }
         let odds = self.odds.lost_grant;
-        let cut = !self.reaches(n, &round.to.server);
+        let cut = !self.reaches(n, round.to.server.name());
         let lost = cut || self.chance(odds);
         if lost {
             // Perhaps it arrives all the same, and only the answer is lost.
             let arrived = !cut && self.rng.bool();
             let after =
                 if arrived { Duration::from_millis(self.rng.u64(1..500)) } else { GRANT_WITHIN };
-            return self.send(after, Message::Grant { host: n, round, arrived });
+            return self.send(after, Message::Grant { host: n, round, life, arrived });
         }
         let after = self.short();
-        self.send(after, Message::Grant { host: n, round, arrived: true });
+        self.send(after, Message::Grant { host: n, round, life, arrived: true });
     }
 
-    fn on_grant(&mut self, n: usize, mut round: Round, arrived: bool) {
+    fn on_grant(&mut self, n: usize, mut round: Round, life: u32, arrived: bool) {
         let call = round.calls[round.next].clone();
-        let now = self.now;
+        let (now, addr) = (self.now, round.to.addr);
         // The process reads its clock when the call has ended; a host that stands still reads it later.
         round.last_call = Some(now + Duration::from_millis(3));
-        if !arrived {
+        let server = self.servers.values_mut().find(|server| server.addr == addr);
+        let Some(server) = server.filter(|server| arrived && server.life == life) else {
+            // The connection is reset, and another one is opened the next time.
+            self.lines.remove(&(n, addr));
             return self.end_round(n, round, Outcome::Silent);
-        }
-        let Some(server) = self.servers.get_mut(&round.to.server) else {
-            let taken = self.servers.values().any(|server| server.addr == round.to.addr);
-            let outcome = if taken { Outcome::Ended } else { Outcome::Silent };
-            return self.end_round(n, round, outcome);
         };
+        if server.id.name() != round.to.server.name() {
+            return self.end_round(n, round, Outcome::Ended);
+        }
         let refused = self.rng.f64() < self.odds.refuse;
         match !refused && server.grant(now, call.range, call.token) {
-            true => round.confirmed.push((call.range, call.token)),
+            true => {
+                round.confirmed.push((call.range, call.token));
+                self.note_taken(life, call.range, call.token);
+            }
             false => round.refused.push(call.range),
         }
         round.next += 1;
@@ -337,7 +379,7 @@
         answered: bool,
     ) {
         let now = self.now;
-        let Some(server) = self.servers.get_mut(id) else {
+        let Some(server) = self.servers.get_mut(id.name()) else {
             let answer =
                 Message::Released { host: n, range, token, handover: None, answered: false };
             return self.send(Duration::from_millis(500), answer);
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -37,6 +38,8 @@
     pub unlist: f64,
     /// A server ends; another life of it comes some seconds later.
     pub crash: f64,
+    /// A server starts again under its name. Its entry shows that up to 2.5 s later.
+    pub reborn: f64,
     /// A grant is lost, or its answer.
     pub lost_grant: f64,
     /// A server has seen a higher token than the map knows of, as after a release whose record was never kept.
@@ -56,6 +59,7 @@
         drain: 0.0,
         unlist: 0.0,
         crash: 0.0,
+        reborn: 0.0,
         lost_grant: 0.0,
         refuse: 0.0,
         lost_release: 0.0,
@@ -79,7 +83,7 @@
     /// What another host knows arrives.
     Heard { to: usize, map: Map },
     /// A grant arrives.
-    Grant { host: usize, round: host::Round, arrived: bool },
+    Grant { host: usize, round: host::Round, life: u32, arrived: bool },
     /// A release arrives, and is answered if `answered`.
     Release { host: usize, server: ServerId, range: KeyRange, token: Token, answered: bool },
     /// Its answer arrives.
@@ -99,11 +103,17 @@
     rng: fastrand::Rng,
     log: Vec<Map>,
     hosts: Vec<Host>,
-    servers: BTreeMap<ServerId, Server>,
+    servers: BTreeMap<ServerName, Server>,
+    /// Connections of hosts to addresses.
+    lines: BTreeMap<(usize, SocketAddr), host::Line>,
+    /// Grants that were taken, by the number of the life that took them.
+    taken: Vec<(KeyRange, Token, u32)>,
+    /// A key that went to another life without a higher token.
+    low_token: Option<String>,
     reborn: Vec<(Instant, usize)>,
     lives: u32,
-    cut_servers: BTreeSet<(usize, ServerId)>,
-    unlisted: BTreeSet<ServerId>,
+    cut_servers: BTreeSet<(usize, ServerName)>,
+    unlisted: BTreeSet<ServerName>,
     split: Option<Split>,
     queue: Vec<(Instant, u64, Message)>,
     sent: u64,
@@ -113,7 +123,7 @@
 /// One host and one server on one side, the store and all others on the other.
 struct Split {
     host: usize,
-    server: ServerId,
+    server: ServerName,
     until: Instant,
 }
 
@@ -140,6 +150,9 @@
             log: Vec::new(),
             hosts: (0..HOSTS).map(|n| Host::new(service(), leader(n))).collect(),
             servers: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            taken: Vec::new(),
+            low_token: None,
             reborn: Vec::new(),
             lives: 0,
             cut_servers: BTreeSet::new(),
@@ -156,8 +169,9 @@
 
     fn bear(&mut self, place: usize) {
         self.lives += 1;
-        let id: ServerId = format!("s{place}-{}", self.lives).parse().unwrap();
-        self.servers.insert(id.clone(), Server::new(id, place));
+        let name: ServerName = format!("s{place}-{}", self.lives).parse().unwrap();
+        let id = name.clone().into();
+        self.servers.insert(name, Server::new(id, self.lives, place));
     }
 
     fn chance(&mut self, odds: f64) -> bool {
@@ -190,9 +204,9 @@
 
     fn listed(&self) -> Servers {
         let mut listed = Servers::default();
-        for server in self.servers.values().filter(|server| !self.unlisted.contains(&server.id)) {
+        for server in self.servers.values().filter(|s| !self.unlisted.contains(s.id.name())) {
             listed.insert(Listed {
-                id: server.id.clone(),
+                id: server.listed.clone(),
                 service: service(),
                 addr: server.addr,
                 domain: "d".parse().unwrap(),
@@ -247,8 +261,9 @@
                 self.tell(format!("h{n} stands still"));
             }
         }
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
-        for id in ids {
+        let names: Vec<ServerName> = self.servers.keys().cloned().collect();
+        for id in names {
+            self.start_again_or_notice(&id);
             if self.chance(odds.server_cut) {
                 let cut = (self.rng.usize(0..HOSTS), id.clone());
                 if !self.cut_servers.remove(&cut) {
@@ -279,6 +294,23 @@
         due.into_iter().for_each(|(_, place)| self.bear(place));
     }
 
+    fn start_again_or_notice(&mut self, name: &ServerName) {
+        if self.chance(self.odds.reborn) {
+            self.lives += 1;
+            let noticed = self.now + Duration::from_millis(self.rng.u64(0..2500));
+            let server = self.servers.get_mut(name).expect("it was listed a moment ago");
+            server.start_again(self.lives, noticed);
+            self.tell(format!("{name} starts again"));
+        }
+        let now = self.now;
+        let server = self.servers.get_mut(name).expect("it was listed a moment ago");
+        if server.noticed_at.is_some_and(|at| at <= now) {
+            server.noticed_at = None;
+            server.listed = server.id.clone();
+            self.tell(format!("the entry of {name} shows it"));
+        }
+    }
+
     fn split_or_heal(&mut self) {
         if self.split.as_ref().is_some_and(|split| split.until <= self.now) {
             self.split = None;
@@ -305,10 +337,10 @@
     }
 
     /// Whether a host reaches a server.
-    fn reaches(&self, n: usize, id: &ServerId) -> bool {
+    fn reaches(&self, n: usize, name: &ServerName) -> bool {
         let split = self.split.as_ref();
-        let split = split.is_some_and(|split| (split.host == n) != (split.server == *id));
-        !split && !self.cut_servers.contains(&(n, id.clone()))
+        let split = split.is_some_and(|split| (split.host == n) != (split.server == *name));
+        !split && !self.cut_servers.contains(&(n, name.clone()))
     }
 
     /// Whether two hosts reach each other.
@@ -330,8 +362,28 @@
         report
     }
 
-    /// Two servers that hold the same key, if there are any.
+    /// Notes a grant that a server has taken. Each key must go from one life to the next under a higher token.
+    fn note_taken(&mut self, life: u32, range: KeyRange, token: Token) {
+        let other = self
+            .taken
+            .iter()
+            .find(|(of, before, by)| *by != life && *before >= token && of.overlaps(range));
+        if let Some((of, before, by)) = other {
+            let text = format!("life {life} took {range} ({token}), life {by} had {of} ({before})");
+            self.low_token.get_or_insert(text);
+        }
+        self.taken.retain(|(of, _, by)| *by != life || *of != range);
+        self.taken.push((range, token, life));
+        if self.taken.len() > 2000 {
+            self.taken.drain(..500);
+        }
+    }
+
+    /// Two servers that hold the same key, or two lives that had it under one token, if there are any.
     pub fn clash(&self) -> Option<String> {
+        if self.low_token.is_some() {
+            return self.low_token.clone();
+        }
         let servers: Vec<&Server> = self.servers.values().collect();
         for (n, one) in servers.iter().enumerate() {
             for other in &servers[n + 1..] {
--- a/crates/jacinthbeam-range/tests/world/server.rs
+++ b/crates/jacinthbeam-range/tests/world/server.rs
@@ -10,6 +10,12 @@
 
 pub struct Server {
     pub id: ServerId,
+    /// The life that its entry shows.
+    pub listed: ServerId,
+    /// When the entry shows the present one.
+    pub noticed_at: Option<Instant>,
+    /// Number of the life, of all in the world.
+    pub life: u32,
     pub place: usize,
     pub addr: SocketAddr,
     /// When it ends, if it has said so.
@@ -21,9 +27,28 @@
 }
 
 impl Server {
-    pub fn new(id: ServerId, place: usize) -> Self {
+    pub fn new(id: ServerId, life: u32, place: usize) -> Self {
         let addr = format!("127.0.0.1:{}", 1000 + place).parse().unwrap();
-        Self { id, place, addr, leaves_at: None, held: Vec::new(), seen: Vec::new() }
+        Self {
+            listed: id.clone(),
+            id,
+            noticed_at: None,
+            life,
+            place,
+            addr,
+            leaves_at: None,
+            held: Vec::new(),
+            seen: Vec::new(),
+        }
+    }
+
+    /// Starts again under its name, and has forgotten everything. Its entry shows that from `noticed_at` on.
+    pub fn start_again(&mut self, life: u32, noticed_at: Instant) {
+        self.id = ServerId::new(self.id.name().clone(), Some(Born(u64::from(life))));
+        self.life = life;
+        self.noticed_at = Some(noticed_at);
+        self.held.clear();
+        self.seen.clear();
     }
 
     fn has_seen_above(&self, range: KeyRange, token: Token) -> bool {
--- a/crates/jacinthbeam-route/src/server.rs
+++ b/crates/jacinthbeam-route/src/server.rs
@@ -5,10 +5,10 @@
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// One life of a backend server. It has another id after a restart.
+/// One life of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
-    /// Drawn at each start.
+    /// Its name, and when it started if it says so.
     pub id: ServerId,
     /// What it does.
     pub service: ServiceName,
@@ -45,6 +45,14 @@
         self.by_id.remove(id).is_some()
     }
 
+    /// The life that is listed under the name of `id`, if it is another one. All that `id` held is lost.
+    pub fn successor_of(&self, id: &ServerId) -> Option<&Server> {
+        let first = ServerId::from(id.name().clone());
+        let lives = self.by_id.range(first..).take_while(|(other, _)| other.name() == id.name());
+        let latest = lives.last().map(|(_, server)| server);
+        latest.filter(|server| server.id.is_other_life(id))
+    }
+
     /// The server with this id.
     pub fn get(&self, id: &ServerId) -> Option<&Server> {
         self.by_id.get(id)
--- a/crates/jacinthbeam-standin/src/backend.rs
+++ b/crates/jacinthbeam-standin/src/backend.rs
@@ -162,6 +162,7 @@
             slots: options.slots,
             draining: state.draining.load(Ordering::SeqCst),
             warmup_left_ms: 0,
+            born: None,
         };
         let key = options.id.to_string();
         let call =
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -123,6 +123,7 @@
 fn split(record: &Bytes) -> Option<(String, Bytes)> {
     let len = usize::from(*record.first()?);
     let key = record.get(1..=len)?;
-    let key = String::from_utf8(key.to_vec()).ok()?;
+    // A key that is no text is none of ours, and is kept readable for whoever logs it.
+    let key = String::from_utf8_lossy(key).into_owned();
     Some((key, record.slice(len + 1..)))
 }
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -137,8 +137,8 @@
     HostId
 }
 name! {
-    /// One life of a backend server: it has another id after a restart.
-    ServerId
+    /// What a backend server is listed under. It may bear the same name when it starts again.
+    ServerName
 }
 name! {
     /// A failure domain of the platform.
@@ -148,6 +148,10 @@
     /// One life of a process. Drawn at its start so that no two lives share it.
     Incarnation(u64)
 }
+number! {
+    /// When a life of a backend server started, in milliseconds since the Unix epoch by the server's own clock.
+    Born(u64)
+}
 number! {
     /// Counts the processes that granted the keys of a service, one after the other.
     Epoch(u64)
--- a/crates/jacinthbeam-types/src/lib.rs
+++ b/crates/jacinthbeam-types/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod id;
 pub mod key;
 pub mod prelude;
+pub mod server;
 pub mod size;
 pub mod verdict;
 
 pub use clock::Clock;
+pub use server::ServerId;
 pub use verdict::{Reason, Refusal, Verdict};
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -3,10 +3,11 @@
 pub use crate::{
     clock::{Clock, SystemClock},
     id::{
-        ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, ServerId, ServiceName,
-        TeamName, Token,
+        Born, ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, ServerName,
+        ServiceName, TeamName, Token,
     },
     key::KeyHash,
+    server::ServerId,
     size::Bytes,
     verdict::{Reason, Refusal, Verdict},
 };
