feat(dispatch): servers that nobody asks are tried again

Hypothesis: new servers get nothing while the others have room, since nothing is known of them and 200 ms is assumed, and a server that was slow once is never known to be well again.

Test first: choose::new_servers_are_tried_while_the_others_have_room and a_server_that_was_slow_is_tried_again (both without network).

Change: the time that is believed of a server fades while this host asks it nothing, faster if nothing was ever measured. The first answer counts whole.

Conclusion: kept for servers of the host's own failure domain.

--- a/crates/jacinthbeam-dispatch/src/choose.rs
+++ b/crates/jacinthbeam-dispatch/src/choose.rs
@@ -53,7 +53,7 @@
 
 fn cost<Id>(candidate: &Candidate<'_, Id>, now: Instant) -> Duration {
     let seen = candidate.seen;
-    let mut cost = seen.expected(now, candidate.slots);
+    let mut cost = seen.expected(now, candidate.slots, candidate.near);
     if candidate.cold {
         cost = cost.mul_f64(COLD);
     }
--- a/crates/jacinthbeam-dispatch/src/server.rs
+++ b/crates/jacinthbeam-dispatch/src/server.rs
@@ -18,6 +18,16 @@
 /// Longest such pause: a server that has come back gets work again within it.
 const LONGEST_AVOIDED: Duration = Duration::from_secs(4);
 
+/// How fast the time that is assumed of a server without an answer loses its weight: it counts half after this time, a third after
+/// twice as long. A host tries a new server within a second or two, each at another moment.
+const ASSUMED_FADES_IN: Duration = Duration::from_millis(500);
+
+/// The same for a time that was measured, once the server has had no request of this host for as long.
+///
+/// A server that was slow for a while, or was measured when it had just started, is never asked again while the others have room, and so
+/// never known to be fast again. One that is twice as slow as the others gets a request of each host every six seconds.
+const MEASURED_FADES_IN: Duration = Duration::from_secs(3);
+
 /// Part of a server's requests that failed, above which it is used only when the others are no better.
 const FAILING: f64 = 0.25;
 
@@ -26,6 +36,9 @@
 pub struct Seen {
     /// When each request began that this host has at the server now, ascending.
     begun: Vec<Instant>,
+    /// When the last request began, or the server was first heard of.
+    asked: Option<Instant>,
+    answered: bool,
     mean: Duration,
     /// Faded share of requests that ended without a good answer.
     failed: f64,
@@ -38,6 +51,8 @@
     fn default() -> Self {
         Self {
             begun: Vec::new(),
+            asked: None,
+            answered: false,
             mean: ASSUMED,
             failed: 0.0,
             failures_in_row: 0,
@@ -48,8 +63,14 @@
 }
 
 impl Seen {
+    /// Nothing is known of a server that is heard of now.
+    pub fn new(now: Instant) -> Self {
+        Self { asked: Some(now), ..Self::default() }
+    }
+
     /// A request is sent to the server.
     pub fn begin(&mut self, now: Instant) {
+        self.asked = self.asked.max(Some(now));
         self.begun.push(now);
     }
 
@@ -67,7 +88,8 @@
 
     /// A whole answer came after this time.
     pub fn on_answer(&mut self, took: Duration) {
-        self.mean = self.mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT);
+        let weight = if std::mem::replace(&mut self.answered, true) { WEIGHT } else { 1.0 };
+        self.mean = self.mean.mul_f64(1.0 - weight) + took.mul_f64(weight);
         self.failed *= 1.0 - WEIGHT;
         self.failures_in_row = 0;
         self.avoided_until = None;
@@ -111,13 +133,25 @@
         self.mean
     }
 
+    /// Mean time of an answer, the lower the longer nobody looked.
+    ///
+    /// That is for hosts of the server's own failure domain to find out: an answer from elsewhere is charged by the byte, and hosts that
+    /// tried all servers everywhere cost a sixth more bytes between domains.
+    fn believed(&self, now: Instant, near: bool) -> Duration {
+        let asked = self.asked.filter(|_| near && self.begun.is_empty());
+        let Some(asked) = asked else { return self.mean };
+        let fades_in = if self.answered { MEASURED_FADES_IN } else { ASSUMED_FADES_IN };
+        let unseen = now.saturating_duration_since(asked).as_secs_f64() / fades_in.as_secs_f64();
+        self.mean.div_f64(1.0 + unseen)
+    }
+
     /// Time after which one more request would be answered, as far as this host can tell.
     ///
     /// A server that has become slow, or silent, gives no answers to learn it from, and goes on looking as fast as before while
     /// requests gather there until their deadlines. The age of the oldest one tells after the time of an ordinary answer.
-    pub fn expected(&self, now: Instant, slots: u32) -> Duration {
+    pub fn expected(&self, now: Instant, slots: u32, near: bool) -> Duration {
         let oldest = self.begun.first().map(|begun| now.saturating_duration_since(*begun));
-        let mean = self.mean.max(oldest.unwrap_or_default());
+        let mean = self.believed(now, near).max(oldest.unwrap_or_default());
         mean.mul_f64(1.0 + f64::from(self.in_flight()) / f64::from(slots.max(1)))
     }
 }
--- a/crates/jacinthbeam-dispatch/tests/choose.rs
+++ b/crates/jacinthbeam-dispatch/tests/choose.rs
@@ -73,3 +73,46 @@
     seen.on_answer(WORK);
     assert!(!seen.is_avoided(now));
 }
+
+/// New servers get nothing for as long as the others have room, although their slots would be needed a moment later.
+///
+/// A light load, and servers of which one host knows that they answer in 100 ms. Two new ones are heard of, of which nothing is known.
+/// Each must get a request within some seconds, and not all at once.
+#[test]
+fn new_servers_are_tried_while_the_others_have_room() {
+    let begun = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut servers: Vec<Seen> = (0..6).map(|_| Seen::new(begun)).collect();
+    let mut first: Vec<Option<u64>> = vec![None; 6];
+    for ms in (0..6000).step_by(40) {
+        let now = begun + Duration::from_millis(ms);
+        let known = if ms < 2000 { 4 } else { 6 };
+        if ms == 2000 {
+            servers[4..].iter_mut().for_each(|seen| *seen = Seen::new(now));
+        }
+        let ids: Vec<u32> = (0..known as u32).collect();
+        let candidates = ids.iter().zip(&servers).map(|(id, seen)| candidate(id, seen));
+        let n = *best(candidates, now, || rng.f64()).unwrap() as usize;
+        first[n].get_or_insert(ms);
+        servers[n].begin(now);
+        servers[n].on_answer(Duration::from_millis(100));
+        servers[n].end(now);
+    }
+    let new: Vec<u64> = first[4..].iter().map(|ms| ms.expect("it is tried") - 2000).collect();
+    assert!(new.iter().all(|ms| (200..2500).contains(ms)), "{new:?}");
+}
+
+/// A server was five times as slow as usual for a while, and is well again. Without a request nobody would ever learn it.
+#[test]
+fn a_server_that_was_slow_is_tried_again() {
+    let begun = Instant::now();
+    let (mut slow, fast) = (usual(), usual());
+    (0..20).for_each(|_| slow.on_answer(WORK * 5));
+    slow.begin(begun);
+    slow.end(begun);
+    let pick = |s: u64| {
+        let now = begun + Duration::from_secs(s);
+        *best([candidate(&1, &slow), candidate(&2, &fast)].into_iter(), now, || 0.5).unwrap()
+    };
+    assert_eq!((pick(2), pick(20)), (2, 1));
+}
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -138,7 +138,8 @@
     pub fn server(&self, server: &Server) -> Rc<ServerState> {
         let mut servers = self.servers.borrow_mut();
         let new = || {
-            let (pool, seen, ended) = (Pool::new(server.addr), RefCell::default(), Cell::default());
+            let seen = RefCell::new(Seen::new(self.now()));
+            let (pool, ended) = (Pool::new(server.addr), Cell::default());
             Rc::new(ServerState { pool, seen, ended })
         };
         servers.entry(server.id.clone()).or_insert_with(new).clone()
