feat(range,host): a granting host that stops without the store renews on

Change: the host says goodbye in the store once the store has answered since it was told to stop; until then it renews on, for as long as the process may stay. If it ends before, it tells all hosts, who remember it for their own claims. Such a word names the epoch: without it, one from an earlier time would count for a process that leads again, and its successor would not wait for what it renews now. That hole stood before in the word to a successor, if a datagram came late enough.

Test first: grantor::a_host_that_stops_without_the_store_renews_on, a_host_that_ended_without_the_store_is_not_waited_for, the_word_of_an_earlier_epoch_does_not_count; sole_owner plays hosts that stop, end and start again.

--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -23,15 +23,16 @@
             Message::Load { from, service, report } => {
                 self.step(&service, Event::Load { from, report });
             }
-            Message::Stopped { service, leader, others_left } => {
+            Message::Stopped { service, leader, epoch, others_left } => {
                 tracing::info!(
                     part = "grant",
                     event = "predecessor-stopped",
                     service = %service,
                     host = %leader.host,
+                    epoch = %epoch,
                     others_left_ms = others_left.as_millis() as u64,
                 );
-                self.step(&service, Event::Stopped { leader, others_left });
+                self.step(&service, Event::Stopped { leader, epoch, others_left });
             }
             Message::Gates { gates, .. } => {
                 let until = self.clock.now() + GATES_STAND;
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -241,14 +241,16 @@
                 let Some(leadership) = self.leadership(service) else { return };
                 self.caller.release(service.clone(), from, (range, token), leadership);
             }
-            Order::TellStopped { to, others_left } => {
+            Order::TellStopped { to, epoch, others_left } => {
                 let leader = self.me.clone();
-                let message = Message::Stopped { service: service.clone(), leader, others_left };
+                let service = service.clone();
+                let message = Message::Stopped { service, leader, epoch, others_left };
                 // Told again at the next tick.
                 if let Err(err) = self.socket.try_send_to(&message.to_bytes(), to.addr) {
                     tracing::debug!(part = "grant", event = "not-told", host = %to.host, error = ?err);
                 }
             }
+            Order::Announce { epoch, others_left } => self.announce(service, epoch, others_left),
             Order::Resign => {
                 tracing::warn!(part = "duty", event = "resigned", service = %service, why = "most-owners-unreachable");
                 self.wish.rest_until.set(Some(self.clock.now() + REST));
@@ -256,6 +258,25 @@
         }
     }
 
+    /// Tells all hosts that this one grants the keys of a service no more. Each is told twice, since datagrams are lost now and then; one
+    /// that hears neither waits as for a host that was lost.
+    fn announce(&self, service: &ServiceName, epoch: Epoch, others_left: Duration) {
+        let leader = self.me.clone();
+        let message = Message::Stopped { service: service.clone(), leader, epoch, others_left };
+        let bytes = message.to_bytes();
+        tracing::info!(part = "grant", event = "stopped", service = %service, epoch = %epoch, others_left_ms = %others_left.as_millis());
+        for (host, entry) in self.known.hosts().chain(self.known.hosts()) {
+            if let Err(err) = self.socket.try_send_to(&bytes, entry.addr) {
+                tracing::debug!(part = "grant", event = "not-told", host = %host, error = ?err);
+            }
+        }
+    }
+
+    /// Whether this process still grants keys.
+    pub(super) fn grants(&self) -> bool {
+        self.granting.values().any(|granting| granting.grantor.leads())
+    }
+
     pub(super) fn put(&self, service: &ServiceName, number: u32, map: Map) {
         let Some(partition) = self.partitions.get(&number) else { return };
         let (lane, at) = (partition.lane.clone(), partition.end);
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -22,6 +22,7 @@
 };
 
 use http::StatusCode;
+use jacinthbeam_range::Event;
 use jacinthbeam_types::prelude::*;
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -61,6 +62,9 @@
 /// Pause between two looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Kept between the last renewal of a process that grants on after its last request, and its forced end.
+const BEFORE_FORCED: Duration = Duration::from_millis(400);
+
 /// Time for the last calls to the store after the last request.
 const LAST_CALLS: Duration = Duration::from_millis(100);
 
@@ -88,8 +92,11 @@
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
     let usage = start.usage.clone();
+    let (clock, stay) =
+        (start.clock.clone(), start.settings.stop_within.saturating_sub(BEFORE_FORCED));
     let mut control = Control::new(start, tx, reports);
     control.begin();
+    let mut is_served = false;
     let mut last = control.recorder(usage.clone());
     spawn_local(control.recorder(usage).run());
     loop {
@@ -99,9 +106,15 @@
                 None => break,
             },
             // An error is the end: the sender is dropped.
-            _ = &mut served => break,
+            _ = &mut served, if !is_served => is_served = true,
+        }
+        // Keys that nobody can take over, since the store is away, are renewed for as long as the process may stay.
+        let stays = control.stopping.is_some_and(|since| clock.now() < since + stay);
+        if is_served && !(stays && control.grants()) {
+            break;
         }
     }
+    control.step_all(&Event::End);
     tokio::join!(tokio::time::sleep(LAST_CALLS), last.record());
     tracing::info!(part = "process", event = "stop");
 }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -76,6 +76,8 @@
     pub(super) has_joined: bool,
     pub(super) partitions: BTreeMap<u32, MapPartition>,
     pub(super) granting: BTreeMap<ServiceName, Granting>,
+    /// When the word came that the process is about to stop.
+    pub(super) stopping: Option<Instant>,
     /// Records of the store that can't be read.
     pub(super) unreadable: Unreadable,
 }
@@ -108,6 +110,7 @@
             has_joined: false,
             partitions: BTreeMap::new(),
             granting: BTreeMap::new(),
+            stopping: None,
             unreadable: Unreadable::default(),
         }
     }
@@ -200,6 +203,7 @@
                 let _ = reply.send(format!("{self:#?}"));
             }
             Input::Stop => {
+                self.stopping = Some(self.clock.now());
                 self.step_all(&Event::Stop);
                 self.wish.leave.set(true);
             }
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -24,12 +24,14 @@
         /// The counts.
         report: Report,
     },
-    /// A host that granted the keys of a service has been replaced by the one that is told, and sends no grant any more.
+    /// A host that granted the keys of a service sends no grant of that epoch any more.
     Stopped {
         /// The service.
         service: ServiceName,
         /// The life of the host's process.
         leader: Leader,
+        /// The epoch in which it granted.
+        epoch: Epoch,
         /// For how long hosts that granted before it may still renew.
         others_left: Duration,
     },
--- a/crates/jacinthbeam-range/src/grantor/event.rs
+++ b/crates/jacinthbeam-range/src/grantor/event.rs
@@ -61,10 +61,12 @@
     },
     /// Another host knows this record. It may be older than what is known here.
     Heard(Map),
-    /// A host that led has been replaced, and sends no grant any more.
+    /// A host that led sends no grant of that epoch any more.
     Stopped {
         /// It.
         leader: Leader,
+        /// The epoch in which it led. It may have led again since.
+        epoch: Epoch,
         /// For how long hosts that led before it may still renew.
         others_left: Duration,
     },
@@ -72,6 +74,8 @@
     Tick,
     /// This process is about to stop.
     Stop,
+    /// It stops now.
+    End,
 }
 
 /// A call got no answer that could be trusted.
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -19,7 +19,7 @@
     NoAnswer, Order, View,
     contact::{Contact, Outcome},
     moving::{Moving, Stage},
-    timing::{CALL_TAKES, CHECK_EVERY, CHECK_SOON, SETTLE},
+    timing::{CHECK_EVERY, CHECK_SOON, SETTLE},
 };
 use crate::{
     demand::Demand,
@@ -153,17 +153,21 @@
     }
 
     /// The predecessor has stopped, so that only calls that it had sent before may arrive, and those of hosts before it.
-    pub(in crate::grantor) fn on_stopped(
-        &mut self,
-        now: Instant,
-        leader: &Leader,
-        others_left: Duration,
-    ) {
-        if self.replaces == std::slice::from_ref(leader) {
-            self.others_until = self.others_until.min(now + others_left.max(CALL_TAKES));
+    pub(in crate::grantor) fn on_stopped(&mut self, leader: &Leader, epoch: Epoch, until: Instant) {
+        let is_last = epoch.next() == self.map.epoch;
+        if is_last && self.replaces == std::slice::from_ref(leader) {
+            self.others_until = self.others_until.min(until);
         }
     }
 
+    /// Goes on renewing, and asks the store whether it is back.
+    pub(in crate::grantor) fn renew_on(&mut self, view: View<'_>) -> Vec<Order> {
+        self.meet_owners();
+        self.give_up_lost(view.now);
+        let check = self.ask_again(view.now);
+        check.into_iter().chain(self.grants(view.now)).collect()
+    }
+
     pub(in crate::grantor) fn on_granted(
         &mut self,
         now: Instant,
@@ -339,6 +343,15 @@
         Some(Order::Check)
     }
 
+    /// Asks the store for a confirmation, unless it was asked a moment ago.
+    fn ask_again(&mut self, now: Instant) -> Option<Order> {
+        if self.checked.is_some_and(|at| now < at + CHECK_AGAIN && at > self.proof) {
+            return None;
+        }
+        self.checked = Some(now);
+        Some(Order::Check)
+    }
+
     fn next_token(&mut self) -> Token {
         self.token = self.token.next();
         self.token
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -32,6 +32,9 @@
     map::{Leader, Map, Owner},
 };
 
+/// Hosts whose word that they have stopped is remembered: a successor asks for that of one or two, and a fleet's hosts stop one by one.
+const STOPPED_KEPT: usize = 16;
+
 /// What is known at the time of an event.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -49,7 +52,8 @@
     service: ServiceName,
     me: Leader,
     duty: bool,
-    stopping: bool,
+    /// When the word came that this process is about to stop.
+    stopping: Option<Instant>,
     /// Whether a read has told what the newest record is.
     known: bool,
     newest: Option<Map>,
@@ -63,6 +67,8 @@
     /// the store, would grant the same keys to their former owners. With one at a time, each answer has one meaning.
     pending: u32,
     replaced: Option<Replaced>,
+    /// Hosts that said that they have stopped.
+    stopped: Vec<Stopped>,
 }
 
 /// A claim that is on its way to the store, or whose fate is not known.
@@ -74,10 +80,22 @@
     replaces: Vec<Leader>,
 }
 
+/// A host that said that it has stopped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Stopped {
+    leader: Leader,
+    /// The epoch in which it led. Without it the word of an earlier time would count for a process that leads again, and its successor
+    /// would not wait for what it renews now.
+    epoch: Epoch,
+    /// Until then its last calls may arrive, and hosts before it may renew.
+    until: Instant,
+}
+
 /// A host that was replaced, which tells its successor so.
 #[derive(Debug)]
 struct Replaced {
     by: Leader,
+    epoch: Epoch,
     others_until: Instant,
     tell_until: Instant,
 }
@@ -89,7 +107,7 @@
             service,
             me,
             duty: false,
-            stopping: false,
+            stopping: None,
             known: false,
             newest: None,
             claim: None,
@@ -97,6 +115,7 @@
             leading: None,
             pending: 0,
             replaced: None,
+            stopped: Vec::new(),
         }
     }
 
@@ -153,7 +172,8 @@
             Event::Read { asked, map } => self.on_read(view, asked, map),
             Event::Recorded { asked } => self.on_recorded(view, asked),
             Event::NotRecorded => self.on_not_recorded(view),
-            Event::Stop => return self.stop(view.now),
+            Event::Stop => self.stopping = Some(view.now),
+            Event::End => return self.end(view.now),
             // These two come hundreds of times a second from a large fleet, and a look at everything takes a time that grows
             // with it. The next tick is soon enough for what they change, but for new ranges of the same server.
             Event::Load { from, report } => {
@@ -170,9 +190,8 @@
                 self.while_leading(|leading| leading.on_released(view.now, range, token, handover));
             }
             Event::Heard(map) => self.on_heard(view, &map),
-            Event::Stopped { leader, others_left } => {
-                let now = view.now;
-                self.while_leading(|leading| leading.on_stopped(now, &leader, others_left));
+            Event::Stopped { leader, epoch, others_left } => {
+                self.on_stopped(leader, epoch, view.now + others_left.max(timing::CALL_TAKES));
             }
             Event::Tick => {}
         }
@@ -186,8 +205,8 @@
     }
 
     fn act(&mut self, view: View<'_>) -> Vec<Order> {
-        if self.stopping {
-            return Vec::new();
+        if let Some(since) = self.stopping {
+            return self.wind_up(view, since);
         }
         match &mut self.leading {
             Some(leading) if leading.reaches_too_few(view) => self.resign(view),
@@ -211,6 +230,7 @@
         let Some(leading) = self.leading.take() else { return };
         let replaced = |by: &Leader| Replaced {
             by: by.clone(),
+            epoch: leading.map.epoch,
             others_until: leading.others_until(),
             tell_until: now + timing::TELL_FOR,
         };
@@ -220,7 +240,8 @@
     fn tell_stopped(&self, now: Instant) -> Option<Order> {
         let replaced = self.replaced.as_ref().filter(|replaced| now < replaced.tell_until)?;
         let others_left = replaced.others_until.saturating_duration_since(now);
-        Some(Order::TellStopped { to: replaced.by.clone(), others_left })
+        let (to, epoch) = (replaced.by.clone(), replaced.epoch);
+        Some(Order::TellStopped { to, epoch, others_left })
     }
 
     /// Most owners are silent although they are listed: it is rather this host that is cut off. It must not take their keys
@@ -276,7 +297,9 @@
         let others = if claim.replaces.is_empty() { timing::CALL_TAKES } else { timing::PROOF };
         let replaces = claim.replaces.clone();
         self.replaced = None;
-        self.leading = Some(Leading::new(map, asked, view.now + others, replaces));
+        let mut leading = Leading::new(map, asked, view.now + others, replaces);
+        self.stopped.iter().for_each(|s| leading.on_stopped(&s.leader, s.epoch, s.until));
+        self.leading = Some(leading);
     }
 
     fn try_claim(&mut self, view: View<'_>) -> Option<Order> {
@@ -318,9 +341,32 @@
         slots > 0
     }
 
-    fn stop(&mut self, now: Instant) -> Vec<Order> {
-        self.stopping = true;
-        self.retire(now)
+    fn on_stopped(&mut self, leader: Leader, epoch: Epoch, until: Instant) {
+        self.while_leading(|leading| leading.on_stopped(&leader, epoch, until));
+        self.stopped.retain(|stopped| stopped.leader != leader);
+        self.stopped.push(Stopped { leader, epoch, until });
+        if self.stopped.len() > STOPPED_KEPT {
+            self.stopped.remove(0);
+        }
+    }
+
+    /// Ends the granting of a process that is about to stop, once the store has answered since.
+    ///
+    /// While the store is away nobody can take over. Keys that were no longer renewed would have no server from the end of their holds
+    /// until it is back, some seconds in which the process is still there for its last requests.
+    fn wind_up(&mut self, view: View<'_>, since: Instant) -> Vec<Order> {
+        self.claim = None;
+        match &mut self.leading {
+            Some(leading) if leading.proof() < since => leading.renew_on(view),
+            _ => self.retire(view.now),
+        }
+    }
+
+    /// The process stops now. If it still grants, the others are told that it does no more.
+    fn end(&mut self, now: Instant) -> Vec<Order> {
+        let Some(leading) = self.leading.take() else { return Vec::new() };
+        let others_left = leading.others_until().saturating_duration_since(now);
+        vec![Order::Announce { epoch: leading.map.epoch, others_left }]
     }
 
     /// Says in the store that this process sends no grant any more, so that a successor has nobody to wait for.
@@ -331,7 +377,8 @@
         self.claim = None;
         let Some(leading) = self.leading.take() else { return Vec::new() };
         if now < leading.others_until() {
-            return Vec::new();
+            let others_left = leading.others_until().saturating_duration_since(now);
+            return vec![Order::Announce { epoch: leading.map.epoch, others_left }];
         }
         let mut map = leading.map;
         map.rivals.clear();
--- a/crates/jacinthbeam-range/src/grantor/order.rs
+++ b/crates/jacinthbeam-range/src/grantor/order.rs
@@ -41,6 +41,15 @@
     TellStopped {
         /// Who leads.
         to: Leader,
+        /// The epoch in which this one led.
+        epoch: Epoch,
+        /// For how long hosts that led before this one may still renew.
+        others_left: Duration,
+    },
+    /// Tell all hosts that this one has stopped: the store took no record that says so.
+    Announce {
+        /// The epoch in which it led.
+        epoch: Epoch,
         /// For how long hosts that led before this one may still renew.
         others_left: Duration,
     },
--- a/crates/jacinthbeam-range/tests/grantor/play.rs
+++ b/crates/jacinthbeam-range/tests/grantor/play.rs
@@ -80,17 +80,31 @@
 
     /// The same among some servers, of which these have been silent from before.
     pub fn among(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
+        let mut play = Self::without_duty(count, n, map.clone(), silent);
+        play.feed(Event::Duty(true));
+        play.feed(Event::Read { asked: play.now, map });
+        play
+    }
+
+    /// The same among two servers for a host that knows the record and has no duty yet.
+    pub fn waiting(n: u64, map: Option<Map>, silent: &[u16]) -> Self {
+        let mut play = Self::without_duty(2, n, map.clone(), silent);
+        play.feed(Event::Read { asked: play.now, map });
+        play
+    }
+
+    fn without_duty(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
         let mut servers = Servers::default();
         for n in 1..=count {
             servers.insert(server(n, false));
         }
         let grantor = Grantor::new("tiles".parse().unwrap(), leader(n));
         let now = Instant::now();
-        let mut play = Self {
+        Self {
             now,
             servers,
             grantor,
-            map: map.clone(),
+            map,
             store_is_away: false,
             lines: BTreeMap::new(),
             silent: silent.iter().map(|n| server(*n, false).id).collect(),
@@ -100,10 +114,7 @@
             records: Vec::new(),
             resigned: false,
             told: Vec::new(),
-        };
-        play.feed(Event::Duty(true));
-        play.feed(Event::Read { asked: now, map });
-        play
+        }
     }
 
     pub fn feed(&mut self, event: Event) {
@@ -154,7 +165,9 @@
                 self.feed(Event::Granted { server, outcome, last_call, confirmed, refused });
             }
             Order::Release { range, token, .. } => self.releases.push((range, token)),
-            Order::TellStopped { others_left, .. } => self.told.push(others_left),
+            Order::TellStopped { others_left, .. } | Order::Announce { others_left, .. } => {
+                self.told.push(others_left);
+            }
             Order::Resign => self.resigned = true,
         }
     }
--- a/crates/jacinthbeam-range/tests/grantor/takeover.rs
+++ b/crates/jacinthbeam-range/tests/grantor/takeover.rs
@@ -7,6 +7,8 @@
     grantor::{longest_hold, timing},
 };
 
+use jacinthbeam_types::prelude::*;
+
 use crate::play::*;
 
 /// The host that led before may be cut off, and renew what it granted until its confirmation is too old. Its successor, which has
@@ -83,7 +85,7 @@
     first.run(Duration::from_secs(2));
     assert!(!first.grantor.leads() && first.sent.is_empty());
     let others_left = first.told[0];
-    play.feed(Event::Stopped { leader: leader(1), others_left });
+    play.feed(Event::Stopped { leader: leader(1), epoch: Epoch(1), others_left });
     play.until(|play| play.keys_of(1) == 0);
     let took = play.now - begun;
     assert!(took >= timing::CALL_TAKES + longest_hold());
@@ -97,7 +99,7 @@
     let mut play = Play::among(2, 2, first.map.clone(), &[1]);
     let begun = play.now;
     let others_left = Duration::from_secs(5);
-    play.feed(Event::Stopped { leader: leader(1), others_left });
+    play.feed(Event::Stopped { leader: leader(1), epoch: Epoch(1), others_left });
     play.until(|play| play.keys_of(1) == 0);
     assert!(play.now >= begun + others_left + longest_hold());
 }
@@ -122,7 +124,7 @@
     let first = Play::leading();
     let mut play = Play::among(2, 2, first.map.clone(), &[1]);
     let begun = play.now;
-    play.feed(Event::Stopped { leader: leader(3), others_left: Duration::ZERO });
+    play.feed(Event::Stopped { leader: leader(3), epoch: Epoch(1), others_left: Duration::ZERO });
     play.until(|play| play.keys_of(1) == 0);
     assert!(play.now >= begun + timing::PROOF + longest_hold());
 }
@@ -152,3 +154,65 @@
     play.run(Duration::from_secs(5));
     assert!(play.sent.is_empty() && !play.grantor.leads());
 }
+
+/// Callers of every key are refused for five seconds, although all servers are there.
+///
+/// The host that grants is told to stop while the store is away. It stopped renewing at once, holds ran out three seconds later, and nobody
+/// could take over before the store was back. It is there for some seconds more, for its last requests, and can renew as long.
+#[test]
+fn a_host_that_stops_without_the_store_renews_on() {
+    let mut play = Play::leading();
+    play.run_without_store(Duration::from_secs(2));
+    play.feed_without_store(Event::Stop);
+    let stopped = play.now;
+    play.run_without_store(Duration::from_secs(4));
+    assert!(play.last_grant_to(1) >= stopped + Duration::from_secs(3), "it renews no more");
+    assert!(play.map.as_ref().unwrap().leader.is_some(), "it says goodbye and renews on");
+    play.run(Duration::from_secs(1));
+    let last = play.last_grant_to(1);
+    assert!(play.map.as_ref().unwrap().leader.is_none(), "its successor is told nothing");
+    play.run(Duration::from_secs(2));
+    assert_eq!(play.last_grant_to(1), last);
+}
+
+/// The process that granted has ended before the store was back, and a server with it. The others heard that it sends no grant any more.
+/// Its successor has only the hold to wait for before the dead server's keys are served again, and not the time for which a host
+/// that is cut off might renew.
+#[test]
+fn a_host_that_ended_without_the_store_is_not_waited_for() {
+    let mut first = Play::leading();
+    first.run_without_store(Duration::from_secs(2));
+    first.feed_without_store(Event::Stop);
+    first.feed_without_store(Event::End);
+    assert!(!first.grantor.leads());
+    let others_left = first.told[0];
+
+    let mut play = Play::waiting(2, first.map.clone(), &[1]);
+    play.feed(Event::Stopped { leader: leader(1), epoch: Epoch(1), others_left });
+    play.run(Duration::from_secs(2));
+    let begun = play.now;
+    play.feed(Event::Duty(true));
+    play.until(|play| play.keys_of(1) == 0);
+    let took = play.now - begun;
+    assert!(took >= longest_hold() - timing::CALL_TAKES, "{took:?}");
+    assert!(took < longest_hold() + Duration::from_secs(2), "{took:?}");
+}
+
+/// Two servers hold the same keys.
+///
+/// A host gave its duty back and said so, led again a second later, and was then cut off. Its successor remembers the first word, and takes
+/// it for the present: it doesn't wait for what the host renews now.
+#[test]
+fn the_word_of_an_earlier_epoch_does_not_count() {
+    let first = Play::leading();
+    let mut map = first.map.clone().unwrap();
+    map.begin_epoch(leader(1));
+    map.rivals.clear();
+    let mut play = Play::waiting(2, Some(map), &[1]);
+    play.feed(Event::Stopped { leader: leader(1), epoch: Epoch(1), others_left: Duration::ZERO });
+    play.run(Duration::from_secs(2));
+    let begun = play.now;
+    play.feed(Event::Duty(true));
+    play.until(|play| play.keys_of(1) == 0);
+    assert!(play.now >= begun + timing::PROOF + longest_hold());
+}
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -60,6 +60,7 @@
         server_cut: 0.02,
         split: 0.005,
         pause: 0.01,
+        stop: 0.0,
         drain: 0.002,
         unlist: 0.01,
         crash: 0.005,
@@ -109,6 +110,7 @@
         server_cut: 0.02,
         split: 0.01,
         pause: 0.01,
+        stop: 0.0,
         drain: 0.002,
         unlist: 0.01,
         crash: 0.005,
@@ -119,6 +121,24 @@
     arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(2 * BUDGET_MS);
 }
 
+/// Hosts are told to stop while the store is away for them, grant on until they end, and tell the others that they have. Their successors
+/// wait no longer for them than for their last calls.
+#[test]
+fn hosts_that_stop_do_not_make_two_owners() {
+    let odds = Odds {
+        stop: 0.01,
+        deal: 0.02,
+        store_late: 0.2,
+        store_cut: 0.03,
+        server_cut: 0.01,
+        crash: 0.005,
+        pause: 0.005,
+        lost_grant: 0.05,
+        ..Odds::CALM
+    };
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+}
+
 /// Nothing goes wrong: every key is owned soon, a move leaves its keys without an owner for less than a second, and records are
 /// written for changes only.
 #[test]
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -11,7 +11,7 @@
 };
 use jacinthbeam_types::prelude::*;
 
-use super::{Message, World};
+use super::{Message, World, service};
 
 /// Longest wait for the answer to a grant; after it the connection is reset.
 const GRANT_WITHIN: Duration = Duration::from_millis(600);
@@ -23,6 +23,9 @@
     told_duty: Option<bool>,
     pub has_store: bool,
     pub paused_until: Option<Instant>,
+    /// When it ends, if it was told to stop.
+    ends_at: Option<Instant>,
+    told_stop: bool,
     /// Records before this offset are known, and the newest of them.
     end: usize,
     newest: Option<(usize, Map)>,
@@ -61,6 +64,8 @@
             told_duty: None,
             has_store: true,
             paused_until: None,
+            ends_at: None,
+            told_stop: false,
             end: 0,
             newest: None,
             next_read: None,
@@ -69,6 +74,11 @@
         }
     }
 
+    /// The process is told to stop, and ends at `ends_at`.
+    pub fn stops_until(&mut self, ends_at: Instant) {
+        self.ends_at.get_or_insert(ends_at);
+    }
+
     fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
     }
@@ -88,6 +98,7 @@
         let late = std::mem::take(&mut self.hosts[n].inbox);
         late.into_iter().for_each(|message| self.deliver(message));
         self.follow(n);
+        self.stop_or_end(n);
         if self.hosts[n].told_duty != Some(self.hosts[n].duty) && self.hosts[n].has_store {
             let duty = self.hosts[n].duty;
             self.hosts[n].told_duty = Some(duty);
@@ -103,6 +114,38 @@
         self.gossip(n);
     }
 
+    /// A host that was told to stop ends after some time, and another life of it begins.
+    fn stop_or_end(&mut self, n: usize) {
+        let Some(ends_at) = self.hosts[n].ends_at else { return };
+        if !std::mem::replace(&mut self.hosts[n].told_stop, true) {
+            self.tell(format!("h{n} is told to stop"));
+            self.feed(n, Event::Stop);
+        }
+        if self.now < ends_at {
+            return;
+        }
+        self.feed(n, Event::End);
+        self.tell(format!("h{n} ends"));
+        self.lives += 1;
+        let me = Leader {
+            incarnation: Incarnation(u64::from(self.lives) + 100),
+            ..self.hosts[n].me.clone()
+        };
+        let (duty, has_store) = (self.hosts[n].duty, self.hosts[n].has_store);
+        self.hosts[n] = Host { duty, has_store, ..Host::new(service(), me) };
+        self.lines.retain(|(host, _), _| *host != n);
+        // What was sent may still arrive; answers reach nobody.
+        for (_, _, message) in &mut self.queue {
+            if let Message::Grant { host, round, life, arrived: true } = message
+                && *host == n
+            {
+                let Call { range, token, .. } = round.calls[round.next].clone();
+                *message = Message::Orphan { to: round.to.addr, life: *life, range, token };
+            }
+        }
+        self.queue.retain(|(_, _, message)| message.host() != Some(n));
+    }
+
     /// Hosts tell each other what they know, at times.
     fn gossip(&mut self, n: usize) {
         let known = self.hosts[n].newest.clone().map(|(_, map)| map);
@@ -192,12 +235,22 @@
                     self.send(after, release);
                 }
             }
-            Order::TellStopped { to, others_left } => {
+            Order::TellStopped { to, epoch, others_left } => {
                 let leader = self.hosts[n].me.clone();
                 let to = (0..self.hosts.len()).find(|n| self.hosts[*n].me == to);
                 let after = self.store_way();
                 if let Some(to) = to.filter(|to| self.meet(n, *to) && self.rng.bool()) {
-                    self.send(after, Message::Stopped { to, leader, others_left });
+                    self.send(after, Message::Stopped { to, leader, epoch, others_left });
+                }
+            }
+            Order::Announce { epoch, others_left } => {
+                let leader = self.hosts[n].me.clone();
+                for to in (0..self.hosts.len()).filter(|to| *to != n) {
+                    let after = self.store_way();
+                    if self.meet(n, to) && self.rng.bool() {
+                        let leader = leader.clone();
+                        self.send(after, Message::Stopped { to, leader, epoch, others_left });
+                    }
                 }
             }
             Order::Check | Order::Resign => {}
@@ -232,14 +285,21 @@
                     self.feed(host, Event::Read { asked, map });
                 }
             }
-            Message::Stopped { to, leader, others_left } => {
-                self.feed(to, Event::Stopped { leader, others_left });
+            Message::Stopped { to, leader, epoch, others_left } => {
+                self.feed(to, Event::Stopped { leader, epoch, others_left });
             }
             Message::Heard { to, map } => self.feed(to, Event::Heard(map)),
             Message::Round { host, round } => self.on_round(host, round),
             Message::Grant { host, round, life, arrived } => {
                 self.on_grant(host, round, life, arrived);
             }
+            Message::Orphan { to, life, range, token } => {
+                let now = self.now;
+                let server = self.servers.values_mut().find(|s| s.addr == to && s.life == life);
+                if server.is_some_and(|server| server.grant(now, range, token)) {
+                    self.note_taken(life, range, token);
+                }
+            }
             Message::Release { host, server, range, token, answered } => {
                 self.on_release(host, &server, range, token, answered);
             }
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -32,6 +32,8 @@
     pub split: f64,
     /// A host stands still for up to 15 s.
     pub pause: f64,
+    /// A host is told to stop, ends within six seconds, and starts again.
+    pub stop: f64,
     /// A server says that it leaves, and ends some seconds later.
     pub drain: f64,
     /// A server's entry leaves the list, or comes back, while it serves on.
@@ -56,6 +58,7 @@
         server_cut: 0.0,
         split: 0.0,
         pause: 0.0,
+        stop: 0.0,
         drain: 0.0,
         unlist: 0.0,
         crash: 0.0,
@@ -79,11 +82,13 @@
     /// The next grant of a round may be sent.
     Round { host: usize, round: host::Round },
     /// A host that was replaced says that it has stopped.
-    Stopped { to: usize, leader: Leader, others_left: Duration },
+    Stopped { to: usize, leader: Leader, epoch: Epoch, others_left: Duration },
     /// What another host knows arrives.
     Heard { to: usize, map: Map },
     /// A grant arrives.
     Grant { host: usize, round: host::Round, life: u32, arrived: bool },
+    /// A grant arrives whose sender has ended.
+    Orphan { to: SocketAddr, life: u32, range: KeyRange, token: Token },
     /// A release arrives, and is answered if `answered`.
     Release { host: usize, server: ServerId, range: KeyRange, token: Token, answered: bool },
     /// Its answer arrives.
@@ -96,6 +101,22 @@
     },
 }
 
+impl Message {
+    /// The host whose process sent it or waits for it.
+    fn host(&self) -> Option<usize> {
+        match self {
+            Self::Appended { host, .. }
+            | Self::Read { host, .. }
+            | Self::Checked { host, .. }
+            | Self::Round { host, .. }
+            | Self::Grant { host, .. }
+            | Self::Released { host, .. } => Some(*host),
+            Self::Stopped { to, .. } | Self::Heard { to, .. } => Some(*to),
+            Self::Append { .. } | Self::Release { .. } | Self::Orphan { .. } => None,
+        }
+    }
+}
+
 pub struct World {
     pub now: Instant,
     begun: Instant,
@@ -255,6 +276,10 @@
                 let has = self.hosts[n].has_store;
                 self.tell(format!("h{n} reaches the store: {has}"));
             }
+            if self.chance(odds.stop) {
+                let until = self.now + Duration::from_millis(self.rng.u64(0..6000));
+                self.hosts[n].stops_until(until);
+            }
             if self.chance(odds.pause) {
                 let until = self.now + Duration::from_millis(self.rng.u64(0..15_000));
                 self.hosts[n].paused_until = Some(until);
