--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -49,9 +49,8 @@
     loop {
         let neighbours = feed.neighbours.borrow().clone();
         let (now, lost) = (feed.clock.now(), feed.has_lost_store());
-        match sources
-            .choose(now, &neighbours, lost, &feed.seeds, |addrs| fastrand::choice(addrs).copied())
-        {
+        let pick = |addrs: &[SocketAddr]| fastrand::choice(addrs).copied();
+        match sources.choose(now, &neighbours, lost, &feed.seeds, pick) {
             Source::Before(host, addr) => {
                 ask_on(&feed, &host, addr).await;
                 // At once, since the next one may not answer either, and each attempt takes a part of the time that a change has.
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -31,6 +31,10 @@
 /// The list of backend servers counts as settled when it has not changed for this long: they all start within a second.
 const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 
+/// Kept between the last renewal of a process that grants on after its last request, and its forced end: the word to the others, and the
+/// last calls to the store.
+const BEFORE_FORCED: Duration = Duration::from_millis(400);
+
 /// Pause between two notes for the metrics.
 const NOTE_EVERY: Duration = Duration::from_secs(1);
 
@@ -272,9 +276,14 @@
         }
     }
 
-    /// Whether this process still grants keys.
-    pub(super) fn grants(&self) -> bool {
-        self.granting.values().any(|granting| granting.grantor.leads())
+    /// Whether a process that is about to stop still grants keys, and may stay for it.
+    ///
+    /// That is so while the store is away: nobody could take over. Any other time the grantor has said goodbye before the last request
+    /// was answered.
+    pub(super) fn has_to_grant_on(&self) -> bool {
+        let stay = self.settings.stop_within.saturating_sub(BEFORE_FORCED);
+        let may_stay = self.stopping.is_some_and(|since| self.clock.now() < since + stay);
+        may_stay && self.granting.values().any(|granting| granting.grantor.leads())
     }
 
     pub(super) fn put(&self, service: &ServiceName, number: u32, map: Map) {
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -66,9 +66,6 @@
 /// Inputs that are taken at a time: some milliseconds of work on a host that grants a thousand ranges.
 const BATCH: usize = 16;
 
-/// Kept between the last renewal of a process that grants on after its last request, and its forced end.
-const BEFORE_FORCED: Duration = Duration::from_millis(400);
-
 /// Time for the last calls to the store after the last request.
 const LAST_CALLS: Duration = Duration::from_millis(100);
 
@@ -96,8 +93,6 @@
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
     let usage = start.usage.clone();
-    let (clock, stay) =
-        (start.clock.clone(), start.settings.stop_within.saturating_sub(BEFORE_FORCED));
     let mut control = Control::new(start, tx, reports);
     control.begin();
     let mut is_served = false;
@@ -107,9 +102,7 @@
         tokio::select! {
             input = rx.recv() => match input {
                 Some(input) => {
-                    control.on(input);
-                    (1..BATCH).map_while(|_| rx.try_recv().ok()).for_each(|input| control.on(input));
-                    control.go_on();
+                    take(&mut control, &mut rx, input);
                     // Readers of the store and of other hosts share this thread. Without it a host that has much to grant would not
                     // come to hear of anything while inputs wait.
                     tokio::task::yield_now().await;
@@ -119,9 +112,7 @@
             // An error is the end: the sender is dropped.
             _ = &mut served, if !is_served => is_served = true,
         }
-        // Keys that nobody can take over, since the store is away, are renewed for as long as the process may stay.
-        let stays = control.stopping.is_some_and(|since| clock.now() < since + stay);
-        if is_served && !(stays && control.grants()) {
+        if is_served && !control.has_to_grant_on() {
             break;
         }
     }
@@ -130,6 +121,14 @@
     tracing::info!(part = "process", event = "stop");
 }
 
+/// Takes an input and those that came with it, up to [`BATCH`].
+fn take(control: &mut Control, rx: &mut mpsc::UnboundedReceiver<Input>, first: Input) {
+    control.on(first);
+    let others = (1..BATCH).map_while(|_| rx.try_recv().ok());
+    others.for_each(|input| control.on(input));
+    control.go_on();
+}
+
 async fn serve_news(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
     let find = move |asked: Asked| {
         let (tx, changes) = (tx.clone(), changes.clone());
