--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -41,8 +41,8 @@
         Some(Order::Record(map))
     }
 
-    /// Whether the next record may say anything else than the last one. Most looks find nothing, and a copy of a thousand ranges for each of
-    /// them took a third of their time.
+    /// Whether the next record may say anything else than the last one. Most looks find nothing; a copy of 1,100 ranges for each
+    /// of them took a tenth of what ten seconds of granting take.
     fn may_have_news(&self, view: View<'_>) -> bool {
         let is_free = |moving: &Moving| matches!(moving.stage, Stage::Free(_));
         let is_lost = |contact: &Contact| contact.given_up || contact.ended;
