fix(host): the age that a host tells on counts from the answer, not from its receipt

Each step then made news younger by the way of its answer, up to 300 ms, against the rule that each relay adds its own. The bound of a leaving server used the moment of the answer already; only the age told to others did not.

Change: one line, in the safe direction.

--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -149,7 +149,8 @@
     // The way of the question and that of the answer can't be told apart. Taken as if the answer's way were all of it, nothing seems newer
     // than it is.
     let answered = begun + news.waited;
-    let at = feed.clock.now().checked_sub(age);
+    // Hosts that ask this one are told its age: counted from the receipt, each step on the way would make news younger by that step.
+    let at = answered.checked_sub(age);
     if age <= LOST_AFTER {
         feed.heard.set(feed.heard.get().max(at));
     }
