feat(host): how long what the store says waits for the control thread, and how old a configuration can be

Cause: neither logs nor metrics could tell a host that hears late from one that has no time to take what it heard. Change: the queue of the control thread is a type of its own (process::inbox), which keeps when each input came; its order is as it was. A configuration carries the moment before which none newer had been acknowledged, also from host to host. Metrics jacinthbeam_control_wait_seconds{news} and jacinthbeam_known_age_seconds{what="config"}.

--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -1,6 +1,9 @@
 //! Following the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam_store::{
     Backoff, Client, Partition,
@@ -47,13 +50,21 @@
     pub(super) gate: watch::Receiver<bool>,
 }
 
+/// The moment before which everything is known, after a read that was sent then and might wait for so long.
+///
+/// One that found nothing has waited to the end, and there was nothing until then. Without it a host would find what it knows a second old
+/// right after it was told that nothing is newer.
+pub(super) fn as_of(asked: Instant, wait: Duration, changes: &Changes) -> Instant {
+    if changes.items.is_empty() { asked + wait } else { asked }
+}
+
 /// Follows a partition for ever. `input` makes an input of what was read and when the read was sent.
 pub(super) async fn follow(
     store: Client,
     mut followed: Followed,
     clock: Arc<dyn Clock>,
     tx: Tx,
-    input: impl Fn(std::time::Instant, Changes) -> Input,
+    input: impl Fn(Instant, Changes) -> Input,
 ) {
     let lane = store.lane();
     let mut follower = Follower::new(followed.partition);
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -177,7 +177,12 @@
         }
         self.noted = Some(now);
         let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
-        for (what, at) in [("store", self.heard.get()), ("operator", self.heard_operator)] {
+        let told = [
+            ("store", self.heard.get()),
+            ("operator", self.heard_operator),
+            ("config", self.known.config_as_of()),
+        ];
+        for (what, at) in told {
             age(at).into_iter().for_each(|age| self.counters.on_known(what, age));
         }
         for (service, granting) in &self.granting {
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -1,39 +1,58 @@
 //! Everything that changes what the control thread knows.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
 use jacinthbeam_range::{Event, Map};
 use jacinthbeam_store::{Error, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 
-use crate::process::peers::{
-    load::Message,
-    news::{Asked, News},
+use crate::process::{
+    inbox::{Kind, Waiting},
+    peers::{
+        load::Message,
+        news::{Asked, News},
+    },
 };
 
 /// Where tasks send what they found.
-pub(super) type Tx = UnboundedSender<Input>;
+#[derive(Debug, Clone)]
+pub(super) struct Tx {
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) to: UnboundedSender<Waiting<Input>>,
+}
+
+/// The control thread has ended, or is about to.
+#[derive(Debug)]
+pub(super) struct Ended;
+
+impl Tx {
+    /// Sends an input, which waits from now on.
+    pub(super) fn send(&self, input: Input) -> Result<(), Ended> {
+        self.to.send(Waiting { input, since: self.clock.now() }).map_err(|_| Ended)
+    }
+}
 
 impl Input {
-    /// Whether it tells what the store holds, or is about telling others.
-    pub(super) fn is_news(&self) -> bool {
-        matches!(
-            self,
-            Self::Operator(_)
-                | Self::Servers(..)
-                | Self::News(..)
-                | Self::Question(_)
-                | Self::Answer { .. }
-        )
+    /// What it is to the order in which inputs are taken.
+    pub(super) fn kind(&self) -> Kind {
+        match self {
+            Self::Operator(..)
+            | Self::Servers(..)
+            | Self::News(..)
+            | Self::Question(_)
+            | Self::Answer { .. } => Kind::News,
+            Self::Tick => Kind::Tick,
+            _ => Kind::Other,
+        }
     }
 }
 
 /// One thing that has happened.
 #[derive(Debug)]
 pub(super) enum Input {
-    /// Newer records of the operator.
-    Operator(Changes),
+    /// Newer records of the operator: there were no others before this moment.
+    Operator(Instant, Changes),
     /// Newer entries of backend servers, by a read that was sent then.
     Servers(Instant, Changes),
     /// Newer entries of hosts.
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -30,6 +30,7 @@
 };
 
 use super::{
+    inbox::{Inbox, Waiting},
     metrics::Counters,
     pages,
     peers::{
@@ -63,10 +64,6 @@
 /// Pause between two looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Inputs that are taken at a time. A host that grants the keys of 181 servers gets some 700 a second, and one without processor time to
-/// spare runs its tasks, of which this is one, ten times a second: fewer would pile up.
-const BATCH: usize = 512;
-
 /// Time for the last calls to the store after the last request.
 const LAST_CALLS: Duration = Duration::from_millis(100);
 
@@ -81,7 +78,9 @@
 }
 
 pub(super) async fn run(mut start: Start, sockets: Sockets) {
-    let (tx, mut rx) = mpsc::unbounded_channel();
+    let (to, mut rx) = mpsc::unbounded_channel();
+    let tx = Tx { clock: start.clock.clone(), to };
+    let mut inbox = Inbox::new(Input::kind);
     let Sockets { ready, metrics, reports, news } = sockets;
     serve_pages(&start, ready, metrics, &tx);
     let reports = match tokio::net::UdpSocket::from_std(reports) {
@@ -103,10 +102,16 @@
         tokio::select! {
             input = rx.recv() => match input {
                 Some(input) => {
-                    take(&mut control, &mut rx, input);
-                    // Readers of the store and of other hosts share this thread. Without it a host that has much to grant would not
-                    // come to hear of anything while inputs wait.
-                    tokio::task::yield_now().await;
+                    inbox.add(input);
+                    while !inbox.is_empty() {
+                        while let Ok(input) = rx.try_recv() {
+                            inbox.add(input);
+                        }
+                        take(&mut control, &mut inbox);
+                        // Readers of the store and of other hosts share this thread. Without it a host that has much to grant would not
+                        // come to hear of anything while inputs wait.
+                        tokio::task::yield_now().await;
+                    }
                 }
                 None => break,
             },
@@ -122,19 +127,11 @@
     tracing::info!(part = "process", event = "stop");
 }
 
-/// Takes an input and those that came with it, up to [`BATCH`].
-///
-/// What is known of the store goes first: what a host serves by is old while it waits, and everything else is decided by it. A tick says
-/// no more than a later one.
-fn take(control: &mut Control, rx: &mut mpsc::UnboundedReceiver<Input>, first: Input) {
-    let others = (1..BATCH).map_while(|_| rx.try_recv().ok());
-    let mut inputs: Vec<Input> = std::iter::once(first).chain(others).collect();
-    inputs.sort_by_key(|input| !input.is_news());
-    let last_tick = inputs.iter().rposition(|input| matches!(input, Input::Tick));
-    for (n, input) in inputs.into_iter().enumerate() {
-        if !matches!(input, Input::Tick) || Some(n) == last_tick {
-            control.on(input);
-        }
+/// Takes the inputs that are next.
+fn take(control: &mut Control, inbox: &mut Inbox<Input>) {
+    for Waiting { input, since } in inbox.take() {
+        control.note_wait(&input, since);
+        control.on(input);
     }
     control.go_on();
 }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -29,6 +29,7 @@
 use crate::{
     Settings, Wire,
     process::{
+        inbox::Kind,
         known::{Changed, Known},
         metrics::Counters,
         peers::{
@@ -130,8 +131,8 @@
         let places = self.wire.places;
         let gate = self.direct.subscribe();
         let once = Duration::ZERO;
-        self.follow((places.operator)(), OPERATOR_WAIT, once, gate.clone(), |_, c| {
-            Input::Operator(c)
+        self.follow((places.operator)(), OPERATOR_WAIT, once, gate.clone(), |asked, c| {
+            Input::Operator(follow::as_of(asked, OPERATOR_WAIT, &c), c)
         });
         self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), Input::Servers);
         let hosts = Partition { topic: places.hosts.into(), number: 0 };
@@ -175,7 +176,7 @@
     /// Takes an input.
     pub(super) fn on(&mut self, input: Input) {
         match input {
-            Input::Operator(changes) => self.on_operator(&changes),
+            Input::Operator(as_of, changes) => self.on_operator(as_of, &changes),
             Input::Servers(asked, changes) => self.on_servers(asked, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
             Input::Maps { partition, asked, changes } => self.on_maps(partition, asked, changes),
@@ -232,6 +233,12 @@
         }
     }
 
+    /// Notes how long an input has waited for this thread.
+    pub(super) fn note_wait(&self, input: &Input, since: Instant) {
+        let waited = self.clock.now().saturating_duration_since(since);
+        self.counters.on_control_wait(input.kind() == Kind::News, waited);
+    }
+
     /// Whether this host reads the store itself, and the store answers it.
     fn reads_store(&self) -> bool {
         let now = self.clock.now();
@@ -250,8 +257,10 @@
         if hears_operator { since(self.heard.get()) } else { since(self.heard_operator) }
     }
 
-    fn on_operator(&mut self, changes: &Changes) {
-        self.heard_operator = Some(self.clock.now());
+    fn on_operator(&mut self, as_of: Instant, changes: &Changes) {
+        let now = self.clock.now();
+        self.heard_operator = Some(now);
+        self.known.config_known_to(as_of.min(now));
         let newest =
             changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
         let Some(item) = newest.filter(|item| !item.value.is_empty()) else { return };
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Known {
     config: Option<Arc<Config>>,
+    /// No newer configuration had been acknowledged before this moment.
+    config_as_of: Option<Instant>,
     servers: BTreeMap<ServerName, Entry>,
     servers_end: Offset,
     /// Everything that the store had taken of the servers before this moment is known.
@@ -82,6 +84,16 @@
         self.config.as_ref()
     }
 
+    /// The moment before which no newer configuration had been acknowledged.
+    pub fn config_as_of(&self) -> Option<Instant> {
+        self.config_as_of
+    }
+
+    /// Takes note that no other configuration than what was taken had been acknowledged before `as_of`.
+    pub fn config_known_to(&mut self, as_of: Instant) {
+        self.config_as_of = self.config_as_of.max(Some(as_of));
+    }
+
     /// The backend servers.
     pub fn servers(&self) -> &Servers {
         &self.list
@@ -261,6 +273,7 @@
             age,
             reads_store: false,
             waited: Duration::ZERO,
+            config_age: self.config_as_of.map(|at| now.saturating_duration_since(at)),
             config: config.map(|cfg| (**cfg).clone()),
             servers: servers.map(entry).collect(),
             servers_end: self.servers_end,
@@ -280,6 +293,9 @@
         if let Some(cfg) = news.config {
             changed.config = self.take_config(cfg);
         }
+        if let Some(as_of) = news.config_age.and_then(|age| at.checked_sub(age)) {
+            self.config_known_to(as_of);
+        }
         if news.all_servers {
             let listed: Vec<&str> = news.servers.iter().map(|news| news.name.as_str()).collect();
             changed.servers = self.drop_unlisted(&listed, news.servers_end, bound);
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -45,6 +45,8 @@
     repeats_left: Gauge<f64>,
     /// Time that requests waited for a key to get an owner.
     waits: Histogram<f64>,
+    /// Time that inputs waited for the control thread, by whether they tell what the store holds.
+    control_waits: Histogram<f64>,
     /// Records of the store that can't be read, by what they should be.
     unreadable: Counter<u64>,
     /// Calls to the store, by kind and outcome.
@@ -91,6 +93,7 @@
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
             waits: seconds("jacinthbeam_wait_seconds"),
+            control_waits: seconds("jacinthbeam_control_wait_seconds"),
             unreadable: count("jacinthbeam_unreadable_records"),
             store_calls: count("jacinthbeam_store_calls"),
             known_age: gauge("jacinthbeam_known_age_seconds"),
@@ -140,6 +143,11 @@
         self.waits.record(took.as_secs_f64(), &[]);
     }
 
+    /// Notes how long an input waited for the control thread.
+    pub fn on_control_wait(&self, is_news: bool, waited: Duration) {
+        self.control_waits.record(waited.as_secs_f64(), &[KeyValue::new("news", is_news)]);
+    }
+
     /// Counts a record of the store that can't be read.
     pub fn on_unreadable(&self, what: &'static str) {
         self.unreadable.add(1, &[KeyValue::new("what", what)]);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 mod control;
+pub mod inbox;
 pub mod known;
 pub mod logs;
 pub mod membership;
--- a/crates/jacinthbeam-host/src/process/peers/news.rs
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -33,6 +33,8 @@
     pub reads_store: bool,
     /// How long the answer was held back until there was something new.
     pub waited: Duration,
+    /// No newer configuration had been acknowledged so long ago; `None` if nothing is known of it.
+    pub config_age: Option<Duration>,
     /// A newer configuration.
     pub config: Option<Config>,
     /// Newer entries of backend servers.
