fix(host): a host whose configuration may be old denies no route

Cause: a request without a route was refused with 404, final for its caller, whatever the age of the configuration. A host that hears late, or has no time to take what it heard, so denied routes that were in force. Change: each host knows the moment before which no newer configuration had been acknowledged; older than the bound within which one must act (setting config_within, from the platform's bounds), it refuses with 'not run' and a hint. Asked on the traffic thread. A route that was moved is still followed by the older configuration meanwhile.

--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -18,7 +18,7 @@
     net::{TcpListener, UdpSocket},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use http::StatusCode;
@@ -55,6 +55,7 @@
     pub(super) usage: usage::Counted,
     pub(super) incarnation: Incarnation,
     pub(super) view: watch::Sender<Arc<View>>,
+    pub(super) config_as_of: watch::Sender<Option<Instant>>,
     pub(super) gates: watch::Sender<Gates>,
     pub(super) phase: watch::Receiver<Phase>,
     /// Ends when the traffic thread has answered its last request.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -59,6 +59,8 @@
     pub(super) counters: Arc<Counters>,
     pub(super) me: Leader,
     pub(super) view: watch::Sender<Arc<View>>,
+    /// No newer configuration than that of the view had been acknowledged before this moment.
+    pub(super) config_as_of: watch::Sender<Option<Instant>>,
     pub(super) gates: watch::Sender<Gates>,
     /// When gates were last told.
     pub(super) gated: Option<Instant>,
@@ -93,7 +95,9 @@
 
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
-        let Start { settings, wire, clock, counters, incarnation, view, gates, .. } = start;
+        let Start {
+            settings, wire, clock, counters, incarnation, view, config_as_of, gates, ..
+        } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         Self {
             store: open_store(&settings, wire, clock.clone(), counters.clone()),
@@ -104,6 +108,7 @@
             counters,
             me,
             view,
+            config_as_of,
             gates,
             gated: None,
             noted: None,
@@ -184,6 +189,7 @@
                 let heard = news.maps.clone();
                 let changed = self.known.take_news(*news, at);
                 self.on_changed(changed);
+                self.config_as_of.send_replace(self.known.config_as_of());
                 for (service, map) in heard {
                     self.step(&service, Event::Heard(map));
                 }
@@ -260,10 +266,17 @@
     fn on_operator(&mut self, as_of: Instant, changes: &Changes) {
         let now = self.clock.now();
         self.heard_operator = Some(now);
-        self.known.config_known_to(as_of.min(now));
         let newest =
             changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
-        let Some(item) = newest.filter(|item| !item.value.is_empty()) else { return };
+        if let Some(item) = newest.filter(|item| !item.value.is_empty()) {
+            self.on_config(item);
+        }
+        self.known.config_known_to(as_of.min(now));
+        // After the configuration itself: callers are served by another thread.
+        self.config_as_of.send_replace(self.known.config_as_of());
+    }
+
+    fn on_config(&mut self, item: &Item) {
         match (self.wire.config)(&item.value) {
             Ok(cfg) => {
                 let config = self.known.take_config(cfg);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -106,6 +106,7 @@
     let incarnation = Incarnation(fastrand::u64(1..));
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
+    let (config_as_of_tx, config_as_of) = watch::channel(None);
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
@@ -117,6 +118,7 @@
         usage: usage.clone(),
         incarnation,
         view: view_tx,
+        config_as_of: config_as_of_tx,
         gates: gates_tx,
         phase: phase_rx.clone(),
         served: done,
@@ -135,6 +137,7 @@
         counters,
         usage,
         view,
+        config_as_of,
         phase: phase.subscribe(),
         gates,
     };
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -43,6 +43,7 @@
     /// Bytes of request bodies that are held.
     pub body_bytes: Cell<usize>,
     view: watch::Receiver<Arc<View>>,
+    config_as_of: watch::Receiver<Option<Instant>>,
     phase: watch::Receiver<Phase>,
     gates: watch::Receiver<Gates>,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
@@ -83,6 +84,8 @@
     pub usage: usage::Counted,
     /// What is known, as it changes.
     pub view: watch::Receiver<Arc<View>>,
+    /// The moment before which no newer configuration had been acknowledged.
+    pub config_as_of: watch::Receiver<Option<Instant>>,
     /// How far a stop has come.
     pub phase: watch::Receiver<Phase>,
     /// What busy owners may be sent, as it changes.
@@ -92,7 +95,8 @@
 impl Traffic {
     /// State of a process that has served nothing yet.
     pub fn new(start: Start) -> Self {
-        let Start { settings, wire, clock, counters, usage, view, phase, gates } = start;
+        let Start { settings, wire, clock, counters, usage, view, config_as_of, phase, gates } =
+            start;
         Self {
             settings,
             wire,
@@ -102,6 +106,7 @@
             stories: Stories::default(),
             body_bytes: Cell::new(0),
             view,
+            config_as_of,
             phase,
             gates,
             servers: RefCell::default(),
@@ -121,6 +126,17 @@
         self.view.borrow().clone()
     }
 
+    /// Whether the configuration may be another than the one in force: a newer one may have been kept so long ago that it must act.
+    ///
+    /// A caller takes it as final that there is no route for its request. From a host that hears late, or has no time to take what it
+    /// heard, that is false for a route that was just added, and the request is lost. Told to come back, the caller reaches another host
+    /// or a newer configuration. Asked on this thread and by its own clock, so that it holds also while the other one is held up.
+    pub fn config_may_be_old(&self) -> bool {
+        let as_of = *self.config_as_of.borrow();
+        let age = as_of.map(|at| self.now().saturating_duration_since(at));
+        age.is_none_or(|age| age >= self.settings.config_within)
+    }
+
     /// Whether this process is about to stop, so that no request may wait for anything.
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() > Phase::Serving
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -86,7 +86,10 @@
         return refuse(&traffic, &caller.id, "-", &refusal, received);
     };
     let Some(route) = find_route(&cfg, &parts) else {
-        let refusal = Refusal::not_run(Reason::UnknownService);
+        let refusal = match traffic.config_may_be_old() {
+            true => Refusal::not_run(Reason::OldConfiguration).retry_after(CONFIG_IN),
+            false => Refusal::not_run(Reason::UnknownService),
+        };
         return refuse(&traffic, &caller.id, "-", &refusal, received);
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -30,6 +30,8 @@
     pub repeats: budget::Options,
     /// Time after which a backend server that is leaving must get no request any more, from its word in the store.
     pub drain_within: Duration,
+    /// Time after which a configuration that the operator was told is kept must act.
+    pub config_within: Duration,
     /// Time between a request to stop and the forced end of the process.
     pub stop_within: Duration,
 }
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -23,6 +23,7 @@
         partitions: 1,
         repeats: budget::Options { ratio: 0.2, burst: 1.0, window: Duration::from_secs(1) },
         drain_within: Duration::from_secs(1),
+        config_within: Duration::from_secs(1),
         stop_within: Duration::from_secs(1),
     }
 }
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -215,6 +215,7 @@
                 window: native::settings::DEFAULT_REPEAT_WINDOW,
             },
             drain_within: native::settings::DEFAULT_DRAIN,
+            config_within: native::settings::DEFAULT_CONFIG,
             stop_within: native::settings::DEFAULT_STOP,
         };
         let host = self.start(settings)?;
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -19,6 +19,8 @@
 pub const DEFAULT_REPEAT_WINDOW: Duration = Duration::from_secs(10);
 /// Time in which a leaving backend server must stop to get requests, unless set.
 pub const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
+/// Time after which a configuration that is kept in the store must act, unless set.
+pub const DEFAULT_CONFIG: Duration = Duration::from_secs(2);
 /// Time between a request to stop and the forced end, unless set.
 pub const DEFAULT_STOP: Duration = Duration::from_secs(6);
 
@@ -51,6 +53,7 @@
     let repeats = fields.object("repeats", repeats_default(), repeats);
     let time = read::millis(1..=MAX_MS);
     let drain_within = fields.or("drain_within_ms", DEFAULT_DRAIN, &time);
+    let config_within = fields.or("config_within_ms", DEFAULT_CONFIG, &time);
     let stop_within = fields.or("stop_within_ms", DEFAULT_STOP, &time);
     for (name, addr) in [("peers", peers), ("store", store)] {
         if addr.is_some_and(|addr| addr.ip().is_unspecified()) {
@@ -79,6 +82,7 @@
         partitions,
         repeats,
         drain_within,
+        config_within,
         stop_within,
     })
 }
@@ -141,6 +145,7 @@
             "window_ms": millis(settings.repeats.window),
         },
         "drain_within_ms": millis(settings.drain_within),
+        "config_within_ms": millis(settings.config_within),
         "stop_within_ms": millis(settings.stop_within),
     });
     format!("{file:#}\n")
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -64,6 +64,8 @@
     UnknownService,
     /// The host has not yet read a configuration.
     NoConfiguration,
+    /// No route is known for the request, by a configuration that may not be the one in force.
+    OldConfiguration,
     /// No backend server owns the key at present.
     NoOwner,
     /// The key is being moved to another backend server.
@@ -86,6 +88,9 @@
             Self::BadRequest => "the request is malformed",
             Self::UnknownService => "no route is configured for the request",
             Self::NoConfiguration => "this host has read no configuration yet",
+            Self::OldConfiguration => {
+                "no route is known for the request, but this host's configuration may be old"
+            }
             Self::NoOwner => "no backend server owns the key at present",
             Self::Moving => "the key is being moved to another backend server",
             Self::Unreachable => "the backend server can't be reached from here",
