feat(host): hosts with more processor take the duty to grant

Cause: the group shares the duty out evenly. Change: a host says in the store how much processor it has; hosts below the sixth largest (and below what two failure domains hold) take no part in the group while they hear a granting host, which says a word to all once a second. After 8 s of silence anybody does. Entries of the version before are read. A host takes no part until it has met others, or a second.

--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -27,6 +27,8 @@
 pub(super) struct Wish {
     /// The host takes no duty until then.
     pub(super) rest_until: Cell<Option<Instant>>,
+    /// The host leaves duties to hosts with more processor.
+    pub(super) stands_by: Cell<bool>,
     /// The host takes no duty any more.
     pub(super) leave: Cell<bool>,
 }
@@ -73,6 +75,7 @@
 impl Group {
     fn due(&self) -> Event {
         let rests = self.wish.rest_until.get().is_some_and(|until| self.clock.now() < until);
+        let rests = rests || self.wish.stands_by.get();
         Event::Due { rests, leaves: self.wish.leave.get() }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -15,8 +15,13 @@
 /// often.
 const GATES_EVERY: Duration = Duration::from_millis(250);
 
+/// Longest pause between two words of a granting host, also if it has none about owners: they are its sign of life for hosts that leave
+/// the duty to those with more processor.
+const WORD_EVERY: Duration = Duration::from_millis(1000);
+
 /// Such a word stands for this long, so that a lost one, or two, change nothing.
 const GATES_STAND: Duration = Duration::from_millis(800);
+
 impl Control {
     pub(super) fn on_datagram(&mut self, message: Message) {
         match message {
@@ -35,14 +40,51 @@
                 self.step(&service, Event::Stopped { leader, epoch, others_left });
             }
             Message::Gates { gates, .. } => {
-                let until = self.clock.now() + GATES_STAND;
-                self.gates.send_modify(|known| {
-                    known.extend(gates.into_iter().map(|(owner, gate)| (owner, (until, gate))));
-                });
+                self.standby.on_word(self.clock.now());
+                self.take_gates(gates);
             }
         }
     }
 
+    fn take_gates(&mut self, gates: BTreeMap<ServerId, Gate>) {
+        if gates.is_empty() {
+            return;
+        }
+        let until = self.clock.now() + GATES_STAND;
+        self.gates.send_modify(|known| {
+            known.extend(gates.into_iter().map(|(owner, gate)| (owner, (until, gate))));
+        });
+    }
+
+    /// What to tell all hosts of a service's owners: nothing unless this host grants its keys.
+    fn words(
+        &mut self,
+        service: &ServiceName,
+        gates: &BTreeMap<ServerId, Gate>,
+        now: Instant,
+    ) -> Vec<Message> {
+        let Some(granting) = self.granting.get_mut(service) else { return Vec::new() };
+        let words = Message::gates(service, gates);
+        let due = granting.told.is_none_or(|at| now >= at + WORD_EVERY);
+        if !granting.grantor.leads() || (words.is_empty() && !due) {
+            return Vec::new();
+        }
+        granting.told = Some(now);
+        match words.is_empty() {
+            true => vec![Message::Gates { service: service.clone(), gates: BTreeMap::new() }],
+            false => words,
+        }
+    }
+
+    /// Whether this host takes duties, or leaves them to others, as the hosts and the words of granting hosts say now.
+    pub(super) fn stand_by(&mut self) {
+        let fleet = self.known.hosts().map(|(_, entry)| (&entry.domain, entry.processor));
+        let stands_by = self.standby.stands_by(self.clock.now(), self.settings.processor, fleet);
+        if self.wish.stands_by.replace(stands_by) != stands_by {
+            tracing::info!(part = "duty", event = "stands-by", stands_by = %stands_by, processor = %self.settings.processor);
+        }
+    }
+
     /// Tells all hosts which owners are asked for too much.
     pub(super) fn set_gates(&mut self) {
         let now = self.clock.now();
@@ -58,10 +100,10 @@
         let services: Vec<ServiceName> = self.granting.keys().cloned().collect();
         for service in services {
             let gates = self.find_gates(&service, now);
-            for message in Message::gates(&service, &gates) {
+            for message in self.words(&service, &gates, now) {
                 self.tell_hosts(&message);
-                self.on_datagram(message);
             }
+            self.take_gates(gates);
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -70,7 +70,8 @@
         }
         if !self.granting.contains_key(name) {
             let grantor = Grantor::new(name.clone(), self.me.clone());
-            self.granting.insert(name.clone(), Granting { grantor, leads: Rc::default() });
+            self.granting
+                .insert(name.clone(), Granting { grantor, leads: Rc::default(), told: None });
             let duty = self.duties.contains(&number);
             self.step(name, Event::Duty(duty));
             self.read(name, number, self.clock.now());
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -31,6 +31,7 @@
     process::{
         inbox::Kind,
         known::{Changed, Known},
+        membership::Standby,
         metrics::Counters,
         peers::{
             HostEntry,
@@ -48,6 +49,8 @@
 pub(super) struct Granting {
     pub(super) grantor: Grantor,
     pub(super) leads: Leads,
+    /// When this host last told the others that it grants.
+    pub(super) told: Option<Instant>,
 }
 
 /// State of the control thread.
@@ -82,6 +85,8 @@
     pub(super) neighbours: watch::Sender<Neighbours>,
     pub(super) duties: BTreeSet<u32>,
     pub(super) wish: Rc<duty::Wish>,
+    /// Whether this host takes duties, or leaves them to hosts with more processor.
+    pub(super) standby: Standby,
     pub(super) has_joined: bool,
     pub(super) partitions: BTreeMap<u32, MapPartition>,
     pub(super) granting: BTreeMap<ServiceName, Granting>,
@@ -99,7 +104,9 @@
             settings, wire, clock, counters, incarnation, view, config_as_of, gates, ..
         } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
+        let standby = Standby::new(clock.now());
         Self {
+            standby,
             store: open_store(&settings, wire, clock.clone(), counters.clone()),
             caller: Caller::new(wire, clock.clone(), tx.clone()),
             settings,
@@ -142,7 +149,11 @@
         self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), Input::Servers);
         let hosts = Partition { topic: places.hosts.into(), number: 0 };
         self.follow(hosts.clone(), HOSTS_WAIT, HOSTS_EVERY, gate, |_, c| Input::Hosts(c));
-        let entry = HostEntry { addr: self.settings.peers, domain: self.settings.domain.clone() };
+        let entry = HostEntry {
+            addr: self.settings.peers,
+            domain: self.settings.domain.clone(),
+            processor: self.settings.processor,
+        };
         spawn_local(announce(self.store.lane(), hosts, self.me.host.clone(), entry));
         spawn_local(feed::run(Feed {
             clock: self.clock.clone(),
@@ -217,6 +228,7 @@
             }
             Input::Datagram(message) => self.on_datagram(message),
             Input::Tick => {
+                self.stand_by();
                 self.step_all(&Event::Tick);
                 self.set_gates();
             }
--- a/crates/jacinthbeam-host/src/process/membership/machine.rs
+++ b/crates/jacinthbeam-host/src/process/membership/machine.rs
@@ -22,7 +22,7 @@
     }
 }
 
-#[state_machine(initial = "State::apart()", state(derive(Debug)))]
+#[state_machine(initial = "State::resting()", state(derive(Debug)))]
 impl Machine {
     /// No join was answered yet.
     #[state(superstate = "taking_part")]
@@ -70,7 +70,7 @@
         }
     }
 
-    /// The host has left for a while.
+    /// The host takes no part: not yet, or not for a while.
     #[state]
     fn resting(&mut self, event: &Event) -> Outcome<State> {
         match event {
--- a/crates/jacinthbeam-host/src/process/membership/mod.rs
+++ b/crates/jacinthbeam-host/src/process/membership/mod.rs
@@ -4,12 +4,14 @@
 //! member as far as it knows, since its duties are advice, and the right to grant is proved elsewhere.
 
 mod machine;
+pub mod standby;
 
 use std::fmt;
 
 use statig::prelude::{IntoStateMachineExt, StateMachine};
 
 use machine::Machine;
+pub use standby::Standby;
 
 /// What has happened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/jacinthbeam-host/src/process/peers/mod.rs
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -19,6 +19,8 @@
     pub addr: SocketAddr,
     /// Where it runs.
     pub domain: FailureDomain,
+    /// Its share of a processor.
+    pub processor: Millicores,
 }
 
 impl HostEntry {
@@ -29,8 +31,14 @@
             .expect("an entry has no type that can't be encoded")
     }
 
-    /// Reads back what [`HostEntry::to_bytes`] gave.
+    /// Reads back what [`HostEntry::to_bytes`] gave, or a version before it that didn't tell the processor.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
-        Ok(bincode::serde::decode_from_slice(bytes, bincode::config::standard())?.0)
+        let cfg = bincode::config::standard();
+        let ((addr, domain), len) = bincode::serde::decode_from_slice(bytes, cfg)?;
+        let processor = match &bytes[len..] {
+            [] => Millicores::default(),
+            rest => bincode::serde::decode_from_slice(rest, cfg)?.0,
+        };
+        Ok(Self { addr, domain, processor })
     }
 }
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -12,6 +12,8 @@
     pub host: HostId,
     /// Where it runs.
     pub domain: FailureDomain,
+    /// Its share of a processor.
+    pub processor: Millicores,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether this host takes callers.
--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -112,6 +112,7 @@
 fn hosts_are_told_on_with_where_they_are() {
     let now = Instant::now();
     let entry = |port| HostEntry {
+        processor: Millicores::CORE,
         addr: format!("127.0.0.1:{port}").parse().unwrap(),
         domain: "a".parse().unwrap(),
     };
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -7,6 +7,7 @@
 
 use jacinthbeam_dispatch::budget;
 use jacinthbeam_host::{Settings, Sockets, process::Error};
+use jacinthbeam_types::prelude::*;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -14,6 +15,7 @@
     Settings {
         host: "h1".parse().unwrap(),
         domain: "a".parse().unwrap(),
+        processor: Millicores::CORE,
         callers: LOOPBACK,
         ready: LOOPBACK,
         peers,
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -8,7 +8,10 @@
 };
 use jacinthbeam_dispatch::budget;
 use jacinthbeam_host::Settings;
+use jacinthbeam_types::prelude::*;
 
+/// Thousandths of a core that a host has, unless set. Only the proportions between hosts matter.
+pub const DEFAULT_PROCESSOR: Millicores = Millicores::CORE;
 /// Partitions of a topic in the store, unless set: enough that the duties of a dozen services fall to different hosts.
 pub const DEFAULT_PARTITIONS: u32 = 12;
 /// Repeats allowed for each request, unless set.
@@ -25,6 +28,7 @@
 pub const DEFAULT_STOP: Duration = Duration::from_secs(6);
 
 const MAX_PARTITIONS: u32 = 4096;
+const MAX_MILLICORES: u32 = 1_000_000;
 const MAX_BURST: f64 = 1e6;
 const MAX_MS: u64 = 600_000;
 
@@ -43,6 +47,8 @@
 fn settings(fields: &mut Fields<'_>) -> Option<Settings> {
     let host = fields.required("host", "the name of this host", read::text);
     let domain = fields.required("domain", "the failure domain of this host", read::text);
+    let processor =
+        fields.or("processor_millicores", DEFAULT_PROCESSOR.0, read::whole(1..=MAX_MILLICORES));
     let callers = address(fields, "callers");
     let ready = address(fields, "ready");
     let peers = address(fields, "peers");
@@ -73,6 +79,7 @@
     Some(Settings {
         host: host?,
         domain: domain?,
+        processor: Millicores(processor),
         callers: callers?,
         ready: ready?,
         peers: peers?,
@@ -132,6 +139,7 @@
     let file = serde_json::json!({
         "host": text(&settings.host),
         "domain": text(&settings.domain),
+        "processor_millicores": settings.processor.0,
         "callers": text(&settings.callers),
         "ready": text(&settings.ready),
         "peers": text(&settings.peers),
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -8,6 +8,6 @@
     },
     key::KeyHash,
     server::ServerId,
-    size::Bytes,
+    size::{Bytes, Millicores},
     verdict::{Reason, Refusal, Verdict},
 };
--- a/crates/jacinthbeam-types/src/size.rs
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -45,3 +45,39 @@
         number.checked_mul(factor).map(Self).ok_or_else(err)
     }
 }
+
+/// A share of a processor, in thousandths of a core. Written as `200m`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Millicores(pub u32);
+
+impl Millicores {
+    /// One core.
+    pub const CORE: Self = Self(1000);
+}
+
+/// The text is no share of a processor.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseMillicoresError(String);
+
+impl fmt::Display for ParseMillicoresError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is no number of thousandths of a core such as \"200m\"", self.0)
+    }
+}
+
+impl std::error::Error for ParseMillicoresError {}
+
+impl fmt::Display for Millicores {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+impl FromStr for Millicores {
+    type Err = ParseMillicoresError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix('m').and_then(|number| number.parse().ok());
+        number.map(Self).ok_or_else(|| ParseMillicoresError(text.into()))
+    }
+}
