fix(range): a host leads again only by a record of the epoch that it claims

Cause: a process that gave the duty back and was dealt it again took a read of its own earlier record for the answer to its new claim. It led on in the old epoch and gave out tokens from that epoch's first on, below tokens that servers still had: two owners. Change: a claim is answered by a record of its own epoch only.

--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -222,7 +222,10 @@
             self.leading = None;
             return;
         };
-        match (&mut self.leading, self.claim.take()) {
+        // A process that has led before has left a record that names it too. Taken for the claim while that is on its way, it would lead on
+        // in the old epoch and give out its tokens anew, below those that servers still have.
+        let kept = self.claim.take_if(|claim| claim.map.epoch == newest.epoch);
+        match (&mut self.leading, kept) {
             (Some(leading), _) => leading.on_own_record(asked, newest),
             (None, Some(claim)) => self.begin(view, asked, newest, &claim),
             // Without a claim there is nothing to lead: this process has stopped.
