refactor(host): standing by lies with the duty; a test of reports that are left out

The decision whether a host takes duties moves from the datagrams of load to the duty. Of 2,000 reports that wait the oldest are left out and the newest is taken, and no answer to a grant is left out. No change of what is decided.

--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -10,7 +10,10 @@
 use jacinthbeam_store::{Call, Client, Lane, Reply};
 use jacinthbeam_types::prelude::*;
 
-use super::input::{Input, Tx};
+use super::{
+    input::{Input, Tx},
+    state::Control,
+};
 use crate::process::membership::{Event, Membership, Next, Notice};
 
 /// Without a word of a host for this long its duties go to another.
@@ -115,3 +118,14 @@
         }
     }
 }
+
+impl Control {
+    /// Whether this host takes duties, or leaves them to others, as the hosts and the words of granting hosts say now.
+    pub(super) fn stand_by(&mut self) {
+        let fleet = self.known.hosts().map(|(_, entry)| (&entry.domain, entry.processor));
+        let stands_by = self.standby.stands_by(self.clock.now(), self.settings.processor, fleet);
+        if self.wish.stands_by.replace(stands_by) != stands_by {
+            tracing::info!(part = "duty", event = "stands-by", stands_by = %stands_by, processor = %self.settings.processor);
+        }
+    }
+}
--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -76,15 +76,6 @@
         }
     }
 
-    /// Whether this host takes duties, or leaves them to others, as the hosts and the words of granting hosts say now.
-    pub(super) fn stand_by(&mut self) {
-        let fleet = self.known.hosts().map(|(_, entry)| (&entry.domain, entry.processor));
-        let stands_by = self.standby.stands_by(self.clock.now(), self.settings.processor, fleet);
-        if self.wish.stands_by.replace(stands_by) != stands_by {
-            tracing::info!(part = "duty", event = "stands-by", stands_by = %stands_by, processor = %self.settings.processor);
-        }
-    }
-
     /// Tells all hosts which owners are asked for too much.
     pub(super) fn set_gates(&mut self) {
         let now = self.clock.now();
--- a/crates/jacinthbeam-host/tests/inbox.rs
+++ b/crates/jacinthbeam-host/tests/inbox.rs
@@ -7,14 +7,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Input {
     Config,
-    Report(u32),
+    Answer(u32),
+    Load(u32),
     Tick,
 }
 
 fn kind(input: &Input) -> Kind {
     match input {
         Input::Config => Kind::News,
-        Input::Report(_) => Kind::Other,
+        Input::Answer(_) => Kind::Other,
+        Input::Load(_) => Kind::Report,
         Input::Tick => Kind::Tick,
     }
 }
@@ -39,7 +41,7 @@
 fn what_the_store_says_is_taken_before_whatever_waits() {
     let begun = Instant::now();
     let mut inbox = Inbox::new(kind);
-    (0..3 * A_SECOND).for_each(|n| add(&mut inbox, Input::Report(n), begun));
+    (0..3 * A_SECOND).for_each(|n| add(&mut inbox, Input::Answer(n), begun));
     add(&mut inbox, Input::Config, begun);
 
     let mut now = begun;
@@ -62,7 +64,7 @@
 fn what_the_store_says_waits_for_a_short_round_only() {
     let begun = Instant::now();
     let mut inbox = Inbox::new(kind);
-    (0..3 * A_SECOND).for_each(|n| add(&mut inbox, Input::Report(n), begun));
+    (0..3 * A_SECOND).for_each(|n| add(&mut inbox, Input::Answer(n), begun));
     let round = inbox.take().len() as u32 * TAKES;
     assert!(round < Duration::from_millis(100), "a round takes {round:?}");
 }
@@ -74,9 +76,33 @@
     let mut inbox = Inbox::new(kind);
     for n in 0..3 {
         add(&mut inbox, Input::Tick, begun);
-        add(&mut inbox, Input::Report(n), begun);
+        add(&mut inbox, Input::Answer(n), begun);
     }
     let taken: Vec<Input> = inbox.take().into_iter().map(|waiting| waiting.input).collect();
     assert_eq!(taken.iter().filter(|input| **input == Input::Tick).count(), 1);
     assert_eq!(taken.len(), 4);
 }
+
+/// A host that grants has no time for all that 83 others tell it of their load four times a second. What they saw lately counts, so the
+/// oldest is left out, and what it has to do for its own grants is not.
+#[test]
+fn of_too_many_reports_the_oldest_are_left_out() {
+    let begun = Instant::now();
+    let mut inbox = Inbox::new(kind);
+    let left_out =
+        (0..2000).filter(|n| inbox.add(Waiting { input: Input::Load(*n), since: begun }));
+    let left_out = left_out.count();
+    (0..100).for_each(|n| add(&mut inbox, Input::Answer(n), begun));
+    let mut taken = Vec::new();
+    while !inbox.is_empty() {
+        taken.extend(inbox.take().into_iter().map(|waiting| waiting.input));
+    }
+    let loads = taken.iter().filter(|input| matches!(input, Input::Load(_)));
+    assert_eq!(loads.clone().count() + left_out, 2000);
+    assert_eq!(
+        loads.max_by_key(|input| if let Input::Load(n) = input { *n } else { 0 }),
+        Some(&Input::Load(1999))
+    );
+    assert!(left_out > 1000);
+    assert_eq!(taken.iter().filter(|input| matches!(input, Input::Answer(_))).count(), 100);
+}
