fix(host): a duty to grant ends with its lease

The store turned the granting host away from 16.5 to 23.5; its duty was dealt to another, which led from 18.25. At 23.85, with the store's first answer and a second before its own word in the group, the first one claimed the keys by its old duty; the second claimed them back; both were busy with rounds to all servers, missed their leases, and a third and the first again followed by 29.9. Change: a duty counts until the lease that the host's last answered word bought has run out. A host that leads goes on leading.

--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeSet,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -14,10 +15,7 @@
     input::{Input, Tx},
     state::Control,
 };
-use crate::process::membership::{Event, Membership, Next, Notice};
-
-/// Without a word of a host for this long its duties go to another.
-const LEASE: Duration = Duration::from_millis(1500);
+use crate::process::membership::{DutyLease, Event, Membership, Next, Notice, lease::LEASE};
 
 /// Pause between two words of a host: three in a lease, so that one lost answer costs nothing.
 const JOIN_EVERY: Duration = Duration::from_millis(500);
@@ -52,13 +50,18 @@
 pub(super) async fn run(group: Group) {
     let lane = group.store.lane();
     let mut membership = Membership::default();
+    let mut lease = DutyLease::default();
     loop {
         membership.handle(group.due());
         match membership.next() {
             Next::Nothing => {}
             Next::Join(generation) => {
+                let asked = group.clock.now();
                 let event = match group.join(&lane, generation).await {
-                    Some(generation) => Event::Joined(generation),
+                    Some(generation) => {
+                        lease.renew(asked);
+                        Event::Joined(generation)
+                    }
                     None => Event::Failed,
                 };
                 membership.handle(event);
@@ -66,6 +69,10 @@
             Next::Leave => group.leave(&lane).await,
             Next::End => return,
         }
+        if lease.runs_out(group.clock.now()) {
+            tracing::info!(part = "duty", event = "lapsed");
+            group.tell(BTreeSet::new());
+        }
         match membership.take_notice() {
             Some(Notice::Lost) => tracing::warn!(part = "duty", event = "lost"),
             Some(Notice::Regained) => tracing::info!(part = "duty", event = "regained"),
@@ -94,16 +101,14 @@
         match lane.call(&join).await {
             Ok(Reply::Member { generation, shares }) => {
                 let duties = shares.iter().map(|share| share.partition.number).collect();
-                if self.tx.send(Input::Duties(duties)).is_err() {
-                    tracing::debug!(part = "duty", event = "stopped-meanwhile");
-                }
+                self.tell(duties);
                 Some(generation)
             }
             Ok(_) => {
                 tracing::warn!(part = "duty", event = "wrong-answer");
                 None
             }
-            // A duty that was had stays until the store says otherwise: it is advice, and the right to grant is proved elsewhere.
+            // A duty that was had stays until its lease has run out. A host that leads goes on: the right to grant is proved elsewhere.
             Err(err) => {
                 tracing::debug!(part = "duty", event = "not-joined", error = %err);
                 None
@@ -111,6 +116,12 @@
         }
     }
 
+    fn tell(&self, duties: BTreeSet<u32>) {
+        if self.tx.send(Input::Duties(duties)).is_err() {
+            tracing::debug!(part = "duty", event = "stopped-meanwhile");
+        }
+    }
+
     async fn leave(&self, lane: &Lane) {
         let leave = Call::Leave { group: GROUP.into(), member: self.member.clone() };
         if let Err(err) = lane.call(&leave).await {
--- a/crates/jacinthbeam-host/src/process/membership/mod.rs
+++ b/crates/jacinthbeam-host/src/process/membership/mod.rs
@@ -3,6 +3,7 @@
 //! Joining is also the sign of life: without it the store gives the duties to others. A host that can't reach the store stays a
 //! member as far as it knows, since its duties are advice, and the right to grant is proved elsewhere.
 
+pub mod lease;
 mod machine;
 pub mod standby;
 
@@ -10,6 +11,7 @@
 
 use statig::prelude::{IntoStateMachineExt, StateMachine};
 
+pub use lease::DutyLease;
 use machine::Machine;
 pub use standby::Standby;
 
--- a/crates/jacinthbeam-host/tests/membership.rs
+++ b/crates/jacinthbeam-host/tests/membership.rs
@@ -1,6 +1,10 @@
 //! When a host joins the group that shares duties out, stays, rests and leaves.
 
-use jacinthbeam_host::process::membership::{Event, Membership, Next, Notice};
+use std::time::{Duration, Instant};
+
+use jacinthbeam_host::process::membership::{
+    DutyLease, Event, Membership, Next, Notice, lease::LEASE,
+};
 
 const DUE: Event = Event::Due { rests: false, leaves: false };
 const RESTS: Event = Event::Due { rests: true, leaves: false };
@@ -61,3 +65,20 @@
         assert_eq!(next(&[events, &[LEAVES, DUE]].concat()), Next::End);
     }
 }
+
+/// A third of all lookups are refused for half a minute, as two hosts take the keys of a service from each other.
+///
+/// The store turns the host away that grants; its duty is dealt to another, which takes over. When the store answers again, the first one still
+/// believes in its duty, and claims. What it was dealt counts only for as long as the store can have given it to nobody else.
+#[test]
+fn a_duty_ends_with_its_lease() {
+    let begun = Instant::now();
+    let mut lease = DutyLease::default();
+    assert!(!lease.runs_out(begun), "there is nothing to lose");
+    lease.renew(begun);
+    assert!(!lease.runs_out(begun + LEASE - Duration::from_millis(1)));
+    assert!(lease.runs_out(begun + LEASE));
+    assert!(!lease.runs_out(begun + 2 * LEASE), "it is told twice");
+    lease.renew(begun + 3 * LEASE);
+    assert!(!lease.runs_out(begun + 3 * LEASE) && lease.runs_out(begun + 4 * LEASE));
+}
