--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -0,0 +1,137 @@
+//! What the store says, as it changes what this host knows.
+
+use std::{sync::Arc, time::Instant};
+
+use jacinthbeam_range::Event;
+use jacinthbeam_store::{Item, keyed::Changes};
+use jacinthbeam_types::prelude::*;
+
+use super::state::Control;
+use crate::{
+    process::{
+        known::Changed,
+        peers::{HostEntry, source::Neighbours},
+    },
+    version::Leaving,
+};
+
+impl Control {
+    pub(super) fn on_operator(&mut self, as_of: Instant, changes: &Changes) {
+        let now = self.clock.now();
+        self.heard_operator = Some(now);
+        let newest =
+            changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
+        if let Some(item) = newest.filter(|item| !item.value.is_empty()) {
+            self.on_config(item);
+        }
+        self.known.config_known_to(as_of.min(now));
+        // After the configuration itself: callers are served by another thread.
+        self.config_as_of.send_replace(self.known.config_as_of());
+    }
+
+    fn on_config(&mut self, item: &Item) {
+        match (self.wire.config)(&item.value) {
+            Ok(cfg) => {
+                let config = self.known.take_config(cfg);
+                self.on_changed(Changed { config, ..Changed::default() });
+            }
+            Err(err) => {
+                tracing::error!(part = "config", event = "unreadable", offset = %item.offset, error = ?err);
+            }
+        }
+    }
+
+    pub(super) fn on_servers(&mut self, asked: Instant, changes: Changes) {
+        let now = self.clock.now();
+        self.heard.set(self.heard.get().max(Some(asked)));
+        self.read_servers = Some(asked);
+        // What this read shows first, the store took after the last one was sent.
+        let bound = Leaving::after(self.known.servers_as_of());
+        let mut changed = false;
+        for item in &changes.items {
+            changed |= self.on_server(item, bound);
+        }
+        if changes.whole {
+            let listed: Vec<&str> = changes.items.iter().map(|item| item.key.as_str()).collect();
+            changed |= self.known.drop_unlisted(&listed, changes.end, bound);
+        }
+        self.known.servers_known_to(changes.end, Some(asked), changed, now);
+        self.on_changed(Changed { servers: changed, ..Changed::default() });
+    }
+
+    /// Takes the entry of a server. One that another writer left and that can't be read names no server to use, whatever stood there
+    /// before: the store keeps only the newest, and a server that lives writes its own within a heartbeat.
+    fn on_server(&mut self, item: &Item, bound: Leaving) -> bool {
+        let name = match item.key.parse::<ServerName>() {
+            Ok(name) => name,
+            Err(err) => {
+                self.note_unreadable("server", item, &err.to_string());
+                return false;
+            }
+        };
+        if item.value.is_empty() {
+            return self.known.take_server(name, item.offset, None, bound);
+        }
+        let server = match (self.wire.server)(&item.key, &item.value) {
+            Ok(server) => Some(server),
+            Err(err) => {
+                self.note_unreadable("server", item, &err);
+                None
+            }
+        };
+        self.known.take_server(name, item.offset, server, bound)
+    }
+
+    fn note_unreadable(&mut self, what: &'static str, item: &Item, why: &str) {
+        self.counters.on_unreadable(what);
+        if self.unreadable.is_new(what, &item.key) {
+            tracing::warn!(part = "store", event = "unreadable", what = what, key = ?item.key, offset = %item.offset, error = ?why);
+        }
+    }
+
+    pub(super) fn on_hosts(&mut self, changes: &Changes) {
+        let mut changed = false;
+        for item in &changes.items {
+            match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
+                (Ok(host), Ok(entry)) => changed |= self.known.take_host(host, item.offset, entry),
+                (Err(err), _) => self.note_unreadable("host", item, &err.to_string()),
+                (_, Err(err)) => self.note_unreadable("host", item, &err.to_string()),
+            }
+        }
+        self.known.hosts_known_to(changes.end);
+        self.on_changed(Changed { hosts: changed, ..Changed::default() });
+    }
+
+    /// Makes what is known act.
+    pub(super) fn on_changed(&mut self, changed: Changed) {
+        if !changed.any() {
+            return;
+        }
+        self.view.send_replace(Arc::new(self.known.view()));
+        if changed.hosts {
+            self.neighbours.send_replace(self.order_hosts());
+        }
+        if changed.config {
+            self.meet_services();
+        }
+        if changed.servers {
+            self.step_all(&Event::Tick);
+        }
+    }
+
+    fn order_hosts(&self) -> Neighbours {
+        let mut neighbours = Neighbours::default();
+        for (host, entry) in self.known.hosts().filter(|(host, _)| **host != self.me.host) {
+            let known = (host.clone(), entry.addr);
+            if entry.domain != self.settings.domain {
+                neighbours.far.push(known);
+                continue;
+            }
+            if *host < self.me.host {
+                neighbours.before.push(known.clone());
+            }
+            neighbours.near.push(known);
+        }
+        neighbours
+    }
+}
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -10,6 +10,7 @@
 mod gates;
 mod granting;
 mod input;
+mod learn;
 mod maps;
 mod state;
 mod unreadable;
