--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -192,3 +192,27 @@
     assert_eq!(view.servers.iter().count(), 1);
     assert_eq!(view.servers.successor_of(&life(5).id).map(|server| &server.id), Some(&life(9).id));
 }
+
+/// A host denies a route that has been in force for three seconds.
+///
+/// It hears of the operator through another host, and took what that one knew for the present, though the other had heard nothing for two
+/// seconds itself. The age passes from host to host and adds up; word from elsewhere that is older changes nothing.
+#[test]
+fn the_age_of_a_configuration_passes_from_host_to_host() {
+    let read_at = Instant::now();
+    let (mut near, mut host) = (Known::default(), Known::default());
+    assert_eq!(
+        host.news_for(&near.question(Duration::ZERO), Duration::ZERO, read_at).config_age,
+        None
+    );
+    near.config_known_to(read_at);
+
+    let told_at = read_at + Duration::from_secs(2);
+    let news = near.news_for(&host.question(Duration::ZERO), Duration::ZERO, told_at);
+    assert_eq!(news.config_age, Some(Duration::from_secs(2)));
+    host.take_news(news, told_at);
+    assert_eq!(host.config_as_of(), Some(read_at));
+
+    host.config_known_to(read_at - Duration::from_secs(1));
+    assert_eq!(host.config_as_of(), Some(read_at));
+}
