--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -14,9 +14,18 @@
 /// Time between two looks at the world.
 const STEP: Duration = Duration::from_millis(50);
 
-/// Time that each property is played for; some forty worlds of half a minute.
+/// Time that each property is played for, in milliseconds, unless [`BUDGET_VARIABLE`] says otherwise; some forty worlds of half a minute.
 const BUDGET_MS: u64 = 2000;
 
+/// Environment variable with another time, for longer runs by hand: worlds that had two owners were found after 6 s to a minute of a
+/// release build.
+const BUDGET_VARIABLE: &str = "JACINTHBEAM_PLAY_MS";
+
+fn budget_ms() -> u64 {
+    let given = std::env::var(BUDGET_VARIABLE).ok();
+    given.map_or(BUDGET_MS, |text| text.parse().expect("the variable holds milliseconds"))
+}
+
 /// Hosts are cut off from the store or from servers, or stand still, while servers crash.
 const CUTS_AND_CRASHES: Odds = Odds {
     deal: 0.01,
@@ -65,19 +74,19 @@
     arbtest(|u| {
         play(u, Odds { store_late: 0.5, drain: 0.01, refuse: 0.2, ..Odds::CALM }, 600).map(drop)
     })
-    .budget_ms(BUDGET_MS);
+    .budget_ms(budget_ms());
 }
 
 /// The duty is dealt to another host while the first goes on: both send grants until the first learns of it.
 #[test]
 fn duties_dealt_anew_do_not_make_two_owners() {
-    arbtest(|u| play(u, DEALT_ANEW, 600).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, DEALT_ANEW, 600).map(drop)).budget_ms(budget_ms());
 }
 
 /// Hosts are cut off from the store or from servers, or stand still, while servers crash and come back empty.
 #[test]
 fn cuts_and_crashes_do_not_make_two_owners() {
-    arbtest(|u| play(u, CUTS_AND_CRASHES, 1200).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, CUTS_AND_CRASHES, 1200).map(drop)).budget_ms(budget_ms());
 }
 
 /// Worlds in which two servers had a key, or one took it under a token that was too low: a host that had given the duty back and claimed
@@ -106,7 +115,7 @@
 #[test]
 fn a_leader_left_with_one_server_does_not_make_two_owners() {
     let odds = Odds { split: 0.01, store_late: 0.1, lost_grant: 0.05, deal: 0.01, ..Odds::CALM };
-    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(budget_ms());
 }
 
 /// Servers leave the list and come back while they are cut off, and while records that give their keys away are in doubt.
@@ -120,7 +129,7 @@
         lost_grant: 0.1,
         ..Odds::CALM
     };
-    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(budget_ms());
 }
 
 /// A caller's order runs at one server, and another order for the same key at a second one or at another life of the first.
@@ -129,7 +138,7 @@
 /// lost, and former leaders go on renewing until they hear of their successors.
 #[test]
 fn servers_that_forget_do_not_make_two_owners() {
-    arbtest(|u| play(u, REBORN, 1200).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, REBORN, 1200).map(drop)).budget_ms(budget_ms());
     let odds = Odds {
         reborn: 0.02,
         deal: 0.01,
@@ -146,7 +155,7 @@
         refuse: 0.05,
         lost_release: 0.2,
     };
-    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(2 * BUDGET_MS);
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(2 * budget_ms());
 }
 
 /// Hosts are told to stop while the store is away for them, grant on until they end, and tell the others that they have. Their successors
@@ -164,7 +173,7 @@
         lost_grant: 0.05,
         ..Odds::CALM
     };
-    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(BUDGET_MS);
+    arbtest(|u| play(u, odds, 1200).map(drop)).budget_ms(budget_ms());
 }
 
 /// Nothing goes wrong: every key is owned soon, a move leaves its keys without an owner for less than a second, and records are
@@ -182,5 +191,5 @@
         assert!(world.records() < 60, "{} records in 30 s\n{}", world.records(), world.story());
         Ok(())
     })
-    .budget_ms(BUDGET_MS);
+    .budget_ms(budget_ms());
 }
