--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -181,15 +181,26 @@
 #[test]
 fn a_calm_world_is_served_with_few_records() {
     arbtest(|u| {
-        let mut world = World::new(Odds::CALM, u.arbitrary::<u64>()?);
-        let mut unowned = 0;
-        for step in 0..600 {
-            world.step(STEP);
-            unowned = if world.unowned() > 0 { unowned + 1 } else { 0 };
-            assert!(unowned < 20 || step < 100, "keys stay without an owner\n{}", world.story());
-        }
-        assert!(world.records() < 60, "{} records in 30 s\n{}", world.records(), world.story());
+        play_calm(u.arbitrary::<u64>()?);
         Ok(())
     })
     .budget_ms(budget_ms());
 }
+
+/// A calm world in which some key is without an owner for a second, at 6.2 s: records follow at 5.7 and 6.1 s, and whether it is one key
+/// that waits or two moves that meet is not traced.
+#[test]
+fn calm_world_where_keys_stayed_without_an_owner() {
+    play_calm(12841008268177363238);
+}
+
+fn play_calm(seed: u64) {
+    let mut world = World::new(Odds::CALM, seed);
+    let mut unowned = 0;
+    for step in 0..600 {
+        world.step(STEP);
+        unowned = if world.unowned() > 0 { unowned + 1 } else { 0 };
+        assert!(unowned < 20 || step < 100, "keys stay without an owner\n{}", world.story());
+    }
+    assert!(world.records() < 60, "{} records in 30 s\n{}", world.records(), world.story());
+}
