--- a/crates/jacinthbeam-host/src/process/inbox.rs
+++ b/crates/jacinthbeam-host/src/process/inbox.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::VecDeque, fmt, time::Instant};
 
-/// Inputs that are taken before other tasks get their turn, besides what the store says. A host with a tenth of a core takes 1.4 ms for
-/// one, so that a round takes 45 ms of the seconds in which a change has to act.
+/// Inputs that are taken before other tasks get their turn, besides what the store says. Assumed is that 700 a second
+/// are all that a host can do, 1.4 ms each, so that a round takes 45 ms of the seconds in which a change has to act.
 const ROUND: usize = 32;
 
 /// Reports that may wait: what 128 hosts say in a second. What a host says of its load is of use for about as long, and in a backlog the
@@ -35,8 +35,8 @@
 /// Inputs that have come and were not taken yet.
 ///
 /// What the store says is taken before anything else, however much waits. In one queue it waited behind all that a host had to do for
-/// the keys that it grants: with three seconds of that piled up, a host with a tenth of a core went by an old configuration for 2.9 s, and
-/// refused callers whose routes were in force. Since there are a few such inputs a second, the rest is not held up by them.
+/// the keys that it grants: with three seconds of that piled up, a host went by an old configuration for 2.9 s
+/// (`tests/inbox.rs`, without network), and would refuse callers whose routes are in force. Since there are a few such inputs a second, the rest is not held up by them.
 pub struct Inbox<I> {
     kind: fn(&I) -> Kind,
     news: VecDeque<Waiting<I>>,
--- a/crates/jacinthbeam-host/src/process/membership/standby.rs
+++ b/crates/jacinthbeam-host/src/process/membership/standby.rs
@@ -1,7 +1,7 @@
 //! Which hosts take the duty to grant, where hosts differ. No I/O.
 //!
 //! The group shares duties out evenly and knows nothing of the hosts. A host that grants the keys of some hundred servers makes a thousand
-//! calls a second; with a tenth of a core it makes 900 and does nothing else, its right to grant lapses in the middle of its rounds, and it
+//! calls a second; with a tenth of a core it could make some 900 and do nothing else (1,800 were seen of a host with a fifth), its right to grant lapses in the middle of its rounds, and it
 //! has no time for what the store says. Hosts with less processor therefore take part only when those with more are silent.
 
 use std::{
--- a/crates/jacinthbeam-host/tests/inbox.rs
+++ b/crates/jacinthbeam-host/tests/inbox.rs
@@ -24,7 +24,7 @@
 /// Inputs that a host which grants the keys of 167 servers to 83 hosts gets in a second: reports of load, answers to grants.
 const A_SECOND: u32 = 700;
 
-/// Time that such a host takes for one of them if it has a tenth of a core: 1,000 a second would be all that it can do.
+/// Time that a host takes for one of them, assumed: it has just enough processor for what comes, and works off no backlog.
 const TAKES: Duration = Duration::from_micros(1430);
 
 fn add(inbox: &mut Inbox<Input>, input: Input, since: Instant) {
