--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -1,23 +1,22 @@
-//! Asking other hosts for the news of the store, where [`source`](crate::process::peers::source) says so.
+//! Taking the news of the store from where [`source`](crate::process::peers::source) says: other hosts, or the store.
 //!
 //! A host that starts while the store turns it away knows no other, since the list of hosts is in the store, and asks those that its
-//! settings name. Hosts that the store turns away while it serves others go on with news that are some milliseconds old.
+//! settings name.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use jacinthbeam_types::prelude::*;
 use tokio::sync::{oneshot, watch};
 
-use super::input::{Input, Tx};
+use super::{
+    heard::Heard,
+    input::{Input, Tx},
+};
 use crate::process::peers::{
-    link::Link,
+    link::{self, Link},
     news::Asked,
-    source::{Answer, LOST_AFTER, Neighbours, Source, Sources},
+    order::{Neighbour, Neighbours},
+    source::{self, Answer, NoAnswer, Sources, Step},
 };
 
 /// Longest wait for news at another host; its answer without news shows that it is there, and how fresh it is.
@@ -26,6 +25,9 @@
 /// Pause of a host that reads the store itself before it looks again whether another could do it.
 const LOOK_AGAIN: Duration = Duration::from_millis(1000);
 
+/// The same while the store gives it no answers.
+const LOOK_AGAIN_LOST: Duration = Duration::from_millis(250);
+
 /// Pause between questions that brought no news at once, so that a host that answers wrongly isn't asked in a tight loop.
 const LEAST_PAUSE: Duration = Duration::from_millis(5);
 
@@ -33,51 +35,78 @@
 #[derive(Clone)]
 pub(super) struct Feed {
     pub(super) clock: Arc<dyn Clock>,
-    pub(super) neighbours: watch::Receiver<Neighbours>,
+    /// `None` until the list of hosts is known.
+    pub(super) neighbours: watch::Receiver<Option<Neighbours>>,
     /// Hosts that are asked while none is known.
     pub(super) seeds: Vec<SocketAddr>,
     /// Whether this host reads the store itself.
     pub(super) direct: Rc<watch::Sender<bool>>,
-    /// When this host last heard of the store.
-    pub(super) heard: Rc<std::cell::Cell<Option<Instant>>>,
+    pub(super) heard: Rc<Heard>,
     pub(super) tx: Tx,
 }
 
 /// Chooses sources for ever.
-pub(super) async fn run(feed: Feed) {
+pub(super) async fn run(mut feed: Feed) {
     let mut sources = Sources::default();
     loop {
-        let neighbours = feed.neighbours.borrow().clone();
-        let (now, lost) = (feed.clock.now(), feed.has_lost_store());
+        let known = feed.neighbours.borrow_and_update().clone();
+        if !feed.seeds.is_empty() && source::asks_seeds(known.as_ref(), feed.age()) {
+            feed.ask_seed().await;
+            continue;
+        }
+        let Some(neighbours) = known else {
+            feed.pause(LOOK_AGAIN).await;
+            continue;
+        };
+        let lost = *feed.direct.borrow() && !feed.reads_store();
         let pick = |addrs: &[SocketAddr]| fastrand::choice(addrs).copied();
-        match sources.choose(now, &neighbours, lost, &feed.seeds, pick) {
-            Source::Before(host, addr) => {
-                ask_on(&feed, &host, addr).await;
-                // At once, since the next one may not answer either, and each attempt takes a part of the time that a change has.
-                set_direct(&feed, true);
-                sources.pass_over(host, feed.clock.now());
+        match sources.next(feed.clock.now(), &neighbours, lost, pick) {
+            Step::Ask(host) => ask_on(&feed, &mut sources, &host).await,
+            Step::Wait(pause) => {
+                if lost {
+                    set_direct(&feed, false);
+                }
+                tokio::time::sleep(pause.max(LEAST_PAUSE)).await;
             }
-            Source::Helper(addr) => {
+            Step::Read => {
                 set_direct(&feed, true);
-                ask_while_lost(&feed, addr).await;
-                sources.was_behind(addr, feed.clock.now());
+                let pause = if feed.reads_store() { LOOK_AGAIN } else { LOOK_AGAIN_LOST };
+                feed.pause(pause).await;
             }
-            Source::Store => {
+            Step::Help(addr) => {
                 set_direct(&feed, true);
-                tokio::time::sleep(if lost { LOOK_AGAIN / 4 } else { LOOK_AGAIN }).await;
+                ask_for_help(&feed, addr).await;
+                sources.on_no_help(addr, feed.clock.now());
             }
         }
     }
 }
 
 impl Feed {
+    /// Whether this host itself reads the store, and is answered.
+    fn reads_store(&self) -> bool {
+        *self.direct.borrow() && self.heard.is_answered(self.clock.now())
+    }
+
     fn age(&self) -> Duration {
-        let heard = self.heard.get();
-        heard.map_or(Duration::MAX, |at| self.clock.now().saturating_duration_since(at))
+        self.heard.age(self.clock.now())
     }
 
-    fn has_lost_store(&self) -> bool {
-        self.age() > LOST_AFTER
+    /// Asks a host that the settings name, and reads the store as soon as that answers.
+    async fn ask_seed(&mut self) {
+        if self.neighbours.borrow().is_some() {
+            set_direct(self, true);
+        }
+        if let Some(addr) = fastrand::choice(&self.seeds).copied() {
+            ask_for_help(self, addr).await;
+        }
+        self.pause(LOOK_AGAIN_LOST).await;
+    }
+
+    /// Waits, but not on when other hosts become known.
+    async fn pause(&mut self, pause: Duration) {
+        // An error is the end of the process.
+        let _ = tokio::time::timeout(pause, self.neighbours.changed()).await;
     }
 }
 
@@ -89,48 +118,57 @@
 }
 
 /// Asks a host before this one, for as long as its answers are fresh.
-async fn ask_on(feed: &Feed, host: &HostId, addr: SocketAddr) {
-    let mut link = match Link::open(addr).await {
-        Ok(link) => link,
-        Err(err) => {
-            return tracing::info!(part = "feed", event = "passed-over", host = %host, error = %err);
-        }
-    };
-    loop {
-        match ask(feed, &mut link).await {
-            Ok(answer) if answer.is_worth_following() => {
-                if *feed.direct.borrow() {
-                    tracing::info!(part = "feed", event = "follows", host = %host);
+async fn ask_on(feed: &Feed, sources: &mut Sources, (host, addr): &Neighbour) {
+    let mut follows = false;
+    let no_answer = match Link::open(*addr).await {
+        Ok(mut link) => loop {
+            match ask(feed, &mut link).await {
+                Ok(answer) => {
+                    let (reads, now) = (feed.reads_store(), feed.clock.now());
+                    if !sources.on_answer(host, answer, reads, now) {
+                        if follows {
+                            tracing::info!(part = "feed", event = "passed-over", host = %host, age_ms = %answer.age.as_millis(), steps = %answer.steps, asks_store = %answer.asks_store);
+                        }
+                        break None;
+                    }
+                    if !std::mem::replace(&mut follows, true) {
+                        tracing::info!(part = "feed", event = "follows", host = %host, steps = %answer.steps);
+                    }
+                    set_direct(feed, false);
                 }
-                set_direct(feed, false);
-            }
-            Ok(answer) => {
-                return tracing::info!(part = "feed", event = "passed-over", host = %host, age_ms = %answer.age.as_millis(), reads_store = %answer.reads_store);
-            }
-            Err(err) => {
-                return tracing::info!(part = "feed", event = "passed-over", host = %host, error = %err);
+                Err(why) => break Some((NoAnswer::Silent, why)),
             }
-        }
+        },
+        Err(err) if err.is_refused() => Some((NoAnswer::Refused, err.to_string())),
+        Err(err) => Some((NoAnswer::Silent, err.to_string())),
+    };
+    if follows {
+        sources.on_lost();
+    }
+    if let Some((why, error)) = no_answer {
+        tracing::info!(part = "feed", event = "passed-over", host = %host, error = %error);
+        sources.on_no_answer(host, why, feed.clock.now());
     }
 }
 
-/// Asks any host, for as long as this one can't read the store and the other is less behind.
-async fn ask_while_lost(feed: &Feed, addr: SocketAddr) {
+/// Asks any host, for as long as the store doesn't answer this one and the other knows more.
+async fn ask_for_help(feed: &Feed, addr: SocketAddr) {
     let mut link = match Link::open(addr).await {
         Ok(link) => link,
         Err(err) => {
-            tracing::info!(part = "feed", event = "not-reached", asked = %addr, error = %err);
-            return tokio::time::sleep(LEAST_PAUSE * 10).await;
+            return tracing::info!(part = "feed", event = "not-reached", asked = %addr, error = %err);
         }
     };
-    loop {
+    let mut helped = false;
+    while !feed.reads_store() {
         match ask(feed, &mut link).await {
             Ok(answer) if answer.helps() => {
-                tracing::debug!(part = "feed", event = "store-lost", asked = %addr, age_ms = %answer.age.as_millis());
+                if !std::mem::replace(&mut helped, true) {
+                    tracing::info!(part = "feed", event = "helped", asked = %addr, steps = %answer.steps);
+                }
             }
             Ok(answer) => {
-                tracing::debug!(part = "feed", event = "behind", asked = %addr, age_ms = %answer.age.as_millis());
-                return tokio::time::sleep(LEAST_PAUSE * 10).await;
+                return tracing::debug!(part = "feed", event = "behind", asked = %addr, age_ms = %answer.age.as_millis());
             }
             Err(err) => {
                 return tracing::info!(part = "feed", event = "no-news", asked = %addr, error = %err);
@@ -143,17 +181,11 @@
 async fn ask(feed: &Feed, link: &mut Link) -> Result<Answer, String> {
     let asked = question(&feed.tx).await.ok_or("the process ends")?;
     let begun = feed.clock.now();
-    let news = link.ask(&asked).await.map_err(|err| err.to_string())?;
-    let age = news.age;
-    let answer = Answer { age, reads_store: news.reads_store };
+    let news = link.ask(&asked).await.map_err(|err: link::Error| err.to_string())?;
+    let answer = Answer { age: news.age, steps: news.steps, asks_store: news.asks_store };
     // The way of the question and that of the answer can't be told apart. Taken as if the answer's way were all of it, nothing seems newer
     // than it is.
     let answered = begun + news.waited;
-    // Hosts that ask this one are told its age: counted from the receipt, each step on the way would make news younger by that step.
-    let at = answered.checked_sub(age);
-    if age <= LOST_AFTER {
-        feed.heard.set(feed.heard.get().max(at));
-    }
     if news.is_empty() {
         tokio::time::sleep(LEAST_PAUSE).await;
     }
--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -1,6 +1,8 @@
 //! Following the store.
 
 use std::{
+    cell::Cell,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -10,7 +12,7 @@
     keyed::{Changes, Follower},
 };
 use jacinthbeam_types::prelude::*;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 use super::input::{Input, Tx};
 
@@ -31,9 +33,9 @@
 /// Pause between reads of the hosts' entries, all of which come within the same second.
 pub(super) const HOSTS_EVERY: Duration = Duration::from_millis(2000);
 
-/// Pauses after failed reads.
+/// Pauses after failed reads. At the longest three hosts of a failure domain ask four times a second together whether the store is back.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
 
 /// Time after which a host that has heard nothing of the configuration is not followed by others.
 pub(super) const OPERATOR_LOST_AFTER: Duration = Duration::from_millis(1900);
@@ -50,21 +52,59 @@
     pub(super) gate: watch::Receiver<bool>,
 }
 
-/// The moment before which everything is known, after a read that was sent then and might wait for so long.
+/// What a read of a partition gave.
+pub(super) struct Read {
+    /// When it was sent.
+    pub(super) asked: Instant,
+    /// How long the store might hold it back until there was something.
+    wait: Duration,
+    pub(super) changes: Changes,
+}
+
+impl Read {
+    /// The moment before which everything is known.
+    ///
+    /// A read that found nothing new has waited to the end, and there was nothing until then. Without it a host would find what it knows
+    /// a second old right after it was told that nothing is newer.
+    pub(super) fn as_of(&self) -> Instant {
+        let waited = self.changes.items.is_empty() && !self.changes.whole;
+        if waited { self.asked + self.wait } else { self.asked }
+    }
+}
+
+/// Reads that failed one after the other, of any partition, from which on the store counts as away. Single answers are lost now and then, and
+/// what they held has two seconds to act.
+const AWAY_AFTER: u32 = 3;
+
+/// Whether the store answers the reads of this host.
 ///
-/// One that found nothing has waited to the end, and there was nothing until then. Without it a host would find what it knows a second old
-/// right after it was told that nothing is newer.
-pub(super) fn as_of(asked: Instant, wait: Duration, changes: &Changes) -> Instant {
-    if changes.items.is_empty() { asked + wait } else { asked }
+/// While it is away, one read at a time asks whether it is back. Each partition asking for itself would cost four times as many calls, each
+/// of them priced, for the same answer.
+#[derive(Debug, Default)]
+pub(super) struct Reach {
+    failed: Cell<u32>,
+    turn: Mutex<()>,
+}
+
+impl Reach {
+    fn is_away(&self) -> bool {
+        self.failed.get() >= AWAY_AFTER
+    }
+
+    fn on_read(&self, done: bool) {
+        let failed = if done { 0 } else { self.failed.get().saturating_add(1) };
+        self.failed.set(failed);
+    }
 }
 
-/// Follows a partition for ever. `input` makes an input of what was read and when the read was sent.
+/// Follows a partition for ever. `input` makes an input of what was read.
 pub(super) async fn follow(
     store: Client,
+    reach: Rc<Reach>,
     mut followed: Followed,
     clock: Arc<dyn Clock>,
     tx: Tx,
-    input: impl Fn(Instant, Changes) -> Input,
+    input: impl Fn(Read) -> Input,
 ) {
     let lane = store.lane();
     let mut follower = Follower::new(followed.partition);
@@ -79,14 +119,20 @@
                 return;
             }
         }
+        let turn = if reach.is_away() { Some(reach.turn.lock().await) } else { None };
+        // A read that asks whether the store is back waits for nothing else.
+        let wait = if reach.is_away() { Duration::ZERO } else { followed.wait };
         let asked = clock.now();
-        match follower.look(&lane, followed.wait).await {
+        let result = follower.look(&lane, wait).await;
+        reach.on_read(result.is_ok());
+        match result {
             Ok(changes) => {
+                drop(turn);
                 if std::mem::take(&mut lost) {
                     tracing::info!(part = "store", event = "regained", partition = %follower.partition());
                 }
                 backoff.reset();
-                if tx.send(input(asked, changes)).is_err() {
+                if tx.send(input(Read { asked, wait, changes })).is_err() {
                     return;
                 }
                 tokio::time::sleep(followed.every).await;
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -52,10 +52,12 @@
         let number = self.partition_of(name);
         if !self.partitions.contains_key(&number) {
             let partition = Partition { topic: self.wire.places.maps.into(), number };
-            let (gate, is_open) = watch::channel(true);
+            let (gate, is_open) = watch::channel(*self.direct.borrow());
             self.partitions.insert(number, MapPartition::new(self.store.lane(), gate));
-            self.follow(partition, MAPS_WAIT, Duration::ZERO, is_open, move |asked, changes| {
-                Input::Maps { partition: number, asked, changes }
+            self.follow(partition, MAPS_WAIT, Duration::ZERO, is_open, move |read| Input::Maps {
+                partition: number,
+                asked: read.asked,
+                changes: read.changes,
             });
         }
         if !std::mem::replace(&mut self.has_joined, true) {
@@ -179,8 +181,8 @@
         self.noted = Some(now);
         let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
         let told = [
-            ("store", self.heard.get()),
-            ("operator", self.heard_operator),
+            ("store", self.heard.at()),
+            ("operator", self.heard.operator()),
             ("config", self.known.config_as_of()),
         ];
         for (what, at) in told {
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -10,23 +10,28 @@
 use crate::{
     process::{
         known::Changed,
-        peers::{HostEntry, source::Neighbours},
+        peers::{HostEntry, news::News, order::Neighbours},
     },
-    version::Leaving,
+    version::{KnownTo, Leaving},
 };
 
 impl Control {
     pub(super) fn on_operator(&mut self, as_of: Instant, changes: &Changes) {
         let now = self.clock.now();
-        self.heard_operator = Some(now);
+        self.heard.on_operator(now);
         let newest =
             changes.items.iter().rev().find(|item| item.key == self.wire.places.config_key);
         if let Some(item) = newest.filter(|item| !item.value.is_empty()) {
             self.on_config(item);
         }
         self.known.config_known_to(as_of.min(now));
-        // After the configuration itself: callers are served by another thread.
-        self.config_as_of.send_replace(self.known.config_as_of());
+        self.tell_known_to();
+    }
+
+    /// Tells the traffic thread how far what is known reaches: after what is known itself.
+    fn tell_known_to(&self) {
+        let config = self.known.config_as_of();
+        self.known_to.send_replace(KnownTo { config, servers: self.known.servers_as_of() });
     }
 
     fn on_config(&mut self, item: &Item) {
@@ -43,8 +48,7 @@
 
     pub(super) fn on_servers(&mut self, asked: Instant, changes: Changes) {
         let now = self.clock.now();
-        self.heard.set(self.heard.get().max(Some(asked)));
-        self.read_servers = Some(asked);
+        self.heard.on_servers(asked);
         // What this read shows first, the store took after the last one was sent.
         let bound = Leaving::after(self.known.servers_as_of());
         let mut changed = false;
@@ -57,6 +61,7 @@
         }
         self.known.servers_known_to(changes.end, Some(asked), changed, now);
         self.on_changed(Changed { servers: changed, ..Changed::default() });
+        self.tell_known_to();
     }
 
     /// Takes the entry of a server. One that another writer left and that can't be read names no server to use, whatever stood there
@@ -100,6 +105,23 @@
         }
         self.known.hosts_known_to(changes.end);
         self.on_changed(Changed { hosts: changed, ..Changed::default() });
+        // The first host of all finds an empty list, and that is news too.
+        self.order_hosts();
+    }
+
+    /// Takes what another host knew at `answered`, or later.
+    pub(super) fn on_news(&mut self, answered: Instant, news: News) {
+        let told = answered.checked_sub(news.age);
+        let steps = news.steps;
+        let maps = news.maps.clone();
+        let changed = self.known.take_news(news, answered);
+        // Only now: a host that asks in between would take what was known before for as new as these.
+        self.heard.on_news(told, steps);
+        self.on_changed(changed);
+        self.tell_known_to();
+        for (service, map) in maps {
+            self.step(&service, Event::Heard(map));
+        }
     }
 
     /// Makes what is known act.
@@ -109,7 +131,7 @@
         }
         self.view.send_replace(Arc::new(self.known.view()));
         if changed.hosts {
-            self.neighbours.send_replace(self.order_hosts());
+            self.order_hosts();
         }
         if changed.config {
             self.meet_services();
@@ -119,19 +141,13 @@
         }
     }
 
-    fn order_hosts(&self) -> Neighbours {
-        let mut neighbours = Neighbours::default();
-        for (host, entry) in self.known.hosts().filter(|(host, _)| **host != self.me.host) {
-            let known = (host.clone(), entry.addr);
-            if entry.domain != self.settings.domain {
-                neighbours.far.push(known);
-                continue;
-            }
-            if *host < self.me.host {
-                neighbours.before.push(known.clone());
-            }
-            neighbours.near.push(known);
-        }
-        neighbours
+    /// Tells the feed which hosts there are.
+    fn order_hosts(&self) {
+        let neighbours = Neighbours::of(&self.me.host, &self.entry(), self.known.hosts());
+        self.neighbours.send_if_modified(|known| {
+            let changed = known.as_ref() != Some(&neighbours);
+            *known = Some(neighbours);
+            changed
+        });
     }
 }
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -5,10 +5,12 @@
 
 mod calls;
 mod duty;
+mod enlist;
 mod feed;
 mod follow;
 mod gates;
 mod granting;
+mod heard;
 mod input;
 mod learn;
 mod maps;
@@ -19,7 +21,7 @@
     net::{TcpListener, UdpSocket},
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use http::StatusCode;
@@ -43,7 +45,12 @@
     traffic::Gates,
     usage,
 };
-use crate::{Settings, Wire, connection::accept::Phase, request::answer, version::View};
+use crate::{
+    Settings, Wire,
+    connection::accept::Phase,
+    request::answer,
+    version::{KnownTo, View},
+};
 use input::{Input, Tx};
 use state::Control;
 
@@ -56,7 +63,7 @@
     pub(super) usage: usage::Counted,
     pub(super) incarnation: Incarnation,
     pub(super) view: watch::Sender<Arc<View>>,
-    pub(super) config_as_of: watch::Sender<Option<Instant>>,
+    pub(super) known_to: watch::Sender<KnownTo>,
     pub(super) gates: watch::Sender<Gates>,
     pub(super) phase: watch::Receiver<Phase>,
     /// Ends when the traffic thread has answered its last request.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -1,16 +1,14 @@
 //! What the control thread does about each input.
 
 use std::{
-    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use jacinthbeam_range::{Event, Grantor, Leader, grantor::timing::REST};
-use jacinthbeam_store::{Call, Client, Lane, Observer, Partition, keyed::Changes};
+use jacinthbeam_range::{Event, Grantor, Leader};
+use jacinthbeam_store::{Client, Observer, Partition};
 use jacinthbeam_types::prelude::*;
 use tokio::{net::UdpSocket, sync::watch, task::spawn_local};
 
@@ -18,10 +16,10 @@
     Start,
     calls::{Caller, Leads},
     duty,
+    enlist::{self, Enlist},
     feed::{self, Feed},
-    follow::{
-        self, Followed, HOSTS_EVERY, HOSTS_WAIT, OPERATOR_LOST_AFTER, OPERATOR_WAIT, SERVERS_EVERY,
-    },
+    follow::{self, Followed, HOSTS_EVERY, HOSTS_WAIT, OPERATOR_WAIT, Reach, Read, SERVERS_EVERY},
+    heard::Heard,
     input::{Input, Tx},
     maps::MapPartition,
     unreadable::Unreadable,
@@ -33,15 +31,11 @@
         known::Known,
         membership::Standby,
         metrics::Counters,
-        peers::{
-            HostEntry,
-            news::News,
-            source::{LOST_AFTER, Neighbours},
-        },
+        peers::{HostEntry, news::News, order::Neighbours},
         traffic::Gates,
         usage,
     },
-    version::View,
+    version::{KnownTo, View},
 };
 
 /// A grantor and what goes with it.
@@ -62,8 +56,8 @@
     pub(super) counters: Arc<Counters>,
     pub(super) me: Leader,
     pub(super) view: watch::Sender<Arc<View>>,
-    /// No newer configuration than that of the view had been acknowledged before this moment.
-    pub(super) config_as_of: watch::Sender<Option<Instant>>,
+    /// How far the view reaches.
+    pub(super) known_to: watch::Sender<KnownTo>,
     pub(super) gates: watch::Sender<Gates>,
     /// When gates were last told.
     pub(super) gated: Option<Instant>,
@@ -76,13 +70,11 @@
     pub(super) caller: Caller,
     pub(super) known: Known,
     /// When this host last heard of the store, by itself or through others.
-    pub(super) heard: Rc<Cell<Option<Instant>>>,
-    /// When this host itself last read the operator's records.
-    pub(super) heard_operator: Option<Instant>,
-    /// When this host itself last asked the store for the servers' entries, and was answered.
-    pub(super) read_servers: Option<Instant>,
+    pub(super) heard: Rc<Heard>,
+    /// Whether this host asks the store itself.
     pub(super) direct: Rc<watch::Sender<bool>>,
-    pub(super) neighbours: watch::Sender<Neighbours>,
+    /// `None` until the list of hosts is known.
+    pub(super) neighbours: watch::Sender<Option<Neighbours>>,
     pub(super) duties: BTreeSet<u32>,
     pub(super) wish: Rc<duty::Wish>,
     /// Whether this host takes duties, or leaves them to hosts with more processor.
@@ -94,15 +86,16 @@
     pub(super) released: BTreeSet<ServiceName>,
     /// When the word came that the process is about to stop.
     pub(super) stopping: Option<Instant>,
+    /// Whether the store answers this host.
+    pub(super) reach: Rc<Reach>,
     /// Records of the store that can't be read.
     pub(super) unreadable: Unreadable,
 }
 
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
-        let Start {
-            settings, wire, clock, counters, incarnation, view, config_as_of, gates, ..
-        } = start;
+        let Start { settings, wire, clock, counters, incarnation, view, known_to, gates, .. } =
+            start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let standby = Standby::new(clock.now());
         Self {
@@ -115,7 +108,7 @@
             counters,
             me,
             view,
-            config_as_of,
+            known_to,
             gates,
             gated: None,
             noted: None,
@@ -123,10 +116,8 @@
             tx,
             known: Known::default(),
             heard: Rc::default(),
-            heard_operator: None,
-            read_servers: None,
-            direct: Rc::new(watch::channel(true).0),
-            neighbours: watch::channel(Neighbours::default()).0,
+            direct: Rc::new(watch::channel(false).0),
+            neighbours: watch::channel(None).0,
             duties: BTreeSet::new(),
             wish: Rc::default(),
             has_joined: false,
@@ -134,6 +125,7 @@
             granting: BTreeMap::new(),
             released: BTreeSet::new(),
             stopping: None,
+            reach: Rc::default(),
             unreadable: Unreadable::default(),
         }
     }
@@ -143,18 +135,23 @@
         let places = self.wire.places;
         let gate = self.direct.subscribe();
         let once = Duration::ZERO;
-        self.follow((places.operator)(), OPERATOR_WAIT, once, gate.clone(), |asked, c| {
-            Input::Operator(follow::as_of(asked, OPERATOR_WAIT, &c), c)
+        self.follow((places.operator)(), OPERATOR_WAIT, once, gate.clone(), |read| {
+            Input::Operator(read.as_of(), read.changes)
+        });
+        self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), |read| {
+            Input::Servers(read.asked, read.changes)
         });
-        self.follow((places.servers)(), once, SERVERS_EVERY, gate.clone(), Input::Servers);
         let hosts = Partition { topic: places.hosts.into(), number: 0 };
-        self.follow(hosts.clone(), HOSTS_WAIT, HOSTS_EVERY, gate, |_, c| Input::Hosts(c));
-        let entry = HostEntry {
-            addr: self.settings.peers,
-            domain: self.settings.domain.clone(),
-            processor: self.settings.processor,
-        };
-        spawn_local(announce(self.store.lane(), hosts, self.me.host.clone(), entry));
+        self.follow(hosts.clone(), HOSTS_WAIT, HOSTS_EVERY, gate, |read| {
+            Input::Hosts(read.changes)
+        });
+        spawn_local(enlist::run(Enlist {
+            lane: self.store.lane(),
+            list: hosts,
+            host: self.me.host.clone(),
+            entry: self.entry(),
+            tx: self.tx.clone(),
+        }));
         spawn_local(feed::run(Feed {
             clock: self.clock.clone(),
             neighbours: self.neighbours.subscribe(),
@@ -165,6 +162,15 @@
         }));
     }
 
+    /// What this host says of itself in the list of hosts.
+    pub(super) fn entry(&self) -> HostEntry {
+        HostEntry {
+            addr: self.settings.peers,
+            domain: self.settings.domain.clone(),
+            processor: self.settings.processor,
+        }
+    }
+
     /// Records what this process counts against teams.
     pub(super) fn recorder(&self, counted: usage::Counted) -> usage::Recorder {
         usage::Recorder {
@@ -182,11 +188,12 @@
         wait: Duration,
         every: Duration,
         gate: watch::Receiver<bool>,
-        input: impl Fn(Instant, Changes) -> Input + 'static,
+        input: impl Fn(Read) -> Input + 'static,
     ) {
         let followed = Followed { partition, wait, every, gate };
-        let (store, clock, tx) = (self.store.clone(), self.clock.clone(), self.tx.clone());
-        spawn_local(follow::follow(store, followed, clock, tx, input));
+        let (store, reach) = (self.store.clone(), self.reach.clone());
+        let (clock, tx) = (self.clock.clone(), self.tx.clone());
+        spawn_local(follow::follow(store, reach, followed, clock, tx, input));
     }
 
     /// Takes an input.
@@ -196,23 +203,17 @@
             Input::Servers(asked, changes) => self.on_servers(asked, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
             Input::Maps { partition, asked, changes } => self.on_maps(partition, asked, changes),
-            Input::News(at, news) => {
-                let heard = news.maps.clone();
-                let changed = self.known.take_news(*news, at);
-                self.on_changed(changed);
-                self.config_as_of.send_replace(self.known.config_as_of());
-                for (service, map) in heard {
-                    self.step(&service, Event::Heard(map));
-                }
-            }
+            Input::News(answered, news) => self.on_news(answered, *news),
             Input::Question(reply) => {
                 // The task that asked may have been given up meanwhile.
                 let _ = reply.send(self.known.question(feed::WAIT));
             }
             Input::Answer { asked, reply } => {
                 // As above.
-                let news = self.known.news_for(&asked, self.age(), self.clock.now());
-                let _ = reply.send(News { reads_store: self.reads_store(), ..news });
+                let now = self.clock.now();
+                let news = self.known.news_for(&asked, self.heard.age(now), now);
+                let (steps, asks_store) = (self.heard.steps(now), *self.direct.borrow());
+                let _ = reply.send(News { steps, asks_store, ..news });
             }
             Input::Duties(duties) => self.on_duties(duties),
             Input::Put { service, map, asked, at, result } => {
@@ -256,24 +257,6 @@
         let waited = self.clock.now().saturating_duration_since(since);
         self.counters.on_control_wait(input.kind() == Kind::News, waited);
     }
-
-    /// Whether this host reads the store itself, and the store answers it.
-    fn reads_store(&self) -> bool {
-        let now = self.clock.now();
-        let read =
-            self.read_servers.is_some_and(|at| now.saturating_duration_since(at) <= LOST_AFTER);
-        *self.direct.borrow() && read
-    }
-
-    /// How old what is known is. A host that reads the store itself must hear of the servers and of the configuration.
-    fn age(&self) -> Duration {
-        let now = self.clock.now();
-        let since =
-            |at: Option<Instant>| at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let hears_operator =
-            !*self.direct.borrow() || since(self.heard_operator) < OPERATOR_LOST_AFTER;
-        if hears_operator { since(self.heard.get()) } else { since(self.heard_operator) }
-    }
 }
 
 fn open_store(
@@ -285,14 +268,3 @@
     let observer = Observer::new(move |call, err| counters.on_store_call(call, err));
     Client::open(settings.store, wire.store, clock).observed(observer)
 }
-
-/// Says in the store where this host is, until that is kept.
-async fn announce(lane: Lane, to: Partition, host: HostId, entry: HostEntry) {
-    let mut backoff = jacinthbeam_store::Backoff::new(Duration::from_millis(200), REST);
-    let value = Bytes::from(entry.to_bytes());
-    let call = Call::Put { to, key: host.to_string(), value, only_at: None };
-    while let Err(err) = lane.call(&call).await {
-        tracing::info!(part = "hosts", event = "not-announced", error = %err);
-        tokio::time::sleep(backoff.pause()).await;
-    }
-}
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -271,7 +271,8 @@
         };
         News {
             age,
-            reads_store: false,
+            steps: u8::MAX,
+            asks_store: false,
             waited: Duration::ZERO,
             config_age: self.config_as_of.map(|at| now.saturating_duration_since(at)),
             config: config.map(|cfg| (**cfg).clone()),
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -28,7 +28,11 @@
 use jacinthbeam_types::prelude::*;
 use tokio::sync::watch;
 
-use crate::{Settings, Wire, connection::accept::Phase, version::View};
+use crate::{
+    Settings, Wire,
+    connection::accept::Phase,
+    version::{KnownTo, View},
+};
 use metrics::Counters;
 
 pub use sockets::Sockets;
@@ -106,7 +110,7 @@
     let incarnation = Incarnation(fastrand::u64(1..));
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
-    let (config_as_of_tx, config_as_of) = watch::channel(None);
+    let (known_to_tx, known_to) = watch::channel(KnownTo::default());
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
@@ -118,7 +122,7 @@
         usage: usage.clone(),
         incarnation,
         view: view_tx,
-        config_as_of: config_as_of_tx,
+        known_to: known_to_tx,
         gates: gates_tx,
         phase: phase_rx.clone(),
         served: done,
@@ -137,7 +141,7 @@
         counters,
         usage,
         view,
-        config_as_of,
+        known_to,
         phase: phase.subscribe(),
         gates,
     };
--- a/crates/jacinthbeam-host/src/process/peers/link.rs
+++ b/crates/jacinthbeam-host/src/process/peers/link.rs
@@ -14,8 +14,9 @@
     serve::{LocalExecutor, PATH},
 };
 
-/// Longest attempt to connect to a host of the same failure domain, some tenths of a millisecond away, or of another.
-const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+/// Longest attempt to connect to a host: five times the 50 ms that two domains may be apart. A host that has lost its power answers
+/// nothing, and until it is given up its followers hear nothing.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
 /// Time for an answer besides the wait that was asked for.
 const ANSWER_WITHIN: Duration = Duration::from_millis(300);
@@ -47,6 +48,13 @@
     }
 }
 
+impl Error {
+    /// Whether no process listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(err) if err.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// A connection to another host.
 pub(crate) struct Link {
     sender: SendRequest<Full<Bytes>>,
--- a/crates/jacinthbeam-host/src/process/peers/mod.rs
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -4,6 +4,7 @@
 pub(super) mod link;
 pub mod load;
 pub mod news;
+pub mod order;
 pub(super) mod serve;
 pub mod source;
 
--- a/crates/jacinthbeam-host/src/process/peers/news.rs
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -29,8 +29,10 @@
 pub struct News {
     /// How long ago the answering host last heard of the store, by itself or through others.
     pub age: Duration,
-    /// Whether the answering host reads the store itself, and the store answers it.
-    pub reads_store: bool,
+    /// Hosts that these news have passed before the answering one: 0 if it reads the store itself, and the store answers it.
+    pub steps: u8,
+    /// Whether the answering host asks the store itself, answered or not.
+    pub asks_store: bool,
     /// How long the answer was held back until there was something new.
     pub waited: Duration,
     /// No newer configuration had been acknowledged so long ago; `None` if nothing is known of it.
--- a/crates/jacinthbeam-host/src/process/peers/source.rs
+++ b/crates/jacinthbeam-host/src/process/peers/source.rs
@@ -1,11 +1,12 @@
-//! Whom a host asks for news of the store, and whose answers it goes on. No I/O.
+//! Where a host takes the news of the store from: itself, or a host that comes before it in its failure domain. No I/O.
 //!
-//! Calls to the store are limited and priced over all hosts. If each host read for itself, what is asked of the store would
-//! grow with the fleet; so in each failure domain the hosts stand in the order of their names, each asks the first of those
-//! before it that reads the store itself, and only one that finds nobody reads it. Nobody is elected: a host that dies, falls silent
-//! or is cut off from the store is passed over by those behind it within a second or so.
+//! Calls to the store are limited and priced over all hosts, refused and unanswered ones too. If each host read for itself whenever it
+//! hears nothing, what is asked of the store would grow with the fleet: 295 hosts made 22,000 to 33,000 calls on days on which the store
+//! turned a third of them away, was silent for 8 s, or all lost power. So a host turns to the store only when it is its turn, after the
+//! first ones in the order of its domain that are there. At most [`MOST_TRY`] of a domain ask a store that doesn't answer, however long
+//! that lasts.
 //!
-//! A host that the store turns away asks another, of its own failure domain if one there reads the store.
+//! Each answer of a host says how old its news are and over how many hosts they came, so that nobody goes on with old ones or in a ring.
 
 use std::{
     collections::BTreeMap,
@@ -15,115 +16,230 @@
 
 use jacinthbeam_types::prelude::*;
 
-/// Time after which a host that can't read the store looks for another host that can: a pause between reads, and as much again
-/// for a slow answer. What the store acknowledges has two seconds to act everywhere.
+use super::order::{Neighbour, Neighbours};
+
+/// Age of news above which a host looks for others: a pause between reads, and as much again for a slow answer. What the store
+/// acknowledges has two seconds to act everywhere.
 pub const LOST_AFTER: Duration = Duration::from_millis(950);
 
-/// A host before this one that gave no answer, or none to go on, is passed over for this long.
-const PASSED_OVER_FOR: Duration = Duration::from_secs(3);
-
-/// The same for a host that is asked because the store turns this one away. Another may be asked at once, and there are few.
-const BEHIND_FOR: Duration = Duration::from_secs(1);
-
-/// Hosts as the control thread knows them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Neighbours {
-    /// Those before this one in its failure domain, in order.
-    pub before: Vec<(HostId, SocketAddr)>,
-    /// All others of its failure domain, those before it included.
-    pub near: Vec<(HostId, SocketAddr)>,
-    /// All others elsewhere.
-    pub far: Vec<(HostId, SocketAddr)>,
-}
+/// Hosts of a failure domain that ask the store at the same time, at the most, while it gives them no answer. Where it turns away a third of
+/// all hosts, one domain in 27 has three such hosts in front; their news come from another domain then.
+pub const MOST_TRY: usize = 3;
 
-/// Where news are to come from now.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Source {
-    /// From a host before this one, which reads the store for it.
-    Before(HostId, SocketAddr),
-    /// From any host that knows more, since the store turns this one away.
-    Helper(SocketAddr),
-    /// From the store.
-    Store,
-}
+/// Hosts before it that one host asks in turn: those that may try the store, and one more, since one of them may be about to stop.
+const ASKED: usize = MOST_TRY + 1;
+
+/// Time that a host gives each host before it for reading the store, before it reads the store itself: a new reader has its first answer
+/// in some 20 ms, and a host with a tenth of a core stands still for 100 ms at a time.
+const TURN: Duration = Duration::from_millis(150);
+
+/// First and longest pause before a host is asked again that is there, but has nothing to go on. The first is below [`TURN`], and stays for as
+/// long as the hosts before may have their turns, so that a new reader is found before others become readers too. At the longest the first
+/// hosts of a domain of 60 get 70 questions a second.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Pause before a host is asked again at whose address no process listens: all start within 300 ms of each other.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+
+/// First and longest pause before a host is asked again that gave no answer. One that is gone for good stays in the list of hosts, and each
+/// question to it takes a quarter of a second in which nothing is heard.
+const FIRST_SILENT_PAUSE: Duration = Duration::from_secs(3);
+const LONGEST_SILENT_PAUSE: Duration = Duration::from_secs(24);
+
+/// Pause before a host is asked for help again that could give none.
+const HELP_AGAIN: Duration = Duration::from_secs(1);
+
+/// Hosts that news pass on their way to a host that others follow, at the most: the reader of another domain and one of its followers.
+/// Without a bound news pass from host to host down a domain: the last of 23 heard of a leaving server 1.4 s after the first had.
+const MOST_STEPS: u8 = 2;
 
 /// How good the answer of another host is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
     /// How long ago it last heard of the store, by itself or through others.
     pub age: Duration,
-    /// Whether it reads the store itself, and the store answers it.
-    pub reads_store: bool,
+    /// Hosts that its news have passed before it: 0 if it reads the store itself.
+    pub steps: u8,
+    /// Whether it asks the store itself, answered or not.
+    pub asks_store: bool,
 }
 
 impl Answer {
-    /// Whether a host may go on with the answers of one before it.
-    ///
-    /// Only of one that reads the store itself. If hosts that ask others counted too, news would pass from host to host down the
-    /// domain: the last of 23 heard of a leaving server 1.4 s after the first had. And a host that the store turns away would go on to be
-    /// followed by others that it serves, with everything from another domain.
-    pub fn is_worth_following(self) -> bool {
-        self.reads_store && self.age <= LOST_AFTER
+    fn is_fresh(self) -> bool {
+        self.age <= LOST_AFTER
     }
 
-    /// Whether it helps a host that the store turns away.
+    /// Whether a host may go on with the answers of one before it. One that the store answers gives that up only for another such one: else
+    /// two hosts would take their news from each other, one of which is turned away.
+    pub fn is_worth_following(self, reads_store: bool) -> bool {
+        let most = if reads_store { 0 } else { MOST_STEPS };
+        self.is_fresh() && self.steps <= most
+    }
+
+    /// Whether it helps a host that others follow.
     pub fn helps(self) -> bool {
-        self.age <= LOST_AFTER
+        self.is_fresh() && self.steps < MOST_STEPS
     }
 }
 
-/// Which hosts are not asked for now.
+/// Whether a host asks those that its settings name: it knows no other, since the list of hosts is in a store that turns it away, and has
+/// heard of nothing lately.
+pub fn asks_seeds(known: Option<&Neighbours>, age: Duration) -> bool {
+    known.is_none_or(Neighbours::is_empty) && age > LOST_AFTER
+}
+
+/// Why a host gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// No process listens at its address.
+    Refused,
+    /// Nothing came in time, or something that is no answer.
+    Silent,
+}
+
+/// What a host does next for news.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Asks a host before it, and goes on with its answers if they are good.
+    Ask(Neighbour),
+    /// Waits so long, and looks again: it is the turn of others.
+    Wait(Duration),
+    /// Reads the store.
+    Read,
+    /// Asks the store whether it answers again, and meanwhile a host that is not before it.
+    Help(SocketAddr),
+}
+
+/// What came of the questions to a host since there was last something to go on.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    /// When it was first asked.
+    since: Instant,
+    /// It is not asked again before this.
+    again: Instant,
+    /// The pause before that.
+    pause: Duration,
+    /// Whether it counts as away until then.
+    away: bool,
+}
+
+/// What one host remembers of the others as sources.
 #[derive(Debug, Default)]
 pub struct Sources {
-    passed_over: BTreeMap<HostId, Instant>,
-    behind: BTreeMap<SocketAddr, Instant>,
+    asked: BTreeMap<HostId, Asked>,
+    /// Hosts before this one that asked the store without success, and until when that counts.
+    trying: BTreeMap<HostId, Instant>,
+    no_help: BTreeMap<SocketAddr, Instant>,
 }
 
 impl Sources {
-    /// Where news are to come from. `lost` tells that the store doesn't answer this host, `seeds` are asked while no host is known;
-    /// `pick` takes one of several.
-    pub fn choose(
+    /// What to do now. `lost` tells that the store, which this host asks, gives it no answers; `pick` takes one of several.
+    pub fn next(
         &mut self,
         now: Instant,
         neighbours: &Neighbours,
         lost: bool,
-        seeds: &[SocketAddr],
         pick: impl Fn(&[SocketAddr]) -> Option<SocketAddr>,
-    ) -> Source {
-        self.passed_over.retain(|_, until| now < *until);
-        self.behind.retain(|_, until| now < *until);
-        let open = |(host, _): &&(HostId, SocketAddr)| !self.passed_over.contains_key(host);
-        if let Some((host, addr)) = neighbours.before.iter().find(open) {
-            return Source::Before(host.clone(), *addr);
+    ) -> Step {
+        self.trying.retain(|_, until| now < *until);
+        self.no_help.retain(|_, until| now < *until);
+        let there = self.there(now, &neighbours.before);
+        if let Some(host) = there.iter().find(|(host, _)| self.again(host) <= Some(now)) {
+            return Step::Ask((*host).clone());
+        }
+        let trying = there.iter().filter(|(host, _)| self.trying.contains_key(host)).count();
+        let turn = self.turn(&there).filter(|turn| now < *turn);
+        if trying >= MOST_TRY || turn.is_some() {
+            let again = there.iter().filter_map(|(host, _)| self.again(host)).min();
+            let until = again.into_iter().chain(turn).min().unwrap_or(now);
+            return Step::Wait(until.saturating_duration_since(now));
         }
-        let helper = if lost { self.helper(neighbours, seeds, pick) } else { None };
-        helper.map_or(Source::Store, Source::Helper)
+        let help = if lost { pick(&self.helpers(neighbours)) } else { None };
+        help.map_or(Step::Read, Step::Help)
     }
 
-    fn helper(
-        &self,
-        neighbours: &Neighbours,
-        seeds: &[SocketAddr],
-        pick: impl Fn(&[SocketAddr]) -> Option<SocketAddr>,
-    ) -> Option<SocketAddr> {
-        let addrs = |hosts: &[(HostId, SocketAddr)]| -> Vec<SocketAddr> {
-            let open = hosts.iter().filter(|(_, addr)| !self.behind.contains_key(addr));
+    /// The first hosts of those before this one, without those that are away.
+    fn there<'a>(&self, now: Instant, before: &'a [Neighbour]) -> Vec<&'a Neighbour> {
+        let is_away = |host: &HostId| {
+            self.asked.get(host).is_some_and(|asked| asked.away && now < asked.again)
+        };
+        before.iter().filter(|(host, _)| !is_away(host)).take(ASKED).collect()
+    }
+
+    /// When a host may be asked next; `None`, which is before any time, if it was not asked yet.
+    fn again(&self, host: &HostId) -> Option<Instant> {
+        self.asked.get(host).map(|asked| asked.again)
+    }
+
+    /// When each of the hosts before this one has had its time to read the store; `None` if there is none.
+    fn turn(&self, there: &[&Neighbour]) -> Option<Instant> {
+        let since = there.iter().filter_map(|(host, _)| Some(self.asked.get(host)?.since));
+        (1..).zip(since).map(|(place, since)| since + TURN * place).max()
+    }
+
+    /// Hosts that are asked while the store turns this one away: of its own domain first, since what others say crosses its border.
+    fn helpers(&self, neighbours: &Neighbours) -> Vec<SocketAddr> {
+        let open = |hosts: &[Neighbour]| -> Vec<SocketAddr> {
+            let open = hosts.iter().filter(|(_, addr)| !self.no_help.contains_key(addr));
             open.map(|(_, addr)| *addr).collect()
         };
-        let nobody = neighbours.near.is_empty() && neighbours.far.is_empty();
-        let seeds = if nobody { seeds } else { &[] };
-        pick(&addrs(&neighbours.near))
-            .or_else(|| pick(&addrs(&neighbours.far)))
-            .or_else(|| pick(seeds))
+        let near = open(&neighbours.after[..neighbours.after.len().min(MOST_TRY)]);
+        if near.is_empty() { open(&neighbours.far) } else { near }
+    }
+
+    /// A host before this one has answered. Returns whether this one goes on with it. `reads_store` tells whether the store answers this one.
+    pub fn on_answer(
+        &mut self,
+        host: &HostId,
+        answer: Answer,
+        reads_store: bool,
+        now: Instant,
+    ) -> bool {
+        if answer.is_worth_following(reads_store) {
+            self.asked.remove(host);
+            self.trying.remove(host);
+            return true;
+        }
+        if answer.asks_store {
+            self.trying.insert(host.clone(), now + 2 * LONGEST_PAUSE);
+        }
+        let known = self.asked.get(host).filter(|asked| !asked.away);
+        let since = known.map_or(now, |asked| asked.since);
+        let may_become_reader = now < since + TURN * (ASKED as u32 + 1);
+        let pause = match known {
+            Some(asked) if !may_become_reader => (asked.pause * 2).min(LONGEST_PAUSE),
+            _ => FIRST_PAUSE,
+        };
+        self.asked.insert(host.clone(), Asked { since, again: now + pause, pause, away: false });
+        false
+    }
+
+    /// A host before this one gave no answer.
+    pub fn on_no_answer(&mut self, host: &HostId, why: NoAnswer, now: Instant) {
+        self.trying.remove(host);
+        let known = self.asked.get(host);
+        let since = known.map_or(now, |asked| asked.since);
+        let was_away = known.filter(|asked| asked.away);
+        let (pause, away) = match (why, known) {
+            // It may be about to start. If it still doesn't listen at the next question, the hosts behind it have their turn.
+            (NoAnswer::Refused, None) => (REFUSED_PAUSE, false),
+            _ => match was_away {
+                Some(asked) => ((asked.pause * 2).min(LONGEST_SILENT_PAUSE), true),
+                None => (FIRST_SILENT_PAUSE, true),
+            },
+        };
+        self.asked.insert(host.clone(), Asked { since, again: now + pause, pause, away });
     }
 
-    /// A host before this one is of no use now.
-    pub fn pass_over(&mut self, host: HostId, now: Instant) {
-        self.passed_over.insert(host, now + PASSED_OVER_FOR);
+    /// A host that was asked for help could give none.
+    pub fn on_no_help(&mut self, addr: SocketAddr, now: Instant) {
+        self.no_help.insert(addr, now + HELP_AGAIN);
     }
 
-    /// A host that was asked for help knew no more.
-    pub fn was_behind(&mut self, addr: SocketAddr, now: Instant) {
-        self.behind.insert(addr, now + BEHIND_FOR);
+    /// There is nothing to go on any more: what was found of others before is old, but for those that are away.
+    pub fn on_lost(&mut self) {
+        self.asked.retain(|_, asked| asked.away);
+        self.trying.clear();
     }
 }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -19,7 +19,7 @@
     connection::{Pool, accept::Phase},
     process::{metrics::Counters, usage},
     request::story::Stories,
-    version::View,
+    version::{KnownTo, View},
 };
 
 /// Owners that may be sent a part of what is asked of them, and until when that stands.
@@ -43,7 +43,7 @@
     /// Bytes of request bodies that are held.
     pub body_bytes: Cell<usize>,
     view: watch::Receiver<Arc<View>>,
-    config_as_of: watch::Receiver<Option<Instant>>,
+    known_to: watch::Receiver<KnownTo>,
     phase: watch::Receiver<Phase>,
     gates: watch::Receiver<Gates>,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
@@ -84,8 +84,8 @@
     pub usage: usage::Counted,
     /// What is known, as it changes.
     pub view: watch::Receiver<Arc<View>>,
-    /// The moment before which no newer configuration had been acknowledged.
-    pub config_as_of: watch::Receiver<Option<Instant>>,
+    /// How far what is known reaches.
+    pub known_to: watch::Receiver<KnownTo>,
     /// How far a stop has come.
     pub phase: watch::Receiver<Phase>,
     /// What busy owners may be sent, as it changes.
@@ -95,8 +95,7 @@
 impl Traffic {
     /// State of a process that has served nothing yet.
     pub fn new(start: Start) -> Self {
-        let Start { settings, wire, clock, counters, usage, view, config_as_of, phase, gates } =
-            start;
+        let Start { settings, wire, clock, counters, usage, view, known_to, phase, gates } = start;
         Self {
             settings,
             wire,
@@ -106,7 +105,7 @@
             stories: Stories::default(),
             body_bytes: Cell::new(0),
             view,
-            config_as_of,
+            known_to,
             phase,
             gates,
             servers: RefCell::default(),
@@ -132,11 +131,17 @@
     /// heard, that is false for a route that was just added, and the request is lost. Told to come back, the caller reaches another host
     /// or a newer configuration. Asked on this thread and by its own clock, so that it holds also while the other one is held up.
     pub fn config_may_be_old(&self) -> bool {
-        let as_of = *self.config_as_of.borrow();
+        let as_of = self.known_to.borrow().config;
         let age = as_of.map(|at| self.now().saturating_duration_since(at));
         age.is_none_or(|age| age >= self.settings.config_within)
     }
 
+    /// How old what is known of the servers is; `None` if nothing is known.
+    pub fn servers_age(&self) -> Option<Duration> {
+        let as_of = self.known_to.borrow().servers;
+        as_of.map(|at| self.now().saturating_duration_since(at))
+    }
+
     /// Whether this process is about to stop, so that no request may wait for anything.
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() > Phase::Serving
@@ -220,9 +225,20 @@
 
     /// Whether an owner may be sent a request of this rank now.
     pub fn lets_in(&self, owner: &ServerId, rank: u32) -> bool {
+        self.gate(owner).is_none_or(|gate| gate.lets_in(rank, fastrand::f64()))
+    }
+
+    /// What an owner may be sent now; `None` if that is everything.
+    pub fn gate(&self, owner: &ServerId) -> Option<Gate> {
         let gates = self.gates.borrow();
-        let gate = gates.get(owner).filter(|(until, _)| self.now() < *until);
-        gate.is_none_or(|(_, gate)| gate.lets_in(rank, fastrand::f64()))
+        let (until, gate) = gates.get(owner)?;
+        (self.now() < *until).then_some(*gate)
+    }
+
+    /// Requests that this host has at a server.
+    pub fn in_flight(&self, server: &ServerId) -> u32 {
+        let servers = self.servers.borrow();
+        servers.get(server).map_or(0, |state| state.seen.borrow().in_flight())
     }
 
     /// Whether one more repeat is within the budget; takes it if so.
--- a/crates/jacinthbeam-host/src/request/refuse.rs
+++ b/crates/jacinthbeam-host/src/request/refuse.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use jacinthbeam_types::prelude::*;
 
-use super::{answer, body, send::NotRun};
+use super::{answer, body, send::NotRun, story::Basis};
 use crate::process::traffic::Traffic;
 
 /// Hint for a caller whose key has no owner.
@@ -46,14 +46,15 @@
 }
 
 /// Tells of a refusal, counts it, and makes its answer.
-pub(super) fn refuse(
+pub(super) fn refuse<'a>(
     traffic: &Traffic,
     id: &HeaderValue,
     route: &str,
     refusal: &Refusal,
     received: Instant,
+    basis: impl FnOnce() -> Basis<'a>,
 ) -> Response<Full<Bytes>> {
-    traffic.stories.on_refused(traffic.now(), id, route, refusal, received);
+    traffic.stories.on_refused(traffic.now(), id, route, refusal, received, basis);
     traffic.counters.on_refusal(refusal);
     answer::refused(&traffic.wire, id, refusal)
 }
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -24,7 +24,7 @@
     body,
     refuse::{CONFIG_IN, OWNER_IN, bad, bad_body, not_run, refuse},
     send::{self, Lost, NotRun, Sent, Whole},
-    story,
+    story::{self, Basis},
 };
 use crate::{
     process::{traffic::Traffic, usage::Use},
@@ -83,14 +83,14 @@
     };
     let Some(cfg) = view.config.clone() else {
         let refusal = Refusal::not_run(Reason::NoConfiguration).retry_after(CONFIG_IN);
-        return refuse(&traffic, &caller.id, "-", &refusal, received);
+        return refuse(&traffic, &caller.id, "-", &refusal, received, Basis::default);
     };
     let Some(route) = find_route(&cfg, &parts) else {
         let refusal = match traffic.config_may_be_old() {
             true => Refusal::not_run(Reason::OldConfiguration).retry_after(CONFIG_IN),
             false => Refusal::not_run(Reason::UnknownService),
         };
-        return refuse(&traffic, &caller.id, "-", &refusal, received);
+        return refuse(&traffic, &caller.id, "-", &refusal, received, Basis::default);
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + patience;
@@ -102,7 +102,7 @@
     };
     let Some((name, service)) = pick_service(&traffic, &cfg, &route) else {
         let refusal = Refusal::not_run(Reason::NoOwner);
-        return refuse(&traffic, &caller.id, &route.name, &refusal, received);
+        return refuse(&traffic, &caller.id, &route.name, &refusal, received, Basis::default);
     };
     if service.keyed && caller.key.is_none() {
         return bad(&traffic, "the service is divided by key and the request names none");
@@ -329,5 +329,23 @@
     let left = job.left();
     let hint = refusal.retry_after.map(|room_in| retry_after(room_in, left, fastrand::f64()));
     let refusal = Refusal { retry_after: hint, ..refusal };
-    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received)
+    let basis = || basis(job, tried.len());
+    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
+}
+
+/// What the refusal of a request is decided by, for its line in the log.
+fn basis(job: &Job, tried: usize) -> Basis<'_> {
+    let key = job.key.filter(|_| job.keyed);
+    let view = job.traffic.view();
+    let owner = key.and_then(|key| view.maps.get(&job.service)?.of(key).owner.clone());
+    let owner = owner.map(|owner| owner.server);
+    Basis {
+        service: Some(&job.service),
+        key,
+        gate: owner.as_ref().and_then(|owner| job.traffic.gate(owner)),
+        in_flight: owner.as_ref().map_or(0, |owner| job.traffic.in_flight(owner)),
+        owner,
+        tried,
+        servers_age: job.traffic.servers_age(),
+    }
 }
--- a/crates/jacinthbeam-host/src/request/story.rs
+++ b/crates/jacinthbeam-host/src/request/story.rs
@@ -3,9 +3,13 @@
 //! Each send to a server that was no plain success is told, and each refusal and failure, with what decided it and how old
 //! that was. Successes are told for one request in ten and counted for all.
 
-use std::{cell::RefCell, time::Instant};
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
 
 use http::HeaderValue;
+use jacinthbeam_range::{Key, admission::Gate};
 use jacinthbeam_types::prelude::*;
 
 use super::send::Sent;
@@ -40,7 +44,7 @@
     /// The service.
     pub service: &'a ServiceName,
     /// The key, if the service has any.
-    pub key: Option<jacinthbeam_range::Key>,
+    pub key: Option<Key>,
     /// The server.
     pub server: &'a ServerId,
     /// Counts the sends of the request from 1.
@@ -49,6 +53,25 @@
     pub received: Instant,
 }
 
+/// What a refusal was decided by.
+#[derive(Debug, Default)]
+pub struct Basis<'a> {
+    /// The service; `None` if the request came to none.
+    pub service: Option<&'a ServiceName>,
+    /// The key, if the service has any.
+    pub key: Option<Key>,
+    /// Its owner, by the map that this host knows.
+    pub owner: Option<ServerId>,
+    /// What the owner might be sent, if that was not everything.
+    pub gate: Option<Gate>,
+    /// Requests that this host has at the owner.
+    pub in_flight: u32,
+    /// Servers that were tried before.
+    pub tried: usize,
+    /// How old what is known of the servers is.
+    pub servers_age: Option<Duration>,
+}
+
 impl Stories {
     /// Tells of a send.
     pub fn on_sent(&self, now: Instant, send: &Send<'_>, view: &View, sent: &Sent) {
@@ -84,16 +107,18 @@
         );
     }
 
-    /// Tells of a request that got no answer of a server.
-    pub fn on_refused(
+    /// Tells of a request that got no answer of a server. `basis` is worked out for lines that are written.
+    pub fn on_refused<'a>(
         &self,
         now: Instant,
         id: &HeaderValue,
         route: &str,
         refusal: &Refusal,
         received: Instant,
+        basis: impl FnOnce() -> Basis<'a>,
     ) {
         let Some(left_out) = self.ends.borrow_mut().take(now) else { return };
+        let basis = basis();
         tracing::info!(
             part = "request",
             event = "refused",
@@ -103,6 +128,14 @@
             reason = ?refusal.reason,
             retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64),
             took_ms = millis(now, received),
+            service = basis.service.map(tracing::field::display),
+            key = basis.key.map(|key| key.0),
+            owner = basis.owner.as_ref().map(tracing::field::display),
+            gate_rank = basis.gate.map(|gate| gate.rank),
+            gate_share = basis.gate.map(|gate| gate.share),
+            in_flight = basis.in_flight,
+            tried = basis.tried,
+            servers_age_ms = basis.servers_age.map(|age| age.as_millis() as u64),
             left_out,
         );
     }
--- a/crates/jacinthbeam-host/src/version/mod.rs
+++ b/crates/jacinthbeam-host/src/version/mod.rs
@@ -2,4 +2,4 @@
 
 mod view;
 
-pub use view::{Leaving, View};
+pub use view::{KnownTo, Leaving, View};
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// How far what a host knows reaches. Told beside the view, since it changes with each read, also of one that finds nothing new.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownTo {
+    /// No newer configuration than that of the view had been acknowledged before this moment; `None` if nothing is known of it.
+    pub config: Option<Instant>,
+    /// Everything that the store had taken of the servers before this moment is in the view.
+    pub servers: Option<Instant>,
+}
+
 /// When the store took the word that a server leaves, at the earliest.
 ///
 /// The time at which this host heard of it is no bound: news that pass several hosts, or a host that is behind, were seen to take 1.4 s,
