fix(host): a host whose control thread has no time sends nothing to what may have left

Cause: a host that has no time for what it hears goes on by the list of servers of before.

Change: the control thread says at each tick how far what is known reaches. Once it has been silent for a second and the list is as old as a leaving server may still be sent requests, the traffic thread refuses as not run. While it has its turns, old news mean that the store is away, and serving goes on.

--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -29,9 +29,12 @@
     }
 
     /// Tells the traffic thread how far what is known reaches: after what is known itself.
-    fn tell_known_to(&self) {
-        let config = self.known.config_as_of();
-        self.known_to.send_replace(KnownTo { config, servers: self.known.servers_as_of() });
+    pub(super) fn tell_known_to(&self) {
+        self.known_to.send_replace(KnownTo {
+            config: self.known.config_as_of(),
+            servers: self.known.servers_as_of(),
+            told: Some(self.clock.now()),
+        });
     }
 
     fn on_config(&mut self, item: &Item) {
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -229,6 +229,7 @@
             }
             Input::Datagram(message) => self.on_datagram(message),
             Input::Tick => {
+                self.tell_known_to();
                 self.stand_by();
                 self.step_all(&Event::Tick);
                 self.set_gates();
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -136,6 +136,11 @@
         age.is_none_or(|age| age >= self.settings.config_within)
     }
 
+    /// Whether servers may have left `drain_within` ago and this host has had no time to hear of it.
+    pub fn is_held_up(&self, drain_within: Duration) -> bool {
+        self.known_to.borrow().is_held_up(self.now(), drain_within)
+    }
+
     /// How old what is known of the servers is; `None` if nothing is known.
     pub fn servers_age(&self) -> Option<Duration> {
         let as_of = self.known_to.borrow().servers;
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -250,11 +250,14 @@
 
 fn find_server(job: &Job, view: &View, tried: &[ServerId]) -> Option<Server> {
     let now = job.traffic.now();
+    let grace = job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY);
+    if job.traffic.is_held_up(grace) {
+        return None;
+    }
     if job.keyed {
         let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
         let server = view.servers.get(&owner.server)?;
         let ended = job.traffic.server(server).ended.get();
-        let grace = job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY);
         let may = !ended && view.may_send(&server.id, now, grace);
         return may.then(|| server.clone());
     }
