refactor(host): what became of a send, and the lines that tell of it, lie below those that use them

process::{metrics,traffic,usage} and request::{send,story} named each other: a newcomer could read none without all five. The outcome of a send is a module of its own (sent), and the lines that tell of requests lie with what lives as long as the process (process::stories). request knows process now, process knows of request only where it starts to serve and for plain answers. No behaviour changes.

--- a/crates/jacinthbeam-host/src/lib.rs
+++ b/crates/jacinthbeam-host/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod operators;
 pub mod process;
 pub mod request;
+pub mod sent;
 pub mod settings;
 pub mod version;
 pub mod wire;
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -12,7 +12,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::request::send::Sent;
+use crate::sent::Sent;
 
 /// Bounds of the time buckets in seconds, around the objectives of callers.
 const SECONDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod serving;
 mod sockets;
 pub mod status;
+pub mod stories;
 pub mod traffic;
 pub mod usage;
 
--- a/crates/jacinthbeam-host/src/request/story.rs
+++ b/crates/jacinthbeam-host/src/process/stories.rs
@@ -12,8 +12,8 @@
 use jacinthbeam_range::{Key, admission::Gate};
 use jacinthbeam_types::prelude::*;
 
-use super::send::Sent;
-use crate::{process::logs::Quota, version::View};
+use super::logs::Quota;
+use crate::{sent::Sent, version::View};
 
 /// Plain successes of which one is told. A host answers some thirty a second; three lines a second are enough to compare with.
 const SAMPLE: u64 = 10;
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -17,8 +17,7 @@
 use crate::{
     Settings, Wire,
     connection::{Pool, accept::Phase},
-    process::{metrics::Counters, usage},
-    request::story::Stories,
+    process::{metrics::Counters, stories::Stories, usage},
     version::{KnownTo, View},
 };
 
--- a/crates/jacinthbeam-host/src/process/usage.rs
+++ b/crates/jacinthbeam-host/src/process/usage.rs
@@ -17,7 +17,7 @@
 use jacinthbeam_types::prelude::{ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 
-use crate::request::send::Sent;
+use crate::sent::Sent;
 
 /// Pause between two records of the totals: what a lost process can cost, against one call to the store.
 pub const RECORD_EVERY: Duration = Duration::from_secs(5);
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -5,6 +5,5 @@
 mod refuse;
 pub mod send;
 pub mod serve;
-pub mod story;
 
 pub use serve::serve;
--- a/crates/jacinthbeam-host/src/request/refuse.rs
+++ b/crates/jacinthbeam-host/src/request/refuse.rs
@@ -7,8 +7,11 @@
 use http_body_util::Full;
 use jacinthbeam_types::prelude::*;
 
-use super::{answer, body, send::NotRun, story::Basis};
-use crate::process::traffic::Traffic;
+use super::{answer, body};
+use crate::{
+    process::{stories::Basis, traffic::Traffic},
+    sent::NotRun,
+};
 
 /// Hint for a caller whose key has no owner.
 pub(super) const OWNER_IN: Duration = Duration::from_millis(500);
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -17,6 +17,7 @@
 use crate::{
     connection::pool::{self, Lent},
     process::traffic::{ServerState, Traffic},
+    sent::{Lost, NotRun, Sent},
     wire::{Forward, Told},
 };
 
@@ -35,48 +36,6 @@
     pub id: HeaderValue,
 }
 
-/// What became of a request at one server.
-#[derive(Debug)]
-pub enum Sent {
-    /// The server's answer, whole.
-    Answered {
-        /// As the server gave it, without headers of its connection.
-        res: Response<Full<Bytes>>,
-        /// Whether it is a signed success.
-        good: bool,
-    },
-    /// It did not run there.
-    NotRun(NotRun),
-    /// It may have run; no answer that can be passed on has come.
-    Lost(Lost),
-}
-
-/// Why a request did not run at a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NotRun {
-    /// The server has no room.
-    Full,
-    /// The server doesn't hold the key.
-    NotOwner,
-    /// Another server has the address.
-    OtherServer,
-    /// The server can't be reached.
-    Unreachable,
-    /// This host has no connection left for the server.
-    NoConnection,
-    /// Another reason of the server's.
-    Refused,
-}
-
-/// Why the fate of a request is not known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lost {
-    /// The connection ended, or what came is not the answer.
-    Broken,
-    /// No whole answer came in time.
-    Late,
-}
-
 /// Longest answer that is held. It is read whole before the caller gets any of it, so that one that breaks off can't look
 /// complete and can be asked for again.
 const MOST_ANSWER: usize = 16 << 20;
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -23,11 +23,15 @@
 use super::{
     body,
     refuse::{CONFIG_IN, OWNER_IN, bad, bad_body, not_run, refuse},
-    send::{self, Lost, NotRun, Sent, Whole},
-    story::{self, Basis},
+    send::{self, Whole},
 };
 use crate::{
-    process::{traffic::Traffic, usage::Use},
+    process::{
+        stories::{self, Basis},
+        traffic::Traffic,
+        usage::Use,
+    },
+    sent::{Lost, NotRun, Sent},
     version::View,
     wire::BadCaller,
 };
@@ -216,7 +220,7 @@
 
 impl Job {
     fn tell(&self, view: &View, server: &Server, number: u32, sent: &Sent) {
-        let send = story::Send {
+        let send = stories::Send {
             id: &self.whole.id,
             route: &self.route.name,
             service: &self.service,
