fix(host): a read that got the turn to ask too late holds up no other; a reader with old maps is not followed

Each reader's partitions then ask one at a time whether it is back. Nothing kept others from following that reader: its age didn't count maps.

Change: a turn is given back unless the store is still away; what a host knows is as old as its oldest read, maps included, each less the time that its reads may wait.

--- a/crates/jacinthbeam-host/src/process/control/follow.rs
+++ b/crates/jacinthbeam-host/src/process/control/follow.rs
@@ -1,7 +1,6 @@
 //! Following the store.
 
 use std::{
-    cell::Cell,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,9 +11,10 @@
     keyed::{Changes, Follower},
 };
 use jacinthbeam_types::prelude::*;
-use tokio::sync::{Mutex, watch};
+use tokio::sync::watch;
 
 use super::input::{Input, Tx};
+use crate::process::reach::Reach;
 
 /// Longest wait of a read for the next host: two calls a minute, and nothing depends on hearing of one at once.
 pub(super) const HOSTS_WAIT: Duration = Duration::from_secs(25);
@@ -37,6 +37,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
 
+/// Time after which a host that has heard nothing of a map of owners is not followed by others: the longest wait of a read, and a second for a
+/// slow answer or one that is lost.
+pub(super) const MAPS_LOST_AFTER: Duration = Duration::from_millis(5800);
+
 /// Time after which a host that has heard nothing of the configuration is not followed by others.
 pub(super) const OPERATOR_LOST_AFTER: Duration = Duration::from_millis(1900);
 
@@ -72,31 +76,6 @@
     }
 }
 
-/// Reads that failed one after the other, of any partition, from which on the store counts as away. Single answers are lost now and then, and
-/// what they held has two seconds to act.
-const AWAY_AFTER: u32 = 3;
-
-/// Whether the store answers the reads of this host.
-///
-/// While it is away, one read at a time asks whether it is back. Each partition asking for itself would cost four times as many calls, each
-/// of them priced, for the same answer.
-#[derive(Debug, Default)]
-pub(super) struct Reach {
-    failed: Cell<u32>,
-    turn: Mutex<()>,
-}
-
-impl Reach {
-    fn is_away(&self) -> bool {
-        self.failed.get() >= AWAY_AFTER
-    }
-
-    fn on_read(&self, done: bool) {
-        let failed = if done { 0 } else { self.failed.get().saturating_add(1) };
-        self.failed.set(failed);
-    }
-}
-
 /// Follows a partition for ever. `input` makes an input of what was read.
 pub(super) async fn follow(
     store: Client,
@@ -119,9 +98,9 @@
                 return;
             }
         }
-        let turn = if reach.is_away() { Some(reach.turn.lock().await) } else { None };
+        let turn = reach.turn().await;
         // A read that asks whether the store is back waits for nothing else.
-        let wait = if reach.is_away() { Duration::ZERO } else { followed.wait };
+        let wait = if turn.is_some() { Duration::ZERO } else { followed.wait };
         let asked = clock.now();
         let result = follower.look(&lane, wait).await;
         reach.on_read(result.is_ok());
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -101,6 +101,7 @@
 
     pub(super) fn on_maps(&mut self, number: u32, asked: Instant, changes: Changes) {
         let Some(partition) = self.partitions.get_mut(&number) else { return };
+        self.heard.on_maps(number, self.clock.now());
         let newer = partition.take(changes);
         let mut changed = Changed::default();
         for (service, map) in newer {
--- a/crates/jacinthbeam-host/src/process/control/heard.rs
+++ b/crates/jacinthbeam-host/src/process/control/heard.rs
@@ -1,11 +1,12 @@
 //! When this host last heard of the store, and over how many other hosts.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
-use super::follow::OPERATOR_LOST_AFTER;
+use super::follow::{MAPS_LOST_AFTER, OPERATOR_LOST_AFTER};
 use crate::process::peers::source::LOST_AFTER;
 
 /// What the store, or hosts that follow it, let this host hear.
@@ -15,6 +16,8 @@
     servers: Cell<Option<Instant>>,
     /// When the store last answered a read of the operator's records.
     operator: Cell<Option<Instant>>,
+    /// When each partition of maps was last read of those that this host reads.
+    maps: RefCell<BTreeMap<u32, Instant>>,
     /// How far another host's news reached at the latest, and the hosts that they had passed, that one included.
     others: Cell<Option<(Instant, u8)>>,
 }
@@ -28,6 +31,11 @@
         self.operator.set(Some(now));
     }
 
+    /// A read of a partition of maps was answered.
+    pub(super) fn on_maps(&self, number: u32, now: Instant) {
+        self.maps.borrow_mut().insert(number, now);
+    }
+
     /// News of another host, which were true at `at` and had passed `steps` hosts before it.
     pub(super) fn on_news(&self, at: Option<Instant>, steps: u8) {
         let Some(at) = at else { return };
@@ -41,11 +49,14 @@
         self.operator.get()
     }
 
-    /// Since when there may be something that the store didn't tell this host itself, of the servers or the operator. A read for the operator
-    /// waits for a second, so that its answers may be older.
+    /// Since when there may be something that the store didn't tell this host itself, of the servers, the operator or the owners. Reads for
+    /// the operator and for maps wait, so that their answers may be older.
     fn by_itself(&self) -> Option<Instant> {
         let operator = self.operator.get()? + (OPERATOR_LOST_AFTER - LOST_AFTER);
-        Some(self.servers.get()?.min(operator))
+        let maps = self.maps.borrow();
+        let maps = maps.values().map(|at| *at + (MAPS_LOST_AFTER - LOST_AFTER)).min();
+        let heard = self.servers.get()?.min(operator);
+        Some(maps.map_or(heard, |maps| maps.min(heard)))
     }
 
     /// Whether the store answers this host's own reads.
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 mod pages;
 pub mod peers;
+pub mod reach;
 mod server_lines;
 mod serving;
 mod sockets;
