test(dispatch): what a host of sixty sees of its servers, and what a few servers a host would bring

Own observation, as the product has it, against eight servers a host (evenly shared among the hosts of a domain), counts told four times a second, and a broker: one failure domain of the large deployment at 76 % of what its servers do. Not built: next, and to be measured on the grown and large deployments.

--- a/crates/jacinthbeam-dispatch/tests/load.rs
+++ b/crates/jacinthbeam-dispatch/tests/load.rs
@@ -2,9 +2,11 @@
 //!
 //! The pattern: orders at 85 % of what twelve servers can do (the usual 62 a second, 1.7 times), 0.29 s of work each with a spread
 //! of a half, two thirds of the servers slower than the others, three slots and twelve places of a queue each, through twelve hosts
-//! that each see a twelfth of it. Three ways to choose a server are compared by the same rule of expected time:
+//! that each see a twelfth of it; and one failure domain of a large deployment at 76 %, through 59 hosts that each see a sixtieth.
+//! Four ways to choose a server are compared by the same rule of expected time:
 //!
 //! - each host goes by what it has seen itself, as the product does;
+//! - the same, but each host asks eight of the servers only, evenly shared among the hosts, and others only when these are full;
 //! - hosts tell each other four times a second how many requests they have at each server;
 //! - one broker knows at every moment how many requests are where, at no cost. Nothing that is built can do better than that.
 
@@ -18,18 +20,31 @@
     choose::{Candidate, best},
 };
 
-const HOSTS: usize = 12;
+/// A service, and the hosts that share it.
+#[derive(Clone, Copy)]
+struct Sheet {
+    hosts: usize,
+    servers: usize,
+    work_s: f64,
+    objective_s: f64,
+}
+
+const SMALL: Sheet = Sheet { hosts: 12, servers: 12, work_s: 0.29, objective_s: 0.8 };
+
+/// One failure domain of the large deployment: each host sees a sixtieth of what its servers do.
+const LARGE: Sheet = Sheet { hosts: 59, servers: 53, work_s: 0.35, objective_s: 1.0 };
+
 const SLOTS: usize = 3;
 const PLACES: usize = 15;
-const SPEEDS: [f64; 12] = [0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6];
-const WORK_S: f64 = 0.29;
-const OBJECTIVE_S: f64 = 0.8;
+const SPEEDS: [f64; 3] = [0.7, 0.7, 1.6];
 const MOST_SENDS: usize = 3;
+const FEW: usize = 8;
 const EXCHANGE_S: f64 = 0.25;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Way {
     Own,
+    Few,
     Shared,
     Broker,
 }
@@ -56,6 +71,7 @@
 }
 
 struct World {
+    sheet: Sheet,
     way: Way,
     rng: fastrand::Rng,
     epoch: Instant,
@@ -70,16 +86,17 @@
 }
 
 impl World {
-    fn new(way: Way, seed: u64) -> Self {
-        let count = SPEEDS.len();
+    fn new(sheet: Sheet, way: Way, seed: u64) -> Self {
+        let count = sheet.servers;
         Self {
+            sheet,
             way,
             rng: fastrand::Rng::with_seed(seed),
             epoch: Instant::now(),
             now: 0.0,
             servers: (0..count).map(|_| Server::default()).collect(),
-            seen: (0..HOSTS).map(|_| (0..count).map(|_| Seen::default()).collect()).collect(),
-            told: (0..count).map(|_| (0, vec![0; HOSTS])).collect(),
+            seen: (0..sheet.hosts).map(|_| (0..count).map(|_| Seen::default()).collect()).collect(),
+            told: (0..count).map(|_| (0, vec![0; sheet.hosts])).collect(),
             exchanged: 0.0,
             in_time: 0,
             all: 0,
@@ -105,7 +122,7 @@
             seen.end(begun);
             seen.on_answer(Duration::from_secs_f64(end - done.sent));
             self.all += 1;
-            self.in_time += u32::from(end - done.came <= OBJECTIVE_S);
+            self.in_time += u32::from(end - done.came <= self.sheet.objective_s);
             if !self.servers[n].waiting.is_empty() {
                 let next = self.servers[n].waiting.remove(0);
                 self.start(n, next);
@@ -117,14 +134,14 @@
     fn start(&mut self, n: usize, request: At) {
         // Mean 1, spread a half.
         let spread = 0.25 + 1.5 * self.rng.f64();
-        let end = self.now + WORK_S * spread / SPEEDS[n];
+        let end = self.now + self.sheet.work_s * spread / SPEEDS[n % SPEEDS.len()];
         self.servers[n].running.push((end, request));
     }
 
     /// Requests of others at a server, as this host knows them.
     fn others(&self, host: usize, n: usize) -> usize {
         match self.way {
-            Way::Own => 0,
+            Way::Own | Way::Few => 0,
             Way::Shared => self.told[n].0 - self.told[n].1[host],
             Way::Broker => {
                 let server = &self.servers[n];
@@ -136,7 +153,8 @@
 
     fn choose(&mut self, host: usize, tried: &[usize]) -> Option<usize> {
         let now = self.at(self.now);
-        let ids: Vec<usize> = (0..SPEEDS.len()).filter(|n| !tried.contains(n)).collect();
+        let ids: Vec<usize> = (0..self.sheet.servers).filter(|n| !tried.contains(n)).collect();
+        let ids = if self.way == Way::Few { self.few(host, ids) } else { ids };
         // What others have there is entered as requests that have just begun, which is all that the rule needs of them.
         let seen: BTreeMap<usize, Seen> = ids
             .iter()
@@ -156,8 +174,19 @@
         best(candidates, now, || self.rng.f64()).copied()
     }
 
+    /// Those of the servers that are a host's to ask, if one of them has room.
+    fn few(&self, host: usize, ids: Vec<usize>) -> Vec<usize> {
+        let now = self.at(self.now);
+        let Sheet { servers, hosts, .. } = self.sheet;
+        let first = host * servers / hosts;
+        let is_mine = |n: &usize| (n + servers - first) % servers < FEW;
+        let is_open = |n: &usize| is_mine(n) && !self.seen[host][*n].is_full(now);
+        let mine: Vec<usize> = ids.iter().copied().filter(is_open).collect();
+        if mine.is_empty() { ids } else { mine }
+    }
+
     fn arrive(&mut self) {
-        let (host, came) = (self.rng.usize(0..HOSTS), self.now);
+        let (host, came) = (self.rng.usize(0..self.sheet.hosts), self.now);
         let mut tried = Vec::new();
         while tried.len() < MOST_SENDS {
             let Some(n) = self.choose(host, &tried) else { break };
@@ -183,7 +212,7 @@
     fn exchange(&mut self) {
         self.exchanged = self.now;
         for (told, server) in self.told.iter_mut().zip(&self.servers) {
-            *told = (0, vec![0; HOSTS]);
+            *told = (0, vec![0; self.sheet.hosts]);
             let all = server.running.iter().map(|(_, at)| at).chain(&server.waiting);
             for at in all {
                 told.0 += 1;
@@ -207,17 +236,17 @@
     }
 }
 
-fn share(way: Way, rate: f64) -> f64 {
-    (1..=8).map(|seed| World::new(way, seed).play(rate)).sum::<f64>() / 8.0
+fn share(sheet: Sheet, way: Way, rate: f64) -> f64 {
+    (1..=8).map(|seed| World::new(sheet, way, seed).play(rate)).sum::<f64>() / 8.0
 }
 
 /// At the usual rate of the sheets, the most that any sharing could bring is below a hundredth.
 #[test]
 fn own_observation_is_enough_at_the_usual_rate() {
-    let (own, broker) = (share(Way::Own, 62.3), share(Way::Broker, 62.3));
+    let (own, broker) = (share(SMALL, Way::Own, 62.3), share(SMALL, Way::Broker, 62.3));
     println!(
         "62 a second: own {own:.3}, shared {:.3}, broker {broker:.3}",
-        share(Way::Shared, 62.3)
+        share(SMALL, Way::Shared, 62.3)
     );
     assert!(own > 0.97 && broker - own < 0.01, "own {own:.3}, broker {broker:.3}");
 }
@@ -225,7 +254,21 @@
 /// In a burst at 85 % of what the servers can do.
 #[test]
 fn own_observation_loses_little_in_a_burst() {
-    let ways = [Way::Own, Way::Shared, Way::Broker].map(|way| share(way, 106.0));
+    let ways = [Way::Own, Way::Shared, Way::Broker].map(|way| share(SMALL, way, 106.0));
     println!("106 a second: own {:.3}, shared {:.3}, broker {:.3}", ways[0], ways[1], ways[2]);
     assert!(ways[0] > 0.9, "own {:.3} of {:.3}", ways[0], ways[2]);
 }
+
+/// Where sixty hosts share the servers of a domain, each sees too little of each server. Of its own observation it loses what a broker would
+/// save, 0.94 of 1.00; by counts told four times a second all hosts run to the same server, 0.78; eight servers a host, 0.99.
+#[test]
+fn a_host_of_sixty_sees_enough_of_a_few_servers() {
+    let share =
+        |way| (1..=2).map(|seed| World::new(LARGE, way, seed).play(345.0)).sum::<f64>() / 2.0;
+    let ways = [Way::Own, Way::Few, Way::Shared, Way::Broker].map(share);
+    println!(
+        "own {:.3}, few {:.3}, shared {:.3}, broker {:.3}",
+        ways[0], ways[1], ways[2], ways[3]
+    );
+    assert!(ways[1] > ways[0] && ways[3] - ways[1] < 0.03, "{ways:?}");
+}
