--- a/crates/jacinthbeam-host/src/process/peers/source.rs
+++ b/crates/jacinthbeam-host/src/process/peers/source.rs
@@ -29,8 +29,8 @@
 /// Hosts before it that one host asks in turn: those that may try the store, and one more, since one of them may be about to stop.
 const ASKED: usize = MOST_TRY + 1;
 
-/// Time that a host gives each host before it for reading the store, before it reads the store itself: a new reader has its first answer
-/// in some 20 ms, and a host with a tenth of a core stands still for 100 ms at a time.
+/// Time that a host gives each host before it for reading the store, before it reads the store itself: a new reader is assumed to have
+/// its first answer in some 20 ms, and a host with a tenth of a core stands still for 100 ms at a time.
 const TURN: Duration = Duration::from_millis(150);
 
 /// First and longest pause before a host is asked again that is there, but has nothing to go on. The first is below [`TURN`], and stays for as
--- a/crates/jacinthbeam-range/src/grantor/moving.rs
+++ b/crates/jacinthbeam-range/src/grantor/moving.rs
@@ -19,7 +19,7 @@
     /// If no answer comes, the range stays without an owner until the old grant has surely run out: the release may not have arrived, and
     /// the old owner would go on serving beside the new one. That is one hold after the release was ordered, however long the answer
     /// is waited for. Counted from the end of that wait, the keys of a server that ended with requests of theirs had no owner for 7.5 s
-    /// in place of 3.6.
+    /// in place of 3.6, as reckoned from the spans.
     Releasing(Ordered),
     /// The old owner holds the keys no longer.
     Free(Option<String>),
