feat(host): the line of a send whose fate is unknown tells the caller's address and the request's fingerprint

Cause: nothing in logs tells that two attempts are the same request of the same caller, which is what tells the hypotheses of the crashing request apart (docs/incidents/crashing-request.md). No decision rests on it yet.

--- a/crates/jacinthbeam-host/src/connection/accept.rs
+++ b/crates/jacinthbeam-host/src/connection/accept.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, future::Future, net::IpAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, header};
@@ -68,9 +68,10 @@
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
                 let limits = limits().unwrap_or(LIMITS_UNKNOWN);
-                spawn_local(one(stream, cx.clone(), limits, serve.clone()));
+                let from = CallerAddr(from.ip());
+                spawn_local(one(stream, from, cx.clone(), limits, serve.clone()));
             }
             Err(err) => {
                 tracing::warn!(part = "connection", event = "accept-failed", error = ?err);
@@ -80,6 +81,10 @@
     }
 }
 
+/// Where a request comes from: an extension of each request that is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerAddr(pub IpAddr);
+
 /// Counts a connection for as long as it lives.
 struct Counted(Rc<Cell<usize>>);
 
@@ -96,7 +101,7 @@
     }
 }
 
-async fn one<S, F>(stream: TcpStream, cx: Context, limits: Limits, serve: S)
+async fn one<S, F>(stream: TcpStream, from: CallerAddr, cx: Context, limits: Limits, serve: S)
 where
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
@@ -108,7 +113,8 @@
     let activity = Activity::new();
     let io = TokioIo::new(Noted::new(stream, activity.clone()));
     let (noted, phase) = (activity.clone(), cx.phase.clone());
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(from);
         let (noted, phase, serve) = (noted.clone(), phase.clone(), serve.clone());
         async move {
             noted.request_begins();
--- a/crates/jacinthbeam-host/src/process/stories.rs
+++ b/crates/jacinthbeam-host/src/process/stories.rs
@@ -5,10 +5,12 @@
 
 use std::{
     cell::RefCell,
+    net::IpAddr,
     time::{Duration, Instant},
 };
 
 use http::HeaderValue;
+use jacinthbeam_crash::Fingerprint;
 use jacinthbeam_range::{Key, admission::Gate};
 use jacinthbeam_types::prelude::*;
 
@@ -51,6 +53,8 @@
     pub number: u32,
     /// When the request came.
     pub received: Instant,
+    /// Where it came from, if that is known.
+    pub from: Option<IpAddr>,
 }
 
 /// What a refusal was decided by.
@@ -73,8 +77,16 @@
 }
 
 impl Stories {
-    /// Tells of a send.
-    pub fn on_sent(&self, now: Instant, send: &Send<'_>, view: &View, sent: &Sent) {
+    /// Tells of a send. `same` gives the fingerprint of the request, which is worked out where its line has it: if nobody knows
+    /// what became of it, it may be the request that ended its server, and will come again as another attempt.
+    pub fn on_sent(
+        &self,
+        now: Instant,
+        send: &Send<'_>,
+        view: &View,
+        sent: &Sent,
+        same: impl FnOnce() -> Fingerprint,
+    ) {
         let (outcome, why, status) = match sent {
             Sent::Answered { res, good } => {
                 if *good && send.number == 1 && fastrand::u64(..SAMPLE) > 0 {
@@ -87,6 +99,9 @@
         };
         let Some(left_out) = self.sends.borrow_mut().take(now) else { return };
         let map = view.maps.get(send.service);
+        let lost = matches!(sent, Sent::Lost(_));
+        let from = send.from.filter(|_| lost);
+        let fingerprint = lost.then(same);
         tracing::info!(
             part = "request",
             event = "sent",
@@ -103,6 +118,8 @@
             config = view.config.as_ref().map(|cfg| cfg.version.0),
             map_epoch = map.map(|map| map.epoch.0),
             map_version = map.map(|map| map.version),
+            caller = from.map(tracing::field::display),
+            fingerprint = fingerprint.map(tracing::field::display),
             left_out,
         );
     }
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 mod body;
 mod refuse;
+mod same;
 pub mod send;
 pub mod serve;
 
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -23,9 +23,11 @@
 use super::{
     body,
     refuse::{CONFIG_IN, OWNER_IN, bad, bad_body, not_run, refuse},
+    same,
     send::{self, Whole},
 };
 use crate::{
+    connection::accept::CallerAddr,
     process::{
         stories::{self, Basis},
         traffic::Traffic,
@@ -59,6 +61,8 @@
 struct Job {
     traffic: Rc<Traffic>,
     whole: Whole,
+    /// Where it came from.
+    from: Option<CallerAddr>,
     route: Arc<Route>,
     service: ServiceName,
     connections: u32,
@@ -121,6 +125,7 @@
     let job = Job {
         traffic: traffic.clone(),
         whole,
+        from: parts.extensions.get().copied(),
         service: name,
         connections: service.connections,
         keyed: service.keyed,
@@ -228,8 +233,10 @@
             server: &server.id,
             number,
             received: self.received,
+            from: self.from.map(|from| from.0),
         };
-        self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent);
+        let same = || same::fingerprint(&self.whole);
+        self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent, same);
     }
 
     fn left(&self) -> Duration {
