--- /dev/null
+++ b/crates/jacinthbeam-crash/src/exchange.rs
@@ -0,0 +1,189 @@
+//! Passing facts between hosts: what one has told another, and what it has been told.
+//!
+//! A host that asks another for news tells it, with the question, what that one hasn't heard from it yet, and gets with the answer what
+//! it hasn't heard. Both count by the position in the list of who tells, within one life of that host's process.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    cases::{Cases, Fact, Position, What},
+    fingerprint::Fingerprint,
+    suspects::Suspects,
+};
+
+/// Facts of one message, of up to some 70 bytes each.
+pub const MOST_TOLD: usize = 256;
+
+/// Hosts that are remembered as told and heard; a host asks a few of its own failure domain and one of each other.
+const MOST_PEERS: usize = 128;
+
+/// A fact as one host tells another: clocks of hosts have nothing in common, so it tells its age.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Aged {
+    /// The request.
+    pub request: Fingerprint,
+    /// What happened.
+    pub what: What,
+    /// How long ago.
+    pub age: Duration,
+}
+
+/// How far one host's list is known: a life of its process, and a position in the list that it keeps.
+pub type Reach = (Incarnation, Position);
+
+/// What the asking host tells with its question.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The asking host.
+    pub from: HostId,
+    /// How far it knows the list of the host that it asks.
+    pub knows: Option<Reach>,
+    /// What that host has not heard from it.
+    pub facts: Vec<Aged>,
+    /// The position after them in its own list.
+    pub end: Position,
+}
+
+/// What the answering host tells.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The answering host.
+    pub from: HostId,
+    /// The life of its process.
+    pub life: Incarnation,
+    /// What the asking host has not heard from it.
+    pub facts: Vec<Aged>,
+    /// The position after them in its own list.
+    pub end: Position,
+    /// The position that the question ended at: everything before it was taken.
+    pub taken: Position,
+}
+
+/// What is known of another host that this one asks.
+#[derive(Debug, Default)]
+struct Peer {
+    host: Option<HostId>,
+    /// How far its list is known here.
+    heard: Option<Reach>,
+    /// How far it knows the list of this host, in which life of its own.
+    told: Option<Reach>,
+}
+
+/// All facts of one host, and how far it has exchanged them with others.
+#[derive(Debug)]
+pub struct Exchange {
+    me: HostId,
+    life: Incarnation,
+    cases: Cases,
+    /// The position after the last fact that was not the answer to a question of this host.
+    to_tell: Position,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Exchange {
+    /// A host that knows of nothing, in one life of its process.
+    pub fn new(me: HostId, life: Incarnation) -> Self {
+        Self {
+            me,
+            life,
+            cases: Cases::default(),
+            to_tell: Position::default(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// The position of the next fact.
+    pub fn end(&self) -> Position {
+        self.cases.end()
+    }
+
+    /// The position up to which the hosts that this one asks should be told, without waiting for the next question.
+    pub fn to_tell(&self) -> Position {
+        self.to_tell
+    }
+
+    /// Takes a fact that was seen here. Returns whether it adds anything.
+    pub fn see(&mut self, fact: Fact, now: Instant) -> bool {
+        let adds = self.cases.take(fact, None, now);
+        self.note_to_tell(adds);
+        adds
+    }
+
+    /// What to tell the host at `to` with a question.
+    pub fn question(&self, to: SocketAddr, now: Instant) -> Question {
+        let peer = self.peers.get(&to);
+        let told = peer.and_then(|peer| peer.told).map_or(Position::default(), |(_, end)| end);
+        let host = peer.and_then(|peer| peer.host.as_ref());
+        let (facts, end) = self.cases.since(told, host, MOST_TOLD);
+        let knows = peer.and_then(|peer| peer.heard);
+        Question { from: self.me.clone(), knows, facts: aged(facts, now), end }
+    }
+
+    /// Takes the facts of a question, and tells what the asking host hasn't heard.
+    pub fn answer(&mut self, question: &Question, now: Instant) -> Answer {
+        for fact in &question.facts {
+            let adds = self.take(fact.clone(), &question.from, now);
+            self.note_to_tell(adds);
+        }
+        let known = question.knows.filter(|(life, _)| *life == self.life);
+        let known = known.map_or(Position::default(), |(_, end)| end);
+        let (facts, end) = self.cases.since(known, Some(&question.from), MOST_TOLD);
+        let facts = aged(facts, now);
+        Answer { from: self.me.clone(), life: self.life, facts, end, taken: question.end }
+    }
+
+    /// Takes the answer of the host at `of`.
+    pub fn on_answer(&mut self, of: SocketAddr, answer: Answer, now: Instant) {
+        for fact in answer.facts {
+            self.take(fact, &answer.from, now);
+        }
+        if self.peers.len() >= MOST_PEERS && !self.peers.contains_key(&of) {
+            self.peers.clear();
+        }
+        let peer = self.peers.entry(of).or_default();
+        // A process that has started again has forgotten what its earlier life was told before this question.
+        let same = peer.told.is_none_or(|(life, _)| life == answer.life);
+        peer.told = same.then_some((answer.life, answer.taken));
+        peer.heard = Some((answer.life, answer.end));
+        peer.host = Some(answer.from);
+    }
+
+    fn take(&mut self, fact: Aged, from: &HostId, now: Instant) -> bool {
+        let Aged { request, what, age } = fact;
+        // Older than this clock reaches is older than anything that is kept.
+        let Some(at) = now.checked_sub(age) else { return false };
+        self.cases.take(Fact { request, what, at }, Some(from), now)
+    }
+
+    fn note_to_tell(&mut self, adds: bool) {
+        if adds {
+            self.to_tell = self.cases.end();
+        }
+    }
+
+    /// Forgets what has stood for long enough. Returns whether there was any.
+    pub fn forget(&mut self, now: Instant) -> bool {
+        self.cases.forget(now)
+    }
+
+    /// The requests that are in doubt or refused.
+    pub fn suspects(&self) -> Suspects {
+        self.cases.suspects()
+    }
+}
+
+fn aged(facts: Vec<Fact>, now: Instant) -> Vec<Aged> {
+    let aged = facts.into_iter().map(|Fact { request, what, at }| Aged {
+        request,
+        what,
+        age: now.saturating_duration_since(at),
+    });
+    aged.collect()
+}
--- a/crates/jacinthbeam-crash/src/fingerprint.rs
+++ b/crates/jacinthbeam-crash/src/fingerprint.rs
@@ -5,30 +5,59 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+/// Digest of what a request's head says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Head(u64);
+
+impl Head {
+    /// The digest of these parts. Each counts with its length, so that no two lists of parts run together.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        Self(digest(parts))
+    }
+}
+
 /// Digest of everything that makes two attempts the same request.
 ///
-/// Cut from SHA-256, so that no caller can find a request of its own that has the fingerprint of another's. Its text is 32
+/// Both halves are cut from SHA-256, so that no caller can find a request of its own with the fingerprint of another's. The head
+/// comes first: a body, which may be long, needs to be digested only if a known fingerprint has the same head. The text is 32
 /// hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fingerprint(u128);
+pub struct Fingerprint {
+    head: Head,
+    body: u64,
+}
 
 impl Fingerprint {
-    /// The fingerprint of these parts. Each counts with its length, so that no two lists of parts run together.
-    pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hasher = Sha256::new();
-        for part in parts {
-            hasher.update((part.len() as u64).to_be_bytes());
-            hasher.update(part);
-        }
-        let mut first = [0; 16];
-        first.copy_from_slice(&hasher.finalize()[..16]);
-        Self(u128::from_be_bytes(first))
+    /// The fingerprint of a request with this head and body.
+    pub fn of(head: Head, body: &[u8]) -> Self {
+        Self { head, body: digest(&[&head.0.to_be_bytes(), body]) }
+    }
+
+    /// The first of all fingerprints with this head.
+    pub fn first_of(head: Head) -> Self {
+        Self { head, body: 0 }
+    }
+
+    /// What the request's head says.
+    pub fn head(&self) -> Head {
+        self.head
     }
 }
 
+fn digest(parts: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize()[..8]);
+    u64::from_be_bytes(first)
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
+        write!(f, "{:016x}{:016x}", self.head.0, self.body)
     }
 }
 
@@ -49,7 +78,11 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let digits = text.len() == 32 && text.chars().all(|c| c.is_ascii_hexdigit());
-        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
-        number.map(Self).ok_or(ParseError)
+        if !digits {
+            return Err(ParseError);
+        }
+        let number = |text: &str| u64::from_str_radix(text, 16).map_err(|_| ParseError);
+        let (head, body) = text.split_at(16);
+        Ok(Self { head: Head(number(head)?), body: number(body)? })
     }
 }
--- a/crates/jacinthbeam-crash/src/lib.rs
+++ b/crates/jacinthbeam-crash/src/lib.rs
@@ -1,7 +1,16 @@
 //! Requests that end the backend servers that run them: queries of death.
 //!
-//! This crate tells requests apart. It does no I/O and reads no clock of its own.
+//! A server that ends under a request is, to the host that sent it, a broken connection, and the next attempt of the same request may
+//! come to any other host. This crate tells requests apart ([`Fingerprint`]), keeps what all hosts saw of servers that ended
+//! ([`Cases`]), passes it between hosts ([`Exchange`]) and says which requests are sent to no server any more ([`Suspects`]).
+//! It does no I/O and reads no clock of its own. Who proves that a server has ended, and what its caller is told, is left to others.
 
+pub mod cases;
+pub mod exchange;
 pub mod fingerprint;
+pub mod suspects;
 
+pub use cases::{Cases, Fact, What};
+pub use exchange::Exchange;
 pub use fingerprint::Fingerprint;
+pub use suspects::Suspects;
--- /dev/null
+++ b/crates/jacinthbeam-crash/src/suspects.rs
@@ -0,0 +1,84 @@
+//! Which requests were running on servers when these ended, and which of them are sent to no server any more.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::IpAddr,
+    time::Instant,
+};
+
+use jacinthbeam_types::prelude::*;
+
+use crate::fingerprint::{Fingerprint, Head};
+
+/// Servers that have to end under a request before it is refused.
+///
+/// All requests at a server run when it ends, and one of them is the cause at the most. Under a request that is not, a second server ends
+/// now and then where many do at a time; a third, without an answer in between, hardly ever.
+pub const PROOF: usize = 3;
+
+/// A request under which servers have ended since it was last cleared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Its callers.
+    pub callers: BTreeSet<IpAddr>,
+    /// The servers.
+    pub servers: BTreeSet<ServerId>,
+    /// When the first of them ended.
+    pub first: Instant,
+    /// When the last of them ended.
+    pub last: Instant,
+}
+
+impl Suspect {
+    /// Whether this request of this caller is sent to no server any more.
+    ///
+    /// What one caller's attempts have shown holds for that caller alone, so that nobody can have the request of another refused. What
+    /// several callers' have shown is a fault of the request, whoever sends it.
+    pub fn is_refused(&self, caller: IpAddr) -> bool {
+        self.servers.len() >= PROOF && self.is_shown_for(caller)
+    }
+
+    fn is_shown_for(&self, caller: IpAddr) -> bool {
+        self.callers.len() > 1 || self.callers.contains(&caller)
+    }
+}
+
+/// All such requests, as one host knows them at one moment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Suspects {
+    pub(crate) of: BTreeMap<Fingerprint, Suspect>,
+}
+
+impl Suspects {
+    /// Whether there are none, so that no request needs to be compared with them.
+    pub fn is_empty(&self) -> bool {
+        self.of.is_empty()
+    }
+
+    /// Whether one of them has this head.
+    pub fn have_head(&self, head: Head) -> bool {
+        let next = self.of.range(Fingerprint::first_of(head)..).next();
+        next.is_some_and(|(of, _)| of.head() == head)
+    }
+
+    /// What is known of a request.
+    pub fn get(&self, of: &Fingerprint) -> Option<&Suspect> {
+        self.of.get(of)
+    }
+
+    /// Whether a request of this caller is sent to no server any more.
+    pub fn refuse(&self, of: &Fingerprint, caller: IpAddr) -> bool {
+        self.get(of).is_some_and(|suspect| suspect.is_refused(caller))
+    }
+
+    /// Servers that have ended under a request of this caller.
+    pub fn ended_under(&self, of: &Fingerprint, caller: IpAddr) -> usize {
+        let suspect = self.get(of).filter(|suspect| suspect.is_shown_for(caller));
+        suspect.map_or(0, |suspect| suspect.servers.len())
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
+        self.of.iter()
+    }
+}
--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -76,6 +76,13 @@
     Silent,
 }
 
+impl Error {
+    /// Whether nothing listens at the server's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 impl Pool {
     /// A pool without connections.
     pub fn new(addr: SocketAddr) -> Self {
--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -3,20 +3,22 @@
 //! A host that starts while the store turns it away knows no other, since the list of hosts is in the store, and asks those that its
 //! settings name.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use jacinthbeam_types::prelude::*;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
 use super::{
+    ask::{Asker, LEAST_PAUSE, Topic},
     heard::Heard,
-    input::{Input, Tx},
 };
 use crate::process::peers::{
-    link::{self, Link},
-    news::Asked,
+    link::Link,
     order::{Neighbour, Neighbours},
-    source::{self, Answer, NoAnswer, Sources, Step},
+    source::{self, NoAnswer, Sources, Step},
 };
 
 /// Longest wait for news at another host; its answer without news shows that it is there, and how fresh it is.
@@ -28,13 +30,10 @@
 /// The same while the store gives it no answers.
 const LOOK_AGAIN_LOST: Duration = Duration::from_millis(250);
 
-/// Pause between questions that brought no news at once, so that a host that answers wrongly isn't asked in a tight loop.
-const LEAST_PAUSE: Duration = Duration::from_millis(5);
-
 /// What the task needs of the control thread.
 #[derive(Clone)]
 pub(super) struct Feed {
-    pub(super) clock: Arc<dyn Clock>,
+    pub(super) asker: Asker,
     /// `None` until the list of hosts is known.
     pub(super) neighbours: watch::Receiver<Option<Neighbours>>,
     /// Hosts that are asked while none is known.
@@ -42,7 +41,6 @@
     /// Whether this host reads the store itself.
     pub(super) direct: Rc<watch::Sender<bool>>,
     pub(super) heard: Rc<Heard>,
-    pub(super) tx: Tx,
 }
 
 /// Chooses sources for ever.
@@ -60,7 +58,7 @@
         };
         let lost = *feed.direct.borrow() && !feed.reads_store();
         let pick = |addrs: &[SocketAddr]| fastrand::choice(addrs).copied();
-        match sources.next(feed.clock.now(), &neighbours, lost, pick) {
+        match sources.next(feed.now(), &neighbours, lost, pick) {
             Step::Ask(host) => ask_on(&feed, &mut sources, &host).await,
             Step::Wait(pause) => {
                 if lost {
@@ -76,20 +74,24 @@
             Step::Help(addr) => {
                 set_direct(&feed, true);
                 ask_for_help(&feed, addr).await;
-                sources.on_no_help(addr, feed.clock.now());
+                sources.on_no_help(addr, feed.now());
             }
         }
     }
 }
 
 impl Feed {
+    fn now(&self) -> Instant {
+        self.asker.clock.now()
+    }
+
     /// Whether this host itself reads the store, and is answered.
     fn reads_store(&self) -> bool {
-        *self.direct.borrow() && self.heard.is_answered(self.clock.now())
+        *self.direct.borrow() && self.heard.is_answered(self.now())
     }
 
     fn age(&self) -> Duration {
-        self.heard.age(self.clock.now())
+        self.heard.age(self.now())
     }
 
     /// Asks a host that the settings name, and reads the store as soon as that answers.
@@ -122,9 +124,9 @@
     let mut follows = false;
     let no_answer = match Link::open(*addr).await {
         Ok(mut link) => loop {
-            match ask(feed, &mut link).await {
+            match feed.asker.ask(&mut link, *addr, Topic::All).await {
                 Ok(answer) => {
-                    let (reads, now) = (feed.reads_store(), feed.clock.now());
+                    let (reads, now) = (feed.reads_store(), feed.now());
                     if !sources.on_answer(host, answer, reads, now) {
                         if follows {
                             tracing::info!(part = "feed", event = "passed-over", host = %host, age_ms = %answer.age.as_millis(), steps = %answer.steps, asks_store = %answer.asks_store);
@@ -147,7 +149,7 @@
     }
     if let Some((why, error)) = no_answer {
         tracing::info!(part = "feed", event = "passed-over", host = %host, error = %error);
-        sources.on_no_answer(host, why, feed.clock.now());
+        sources.on_no_answer(host, why, feed.now());
     }
 }
 
@@ -161,7 +163,7 @@
     };
     let mut helped = false;
     while !feed.reads_store() {
-        match ask(feed, &mut link).await {
+        match feed.asker.ask(&mut link, addr, Topic::All).await {
             Ok(answer) if answer.helps() => {
                 if !std::mem::replace(&mut helped, true) {
                     tracing::info!(part = "feed", event = "helped", asked = %addr, steps = %answer.steps);
@@ -176,25 +178,3 @@
         }
     }
 }
-
-/// Asks once, hands on what came, and returns how good it is.
-async fn ask(feed: &Feed, link: &mut Link) -> Result<Answer, String> {
-    let asked = question(&feed.tx).await.ok_or("the process ends")?;
-    let begun = feed.clock.now();
-    let news = link.ask(&asked).await.map_err(|err: link::Error| err.to_string())?;
-    let answer = Answer { age: news.age, steps: news.steps, asks_store: news.asks_store };
-    // The way of the question and that of the answer can't be told apart. Taken as if the answer's way were all of it, nothing seems newer
-    // than it is.
-    let answered = begun + news.waited;
-    if news.is_empty() {
-        tokio::time::sleep(LEAST_PAUSE).await;
-    }
-    feed.tx.send(Input::News(answered, Box::new(news))).map_err(|_| "the process ends")?;
-    Ok(answer)
-}
-
-async fn question(tx: &Tx) -> Option<Asked> {
-    let (reply, asked) = oneshot::channel();
-    tx.send(Input::Question(reply)).ok()?;
-    asked.await.ok()
-}
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -1,12 +1,14 @@
 //! Everything that changes what the control thread knows.
 
-use std::{collections::BTreeSet, sync::Arc, time::Instant};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
+use jacinthbeam_crash::Fact;
 use jacinthbeam_range::{Event, Map};
 use jacinthbeam_store::{Error, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 
+use super::ask::Topic;
 use crate::process::{
     inbox::{Kind, Waiting},
     peers::{
@@ -39,8 +41,8 @@
         match self {
             Self::Operator(..)
             | Self::Servers(..)
-            | Self::News(..)
-            | Self::Question(_)
+            | Self::News { .. }
+            | Self::Question { .. }
             | Self::Answer { .. } => Kind::News,
             Self::Tick => Kind::Tick,
             Self::Datagram(Message::Load { .. }) => Kind::Report,
@@ -50,6 +52,7 @@
             | Self::Put { .. }
             | Self::Granted { .. }
             | Self::Datagram(_)
+            | Self::Crash(_)
             | Self::Dump(_)
             | Self::Stop => Kind::Other,
         }
@@ -74,10 +77,26 @@
         /// The records.
         changes: Changes,
     },
-    /// What another host knew then, or later.
-    News(Instant, Box<News>),
-    /// The feed asks what to ask another host for.
-    Question(oneshot::Sender<Asked>),
+    /// What another host knew.
+    News {
+        /// Where that host is.
+        of: SocketAddr,
+        /// What it was asked for.
+        topic: Topic,
+        /// It knew it then, or later.
+        answered: Instant,
+        /// What it knew.
+        news: Box<News>,
+    },
+    /// A task is about to ask another host.
+    Question {
+        /// Where that host is.
+        of: SocketAddr,
+        /// What it is asked for.
+        topic: Topic,
+        /// Where the question goes.
+        reply: oneshot::Sender<Asked>,
+    },
     /// Another host asks for news.
     Answer {
         /// What it knows.
@@ -109,6 +128,8 @@
     },
     /// Counts of a host, or gates of one that grants.
     Datagram(Message),
+    /// A server has ended under a request, or a request is cleared of that.
+    Crash(Fact),
     /// Time has passed.
     Tick,
     /// Somebody asked for the state, as text.
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -1,12 +1,12 @@
 //! What the store says, as it changes what this host knows.
 
-use std::{sync::Arc, time::Instant};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use jacinthbeam_range::Event;
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 
-use super::state::Control;
+use super::{ask::Topic, state::Control};
 use crate::{
     process::{
         known::Changed,
@@ -112,8 +112,20 @@
         self.order_hosts();
     }
 
-    /// Takes what another host knew at `answered`, or later.
-    pub(super) fn on_news(&mut self, answered: Instant, news: News) {
+    /// Takes what the host at `of` knew at `answered`, or later.
+    pub(super) fn on_news(
+        &mut self,
+        of: SocketAddr,
+        topic: Topic,
+        answered: Instant,
+        mut news: News,
+    ) {
+        if let Some(crashes) = news.crashes.take() {
+            self.on_crashes(of, crashes);
+        }
+        if topic == Topic::Crashes {
+            return;
+        }
         let told = answered.checked_sub(news.age);
         let steps = news.steps;
         let services: Vec<ServiceName> =
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -3,7 +3,10 @@
 //! All state is in one [`Control`], changed by one [`Input`] at a time. Everything that waits (reads of the store, calls to
 //! backend servers) runs in tasks that send an input when they are done.
 
+mod across;
+mod ask;
 mod calls;
+mod crashes;
 mod duty;
 mod enlist;
 mod feed;
@@ -25,6 +28,7 @@
 };
 
 use http::StatusCode;
+use jacinthbeam_crash::Fact;
 use jacinthbeam_range::Event;
 use jacinthbeam_types::prelude::*;
 use tokio::{
@@ -66,6 +70,8 @@
     pub(super) known_to: watch::Sender<KnownTo>,
     pub(super) gates: watch::Sender<Gates>,
     pub(super) phase: watch::Receiver<Phase>,
+    /// What the traffic thread sees of servers that ended.
+    pub(super) crashes: mpsc::UnboundedReceiver<Fact>,
     /// Ends when the traffic thread has answered its last request.
     pub(super) served: oneshot::Receiver<()>,
 }
@@ -101,6 +107,8 @@
     spawn_local(tick(tx.clone()));
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
+    let crashes = std::mem::replace(&mut start.crashes, mpsc::unbounded_channel().1);
+    spawn_local(take_crashes(crashes, tx.clone()));
     let usage = start.usage.clone();
     let mut control = Control::new(start, tx, reports);
     control.begin();
@@ -151,7 +159,8 @@
 async fn serve_news(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
     let find = move |asked: Asked| {
         let (tx, changes) = (tx.clone(), changes.clone());
-        let wait = asked.wait.min(feed::WAIT);
+        let most = if asked.only_crashes { across::WAIT } else { feed::WAIT };
+        let wait = asked.wait.min(most);
         async move {
             let look = async || look(&tx, &asked).await;
             peers::find::find(look, changes, wait, LOST_AFTER).await
@@ -232,6 +241,15 @@
     }
 }
 
+/// Takes what the traffic thread sees of servers that ended.
+async fn take_crashes(mut crashes: mpsc::UnboundedReceiver<Fact>, tx: Tx) {
+    while let Some(fact) = crashes.recv().await {
+        if tx.send(Input::Crash(fact)).is_err() {
+            return;
+        }
+    }
+}
+
 async fn await_stop(mut phase: watch::Receiver<Phase>, tx: Tx) {
     if phase.wait_for(|phase| *phase > Phase::Serving).await.is_ok()
         && tx.send(Input::Stop).is_err()
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_crash::{Exchange, cases::Position};
 use jacinthbeam_range::{Event, Grantor, Leader};
 use jacinthbeam_store::{Client, Observer, Partition};
 use jacinthbeam_types::prelude::*;
@@ -14,8 +15,10 @@
 
 use super::{
     Start,
+    across::{self, Across},
+    ask::Asker,
     calls::{Caller, Leads},
-    duty,
+    crashes, duty,
     enlist::{self, Enlist},
     feed::{self, Feed},
     follow::{self, Followed, HOSTS_EVERY, HOSTS_WAIT, OPERATOR_WAIT, Read, SERVERS_EVERY},
@@ -31,7 +34,7 @@
         known::Known,
         membership::Standby,
         metrics::Counters,
-        peers::{HostEntry, news::News, order::Neighbours},
+        peers::{HostEntry, order::Neighbours},
         reach::Reach,
         traffic::Gates,
         usage,
@@ -70,6 +73,12 @@
     pub(super) store: Client,
     pub(super) caller: Caller,
     pub(super) known: Known,
+    /// Servers that ended, and the requests that they were running.
+    pub(super) crashes: Exchange,
+    /// How far these facts were told, and when.
+    pub(super) crashes_told: crashes::Told,
+    /// How far other hosts have to be told without waiting for the next question.
+    pub(super) to_tell: watch::Sender<Position>,
     /// When this host last heard of the store, by itself or through others.
     pub(super) heard: Rc<Heard>,
     /// Whether this host asks the store itself.
@@ -107,7 +116,7 @@
             wire,
             clock,
             counters,
-            me,
+            me: me.clone(),
             view,
             known_to,
             gates,
@@ -116,6 +125,9 @@
             socket,
             tx,
             known: Known::default(),
+            crashes: Exchange::new(me.host.clone(), incarnation),
+            crashes_told: crashes::Told::default(),
+            to_tell: watch::channel(Position::default()).0,
             heard: Rc::default(),
             direct: Rc::new(watch::channel(false).0),
             neighbours: watch::channel(None).0,
@@ -153,13 +165,22 @@
             entry: self.entry(),
             tx: self.tx.clone(),
         }));
-        spawn_local(feed::run(Feed {
+        let asker = Asker {
             clock: self.clock.clone(),
+            to_tell: self.to_tell.subscribe(),
+            tx: self.tx.clone(),
+        };
+        spawn_local(across::run(Across {
+            asker: asker.clone(),
+            neighbours: self.neighbours.subscribe(),
+            direct: self.direct.clone(),
+        }));
+        spawn_local(feed::run(Feed {
+            asker,
             neighbours: self.neighbours.subscribe(),
             seeds: self.settings.seeds.clone(),
             direct: self.direct.clone(),
             heard: self.heard.clone(),
-            tx: self.tx.clone(),
         }));
     }
 
@@ -204,18 +225,16 @@
             Input::Servers(asked, changes) => self.on_servers(asked, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
             Input::Maps { partition, asked, changes } => self.on_maps(partition, asked, changes),
-            Input::News(answered, news) => self.on_news(answered, *news),
-            Input::Question(reply) => {
+            Input::News { of, topic, answered, news } => self.on_news(of, topic, answered, *news),
+            Input::Question { of, topic, reply } => {
                 // The task that asked may have been given up meanwhile.
-                let _ = reply.send(self.known.question(feed::WAIT));
+                let _ = reply.send(self.question(of, topic));
             }
             Input::Answer { asked, reply } => {
                 // As above.
-                let now = self.clock.now();
-                let news = self.known.news_for(&asked, self.heard.age(now), now);
-                let (steps, asks_store) = (self.heard.steps(now), *self.direct.borrow());
-                let _ = reply.send(News { steps, asks_store, ..news });
+                let _ = reply.send(self.answer(&asked));
             }
+            Input::Crash(fact) => self.on_crash(fact),
             Input::Duties(duties) => self.on_duties(duties),
             Input::Put { service, map, asked, at, result } => {
                 self.on_put(&service, map, asked, at, result);
@@ -247,11 +266,12 @@
         }
     }
 
-    /// Lets grantors go on with keys that were released. One look serves for all that came together.
+    /// Goes on with what one look serves for, after all inputs that came together: keys that were released, and facts to tell.
     pub(super) fn go_on(&mut self) {
         for service in std::mem::take(&mut self.released) {
             self.step(&service, Event::Tick);
         }
+        self.tell_crashes();
     }
 
     /// Notes how long an input has waited for this thread.
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_crash::Suspects;
 use jacinthbeam_range::Map;
 use jacinthbeam_route::{Config, Server, Servers};
 use jacinthbeam_types::prelude::*;
@@ -60,6 +61,8 @@
     /// The list that requests see, made anew at each change.
     list: Arc<Servers>,
     leaving: Arc<BTreeMap<ServerId, Leaving>>,
+    /// Requests under which servers have ended, as of the last [`Known::set_suspects`].
+    suspects: Arc<Suspects>,
     /// Changes of servers that are not logged yet.
     lines: ServerLines,
 }
@@ -130,9 +133,15 @@
             leaving: self.leaving.clone(),
             maps: self.maps.iter().map(newest).collect(),
             hosts: self.hosts.len() as u32,
+            suspects: self.suspects.clone(),
         }
     }
 
+    /// Replaces the requests under which servers have ended.
+    pub fn set_suspects(&mut self, suspects: Suspects) {
+        self.suspects = Arc::new(suspects);
+    }
+
     /// Takes a configuration. Returns whether it is newer and sound.
     pub fn take_config(&mut self, cfg: Config) -> bool {
         let known = self.config.as_ref().map(|cfg| cfg.version);
@@ -268,6 +277,8 @@
             servers_end: self.servers_end,
             hosts_end: self.hosts_end,
             maps: self.maps.iter().map(revision).collect(),
+            crashes: None,
+            only_crashes: false,
             wait,
         }
     }
@@ -303,6 +314,7 @@
                 .collect(),
             hosts_end: self.hosts_end,
             maps: maps.collect(),
+            crashes: None,
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jacinthbeam_crash::Fingerprint;
 use jacinthbeam_range::{Event, grantor::Outcome};
 use jacinthbeam_store::{Call, Error};
 use jacinthbeam_types::prelude::*;
@@ -63,6 +64,10 @@
     unowned_seconds: Counter<f64>,
     /// Keys that were given another owner by this process, by service.
     moved: Counter<u64>,
+    /// Requests under which servers have ended, by whether they are refused.
+    suspects: Gauge<u64>,
+    /// Refusals of each request that ends servers.
+    refused_for_crashes: Counter<u64>,
     /// For the granting host, requests of the busiest owner over the mean of all, by service.
     imbalance: Gauge<f64>,
 }
@@ -104,6 +109,8 @@
             unowned: meter.u64_gauge("jacinthbeam_unowned_keys").build(),
             unowned_seconds: meter.f64_counter("jacinthbeam_unowned_key_seconds").build(),
             moved: count("jacinthbeam_moved_keys"),
+            suspects: meter.u64_gauge("jacinthbeam_crash_suspects").build(),
+            refused_for_crashes: count("jacinthbeam_refused_for_crashes"),
             imbalance: gauge("jacinthbeam_imbalance"),
             registry,
             _provider: provider,
@@ -184,6 +191,17 @@
         }
     }
 
+    /// Notes how many requests are known under which servers have ended, and how many of them are refused.
+    pub fn on_suspects(&self, all: usize, refused: usize) {
+        self.suspects.record((all - refused) as u64, &[KeyValue::new("refused", false)]);
+        self.suspects.record(refused as u64, &[KeyValue::new("refused", true)]);
+    }
+
+    /// Counts a refusal of a request that ends servers. There are few such requests, so each has a count of its own.
+    pub fn on_refused_for_crashes(&self, request: Fingerprint) {
+        self.refused_for_crashes.add(1, &[KeyValue::new("request", request.to_string())]);
+    }
+
     /// Counts keys that a record gave to another owner.
     pub fn on_moved(&self, service: &ServiceName, keys: u32) {
         self.moved.add(u64::from(keys), &[of(service)]);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -3,6 +3,7 @@
 //! One thread controls: it follows the store, takes part in granting keys, and publishes a [`View`] at each change. The other
 //! serves callers with the view that is current. Nothing on the traffic thread waits for the control thread.
 
+pub mod broken;
 pub mod clock;
 mod control;
 pub mod inbox;
@@ -117,6 +118,7 @@
     let (known_to_tx, known_to) = watch::channel(KnownTo::default());
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
+    let (crashes_tx, crashes) = tokio::sync::mpsc::unbounded_channel();
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
     let control = control::Start {
         settings: settings.clone(),
@@ -129,6 +131,7 @@
         known_to: known_to_tx,
         gates: gates_tx,
         phase: phase_rx.clone(),
+        crashes,
         served: done,
     };
     let reports = sockets.reports.try_clone().map_err(Error::Thread)?;
@@ -148,6 +151,7 @@
         known_to,
         phase: phase.subscribe(),
         gates,
+        crashes: crashes_tx,
     };
     let traffic = serving::Start {
         traffic,
--- a/crates/jacinthbeam-host/src/process/peers/news.rs
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use jacinthbeam_crash::exchange;
 use jacinthbeam_range::map::Revision;
 use jacinthbeam_route::{Config, Server};
 use jacinthbeam_types::prelude::*;
@@ -21,6 +22,10 @@
     pub hosts_end: Offset,
     /// Epoch and version of each ownership map.
     pub maps: BTreeMap<ServiceName, Revision>,
+    /// What it tells of servers that ended, and how much it knows of that.
+    pub crashes: Option<exchange::Question>,
+    /// Whether it asks for nothing else: it reads the store itself, and what it reads is as new.
+    pub only_crashes: bool,
     /// Longest wait if there is nothing newer.
     pub wait: Duration,
 }
@@ -52,6 +57,8 @@
     pub hosts_end: Offset,
     /// Newer ownership maps.
     pub maps: Vec<(ServiceName, MapNews)>,
+    /// What is new of servers that ended, and of the requests that they were running.
+    pub crashes: Option<exchange::Answer>,
 }
 
 /// The newest entry of a backend server.
@@ -74,6 +81,7 @@
             && self.servers.is_empty()
             && self.hosts.is_empty()
             && self.maps.is_empty()
+            && self.crashes.as_ref().is_none_or(|crashes| crashes.facts.is_empty())
     }
 }
 
--- a/crates/jacinthbeam-host/src/process/peers/order.rs
+++ b/crates/jacinthbeam-host/src/process/peers/order.rs
@@ -23,8 +23,8 @@
     pub before: Vec<Neighbour>,
     /// Those of its own failure domain that come after it, in order.
     pub after: Vec<Neighbour>,
-    /// The first ones of each other failure domain.
-    pub far: Vec<Neighbour>,
+    /// The first ones of each other failure domain, in order.
+    pub far: BTreeMap<FailureDomain, Vec<Neighbour>>,
 }
 
 impl Neighbours {
@@ -46,7 +46,8 @@
                 neighbours.before = known(&hosts[..at]);
                 neighbours.after = known(&hosts[at..]);
             } else {
-                neighbours.far.extend(known(&hosts[..hosts.len().min(ASKED_FAR)]));
+                let first = known(&hosts[..hosts.len().min(ASKED_FAR)]);
+                neighbours.far.insert(domain.clone(), first);
             }
         }
         neighbours
--- a/crates/jacinthbeam-host/src/process/peers/source.rs
+++ b/crates/jacinthbeam-host/src/process/peers/source.rs
@@ -180,12 +180,13 @@
 
     /// Hosts that are asked while the store turns this one away: of its own domain first, since what others say crosses its border.
     fn helpers(&self, neighbours: &Neighbours) -> Vec<SocketAddr> {
-        let open = |hosts: &[Neighbour]| -> Vec<SocketAddr> {
-            let open = hosts.iter().filter(|(_, addr)| !self.no_help.contains_key(addr));
-            open.map(|(_, addr)| *addr).collect()
-        };
-        let near = open(&neighbours.after[..neighbours.after.len().min(MOST_TRY)]);
-        if near.is_empty() { open(&neighbours.far) } else { near }
+        let is_open = |addr: &SocketAddr| !self.no_help.contains_key(addr);
+        let near = neighbours.after.iter().take(MOST_TRY).map(|(_, addr)| *addr);
+        let near: Vec<_> = near.filter(is_open).collect();
+        if !near.is_empty() {
+            return near;
+        }
+        neighbours.far.values().flatten().map(|(_, addr)| *addr).filter(is_open).collect()
     }
 
     /// A host before this one has answered. Returns whether this one goes on with it. `reads_store` tells whether the store answers this one.
--- a/crates/jacinthbeam-host/src/process/stories.rs
+++ b/crates/jacinthbeam-host/src/process/stories.rs
@@ -53,8 +53,8 @@
     pub number: u32,
     /// When the request came.
     pub received: Instant,
-    /// Where it came from, if that is known.
-    pub from: Option<IpAddr>,
+    /// Where it came from.
+    pub caller: IpAddr,
 }
 
 /// What a refusal was decided by.
@@ -100,7 +100,7 @@
         let Some(left_out) = self.sends.borrow_mut().take(now) else { return };
         let map = view.maps.get(send.service);
         let lost = matches!(sent, Sent::Lost(_));
-        let from = send.from.filter(|_| lost);
+        let caller = lost.then_some(send.caller);
         let fingerprint = lost.then(same);
         tracing::info!(
             part = "request",
@@ -118,7 +118,7 @@
             config = view.config.as_ref().map(|cfg| cfg.version.0),
             map_epoch = map.map(|map| map.epoch.0),
             map_version = map.map(|map| map.version),
-            caller = from.map(tracing::field::display),
+            caller = caller.map(tracing::field::display),
             fingerprint = fingerprint.map(tracing::field::display),
             left_out,
         );
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -8,16 +8,17 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_crash::Fact;
 use jacinthbeam_dispatch::{Budget, Seen};
 use jacinthbeam_range::{Key, admission::Gate, demand::Report};
 use jacinthbeam_route::{Route, Server, Target, route::Dealer};
 use jacinthbeam_types::prelude::*;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     Settings, Wire,
     connection::{Pool, accept::Phase},
-    process::{metrics::Counters, stories::Stories, usage},
+    process::{broken::Broken, metrics::Counters, stories::Stories, usage},
     version::{KnownTo, View},
 };
 
@@ -45,6 +46,7 @@
     known_to: watch::Receiver<KnownTo>,
     phase: watch::Receiver<Phase>,
     gates: watch::Receiver<Gates>,
+    crashes: mpsc::UnboundedSender<Fact>,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
     budgets: RefCell<BTreeMap<ServiceName, Budget>>,
     dealers: RefCell<BTreeMap<String, Dealer>>,
@@ -60,6 +62,8 @@
     pub seen: RefCell<Seen>,
     /// Another server has answered at the address, so that this one has ended.
     pub ended: Cell<bool>,
+    /// Requests whose connections to it broke.
+    pub broken: Broken,
 }
 
 /// Part of a server's connections that all hosts together use. The rest is for grants, and for hosts that come and go.
@@ -89,12 +93,15 @@
     pub phase: watch::Receiver<Phase>,
     /// What busy owners may be sent, as it changes.
     pub gates: watch::Receiver<Gates>,
+    /// Takes what is seen of servers that ended.
+    pub crashes: mpsc::UnboundedSender<Fact>,
 }
 
 impl Traffic {
     /// State of a process that has served nothing yet.
     pub fn new(start: Start) -> Self {
-        let Start { settings, wire, clock, counters, usage, view, known_to, phase, gates } = start;
+        let Start { settings, wire, clock, counters, usage, .. } = start;
+        let Start { view, known_to, phase, gates, crashes, .. } = start;
         Self {
             settings,
             wire,
@@ -107,6 +114,7 @@
             known_to,
             phase,
             gates,
+            crashes,
             servers: RefCell::default(),
             budgets: RefCell::default(),
             dealers: RefCell::default(),
@@ -165,7 +173,7 @@
         let new = || {
             let seen = RefCell::new(Seen::new(self.now()));
             let (pool, ended) = (Pool::new(server.addr), Cell::default());
-            Rc::new(ServerState { pool, seen, ended })
+            Rc::new(ServerState { pool, seen, ended, broken: Broken::default() })
         };
         servers.entry(server.id.clone()).or_insert_with(new).clone()
     }
@@ -280,6 +288,13 @@
         std::mem::take(&mut self.reports.borrow_mut())
     }
 
+    /// Tells the control thread of a server that ended under a request, or that a request is cleared of that.
+    pub fn tell_crash(&self, fact: Fact) {
+        if self.crashes.send(fact).is_err() {
+            tracing::debug!(part = "crash", event = "not-told");
+        }
+    }
+
     /// Forgets servers that are gone, and closes connections that were idle for too long.
     pub fn tidy(&self) {
         let (view, now) = (self.view(), self.now());
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -0,0 +1,134 @@
+//! Whether a server has ended under a request, and what that means for the request.
+//!
+//! A connection that breaks proves nothing: it may have been reset, cut, or closed by a server over its cap. A server counts as ended when
+//! nothing listens at its address, or another life of a server answers there, soon after; not if it had said that it leaves, since one
+//! that is stopped in order ends with whatever still runs.
+
+use std::{collections::BTreeSet, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+
+use jacinthbeam_crash::{Fact, Fingerprint, What, suspects::PROOF};
+use jacinthbeam_route::Server;
+use jacinthbeam_types::prelude::*;
+use tokio::task::spawn_local;
+
+use super::{same, send::Whole};
+use crate::{
+    connection::pool,
+    process::{broken::Running, traffic::Traffic},
+    sent::{Lost, NotRun, Sent},
+    version::View,
+};
+
+/// How long a repeat waits for the look whether its server has ended. An address where nothing listens says so in one round trip.
+const LOOK_WITHIN: Duration = Duration::from_millis(50);
+
+/// One request of one caller, as far as servers may end under it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Subject<'a> {
+    pub(super) traffic: &'a Rc<Traffic>,
+    pub(super) whole: &'a Whole,
+    pub(super) caller: IpAddr,
+}
+
+impl Subject<'_> {
+    /// The fingerprint of a request that is sent to no server any more; `None` of any other.
+    pub(super) fn refused(self, view: &View) -> Option<Fingerprint> {
+        let request = same::fingerprint_among(&view.suspects, self.whole)?;
+        view.suspects.refuse(&request, self.caller).then_some(request)
+    }
+
+    /// Whether the request may be sent once more at once, given that servers have ended under this attempt.
+    ///
+    /// Sent on and on, one attempt would end as many servers as it may be sent to before any other host hears of the first. After one lost
+    /// server its caller is served as before. The last server that it takes to refuse a request is left to another attempt, which
+    /// meets what all hosts know by then.
+    pub(super) fn may_repeat(self, view: &View, ended: &BTreeSet<ServerId>) -> bool {
+        if ended.is_empty() {
+            return true;
+        }
+        let request = same::fingerprint_among(&view.suspects, self.whole);
+        let known = request.map_or(0, |request| view.suspects.ended_under(&request, self.caller));
+        known.max(ended.len()) + 1 < PROOF
+    }
+
+    /// Takes note of what a send says of its server. Returns whether the server is known to have ended under the request.
+    pub(super) async fn on_sent(
+        self,
+        view: &Arc<View>,
+        server: &Server,
+        most_connections: u32,
+        sent: &Sent,
+        waits: bool,
+    ) -> bool {
+        match sent {
+            Sent::Answered { good: true, .. } => {
+                self.on_served(view);
+                false
+            }
+            Sent::NotRun(NotRun::NotListening | NotRun::OtherServer) => {
+                tell(self.traffic, view, server);
+                false
+            }
+            Sent::Lost(Lost::Broken) => {
+                self.traffic.server(server).broken.on_broken(self.running());
+                let (traffic, view, server) = (self.traffic.clone(), view.clone(), server.clone());
+                let look = async move { look(&traffic, &view, &server, most_connections).await };
+                let look = spawn_local(look);
+                if !waits {
+                    return false;
+                }
+                matches!(tokio::time::timeout(LOOK_WITHIN, look).await, Ok(Ok(true)))
+            }
+            Sent::Answered { .. } | Sent::NotRun(_) | Sent::Lost(Lost::Late) => false,
+        }
+    }
+
+    fn running(self) -> Running {
+        let request = same::fingerprint(self.whole);
+        Running { request, caller: self.caller, at: self.traffic.now() }
+    }
+
+    /// A request that has run to a good end has not ended the servers that it was at before.
+    fn on_served(self, view: &View) {
+        let request = same::fingerprint_among(&view.suspects, self.whole);
+        let request = request.filter(|request| view.suspects.get(request).is_some());
+        if let Some(request) = request {
+            self.traffic.tell_crash(Fact { request, what: What::Cleared, at: self.traffic.now() });
+        }
+    }
+
+    /// Notes that its caller has left while it was at a server.
+    pub(super) fn on_left(self, server: &Server) {
+        self.traffic.server(server).broken.on_left(self.running());
+    }
+}
+
+/// Looks whether a server still takes connections. Returns whether it has ended.
+async fn look(traffic: &Rc<Traffic>, view: &View, server: &Server, most_connections: u32) -> bool {
+    let state = traffic.server(server);
+    if !state.broken.may_look(traffic.now()) {
+        return false;
+    }
+    match state.pool.lend_new(most_connections).await {
+        Ok(lent) => {
+            state.broken.on_taken(traffic.now());
+            state.pool.give_back(lent, traffic.now(), None);
+            false
+        }
+        Err(err) if err.is_refused() => tell(traffic, view, server),
+        Err(pool::Error::Full | pool::Error::Connect(_) | pool::Error::Silent) => false,
+    }
+}
+
+/// Tells of the requests that were running at a server which has ended. Returns whether it ended without a word.
+fn tell(traffic: &Traffic, view: &View, server: &Server) -> bool {
+    let running = traffic.server(server).broken.take(traffic.now());
+    if view.leaving.contains_key(&server.id) {
+        return false;
+    }
+    for Running { request, caller, at } in running {
+        let what = What::Ended { server: server.id.clone(), caller };
+        traffic.tell_crash(Fact { request, what, at });
+    }
+    true
+}
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 mod body;
+mod crash;
 mod refuse;
 mod same;
 pub mod send;
--- a/crates/jacinthbeam-host/src/request/refuse.rs
+++ b/crates/jacinthbeam-host/src/request/refuse.rs
@@ -71,7 +71,7 @@
             Refusal::not_run(Reason::Overloaded).retry_after(room_in)
         }
         NotRun::NotOwner => Refusal::not_run(Reason::Moving).retry_after(OWNER_IN),
-        NotRun::OtherServer | NotRun::Unreachable => {
+        NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable => {
             Refusal::not_run(Reason::Unreachable).retry_after(OWNER_IN)
         }
         NotRun::Refused => Refusal::not_run(Reason::RefusedByServer).retry_after(room_in),
--- a/crates/jacinthbeam-host/src/request/same.rs
+++ b/crates/jacinthbeam-host/src/request/same.rs
@@ -1,13 +1,29 @@
 //! What makes two attempts the same request.
 
 use http::header;
-use jacinthbeam_crash::Fingerprint;
+use jacinthbeam_crash::{Fingerprint, Suspects, fingerprint::Head};
 
 use super::send::Whole;
 
 /// The fingerprint of a request: its method, the host and path that its caller named, and its body.
+///
+/// The service isn't part of it: a route may lead elsewhere from one attempt to the next, and the request goes along.
 pub(super) fn fingerprint(whole: &Whole) -> Fingerprint {
-    let target = whole.target.to_string();
+    Fingerprint::of(head(whole), &whole.body)
+}
+
+/// The same, if it may be one of `suspects`. A body is digested for those alone.
+pub(super) fn fingerprint_among(suspects: &Suspects, whole: &Whole) -> Option<Fingerprint> {
+    if suspects.is_empty() {
+        return None;
+    }
+    let head = head(whole);
+    suspects.have_head(head).then(|| Fingerprint::of(head, &whole.body))
+}
+
+fn head(whole: &Whole) -> Head {
+    let path = whole.target.path().as_bytes();
+    let query = whole.target.query().unwrap_or_default().as_bytes();
     let host = whole.headers.get(header::HOST).map_or(&[][..], |host| host.as_bytes());
-    Fingerprint::of(&[whole.method.as_str().as_bytes(), host, target.as_bytes(), &whole.body])
+    Head::of(&[whole.method.as_str().as_bytes(), host, path, query])
 }
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -88,7 +88,7 @@
         Sent::Answered { good: true, .. } => seen.on_answer(now.saturating_duration_since(begun)),
         Sent::Answered { good: false, .. } => seen.on_error(),
         Sent::NotRun(NotRun::Full) => seen.on_full(now),
-        Sent::NotRun(NotRun::Unreachable) => seen.on_failure(now),
+        Sent::NotRun(NotRun::NotListening | NotRun::Unreachable) => seen.on_failure(now),
         Sent::NotRun(NotRun::OtherServer) => state.ended.set(true),
         Sent::NotRun(NotRun::NotOwner | NotRun::NoConnection | NotRun::Refused) => {}
         Sent::Lost(_) => {
@@ -133,6 +133,7 @@
 fn lend(lent: Result<Lent, pool::Error>) -> Result<Lent, NotRun> {
     lent.map_err(|err| match err {
         pool::Error::Full => NotRun::NoConnection,
+        err if err.is_refused() => NotRun::NotListening,
         pool::Error::Connect(_) | pool::Error::Silent => NotRun::Unreachable,
     })
 }
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -1,6 +1,8 @@
 //! From a caller's request to its answer: read, routed, sent, sent once more where that is allowed, or refused.
 
 use std::{
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -11,6 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use jacinthbeam_connection::headers::strip;
+use jacinthbeam_crash::Fingerprint;
 use jacinthbeam_dispatch::{
     choose::{self, Candidate},
     refusal::{retry_after, room_in},
@@ -22,6 +25,7 @@
 
 use super::{
     body,
+    crash::Subject,
     refuse::{CONFIG_IN, OWNER_IN, bad, bad_body, not_run, refuse},
     same,
     send::{self, Whole},
@@ -57,12 +61,15 @@
 /// Most sends of one request, refused ones included.
 const MOST_SENDS: u32 = 3;
 
+/// Stands for the caller of a request that came over no connection of [`crate::connection::accept`].
+const UNKNOWN_CALLER: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+
 /// Everything that is decided once for a request.
 struct Job {
     traffic: Rc<Traffic>,
     whole: Whole,
     /// Where it came from.
-    from: Option<CallerAddr>,
+    caller: IpAddr,
     route: Arc<Route>,
     service: ServiceName,
     connections: u32,
@@ -125,7 +132,7 @@
     let job = Job {
         traffic: traffic.clone(),
         whole,
-        from: parts.extensions.get().copied(),
+        caller: parts.extensions.get().map_or(UNKNOWN_CALLER, |CallerAddr(addr)| *addr),
         service: name,
         connections: service.connections,
         keyed: service.keyed,
@@ -136,6 +143,9 @@
         deadline,
         route,
     };
+    if let Some(request) = job.subject().refused(&view) {
+        return refuse_for_crashes(&job, request);
+    }
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_let_in(&job, &view, key)
     {
@@ -172,8 +182,16 @@
     let mut sends = 0;
     let mut tried = Vec::new();
     let mut last = None;
+    let mut ended = BTreeSet::new();
     loop {
         let view = job.traffic.view();
+        // It may have waited, and its repeat may come, after others have shown what it does.
+        if let Some(request) = job.subject().refused(&view) {
+            return match last {
+                None | Some(Sent::NotRun(_)) => refuse_for_crashes(&job, request),
+                last => give_up(&job, last, &tried),
+            };
+        }
         let server = match find_server(&job, &view, &tried) {
             Some(server) => server,
             None if sends == 0 && job.keyed && job.may_wait(AWAIT_OWNER) => {
@@ -198,12 +216,21 @@
             Sent::NotRun(NotRun::NotOwner) if job.keyed => {
                 sends < MOST_SENDS && await_other_owner(&job, &view).await
             }
-            Sent::NotRun(NotRun::OtherServer | NotRun::Unreachable) if job.keyed => false,
+            Sent::NotRun(NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable)
+                if job.keyed =>
+            {
+                false
+            }
             Sent::NotRun(NotRun::Full) => !job.keyed && sends < MOST_SENDS,
             Sent::NotRun(_) => sends < MOST_SENDS,
             Sent::Lost(Lost::Late) => false,
             Sent::Lost(Lost::Broken) => job.may_run_again(sends),
         };
+        let has_ended = job.on_sent(&view, &server, &sent, again).await;
+        if has_ended {
+            ended.insert(server.id.clone());
+        }
+        let again = again && job.subject().may_repeat(&job.traffic.view(), &ended);
         last = Some(worse(last, sent));
         if !again || job.left().is_zero() {
             return give_up(&job, last, &tried);
@@ -233,12 +260,30 @@
             server: &server.id,
             number,
             received: self.received,
-            from: self.from.map(|from| from.0),
+            caller: self.caller,
         };
         let same = || same::fingerprint(&self.whole);
         self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent, same);
     }
 
+    /// The request as far as servers may end under it.
+    fn subject(&self) -> Subject<'_> {
+        Subject { traffic: &self.traffic, whole: &self.whole, caller: self.caller }
+    }
+
+    /// Takes note of what a send says of its server. Returns whether the server is known to have ended under the request; that is
+    /// waited for only if it `may_repeat`.
+    async fn on_sent(
+        &self,
+        view: &Arc<View>,
+        server: &Server,
+        sent: &Sent,
+        may_repeat: bool,
+    ) -> bool {
+        let most = self.traffic.most_connections(self.connections, view.hosts);
+        self.subject().on_sent(view, server, most, sent, may_repeat).await
+    }
+
     fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.traffic.now())
     }
@@ -305,11 +350,28 @@
 
 async fn send_counted(job: &Job, server: &Server, most_connections: u32) -> Sent {
     job.usage.begin();
+    let mut at = AtServer { job, server, is_over: false };
     let sent = send::send(&job.traffic, &job.whole, server, most_connections, job.deadline).await;
+    at.is_over = true;
     job.usage.end(&sent);
     sent
 }
 
+/// A request at a server. Dropped before it is over, its caller has left.
+struct AtServer<'a> {
+    job: &'a Job,
+    server: &'a Server,
+    is_over: bool,
+}
+
+impl Drop for AtServer<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.job.subject().on_left(self.server);
+        }
+    }
+}
+
 /// Waits until the key has another owner or token than in `view`. Returns whether it has.
 async fn await_other_owner(job: &Job, view: &View) -> bool {
     let of = |view: &View| {
@@ -347,6 +409,15 @@
     refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
 }
 
+/// Answers a request that is sent to no server any more. There is no hint when to come back: no time is known at which it would be
+/// served.
+fn refuse_for_crashes(job: &Job, request: Fingerprint) -> Response<Full<Bytes>> {
+    job.traffic.counters.on_refused_for_crashes(request);
+    let refusal = Refusal::not_run(Reason::EndsServers);
+    let basis = || basis(job, 0);
+    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
+}
+
 /// What the refusal of a request is decided by, for its line in the log.
 fn basis(job: &Job, tried: usize) -> Basis<'_> {
     let key = job.key.filter(|_| job.keyed);
--- a/crates/jacinthbeam-host/src/sent.rs
+++ b/crates/jacinthbeam-host/src/sent.rs
@@ -31,6 +31,8 @@
     NotOwner,
     /// Another server has the address.
     OtherServer,
+    /// Nothing listens at the server's address.
+    NotListening,
     /// The server can't be reached.
     Unreachable,
     /// This host has no connection left for the server.
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_crash::Suspects;
 use jacinthbeam_range::Map;
 use jacinthbeam_route::{Config, Servers};
 use jacinthbeam_types::prelude::*;
@@ -23,6 +24,8 @@
     pub maps: BTreeMap<ServiceName, Arc<Map>>,
     /// Hosts that share the budget of repeats; 0 until they are known.
     pub hosts: u32,
+    /// Requests under which servers have ended.
+    pub suspects: Arc<Suspects>,
 }
 
 impl View {
--- a/crates/jacinthbeam-host/tests/source.rs
+++ b/crates/jacinthbeam-host/tests/source.rs
@@ -1,6 +1,7 @@
 //! Whom a host asks for the news of the store.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -20,6 +21,11 @@
     format!("127.0.0.1:{n}").parse().unwrap()
 }
 
+/// Hosts of another failure domain.
+fn far<const N: usize>(hosts: [Neighbour; N]) -> BTreeMap<FailureDomain, Vec<Neighbour>> {
+    BTreeMap::from([("far".parse().unwrap(), hosts.to_vec())])
+}
+
 /// The first of several.
 fn first(addrs: &[SocketAddr]) -> Option<SocketAddr> {
     addrs.first().copied()
@@ -67,7 +73,7 @@
     let now = Instant::now();
     let mut sources = Sources::default();
     let neighbours =
-        Neighbours { before: Vec::new(), after: vec![host(2), host(3)], far: vec![host(7)] };
+        Neighbours { before: Vec::new(), after: vec![host(2), host(3)], far: far([host(7)]) };
     let next = |sources: &mut Sources, now, lost| sources.next(now, &neighbours, lost, first);
     assert_eq!(next(&mut sources, now, false), Step::Read);
     assert_eq!(next(&mut sources, now, true), Step::Help(addr(2)));
@@ -168,7 +174,7 @@
     assert!(asks_seeds(None, Duration::MAX));
     assert!(asks_seeds(Some(&Neighbours::default()), old));
     assert!(!asks_seeds(Some(&Neighbours::default()), Duration::ZERO), "the store answers");
-    let somebody = Neighbours { far: vec![host(7)], ..Neighbours::default() };
+    let somebody = Neighbours { far: far([host(7)]), ..Neighbours::default() };
     assert!(!asks_seeds(Some(&somebody), old));
 }
 
@@ -192,5 +198,5 @@
     let neighbours = Neighbours::of(id, own, fleet.iter().map(|(host, entry)| (host, entry)));
     assert_eq!(neighbours.before, [host(2), host(4), host(1)]);
     assert!(neighbours.after.is_empty());
-    assert_eq!(neighbours.far, [host(5)]);
+    assert_eq!(neighbours.far.into_values().collect::<Vec<_>>(), [[host(5)]]);
 }
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -74,6 +74,8 @@
     Unreachable,
     /// Backend servers have no room, or can't answer in time.
     Overloaded,
+    /// Servers have ended each time that they ran the request, and it is sent to none any more.
+    EndsServers,
     /// The deadline passed.
     DeadlinePassed,
     /// The backend server refused it before running it.
@@ -95,6 +97,7 @@
             Self::Moving => "the key is being moved to another backend server",
             Self::Unreachable => "the backend server can't be reached from here",
             Self::Overloaded => "no backend server has room for the request at present",
+            Self::EndsServers => "backend servers have ended each time that they ran this request",
             Self::DeadlinePassed => "the deadline passed",
             Self::RefusedByServer => "the backend server refused the request before running it",
             Self::ConnectionLost => "the connection was lost before the answer arrived",
