test(crash): proof, doubt, callers and the spread of facts, played at 11, 69 and 295 hosts with lost news, cuts and restarts

Change: unit tests of what counts as proof; a world in virtual time in which a request ends its servers at any host, among ordinary ones and servers lost for other reasons. Counted: sends later than three seconds after the third server by hosts in touch (three at most, none in a calm fleet), ordinary requests refused by mistake (none).

--- /dev/null
+++ b/crates/jacinthbeam-crash/tests/cases.rs
@@ -0,0 +1,142 @@
+//! Which requests are refused for the servers that ended under them.
+
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_crash::{
+    Cases, Fact, Fingerprint, What,
+    cases::{DOUBTED_FOR, MOST_CASES, REFUSED_FOR},
+    fingerprint::Head,
+};
+use jacinthbeam_types::prelude::*;
+
+fn request(n: usize) -> Fingerprint {
+    Fingerprint::of(Head::of(&[b"GET", &n.to_be_bytes()]), b"")
+}
+
+fn caller(n: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, n).into()
+}
+
+fn server(n: u32) -> ServerId {
+    ServerName::into(format!("s{n}").parse().unwrap())
+}
+
+fn ended(of: usize, by: u8, under: u32, at: Instant) -> Fact {
+    let what = What::Ended { server: server(under), caller: caller(by) };
+    Fact { request: request(of), what, at }
+}
+
+fn cleared(of: usize, at: Instant) -> Fact {
+    Fact { request: request(of), what: What::Cleared, at }
+}
+
+/// Facts that were seen here, one a second; the last of them a moment ago.
+fn cases(facts: impl IntoIterator<Item = Fact>, now: Instant) -> Cases {
+    let mut cases = Cases::default();
+    for fact in facts {
+        cases.take(fact, None, now);
+    }
+    cases
+}
+
+fn is_refused(cases: &Cases, of: usize, by: u8) -> bool {
+    cases.suspects().refuse(&request(of), caller(by))
+}
+
+#[test]
+fn the_third_server_is_proof() {
+    let now = Instant::now();
+    let two = cases([1, 2].map(|n| ended(1, 1, n, now)), now);
+    assert!(!is_refused(&two, 1, 1));
+    let three = cases([1, 2, 3].map(|n| ended(1, 1, n, now)), now);
+    assert!(is_refused(&three, 1, 1));
+    assert!(!is_refused(&three, 2, 1), "another request is refused");
+}
+
+/// A server that ends breaks all connections to it, at several hosts and for several attempts of one request. It is one server.
+#[test]
+fn a_server_counts_once_however_many_hosts_saw_it_end() {
+    let now = Instant::now();
+    let cases = cases((0..9).map(|n| ended(1, n % 3, 1, now)), now);
+    assert!((0..3).all(|by| !is_refused(&cases, 1, by)));
+}
+
+/// A server that starts again under its name is another one: the request has ended both.
+#[test]
+fn lives_of_a_server_count_each() {
+    let now = Instant::now();
+    let lives = [1, 2, 3].map(|born| ServerId::new("s1".parse().unwrap(), Some(Born(born))));
+    let facts = lives.map(|server| Fact {
+        request: request(1),
+        what: What::Ended { server, caller: caller(1) },
+        at: now,
+    });
+    assert!(is_refused(&cases(facts, now), 1, 1));
+}
+
+/// One caller sends what another sends too, and lets it meet servers that end. What it shows is held against itself alone; what
+/// the attempts of two callers show is a fault of the request.
+#[test]
+fn one_caller_can_not_have_the_request_of_another_refused() {
+    let now = Instant::now();
+    let mut cases = cases((1..6).map(|n| ended(1, 1, n, now)), now);
+    assert!(is_refused(&cases, 1, 1) && !is_refused(&cases, 1, 2));
+    cases.take(ended(1, 2, 6, now), None, now);
+    assert!(is_refused(&cases, 1, 2) && is_refused(&cases, 1, 3));
+}
+
+/// A hot key's reader meets three owners that end one after the other, each for reasons of its own, and is answered in between.
+#[test]
+fn a_request_that_is_answered_is_cleared_of_what_was_before() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let facts = [ended(1, 1, 1, at(0)), ended(1, 1, 2, at(1)), cleared(1, at(2))];
+    let mut cases = cases(facts, at(2));
+    cases.take(ended(1, 1, 3, at(3)), None, at(3));
+    assert!(!is_refused(&cases, 1, 1));
+    assert!(!cases.take(ended(1, 1, 1, at(0)), None, at(4)), "an old fact comes late");
+    for n in [4, 5] {
+        cases.take(ended(1, 1, n, at(5)), None, at(5));
+    }
+    assert!(is_refused(&cases, 1, 1), "it is not cleared of what came after");
+}
+
+#[test]
+fn doubt_and_refusal_end() {
+    let now = Instant::now();
+    let mut cases = cases([ended(1, 1, 1, now)], now);
+    for n in 1..4 {
+        cases.take(ended(2, 1, n, now), None, now);
+    }
+    assert!(cases.forget(now + DOUBTED_FOR));
+    assert!(cases.suspects().get(&request(1)).is_none());
+    assert!(is_refused(&cases, 2, 1));
+    assert!(!cases.forget(now + REFUSED_FOR - Duration::from_secs(1)));
+    assert!(cases.forget(now + REFUSED_FOR) && cases.suspects().is_empty());
+    let old = ended(1, 1, 1, now);
+    assert!(!cases.take(old, None, now + DOUBTED_FOR), "what is forgotten comes back");
+}
+
+/// A failure domain loses its power, and thousands of requests were running there. The memory is bounded, and the request that is refused stays.
+#[test]
+fn a_refused_request_outlasts_any_number_of_doubted_ones() {
+    let now = Instant::now();
+    let mut cases = cases((1..4).map(|n| ended(0, 1, n, now)), now);
+    for of in 1..2 * MOST_CASES {
+        cases.take(ended(of, 1, 9, now + Duration::from_secs(1)), None, now);
+    }
+    assert!(is_refused(&cases, 0, 1));
+    assert_eq!(cases.suspects().iter().count(), MOST_CASES);
+}
+
+#[test]
+fn only_a_known_head_has_a_body_digested() {
+    let now = Instant::now();
+    let head = |n: usize| Head::of(&[b"GET", &n.to_be_bytes()]);
+    let suspects = cases([ended(1, 1, 1, now)], now).suspects();
+    assert!(suspects.have_head(head(1)) && !suspects.have_head(head(2)));
+    assert!(suspects.get(&Fingerprint::of(head(1), b"another body")).is_none());
+}
--- /dev/null
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -0,0 +1,178 @@
+//! A request that ends its servers, at fleets of several sizes, with late and lost news, cuts and restarts.
+
+mod world;
+
+use arbtest::arbtest;
+use jacinthbeam_crash::What;
+use world::{Odds, World};
+
+/// Servers that end before a request is refused.
+const PROOF: u32 = 3;
+
+/// Sends that are allowed later than [`BOUND`] after that, by all hosts together that are in touch.
+const RETRIES: u32 = 3;
+
+/// Milliseconds that hosts have to hear of each other; a host is in touch so long after it started or a cut ended.
+const BOUND: u64 = 3000;
+
+/// The request that ends its servers and its caller, and an ordinary one that is read again and again.
+const DEADLY: (u64, u64) = (1, 1);
+const HOT: (u64, u64) = (2, 2);
+
+const CALM: Odds = Odds { lost: 0.0, latency: 10, running: 4 };
+const LOSSY: Odds = Odds { lost: 0.05, latency: 60, running: 4 };
+
+/// What is drawn for a play.
+#[derive(Clone, Copy)]
+struct Plan {
+    /// A failure domain is cut off for some seconds.
+    cut: bool,
+    /// Hosts start again, one after the other.
+    restarts: bool,
+    /// Servers end for reasons of their own.
+    losses: bool,
+    /// All hosts lose power once.
+    power: bool,
+}
+
+/// Milliseconds of a play, and of one with hundreds of hosts.
+const LENGTH: u64 = 30_000;
+const LENGTH_OF_LARGE: u64 = 10_000;
+
+/// Plays a fleet in which the deadly request comes about once a second, at any host. Returns the sends that count.
+fn play(hosts: usize, odds: Odds, plan: Plan, seed: u64) -> u32 {
+    let mut world = World::new(hosts, 3, odds, seed);
+    let (cut_from, cut_for) = (world.rng.u64(2000..15_000), world.rng.u64(1000..9000));
+    let power_at = world.rng.u64(5000..20_000);
+    let mut touched = vec![0; hosts];
+    let (mut ended, mut proven_at, mut counted) = (0, None, 0);
+    let mut power = plan.power;
+    let begun = world.now;
+    let length = if hosts > 100 { LENGTH_OF_LARGE } else { LENGTH };
+    while world.now < begun + length {
+        let span = world.rng.u64(1..30) * 10;
+        world.run_for(span);
+        let since = world.now - begun;
+        let is_cut = plan.cut && (cut_from..cut_from + cut_for).contains(&since);
+        world.cut(is_cut.then_some(1));
+        if is_cut {
+            (0..hosts).filter(|n| world.domain(*n) == 1).for_each(|n| touched[n] = world.now);
+        }
+        if power && since >= power_at {
+            power = false;
+            world.restart_all();
+            touched.fill(world.now + 2500);
+        }
+        if plan.restarts && world.rng.f64() < 0.05 {
+            let n = world.rng.usize(..hosts);
+            world.restart(n);
+            touched[n] = world.now + 2500;
+        }
+        if plan.losses && world.rng.f64() < 0.2 {
+            let n = world.rng.usize(..hosts);
+            let hot = (world.rng.f64() < 0.3).then_some(HOT);
+            world.end_server(n, hot);
+        }
+        let n = world.rng.usize(..hosts);
+        if world.serves(n) {
+            assert!(world.answer(n, HOT.0, HOT.1), "an ordinary request is refused, seed {seed}");
+        }
+        let n = world.rng.usize(..hosts);
+        if world.rng.f64() < 0.2 && world.serves(n) && !world.refuses(n, DEADLY.0, DEADLY.1) {
+            world.end_server(n, Some(DEADLY));
+            ended += 1;
+            let is_late = proven_at.is_some_and(|at| world.now > at + BOUND);
+            if is_late && world.now > touched[n] + BOUND {
+                counted += 1;
+            }
+            if ended == PROOF {
+                proven_at = Some(world.now);
+            }
+        }
+    }
+    counted
+}
+
+const QUIET: Plan = Plan { cut: false, restarts: false, losses: true, power: false };
+
+/// A request ends a server wherever it runs, and comes to any host. When three have ended every host refuses it within the bound, although each
+/// of the three may have been seen by another host, and ordinary requests that ran on the same servers are served.
+#[test]
+fn every_host_hears_within_the_bound() {
+    for hosts in [11, 69] {
+        arbtest(|u| {
+            let counted = play(hosts, CALM, QUIET, u.arbitrary()?);
+            assert_eq!(counted, 0, "{hosts} hosts");
+            Ok(())
+        })
+        .budget_ms(budget_ms());
+    }
+}
+
+#[test]
+fn every_host_of_hundreds_hears_within_the_bound() {
+    assert_eq!(play(295, CALM, QUIET, 1), 0);
+    assert!(play(295, LOSSY, Plan { cut: true, restarts: true, ..QUIET }, 2) <= RETRIES);
+}
+
+/// News are late or lost, a failure domain is cut off while servers end on both sides, and hosts start again with an empty memory.
+#[test]
+fn cuts_and_restarts_leave_the_bound_for_the_whole_fleet() {
+    arbtest(|u| {
+        let plan =
+            Plan { cut: u.arbitrary()?, restarts: u.arbitrary()?, losses: true, power: false };
+        let hosts = *u.choose(&[3, 11, 30])?;
+        let counted = play(hosts, LOSSY, plan, u.arbitrary()?);
+        assert!(counted <= RETRIES, "{counted} sends of {hosts} hosts after the proof");
+        Ok(())
+    })
+    .budget_ms(budget_ms());
+}
+
+/// All hosts lose power, and nobody remembers anything. Three more servers are needed as proof, and no more than these.
+#[test]
+fn after_a_loss_of_all_memory_the_proof_is_needed_once_more() {
+    arbtest(|u| {
+        let counted = play(11, CALM, Plan { power: true, ..QUIET }, u.arbitrary()?);
+        assert!(counted <= RETRIES, "{counted} sends after the proof");
+        Ok(())
+    })
+    .budget_ms(budget_ms());
+}
+
+/// A caller that reads on and on is on each of three servers that end one after the other. Its reads in between are answered, by
+/// whichever host, and that is known to the others before the third.
+#[test]
+fn a_reader_that_loses_three_servers_is_served_on() {
+    let mut world = World::new(11, 3, CALM, 7);
+    for _ in 0..5 {
+        let n = world.rng.usize(..11);
+        world.end_server(n, Some(HOT));
+        world.run_for(500);
+        let n = world.rng.usize(..11);
+        assert!(world.answer(n, HOT.0, HOT.1));
+        world.run_for(500);
+    }
+    assert!((0..11).all(|n| !world.refuses(n, HOT.0, HOT.1)));
+}
+
+/// Operators let a request through again at one host, and all hosts do.
+#[test]
+fn a_request_that_is_let_through_is_so_everywhere() {
+    let mut world = World::new(11, 3, CALM, 8);
+    for _ in 0..3 {
+        let n = world.rng.usize(..11);
+        world.end_server(n, Some(DEADLY));
+    }
+    world.run_for(1000);
+    assert!((0..11).all(|n| world.refuses(n, DEADLY.0, DEADLY.1)));
+    world.see(5, DEADLY.0, What::Cleared);
+    world.run_for(3000);
+    assert!((0..11).all(|n| !world.refuses(n, DEADLY.0, DEADLY.1)));
+}
+
+/// Milliseconds of a play of a property; more by hand.
+fn budget_ms() -> u64 {
+    let set = std::env::var("JACINTHBEAM_PLAY_MS").ok();
+    set.and_then(|text| text.parse().ok()).unwrap_or(2000)
+}
