--- a/crates/jacinthbeam-cli/src/command/mod.rs
+++ b/crates/jacinthbeam-cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 mod error;
 pub mod explain;
+pub mod let_through;
 pub mod local;
 pub mod measure;
 pub mod publish;
@@ -22,7 +23,7 @@
 use crate::Terminal;
 
 /// All commands with their arguments.
-pub fn all() -> [Command; 10] {
+pub fn all() -> [Command; 11] {
     [
         check::command(),
         publish::command(),
@@ -31,6 +32,7 @@
         explain::command(),
         usage::command(),
         dump::command(),
+        let_through::command(),
         entry::command(),
         local::command(),
         measure::command(),
@@ -47,6 +49,7 @@
         "explain" => explain::run(args, terminal).await,
         "usage" => usage::run(args, terminal).await,
         "dump" => dump::run(args, terminal).await,
+        "let-through" => let_through::run(args, terminal).await,
         "entry" => entry::run(args, terminal).await,
         "local" => local::run(args, terminal).await,
         "measure" => measure::run(args, terminal).await,
--- a/crates/jacinthbeam-cli/src/command/status.rs
+++ b/crates/jacinthbeam-cli/src/command/status.rs
@@ -1,9 +1,11 @@
 //! `jacinthbeam status`: what is in force on each host, and which hosts lag.
 
+use std::collections::BTreeMap;
+
 use clap::{ArgMatches, Command};
 use jacinthbeam::host::{
     operators,
-    process::status::{Keys, Owners, Status},
+    process::status::{Crashes, Keys, Owners, Status},
 };
 
 use super::{EXIT_CODES, Error, arg};
@@ -11,7 +13,7 @@
 
 const LONG: &str = "\
 Say for each host which configuration is in force there, how many backend servers it knows, and who grants and owns the keys of
-each service. Ends with code 6 if a host gives no answer, is behind the others, or knows keys that nobody owns.";
+each service, and which requests are refused or in doubt since servers ended under them. Ends with code 6 if a host gives no answer, is behind the others, or knows keys that nobody owns.";
 
 /// The command's arguments.
 pub fn command() -> Command {
@@ -47,6 +49,9 @@
             }
         }
     }
+    for (request, crashes) in crashes(&found) {
+        terminal.say(describe_crashes(request, crashes));
+    }
     short.iter().for_each(|what| terminal.warn(what));
     match short.is_empty() {
         true => Ok(()),
@@ -54,6 +59,31 @@
     }
 }
 
+/// Requests under which servers have ended, each as the host tells it that knows most of it.
+fn crashes(found: &[Status]) -> BTreeMap<&str, &Crashes> {
+    let mut all: BTreeMap<&str, &Crashes> = BTreeMap::new();
+    for (request, crashes) in found.iter().flat_map(|status| &status.crashes) {
+        let known = all.entry(request).or_insert(crashes);
+        if known.servers.len() < crashes.servers.len() {
+            *known = crashes;
+        }
+    }
+    all
+}
+
+fn describe_crashes(request: &str, crashes: &Crashes) -> String {
+    let list = |items: Vec<String>| items.join(" ");
+    let what = if crashes.refused { "refused" } else { "in doubt" };
+    let servers = list(crashes.servers.iter().map(ToString::to_string).collect());
+    let callers = list(crashes.callers.iter().map(ToString::to_string).collect());
+    format!(
+        "request {request} {what}: {} servers ended under it, the first {} s ago, the last {} s ago ({servers}); from {callers}",
+        crashes.servers.len(),
+        crashes.first_ms_ago / 1000,
+        crashes.last_ms_ago / 1000,
+    )
+}
+
 fn line(status: &Status) -> String {
     let config = match status.config {
         Some(version) => format!("version {version}"),
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -24,11 +24,11 @@
     net::{TcpListener, UdpSocket},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use http::StatusCode;
-use jacinthbeam_crash::Fact;
+use http::{Method, StatusCode};
+use jacinthbeam_crash::{Fact, Fingerprint, What, fingerprint};
 use jacinthbeam_range::Event;
 use jacinthbeam_types::prelude::*;
 use tokio::{
@@ -52,6 +52,7 @@
 use crate::{
     Settings, Wire,
     connection::accept::Phase,
+    operators,
     request::answer,
     version::{KnownTo, View},
 };
@@ -181,22 +182,26 @@
 
 fn serve_pages(start: &Start, ready: TcpListener, metrics: TcpListener, tx: &Tx) {
     let (view, phase) = (start.view.subscribe(), start.phase.clone());
-    serve_page(ready, move |_| {
+    serve_page(ready, move |_, _| {
         let ready = view.borrow().config.is_some() && *phase.borrow() == Phase::Serving;
         std::future::ready(pages::ready(ready))
     });
     let (counters, view) = (start.counters.clone(), start.view.subscribe());
     let (settings, phase) = (start.settings.clone(), start.phase.clone());
-    let tx = tx.clone();
-    serve_page(metrics, move |path| {
+    let (tx, clock) = (tx.clone(), start.clock.clone());
+    serve_page(metrics, move |method, path| {
         let text = match path {
             "/metrics" => Some(counters.text()),
             "/status" => {
-                let status = status::of(&settings, &view.borrow(), *phase.borrow());
+                let now = clock.now();
+                let status = status::of(&settings, &view.borrow(), *phase.borrow(), now);
                 let text = serde_json::to_string_pretty(&status);
                 Some(text.expect("names and numbers can be written"))
             }
-            _ => None,
+            _ => path
+                .strip_prefix(operators::LET_THROUGH)
+                .filter(|_| method == Method::POST)
+                .map(|request| let_through(&tx, request, clock.now())),
         };
         let dump = (path == "/dump").then(|| dump(tx.clone()));
         async move {
@@ -213,7 +218,19 @@
 }
 
 /// What the operators' port serves.
-const PAGES: &str = "pages: /metrics, /status, /dump";
+const PAGES: &str = "pages: /metrics, /status, /dump; POST /let-through/FINGERPRINT";
+
+/// Clears a request of the servers that ended under it, here and at all hosts. Returns what to say.
+fn let_through(tx: &Tx, request: &str, now: Instant) -> String {
+    let Ok(request) = request.parse::<Fingerprint>() else {
+        return format!("refused: {}", fingerprint::ParseError);
+    };
+    tracing::info!(part = "crash", event = "let-through", request = %request);
+    match tx.send(Input::Crash(Fact { request, what: What::Cleared, at: now })) {
+        Ok(()) => format!("{request} is let through"),
+        Err(_) => "refused: the process ends".into(),
+    }
+}
 
 /// Everything that the control thread knows.
 async fn dump(tx: Tx) -> String {
@@ -223,7 +240,7 @@
     text.unwrap_or_else(|| "the process ends".into())
 }
 
-fn serve_page<F>(listener: TcpListener, page: impl Fn(&str) -> F + 'static)
+fn serve_page<F>(listener: TcpListener, page: impl Fn(&Method, &str) -> F + 'static)
 where
     F: Future<Output = http::Response<http_body_util::Full<bytes::Bytes>>> + 'static,
 {
--- a/crates/jacinthbeam-host/src/process/pages.rs
+++ b/crates/jacinthbeam-host/src/process/pages.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, rc::Rc};
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -11,8 +11,8 @@
 
 use crate::request::answer;
 
-/// Serves `page`, which gets the path, on every connection. Runs for ever.
-pub async fn serve<F>(listener: TcpListener, page: impl Fn(&str) -> F + 'static)
+/// Serves `page`, which gets method and path, on every connection. Runs for ever.
+pub async fn serve<F>(listener: TcpListener, page: impl Fn(&Method, &str) -> F + 'static)
 where
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
@@ -28,7 +28,7 @@
         };
         let page = page.clone();
         let service = service_fn(move |req: http::Request<hyper::body::Incoming>| {
-            let res = page(req.uri().path());
+            let res = page(req.method(), req.uri().path());
             async move { Ok::<_, Infallible>(res.await) }
         });
         spawn_local(async move {
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -1,7 +1,8 @@
 //! What a host knows, in short, for operators and their programs: the page `/status`.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::IpAddr, time::Instant};
 
+use jacinthbeam_crash::suspects::{PROOF, Suspect};
 use jacinthbeam_range::key::KEYS;
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,37 @@
     pub hosts: u32,
     /// The services of the configuration.
     pub services: BTreeMap<ServiceName, Service>,
+    /// Requests under which servers have ended, by their fingerprints.
+    #[serde(default)]
+    pub crashes: BTreeMap<String, Crashes>,
+}
+
+/// Servers that have ended under one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// Whether it is sent to no server any more.
+    pub refused: bool,
+    /// Its callers.
+    pub callers: Vec<IpAddr>,
+    /// The servers.
+    pub servers: Vec<ServerId>,
+    /// Milliseconds since the first of them ended.
+    pub first_ms_ago: u64,
+    /// Milliseconds since the last of them ended.
+    pub last_ms_ago: u64,
+}
+
+impl Crashes {
+    fn of(suspect: &Suspect, now: Instant) -> Self {
+        let ago = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        Self {
+            refused: suspect.servers.len() >= PROOF,
+            callers: suspect.callers.iter().copied().collect(),
+            servers: suspect.servers.iter().cloned().collect(),
+            first_ms_ago: ago(suspect.first),
+            last_ms_ago: ago(suspect.last),
+        }
+    }
 }
 
 /// One service as a host knows it.
@@ -75,7 +107,10 @@
 }
 
 /// What a host with this view knows.
-pub(super) fn of(settings: &Settings, view: &View, phase: Phase) -> Status {
+pub(super) fn of(settings: &Settings, view: &View, phase: Phase, now: Instant) -> Status {
+    let crashes = view.suspects.iter();
+    let crashes =
+        crashes.map(|(request, suspect)| (request.to_string(), Crashes::of(suspect, now)));
     Status {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
@@ -83,6 +118,7 @@
         config: view.config.as_deref().map(|cfg| cfg.version),
         hosts: view.hosts,
         services: services(view),
+        crashes: crashes.collect(),
     }
 }
 
--- a/crates/jacinthbeam/src/lib.rs
+++ b/crates/jacinthbeam/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each re-exported crate owns one concern; `docs/ARCHITECTURE.md` tells which.
 
 pub use jacinthbeam_config as config;
+pub use jacinthbeam_crash as crash;
 pub use jacinthbeam_dispatch as dispatch;
 pub use jacinthbeam_host as host;
 pub use jacinthbeam_native as native;
