fix(host): a server that says it leaves while a request runs is no proof against the request

Symptom: a server said that it leaves, ended two seconds later in order with what still ran, and counted as ended under it. Cause: whether a server had said so was looked up in what was known when the request was sent. A look that finds no room for a connection tries again.

--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -4,7 +4,12 @@
 //! nothing listens at its address, or another life of a server answers there, soon after; not if it had said that it leaves, since one
 //! that is stopped in order ends with whatever still runs.
 
-use std::{collections::BTreeSet, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::IpAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use jacinthbeam_crash::{Fact, Fingerprint, What, suspects::PROOF};
 use jacinthbeam_route::Server;
@@ -22,6 +27,10 @@
 /// How long a repeat waits for the look whether its server has ended. An address where nothing listens says so in one round trip.
 const LOOK_WITHIN: Duration = Duration::from_millis(50);
 
+/// Tries of a look that finds no room for a connection, and the pause between two of them.
+const LOOKS: usize = 3;
+const ROOM_WITHIN: Duration = Duration::from_millis(20);
+
 /// One request of one caller, as far as servers may end under it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Subject<'a> {
@@ -54,7 +63,7 @@
     /// Takes note of what a send says of its server. Returns whether the server is known to have ended under the request.
     pub(super) async fn on_sent(
         self,
-        view: &Arc<View>,
+        view: &View,
         server: &Server,
         most_connections: u32,
         sent: &Sent,
@@ -66,13 +75,13 @@
                 false
             }
             Sent::NotRun(NotRun::NotListening | NotRun::OtherServer) => {
-                tell(self.traffic, view, server);
+                tell(self.traffic, server);
                 false
             }
             Sent::Lost(Lost::Broken) => {
                 self.traffic.server(server).broken.on_broken(self.running());
-                let (traffic, view, server) = (self.traffic.clone(), view.clone(), server.clone());
-                let look = async move { look(&traffic, &view, &server, most_connections).await };
+                let (traffic, server) = (self.traffic.clone(), server.clone());
+                let look = async move { look(&traffic, &server, most_connections).await };
                 let look = spawn_local(look);
                 if !waits {
                     return false;
@@ -104,31 +113,39 @@
 }
 
 /// Looks whether a server still takes connections. Returns whether it has ended.
-async fn look(traffic: &Rc<Traffic>, view: &View, server: &Server, most_connections: u32) -> bool {
+async fn look(traffic: &Traffic, server: &Server, most_connections: u32) -> bool {
     let state = traffic.server(server);
-    if !state.broken.may_look(traffic.now()) {
-        return false;
-    }
-    match state.pool.lend_new(most_connections).await {
-        Ok(lent) => {
-            state.broken.on_taken(traffic.now());
-            state.pool.give_back(lent, traffic.now(), None);
-            false
+    for _ in 0..LOOKS {
+        if !state.broken.may_look(traffic.now()) {
+            return false;
+        }
+        match state.pool.lend_new(most_connections).await {
+            Ok(lent) => {
+                state.broken.on_taken(traffic.now());
+                state.pool.give_back(lent, traffic.now(), None);
+                return false;
+            }
+            Err(err) if err.is_refused() => return tell(traffic, server),
+            Err(pool::Error::Connect(_) | pool::Error::Silent) => return false,
+            // The other connections to a server that has ended break at the same time, and make room when they are dropped.
+            Err(pool::Error::Full) => tokio::time::sleep(ROOM_WITHIN).await,
         }
-        Err(err) if err.is_refused() => tell(traffic, view, server),
-        Err(pool::Error::Full | pool::Error::Connect(_) | pool::Error::Silent) => false,
     }
+    false
 }
 
 /// Tells of the requests that were running at a server which has ended. Returns whether it ended without a word.
-fn tell(traffic: &Traffic, view: &View, server: &Server) -> bool {
-    let running = traffic.server(server).broken.take(traffic.now());
-    if view.leaving.contains_key(&server.id) {
-        return false;
-    }
-    for Running { request, caller, at } in running {
+fn tell(traffic: &Traffic, server: &Server) -> bool {
+    let now = traffic.now();
+    let running = traffic.server(server).broken.take(now);
+    // As known now: it may have said that it leaves while they ran.
+    let view = traffic.view();
+    let leaving = view.leaving.get(&server.id).map(|leaving| leaving.elapsed(now));
+    let had_said =
+        |at: Instant| leaving.is_some_and(|since| since >= now.saturating_duration_since(at));
+    for Running { request, caller, at } in running.into_iter().filter(|r| !had_said(r.at)) {
         let what = What::Ended { server: server.id.clone(), caller };
         traffic.tell_crash(Fact { request, what, at });
     }
-    true
+    !had_said(now)
 }
