test(range): the trace of the calm world, and that the check of a key's time without an owner is as strict for each key

A property shows that a key without an owner for twenty steps on end is found whatever else moves meanwhile, which is all that the check before could find of one key.

--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -195,6 +195,81 @@
     play_calm(12841008268177363238);
 }
 
+/// What was traced in that world. The check before counted steps in which any key had no owner, and found twenty in a row, while the aim is
+/// that a move leaves its keys without an owner for less than a second. The golden file tells each range, since when and for how long it
+/// had none, and what happened to it: each is one planned move that waits for what still runs, and none lasts half of what the aim allows.
+#[test]
+fn the_moves_of_that_world_follow_each_other() {
+    let mut world = World::new(Odds::CALM, 12841008268177363238);
+    let mut stretches = Vec::new();
+    let mut in_a_row = 0;
+    let mut most_in_a_row = 0;
+    for step in 0..SHOWN_TO {
+        world.step(STEP);
+        let unowned = world.unowned();
+        in_a_row = if unowned.is_empty() { 0 } else { in_a_row + 1 };
+        if step >= DIVIDED_AFTER {
+            most_in_a_row = most_in_a_row.max(in_a_row);
+            note(&mut stretches, step, unowned);
+        }
+    }
+    assert!(most_in_a_row >= UNOWNED_AT_MOST, "the world is another one: {most_in_a_row} steps");
+    let mut said = vec![format!("some key has no owner in {most_in_a_row} steps in a row")];
+    for Stretch { range, from, steps } in stretches {
+        assert!(steps < UNOWNED_AT_MOST, "{range:?} has no owner for {steps} steps");
+        let begun = STEP.as_secs_f64() * (from + 1) as f64;
+        let lasts = STEP.as_secs_f64() * steps as f64;
+        said.push(format!("{range} from {begun:.2} s for {lasts:.2} s"));
+        said.extend(world.told_of(range).into_iter().map(|line| format!("    {line}")));
+    }
+    insta::assert_snapshot!(said.join("\n"));
+}
+
+/// Steps of the trace: up to when the moves in question have ended.
+const SHOWN_TO: usize = 160;
+
+/// A range that nobody held from one step on, for so many steps.
+struct Stretch {
+    range: KeyRange,
+    from: usize,
+    steps: usize,
+}
+
+/// Adds the ranges that nobody holds in a step to those of the steps before it.
+fn note(stretches: &mut Vec<Stretch>, step: usize, unowned: Vec<KeyRange>) {
+    for range in unowned {
+        let goes_on = stretches.iter_mut().find(|s| s.range == range && s.from + s.steps == step);
+        match goes_on {
+            Some(stretch) => stretch.steps += 1,
+            None => stretches.push(Stretch { range, from: step, steps: 1 }),
+        }
+    }
+}
+
+/// A key that has no owner for a second on end is found, as by the check before, whatever else happens to other keys meanwhile.
+#[test]
+fn no_key_without_an_owner_for_a_second_is_passed_over() {
+    arbtest(|u| {
+        let key = u.arbitrary::<u16>()?;
+        let mut lately = VecDeque::new();
+        let begin = u.int_in_range(0..=WINDOW - UNOWNED_AT_MOST)?;
+        for step in 0..WINDOW {
+            let mut unowned = Vec::new();
+            let is_away = (begin..begin + UNOWNED_AT_MOST).contains(&step);
+            let (a, b) = (u.arbitrary::<u16>()?, u.arbitrary::<u16>()?);
+            if is_away {
+                unowned.extend(KeyRange::new(a.min(key), b.max(key)));
+            } else if a > key && b >= a {
+                unowned.extend(KeyRange::new(a, b));
+            }
+            lately.push_back(unowned);
+        }
+        assert!(most_often(lately.iter().flatten()) >= UNOWNED_AT_MOST);
+        Ok(())
+    })
+    .budget_ms(500);
+}
+
 /// Steps after which nothing of the start is left, neither the first division nor what it takes to balance it.
 const DIVIDED_AFTER: usize = 100;
 
--- a/crates/jacinthbeam-range/tests/world/calls.rs
+++ b/crates/jacinthbeam-range/tests/world/calls.rs
@@ -101,6 +101,11 @@
         match !refused && server.grant(now, call.range, call.token) {
             true => {
                 round.confirmed.push((call.range, call.token));
+                let Call { range, token, .. } = &call;
+                if !self.taken.contains(&(*range, *token, life)) {
+                    let to = &round.to.server;
+                    self.tell(format!("{range} is granted to {to} under token {token}"));
+                }
                 self.note_taken(life, call.range, call.token);
             }
             false => round.refused.push(call.range),
@@ -129,6 +134,7 @@
             return self.send(Duration::from_millis(500), answer);
         };
         server.release(now, range, token);
+        self.tell(format!("{range} is taken back from {id} under token {token}"));
         let after = Duration::from_millis(self.rng.u64(1..400));
         let handover = Some(format!("from {id}"));
         self.send(after, Message::Released { host: n, range, token, handover, answered });
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -278,6 +278,8 @@
                 self.on_release(host, &server, range, token, answered);
             }
             Message::Released { host, range, token, handover, answered } => {
+                let what = if answered { "has ended there" } else { "gave no answer there" };
+                self.tell(format!("{range} under token {token}: what ran {what}"));
                 let handover = if answered { Ok(handover) } else { Err(NoAnswer) };
                 self.feed(host, Event::Released { range, token, handover });
             }
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -362,6 +362,12 @@
         self.log.len()
     }
 
+    /// What happened to this range, but for its renewals.
+    pub fn told_of(&self, range: KeyRange) -> Vec<String> {
+        let text = range.to_string();
+        self.story.iter().filter(|line| line.contains(&text)).cloned().collect()
+    }
+
     /// What happened last.
     pub fn story(&self) -> String {
         let from = self.story.len().saturating_sub(120);
