fix(crash): an answer clears the attempts of its caller alone; requests: what is decided once and how one ends have modules of their own

Symptom, found by thought: one caller's attempts end server after server, while another caller reads the same path and is answered. Each answer cleared the request for both, so that it was never refused. Cause: a request is the same by its path and body, but whose it is belongs to it: a server may end under one caller's only. Change: a good answer clears what its own caller's attempts had shown; an operator's word clears all. Run: the_answer_to_one_caller_clears_no_other fails with the clearing of before; crash and platform tests green.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -43,8 +43,15 @@
         /// Whose attempt it was.
         caller: IpAddr,
     },
-    /// It ran to a good end, or an operator lets it through. What was seen before no longer counts against it.
-    Cleared,
+    /// It ran to a good end. What this caller's attempts had shown before no longer counts.
+    ///
+    /// Of another caller's it says nothing: a server may end under the same path and body from one caller and not from another.
+    Served {
+        /// Whose attempt it was.
+        caller: IpAddr,
+    },
+    /// An operator lets it through. Nothing that was seen before counts any more.
+    LetThrough,
 }
 
 /// Something that happened to a request.
@@ -69,7 +76,8 @@
 #[derive(Debug, Default)]
 struct Case {
     ended: BTreeMap<(ServerId, IpAddr), Noted>,
-    cleared: Option<Noted>,
+    /// Since when what a caller's attempts had shown no longer counts; `None` stands for all callers.
+    cleared: BTreeMap<Option<IpAddr>, Noted>,
 }
 
 impl Case {
@@ -88,7 +96,7 @@
     }
 
     fn last(&self) -> Option<Instant> {
-        self.ended.values().chain(&self.cleared).map(|noted| noted.at).max()
+        self.ended.values().chain(self.cleared.values()).map(|noted| noted.at).max()
     }
 
     fn is_over(&self, now: Instant) -> bool {
@@ -100,7 +108,10 @@
         let ended = self.ended.iter().map(|((server, caller), noted)| {
             (What::Ended { server: server.clone(), caller: *caller }, noted)
         });
-        ended.chain(self.cleared.iter().map(|noted| (What::Cleared, noted)))
+        let cleared = self.cleared.iter().map(|(of, noted)| {
+            (of.map_or(What::LetThrough, |caller| What::Served { caller }), noted)
+        });
+        ended.chain(cleared)
     }
 }
 
@@ -123,7 +134,8 @@
         let noted = Noted { at: fact.at, position: self.end, from: from.cloned() };
         let adds = match fact.what {
             What::Ended { server, caller } => case.add_ended(server, caller, noted),
-            What::Cleared => case.clear(noted),
+            What::Served { caller } => case.clear(Some(caller), noted),
+            What::LetThrough => case.clear(None, noted),
         };
         if case.is_over(now) {
             self.of.remove(&fact.request);
@@ -181,21 +193,30 @@
 
 impl Case {
     fn add_ended(&mut self, server: ServerId, caller: IpAddr, noted: Noted) -> bool {
-        let is_void = self.cleared.as_ref().is_some_and(|cleared| noted.at <= cleared.at);
         let is_known = self.ended.contains_key(&(server.clone(), caller));
-        if is_void || is_known || self.ended.len() >= MOST_OF_ONE {
+        if self.is_void(caller, noted.at) || is_known || self.ended.len() >= MOST_OF_ONE {
             return false;
         }
         self.ended.insert((server, caller), noted);
         true
     }
 
-    fn clear(&mut self, noted: Noted) -> bool {
-        if self.cleared.as_ref().is_some_and(|cleared| noted.at <= cleared.at) {
+    /// Whether what this caller's attempts had shown at a moment no longer counts.
+    fn is_void(&self, caller: IpAddr, at: Instant) -> bool {
+        let cleared = [None, Some(caller)].into_iter().filter_map(|of| self.cleared.get(&of));
+        cleared.into_iter().any(|cleared| at <= cleared.at)
+    }
+
+    fn clear(&mut self, of: Option<IpAddr>, noted: Noted) -> bool {
+        let is_known = self.cleared.get(&of).is_some_and(|cleared| noted.at <= cleared.at);
+        let is_full = self.cleared.len() >= MOST_OF_ONE && !self.cleared.contains_key(&of);
+        // What an operator says always has room.
+        if is_known || (is_full && of.is_some()) {
             return false;
         }
-        self.ended.retain(|_, ended| ended.at > noted.at);
-        self.cleared = Some(noted);
+        let counts = |caller: IpAddr, at| at > noted.at || of.is_some_and(|of| of != caller);
+        self.ended.retain(|(_, caller), ended| counts(*caller, ended.at));
+        self.cleared.insert(of, noted);
         true
     }
 }
--- a/crates/jacinthbeam-crash/tests/cases.rs
+++ b/crates/jacinthbeam-crash/tests/cases.rs
@@ -29,8 +29,8 @@
     Fact { request: request(of), what, at }
 }
 
-fn cleared(of: usize, at: Instant) -> Fact {
-    Fact { request: request(of), what: What::Cleared, at }
+fn served(of: usize, by: u8, at: Instant) -> Fact {
+    Fact { request: request(of), what: What::Served { caller: caller(by) }, at }
 }
 
 /// Facts that were seen here, one a second; the last of them a moment ago.
@@ -93,7 +93,7 @@
 fn a_request_that_is_answered_is_cleared_of_what_was_before() {
     let now = Instant::now();
     let at = |s: u64| now + Duration::from_secs(s);
-    let facts = [ended(1, 1, 1, at(0)), ended(1, 1, 2, at(1)), cleared(1, at(2))];
+    let facts = [ended(1, 1, 1, at(0)), ended(1, 1, 2, at(1)), served(1, 1, at(2))];
     let mut cases = cases(facts, at(2));
     cases.take(ended(1, 1, 3, at(3)), None, at(3));
     assert!(!is_refused(&cases, 1, 1));
@@ -104,6 +104,18 @@
     assert!(is_refused(&cases, 1, 1), "it is not cleared of what came after");
 }
 
+/// Another caller reads the same path and is answered, again and again. That says nothing of the caller under whose attempts servers end.
+#[test]
+fn the_answer_to_one_caller_clears_no_other() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let facts = (1..4).flat_map(|n| [ended(1, 1, n, at(2 * u64::from(n))), served(1, 2, at(7))]);
+    let mut cases = cases(facts, at(8));
+    assert!(is_refused(&cases, 1, 1) && !is_refused(&cases, 1, 2));
+    cases.take(Fact { request: request(1), what: What::LetThrough, at: at(9) }, None, at(9));
+    assert!(!is_refused(&cases, 1, 1), "an operator lets it through for all");
+}
+
 #[test]
 fn doubt_and_refusal_end() {
     let now = Instant::now();
--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -166,7 +166,7 @@
     }
     world.run_for(1000);
     assert!((0..11).all(|n| world.refuses(n, DEADLY.0, DEADLY.1)));
-    world.see(5, DEADLY.0, What::Cleared);
+    world.see(5, DEADLY.0, What::LetThrough);
     world.run_for(3000);
     assert!((0..11).all(|n| !world.refuses(n, DEADLY.0, DEADLY.1)));
 }
--- a/crates/jacinthbeam-crash/tests/world/mod.rs
+++ b/crates/jacinthbeam-crash/tests/world/mod.rs
@@ -196,7 +196,7 @@
             return false;
         }
         if self.hosts[n].suspects.get(&request(of)).is_some() {
-            self.see(n, of, What::Cleared);
+            self.see(n, of, What::Served { caller: caller(by) });
         }
         true
     }
--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -22,7 +22,7 @@
     pub(super) fn on_crash(&mut self, fact: Fact) {
         let what = match &fact.what {
             What::Ended { server, .. } => Some(server),
-            What::Cleared => None,
+            What::Served { .. } | What::LetThrough => None,
         };
         tracing::info!(part = "crash", event = "seen", request = %fact.request, ended = what.map(tracing::field::display));
         let now = self.clock.now();
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -226,7 +226,7 @@
         return format!("refused: {}", fingerprint::ParseError);
     };
     tracing::info!(part = "crash", event = "let-through", request = %request);
-    match tx.send(Input::Crash(Fact { request, what: What::Cleared, at: now })) {
+    match tx.send(Input::Crash(Fact { request, what: What::LetThrough, at: now })) {
         Ok(()) => format!("{request} is let through"),
         Err(_) => "refused: the process ends".into(),
     }
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -97,12 +97,14 @@
         Running { request, caller: self.caller, at: self.traffic.now() }
     }
 
-    /// A request that has run to a good end has not ended the servers that it was at before.
+    /// A request that has run to a good end has not ended the servers that this caller's attempts were at before.
     fn on_served(self, view: &View) {
         let request = same::fingerprint_among(&view.suspects, self.whole);
-        let request = request.filter(|request| view.suspects.get(request).is_some());
-        if let Some(request) = request {
-            self.traffic.tell_crash(Fact { request, what: What::Cleared, at: self.traffic.now() });
+        let is_suspect =
+            |request: &Fingerprint| view.suspects.ended_under(request, self.caller) > 0;
+        if let Some(request) = request.filter(is_suspect) {
+            let what = What::Served { caller: self.caller };
+            self.traffic.tell_crash(Fact { request, what, at: self.traffic.now() });
         }
     }
 
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -0,0 +1,65 @@
+//! How a request ends: with the answer of a backend server, or with what can be said of it in its place.
+
+use bytes::Bytes;
+use http::{Response, header};
+use http_body_util::Full;
+use jacinthbeam_crash::Fingerprint;
+use jacinthbeam_dispatch::refusal::{retry_after, room_in};
+use jacinthbeam_types::prelude::*;
+
+use super::{
+    job::Job,
+    refuse::{OWNER_IN, not_run, refuse},
+};
+use crate::{
+    process::stories::Basis,
+    sent::{Lost, Sent},
+};
+
+pub(super) fn give_up(job: &Job, last: Option<Sent>, tried: &[ServerId]) -> Response<Full<Bytes>> {
+    let room_in = room_in(job.route.objective);
+    let refusal = match last {
+        Some(Sent::Answered { mut res, good }) => {
+            job.traffic.counters.on_answer(good, job.traffic.now() - job.received);
+            res.headers_mut().remove(header::CONNECTION);
+            (job.traffic.wire.delivered)(res.headers_mut());
+            return res;
+        }
+        Some(Sent::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
+        Some(Sent::Lost(Lost::Broken)) => Refusal::may_have_run(Reason::ConnectionLost),
+        Some(Sent::NotRun(why)) => not_run(why, room_in),
+        None if tried.is_empty() => Refusal::not_run(Reason::NoOwner).retry_after(OWNER_IN),
+        None => Refusal::not_run(Reason::Overloaded).retry_after(room_in),
+    };
+    let left = job.left();
+    let hint = refusal.retry_after.map(|room_in| retry_after(room_in, left, fastrand::f64()));
+    let refusal = Refusal { retry_after: hint, ..refusal };
+    let basis = || basis(job, tried.len());
+    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
+}
+
+/// Answers a request that is sent to no server any more. There is no hint when to come back: no time is known at which it would be
+/// served.
+pub(super) fn refuse_for_crashes(job: &Job, request: Fingerprint) -> Response<Full<Bytes>> {
+    job.traffic.counters.on_refused_for_crashes(request);
+    let refusal = Refusal::not_run(Reason::EndsServers);
+    let basis = || basis(job, 0);
+    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
+}
+
+/// What the refusal of a request is decided by, for its line in the log.
+fn basis(job: &Job, tried: usize) -> Basis<'_> {
+    let key = job.key.filter(|_| job.keyed);
+    let view = job.traffic.view();
+    let owner = key.and_then(|key| view.maps.get(&job.service)?.of(key).owner.clone());
+    let owner = owner.map(|owner| owner.server);
+    Basis {
+        service: Some(&job.service),
+        key,
+        gate: owner.as_ref().and_then(|owner| job.traffic.gate(owner)),
+        in_flight: owner.as_ref().map_or(0, |owner| job.traffic.in_flight(owner)),
+        owner,
+        tried,
+        servers_age: job.traffic.servers_age(),
+    }
+}
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -0,0 +1,139 @@
+//! One request on its way: what is decided once, and what it may still do.
+
+use std::{
+    net::IpAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_range::Key;
+use jacinthbeam_route::{Route, Server};
+use jacinthbeam_types::prelude::*;
+use tokio::task::spawn_local;
+
+use super::{
+    crash::Subject,
+    same,
+    send::{self, Whole},
+};
+use crate::{
+    process::{stories, traffic::Traffic, usage::Use},
+    sent::{Lost, Sent},
+    version::View,
+};
+
+/// Everything that is decided once for a request.
+pub(super) struct Job {
+    pub(super) traffic: Rc<Traffic>,
+    pub(super) whole: Whole,
+    /// Where it came from.
+    pub(super) caller: IpAddr,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) connections: u32,
+    pub(super) keyed: bool,
+    pub(super) key: Option<Key>,
+    /// Whether it may run more than once.
+    pub(super) idempotent: bool,
+    /// What it counts against its team.
+    pub(super) usage: Use,
+    pub(super) received: Instant,
+    /// When the final answer is due: the caller's deadline or the route's timeout.
+    pub(super) deadline: Instant,
+}
+
+impl Job {
+    pub(super) fn tell(&self, view: &View, server: &Server, number: u32, sent: &Sent) {
+        let send = stories::Send {
+            id: &self.whole.id,
+            route: &self.route.name,
+            service: &self.service,
+            key: self.key.filter(|_| self.keyed),
+            server: &server.id,
+            number,
+            received: self.received,
+            caller: self.caller,
+        };
+        let same = || same::fingerprint(&self.whole);
+        self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent, same);
+    }
+
+    /// The request as far as servers may end under it.
+    pub(super) fn subject(&self) -> Subject<'_> {
+        Subject { traffic: &self.traffic, whole: &self.whole, caller: self.caller }
+    }
+
+    /// Takes note of what a send says of its server. Returns whether the server is known to have ended under the request; that is
+    /// waited for only if it `may_repeat`.
+    pub(super) async fn on_sent(
+        &self,
+        view: &Arc<View>,
+        server: &Server,
+        sent: &Sent,
+        may_repeat: bool,
+    ) -> bool {
+        let most = self.traffic.most_connections(self.connections, view.hosts);
+        self.subject().on_sent(view, server, most, sent, may_repeat).await
+    }
+
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.traffic.now())
+    }
+
+    pub(super) fn may_run_again(&self, sends: u32) -> bool {
+        self.idempotent && sends < self.route.attempts
+    }
+
+    /// What is left of the time that a request may wait: a part of its objective.
+    pub(super) fn wait_left(&self, part: f64) -> Duration {
+        let until = (self.received + self.route.objective.mul_f64(part)).min(self.deadline);
+        until.saturating_duration_since(self.traffic.now())
+    }
+
+    /// A process that is about to stop has no time to wait: the caller is answered while it can be, and goes elsewhere.
+    pub(super) fn may_wait(&self, part: f64) -> bool {
+        !self.traffic.is_stopping() && !self.wait_left(part).is_zero()
+    }
+}
+
+/// Sends the request to one server. One that must not run twice goes on if its caller leaves, since cancelling it would leave
+/// nobody knowing whether it ran; any other is cancelled with the caller.
+pub(super) async fn offer(job: &Rc<Job>, view: &View, server: &Server) -> Sent {
+    let most = job.traffic.most_connections(job.connections, view.hosts);
+    let sent = if job.idempotent {
+        send_counted(job, server, most).await
+    } else {
+        let (job, server) = (job.clone(), server.clone());
+        let task = spawn_local(async move { send_counted(&job, &server, most).await });
+        task.await.unwrap_or(Sent::Lost(Lost::Broken))
+    };
+    if let (Sent::Answered { .. }, true) = (&sent, job.keyed) {
+        job.traffic.on_keyed_answer(&job.service, &server.id);
+    }
+    sent
+}
+
+async fn send_counted(job: &Job, server: &Server, most_connections: u32) -> Sent {
+    job.usage.begin();
+    let mut at = AtServer { job, server, is_over: false };
+    let sent = send::send(&job.traffic, &job.whole, server, most_connections, job.deadline).await;
+    at.is_over = true;
+    job.usage.end(&sent);
+    sent
+}
+
+/// A request at a server. Dropped before it is over, its caller has left.
+struct AtServer<'a> {
+    job: &'a Job,
+    server: &'a Server,
+    is_over: bool,
+}
+
+impl Drop for AtServer<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.job.subject().on_left(self.server);
+        }
+    }
+}
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -3,6 +3,8 @@
 pub mod answer;
 mod body;
 mod crash;
+mod end;
+mod job;
 mod refuse;
 mod same;
 pub mod send;
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, Ipv4Addr},
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,30 +13,21 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use jacinthbeam_connection::headers::strip;
-use jacinthbeam_crash::Fingerprint;
-use jacinthbeam_dispatch::{
-    choose::{self, Candidate},
-    refusal::{retry_after, room_in},
-};
+use jacinthbeam_dispatch::choose::{self, Candidate};
 use jacinthbeam_range::Key;
 use jacinthbeam_route::{Config, Route, Server, Service};
 use jacinthbeam_types::prelude::*;
-use tokio::task::spawn_local;
 
 use super::{
     body,
-    crash::Subject,
-    refuse::{CONFIG_IN, OWNER_IN, bad, bad_body, not_run, refuse},
-    same,
-    send::{self, Whole},
+    end::{give_up, refuse_for_crashes},
+    job::{Job, offer},
+    refuse::{CONFIG_IN, bad, bad_body, refuse},
+    send::Whole,
 };
 use crate::{
     connection::accept::CallerAddr,
-    process::{
-        stories::{self, Basis},
-        traffic::Traffic,
-        usage::Use,
-    },
+    process::{stories::Basis, traffic::Traffic, usage::Use},
     sent::{Lost, NotRun, Sent},
     version::View,
     wire::BadCaller,
@@ -64,26 +55,6 @@
 /// Stands for the caller of a request that came over no connection of [`crate::connection::accept`].
 const UNKNOWN_CALLER: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
 
-/// Everything that is decided once for a request.
-struct Job {
-    traffic: Rc<Traffic>,
-    whole: Whole,
-    /// Where it came from.
-    caller: IpAddr,
-    route: Arc<Route>,
-    service: ServiceName,
-    connections: u32,
-    keyed: bool,
-    key: Option<Key>,
-    /// Whether it may run more than once.
-    idempotent: bool,
-    /// What it counts against its team.
-    usage: Use,
-    received: Instant,
-    /// When the final answer is due: the caller's deadline or the route's timeout.
-    deadline: Instant,
-}
-
 /// Answers a request.
 pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let received = traffic.now();
@@ -250,60 +221,6 @@
     }
 }
 
-impl Job {
-    fn tell(&self, view: &View, server: &Server, number: u32, sent: &Sent) {
-        let send = stories::Send {
-            id: &self.whole.id,
-            route: &self.route.name,
-            service: &self.service,
-            key: self.key.filter(|_| self.keyed),
-            server: &server.id,
-            number,
-            received: self.received,
-            caller: self.caller,
-        };
-        let same = || same::fingerprint(&self.whole);
-        self.traffic.stories.on_sent(self.traffic.now(), &send, view, sent, same);
-    }
-
-    /// The request as far as servers may end under it.
-    fn subject(&self) -> Subject<'_> {
-        Subject { traffic: &self.traffic, whole: &self.whole, caller: self.caller }
-    }
-
-    /// Takes note of what a send says of its server. Returns whether the server is known to have ended under the request; that is
-    /// waited for only if it `may_repeat`.
-    async fn on_sent(
-        &self,
-        view: &Arc<View>,
-        server: &Server,
-        sent: &Sent,
-        may_repeat: bool,
-    ) -> bool {
-        let most = self.traffic.most_connections(self.connections, view.hosts);
-        self.subject().on_sent(view, server, most, sent, may_repeat).await
-    }
-
-    fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(self.traffic.now())
-    }
-
-    fn may_run_again(&self, sends: u32) -> bool {
-        self.idempotent && sends < self.route.attempts
-    }
-
-    /// What is left of the time that a request may wait: a part of its objective.
-    fn wait_left(&self, part: f64) -> Duration {
-        let until = (self.received + self.route.objective.mul_f64(part)).min(self.deadline);
-        until.saturating_duration_since(self.traffic.now())
-    }
-
-    /// A process that is about to stop has no time to wait: the caller is answered while it can be, and goes elsewhere.
-    fn may_wait(&self, part: f64) -> bool {
-        !self.traffic.is_stopping() && !self.wait_left(part).is_zero()
-    }
-}
-
 fn find_server(job: &Job, view: &View, tried: &[ServerId]) -> Option<Server> {
     let now = job.traffic.now();
     let grace = job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY);
@@ -331,47 +248,6 @@
     choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
 }
 
-/// Sends the request to one server. One that must not run twice goes on if its caller leaves, since cancelling it would leave
-/// nobody knowing whether it ran; any other is cancelled with the caller.
-async fn offer(job: &Rc<Job>, view: &View, server: &Server) -> Sent {
-    let most = job.traffic.most_connections(job.connections, view.hosts);
-    let sent = if job.idempotent {
-        send_counted(job, server, most).await
-    } else {
-        let (job, server) = (job.clone(), server.clone());
-        let task = spawn_local(async move { send_counted(&job, &server, most).await });
-        task.await.unwrap_or(Sent::Lost(Lost::Broken))
-    };
-    if let (Sent::Answered { .. }, true) = (&sent, job.keyed) {
-        job.traffic.on_keyed_answer(&job.service, &server.id);
-    }
-    sent
-}
-
-async fn send_counted(job: &Job, server: &Server, most_connections: u32) -> Sent {
-    job.usage.begin();
-    let mut at = AtServer { job, server, is_over: false };
-    let sent = send::send(&job.traffic, &job.whole, server, most_connections, job.deadline).await;
-    at.is_over = true;
-    job.usage.end(&sent);
-    sent
-}
-
-/// A request at a server. Dropped before it is over, its caller has left.
-struct AtServer<'a> {
-    job: &'a Job,
-    server: &'a Server,
-    is_over: bool,
-}
-
-impl Drop for AtServer<'_> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.job.subject().on_left(self.server);
-        }
-    }
-}
-
 /// Waits until the key has another owner or token than in `view`. Returns whether it has.
 async fn await_other_owner(job: &Job, view: &View) -> bool {
     let of = |view: &View| {
@@ -386,51 +262,3 @@
     job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
     of(&job.traffic.view()) != before
 }
-
-fn give_up(job: &Job, last: Option<Sent>, tried: &[ServerId]) -> Response<Full<Bytes>> {
-    let room_in = room_in(job.route.objective);
-    let refusal = match last {
-        Some(Sent::Answered { mut res, good }) => {
-            job.traffic.counters.on_answer(good, job.traffic.now() - job.received);
-            res.headers_mut().remove(header::CONNECTION);
-            (job.traffic.wire.delivered)(res.headers_mut());
-            return res;
-        }
-        Some(Sent::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
-        Some(Sent::Lost(Lost::Broken)) => Refusal::may_have_run(Reason::ConnectionLost),
-        Some(Sent::NotRun(why)) => not_run(why, room_in),
-        None if tried.is_empty() => Refusal::not_run(Reason::NoOwner).retry_after(OWNER_IN),
-        None => Refusal::not_run(Reason::Overloaded).retry_after(room_in),
-    };
-    let left = job.left();
-    let hint = refusal.retry_after.map(|room_in| retry_after(room_in, left, fastrand::f64()));
-    let refusal = Refusal { retry_after: hint, ..refusal };
-    let basis = || basis(job, tried.len());
-    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
-}
-
-/// Answers a request that is sent to no server any more. There is no hint when to come back: no time is known at which it would be
-/// served.
-fn refuse_for_crashes(job: &Job, request: Fingerprint) -> Response<Full<Bytes>> {
-    job.traffic.counters.on_refused_for_crashes(request);
-    let refusal = Refusal::not_run(Reason::EndsServers);
-    let basis = || basis(job, 0);
-    refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
-}
-
-/// What the refusal of a request is decided by, for its line in the log.
-fn basis(job: &Job, tried: usize) -> Basis<'_> {
-    let key = job.key.filter(|_| job.keyed);
-    let view = job.traffic.view();
-    let owner = key.and_then(|key| view.maps.get(&job.service)?.of(key).owner.clone());
-    let owner = owner.map(|owner| owner.server);
-    Basis {
-        service: Some(&job.service),
-        key,
-        gate: owner.as_ref().and_then(|owner| job.traffic.gate(owner)),
-        in_flight: owner.as_ref().map_or(0, |owner| job.traffic.in_flight(owner)),
-        owner,
-        tried,
-        servers_age: job.traffic.servers_age(),
-    }
-}
