--- a/crates/jacinthbeam-host/tests/fleet/mod.rs
+++ b/crates/jacinthbeam-host/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Hosts that follow a store, without network: what each decides is decided by the program's own code.
 
+mod follow;
+mod host;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -8,11 +11,13 @@
 use jacinthbeam_host::process::peers::{
     HostEntry,
     order::{self, Neighbours},
-    source::{Answer, LOST_AFTER, NoAnswer, Sources, Step},
+    source::{Answer, LOST_AFTER},
 };
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 
+use host::Host;
+
 /// Milliseconds between two looks at each host; fewer looks at a fleet of thousands, since each takes time.
 const STEP: u64 = 10;
 const STEP_OF_LARGE: u64 = 50;
@@ -60,32 +65,6 @@
     Lost,
 }
 
-struct Host {
-    id: HostId,
-    entry: HostEntry,
-    /// Its place in the order of its domain.
-    place: usize,
-    process: Process,
-    store: Store,
-    starts_at: u64,
-    /// When a new host begins to look for others.
-    list_at: Option<u64>,
-    sources: Sources,
-    neighbours: Option<Neighbours>,
-    follows: Option<usize>,
-    /// Whom it asks for help.
-    helper: Option<usize>,
-    /// When it began to hear nothing of whom it follows.
-    silent_since: Option<u64>,
-    direct: bool,
-    has_read: bool,
-    next_read: u64,
-    wake_at: u64,
-    /// When the store answered it last, and what it heard of others.
-    read_at: Option<u64>,
-    heard: Option<(u64, u8)>,
-}
-
 pub struct Fleet {
     pub calls: usize,
     pub rng: fastrand::Rng,
@@ -310,154 +289,4 @@
             self.learn_hosts(n);
         }
     }
-
-    /// A host that goes on with the answers of another.
-    fn follow(&mut self, n: usize) {
-        let Some(of) = self.hosts[n].follows else { return };
-        if self.goes_on(n, of) {
-            return;
-        }
-        let id = self.hosts[of].id.clone();
-        let at = self.at();
-        let why = match self.hosts[of].process {
-            Process::Runs => {
-                let answer = self.answer(of);
-                self.hosts[n].sources.on_answer(&id, answer, false, at);
-                None
-            }
-            Process::Stopped => Some(NoAnswer::Refused),
-            Process::Lost => {
-                let now = self.now;
-                let since = *self.hosts[n].silent_since.get_or_insert(now);
-                if now < since + ANSWER_WITHIN {
-                    return;
-                }
-                Some(NoAnswer::Silent)
-            }
-        };
-        let host = &mut self.hosts[n];
-        host.follows = None;
-        host.silent_since = None;
-        host.sources.on_lost();
-        if let Some(why) = why {
-            host.sources.on_no_answer(&id, why, at);
-        }
-    }
-
-    /// Takes what the host that `n` follows says, if that is still good.
-    fn goes_on(&mut self, n: usize, of: usize) -> bool {
-        let good =
-            self.hosts[of].process == Process::Runs && self.answer(of).is_worth_following(false);
-        if good {
-            self.hosts[n].silent_since = None;
-            self.hear(n, of);
-        }
-        good
-    }
-
-    fn hear(&mut self, n: usize, of: usize) {
-        let told = self.answer(of);
-        let at = self.now.saturating_sub(told.age.as_millis().min(u128::from(self.now)) as u64);
-        if self.hosts[n].heard.is_none_or(|(known, _)| known < at) && at > 0 {
-            self.hosts[n].heard = Some((at, told.steps.saturating_add(1)));
-        }
-        let known = self.hosts[n].neighbours.as_ref().map(|known| known.before.len());
-        let knows_all = known == Some(self.hosts[n].place);
-        if !knows_all && self.now.is_multiple_of(LISTED_EVERY) {
-            self.learn_hosts(n);
-        }
-    }
-
-    /// A host that another one helps, while the store gives it no answers.
-    fn help(&mut self, n: usize) {
-        let Some(of) = self.hosts[n].helper else { return };
-        let helps = self.hosts[of].process == Process::Runs && self.answer(of).helps();
-        if helps && !self.is_answered(n) {
-            return self.hear(n, of);
-        }
-        let (addr, at) = (self.hosts[of].entry.addr, self.at());
-        self.hosts[n].helper = None;
-        self.hosts[n].wake_at = self.now;
-        self.hosts[n].sources.on_no_help(addr, at);
-    }
-
-    fn decide(&mut self, n: usize) {
-        let (at, now) = (self.at(), self.now);
-        let lost = self.hosts[n].direct && !self.is_answered(n);
-        let rng = &mut self.rng;
-        let cell = std::cell::RefCell::new(rng);
-        let pick = |addrs: &[SocketAddr]| cell.borrow_mut().choice(addrs).copied();
-        let host = &mut self.hosts[n];
-        let neighbours = host.neighbours.clone().expect("it is decided once the hosts are known");
-        match host.sources.next(at, &neighbours, lost, pick) {
-            Step::Ask((id, addr)) => self.ask(n, &id, addr),
-            Step::Wait(pause) => {
-                if lost {
-                    host.direct = false;
-                }
-                host.wake_at = now + (pause.as_millis() as u64).max(STEP);
-            }
-            Step::Read => {
-                host.direct = true;
-                let answered = self.is_answered(n);
-                self.hosts[n].wake_at = now + if answered { LOOK_AGAIN } else { LOOK_AGAIN_LOST };
-            }
-            Step::Help(addr) => {
-                host.direct = true;
-                host.wake_at = u64::MAX;
-                let of = self.find(addr);
-                self.hosts[n].helper = Some(of);
-            }
-        }
-    }
-
-    fn find(&self, addr: SocketAddr) -> usize {
-        usize::from(addr.port() - FIRST_PORT)
-    }
-
-    fn ask(&mut self, n: usize, id: &HostId, addr: SocketAddr) {
-        let (of, at) = (self.find(addr), self.at());
-        match self.hosts[of].process {
-            Process::Runs => {
-                let (answer, reads) = (self.answer(of), self.is_answered(n));
-                self.hear(n, of);
-                if self.hosts[n].sources.on_answer(id, answer, reads, at) {
-                    self.hosts[n].follows = Some(of);
-                    self.hosts[n].direct = false;
-                    self.hosts[n].has_read = false;
-                }
-            }
-            Process::Stopped => self.hosts[n].sources.on_no_answer(id, NoAnswer::Refused, at),
-            Process::Lost => {
-                self.hosts[n].wake_at = self.now + CONNECT_WITHIN;
-                let after = at + Duration::from_millis(CONNECT_WITHIN);
-                self.hosts[n].sources.on_no_answer(id, NoAnswer::Silent, after);
-            }
-        }
-    }
-}
-
-impl Host {
-    fn new(id: HostId, entry: HostEntry) -> Self {
-        Self {
-            id,
-            entry,
-            place: 0,
-            process: Process::Stopped,
-            store: Store::Answers,
-            starts_at: u64::MAX,
-            list_at: None,
-            sources: Sources::default(),
-            neighbours: None,
-            follows: None,
-            helper: None,
-            silent_since: None,
-            direct: false,
-            has_read: false,
-            next_read: 0,
-            wake_at: 0,
-            read_at: None,
-            heard: None,
-        }
-    }
 }
