docs(crash): what the time between the ends of servers costs, told as it is

Cause: the comment said that a request is sent once more at the most; one that comes six times a second is sent oftener. Change: words only.

--- a/crates/jacinthbeam-crash/src/suspects.rs
+++ b/crates/jacinthbeam-crash/src/suspects.rs
@@ -19,8 +19,8 @@
 /// Time that has to lie between the first and the last of them.
 ///
 /// Servers that end together have one cause, power or a rack or a release that fails, and a request that many callers send alike runs on
-/// several of them. It is answered by the others, and every host has heard of that, within this time. A request that is the cause is sent on
-/// once more at the most by those who wait for it.
+/// several of them. It is answered by the others, and hosts have mostly heard of that, within this time. A request that is the cause is sent on
+/// as often as it comes in this time, and no longer.
 pub const SPAN: Duration = Duration::from_millis(700);
 
 /// A request under which servers have ended since it was last cleared.
