fix(store): a read that is cut short doesn't reach the end of its partition

At 23.940 s one host granted keys 3000-3029 to a server; at 24.701 s the next granting host granted them, as part of 2995-3030 under a higher token, to another.

Cause: one answer of the store holds a megabyte at the most. The follower took the end of the partition that the answer names as the end of what it had read. A host that was more than a megabyte behind replaced the newest record of owners on the condition that the partition ended there, out of a map from before the records that it had not read; it would also take such a read for the confirmation that nobody had replaced it.

Change: a look reads on until it has everything that the partition held at its first answer, and names the offset after the last record that it got. After an error in between nothing counts as read.

--- a/crates/jacinthbeam-standin/src/serve.rs
+++ b/crates/jacinthbeam-standin/src/serve.rs
@@ -60,6 +60,11 @@
         lock(&self.state).store.turn_away(turns_away);
     }
 
+    /// Bounds the records of one answer to a read.
+    pub fn bound_reads(&self, most: usize) {
+        lock(&self.state).store.bound_reads(most);
+    }
+
     /// Makes it answer nothing, or go on.
     pub fn freeze(&self, frozen: bool) {
         self.server.frozen.send_replace(frozen);
--- a/crates/jacinthbeam-standin/src/store.rs
+++ b/crates/jacinthbeam-standin/src/store.rs
@@ -38,6 +38,8 @@
     logs: BTreeMap<Partition, Log>,
     groups: BTreeMap<String, Group>,
     turns_away: bool,
+    /// Records of one answer to a read at the most.
+    most_read: usize,
     /// Calls so far, those that were turned away included.
     pub calls: u64,
 }
@@ -50,6 +52,7 @@
             logs: BTreeMap::new(),
             groups: BTreeMap::new(),
             turns_away: false,
+            most_read: usize::MAX,
             calls: 0,
         }
     }
@@ -59,6 +62,11 @@
         self.turns_away = turns_away;
     }
 
+    /// Bounds the records of one answer to a read.
+    pub fn bound_reads(&mut self, most: usize) {
+        self.most_read = most;
+    }
+
     /// Adds a record under a key; an empty value removes the key.
     pub fn put(&mut self, to: &Partition, key: &str, value: Bytes) -> Offset {
         let log = self.logs.entry(to.clone()).or_default();
@@ -117,7 +125,7 @@
         if at < log.first {
             return Err(Error::Expired);
         }
-        let records = log.records.iter().skip(at as usize).cloned().collect();
+        let records = log.records.iter().skip(at as usize).take(self.most_read).cloned().collect();
         Ok(Reply::Records { records, end: Offset(log.records.len() as u64) })
     }
 
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -56,19 +56,38 @@
     }
 
     /// Reads what is new, and waits for it up to `wait` if there is nothing.
+    ///
+    /// One answer of the store holds a bounded number of bytes. Reads until everything is known that the partition held when the
+    /// first answer was made, so that [`Changes::end`] never passes a record that wasn't read. After an error nothing counts as read.
     pub async fn look(&mut self, lane: &Lane, wait: Duration) -> Result<Changes, Error> {
-        let Some(at) = self.next else { return self.all(lane).await };
-        let call = Call::Read { from: self.partition.clone(), at, wait };
-        match lane.call(&call).await {
-            Ok(Reply::Records { records, end }) => self.take(at, &records, end),
-            Ok(_) => Err(Error::Malformed("not the answer to a read".into())),
-            Err(Error::Expired) => {
-                tracing::info!(part = "store", event = "expired", partition = %self.partition);
-                self.next = None;
-                self.all(lane).await
+        let Some(from) = self.next else { return self.all(lane).await };
+        let (mut items, mut at, mut wait) = (Vec::new(), from, wait);
+        let mut known_to = from;
+        loop {
+            let call = Call::Read { from: self.partition.clone(), at, wait };
+            let (records, end) = match lane.call(&call).await {
+                Ok(Reply::Records { records, end }) => (records, end),
+                Ok(_) => return Err(Error::Malformed("not the answer to a read".into())),
+                Err(Error::Expired) => {
+                    tracing::info!(part = "store", event = "expired", partition = %self.partition);
+                    self.next = None;
+                    return self.all(lane).await;
+                }
+                Err(err) => return Err(err),
+            };
+            self.take(at, &records, end, &mut items)?;
+            if at == from {
+                known_to = end;
+            }
+            at.0 += records.len() as u64;
+            // The first answer may have waited for its records; those after them are there.
+            wait = Duration::ZERO;
+            if at >= known_to || records.is_empty() {
+                break;
             }
-            Err(err) => Err(err),
         }
+        self.next = Some(at);
+        Ok(Changes { items, end: at, whole: false })
     }
 
     async fn all(&mut self, lane: &Lane) -> Result<Changes, Error> {
@@ -98,12 +117,20 @@
         Changes { items, end, whole: true }
     }
 
-    fn take(&mut self, at: Offset, records: &[Bytes], end: Offset) -> Result<Changes, Error> {
+    fn take(
+        &self,
+        at: Offset,
+        records: &[Bytes],
+        end: Offset,
+        items: &mut Vec<Item>,
+    ) -> Result<(), Error> {
         if end < at {
             // Taken for news, an answer of some time ago would confirm what may have been replaced since.
             return Err(Error::Malformed(format!("the partition ends at {end}, {at} was known")));
         }
-        let mut items = Vec::new();
+        if records.is_empty() && end > at {
+            return Err(Error::Malformed(format!("nothing from {at} on, though it ends at {end}")));
+        }
         for (n, record) in records.iter().enumerate() {
             let offset = Offset(at.0 + n as u64);
             match split(record) {
@@ -113,9 +140,7 @@
                 }
             }
         }
-        let next = Offset(at.0 + records.len() as u64);
-        self.next = Some(next);
-        Ok(Changes { items, end: end.max(next), whole: false })
+        Ok(())
     }
 }
 
