feat(host): cold servers get what the fleet may send them, evacuated failure domains get nothing

Callers saw servers that had just started crash under the whole fleet's first requests (79 hosts, each of which tries a new server within two seconds), and requests went on to failure domains that the operator evacuates, whose record nothing read.

Change: the list of servers that requests and grants go by says what the operator says of a domain: servers of an evacuated one take no new work, their keys move out by release and handover, and requests for keys that haven't moved stop 300 ms before the bound, reckoned from the read that lacked the record. Servers of a domain that is taken back are cold for the service's time, counted from when this host learnt it. A cold server is a candidate only for the hosts drawn of its own failure domain, at their spacing. Evacuations propagate between hosts with their age, on the way of the configuration.

The granting host gives a cold server keys for no more than it takes, no hot key alone, and caps its owner's gate by its rate.

--- a/crates/jacinthbeam-config/src/check/service.rs
+++ b/crates/jacinthbeam-config/src/check/service.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jacinthbeam_route::Service;
+use jacinthbeam_route::{Service, SlowStart};
 
 use crate::{
     document::{Fields, Node, read},
@@ -36,5 +36,27 @@
     let keyed = fields.or("keyed", false, read::bool);
     let warmup = fields.or("warm_up_ms", DEFAULT_WARM_UP, read::millis(0..=MAX_WARM_UP_MS));
     let health_path = fields.or("health_path", DEFAULT_HEALTH_PATH.into(), read::path);
-    Some(Service { team: Some(team?), health_path, connections: connections?, keyed, warmup })
+    let slow_start = fields.object("slow_start", None, slow_start);
+    Some(Service {
+        team: Some(team?),
+        health_path,
+        connections: connections?,
+        keyed,
+        warmup,
+        slow_start,
+    })
+}
+
+fn slow_start(fields: &mut Fields<'_>) -> Option<SlowStart> {
+    let lasts = fields.required(
+        "lasts_ms",
+        "how long a server stays cold",
+        read::millis(0..=MAX_WARM_UP_MS),
+    );
+    let rate = fields.required(
+        "rate",
+        "the requests a second that a cold server takes from all hosts, such as \"4.4/s\"",
+        read::text,
+    );
+    Some(SlowStart { lasts: lasts?, rate: rate? })
 }
--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choose;
 pub mod refusal;
 pub mod server;
+pub mod slow_start;
 
 pub use budget::Budget;
 pub use server::Seen;
--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -77,7 +77,7 @@
         let refused = suspects.iter().filter(|(_, suspect)| suspect.is_proven());
         self.counters.on_suspects(suspects.iter().count(), refused.count());
         self.known.set_suspects(suspects);
-        self.view.send_replace(std::sync::Arc::new(self.known.view()));
+        self.publish();
         self.to_tell.send_if_modified(|known| {
             let to_tell = self.crashes.to_tell();
             std::mem::replace(known, to_tell) != to_tell
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -1,7 +1,8 @@
 //! What the store says, as it changes what this host knows.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
 
+use jacinthbeam_dispatch::slow_start::{Share, is_sender};
 use jacinthbeam_range::Event;
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
@@ -12,7 +13,7 @@
         known::Changed,
         peers::{HostEntry, news::News, order::Neighbours},
     },
-    version::{KnownTo, Leaving},
+    version::{ColdServer, KnownTo, Leaving},
 };
 
 impl Control {
@@ -24,10 +25,37 @@
         if let Some(item) = newest.filter(|item| !item.value.is_empty()) {
             self.on_config(item);
         }
+        self.on_evacuations(changes);
         self.known.config_known_to(as_of.min(now));
         self.tell_known_to();
     }
 
+    /// Takes the operator's records of evacuations.
+    fn on_evacuations(&mut self, changes: &Changes) {
+        let now = self.clock.now();
+        let prefix = self.wire.places.evacuation_prefix;
+        let mut changed = false;
+        let mut listed = Vec::new();
+        for item in &changes.items {
+            let Some(name) = item.key.strip_prefix(prefix) else { continue };
+            match name.parse::<FailureDomain>() {
+                Ok(domain) => {
+                    let evacuated = !item.value.is_empty();
+                    listed.extend(evacuated.then(|| domain.clone()));
+                    changed |= self.known.take_evacuation(domain, item.offset, evacuated, now);
+                }
+                Err(err) => self.note_unreadable("evacuation", item, &err.to_string()),
+            }
+        }
+        if changes.whole {
+            changed |= self.known.retain_evacuations(&listed, changes.end, now);
+        }
+        if changed {
+            self.known.on_operator_changed(now);
+            self.on_changed(Changed { servers: true, ..Changed::default() });
+        }
+    }
+
     /// Tells the traffic thread how far what is known reaches: after what is known itself.
     pub(super) fn tell_known_to(&self) {
         self.known_to.send_replace(KnownTo {
@@ -41,7 +69,10 @@
         match (self.wire.config)(&item.value) {
             Ok(cfg) => {
                 let config = self.known.take_config(cfg);
-                self.on_changed(Changed { config, ..Changed::default() });
+                if config {
+                    self.known.on_operator_changed(self.clock.now());
+                }
+                self.on_changed(Changed { config, servers: config, ..Changed::default() });
             }
             Err(err) => {
                 tracing::error!(part = "config", event = "unreadable", offset = %item.offset, error = ?err);
@@ -145,7 +176,7 @@
         if !changed.any() {
             return;
         }
-        self.view.send_replace(Arc::new(self.known.view()));
+        self.publish();
         if changed.hosts {
             self.order_hosts();
         }
@@ -157,6 +188,31 @@
         }
     }
 
+    /// Makes what is known act on requests.
+    pub(super) fn publish(&self) {
+        let mut view = self.known.view();
+        view.cold = Arc::new(self.cold_servers());
+        self.view.send_replace(Arc::new(view));
+    }
+
+    /// Cold servers, and this host's part in what they get: that of the hosts of their own failure domain, so that a cut between domains
+    /// changes nothing of it.
+    fn cold_servers(&self) -> BTreeMap<ServerId, ColdServer> {
+        let bounds = &self.settings.slow_start;
+        let cold = self.known.cold().map(|(server, rate, until)| {
+            let share = Share::of(rate, bounds);
+            let near = self.known.hosts().filter(|(_, entry)| entry.domain == server.domain);
+            let near: Vec<&HostId> = near.map(|(host, _)| host).collect();
+            let all = self.known.hosts().map(|(host, _)| host);
+            let is_sender = match near.is_empty() {
+                true => is_sender(&server.id, &self.me.host, all, share.senders),
+                false => is_sender(&server.id, &self.me.host, near.into_iter(), share.senders),
+            };
+            (server.id.clone(), ColdServer { until, spacing: is_sender.then_some(share.spacing) })
+        });
+        cold.collect()
+    }
+
     /// A host that grants looks whether others have heard of a successor of its. For any other the map says nothing that it acts on here.
     fn on_heard_map(&mut self, service: &ServiceName) {
         let leads = self.granting.get(service).is_some_and(|granting| granting.grantor.leads());
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -31,7 +31,7 @@
     Settings, Wire,
     process::{
         inbox::Kind,
-        known::Known,
+        known::{Changed, Known},
         membership::Standby,
         metrics::Counters,
         peers::{HostEntry, order::Neighbours},
@@ -250,6 +250,9 @@
             Input::Datagram(message) => self.on_datagram(message),
             Input::Tick => {
                 self.tell_known_to();
+                if self.known.pass_time(self.clock.now()) {
+                    self.on_changed(Changed { servers: true, ..Changed::default() });
+                }
                 self.stand_by();
                 self.step_all(&Event::Tick);
                 self.set_gates();
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -15,6 +15,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{
+    evacuation::Evacuations,
     map_history::{MapHistory, MapNews},
     server_lines::ServerLines,
 };
@@ -39,6 +40,8 @@
     server: Option<Server>,
     /// When the store took the word that the server is leaving, or has left.
     leaving: Option<Leaving>,
+    /// When the server will be warm; `None` unless it is cold.
+    warm_at: Option<Instant>,
 }
 
 /// Everything that this host knows.
@@ -47,6 +50,7 @@
     config: Option<Arc<Config>>,
     /// No newer configuration had been acknowledged before this moment.
     config_as_of: Option<Instant>,
+    evacuations: Evacuations,
     servers: BTreeMap<ServerName, Entry>,
     servers_end: Offset,
     /// Everything that the store had taken of the servers before this moment is known.
@@ -61,6 +65,8 @@
     /// The list that requests see, made anew at each change.
     list: Arc<Servers>,
     leaving: Arc<BTreeMap<ServerId, Leaving>>,
+    /// Servers of the list that are cold, and until when.
+    cold: BTreeMap<ServerId, Instant>,
     /// Requests under which servers have ended, as of the last [`Known::set_suspects`].
     suspects: Arc<Suspects>,
     /// Changes of servers that are not logged yet.
@@ -131,6 +137,8 @@
             config: self.config.clone(),
             servers: self.list.clone(),
             leaving: self.leaving.clone(),
+            evacuated: Arc::new(self.evacuations.evacuated()),
+            cold: Arc::default(),
             maps: self.maps.iter().map(newest).collect(),
             hosts: self.hosts.len() as u32,
             suspects: self.suspects.clone(),
@@ -171,7 +179,7 @@
             let life = server.as_ref().map_or_else(|| name.clone().into(), |s| s.id.clone());
             self.lines.add(&life, None, server.as_ref());
             let leaving = leaves(server.as_ref()).then_some(bound);
-            self.servers.insert(name, Entry { offset, life, server, leaving });
+            self.servers.insert(name, Entry { offset, life, server, leaving, warm_at: None });
             return changed;
         };
         if before.offset >= offset {
@@ -191,6 +199,9 @@
         let since = before.leaving.filter(|_| life == before.life).unwrap_or(bound);
         before.leaving = leaves(server.as_ref()).then_some(since);
         before.life = life;
+        if changed {
+            before.warm_at = None;
+        }
         before.server = server;
         changed
     }
@@ -214,13 +225,87 @@
         if changed || self.servers_changed.is_none() {
             self.servers_changed = Some(now);
             self.forget(now);
-            let mut list = Servers::default();
-            for server in self.servers.values().filter_map(|entry| entry.server.clone()) {
-                list.insert(server);
+            self.list_servers(now);
+        }
+    }
+
+    /// Makes the list that requests and grants see, of the entries and of what the operator and the configuration say of their domains and
+    /// services.
+    fn list_servers(&mut self, now: Instant) {
+        let mut list = Servers::default();
+        self.cold.clear();
+        for entry in self.servers.values_mut() {
+            let Some(server) = &entry.server else { continue };
+            let mut server = server.clone();
+            let slow_start = self.config.as_ref().and_then(|cfg| {
+                cfg.services.get(&server.service).and_then(|service| service.slow_start)
+            });
+            if server.is_cold() && entry.warm_at.is_none() {
+                entry.warm_at = now.checked_add(server.warmup_left);
             }
-            self.list = Arc::new(list);
-            let leaving = |entry: &Entry| Some((entry.life.clone(), entry.leaving?));
-            self.leaving = Arc::new(self.servers.values().filter_map(leaving).collect());
+            let returned = self.evacuations.returned(&server.domain);
+            let warm_again =
+                slow_start.and_then(|slow_start| returned?.checked_add(slow_start.lasts));
+            let warm_at = entry.warm_at.max(warm_again).filter(|at| *at > now);
+            server.draining |= self.evacuations.since(&server.domain).is_some();
+            server.cold_rate = slow_start.map(|slow_start| slow_start.rate);
+            server.warmup_left = warm_at.map_or(Duration::ZERO, |at| at - now);
+            self.cold.extend(warm_at.map(|at| (server.id.clone(), at)));
+            list.insert(server);
+        }
+        self.list = Arc::new(list);
+        let leaving = |entry: &Entry| Some((entry.life.clone(), entry.leaving?));
+        self.leaving = Arc::new(self.servers.values().filter_map(leaving).collect());
+    }
+
+    /// Whether a server that is listed as cold is so no more, and what the list says of it has been brought up to date.
+    pub fn pass_time(&mut self, now: Instant) -> bool {
+        let is_over = self.cold.values().any(|until| *until <= now);
+        if is_over {
+            self.list_servers(now);
+        }
+        is_over
+    }
+
+    /// Cold servers whose service bounds what they get, and until when they are cold.
+    pub fn cold(&self) -> impl Iterator<Item = (&Server, Rate, Instant)> {
+        self.cold.iter().filter_map(|(id, until)| {
+            let server = self.list.get(id)?;
+            Some((server, server.cold_rate?, *until))
+        })
+    }
+
+    /// The evacuations.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes the operator's record of a failure domain's evacuation, or that it was removed. Returns whether it is news.
+    pub fn take_evacuation(
+        &mut self,
+        domain: FailureDomain,
+        offset: Offset,
+        evacuated: bool,
+        now: Instant,
+    ) -> bool {
+        let bound = Leaving::after(self.config_as_of);
+        self.evacuations.take(domain, offset, evacuated, bound, now)
+    }
+
+    /// Takes back what a whole list of evacuations lacks. Returns whether there was any.
+    pub fn retain_evacuations(
+        &mut self,
+        listed: &[FailureDomain],
+        end: Offset,
+        now: Instant,
+    ) -> bool {
+        self.evacuations.retain_listed(listed, end, now)
+    }
+
+    /// Makes the list of servers anew after a change of evacuations or of the configuration.
+    pub fn on_operator_changed(&mut self, now: Instant) {
+        if self.servers_changed.is_some() {
+            self.list_servers(now);
         }
     }
 
@@ -274,6 +359,7 @@
         };
         Asked {
             config: self.config.as_ref().map(|cfg| cfg.version),
+            evacuations_end: self.evacuations.end(),
             servers_end: self.servers_end,
             hosts_end: self.hosts_end,
             maps: self.maps.iter().map(revision).collect(),
@@ -306,6 +392,7 @@
             waited: Duration::ZERO,
             config_age: self.config_as_of.map(|at| now.saturating_duration_since(at)),
             config: config.map(|cfg| (**cfg).clone()),
+            evacuations: self.evacuations.updates(asked.evacuations_end, now),
             servers: servers.map(entry).collect(),
             servers_end: self.servers_end,
             all_servers,
@@ -325,6 +412,8 @@
         if let Some(cfg) = news.config {
             changed.config = self.take_config(cfg);
         }
+        let operator_bound = Leaving::after(self.config_as_of);
+        let evacuations = self.evacuations.take_updates(news.evacuations, operator_bound, at);
         if let Some(as_of) = news.config_age.and_then(|age| at.checked_sub(age)) {
             self.config_known_to(as_of);
         }
@@ -340,6 +429,10 @@
             let as_of = at.checked_sub(news.age);
             self.servers_known_to(news.servers_end, as_of, changed.servers, at);
         }
+        if evacuations || changed.config {
+            self.on_operator_changed(at);
+            changed.servers = true;
+        }
         for (host, offset, entry) in news.hosts {
             changed.hosts |= self.take_host(host, offset, entry);
         }
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod broken;
 pub mod clock;
 mod control;
+pub mod evacuation;
 pub mod inbox;
 pub mod known;
 pub mod logs;
--- a/crates/jacinthbeam-host/src/process/peers/news.rs
+++ b/crates/jacinthbeam-host/src/process/peers/news.rs
@@ -9,13 +9,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::HostEntry;
-use crate::process::map_history::MapNews;
+use crate::process::{evacuation::EvacuationUpdate, map_history::MapNews};
 
 /// What the asking host knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Asked {
     /// Version of its configuration.
     pub config: Option<ConfigVersion>,
+    /// Everything of evacuations before this offset.
+    pub evacuations_end: Offset,
     /// Everything of the backend servers' entries before this offset.
     pub servers_end: Offset,
     /// Everything of the hosts' entries before this offset.
@@ -45,6 +47,8 @@
     pub config_age: Option<Duration>,
     /// A newer configuration.
     pub config: Option<Config>,
+    /// What is newer of evacuations.
+    pub evacuations: Vec<EvacuationUpdate>,
     /// Newer entries of backend servers.
     pub servers: Vec<ServerNews>,
     /// Everything before this offset is known after them.
@@ -78,6 +82,7 @@
     /// Whether there is nothing newer.
     pub fn is_empty(&self) -> bool {
         self.config.is_none()
+            && self.evacuations.is_empty()
             && self.servers.is_empty()
             && self.hosts.is_empty()
             && self.maps.is_empty()
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -9,7 +9,7 @@
 };
 
 use jacinthbeam_crash::Fact;
-use jacinthbeam_dispatch::{Budget, Seen};
+use jacinthbeam_dispatch::{Budget, Seen, slow_start::Pacer};
 use jacinthbeam_range::{Key, admission::Gate, demand::Report};
 use jacinthbeam_route::{Route, Server, Target, route::Dealer};
 use jacinthbeam_types::prelude::*;
@@ -64,6 +64,8 @@
     pub ended: Cell<bool>,
     /// Requests whose connections to it broke.
     pub broken: Broken,
+    /// Requests of this host that it got while it was cold.
+    pub pacer: Cell<Pacer>,
 }
 
 /// Part of a server's connections that all hosts together use. The rest is for grants, and for hosts that come and go.
@@ -173,7 +175,8 @@
         let new = || {
             let seen = RefCell::new(Seen::new(self.now()));
             let (pool, ended) = (Pool::new(server.addr), Cell::default());
-            Rc::new(ServerState { pool, seen, ended, broken: Broken::default() })
+            let pacer = Cell::default();
+            Rc::new(ServerState { pool, seen, ended, broken: Broken::default(), pacer })
         };
         servers.entry(server.id.clone()).or_insert_with(new).clone()
     }
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, Ipv4Addr},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -27,9 +27,13 @@
 };
 use crate::{
     connection::accept::CallerAddr,
-    process::{stories::Basis, traffic::Traffic, usage::Use},
+    process::{
+        stories::Basis,
+        traffic::{ServerState, Traffic},
+        usage::Use,
+    },
     sent::{Lost, NotRun, Sent},
-    version::View,
+    version::{Grace, View},
     wire::BadCaller,
 };
 
@@ -223,8 +227,11 @@
 
 fn find_server(job: &Job, view: &View, tried: &[ServerId]) -> Option<Server> {
     let now = job.traffic.now();
-    let grace = job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY);
-    if job.traffic.is_held_up(grace) {
+    let grace = Grace {
+        drained: job.traffic.settings.drain_within.saturating_sub(ON_THE_WAY),
+        evacuated: job.traffic.settings.evacuate_within.saturating_sub(ON_THE_WAY),
+    };
+    if job.traffic.is_held_up(grace.drained) {
         return None;
     }
     if job.keyed {
@@ -236,16 +243,31 @@
     }
     let open = view.servers.of(&job.service).filter(|server| !tried.contains(&server.id));
     let states = open.map(|server| (server, job.traffic.server(server)));
-    let states: Vec<_> = states.filter(|(_, state)| !state.ended.get()).collect();
+    let states: Vec<_> = states
+        .filter(|(server, state)| !state.ended.get() && may_warm_up(view, server, state, now))
+        .collect();
     let seen: Vec<_> = states.iter().map(|(_, state)| state.seen.borrow()).collect();
     let candidates = states.iter().zip(&seen).map(|((server, _), seen)| Candidate {
         id: *server,
         seen,
         slots: server.slots,
         near: server.domain == job.traffic.settings.domain,
-        cold: !server.warmup_left.is_zero(),
+        cold: server.is_cold(),
     });
-    choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
+    let server = choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())?;
+    if view.cold_server(&server.id, now).is_some() {
+        let state = job.traffic.server(&server);
+        let mut pacer = state.pacer.get();
+        pacer.on_send(now);
+        state.pacer.set(pacer);
+    }
+    Some(server)
+}
+
+/// Whether a server that any may answer is warm, or may get a request of this host now while it is cold.
+fn may_warm_up(view: &View, server: &Server, state: &ServerState, now: Instant) -> bool {
+    let Some(cold) = view.cold_server(&server.id, now) else { return true };
+    cold.spacing.is_some_and(|spacing| state.pacer.get().may_send(now, spacing))
 }
 
 /// Waits until the key has another owner or token than in `view`. Returns whether it has.
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -2,9 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jacinthbeam_dispatch::budget;
+use jacinthbeam_dispatch::{budget, slow_start};
 use jacinthbeam_types::prelude::*;
 
+/// Time for an evacuation, unless set.
+pub const DEFAULT_EVACUATE: Duration = Duration::from_secs(5);
+
 /// Where this host stands, and the bounds that it works within.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -32,6 +35,11 @@
     pub repeats: budget::Options,
     /// Time after which a backend server that is leaving must get no request any more, from its word in the store.
     pub drain_within: Duration,
+    /// Time after which no request may reach a backend server of a failure domain that is evacuated, from the operator's word in the
+    /// store.
+    pub evacuate_within: Duration,
+    /// What a cold server may get beyond its rate.
+    pub slow_start: slow_start::Bounds,
     /// Time after which a configuration that the operator was told is kept must act.
     pub config_within: Duration,
     /// Time between a request to stop and the forced end of the process.
--- a/crates/jacinthbeam-host/src/version/mod.rs
+++ b/crates/jacinthbeam-host/src/version/mod.rs
@@ -2,4 +2,4 @@
 
 mod view;
 
-pub use view::{KnownTo, Leaving, View};
+pub use view::{ColdServer, Grace, KnownTo, Leaving, View};
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -20,6 +20,10 @@
     pub servers: Arc<Servers>,
     /// Servers that are leaving, or have left the list.
     pub leaving: Arc<BTreeMap<ServerId, Leaving>>,
+    /// Failure domains that are evacuated, and since when. Their servers are on the list as leaving ones.
+    pub evacuated: Arc<BTreeMap<FailureDomain, Leaving>>,
+    /// Cold servers whose service bounds what they get.
+    pub cold: Arc<BTreeMap<ServerId, ColdServer>>,
     /// Owners of the keys of each keyed service.
     pub maps: BTreeMap<ServiceName, Arc<Map>>,
     /// Hosts that share the budget of repeats; 0 until they are known.
@@ -29,14 +33,41 @@
 }
 
 impl View {
-    /// Whether a request may still be sent to `server`, given that it may be for `grace` after the store took the word of its leaving.
-    pub fn may_send(&self, server: &ServerId, now: Instant, grace: Duration) -> bool {
+    /// Whether a request may still be sent to `server`, given how long it may be after the store took the word of its leaving.
+    pub fn may_send(&self, server: &ServerId, now: Instant, grace: Grace) -> bool {
+        let evacuated = self.servers.get(server).and_then(|s| self.evacuated.get(&s.domain));
+        let is_over = |since: &Leaving| since.elapsed(now) >= grace.evacuated;
+        if evacuated.is_some_and(is_over) {
+            return false;
+        }
         match self.leaving.get(server) {
-            Some(Leaving::Since(at)) => now.saturating_duration_since(*at) < grace,
-            Some(Leaving::LongAgo) => false,
-            None => self.servers.takes_work(server),
+            Some(leaving) => leaving.elapsed(now) < grace.drained,
+            None => evacuated.is_some() || self.servers.takes_work(server),
         }
     }
+
+    /// What a cold server may get of this host now; `None` if nothing bounds it.
+    pub fn cold_server(&self, server: &ServerId, now: Instant) -> Option<&ColdServer> {
+        self.cold.get(server).filter(|cold| now < cold.until)
+    }
+}
+
+/// How long requests may go to a server after the store took the word that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grace {
+    /// If the server said so itself, or left the list.
+    pub drained: Duration,
+    /// If the operator evacuates its failure domain.
+    pub evacuated: Duration,
+}
+
+/// A cold server, and this host's part in what it gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdServer {
+    /// It is warm from then on.
+    pub until: Instant,
+    /// Pause between two requests of this host; `None` if others send to it, and this host doesn't.
+    pub spacing: Option<Duration>,
 }
 
 /// How far what a host knows reaches. Told beside the view, since it changes with each read, also of one that finds nothing new.
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -48,6 +48,8 @@
     pub operator: fn() -> Partition,
     /// Key of the configuration among them.
     pub config_key: &'static str,
+    /// What keys of the operator's records begin with that evacuate a failure domain; its name follows.
+    pub evacuation_prefix: &'static str,
     /// Holds the entries of the backend servers.
     pub servers: fn() -> Partition,
     /// Keyed topic for the ownership maps.
--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -5,7 +5,7 @@
 use arbtest::arbtest;
 use jacinthbeam_host::{
     process::{known::Known, peers::HostEntry},
-    version::Leaving,
+    version::{Grace, Leaving},
 };
 use jacinthbeam_range::{Key, KeyRange, Map, Owner};
 use jacinthbeam_route::Server;
@@ -24,9 +24,14 @@
         slots: 3,
         draining,
         warmup_left: Duration::ZERO,
+        cold_rate: None,
     }
 }
 
+fn grace(drained: Duration) -> Grace {
+    Grace { drained, evacuated: Duration::from_secs(5) }
+}
+
 /// Takes one record as it comes from the store.
 fn take(known: &mut Known, now: Instant, offset: u64, n: u32, server: Option<Server>) {
     let changed =
@@ -54,8 +59,12 @@
     assert!(changed && host.servers().get(&id(2)).is_none());
     assert!(host.servers().takes_work(&id(1)));
     let view = host.view();
-    assert!(view.may_send(&id(2), now + Duration::from_millis(900), Duration::from_secs(1)));
-    assert!(!view.may_send(&id(2), now + Duration::from_millis(1100), Duration::from_secs(1)));
+    assert!(view.may_send(&id(2), now + Duration::from_millis(900), grace(Duration::from_secs(1))));
+    assert!(!view.may_send(
+        &id(2),
+        now + Duration::from_millis(1100),
+        grace(Duration::from_secs(1))
+    ));
 }
 
 /// After the loss of its history the store shows a list from some seconds ago. A server that has left meanwhile is on it, and
@@ -79,7 +88,7 @@
     take(&mut host, now, 2, 1, None);
     take(&mut host, now, 3, 1, Some(server(1, false)));
     assert!(host.servers().takes_work(&id(1)));
-    assert!(host.view().may_send(&id(1), now + Duration::from_secs(60), Duration::ZERO));
+    assert!(host.view().may_send(&id(1), now + Duration::from_secs(60), grace(Duration::ZERO)));
 }
 
 /// Whatever is asked, in whichever order, a host that follows another ends with the same list.
@@ -153,7 +162,7 @@
     let news = relay.news_for(&host.question(Duration::ZERO), Duration::ZERO, after(1900));
     host.take_news(news, after(1900));
 
-    let grace = Duration::from_millis(1700);
+    let grace = grace(Duration::from_millis(1700));
     assert!(host.view().may_send(&id(1), after(2150), grace), "it may still be used");
     assert!(!host.view().may_send(&id(1), after(2250), grace), "it is used for too long");
 }
@@ -166,11 +175,11 @@
     let bound = Leaving::after(known.servers_as_of());
     let changed = known.take_server(id(1).name().clone(), Offset(0), Some(server(1, true)), bound);
     known.servers_known_to(Offset(1), Some(now), changed, now);
-    assert!(!known.view().may_send(&id(1), now, Duration::from_secs(2)));
+    assert!(!known.view().may_send(&id(1), now, grace(Duration::from_secs(2))));
     let mut host = Known::default();
     let news = known.news_for(&host.question(Duration::ZERO), Duration::ZERO, now);
     host.take_news(news, now);
-    assert!(!host.view().may_send(&id(1), now, Duration::from_secs(2)));
+    assert!(!host.view().may_send(&id(1), now, grace(Duration::from_secs(2))));
 }
 
 /// A server that was leaving has ended and started again under its name. It takes work like any new one, and a heartbeat of its former
@@ -188,8 +197,8 @@
     take(&mut known, now, 2, 1, Some(life(9)));
     take(&mut known, now, 3, 1, Some(Server { draining: true, ..life(5) }));
     let view = known.view();
-    assert!(view.may_send(&life(9).id, now, Duration::ZERO));
-    assert!(!view.may_send(&life(5).id, now, Duration::ZERO));
+    assert!(view.may_send(&life(9).id, now, grace(Duration::ZERO)));
+    assert!(!view.may_send(&life(5).id, now, grace(Duration::ZERO)));
     assert_eq!(view.servers.iter().count(), 1);
     assert_eq!(view.servers.successor_of(&life(5).id).map(|server| &server.id), Some(&life(9).id));
 }
--- a/crates/jacinthbeam-host/tests/logs.rs
+++ b/crates/jacinthbeam-host/tests/logs.rs
@@ -163,6 +163,7 @@
         slots: 3,
         draining: false,
         warmup_left: Duration::ZERO,
+        cold_rate: None,
     };
     let take = |known: &mut Known, at: u64, of: std::ops::Range<u32>, there: bool| {
         for n in of {
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -25,6 +25,8 @@
         partitions: 1,
         repeats: budget::Options { ratio: 0.2, burst: 1.0, window: Duration::from_secs(1) },
         drain_within: Duration::from_secs(1),
+        evacuate_within: Duration::from_secs(5),
+        slow_start: jacinthbeam_dispatch::slow_start::Bounds::default(),
         config_within: Duration::from_secs(1),
         stop_within: Duration::from_secs(1),
     }
--- a/crates/jacinthbeam-host/tests/status.rs
+++ b/crates/jacinthbeam-host/tests/status.rs
@@ -21,6 +21,7 @@
         connections: 4,
         keyed,
         warmup: Duration::ZERO,
+        slow_start: None,
     };
     let services = BTreeMap::from([(name("tiles"), service)]);
     View { config: Some(Arc::new(Config { services, ..Config::default() })), ..View::default() }
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -216,6 +216,8 @@
                 window: native::settings::DEFAULT_REPEAT_WINDOW,
             },
             drain_within: native::settings::DEFAULT_DRAIN,
+            evacuate_within: jacinthbeam::host::settings::DEFAULT_EVACUATE,
+            slow_start: jacinthbeam::dispatch::slow_start::Bounds::default(),
             config_within: native::settings::DEFAULT_CONFIG,
             stop_within: native::settings::DEFAULT_STOP,
         };
--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -17,6 +17,7 @@
 pub const PLACES: Places = Places {
     operator: || Partition { topic: "operator".into(), number: 0 },
     config_key: "config",
+    evacuation_prefix: "evacuate/",
     servers: || Partition { topic: "servers".into(), number: 0 },
     maps: "owners",
     hosts: "hosts",
--- a/crates/jacinthbeam-native/src/server.rs
+++ b/crates/jacinthbeam-native/src/server.rs
@@ -46,5 +46,6 @@
         slots: entry.slots,
         draining: entry.draining,
         warmup_left: Duration::from_millis(entry.warmup_left_ms),
+        cold_rate: None,
     })
 }
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -6,8 +6,8 @@
     document::{self, Fields, Node, Value, read},
     problem::Problem,
 };
-use jacinthbeam_dispatch::budget;
-use jacinthbeam_host::Settings;
+use jacinthbeam_dispatch::{budget, slow_start};
+use jacinthbeam_host::{Settings, settings::DEFAULT_EVACUATE};
 use jacinthbeam_types::prelude::*;
 
 /// Thousandths of a core that a host has, unless set. Only the proportions between hosts matter.
@@ -30,6 +30,7 @@
 const MAX_PARTITIONS: u32 = 4096;
 const MAX_MILLICORES: u32 = 1_000_000;
 const MAX_BURST: f64 = 1e6;
+const MAX_OVERRUN: f64 = 100.0;
 const MAX_MS: u64 = 600_000;
 
 /// Parses and checks the settings in `text`; `file` names it in problems.
@@ -59,6 +60,8 @@
     let repeats = fields.object("repeats", repeats_default(), repeats);
     let time = read::millis(1..=MAX_MS);
     let drain_within = fields.or("drain_within_ms", DEFAULT_DRAIN, &time);
+    let evacuate_within = fields.or("evacuate_within_ms", DEFAULT_EVACUATE, &time);
+    let slow_start = fields.object("slow_start", slow_start::Bounds::default(), slow_start);
     let config_within = fields.or("config_within_ms", DEFAULT_CONFIG, &time);
     let stop_within = fields.or("stop_within_ms", DEFAULT_STOP, &time);
     for (name, addr) in [("peers", peers), ("store", store)] {
@@ -89,6 +92,8 @@
         partitions,
         repeats,
         drain_within,
+        evacuate_within,
+        slow_start,
         config_within,
         stop_within,
     })
@@ -111,6 +116,14 @@
     }
 }
 
+fn slow_start(fields: &mut Fields<'_>) -> slow_start::Bounds {
+    let default = slow_start::Bounds::default();
+    slow_start::Bounds {
+        overrun: fields.or("overrun", default.overrun, read::number(1.0..=MAX_OVERRUN)),
+        slack: fields.or("slack", default.slack, read::number(0.0..=MAX_BURST)),
+    }
+}
+
 fn seeds(value: &Value) -> Result<Vec<SocketAddr>, String> {
     let wrong = || "a list of addresses of other hosts, such as [\"10.0.0.7:8081\"]".to_owned();
     let Value::List(list) = value else { return Err(wrong()) };
@@ -153,6 +166,8 @@
             "window_ms": millis(settings.repeats.window),
         },
         "drain_within_ms": millis(settings.drain_within),
+        "evacuate_within_ms": millis(settings.evacuate_within),
+        "slow_start": { "overrun": settings.slow_start.overrun, "slack": settings.slow_start.slack },
         "config_within_ms": millis(settings.config_within),
         "stop_within_ms": millis(settings.stop_within),
     });
--- a/crates/jacinthbeam-range/src/balance.rs
+++ b/crates/jacinthbeam-range/src/balance.rs
@@ -24,6 +24,8 @@
     pub owner: Owner,
     /// Requests a second that it can work off: its slots over the time that a request takes.
     pub capacity: f64,
+    /// Whether it is cold, so that a key alone may be more than it takes.
+    pub cold: bool,
 }
 
 /// A proposed change of owner.
@@ -135,7 +137,8 @@
         if count <= capacity(from) * FADE.as_secs_f64() {
             return None;
         }
-        let free = (0..self.load.len()).filter(|at| self.load[*at] <= self.share[*at] * SURPLUS);
+        let has_room = |at: &At| self.load[*at] <= self.share[*at] * SURPLUS;
+        let free = (0..self.load.len()).filter(|at| !self.candidates[*at].cold && has_room(at));
         let fastest = free.max_by(|a, b| capacity(*a).total_cmp(&capacity(*b)))?;
         let range = KeyRange { first: key, last: key };
         (capacity(fastest) >= capacity(from) * FASTER).then_some((range, fastest))
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -112,7 +112,9 @@
         let gate = |server: &Server| {
             let work = leading.demand.work(&server.id).unwrap_or(mean);
             let load = leading.demand.load(&server.id, server.slots, work)?;
-            Some((server.id.clone(), admission::gate(&load, objective)?))
+            let cold = server.cold_rate.filter(|_| server.is_cold());
+            let cold = cold.and_then(|rate| admission::cap(&load.rates, rate.per_second()));
+            Some((server.id.clone(), cold.or_else(|| admission::gate(&load, objective))?))
         };
         servers.filter_map(gate).collect()
     }
@@ -312,10 +314,19 @@
         .map(|server| {
             let work = leading.demand.work(&server.id).unwrap_or(mean);
             let owner = Owner { server: server.id.clone(), addr: server.addr };
-            // A server that has just started is slow for a while, and is given its share when it no longer is.
-            let warm = if server.warmup_left.is_zero() { 1.0 } else { balance::COLD_SHARE };
-            let capacity = warm * f64::from(server.slots) / work.as_secs_f64().max(0.001);
-            Candidate { owner, capacity }
+            let capacity = f64::from(server.slots) / work.as_secs_f64().max(0.001);
+            let cold = server.is_cold();
+            Candidate {
+                owner,
+                capacity: if cold { cold_capacity(server, capacity) } else { capacity },
+                cold,
+            }
         })
         .collect()
 }
+
+/// What a cold server is given: less than its share, and no more than it takes.
+fn cold_capacity(server: &Server, warm: f64) -> f64 {
+    let most = server.cold_rate.map_or(f64::INFINITY, Rate::per_second);
+    (warm * balance::COLD_SHARE).min(most)
+}
--- a/crates/jacinthbeam-range/tests/grantor/play.rs
+++ b/crates/jacinthbeam-range/tests/grantor/play.rs
@@ -31,6 +31,7 @@
         slots: 3,
         draining,
         warmup_left: Duration::ZERO,
+        cold_rate: None,
     }
 }
 
--- a/crates/jacinthbeam-range/tests/grantor/server.rs
+++ b/crates/jacinthbeam-range/tests/grantor/server.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use jacinthbeam_range::{
-    Event, Map, Order,
+    Event, Key, Map, Order,
+    demand::Report,
     grantor::{Call, NoAnswer, Outcome, View, longest_hold},
 };
 use jacinthbeam_route::Server;
@@ -190,3 +191,52 @@
     play.run(Duration::from_secs(5));
     assert!(play.releases.is_empty(), "keys are taken from a life that has ended");
 }
+
+/// Guards against hot keys on a cold server, which crashes above its rate.
+#[test]
+fn a_cold_owner_is_sent_no_more_than_it_takes() {
+    let mut play = Play::leading();
+    let cold = Server {
+        warmup_left: Duration::from_secs(3),
+        cold_rate: Some(Rate(4400)),
+        ..server(1, false)
+    };
+    play.servers.insert(cold.clone());
+    let arrivals = [(cold.id.clone(), [(1, 18)].into()), (server(2, false).id, [(1, 18)].into())];
+    let report = Report { arrivals: arrivals.into(), ..Report::default() };
+    play.feed(Event::Load { from: "h2".parse().unwrap(), report });
+    let view = View { now: play.now, servers: &play.servers, settled: true };
+    let gates = play.grantor.gates(view, Duration::from_millis(600));
+    let gate = gates.get(&cold.id).expect("20 a second are asked of it");
+    assert!(gate.rank == 1 && (0.2..0.25).contains(&gate.share), "{gate:?}");
+    assert_eq!(gates.len(), 1, "the other one is warm and idle");
+}
+
+/// Guards against a server that comes back cold and is given the keys of a warm one.
+#[test]
+fn keys_of_a_cold_server_come_back_to_it_by_what_it_takes() {
+    let mut play = Play::leading();
+    play.servers.insert(server(1, true));
+    play.until(|play| !play.releases.is_empty());
+    for (range, token) in std::mem::take(&mut play.releases) {
+        play.feed(Event::Released { range, token, handover: Ok(None) });
+    }
+    play.until(|play| play.keys_of(1) == 0);
+    let cold = Server {
+        warmup_left: Duration::from_secs(3),
+        cold_rate: Some(Rate(1000)),
+        ..server(1, false)
+    };
+    play.servers.insert(cold);
+    let keys = (0..65_000).step_by(650).map(|key| (Key(key), 1)).collect();
+    let report = Report { keys, ..Report::default() };
+    play.feed(Event::Load { from: "h2".parse().unwrap(), report });
+    for _ in 0..30 {
+        play.run(TICK);
+        for (range, token) in std::mem::take(&mut play.releases) {
+            play.feed(Event::Released { range, token, handover: Ok(None) });
+        }
+    }
+    let share = f64::from(play.keys_of(1)) / 65_536.0;
+    assert!(share < 0.1, "a server that takes one request a second of 15 has {share} of the keys");
+}
--- a/crates/jacinthbeam-range/tests/load.rs
+++ b/crates/jacinthbeam-range/tests/load.rs
@@ -21,7 +21,7 @@
 }
 
 fn candidates(of: std::ops::Range<u32>) -> Vec<Candidate> {
-    of.map(|n| Candidate { owner: owner(n), capacity: CAPACITY }).collect()
+    of.map(|n| Candidate { owner: owner(n), capacity: CAPACITY, cold: false }).collect()
 }
 
 /// Twenty owners with the same number of keys each.
--- a/crates/jacinthbeam-range/tests/onset.rs
+++ b/crates/jacinthbeam-range/tests/onset.rs
@@ -77,8 +77,11 @@
     fn new(load: &'static Load, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut capacity = || *rng.choice(&load.capacities).expect("there are some");
-        let candidates =
-            (0..load.owners).map(|n| Candidate { owner: owner(n), capacity: capacity() });
+        let candidates = (0..load.owners).map(|n| Candidate {
+            owner: owner(n),
+            capacity: capacity(),
+            cold: false,
+        });
         let candidates = candidates.collect();
         let mut map = Map::unowned();
         for (n, range) in KeyRange::ALL.cut(load.owners).into_iter().enumerate() {
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -236,6 +236,7 @@
                 slots: 3,
                 draining: server.leaves_at.is_some(),
                 warmup_left: Duration::ZERO,
+                cold_rate: None,
             });
         }
         listed
--- a/crates/jacinthbeam-route/src/config.rs
+++ b/crates/jacinthbeam-route/src/config.rs
@@ -33,6 +33,17 @@
     pub keyed: bool,
     /// How long keys are slow that a backend server got without their handover.
     pub warmup: Duration,
+    /// What its servers take while they are cold; `None` if nothing bounds it.
+    pub slow_start: Option<SlowStart>,
+}
+
+/// What a cold server of a service takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// How long a server stays cold after its start or after it was evacuated.
+    pub lasts: Duration,
+    /// Requests a second from all hosts together.
+    pub rate: Rate,
 }
 
 /// Bounds of what a caller may send, and how slowly.
--- a/crates/jacinthbeam-route/src/server.rs
+++ b/crates/jacinthbeam-route/src/server.rs
@@ -22,6 +22,16 @@
     pub draining: bool,
     /// How much longer it was to be slow after its start when it reported this.
     pub warmup_left: Duration,
+    /// Requests a second that it takes from all hosts together while it is cold; `None` if nothing bounds them. Not part of what it
+    /// reports: its service's configuration says it.
+    pub cold_rate: Option<Rate>,
+}
+
+impl Server {
+    /// Whether it is cold: it has just started, and is slow for a while.
+    pub fn is_cold(&self) -> bool {
+        !self.warmup_left.is_zero()
+    }
 }
 
 /// All backend servers that are known to be there.
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -8,6 +8,6 @@
     },
     key::KeyHash,
     server::ServerId,
-    size::{Bytes, Millicores},
+    size::{Bytes, Millicores, Rate},
     verdict::{Reason, Refusal, Verdict},
 };
--- a/crates/jacinthbeam-types/src/size.rs
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -81,3 +81,50 @@
         number.map(Self).ok_or_else(|| ParseMillicoresError(text.into()))
     }
 }
+
+/// Requests a second, in thousandths. Written as `4.4/s`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rate(pub u32);
+
+/// The text or number is no rate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseRateError(String);
+
+impl fmt::Display for ParseRateError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is no rate such as \"4.4/s\"", self.0)
+    }
+}
+
+impl std::error::Error for ParseRateError {}
+
+impl Rate {
+    /// The rate of this many requests a second.
+    pub fn from_per_second(value: f64) -> Result<Self, ParseRateError> {
+        let thousandths = value * 1000.0;
+        if !(0.0..=f64::from(u32::MAX)).contains(&thousandths) {
+            return Err(ParseRateError(value.to_string()));
+        }
+        Ok(Self(thousandths.round() as u32))
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_second())
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseRateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").and_then(|number| number.parse().ok());
+        Self::from_per_second(number.ok_or_else(|| ParseRateError(format!("{text:?}")))?)
+    }
+}
