feat(route): requests stay in the home regions of their route

A route may name the only regions whose backend servers get its requests (`home_regions`), and a host knows the region of each failure domain (`regions` of its settings). Servers elsewhere, and servers whose region nobody names, are no candidates; a key whose owner is abroad is refused at once, since waiting for a move is of no use. No body crosses to another host in any case: hosts send to backend servers only.

--- a/crates/jacinthbeam-config/src/check/route.rs
+++ b/crates/jacinthbeam-config/src/check/route.rs
@@ -1,6 +1,6 @@
 //! Reads one route.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use jacinthbeam_route::{ANY_HOST, Part, Route, Target};
 use jacinthbeam_types::prelude::*;
@@ -44,6 +44,7 @@
     let idempotent = fields.or("idempotent", false, read::bool);
     let priority = fields.or("priority", 0, read::whole(0..=MAX_PRIORITY));
     let attempts = fields.or("attempts", DEFAULT_ATTEMPTS, read::whole(1..=MAX_ATTEMPTS));
+    let home_regions = fields.or("home_regions", BTreeSet::new(), regions);
     if objective > timeout {
         fields.unfit(
             "objective_ms",
@@ -64,6 +65,7 @@
         priority,
         attempts,
         target: target?,
+        home_regions,
     };
     Some((host, route))
 }
@@ -76,6 +78,16 @@
     }
 }
 
+fn regions(value: &Value) -> Result<BTreeSet<Region>, String> {
+    let wrong = || "a list of regions, such as [\"bc-interior\"]".to_owned();
+    let Value::List(list) = value else { return Err(wrong()) };
+    let region = |node: &Node| match &node.value {
+        Value::Text(text) => text.parse().ok(),
+        _ => None,
+    };
+    list.iter().map(region).collect::<Option<_>>().ok_or_else(wrong)
+}
+
 fn target(fields: &mut Fields<'_>) -> Option<Target> {
     let split = fields.node("split").is_some();
     if !split {
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -77,6 +77,18 @@
         self.subject().on_sent(server, most, sent, may_repeat).await
     }
 
+    /// Whether the request may be sent to the region of a server.
+    pub(super) fn is_home(&self, server: &Server) -> bool {
+        self.route.is_home(self.traffic.settings.regions.get(&server.domain))
+    }
+
+    /// Whether the owner of its key is where the request must not go, so that waiting for it is of no use.
+    pub(super) fn is_abroad(&self, view: &View) -> bool {
+        let owner = self.key.and_then(|key| view.maps.get(&self.service)?.of(key).owner.as_ref());
+        let server = owner.and_then(|owner| view.servers.get(&owner.server));
+        server.is_some_and(|server| !self.is_home(server))
+    }
+
     pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.traffic.now())
     }
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -118,9 +118,6 @@
         deadline,
         route,
     };
-    if let Some(request) = job.subject().refused(&view) {
-        return refuse_for_crashes(&job, request);
-    }
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_let_in(&job, &view, key)
     {
@@ -161,15 +158,19 @@
     loop {
         let view = job.traffic.view();
         // It may have waited, and its repeat may come, after others have shown what it does.
-        if let Some(request) = job.subject().refused(&view) {
+        if let Some(quarantine) = job.subject().refused(&view) {
             return match last {
-                None | Some(Sent::NotRun(_)) => refuse_for_crashes(&job, request),
+                None | Some(Sent::NotRun(_)) => refuse_for_crashes(&job, quarantine),
                 last => give_up(&job, last, &tried),
             };
         }
         let server = match find_server(&job, &view, &tried) {
             Some(server) => server,
-            None if sends == 0 && job.keyed && job.may_wait(AWAIT_OWNER) => {
+            None if sends == 0
+                && job.keyed
+                && !job.is_abroad(&view)
+                && job.may_wait(AWAIT_OWNER) =>
+            {
                 let begun = job.traffic.now();
                 job.traffic.view_changed(job.wait_left(AWAIT_OWNER)).await;
                 job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
@@ -238,10 +239,13 @@
         let owner = view.maps.get(&job.service)?.of(job.key?).owner.clone()?;
         let server = view.servers.get(&owner.server)?;
         let ended = job.traffic.server(server).ended.get();
-        let may = !ended && view.may_send(&server.id, now, grace);
+        let may = !ended && job.is_home(server) && view.may_send(&server.id, now, grace);
         return may.then(|| server.clone());
     }
-    let open = view.servers.of(&job.service).filter(|server| !tried.contains(&server.id));
+    let open = view
+        .servers
+        .of(&job.service)
+        .filter(|server| !tried.contains(&server.id) && job.is_home(server));
     let states = open.map(|server| (server, job.traffic.server(server)));
     let states: Vec<_> = states
         .filter(|(server, state)| !state.ended.get() && may_warm_up(view, server, state, now))
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a process is told at its start.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use jacinthbeam_dispatch::{budget, slow_start};
 use jacinthbeam_types::prelude::*;
@@ -15,6 +15,8 @@
     pub host: HostId,
     /// Where it runs.
     pub domain: FailureDomain,
+    /// The region of each failure domain; empty if nothing is bound to a region.
+    pub regions: BTreeMap<FailureDomain, Region>,
     /// Its share of a processor.
     pub processor: Millicores,
     /// Where callers connect.
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -15,6 +15,7 @@
     Settings {
         host: "h1".parse().unwrap(),
         domain: "a".parse().unwrap(),
+        regions: Default::default(),
         processor: Millicores::CORE,
         callers: LOOPBACK,
         ready: LOOPBACK,
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -202,6 +202,7 @@
         let settings = Settings {
             host: name.parse().map_err(|err| text(&err))?,
             domain: domain.clone(),
+            regions: Default::default(),
             processor: Millicores::CORE,
             callers: LOOPBACK,
             ready: LOOPBACK,
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of a host's process: one file of JSON with comments.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use jacinthbeam_config::{
-    document::{self, Fields, Node, Value, read},
+    document::{self, Fields, Member, Node, Value, read},
     problem::Problem,
 };
 use jacinthbeam_dispatch::{budget, slow_start};
@@ -48,6 +48,7 @@
 fn settings(fields: &mut Fields<'_>) -> Option<Settings> {
     let host = fields.required("host", "the name of this host", read::text);
     let domain = fields.required("domain", "the failure domain of this host", read::text);
+    let regions = fields.or("regions", BTreeMap::new(), regions);
     let processor =
         fields.or("processor_millicores", DEFAULT_PROCESSOR.0, read::whole(1..=MAX_MILLICORES));
     let callers = address(fields, "callers");
@@ -82,6 +83,7 @@
     Some(Settings {
         host: host?,
         domain: domain?,
+        regions,
         processor: Millicores(processor),
         callers: callers?,
         ready: ready?,
@@ -124,6 +126,16 @@
     }
 }
 
+fn regions(value: &Value) -> Result<BTreeMap<FailureDomain, Region>, String> {
+    let wrong = || "an object with the region of each failure domain".to_owned();
+    let Value::Object(members) = value else { return Err(wrong()) };
+    let region = |(domain, member): (&String, &Member)| match &member.node.value {
+        Value::Text(region) => Some((domain.parse().ok()?, region.parse().ok()?)),
+        _ => None,
+    };
+    members.iter().map(region).collect::<Option<_>>().ok_or_else(wrong)
+}
+
 fn seeds(value: &Value) -> Result<Vec<SocketAddr>, String> {
     let wrong = || "a list of addresses of other hosts, such as [\"10.0.0.7:8081\"]".to_owned();
     let Value::List(list) = value else { return Err(wrong()) };
@@ -152,6 +164,7 @@
     let file = serde_json::json!({
         "host": text(&settings.host),
         "domain": text(&settings.domain),
+        "regions": settings.regions,
         "processor_millicores": settings.processor.0,
         "callers": text(&settings.callers),
         "ready": text(&settings.ready),
--- a/crates/jacinthbeam-route/src/route.rs
+++ b/crates/jacinthbeam-route/src/route.rs
@@ -1,6 +1,11 @@
 //! Routes: from a request's host and path to a service.
 
-use std::{collections::BTreeMap, slice, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    slice,
+    sync::Arc,
+    time::Duration,
+};
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -24,6 +29,17 @@
     pub attempts: u32,
     /// Where its requests go.
     pub target: Target,
+    /// The only regions whose backend servers may get its requests; empty if all may.
+    #[serde(default)]
+    pub home_regions: BTreeSet<Region>,
+}
+
+impl Route {
+    /// Whether its requests may be sent to `region`. A server of an unknown region gets none that are bound to their homes.
+    pub fn is_home(&self, region: Option<&Region>) -> bool {
+        let is_listed = || region.is_some_and(|region| self.home_regions.contains(region));
+        self.home_regions.is_empty() || is_listed()
+    }
 }
 
 /// The service or services of a route.
--- a/crates/jacinthbeam-route/tests/route.rs
+++ b/crates/jacinthbeam-route/tests/route.rs
@@ -23,6 +23,7 @@
         priority: 1,
         attempts: 2,
         target,
+        home_regions: Default::default(),
     }
 }
 
@@ -90,3 +91,14 @@
     let prefix = config(to("nobody"), "/x").check().unwrap_err();
     assert_eq!(prefix, Error::Prefix { route: "r".into(), prefix: "/x".into() });
 }
+
+/// Guards against requests that are sent where nobody knows the region.
+#[test]
+fn a_route_with_home_regions_allows_no_others() {
+    let home: Region = "west".parse().unwrap();
+    let mut bound = route("r", "/", to("tiles"));
+    assert!(bound.is_home(None), "nothing binds it");
+    bound.home_regions = [home.clone()].into();
+    assert!(bound.is_home(Some(&home)));
+    assert!(!bound.is_home(Some(&"east".parse().unwrap())) && !bound.is_home(None));
+}
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -144,6 +144,10 @@
     /// A failure domain of the platform.
     FailureDomain
 }
+name! {
+    /// A region: failure domains that lie together, and within which data has to stay where its route says so.
+    Region
+}
 number! {
     /// One life of a process. Drawn at its start so that no two lives share it.
     Incarnation(u64)
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::{
     clock::{Clock, SystemClock},
     id::{
-        Born, ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, ServerName,
+        Born, ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, Region, ServerName,
         ServiceName, TeamName, Token,
     },
     key::KeyHash,
