feat(cli): `jacinthbeam evacuate DOMAIN`, and `--back`

Operators of the native interface evacuate a failure domain by one record in the store and take it back by removing it; `status` names the domains that each host knows to be evacuated. The word counts from the store's acknowledgement, so nothing of ours is waited for.

--- a/crates/jacinthbeam-cli/src/command/mod.rs
+++ b/crates/jacinthbeam-cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub mod dump;
 pub mod entry;
 mod error;
+pub mod evacuate;
 pub mod explain;
 pub mod let_through;
 pub mod local;
@@ -23,7 +24,7 @@
 use crate::Terminal;
 
 /// All commands with their arguments.
-pub fn all() -> [Command; 11] {
+pub fn all() -> [Command; 12] {
     [
         check::command(),
         publish::command(),
@@ -33,6 +34,7 @@
         usage::command(),
         dump::command(),
         let_through::command(),
+        evacuate::command(),
         entry::command(),
         local::command(),
         measure::command(),
@@ -50,6 +52,7 @@
         "usage" => usage::run(args, terminal).await,
         "dump" => dump::run(args, terminal).await,
         "let-through" => let_through::run(args, terminal).await,
+        "evacuate" => evacuate::run(args, terminal).await,
         "entry" => entry::run(args, terminal).await,
         "local" => local::run(args, terminal).await,
         "measure" => measure::run(args, terminal).await,
--- a/crates/jacinthbeam-cli/src/command/status.rs
+++ b/crates/jacinthbeam-cli/src/command/status.rs
@@ -90,8 +90,13 @@
         None => "no configuration".into(),
     };
     let stopping = if status.stopping { ", stopping" } else { "" };
+    let evacuated: Vec<&str> = status.evacuated.iter().map(|domain| domain.as_str()).collect();
+    let evacuated = match evacuated.is_empty() {
+        true => String::new(),
+        false => format!(", evacuated: {}", evacuated.join(" ")),
+    };
     format!(
-        "{} in {}: {config}, {} hosts known{stopping}",
+        "{} in {}: {config}, {} hosts known{evacuated}{stopping}",
         status.host, status.domain, status.hosts
     )
 }
--- a/crates/jacinthbeam-cli/src/records.rs
+++ b/crates/jacinthbeam-cli/src/records.rs
@@ -64,6 +64,21 @@
         }
     }
 
+    /// Evacuates a failure domain, or takes it back.
+    pub async fn put_evacuation(
+        &self,
+        domain: &FailureDomain,
+        evacuated: bool,
+    ) -> Result<(), Error> {
+        let value = if evacuated { Bytes::from_static(b"{}") } else { Bytes::new() };
+        let key = format!("{}{domain}", PLACES.evacuation_prefix);
+        let call = Call::Put { to: (PLACES.operator)(), key, value, only_at: None };
+        match self.lane.call(&call).await? {
+            Reply::Kept(_) => Ok(()),
+            _ => Err(Error::Malformed("not the answer to an append".into())),
+        }
+    }
+
     /// What every life of a process counted against teams, added up.
     pub async fn usage(&self) -> Result<Usage, Error> {
         let partition = Partition { topic: PLACES.usage.into(), number: 0 };
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -22,6 +22,9 @@
     pub config: Option<ConfigVersion>,
     /// Hosts that it knows of, itself included.
     pub hosts: u32,
+    /// Failure domains that are evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<FailureDomain>,
     /// The services of the configuration.
     pub services: BTreeMap<ServiceName, Service>,
     /// Requests under which servers have ended, by their fingerprints.
@@ -117,6 +120,7 @@
         stopping: phase > Phase::Serving,
         config: view.config.as_deref().map(|cfg| cfg.version),
         hosts: view.hosts,
+        evacuated: view.evacuated.keys().cloned().collect(),
         services: services(view),
         crashes: crashes.collect(),
     }
