fix(crash): evidence outlasts a loss of all memory, late answers clear, and a herd is held back

Three faults of one rule, each with its test.

The host that sees the last of three crashes now records the evidence beside the list of hosts, which each host reads once at its start anyway: no call while nothing is proven.

An ordinary request is refused while updates are lost: a host that answered it before it heard of the crashes cleared nothing. Hosts keep the answers of the last three seconds and clear with them what arrives later.

While the key of a keyed request has no owner its attempts gather at all hosts, and all reach the next owner within 20 ms, before any host observes the crash. A request under which three attempts or two servers crashed is now on probation until an attempt is served: one host of the fleet, drawn for each second, lets one attempt through, more the longer nothing crashed; the others refuse it and say when to come back.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    evidence::Crash,
     fingerprint::Fingerprint,
     suspects::{Suspect, Suspects},
 };
@@ -66,12 +67,22 @@
     pub at: Instant,
 }
 
+/// Where a fact comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// This host saw it.
+    Seen,
+    /// Another host told it.
+    Told(HostId),
+    /// It was read from the store.
+    Recorded,
+}
+
 #[derive(Debug, Clone)]
 struct Noted {
     at: Instant,
     position: Position,
-    /// The host that told it; `None` if it was seen here.
-    from: Option<HostId>,
+    source: Source,
 }
 
 #[derive(Debug, Default)]
@@ -89,6 +100,8 @@
             servers: self.ended.keys().map(|(server, _)| server.clone()).collect(),
             first: times.clone().min()?,
             last: times.max()?,
+            attempts: self.ended.len(),
+            served: self.cleared.values().map(|noted| noted.at).max(),
         })
     }
 
@@ -130,10 +143,10 @@
         self.end
     }
 
-    /// Takes a fact that the host `from` told, or that was seen here. Returns whether it adds anything.
-    pub fn take(&mut self, fact: Fact, from: Option<&HostId>, now: Instant) -> bool {
+    /// Takes a fact. Returns whether it adds anything.
+    pub fn take(&mut self, fact: Fact, source: Source, now: Instant) -> bool {
         let case = self.of.entry(fact.request).or_default();
-        let noted = Noted { at: fact.at, position: self.end, from: from.cloned() };
+        let noted = Noted { at: fact.at, position: self.end, source };
         let adds = match fact.what {
             What::Ended { server, caller } => case.add_ended(server, caller, noted),
             What::Served { caller } => case.clear(Some(caller), noted),
@@ -176,7 +189,11 @@
         let mut newer = BTreeMap::new();
         for (request, case) in &self.of {
             let new = case.notes().filter(|(_, noted)| {
-                noted.position >= from && (to.is_none() || noted.from.as_ref() != to)
+                let told_by = match &noted.source {
+                    Source::Told(host) => Some(host),
+                    Source::Seen | Source::Recorded => None,
+                };
+                noted.position >= from && (to.is_none() || told_by != to)
             });
             newer.extend(new.map(|(what, noted)| {
                 (noted.position, Fact { request: *request, what, at: noted.at })
@@ -186,6 +203,23 @@
         (newer.into_values().take(most).collect(), end)
     }
 
+    /// Servers that crashed under a request since it was last cleared, by their lives.
+    pub fn servers(&self, request: &Fingerprint) -> usize {
+        self.of.get(request).map_or(0, Case::servers)
+    }
+
+    /// The crashes of a request, if this host saw the last of them.
+    pub fn seen_last(&self, request: &Fingerprint, now: Instant) -> Option<Vec<Crash>> {
+        let ended = &self.of.get(request)?.ended;
+        let last = ended.values().max_by_key(|noted| noted.at)?;
+        let crash = |((server, caller), noted): (&(ServerId, IpAddr), &Noted)| Crash {
+            server: server.clone(),
+            caller: *caller,
+            age: now.saturating_duration_since(noted.at),
+        };
+        (last.source == Source::Seen).then(|| ended.iter().map(crash).collect())
+    }
+
     /// The requests that are in doubt or refused.
     pub fn suspects(&self) -> Suspects {
         let of = self.of.iter().filter_map(|(request, case)| Some((*request, case.suspect()?)));
--- a/crates/jacinthbeam-crash/src/exchange.rs
+++ b/crates/jacinthbeam-crash/src/exchange.rs
@@ -6,16 +6,17 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    cases::{Cases, Fact, Position, What},
+    cases::{Cases, Fact, Position, Source, What},
+    evidence::{Change, Evidence},
     fingerprint::Fingerprint,
-    suspects::Suspects,
+    suspects::{PROOF, Suspects},
 };
 
 /// Facts of one message, of up to some 70 bytes each.
@@ -76,6 +77,14 @@
     told: Option<Reach>,
 }
 
+/// What the store holds, or should hold, of a request.
+#[derive(Debug, Clone, Copy)]
+struct Recorded {
+    crashes: usize,
+    /// Whether this host wrote it, and removes it.
+    is_own: bool,
+}
+
 /// All facts of one host, and how far it has exchanged them with others.
 #[derive(Debug)]
 pub struct Exchange {
@@ -85,6 +94,10 @@
     /// The position after the last fact that was not the answer to a question of this host.
     to_tell: Position,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Records of the store that this host wrote or read.
+    recorded: BTreeMap<Fingerprint, Recorded>,
+    /// Records that have to be written.
+    changes: Vec<Change>,
 }
 
 impl Exchange {
@@ -96,6 +109,8 @@
             cases: Cases::default(),
             to_tell: Position::default(),
             peers: BTreeMap::new(),
+            recorded: BTreeMap::new(),
+            changes: Vec::new(),
         }
     }
 
@@ -111,11 +126,59 @@
 
     /// Takes a fact that was seen here. Returns whether it adds anything.
     pub fn see(&mut self, fact: Fact, now: Instant) -> bool {
-        let adds = self.cases.take(fact, None, now);
+        let request = fact.request;
+        let before = self.cases.servers(&request);
+        let adds = self.cases.take(fact, Source::Seen, now);
+        if before >= PROOF && self.cases.servers(&request) < PROOF {
+            self.recorded.remove(&request);
+            self.changes.push(Change { request, crashes: None });
+        }
+        self.note(request, adds, now);
+        self.note_to_tell(adds);
+        adds
+    }
+
+    /// Takes what the store holds of a request. Returns whether it adds anything.
+    pub fn take_recorded(
+        &mut self,
+        request: Fingerprint,
+        evidence: Evidence,
+        now: Instant,
+        time_of_day: SystemTime,
+    ) -> bool {
+        let crashes = evidence.crashes.len();
+        let new = Recorded { crashes, is_own: false };
+        let known = self.recorded.entry(request).or_insert(new);
+        known.crashes = known.crashes.max(crashes);
+        let facts = evidence.facts(request, now, time_of_day);
+        let added = facts.into_iter().filter(|fact| {
+            let source = Source::Recorded;
+            self.cases.take(fact.clone(), source, now)
+        });
+        let adds = added.count() > 0;
         self.note_to_tell(adds);
         adds
     }
 
+    /// Records that have to be written, since this host saw what changes them.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// A request under which as many servers crashed as it takes is recorded by the host that saw the last of them, so that its evidence
+    /// outlasts the memory of all hosts.
+    fn note(&mut self, request: Fingerprint, adds: bool, now: Instant) {
+        if !adds || self.cases.servers(&request) < PROOF {
+            return;
+        }
+        let Some(crashes) = self.cases.seen_last(&request, now) else { return };
+        let new = Recorded { crashes: crashes.len(), is_own: true };
+        let known = self.recorded.insert(request, new);
+        if known.is_none_or(|known| known.crashes < crashes.len()) {
+            self.changes.push(Change { request, crashes: Some(crashes) });
+        }
+    }
+
     /// What to tell the host at `to` with a question.
     pub fn question(&self, to: SocketAddr, now: Instant) -> Question {
         let peer = self.peers.get(&to);
@@ -159,7 +222,9 @@
         let Aged { request, what, age } = fact;
         // Older than this clock reaches is older than anything that is kept.
         let Some(at) = now.checked_sub(age) else { return false };
-        self.cases.take(Fact { request, what, at }, Some(from), now)
+        let adds = self.cases.take(Fact { request, what, at }, Source::Told(from.clone()), now);
+        self.note(request, adds, now);
+        adds
     }
 
     fn note_to_tell(&mut self, adds: bool) {
@@ -170,7 +235,16 @@
 
     /// Forgets what has stood for long enough. Returns whether there was any.
     pub fn forget(&mut self, now: Instant) -> bool {
-        self.cases.forget(now)
+        let forgot = self.cases.forget(now);
+        let (cases, changes) = (&self.cases, &mut self.changes);
+        self.recorded.retain(|request, recorded| {
+            let is_kept = cases.servers(request) > 0;
+            if recorded.is_own && !is_kept {
+                changes.push(Change { request: *request, crashes: None });
+            }
+            is_kept
+        });
+        forgot
     }
 
     /// The requests that are in doubt or refused.
--- a/crates/jacinthbeam-crash/src/lib.rs
+++ b/crates/jacinthbeam-crash/src/lib.rs
@@ -6,11 +6,17 @@
 //! It does no I/O and reads no clock of its own. Who proves that a server has ended, and what its caller is told, is left to others.
 
 pub mod cases;
+pub mod evidence;
 pub mod exchange;
 pub mod fingerprint;
+pub mod probe;
+pub mod recent;
 pub mod suspects;
 
-pub use cases::{Cases, Fact, What};
+pub use cases::{Cases, Fact, Source, What};
+pub use evidence::Evidence;
 pub use exchange::Exchange;
 pub use fingerprint::Fingerprint;
+pub use probe::Prober;
+pub use recent::RecentAnswers;
 pub use suspects::Suspects;
--- /dev/null
+++ b/crates/jacinthbeam-crash/src/probe.rs
@@ -0,0 +1,65 @@
+//! Which host may send an attempt of a request that is on probation.
+//!
+//! The time of day is cut into slots, and in each slot one host of the fleet is drawn, more of them the longer the last crash was ago.
+//! Each lets one attempt a slot through. Clocks that differ, or lists of hosts that do, draw a few more.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime},
+};
+
+use jacinthbeam_types::prelude::*;
+
+use crate::fingerprint::Fingerprint;
+
+/// Length of a slot: hosts in touch observe a crash within it.
+pub const SLOT: Duration = Duration::from_secs(1);
+
+/// Time without a crash after which the number of drawn hosts doubles, and doubles again.
+const DOUBLES_IN: Duration = Duration::from_secs(20);
+
+/// The place of a host in the list of all hosts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Rank {
+    /// Hosts before it.
+    pub of: u32,
+    /// All hosts; 0 if the host is not on its own list.
+    pub among: u32,
+}
+
+/// The probes of one host.
+#[derive(Debug, Default)]
+pub struct Prober {
+    /// The slot of the last attempt that was let through.
+    used: BTreeMap<Fingerprint, u128>,
+}
+
+impl Prober {
+    /// Whether an attempt of the request may be sent now, so long `since` the last crash. It counts as sent.
+    pub fn admit(
+        &mut self,
+        request: Fingerprint,
+        rank: Rank,
+        since: Duration,
+        time_of_day: SystemTime,
+    ) -> bool {
+        let now = time_of_day.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let slot = now.as_millis() / SLOT.as_millis();
+        if !is_drawn(request, rank, since, slot) || self.used.get(&request) == Some(&slot) {
+            return false;
+        }
+        self.used.retain(|_, used| used.abs_diff(slot) < 2);
+        self.used.insert(request, slot);
+        true
+    }
+}
+
+fn is_drawn(request: Fingerprint, rank: Rank, since: Duration, slot: u128) -> bool {
+    if rank.among == 0 {
+        return false;
+    }
+    let drawn = (since.as_secs() / DOUBLES_IN.as_secs()).min(31) as u32;
+    let first = KeyHash::of(format!("{request} {slot}").as_bytes()).0 % u64::from(rank.among);
+    let after = (u64::from(rank.of) + u64::from(rank.among) - first) % u64::from(rank.among);
+    after < 1 << drawn
+}
--- a/crates/jacinthbeam-crash/src/suspects.rs
+++ b/crates/jacinthbeam-crash/src/suspects.rs
@@ -34,6 +34,10 @@
     pub first: Instant,
     /// When the last of them ended.
     pub last: Instant,
+    /// Attempts that they were running.
+    pub attempts: usize,
+    /// When an attempt of any caller last ran to a good end.
+    pub served: Option<Instant>,
 }
 
 impl Suspect {
@@ -50,6 +54,14 @@
         self.servers.len() >= PROOF && self.last.saturating_duration_since(self.first) >= SPAN
     }
 
+    /// Whether only a few attempts of the whole fleet may be sent: a crash away from being refused, many attempts would reach one server
+    /// together, before any host observes what becomes of them.
+    pub fn is_on_probation(&self) -> bool {
+        let is_doubted = self.attempts >= PROOF || self.servers.len() + 1 >= PROOF;
+        let is_answered = self.served.is_some_and(|served| served > self.last);
+        is_doubted && !is_answered
+    }
+
     fn is_shown_for(&self, caller: IpAddr) -> bool {
         self.callers.len() > 1 || self.callers.contains(&caller)
     }
@@ -83,6 +95,12 @@
         self.get(of).is_some_and(|suspect| suspect.is_refused(caller))
     }
 
+    /// When the last server crashed under a request that is on probation for this caller.
+    pub fn on_probation(&self, of: &Fingerprint, caller: IpAddr) -> Option<Instant> {
+        let suspect = self.get(of).filter(|suspect| suspect.is_shown_for(caller))?;
+        suspect.is_on_probation().then_some(suspect.last)
+    }
+
     /// Servers that have ended under a request of this caller.
     pub fn ended_under(&self, of: &Fingerprint, caller: IpAddr) -> usize {
         let suspect = self.get(of).filter(|suspect| suspect.is_shown_for(caller));
--- a/crates/jacinthbeam-crash/tests/cases.rs
+++ b/crates/jacinthbeam-crash/tests/cases.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthbeam_crash::{
-    Cases, Fact, Fingerprint, What,
+    Cases, Fact, Fingerprint, Source, What,
     cases::{DOUBTED_FOR, MOST_CASES, REFUSED_FOR},
     fingerprint::Head,
     suspects::SPAN,
@@ -43,7 +43,7 @@
 fn cases(facts: impl IntoIterator<Item = Fact>, now: Instant) -> Cases {
     let mut cases = Cases::default();
     for fact in facts {
-        cases.take(fact, None, now);
+        cases.take(fact, Source::Seen, now);
     }
     cases
 }
@@ -79,7 +79,7 @@
     let together = (1..40).map(|n| ended(1, 1, n, now + Duration::from_millis(u64::from(n))));
     let mut cases = cases(together, now);
     assert!(!is_refused(&cases, 1, 1));
-    cases.take(ended(1, 1, 40, now + SPAN + Duration::from_millis(1)), None, now);
+    cases.take(ended(1, 1, 40, now + SPAN + Duration::from_millis(1)), Source::Seen, now);
     assert!(is_refused(&cases, 1, 1));
 }
 
@@ -103,7 +103,7 @@
     let now = Instant::now();
     let mut cases = cases(ended_in_turn(1, 1, 5, now), now);
     assert!(is_refused(&cases, 1, 1) && !is_refused(&cases, 1, 2));
-    cases.take(ended(1, 2, 6, now), None, now);
+    cases.take(ended(1, 2, 6, now), Source::Seen, now);
     assert!(is_refused(&cases, 1, 2) && is_refused(&cases, 1, 3));
 }
 
@@ -114,11 +114,11 @@
     let at = |s: u64| now + Duration::from_secs(s);
     let facts = [ended(1, 1, 1, at(0)), ended(1, 1, 2, at(1)), served(1, 1, at(2))];
     let mut cases = cases(facts, at(2));
-    cases.take(ended(1, 1, 3, at(3)), None, at(3));
+    cases.take(ended(1, 1, 3, at(3)), Source::Seen, at(3));
     assert!(!is_refused(&cases, 1, 1));
-    assert!(!cases.take(ended(1, 1, 1, at(0)), None, at(4)), "an old fact comes late");
+    assert!(!cases.take(ended(1, 1, 1, at(0)), Source::Seen, at(4)), "an old fact comes late");
     for n in [4, 5] {
-        cases.take(ended(1, 1, n, at(n.into())), None, at(5));
+        cases.take(ended(1, 1, n, at(n.into())), Source::Seen, at(5));
     }
     assert!(is_refused(&cases, 1, 1), "it is not cleared of what came after");
 }
@@ -131,7 +131,11 @@
     let facts = (1..4).flat_map(|n| [ended(1, 1, n, at(2 * u64::from(n))), served(1, 2, at(7))]);
     let mut cases = cases(facts, at(8));
     assert!(is_refused(&cases, 1, 1) && !is_refused(&cases, 1, 2));
-    cases.take(Fact { request: request(1), what: What::LetThrough, at: at(9) }, None, at(9));
+    cases.take(
+        Fact { request: request(1), what: What::LetThrough, at: at(9) },
+        Source::Seen,
+        at(9),
+    );
     assert!(!is_refused(&cases, 1, 1), "an operator lets it through for all");
 }
 
@@ -141,7 +145,7 @@
     let mut cases = cases([ended(1, 1, 1, now)], now);
     let times = [now - SPAN, now, now];
     for (n, at) in (1..).zip(times) {
-        cases.take(ended(2, 1, n, at), None, now);
+        cases.take(ended(2, 1, n, at), Source::Seen, now);
     }
     assert!(cases.forget(now + DOUBTED_FOR));
     assert!(cases.suspects().get(&request(1)).is_none());
@@ -149,7 +153,7 @@
     assert!(!cases.forget(now + REFUSED_FOR - Duration::from_secs(1)));
     assert!(cases.forget(now + REFUSED_FOR) && cases.suspects().is_empty());
     let old = ended(1, 1, 1, now);
-    assert!(!cases.take(old, None, now + DOUBTED_FOR), "what is forgotten comes back");
+    assert!(!cases.take(old, Source::Seen, now + DOUBTED_FOR), "what is forgotten comes back");
 }
 
 /// A failure domain loses its power, and thousands of requests were running there. The memory is bounded, and the request that is refused stays.
@@ -158,7 +162,7 @@
     let now = Instant::now();
     let mut cases = cases(ended_in_turn(0, 1, 3, now), now);
     for of in 1..2 * MOST_CASES {
-        cases.take(ended(of, 1, 9, now + Duration::from_secs(10)), None, now);
+        cases.take(ended(of, 1, 9, now + Duration::from_secs(10)), Source::Seen, now);
     }
     assert!(is_refused(&cases, 0, 1));
     assert_eq!(cases.suspects().iter().count(), MOST_CASES);
--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -200,6 +200,50 @@
     assert!((0..11).all(|n| !world.refuses(n, HOT.0, HOT.1)));
 }
 
+/// Load pattern: attempts of a keyed request come to many hosts while its key has no owner, and all go to the next owner at once. Guards
+/// against a herd that reaches a server before any host observes that it crashed.
+#[test]
+fn a_herd_behind_a_key_without_an_owner_ends_few_servers() {
+    for (hosts, seeds) in [(11, 0..40), (79, 0..8)] {
+        for seed in seeds {
+            let mut world = World::new(hosts, 3, CALM, seed);
+            let (mut attempts, mut late, mut third) = (0, 0, None);
+            for _ in 0..12 {
+                let mut herd = Vec::new();
+                for by in 1..=6 {
+                    let n = world.rng.usize(..hosts);
+                    if world.admits(n, DEADLY.0, by) {
+                        herd.push((n, by));
+                    }
+                }
+                let is_late = third.is_some_and(|at| world.now > at + BOUND);
+                late += if is_late { herd.len() } else { 0 };
+                attempts += herd.len();
+                if attempts >= PROOF as usize {
+                    third.get_or_insert(world.now);
+                }
+                if !herd.is_empty() {
+                    world.end_server_under(DEADLY.0, &herd);
+                }
+                world.run_for(3500);
+            }
+            assert!(late <= RETRIES as usize, "{hosts} hosts, {seed}: {late} late attempts");
+        }
+    }
+}
+
+/// Guards against a probation that keeps an ordinary request away after it was served once.
+#[test]
+fn a_request_that_is_served_is_on_probation_no_more() {
+    let mut world = World::new(11, 3, CALM, 9);
+    world.end_server_under(HOT.0, &[(0, 1), (3, 2), (7, 3), (8, 4)]);
+    world.run_for(600);
+    assert!((0..11).filter(|n| world.admits(*n, HOT.0, 5)).count() <= 5);
+    assert!(world.answer(4, HOT.0, 5));
+    world.run_for(600);
+    assert!((0..11).all(|n| world.admits(n, HOT.0, 1)));
+}
+
 /// Operators let a request through again at one host, and all hosts do.
 #[test]
 fn a_request_that_is_let_through_is_so_everywhere() {
--- a/crates/jacinthbeam-crash/tests/world/mod.rs
+++ b/crates/jacinthbeam-crash/tests/world/mod.rs
@@ -6,13 +6,16 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
+use bytes::Bytes;
 use jacinthbeam_crash::{
-    Exchange, Fact, Fingerprint, Suspects, What,
+    Evidence, Exchange, Fact, Fingerprint, Prober, RecentAnswers, Suspects, What,
+    evidence::Change,
     exchange::{Answer, Question},
     fingerprint::Head,
+    probe::Rank,
 };
 use jacinthbeam_types::prelude::*;
 
@@ -53,6 +56,10 @@
     told_at: u64,
     told_end: u64,
     asks: BTreeMap<usize, Ask>,
+    recent: RecentAnswers,
+    prober: Prober,
+    /// Whether it has read the store since its start.
+    has_read: bool,
 }
 
 /// A question on its way, at the other host, or its answer on its way back.
@@ -78,10 +85,21 @@
     lives: u64,
     /// Servers that have ended so far.
     servers: u32,
+    /// What the store holds.
+    store: BTreeMap<Fingerprint, Evidence>,
+    /// Writes on their way to it: when they are kept, and of which host.
+    writes: Vec<(u64, usize, Fingerprint, Option<Evidence>)>,
+}
+
+/// Milliseconds until a write is kept.
+const WRITE_TAKES: u64 = 20;
+
+fn head(n: u64) -> Head {
+    Head::of(&[b"GET", &n.to_be_bytes()])
 }
 
 fn request(n: u64) -> Fingerprint {
-    Fingerprint::of(Head::of(&[b"GET", &n.to_be_bytes()]), b"")
+    Fingerprint::of(head(n), b"")
 }
 
 fn caller(n: u64) -> IpAddr {
@@ -104,6 +122,8 @@
             cut: None,
             lives: 0,
             servers: 0,
+            store: BTreeMap::new(),
+            writes: Vec::new(),
         };
         for n in 0..hosts {
             let host = world.host(n, 0);
@@ -124,12 +144,17 @@
             told_at: 0,
             told_end: 0,
             asks: BTreeMap::new(),
+            recent: RecentAnswers::default(),
+            prober: Prober::default(),
+            has_read: false,
         }
     }
 
     /// The process of a host ends and starts again.
     pub fn restart(&mut self, n: usize) {
         let starts_at = self.now + self.rng.u64(100..1500);
+        // What a process that ends had under way may be lost.
+        self.writes.retain(|(_, of, ..)| *of != n);
         self.hosts[n] = self.host(n, starts_at);
     }
 
@@ -168,6 +193,29 @@
         self.hosts[n].suspects.refuse(&request(of), caller(by))
     }
 
+    /// Whether a host sends an attempt of a request, as requests are admitted.
+    pub fn admits(&mut self, n: usize, of: u64, by: u64) -> bool {
+        if self.refuses(n, of, by) {
+            return false;
+        }
+        let (at, time_of_day) = (self.at(), self.time_of_day());
+        let rank = Rank { of: n as u32, among: self.hosts.len() as u32 };
+        let host = &mut self.hosts[n];
+        let (request, caller) = (request(of), caller(by));
+        let Some(last) = host.suspects.on_probation(&request, caller) else { return true };
+        host.prober.admit(request, rank, at.saturating_duration_since(last), time_of_day)
+    }
+
+    /// A server ends under attempts of one request from several callers, each at a host of its own.
+    pub fn end_server_under(&mut self, of: u64, attempts: &[(usize, u64)]) {
+        self.servers += 1;
+        let server = ServerName::into(format!("s{}", self.servers).parse().unwrap());
+        for (n, by) in attempts {
+            let caller = caller(*by);
+            self.see(*n, of, What::Ended { server: ServerId::clone(&server), caller });
+        }
+    }
+
     /// A server ends under this request, and under ordinary ones of other hosts.
     pub fn end_server(&mut self, n: usize, of: Option<(u64, u64)>) {
         self.servers += 1;
@@ -195,6 +243,8 @@
         if self.refuses(n, of, by) {
             return false;
         }
+        let at = self.at();
+        self.hosts[n].recent.add(head(of), Bytes::new(), caller(by), at);
         if self.hosts[n].suspects.get(&request(of)).is_some() {
             self.see(n, of, What::Served { caller: caller(by) });
         }
@@ -205,6 +255,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now += STEP;
+            self.write();
             (0..self.hosts.len())
                 .filter(|n| self.runs(*n))
                 .collect::<Vec<_>>()
@@ -216,14 +267,49 @@
         }
     }
 
+    /// Keeps what has reached the store.
+    fn write(&mut self) {
+        let now = self.now;
+        let kept = |write: &(u64, usize, Fingerprint, Option<Evidence>)| write.0 <= now;
+        for (_, _, request, evidence) in self.writes.extract_if(.., |write| kept(write)) {
+            match evidence {
+                Some(evidence) => drop(self.store.insert(request, evidence)),
+                None => drop(self.store.remove(&request)),
+            }
+        }
+    }
+
+    fn time_of_day(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_millis(self.now)
+    }
+
+    /// Reads the store once, and writes what there is to write.
+    fn record(&mut self, n: usize) {
+        let (at, time_of_day) = (self.at(), self.time_of_day());
+        let host = &mut self.hosts[n];
+        if !std::mem::replace(&mut host.has_read, true) {
+            for (request, evidence) in &self.store {
+                host.exchange.take_recorded(*request, evidence.clone(), at, time_of_day);
+            }
+        }
+        for Change { request, crashes } in host.exchange.take_changes() {
+            let evidence = crashes.map(|crashes| Evidence { written: time_of_day, crashes });
+            self.writes.push((self.now + WRITE_TAKES, n, request, evidence));
+        }
+    }
+
     /// Makes new facts act.
     fn tell(&mut self, n: usize) {
-        let now = self.now;
+        self.record(n);
+        let (now, at) = (self.now, self.at());
         let host = &mut self.hosts[n];
         let end = host.exchange.end().0;
         if end != host.told_end && now >= host.told_at + TELL_EVERY {
             (host.told_at, host.told_end) = (now, end);
             host.suspects = host.exchange.suspects();
+            for fact in host.recent.clear(&host.suspects) {
+                host.exchange.see(fact, at);
+            }
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -2,10 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
-use jacinthbeam_crash::{Fact, What, cases::Position, exchange};
+use jacinthbeam_crash::{
+    Evidence, Fact, Fingerprint, What, cases::Position, evidence::Change, exchange, fingerprint,
+};
+use jacinthbeam_store::{Backoff, Call, Item, Lane, Partition};
+use tokio::task::spawn_local;
 
 use super::{across, ask::Topic, feed, state::Control};
 use crate::process::peers::news::{Asked, News};
@@ -14,6 +18,14 @@
 /// within a second, and each telling is an answer to every host that follows this one.
 const TELL_EVERY: Duration = Duration::from_millis(50);
 
+/// Keys of the list of hosts that begin so hold evidence against a request. No host is named so.
+pub(super) const EVIDENCE_PREFIX: &str = "crashes/";
+
+/// Pauses after a record of evidence that was not kept, and tries until it is given up.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+const TRIES: usize = 20;
+
 /// Pause between two looks for what has stood for long enough.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
@@ -29,6 +41,41 @@
         self.crashes.see(fact, now);
     }
 
+    /// Takes what the store holds of a request that crashes servers.
+    pub(super) fn on_evidence(&mut self, request: &str, item: &Item) {
+        let Ok(request) = request.parse::<Fingerprint>() else {
+            return self.note_unreadable("evidence", item, &fingerprint::ParseError.to_string());
+        };
+        if item.value.is_empty() {
+            return;
+        }
+        let (now, time_of_day) = (self.clock.now(), SystemTime::now());
+        match Evidence::from_bytes(&item.value) {
+            Ok(evidence) => {
+                if self.crashes.take_recorded(request, evidence, now, time_of_day) {
+                    tracing::info!(part = "crash", event = "read-back", request = %request);
+                }
+            }
+            Err(err) => self.note_unreadable("evidence", item, &err.to_string()),
+        }
+    }
+
+    /// Writes to the store what has to outlast the memory of all hosts.
+    fn record_evidence(&mut self) {
+        for Change { request, crashes } in self.crashes.take_changes() {
+            tracing::info!(part = "crash", event = "record", request = %request, crashes = ?crashes.as_ref().map(Vec::len));
+            let written = SystemTime::now();
+            let evidence = crashes.map(|crashes| Evidence { written, crashes }.to_bytes());
+            let call = Call::Put {
+                to: Partition { topic: self.wire.places.hosts.into(), number: 0 },
+                key: format!("{EVIDENCE_PREFIX}{request}"),
+                value: evidence.unwrap_or_default().into(),
+                only_at: None,
+            };
+            spawn_local(keep(self.store.lane(), call));
+        }
+    }
+
     /// What to ask the host at `of`.
     pub(super) fn question(&self, of: SocketAddr, topic: Topic) -> Asked {
         let now = self.clock.now();
@@ -64,6 +111,7 @@
 
     /// Makes new facts act, here and at the hosts that follow this one.
     pub(super) fn tell_crashes(&mut self) {
+        self.record_evidence();
         let now = self.clock.now();
         let told = self.crashes_told;
         let is_due = told.at.is_none_or(|at| now >= at + TELL_EVERY);
@@ -93,6 +141,18 @@
     }
 }
 
+/// Makes a call until the store has taken it.
+async fn keep(lane: Lane, call: Call) {
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+    for _ in 0..TRIES {
+        match lane.call(&call).await {
+            Ok(_) => return,
+            Err(err) => tracing::info!(part = "crash", event = "not-recorded", error = %err),
+        }
+        tokio::time::sleep(backoff.pause()).await;
+    }
+}
+
 /// How far facts were told, and when.
 #[derive(Debug, Default, Clone, Copy)]
 pub(super) struct Told {
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -7,7 +7,7 @@
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
 
-use super::{ask::Topic, state::Control};
+use super::{ask::Topic, crashes::EVIDENCE_PREFIX, state::Control};
 use crate::{
     process::{
         known::Changed,
@@ -121,7 +121,7 @@
         self.known.take_server(name, item.offset, server, bound)
     }
 
-    fn note_unreadable(&mut self, what: &'static str, item: &Item, why: &str) {
+    pub(super) fn note_unreadable(&mut self, what: &'static str, item: &Item, why: &str) {
         self.counters.on_unreadable(what);
         if self.unreadable.is_new(what, &item.key) {
             tracing::warn!(part = "store", event = "unreadable", what = what, key = ?item.key, offset = %item.offset, error = ?why);
@@ -131,6 +131,10 @@
     pub(super) fn on_hosts(&mut self, changes: &Changes) {
         let mut changed = false;
         for item in &changes.items {
+            if let Some(request) = item.key.strip_prefix(EVIDENCE_PREFIX) {
+                self.on_evidence(request, item);
+                continue;
+            }
             match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
                 (Ok(host), Ok(entry)) => changed |= self.known.take_host(host, item.offset, entry),
                 (Err(err), _) => self.note_unreadable("host", item, &err.to_string()),
@@ -192,6 +196,7 @@
     pub(super) fn publish(&self) {
         let mut view = self.known.view();
         view.cold = Arc::new(self.cold_servers());
+        view.rank = self.known.rank(&self.me.host);
         self.view.send_replace(Arc::new(view));
     }
 
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_crash::Suspects;
+use jacinthbeam_crash::{Suspects, probe::Rank};
 use jacinthbeam_range::Map;
 use jacinthbeam_route::{Config, Server, Servers};
 use jacinthbeam_types::prelude::*;
@@ -129,6 +129,16 @@
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
     }
 
+    /// The place of a host in the list of hosts.
+    pub fn rank(&self, host: &HostId) -> Rank {
+        match self.hosts.contains_key(host) {
+            true => {
+                Rank { of: self.hosts.range(..host).count() as u32, among: self.hosts.len() as u32 }
+            }
+            false => Rank::default(),
+        }
+    }
+
     /// What requests are decided by.
     pub fn view(&self) -> View {
         let newest =
@@ -141,6 +151,7 @@
             cold: Arc::default(),
             maps: self.maps.iter().map(newest).collect(),
             hosts: self.hosts.len() as u32,
+            rank: Rank::default(),
             suspects: self.suspects.clone(),
         }
     }
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -94,6 +94,7 @@
         tokio::time::sleep(REPORT_EVERY).await;
         traffic.tidy();
         traffic.count_in_flight();
+        traffic.clear_answered();
         let view = traffic.view();
         for (service, report) in traffic.take_reports() {
             let leader = view.maps.get(&service).and_then(|map| map.leader.as_ref());
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -3,12 +3,16 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::IpAddr,
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
-use jacinthbeam_crash::Fact;
+use bytes::Bytes;
+use jacinthbeam_crash::{
+    Fact, Fingerprint, Prober, RecentAnswers, Suspects, fingerprint::Head, probe::Rank,
+};
 use jacinthbeam_dispatch::{Budget, Seen, slow_start::Pacer};
 use jacinthbeam_range::{Key, admission::Gate, demand::Report};
 use jacinthbeam_route::{Route, Server, Target, route::Dealer};
@@ -51,6 +55,10 @@
     budgets: RefCell<BTreeMap<ServiceName, Budget>>,
     dealers: RefCell<BTreeMap<String, Dealer>>,
     reports: RefCell<BTreeMap<ServiceName, Report>>,
+    recent: RefCell<RecentAnswers>,
+    prober: RefCell<Prober>,
+    /// The suspects that the recent answers were last compared with.
+    compared: RefCell<Arc<Suspects>>,
 }
 
 /// What this host has to do with one backend server.
@@ -121,6 +129,9 @@
             budgets: RefCell::default(),
             dealers: RefCell::default(),
             reports: RefCell::default(),
+            recent: RefCell::default(),
+            prober: RefCell::default(),
+            compared: RefCell::default(),
         }
     }
 
@@ -298,6 +309,28 @@
         }
     }
 
+    /// Notes that a request of a caller ran to a good end.
+    pub fn on_good_answer(&self, head: Head, body: Bytes, caller: IpAddr) {
+        self.recent.borrow_mut().add(head, body, caller, self.now());
+    }
+
+    /// Whether an attempt of a request on probation may be sent, given when a server last crashed under it. It counts as sent.
+    pub fn may_probe(&self, request: Fingerprint, rank: Rank, last: Instant) -> bool {
+        let since = self.now().saturating_duration_since(last);
+        self.prober.borrow_mut().admit(request, rank, since, SystemTime::now())
+    }
+
+    /// Clears requests that were answered here before this host heard that servers had crashed under them.
+    pub fn clear_answered(&self) {
+        let suspects = self.view().suspects.clone();
+        if Arc::ptr_eq(&self.compared.replace(suspects.clone()), &suspects) {
+            return;
+        }
+        for fact in self.recent.borrow().clear(&suspects) {
+            self.tell_crash(fact);
+        }
+    }
+
     /// Forgets servers that are gone, and closes connections that were idle for too long.
     pub fn tidy(&self) {
         let (view, now) = (self.view(), self.now());
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -31,6 +31,14 @@
 const LOOKS: usize = 3;
 const ROOM_WITHIN: Duration = Duration::from_millis(20);
 
+/// A request that is not sent to any server, for the servers that crashed under it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Quarantine {
+    pub(super) request: Fingerprint,
+    /// Whether that stands; else it is on probation, and another attempt may be sent.
+    pub(super) is_proven: bool,
+}
+
 /// One request of one caller, as far as servers may end under it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Subject<'a> {
@@ -40,10 +48,15 @@
 }
 
 impl Subject<'_> {
-    /// The fingerprint of a request that is sent to no server any more; `None` of any other.
-    pub(super) fn refused(self, view: &View) -> Option<Fingerprint> {
+    /// Why the request is not sent to a server now; `None` if it may be.
+    pub(super) fn refused(self, view: &View) -> Option<Quarantine> {
         let request = same::fingerprint_among(&view.suspects, self.whole)?;
-        view.suspects.refuse(&request, self.caller).then_some(request)
+        if view.suspects.refuse(&request, self.caller) {
+            return Some(Quarantine { request, is_proven: true });
+        }
+        let last = view.suspects.on_probation(&request, self.caller)?;
+        let may_probe = self.traffic.may_probe(request, view.rank, last);
+        (!may_probe).then_some(Quarantine { request, is_proven: false })
     }
 
     /// Whether the request may be sent once more at once, given that servers have ended under this attempt.
@@ -99,6 +112,8 @@
 
     /// A request that has run to a good end has not ended the servers that this caller's attempts were at before.
     fn on_served(self, view: &View) {
+        let body = self.whole.body.clone();
+        self.traffic.on_good_answer(same::head(self.whole), body, self.caller);
         let request = same::fingerprint_among(&view.suspects, self.whole);
         let is_suspect =
             |request: &Fingerprint| view.suspects.ended_under(request, self.caller) > 0;
--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::Full;
-use jacinthbeam_crash::Fingerprint;
+use jacinthbeam_crash::probe::SLOT;
 use jacinthbeam_dispatch::refusal::{retry_after, room_in};
 use jacinthbeam_types::prelude::*;
 
 use super::{
+    crash::Quarantine,
     job::Job,
     refuse::{OWNER_IN, not_run, refuse},
 };
@@ -38,11 +39,13 @@
     refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
 }
 
-/// Answers a request that is sent to no server any more. There is no hint when to come back: no time is known at which it would be
-/// served.
-pub(super) fn refuse_for_crashes(job: &Job, request: Fingerprint) -> Response<Full<Bytes>> {
-    job.traffic.counters.on_refused_for_crashes(request);
+/// Answers a request that is not sent to a server for the servers that crashed under it. One that stands has no hint when to come back: no
+/// time is known at which it would be served.
+pub(super) fn refuse_for_crashes(job: &Job, quarantine: Quarantine) -> Response<Full<Bytes>> {
+    job.traffic.counters.on_refused_for_crashes(quarantine.request);
     let refusal = Refusal::not_run(Reason::EndsServers);
+    let hint = || retry_after(SLOT, job.left(), fastrand::f64());
+    let refusal = if quarantine.is_proven { refusal } else { refusal.retry_after(hint()) };
     let basis = || basis(job, 0);
     refuse(&job.traffic, &job.whole.id, &job.route.name, &refusal, job.received, basis)
 }
--- a/crates/jacinthbeam-host/src/request/same.rs
+++ b/crates/jacinthbeam-host/src/request/same.rs
@@ -21,7 +21,8 @@
     suspects.have_head(head).then(|| Fingerprint::of(head, &whole.body))
 }
 
-fn head(whole: &Whole) -> Head {
+/// What the head of a request says.
+pub(super) fn head(whole: &Whole) -> Head {
     let path = whole.target.path().as_bytes();
     let query = whole.target.query().unwrap_or_default().as_bytes();
     let host = whole.headers.get(header::HOST).map_or(&[][..], |host| host.as_bytes());
