fix(range): cold servers whose rate is bounded get no keys while there are warm ones

Change: such a server is no candidate for keys before it is warm, unless no other is. Two tests replace the one that allowed a share: none before it is warm and some after, and all keys where every server is cold.

--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -307,22 +307,24 @@
 }
 
 /// The servers of a service that can be given keys, with what they can work off.
+///
+/// A cold server whose rate is bounded gets none while there are warm ones: its arrivals are the sum of what all hosts send, and a key may
+/// become hot at any moment.
 fn candidates(leading: &Leading, view: View<'_>, service: &ServiceName) -> Vec<Candidate> {
     let servers = view.servers.of(service).filter(|server| leading.is_usable(&server.id));
+    let (bounded, free): (Vec<&Server>, Vec<&Server>) =
+        servers.partition(|server| server.is_cold() && server.cold_rate.is_some());
     let mean = leading.mean_work(view.servers, service);
-    servers
-        .map(|server| {
-            let work = leading.demand.work(&server.id).unwrap_or(mean);
-            let owner = Owner { server: server.id.clone(), addr: server.addr };
-            let capacity = f64::from(server.slots) / work.as_secs_f64().max(0.001);
-            let cold = server.is_cold();
-            Candidate {
-                owner,
-                capacity: if cold { cold_capacity(server, capacity) } else { capacity },
-                cold,
-            }
-        })
-        .collect()
+    let candidate = |server: &Server| {
+        let work = leading.demand.work(&server.id).unwrap_or(mean);
+        let owner = Owner { server: server.id.clone(), addr: server.addr };
+        let capacity = f64::from(server.slots) / work.as_secs_f64().max(0.001);
+        let cold = server.is_cold();
+        let capacity = if cold { cold_capacity(server, capacity) } else { capacity };
+        Candidate { owner, capacity, cold }
+    };
+    let servers = if free.is_empty() { bounded } else { free };
+    servers.into_iter().map(candidate).collect()
 }
 
 /// What a cold server is given: less than its share, and no more than it takes.
--- a/crates/jacinthbeam-range/tests/grantor/server.rs
+++ b/crates/jacinthbeam-range/tests/grantor/server.rs
@@ -212,9 +212,9 @@
     assert_eq!(gates.len(), 1, "the other one is warm and idle");
 }
 
-/// Guards against a server that comes back cold and is given the keys of a warm one.
+/// Guards against a server that comes back cold and is given the keys of a warm one, of which any may become hot.
 #[test]
-fn keys_of_a_cold_server_come_back_to_it_by_what_it_takes() {
+fn a_cold_server_gets_no_keys_before_it_is_warm() {
     let mut play = Play::leading();
     play.servers.insert(server(1, true));
     play.until(|play| !play.releases.is_empty());
@@ -237,6 +237,29 @@
             play.feed(Event::Released { range, token, handover: Ok(None) });
         }
     }
-    let share = f64::from(play.keys_of(1)) / 65_536.0;
-    assert!(share < 0.1, "a server that takes one request a second of 15 has {share} of the keys");
+    assert_eq!(play.keys_of(1), 0);
+    play.servers.insert(server(1, false));
+    for _ in 0..30 {
+        play.run(TICK);
+        for (range, token) in std::mem::take(&mut play.releases) {
+            play.feed(Event::Released { range, token, handover: Ok(None) });
+        }
+    }
+    assert!(play.keys_of(1) > 0, "it is warm");
+}
+
+/// Guards against keys without an owner while every server is cold.
+#[test]
+fn cold_servers_get_keys_where_no_server_is_warm() {
+    let mut play = Play::leading();
+    for n in [1, 2] {
+        let cold_rate = Some(Rate(4400));
+        let cold = Server { warmup_left: Duration::from_secs(9), cold_rate, ..server(n, n == 1) };
+        play.servers.insert(cold);
+    }
+    play.until(|play| !play.releases.is_empty());
+    for (range, token) in std::mem::take(&mut play.releases) {
+        play.feed(Event::Released { range, token, handover: Ok(None) });
+    }
+    play.until(|play| play.keys_of(2) == 65_536);
 }
