--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
 
-use jacinthbeam_dispatch::slow_start::{Share, is_sender};
+use jacinthbeam_dispatch::slow_start::Share;
 use jacinthbeam_range::Event;
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
@@ -180,6 +180,9 @@
         if !changed.any() {
             return;
         }
+        if changed.hosts {
+            self.drawn.clear();
+        }
         self.publish();
         if changed.hosts {
             self.order_hosts();
@@ -193,30 +196,31 @@
     }
 
     /// Makes what is known act on requests.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
+        let cold = self.cold_servers();
         let mut view = self.known.view();
-        view.cold = Arc::new(self.cold_servers());
+        view.cold = Arc::new(cold);
         view.place = self.known.place(&self.me.host);
         view.rank = self.known.rank(&self.me.host);
+        self.counters.evacuated.record(view.evacuated.len() as u64, &[]);
+        self.counters.cold.record(view.cold.len() as u64, &[]);
         self.view.send_replace(Arc::new(view));
     }
 
     /// Cold servers, and this host's part in what they get: that of the hosts of their own failure domain, so that a cut between domains
     /// changes nothing of it.
-    fn cold_servers(&self) -> BTreeMap<ServerId, ColdServer> {
-        let bounds = &self.settings.slow_start;
-        let cold = self.known.cold().map(|(server, rate, until)| {
-            let share = Share::of(rate, bounds);
-            let near = self.known.hosts().filter(|(_, entry)| entry.domain == server.domain);
-            let near: Vec<&HostId> = near.map(|(host, _)| host).collect();
-            let all = self.known.hosts().map(|(host, _)| host);
-            let is_sender = match near.is_empty() {
-                true => is_sender(&server.id, &self.me.host, all, share.senders),
-                false => is_sender(&server.id, &self.me.host, near.into_iter(), share.senders),
-            };
-            (server.id.clone(), ColdServer { until, spacing: is_sender.then_some(share.spacing) })
-        });
-        cold.collect()
+    fn cold_servers(&mut self) -> BTreeMap<ServerId, ColdServer> {
+        let (bounds, drawn) = (self.settings.slow_start, std::mem::take(&mut self.drawn));
+        for (server, rate, until) in self.known.cold() {
+            let share = Share::of(rate, &bounds);
+            let is_sender = drawn.get(&server.id).map_or_else(
+                || self.known.is_sender(&self.me.host, server, share.senders),
+                |cold| cold.spacing.is_some(),
+            );
+            let spacing = is_sender.then_some(share.spacing);
+            self.drawn.insert(server.id.clone(), ColdServer { until, spacing });
+        }
+        self.drawn.clone()
     }
 
     /// A host that grants looks whether others have heard of a successor of its. For any other the map says nothing that it acts on here.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -39,7 +39,7 @@
         traffic::Gates,
         usage,
     },
-    version::{KnownTo, View},
+    version::{ColdServer, KnownTo, View},
 };
 
 /// A grantor and what goes with it.
@@ -73,6 +73,8 @@
     pub(super) store: Client,
     pub(super) caller: Caller,
     pub(super) known: Known,
+    /// Cold servers, and whether this host is drawn as a sender of each among the hosts that it knows.
+    pub(super) drawn: BTreeMap<ServerId, ColdServer>,
     /// Servers that ended, and the requests that they were running.
     pub(super) crashes: Exchange,
     /// How far these facts were told, and when.
@@ -125,6 +127,7 @@
             socket,
             tx,
             known: Known::default(),
+            drawn: BTreeMap::new(),
             crashes: Exchange::new(me.host.clone(), incarnation),
             crashes_told: crashes::Told::default(),
             to_tell: watch::channel(Position::default()).0,
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known.rs
@@ -10,7 +10,7 @@
 };
 
 use jacinthbeam_crash::{Suspects, probe::Rank};
-use jacinthbeam_dispatch::familiar::Place;
+use jacinthbeam_dispatch::{familiar::Place, slow_start};
 use jacinthbeam_range::Map;
 use jacinthbeam_route::{Config, Server, Servers};
 use jacinthbeam_types::prelude::*;
@@ -296,9 +296,12 @@
         })
     }
 
-    /// The evacuations.
-    pub fn evacuations(&self) -> &Evacuations {
-        &self.evacuations
+    /// Whether a host is one of the `senders` of a cold server among the hosts of the server's failure domain, or among all if it has none.
+    pub fn is_sender(&self, host: &HostId, server: &Server, senders: usize) -> bool {
+        let is_near = |entry: &HostEntry| entry.domain == server.domain;
+        let any_near = self.hosts().any(|(_, entry)| is_near(entry));
+        let among = self.hosts().filter(|(_, entry)| !any_near || is_near(entry));
+        slow_start::is_sender(&server.id, host, among.map(|(host, _)| host), senders)
     }
 
     /// Takes the operator's record of a failure domain's evacuation, or that it was removed. Returns whether it is news.
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -38,6 +38,10 @@
     grants: Counter<u64>,
     /// Keyed services whose keys this process grants.
     pub leads: Gauge<u64>,
+    /// Failure domains that are evacuated.
+    pub evacuated: Gauge<u64>,
+    /// Cold servers whose service bounds what they get.
+    pub cold: Gauge<u64>,
     /// Requests sent to backend servers, by what became of them there.
     sends: Counter<u64>,
     /// Repeats that the budget allowed or refused, by service.
@@ -96,6 +100,8 @@
             records: count("jacinthbeam_records"),
             grants: count("jacinthbeam_grants"),
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
+            evacuated: meter.u64_gauge("jacinthbeam_evacuated_domains").build(),
+            cold: meter.u64_gauge("jacinthbeam_cold_servers").build(),
             sends: count("jacinthbeam_sends"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
