--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/known/hosts.rs
@@ -0,0 +1,56 @@
+//! The hosts of the fleet, and the place of one among them.
+
+use jacinthbeam_crash::probe::Rank;
+use jacinthbeam_dispatch::{familiar::Place, slow_start};
+use jacinthbeam_route::Server;
+use jacinthbeam_types::prelude::*;
+
+use super::Known;
+use crate::process::peers::HostEntry;
+
+impl Known {
+    /// The hosts and where they are.
+    pub fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
+        self.hosts.iter().map(|(host, (_, entry))| (host, entry))
+    }
+
+    /// The place of a host in the list of hosts.
+    pub fn rank(&self, host: &HostId) -> Rank {
+        match self.hosts.contains_key(host) {
+            true => {
+                Rank { of: self.hosts.range(..host).count() as u32, among: self.hosts.len() as u32 }
+            }
+            false => Rank::default(),
+        }
+    }
+
+    /// The place of a host among those of its failure domain.
+    pub fn place(&self, host: &HostId) -> Place {
+        let Some((_, own)) = self.hosts.get(host) else { return Place::default() };
+        let near = self.hosts.iter().filter(|(_, (_, entry))| entry.domain == own.domain);
+        let among = near.clone().count() as u32;
+        Place { of: near.take_while(|(other, _)| *other < host).count() as u32, among }
+    }
+
+    /// Takes the record of a host. Returns whether it is newer.
+    pub fn take_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
+        let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < offset);
+        if newer {
+            self.hosts.insert(host, (offset, entry));
+        }
+        newer
+    }
+
+    /// Takes note that everything of the hosts before `end` is known.
+    pub fn hosts_known_to(&mut self, end: Offset) {
+        self.hosts_end = self.hosts_end.max(end);
+    }
+
+    /// Whether a host is one of the `senders` of a cold server among the hosts of the server's failure domain, or among all if it has none.
+    pub fn is_sender(&self, host: &HostId, server: &Server, senders: usize) -> bool {
+        let is_near = |entry: &HostEntry| entry.domain == server.domain;
+        let any_near = self.hosts().any(|(_, entry)| is_near(entry));
+        let among = self.hosts().filter(|(_, entry)| !any_near || is_near(entry));
+        slow_start::is_sender(&server.id, host, among.map(|(host, _)| host), senders)
+    }
+}
--- a/crates/jacinthbeam-host/src/process/known.rs
+++ b/crates/jacinthbeam-host/src/process/known/mod.rs
@@ -3,6 +3,9 @@
 //! Records may come from the store itself and from other hosts, in any order and more than once. Each carries the offset at
 //! which the store keeps it, or a version, so that the newer one always wins and nothing ever goes back.
 
+mod hosts;
+mod listing;
+
 use std::{
     collections::BTreeMap,
     sync::Arc,
@@ -10,7 +13,7 @@
 };
 
 use jacinthbeam_crash::{Suspects, probe::Rank};
-use jacinthbeam_dispatch::{familiar::Place, slow_start};
+use jacinthbeam_dispatch::familiar::Place;
 use jacinthbeam_range::Map;
 use jacinthbeam_route::{Config, Server, Servers};
 use jacinthbeam_types::prelude::*;
@@ -125,29 +128,6 @@
         self.maps.get(service).map(|map| &**map.newest())
     }
 
-    /// The hosts and where they are.
-    pub fn hosts(&self) -> impl Iterator<Item = (&HostId, &HostEntry)> {
-        self.hosts.iter().map(|(host, (_, entry))| (host, entry))
-    }
-
-    /// The place of a host in the list of hosts.
-    pub fn rank(&self, host: &HostId) -> Rank {
-        match self.hosts.contains_key(host) {
-            true => {
-                Rank { of: self.hosts.range(..host).count() as u32, among: self.hosts.len() as u32 }
-            }
-            false => Rank::default(),
-        }
-    }
-
-    /// The place of a host among those of its failure domain.
-    pub fn place(&self, host: &HostId) -> Place {
-        let Some((_, own)) = self.hosts.get(host) else { return Place::default() };
-        let near = self.hosts.iter().filter(|(_, (_, entry))| entry.domain == own.domain);
-        let among = near.clone().count() as u32;
-        Place { of: near.take_while(|(other, _)| *other < host).count() as u32, among }
-    }
-
     /// What requests are decided by.
     pub fn view(&self) -> View {
         let newest =
@@ -250,89 +230,6 @@
         }
     }
 
-    /// Makes the list that requests and grants see, of the entries and of what the operator and the configuration say of their domains and
-    /// services.
-    fn list_servers(&mut self, now: Instant) {
-        let mut list = Servers::default();
-        self.cold.clear();
-        for entry in self.servers.values_mut() {
-            let Some(server) = &entry.server else { continue };
-            let mut server = server.clone();
-            let slow_start = self.config.as_ref().and_then(|cfg| {
-                cfg.services.get(&server.service).and_then(|service| service.slow_start)
-            });
-            if server.is_cold() && entry.warm_at.is_none() {
-                entry.warm_at = now.checked_add(server.warmup_left);
-            }
-            let returned = self.evacuations.returned(&server.domain);
-            let warm_again =
-                slow_start.and_then(|slow_start| returned?.checked_add(slow_start.lasts));
-            let warm_at = entry.warm_at.max(warm_again).filter(|at| *at > now);
-            server.draining |= self.evacuations.since(&server.domain).is_some();
-            server.cold_rate = slow_start.map(|slow_start| slow_start.rate);
-            server.warmup_left = warm_at.map_or(Duration::ZERO, |at| at - now);
-            self.cold.extend(warm_at.map(|at| (server.id.clone(), at)));
-            list.insert(server);
-        }
-        self.list = Arc::new(list);
-        let leaving = |entry: &Entry| Some((entry.life.clone(), entry.leaving?));
-        self.leaving = Arc::new(self.servers.values().filter_map(leaving).collect());
-    }
-
-    /// Whether a server that is listed as cold is so no more, and what the list says of it has been brought up to date.
-    pub fn pass_time(&mut self, now: Instant) -> bool {
-        let is_over = self.cold.values().any(|until| *until <= now);
-        if is_over {
-            self.list_servers(now);
-        }
-        is_over
-    }
-
-    /// Cold servers whose service bounds what they get, and until when they are cold.
-    pub fn cold(&self) -> impl Iterator<Item = (&Server, Rate, Instant)> {
-        self.cold.iter().filter_map(|(id, until)| {
-            let server = self.list.get(id)?;
-            Some((server, server.cold_rate?, *until))
-        })
-    }
-
-    /// Whether a host is one of the `senders` of a cold server among the hosts of the server's failure domain, or among all if it has none.
-    pub fn is_sender(&self, host: &HostId, server: &Server, senders: usize) -> bool {
-        let is_near = |entry: &HostEntry| entry.domain == server.domain;
-        let any_near = self.hosts().any(|(_, entry)| is_near(entry));
-        let among = self.hosts().filter(|(_, entry)| !any_near || is_near(entry));
-        slow_start::is_sender(&server.id, host, among.map(|(host, _)| host), senders)
-    }
-
-    /// Takes the operator's record of a failure domain's evacuation, or that it was removed. Returns whether it is news.
-    pub fn take_evacuation(
-        &mut self,
-        domain: FailureDomain,
-        offset: Offset,
-        evacuated: bool,
-        now: Instant,
-    ) -> bool {
-        let bound = Leaving::after(self.config_as_of);
-        self.evacuations.take(domain, offset, evacuated, bound, now)
-    }
-
-    /// Takes back what a whole list of evacuations lacks. Returns whether there was any.
-    pub fn retain_evacuations(
-        &mut self,
-        listed: &[FailureDomain],
-        end: Offset,
-        now: Instant,
-    ) -> bool {
-        self.evacuations.retain_listed(listed, end, now)
-    }
-
-    /// Makes the list of servers anew after a change of evacuations or of the configuration.
-    pub fn on_operator_changed(&mut self, now: Instant) {
-        if self.servers_changed.is_some() {
-            self.list_servers(now);
-        }
-    }
-
     fn forget(&mut self, now: Instant) {
         let old = |entry: &Entry| {
             let left = entry.leaving.is_some_and(|leaving| leaving.elapsed(now) >= LEFT_FOR);
@@ -343,20 +240,6 @@
         self.servers.retain(|_, entry| !old(entry));
     }
 
-    /// Takes the record of a host. Returns whether it is newer.
-    pub fn take_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
-        let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < offset);
-        if newer {
-            self.hosts.insert(host, (offset, entry));
-        }
-        newer
-    }
-
-    /// Takes note that everything of the hosts before `end` is known.
-    pub fn hosts_known_to(&mut self, end: Offset) {
-        self.hosts_end = self.hosts_end.max(end);
-    }
-
     /// Takes an ownership map. Returns whether it is newer.
     pub fn take_map(&mut self, service: ServiceName, map: Map) -> bool {
         if let Some(known) = self.maps.get_mut(&service) {
