test(crash): a recorded proof outlasts the memory of all hosts

The test of lost memory passed with the record of evidence taken out, so nothing held that safeguard.

--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -200,6 +200,15 @@
     assert!((0..11).all(|n| !world.refuses(n, HOT.0, HOT.1)));
 }
 
+/// Guards against a proven request that is sent again after every host has lost its memory.
+#[test]
+fn a_recorded_proof_outlasts_the_memory_of_all_hosts() {
+    for seed in 100..116 {
+        let counted = play(11, CALM, Plan { power: true, ..QUIET }, seed);
+        assert!(counted.late <= LATE_PROOF, "{seed}: {counted:?}");
+    }
+}
+
 /// Load pattern: attempts of a keyed request come to many hosts while its key has no owner, and all go to the next owner at once. Guards
 /// against a herd that reaches a server before any host observes that it crashed.
 #[test]
