fix(crash): every crash is recorded, not only the third

Callers lose an owner, and each key of it for some four seconds, with each.

Evidence was written only by the host that saw a third crash.

Change: a host that reads the store for others keeps one record of its own with the facts that it saw or that hosts which follow it told it, at most every 200 ms and only when they have changed: three writes for each crash and each answer that clears one, however many hosts and requests. Weighed against it: a record for each request (hundreds of writes when a failure domain is lost, and as many removals), by the host that saw the crash (one for each host of the fleet). It replaces the record of the proven request and its removal: an answer is a fact like the others, and what is old is left out when it is read.

The store's record keeps no more than 128 facts, the requests with most crashes first.

No check was changed: the world of the tests keeps records by host now and writes them every 200 ms.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -4,6 +4,7 @@
 //! host came to know them, and say nothing to others but what they have been told.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     net::IpAddr,
     time::{Duration, Instant},
@@ -13,7 +14,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    evidence::Crash,
     fingerprint::Fingerprint,
     suspects::{Suspect, Suspects},
 };
@@ -67,6 +67,33 @@
     pub at: Instant,
 }
 
+/// A fact as it leaves a host: clocks of hosts have nothing in common, so it bears its age.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Aged {
+    /// The request.
+    pub request: Fingerprint,
+    /// What happened.
+    pub what: What,
+    /// How long ago.
+    pub age: Duration,
+}
+
+impl Aged {
+    /// The fact, by a clock at `now`; `None` if the clock does not reach back to it.
+    pub fn at(self, now: Instant) -> Option<Fact> {
+        let Self { request, what, age } = self;
+        Some(Fact { request, what, at: now.checked_sub(age)? })
+    }
+}
+
+impl Fact {
+    /// The fact as it leaves this host at `now`.
+    pub fn aged(self, now: Instant) -> Aged {
+        let Self { request, what, at } = self;
+        Aged { request, what, age: now.saturating_duration_since(at) }
+    }
+}
+
 /// Where a fact comes from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -208,16 +235,14 @@
         self.of.get(request).map_or(0, Case::servers)
     }
 
-    /// The crashes of a request, if this host saw the last of them.
-    pub fn seen_last(&self, request: &Fingerprint, now: Instant) -> Option<Vec<Crash>> {
-        let ended = &self.of.get(request)?.ended;
-        let last = ended.values().max_by_key(|noted| noted.at)?;
-        let crash = |((server, caller), noted): (&(ServerId, IpAddr), &Noted)| Crash {
-            server: server.clone(),
-            caller: *caller,
-            age: now.saturating_duration_since(noted.at),
-        };
-        (last.source == Source::Seen).then(|| ended.iter().map(crash).collect())
+    /// Facts of the requests under which most servers crashed, then of the latest: so many at the most.
+    pub fn weightiest(&self, most: usize) -> Vec<Fact> {
+        let mut cases: Vec<(&Fingerprint, &Case)> = self.of.iter().collect();
+        cases.sort_by_cached_key(|(_, case)| Reverse((case.servers(), case.last())));
+        let facts = cases.into_iter().flat_map(|(request, case)| {
+            case.notes().map(|(what, noted)| Fact { request: *request, what, at: noted.at })
+        });
+        facts.take(most).collect()
     }
 
     /// The requests that are in doubt or refused.
--- a/crates/jacinthbeam-crash/src/evidence.rs
+++ b/crates/jacinthbeam-crash/src/evidence.rs
@@ -1,45 +1,21 @@
-//! The evidence against a request in a form that outlasts the loss of every host's memory.
+//! What a host knows of crashes, in a form that outlasts the memory of all hosts.
 
-use std::{
-    net::IpAddr,
-    time::{Duration, Instant, SystemTime},
-};
+use std::time::{Instant, SystemTime};
 
-use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    cases::{Fact, What},
-    fingerprint::Fingerprint,
-};
+use crate::cases::{Aged, Fact};
 
-/// A server that crashed under a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// The life of the server.
-    pub server: ServerId,
-    /// Whose attempt it was.
-    pub caller: IpAddr,
-    /// How long before the record was written.
-    pub age: Duration,
-}
+/// Facts of one record, of up to some 70 bytes each.
+pub const MOST_RECORDED: usize = 128;
 
-/// The servers that crashed under one request.
+/// The record of one host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// When it was written, by the time of day.
     pub written: SystemTime,
-    /// The servers.
-    pub crashes: Vec<Crash>,
-}
-
-/// A record that the store should hold of a request: its evidence, or none any more.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Change {
-    /// The request.
-    pub request: Fingerprint,
-    /// `None` removes the record.
-    pub crashes: Option<Vec<Crash>>,
+    /// The facts, with their age at that time.
+    pub facts: Vec<Aged>,
 }
 
 /// Why bytes are no evidence.
@@ -69,15 +45,13 @@
     }
 
     /// The facts of the record, by the clocks of the host that reads it at `now`.
-    pub fn facts(self, request: Fingerprint, now: Instant, time_of_day: SystemTime) -> Vec<Fact> {
+    pub fn facts(self, now: Instant, time_of_day: SystemTime) -> Vec<Fact> {
         // A time of day that was set back makes the record look new, and it is kept longer.
         let since = time_of_day.duration_since(self.written).unwrap_or_default();
-        let fact = |Crash { server, caller, age }| {
-            let what = What::Ended { server, caller };
-            // A host that started after the crash has no earlier moment to name.
-            let at = now.checked_sub(age.saturating_add(since))?;
-            Some(Fact { request, what, at })
-        };
-        self.crashes.into_iter().filter_map(fact).collect()
+        let facts = self.facts.into_iter().filter_map(|fact| {
+            let age = fact.age.saturating_add(since);
+            Aged { age, ..fact }.at(now)
+        });
+        facts.collect()
     }
 }
--- a/crates/jacinthbeam-crash/src/exchange.rs
+++ b/crates/jacinthbeam-crash/src/exchange.rs
@@ -6,17 +6,16 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    time::{Duration, Instant, SystemTime},
+    time::{Instant, SystemTime},
 };
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    cases::{Cases, Fact, Position, Source, What},
-    evidence::{Change, Evidence},
-    fingerprint::Fingerprint,
-    suspects::{PROOF, Suspects},
+    cases::{Aged, Cases, Fact, Position, Source},
+    evidence::{Evidence, MOST_RECORDED},
+    suspects::Suspects,
 };
 
 /// Facts of one message, of up to some 70 bytes each.
@@ -25,17 +24,6 @@
 /// Hosts that are remembered as told and heard; a host asks a few of its own failure domain and one of each other.
 const MOST_PEERS: usize = 128;
 
-/// A fact as one host tells another: clocks of hosts have nothing in common, so it tells its age.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Aged {
-    /// The request.
-    pub request: Fingerprint,
-    /// What happened.
-    pub what: What,
-    /// How long ago.
-    pub age: Duration,
-}
-
 /// How far one host's list is known: a life of its process, and a position in the list that it keeps.
 pub type Reach = (Incarnation, Position);
 
@@ -77,14 +65,6 @@
     told: Option<Reach>,
 }
 
-/// What the store holds, or should hold, of a request.
-#[derive(Debug, Clone, Copy)]
-struct Recorded {
-    crashes: usize,
-    /// Whether this host wrote it, and removes it.
-    is_own: bool,
-}
-
 /// All facts of one host, and how far it has exchanged them with others.
 #[derive(Debug)]
 pub struct Exchange {
@@ -94,10 +74,8 @@
     /// The position after the last fact that was not the answer to a question of this host.
     to_tell: Position,
     peers: BTreeMap<SocketAddr, Peer>,
-    /// Records of the store that this host wrote or read.
-    recorded: BTreeMap<Fingerprint, Recorded>,
-    /// Records that have to be written.
-    changes: Vec<Change>,
+    /// Whether facts have come, other than in answers to this host, that its record in the store does not hold.
+    is_record_due: bool,
 }
 
 impl Exchange {
@@ -109,8 +87,7 @@
             cases: Cases::default(),
             to_tell: Position::default(),
             peers: BTreeMap::new(),
-            recorded: BTreeMap::new(),
-            changes: Vec::new(),
+            is_record_due: false,
         }
     }
 
@@ -126,57 +103,35 @@
 
     /// Takes a fact that was seen here. Returns whether it adds anything.
     pub fn see(&mut self, fact: Fact, now: Instant) -> bool {
-        let request = fact.request;
-        let before = self.cases.servers(&request);
         let adds = self.cases.take(fact, Source::Seen, now);
-        if before >= PROOF && self.cases.servers(&request) < PROOF {
-            self.recorded.remove(&request);
-            self.changes.push(Change { request, crashes: None });
-        }
-        self.note(request, adds, now);
+        self.is_record_due |= adds;
         self.note_to_tell(adds);
         adds
     }
 
-    /// Takes what the store holds of a request. Returns whether it adds anything.
+    /// Takes the record of a host that the store holds. Returns whether it adds anything.
     pub fn take_recorded(
         &mut self,
-        request: Fingerprint,
         evidence: Evidence,
         now: Instant,
         time_of_day: SystemTime,
     ) -> bool {
-        let crashes = evidence.crashes.len();
-        let new = Recorded { crashes, is_own: false };
-        let known = self.recorded.entry(request).or_insert(new);
-        known.crashes = known.crashes.max(crashes);
-        let facts = evidence.facts(request, now, time_of_day);
-        let added = facts.into_iter().filter(|fact| {
-            let source = Source::Recorded;
-            self.cases.take(fact.clone(), source, now)
-        });
+        let facts = evidence.facts(now, time_of_day).into_iter();
+        let added = facts.filter(|fact| self.cases.take(fact.clone(), Source::Recorded, now));
         let adds = added.count() > 0;
         self.note_to_tell(adds);
         adds
     }
 
-    /// Records that have to be written, since this host saw what changes them.
-    pub fn take_changes(&mut self) -> Vec<Change> {
-        std::mem::take(&mut self.changes)
-    }
-
-    /// A request under which as many servers crashed as it takes is recorded by the host that saw the last of them, so that its evidence
-    /// outlasts the memory of all hosts.
-    fn note(&mut self, request: Fingerprint, adds: bool, now: Instant) {
-        if !adds || self.cases.servers(&request) < PROOF {
-            return;
-        }
-        let Some(crashes) = self.cases.seen_last(&request, now) else { return };
-        let new = Recorded { crashes: crashes.len(), is_own: true };
-        let known = self.recorded.insert(request, new);
-        if known.is_none_or(|known| known.crashes < crashes.len()) {
-            self.changes.push(Change { request, crashes: Some(crashes) });
+    /// What the store has to hold as the record of this host, if that has changed.
+    ///
+    /// Facts that came in answers are left to the hosts that gave them: each is recorded once for each failure domain that saw it.
+    pub fn take_record(&mut self, now: Instant, time_of_day: SystemTime) -> Option<Evidence> {
+        if !std::mem::take(&mut self.is_record_due) {
+            return None;
         }
+        let facts = aged(self.cases.weightiest(MOST_RECORDED), now);
+        Some(Evidence { written: time_of_day, facts })
     }
 
     /// What to tell the host at `to` with a question.
@@ -193,6 +148,7 @@
     pub fn answer(&mut self, question: &Question, now: Instant) -> Answer {
         for fact in &question.facts {
             let adds = self.take(fact.clone(), &question.from, now);
+            self.is_record_due |= adds;
             self.note_to_tell(adds);
         }
         let known = question.knows.filter(|(life, _)| *life == self.life);
@@ -219,12 +175,9 @@
     }
 
     fn take(&mut self, fact: Aged, from: &HostId, now: Instant) -> bool {
-        let Aged { request, what, age } = fact;
         // Older than this clock reaches is older than anything that is kept.
-        let Some(at) = now.checked_sub(age) else { return false };
-        let adds = self.cases.take(Fact { request, what, at }, Source::Told(from.clone()), now);
-        self.note(request, adds, now);
-        adds
+        let Some(fact) = fact.at(now) else { return false };
+        self.cases.take(fact, Source::Told(from.clone()), now)
     }
 
     fn note_to_tell(&mut self, adds: bool) {
@@ -235,16 +188,7 @@
 
     /// Forgets what has stood for long enough. Returns whether there was any.
     pub fn forget(&mut self, now: Instant) -> bool {
-        let forgot = self.cases.forget(now);
-        let (cases, changes) = (&self.cases, &mut self.changes);
-        self.recorded.retain(|request, recorded| {
-            let is_kept = cases.servers(request) > 0;
-            if recorded.is_own && !is_kept {
-                changes.push(Change { request: *request, crashes: None });
-            }
-            is_kept
-        });
-        forgot
+        self.cases.forget(now)
     }
 
     /// The requests that are in doubt or refused.
@@ -254,10 +198,5 @@
 }
 
 fn aged(facts: Vec<Fact>, now: Instant) -> Vec<Aged> {
-    let aged = facts.into_iter().map(|Fact { request, what, at }| Aged {
-        request,
-        what,
-        age: now.saturating_duration_since(at),
-    });
-    aged.collect()
+    facts.into_iter().map(|fact| fact.aged(now)).collect()
 }
--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -209,6 +209,48 @@
     }
 }
 
+/// Load pattern: attempts of a keyed request come to many hosts while its key has no owner, and all go to the next owner at once. Guards
+/// against crashes that are forgotten when every host restarts before the third one.
+#[test]
+fn crashes_before_a_loss_of_all_memory_count_after_it() {
+    for (hosts, seeds) in [(11, 0..40), (79, 0..8)] {
+        for seed in seeds {
+            for crashes_before in [1, 2] {
+                let late = late_after_a_loss_of_all_memory(hosts, crashes_before, seed);
+                assert!(late <= RETRIES, "{hosts} hosts, {crashes_before} before, {seed}: {late}");
+            }
+        }
+    }
+}
+
+/// Attempts that are sent later than the bound after the third crash, if all hosts restart after so many.
+fn late_after_a_loss_of_all_memory(hosts: usize, crashes_before: u32, seed: u64) -> u32 {
+    let mut world = World::new(hosts, 3, CALM, seed);
+    let (mut crashes, mut late, mut third) = (0, 0, None);
+    for _ in 0..8 {
+        let herd: Vec<usize> = (0..4).map(|_| world.rng.usize(..hosts)).collect();
+        let sent = herd.into_iter().filter(|n| world.admits(*n, DEADLY.0, DEADLY.1));
+        let sent: Vec<(usize, u64)> = sent.map(|n| (n, DEADLY.1)).collect();
+        if third.is_some_and(|at| world.now > at + BOUND) {
+            late += sent.len() as u32;
+        }
+        if !sent.is_empty() {
+            world.end_server_under(DEADLY.0, &sent);
+            crashes += 1;
+            if crashes == PROOF {
+                third = Some(world.now);
+            }
+        }
+        if crashes == crashes_before && !sent.is_empty() {
+            let span = world.rng.u64(200..1000);
+            world.run_for(span);
+            world.restart_all();
+        }
+        world.run_for(3500);
+    }
+    late
+}
+
 /// Load pattern: attempts of a keyed request come to many hosts while its key has no owner, and all go to the next owner at once. Guards
 /// against a herd that reaches a server before any host observes that it crashed.
 #[test]
--- a/crates/jacinthbeam-crash/tests/world/mod.rs
+++ b/crates/jacinthbeam-crash/tests/world/mod.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use jacinthbeam_crash::{
     Evidence, Exchange, Fact, Fingerprint, Prober, RecentAnswers, Suspects, What,
-    evidence::Change,
     exchange::{Answer, Question},
     fingerprint::Head,
     probe::Rank,
@@ -60,6 +59,7 @@
     prober: Prober,
     /// Whether it has read the store since its start.
     has_read: bool,
+    wrote_at: Option<u64>,
 }
 
 /// A question on its way, at the other host, or its answer on its way back.
@@ -86,13 +86,14 @@
     /// Servers that have ended so far.
     servers: u32,
     /// What the store holds.
-    store: BTreeMap<Fingerprint, Evidence>,
+    store: BTreeMap<usize, Evidence>,
     /// Writes on their way to it: when they are kept, and of which host.
-    writes: Vec<(u64, usize, Fingerprint, Option<Evidence>)>,
+    writes: Vec<(u64, usize, Evidence)>,
 }
 
-/// Milliseconds until a write is kept.
+/// Milliseconds until a write is kept, and from one write of a host to the next.
 const WRITE_TAKES: u64 = 20;
+const WRITE_EVERY: u64 = 200;
 
 fn head(n: u64) -> Head {
     Head::of(&[b"GET", &n.to_be_bytes()])
@@ -147,6 +148,7 @@
             recent: RecentAnswers::default(),
             prober: Prober::default(),
             has_read: false,
+            wrote_at: None,
         }
     }
 
@@ -270,12 +272,8 @@
     /// Keeps what has reached the store.
     fn write(&mut self) {
         let now = self.now;
-        let kept = |write: &(u64, usize, Fingerprint, Option<Evidence>)| write.0 <= now;
-        for (_, _, request, evidence) in self.writes.extract_if(.., |write| kept(write)) {
-            match evidence {
-                Some(evidence) => drop(self.store.insert(request, evidence)),
-                None => drop(self.store.remove(&request)),
-            }
+        for (_, n, evidence) in self.writes.extract_if(.., |write| write.0 <= now) {
+            self.store.insert(n, evidence);
         }
     }
 
@@ -286,15 +284,19 @@
     /// Reads the store once, and writes what there is to write.
     fn record(&mut self, n: usize) {
         let (at, time_of_day) = (self.at(), self.time_of_day());
+        let is_reader = self.first_before(n).is_none();
         let host = &mut self.hosts[n];
         if !std::mem::replace(&mut host.has_read, true) {
-            for (request, evidence) in &self.store {
-                host.exchange.take_recorded(*request, evidence.clone(), at, time_of_day);
+            for evidence in self.store.values() {
+                host.exchange.take_recorded(evidence.clone(), at, time_of_day);
             }
         }
-        for Change { request, crashes } in host.exchange.take_changes() {
-            let evidence = crashes.map(|crashes| Evidence { written: time_of_day, crashes });
-            self.writes.push((self.now + WRITE_TAKES, n, request, evidence));
+        if !is_reader || host.wrote_at.is_some_and(|at| self.now < at + WRITE_EVERY) {
+            return;
+        }
+        if let Some(evidence) = host.exchange.take_record(at, time_of_day) {
+            host.wrote_at = Some(self.now);
+            self.writes.push((self.now + WRITE_TAKES, n, evidence));
         }
     }
 
@@ -313,11 +315,16 @@
         }
     }
 
+    /// The host of its failure domain that a host follows.
+    fn first_before(&self, n: usize) -> Option<usize> {
+        let before = (n % self.domains..n).step_by(self.domains);
+        before.into_iter().find(|other| self.reach(n, *other))
+    }
+
     /// Whom a host asks.
     fn asked(&self, n: usize) -> Vec<usize> {
         let domains = self.domains;
-        let before = (n % domains..n).step_by(domains).find(|other| self.reach(n, *other));
-        match before {
+        match self.first_before(n) {
             Some(first) => vec![first],
             None => {
                 let far = (0..domains).filter(|domain| *domain != n % domains);
--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -5,11 +5,10 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use jacinthbeam_crash::{
-    Evidence, Fact, Fingerprint, What, cases::Position, evidence::Change, exchange, fingerprint,
-};
+use bytes::Bytes;
+use jacinthbeam_crash::{Evidence, Fact, What, cases::Position, exchange};
 use jacinthbeam_store::{Backoff, Call, Item, Lane, Partition};
-use tokio::task::spawn_local;
+use tokio::sync::watch;
 
 use super::{across, ask::Topic, feed, state::Control};
 use crate::process::peers::news::{Asked, News};
@@ -18,13 +17,15 @@
 /// within a second, and each telling is an answer to every host that follows this one.
 const TELL_EVERY: Duration = Duration::from_millis(50);
 
-/// Keys of the list of hosts that begin so hold evidence against a request. No host is named so.
+/// Keys of the list of hosts that begin so hold what a host knows of crashes. No host is named so.
 pub(super) const EVIDENCE_PREFIX: &str = "crashes/";
 
-/// Pauses after a record of evidence that was not kept, and tries until it is given up.
+/// Least pause between two records of this host.
+const RECORD_EVERY: Duration = Duration::from_millis(200);
+
+/// Pauses after a record that was not kept.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-const TRIES: usize = 20;
 
 /// Pause between two looks for what has stood for long enough.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
@@ -41,38 +42,34 @@
         self.crashes.see(fact, now);
     }
 
-    /// Takes what the store holds of a request that crashes servers.
-    pub(super) fn on_evidence(&mut self, request: &str, item: &Item) {
-        let Ok(request) = request.parse::<Fingerprint>() else {
-            return self.note_unreadable("evidence", item, &fingerprint::ParseError.to_string());
-        };
+    /// Takes what the store holds of crashes that a host knew.
+    pub(super) fn on_evidence(&mut self, item: &Item) {
         if item.value.is_empty() {
             return;
         }
         let (now, time_of_day) = (self.clock.now(), SystemTime::now());
         match Evidence::from_bytes(&item.value) {
             Ok(evidence) => {
-                if self.crashes.take_recorded(request, evidence, now, time_of_day) {
-                    tracing::info!(part = "crash", event = "read-back", request = %request);
+                if self.crashes.take_recorded(evidence, now, time_of_day) {
+                    tracing::info!(part = "crash", event = "read-back", record = %item.key);
                 }
             }
             Err(err) => self.note_unreadable("evidence", item, &err.to_string()),
         }
     }
 
-    /// Writes to the store what has to outlast the memory of all hosts.
-    fn record_evidence(&mut self) {
-        for Change { request, crashes } in self.crashes.take_changes() {
-            tracing::info!(part = "crash", event = "record", request = %request, crashes = ?crashes.as_ref().map(Vec::len));
-            let written = SystemTime::now();
-            let evidence = crashes.map(|crashes| Evidence { written, crashes }.to_bytes());
-            let call = Call::Put {
-                to: Partition { topic: self.wire.places.hosts.into(), number: 0 },
-                key: format!("{EVIDENCE_PREFIX}{request}"),
-                value: evidence.unwrap_or_default().into(),
-                only_at: None,
-            };
-            spawn_local(keep(self.store.lane(), call));
+    /// Has the store hold what must outlast the memory of all hosts. Hosts that follow this one leave it to it.
+    fn record_evidence(&mut self, now: Instant) {
+        // Until the record of an earlier life of this host was read, another one would replace it unread.
+        let may_write = self.has_read_hosts && *self.direct.borrow();
+        let is_due = self.crashes_told.recorded.is_none_or(|at| now >= at + RECORD_EVERY);
+        if !may_write || !is_due {
+            return;
+        }
+        if let Some(evidence) = self.crashes.take_record(now, SystemTime::now()) {
+            tracing::info!(part = "crash", event = "record", facts = %evidence.facts.len());
+            self.crashes_told.recorded = Some(now);
+            self.evidence.send_replace(evidence.to_bytes().into());
         }
     }
 
@@ -111,8 +108,8 @@
 
     /// Makes new facts act, here and at the hosts that follow this one.
     pub(super) fn tell_crashes(&mut self) {
-        self.record_evidence();
         let now = self.clock.now();
+        self.record_evidence(now);
         let told = self.crashes_told;
         let is_due = told.at.is_none_or(|at| now >= at + TELL_EVERY);
         let is_new = told.end != self.crashes.end();
@@ -141,15 +138,33 @@
     }
 }
 
-/// Makes a call until the store has taken it.
-async fn keep(lane: Lane, call: Call) {
-    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
-    for _ in 0..TRIES {
-        match lane.call(&call).await {
-            Ok(_) => return,
-            Err(err) => tracing::info!(part = "crash", event = "not-recorded", error = %err),
+/// Writes the newest evidence of a host to the store.
+pub(super) struct Recorder {
+    pub(super) lane: Lane,
+    pub(super) to: Partition,
+    pub(super) key: String,
+    pub(super) evidence: watch::Receiver<Bytes>,
+}
+
+impl Recorder {
+    /// Writes each change until the store has taken it, or a newer one.
+    pub(super) async fn run(mut self) {
+        let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+        // An error is the end of the process.
+        while self.evidence.changed().await.is_ok() {
+            loop {
+                let call = self.newest();
+                let Err(err) = self.lane.call(&call).await else { break };
+                tracing::info!(part = "crash", event = "not-recorded", error = %err);
+                tokio::time::sleep(backoff.pause()).await;
+            }
+            backoff.reset();
         }
-        tokio::time::sleep(backoff.pause()).await;
+    }
+
+    fn newest(&mut self) -> Call {
+        let value = self.evidence.borrow_and_update().clone();
+        Call::Put { to: self.to.clone(), key: self.key.clone(), value, only_at: None }
     }
 }
 
@@ -158,6 +173,8 @@
 pub(super) struct Told {
     at: Option<Instant>,
     end: Position,
+    /// When this host last had something to record.
+    recorded: Option<Instant>,
     /// When it was last looked for what has stood for long enough.
     forgot: Option<Instant>,
 }
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -131,8 +131,8 @@
     pub(super) fn on_hosts(&mut self, changes: &Changes) {
         let mut changed = false;
         for item in &changes.items {
-            if let Some(request) = item.key.strip_prefix(EVIDENCE_PREFIX) {
-                self.on_evidence(request, item);
+            if item.key.starts_with(EVIDENCE_PREFIX) {
+                self.on_evidence(item);
                 continue;
             }
             match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
@@ -141,6 +141,7 @@
                 (_, Err(err)) => self.note_unreadable("host", item, &err.to_string()),
             }
         }
+        self.has_read_hosts = true;
         self.known.hosts_known_to(changes.end);
         self.on_changed(Changed { hosts: changed, ..Changed::default() });
         // The first host of all finds an empty list, and that is news too.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use jacinthbeam_crash::{Exchange, cases::Position};
 use jacinthbeam_range::{Event, Grantor, Leader};
 use jacinthbeam_store::{Client, Observer, Partition};
@@ -18,7 +19,8 @@
     across::{self, Across},
     ask::Asker,
     calls::{Caller, Leads},
-    crashes, duty,
+    crashes::{self, EVIDENCE_PREFIX, Recorder},
+    duty,
     enlist::{self, Enlist},
     feed::{self, Feed},
     follow::{self, Followed, HOSTS_EVERY, HOSTS_WAIT, OPERATOR_WAIT, Read, SERVERS_EVERY},
@@ -79,6 +81,10 @@
     pub(super) crashes: Exchange,
     /// How far these facts were told, and when.
     pub(super) crashes_told: crashes::Told,
+    /// What the store has to hold of these facts.
+    pub(super) evidence: watch::Sender<Bytes>,
+    /// Whether the list of hosts was read from the store in this life, and the evidence beside it.
+    pub(super) has_read_hosts: bool,
     /// How far other hosts have to be told without waiting for the next question.
     pub(super) to_tell: watch::Sender<Position>,
     /// When this host last heard of the store, by itself or through others.
@@ -130,6 +136,8 @@
             drawn: BTreeMap::new(),
             crashes: Exchange::new(me.host.clone(), incarnation),
             crashes_told: crashes::Told::default(),
+            evidence: watch::channel(Bytes::new()).0,
+            has_read_hosts: false,
             to_tell: watch::channel(Position::default()).0,
             heard: Rc::default(),
             direct: Rc::new(watch::channel(false).0),
@@ -163,11 +171,18 @@
         });
         spawn_local(enlist::run(Enlist {
             lane: self.store.lane(),
-            list: hosts,
+            list: hosts.clone(),
             host: self.me.host.clone(),
             entry: self.entry(),
             tx: self.tx.clone(),
         }));
+        let recorder = Recorder {
+            lane: self.store.lane(),
+            to: hosts,
+            key: format!("{EVIDENCE_PREFIX}{}", self.me.host),
+            evidence: self.evidence.subscribe(),
+        };
+        spawn_local(recorder.run());
         let asker = Asker {
             clock: self.clock.clone(),
             to_tell: self.to_tell.subscribe(),
