fix(crash): a host that starts late is told what is refused

Seen by a new test of evidence that is read back late (old_evidence_is_forgotten_when_it_is_read): a request that all hosts refuse for an hour is sent again by a host that starts more than ten minutes after its third crash, and crashes three servers more.

Cause: facts were taken one by one, and each time the request was asked whether it is over. By the first fact alone it is doubted, not proven, and doubt ends after ten minutes, so that every one of the three was forgotten as it came. The same for facts of the store and of other hosts.

Change: facts that come together are taken together, and only then it is asked whether their requests are over.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::IpAddr,
     time::{Duration, Instant},
 };
@@ -132,6 +132,10 @@
         })
     }
 
+    fn is_empty(&self) -> bool {
+        self.ended.is_empty() && self.cleared.is_empty()
+    }
+
     fn servers(&self) -> usize {
         self.suspect().map_or(0, |suspect| suspect.servers.len())
     }
@@ -172,6 +176,39 @@
 
     /// Takes a fact. Returns whether it adds anything.
     pub fn take(&mut self, fact: Fact, source: Source, now: Instant) -> bool {
+        self.take_all([fact], &source, now)
+    }
+
+    /// Takes facts that come together. Returns whether any of them adds anything.
+    ///
+    /// Only all facts of a request say for how long it is kept.
+    pub fn take_all(
+        &mut self,
+        facts: impl IntoIterator<Item = Fact>,
+        source: &Source,
+        now: Instant,
+    ) -> bool {
+        let mut changed = BTreeSet::new();
+        for fact in facts {
+            let request = fact.request;
+            if self.add(fact, source.clone()) {
+                changed.insert(request);
+            }
+        }
+        changed.retain(|request| !self.drop_if_over(request, now));
+        self.make_room();
+        !changed.is_empty()
+    }
+
+    fn drop_if_over(&mut self, request: &Fingerprint, now: Instant) -> bool {
+        let is_over = self.of.get(request).is_none_or(|case| case.is_over(now));
+        if is_over {
+            self.of.remove(request);
+        }
+        is_over
+    }
+
+    fn add(&mut self, fact: Fact, source: Source) -> bool {
         let case = self.of.entry(fact.request).or_default();
         let noted = Noted { at: fact.at, position: self.end, source };
         let adds = match fact.what {
@@ -179,23 +216,17 @@
             What::Served { caller } => case.clear(Some(caller), noted),
             What::LetThrough => case.clear(None, noted),
         };
-        if case.is_over(now) {
+        if case.is_empty() {
             self.of.remove(&fact.request);
-            return false;
-        }
-        if adds {
-            self.end.0 += 1;
-            self.make_room();
         }
+        self.end.0 += u64::from(adds);
         adds
     }
 
     fn make_room(&mut self) {
-        if self.of.len() <= MOST_CASES {
-            return;
-        }
-        let least = self.of.iter().min_by_key(|(_, case)| (case.servers(), case.last()));
-        if let Some(least) = least.map(|(request, _)| *request) {
+        while self.of.len() > MOST_CASES {
+            let least = self.of.iter().min_by_key(|(_, case)| (case.servers(), case.last()));
+            let Some(least) = least.map(|(request, _)| *request) else { return };
             self.of.remove(&least);
         }
     }
--- a/crates/jacinthbeam-crash/src/exchange.rs
+++ b/crates/jacinthbeam-crash/src/exchange.rs
@@ -116,9 +116,8 @@
         now: Instant,
         time_of_day: SystemTime,
     ) -> bool {
-        let facts = evidence.facts(now, time_of_day).into_iter();
-        let added = facts.filter(|fact| self.cases.take(fact.clone(), Source::Recorded, now));
-        let adds = added.count() > 0;
+        let facts = evidence.facts(now, time_of_day);
+        let adds = self.cases.take_all(facts, &Source::Recorded, now);
         self.note_to_tell(adds);
         adds
     }
@@ -146,11 +145,9 @@
 
     /// Takes the facts of a question, and tells what the asking host hasn't heard.
     pub fn answer(&mut self, question: &Question, now: Instant) -> Answer {
-        for fact in &question.facts {
-            let adds = self.take(fact.clone(), &question.from, now);
-            self.is_record_due |= adds;
-            self.note_to_tell(adds);
-        }
+        let adds = self.take_told(question.facts.clone(), &question.from, now);
+        self.is_record_due |= adds;
+        self.note_to_tell(adds);
         let known = question.knows.filter(|(life, _)| *life == self.life);
         let known = known.map_or(Position::default(), |(_, end)| end);
         let (facts, end) = self.cases.since(known, Some(&question.from), MOST_TOLD);
@@ -160,9 +157,7 @@
 
     /// Takes the answer of the host at `of`.
     pub fn on_answer(&mut self, of: SocketAddr, answer: Answer, now: Instant) {
-        for fact in answer.facts {
-            self.take(fact, &answer.from, now);
-        }
+        self.take_told(answer.facts, &answer.from, now);
         if self.peers.len() >= MOST_PEERS && !self.peers.contains_key(&of) {
             self.peers.clear();
         }
@@ -174,10 +169,10 @@
         peer.host = Some(answer.from);
     }
 
-    fn take(&mut self, fact: Aged, from: &HostId, now: Instant) -> bool {
+    fn take_told(&mut self, facts: Vec<Aged>, from: &HostId, now: Instant) -> bool {
         // Older than this clock reaches is older than anything that is kept.
-        let Some(fact) = fact.at(now) else { return false };
-        self.cases.take(fact, Source::Told(from.clone()), now)
+        let facts = facts.into_iter().filter_map(|fact| fact.at(now));
+        self.cases.take_all(facts, &Source::Told(from.clone()), now)
     }
 
     fn note_to_tell(&mut self, adds: bool) {
--- a/crates/jacinthbeam-crash/tests/evidence.rs
+++ b/crates/jacinthbeam-crash/tests/evidence.rs
@@ -6,8 +6,11 @@
 };
 
 use jacinthbeam_crash::{
-    Evidence, Exchange, Fact, Fingerprint, What, cases::DOUBTED_FOR, evidence::MOST_RECORDED,
-    fingerprint::Head, suspects::SPAN,
+    Evidence, Exchange, Fact, Fingerprint, What,
+    cases::{DOUBTED_FOR, REFUSED_FOR},
+    evidence::MOST_RECORDED,
+    fingerprint::Head,
+    suspects::SPAN,
 };
 use jacinthbeam_types::prelude::*;
 
@@ -125,7 +128,7 @@
 /// Guards against doubt that outlasts its time because it was read back.
 #[test]
 fn old_evidence_is_forgotten_when_it_is_read() {
-    for (crashes, kept) in [(2, DOUBTED_FOR)] {
+    for (crashes, kept) in [(2, DOUBTED_FOR), (3, REFUSED_FOR)] {
         let (record, last) = record_of(crashes);
         for (since, counted) in [(kept - Duration::from_secs(1), crashes), (kept, 0)] {
             let mut other = host("b", 1);
@@ -137,6 +140,21 @@
     }
 }
 
+/// Guards against a request that is sent again to a host that started more than ten minutes after the last crash.
+#[test]
+fn a_host_that_starts_late_is_told_what_is_refused() {
+    let (mut a, now) = (host("a", 1), Instant::now());
+    let addr = SocketAddr::new(CALLER, 1);
+    for n in 1..=3 {
+        a.see(ended(1, n, now + SPAN * n as u32), now + SPAN * 3);
+    }
+    let now = now + DOUBTED_FOR * 2;
+    a.forget(now);
+    let mut late = host("b", 1);
+    late.on_answer(addr, a.answer(&late.question(addr, now), now), now);
+    assert!(late.suspects().refuse(&request(1), CALLER));
+}
+
 /// Load pattern: all servers of a failure domain crash at once. Guards against a record that grows with the fleet, and one that leaves out
 /// the request that is to blame.
 #[test]
