fix(store): a page without records is not the last while more follow

A page of the newest records that holds none and says that more follow was taken for the last one: everything on later pages would have counted as removed, servers and evacuations among it. The new test fails on the code before: a whole list without records.

Looked at besides, nothing found: the look of a granting host, the list of hosts at the start, the commands for operators, the answers that confirm a leader (a read that ends before what is known is refused, a page is compared by offsets).

--- a/crates/jacinthbeam-standin/tests/follow.rs
+++ b/crates/jacinthbeam-standin/tests/follow.rs
@@ -3,9 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http::StatusCode;
 use jacinthbeam_native::store::{decode, encode};
 use jacinthbeam_standin::serve;
-use jacinthbeam_store::{Call, Client, Error, Lane, Partition, Reply, Wire, keyed::Follower};
+use jacinthbeam_store::{Call, Client, Error, Lane, Page, Partition, Reply, Wire, keyed::Follower};
 use jacinthbeam_types::prelude::*;
 
 const LOOPBACK: SocketAddr =
@@ -57,3 +58,24 @@
     store.bound_reads(1);
     assert_eq!(follower.look(&lane, Duration::ZERO).await.unwrap().items.len(), 4);
 }
+
+/// Reads every page as one that holds nothing and has others after it.
+fn decode_empty(call: &Call, status: StatusCode, body: &Bytes) -> Result<Reply, Error> {
+    match decode(call, status, body)? {
+        Reply::Page(page) => Ok(Reply::Page(Page { items: Vec::new(), more: true, ..page })),
+        reply => Ok(reply),
+    }
+}
+
+/// Guards against keys that count as removed since a page was taken for the last one.
+#[tokio::test]
+async fn a_page_without_records_is_not_the_last_while_more_follow() {
+    let store = serve::spawn(LOOPBACK, 1).await.unwrap();
+    let wire = Wire { encode, decode: decode_empty };
+    let lane = Client::open(store.addr(), wire, Arc::new(SystemClock)).lane();
+    put(&lane, 0, None).await.unwrap();
+    let mut follower = Follower::new(place());
+    let read = follower.look(&lane, Duration::ZERO).await;
+    assert!(matches!(read, Err(Error::Malformed(_))), "{read:?}");
+    assert_eq!(follower.end(), None);
+}
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -105,9 +105,13 @@
             end = Some(end.map_or(page_end, |end: Offset| end.min(page_end)));
             after = more_items.last().map(|item| item.key.clone());
             items.extend(more_items);
-            if !more || after.is_none() {
+            if !more {
                 break;
             }
+            if after.is_none() {
+                // Taken for the last page, it would remove every key that the next one holds.
+                return Err(Error::Malformed("a page holds nothing, though more follow".into()));
+            }
         }
         Ok(self.take_all(items, end.unwrap_or_default()))
     }
