--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -85,6 +85,7 @@
             if at >= known_to || records.is_empty() {
                 break;
             }
+            tracing::info!(part = "store", event = "behind", partition = %self.partition, from = %from, read_to = %at, end = %known_to);
         }
         self.next = Some(at);
         Ok(Changes { items, end: at, whole: false })
