refactor(crash): names and comments in the terms of the field

What becomes Outcome, with Crashed, Succeeded and Allowed; Told becomes SyncState; have_head, ended_under and add_ended become contains_prefix, crashed_under and add_crash; docs of the types say what they bound instead of telling how it comes about. In the log the line of an observed crash names the server as crashed= in place of ended=. Nothing else changes: the wire is by position.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -1,4 +1,4 @@
-//! What one host knows of servers that ended, and of the requests that they were running.
+//! What one host knows of servers that crashed, and of the requests that they were running.
 //!
 //! Facts join as sets: one that is told twice, late or by several hosts adds nothing. The positions of facts count in the order in which this
 //! host came to know them, and say nothing to others but what they have been told.
@@ -18,14 +18,14 @@
     suspects::{Suspect, Suspects},
 };
 
-/// Doubt about a request ends so long after the last server that ended under it: by then what ended that server may be gone.
+/// How long a request stays suspect after the last crash under it.
 pub const DOUBTED_FOR: Duration = Duration::from_secs(10 * 60);
 
-/// A request is refused for so long after the last server that ended under it. Then it may end
-/// [`PROOF`](crate::suspects::PROOF) more, in case it was mended.
+/// How long a request is refused after the last crash under it. Then [`PROOF`](crate::suspects::PROOF) further crashes are needed, in case it
+/// was fixed.
 pub const REFUSED_FOR: Duration = Duration::from_secs(60 * 60);
 
-/// Requests that are kept. Those under which fewest servers have ended are left out first, then the oldest.
+/// Requests that are kept. Those with the fewest crashes are evicted first, then the oldest.
 pub const MOST_CASES: usize = 1024;
 
 /// Facts that are kept of one request; more of them would change nothing.
@@ -37,23 +37,23 @@
 
 /// What happened to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum What {
-    /// A server that was running it has ended.
-    Ended {
+pub enum Outcome {
+    /// A server crashed while it ran it.
+    Crashed {
         /// The life of the server.
         server: ServerId,
         /// Whose attempt it was.
         caller: IpAddr,
     },
-    /// It ran to a good end. What this caller's attempts had shown before no longer counts.
+    /// It succeeded. Earlier crashes under this caller's attempts no longer count.
     ///
-    /// Of another caller's it says nothing: a server may end under the same path and body from one caller and not from another.
-    Served {
+    /// Evidence is scoped to the caller, so that one caller's success clears nothing of another's.
+    Succeeded {
         /// Whose attempt it was.
         caller: IpAddr,
     },
-    /// An operator lets it through. Nothing that was seen before counts any more.
-    LetThrough,
+    /// An operator allowed it. No earlier crash counts any more.
+    Allowed,
 }
 
 /// Something that happened to a request.
@@ -62,7 +62,7 @@
     /// The request.
     pub request: Fingerprint,
     /// What happened.
-    pub what: What,
+    pub outcome: Outcome,
     /// When, by the clock of this host.
     pub at: Instant,
 }
@@ -73,7 +73,7 @@
     /// The request.
     pub request: Fingerprint,
     /// What happened.
-    pub what: What,
+    pub outcome: Outcome,
     /// How long ago.
     pub age: Duration,
 }
@@ -81,16 +81,16 @@
 impl Aged {
     /// The fact, by a clock at `now`; `None` if the clock does not reach back to it.
     pub fn at(self, now: Instant) -> Option<Fact> {
-        let Self { request, what, age } = self;
-        Some(Fact { request, what, at: now.checked_sub(age)? })
+        let Self { request, outcome, age } = self;
+        Some(Fact { request, outcome, at: now.checked_sub(age)? })
     }
 }
 
 impl Fact {
     /// The fact as it leaves this host at `now`.
     pub fn aged(self, now: Instant) -> Aged {
-        let Self { request, what, at } = self;
-        Aged { request, what, age: now.saturating_duration_since(at) }
+        let Self { request, outcome, at } = self;
+        Aged { request, outcome, age: now.saturating_duration_since(at) }
     }
 }
 
@@ -114,26 +114,26 @@
 
 #[derive(Debug, Default)]
 struct Case {
-    ended: BTreeMap<(ServerId, IpAddr), Noted>,
+    crashes: BTreeMap<(ServerId, IpAddr), Noted>,
     /// Since when what a caller's attempts had shown no longer counts; `None` stands for all callers.
     cleared: BTreeMap<Option<IpAddr>, Noted>,
 }
 
 impl Case {
     fn suspect(&self) -> Option<Suspect> {
-        let times = self.ended.values().map(|noted| noted.at);
+        let times = self.crashes.values().map(|noted| noted.at);
         Some(Suspect {
-            callers: self.ended.keys().map(|(_, caller)| *caller).collect(),
-            servers: self.ended.keys().map(|(server, _)| server.clone()).collect(),
+            callers: self.crashes.keys().map(|(_, caller)| *caller).collect(),
+            servers: self.crashes.keys().map(|(server, _)| server.clone()).collect(),
             first: times.clone().min()?,
             last: times.max()?,
-            attempts: self.ended.len(),
+            attempts: self.crashes.len(),
             served: self.cleared.values().map(|noted| noted.at).max(),
         })
     }
 
     fn is_empty(&self) -> bool {
-        self.ended.is_empty() && self.cleared.is_empty()
+        self.crashes.is_empty() && self.cleared.is_empty()
     }
 
     fn servers(&self) -> usize {
@@ -141,7 +141,7 @@
     }
 
     fn last(&self) -> Option<Instant> {
-        self.ended.values().chain(self.cleared.values()).map(|noted| noted.at).max()
+        self.crashes.values().chain(self.cleared.values()).map(|noted| noted.at).max()
     }
 
     fn is_over(&self, now: Instant) -> bool {
@@ -150,14 +150,14 @@
         self.last().is_none_or(|last| now.saturating_duration_since(last) >= kept)
     }
 
-    fn notes(&self) -> impl Iterator<Item = (What, &Noted)> {
-        let ended = self.ended.iter().map(|((server, caller), noted)| {
-            (What::Ended { server: server.clone(), caller: *caller }, noted)
+    fn notes(&self) -> impl Iterator<Item = (Outcome, &Noted)> {
+        let crashed = self.crashes.iter().map(|((server, caller), noted)| {
+            (Outcome::Crashed { server: server.clone(), caller: *caller }, noted)
         });
         let cleared = self.cleared.iter().map(|(of, noted)| {
-            (of.map_or(What::LetThrough, |caller| What::Served { caller }), noted)
+            (of.map_or(Outcome::Allowed, |caller| Outcome::Succeeded { caller }), noted)
         });
-        ended.chain(cleared)
+        crashed.chain(cleared)
     }
 }
 
@@ -211,10 +211,10 @@
     fn add(&mut self, fact: Fact, source: Source) -> bool {
         let case = self.of.entry(fact.request).or_default();
         let noted = Noted { at: fact.at, position: self.end, source };
-        let adds = match fact.what {
-            What::Ended { server, caller } => case.add_ended(server, caller, noted),
-            What::Served { caller } => case.clear(Some(caller), noted),
-            What::LetThrough => case.clear(None, noted),
+        let adds = match fact.outcome {
+            Outcome::Crashed { server, caller } => case.add_crash(server, caller, noted),
+            Outcome::Succeeded { caller } => case.clear(Some(caller), noted),
+            Outcome::Allowed => case.clear(None, noted),
         };
         if case.is_empty() {
             self.of.remove(&fact.request);
@@ -253,15 +253,15 @@
                 };
                 noted.position >= from && (to.is_none() || told_by != to)
             });
-            newer.extend(new.map(|(what, noted)| {
-                (noted.position, Fact { request: *request, what, at: noted.at })
+            newer.extend(new.map(|(outcome, noted)| {
+                (noted.position, Fact { request: *request, outcome, at: noted.at })
             }));
         }
         let end = newer.keys().nth(most).copied().unwrap_or(self.end);
         (newer.into_values().take(most).collect(), end)
     }
 
-    /// Servers that crashed under a request since it was last cleared, by their lives.
+    /// Servers, by their lives, that crashed under a request since it was last cleared.
     pub fn servers(&self, request: &Fingerprint) -> usize {
         self.of.get(request).map_or(0, Case::servers)
     }
@@ -271,7 +271,7 @@
         let mut cases: Vec<(&Fingerprint, &Case)> = self.of.iter().collect();
         cases.sort_by_cached_key(|(_, case)| Reverse((case.servers(), case.last())));
         let facts = cases.into_iter().flat_map(|(request, case)| {
-            case.notes().map(|(what, noted)| Fact { request: *request, what, at: noted.at })
+            case.notes().map(|(outcome, noted)| Fact { request: *request, outcome, at: noted.at })
         });
         facts.take(most).collect()
     }
@@ -284,23 +284,23 @@
 }
 
 impl Case {
-    fn add_ended(&mut self, server: ServerId, caller: IpAddr, noted: Noted) -> bool {
-        let is_known = self.ended.contains_key(&(server.clone(), caller));
+    fn add_crash(&mut self, server: ServerId, caller: IpAddr, noted: Noted) -> bool {
+        let is_known = self.crashes.contains_key(&(server.clone(), caller));
         if self.is_void(caller, noted.at) || is_known {
             return false;
         }
-        if self.ended.len() >= MOST_OF_ONE && !self.drop_last_before(noted.at) {
+        if self.crashes.len() >= MOST_OF_ONE && !self.drop_last_before(noted.at) {
             return false;
         }
-        self.ended.insert((server, caller), noted);
+        self.crashes.insert((server, caller), noted);
         true
     }
 
-    /// Makes room for an end at `at`, if that is the last one: the first and the last are what counts. Returns whether it is.
+    /// Makes room for a crash at `at`, if that is the last one: the first and the last are what counts. Returns whether it is.
     fn drop_last_before(&mut self, at: Instant) -> bool {
-        let last = self.ended.iter().max_by_key(|(_, noted)| noted.at);
+        let last = self.crashes.iter().max_by_key(|(_, noted)| noted.at);
         let last = last.filter(|(_, noted)| noted.at < at).map(|(of, _)| of.clone());
-        last.is_some_and(|last| self.ended.remove(&last).is_some())
+        last.is_some_and(|last| self.crashes.remove(&last).is_some())
     }
 
     /// Whether what this caller's attempts had shown at a moment no longer counts.
@@ -317,7 +317,7 @@
             return false;
         }
         let counts = |caller: IpAddr, at| at > noted.at || of.is_some_and(|of| of != caller);
-        self.ended.retain(|(_, caller), ended| counts(*caller, ended.at));
+        self.crashes.retain(|(_, caller), crash| counts(*caller, crash.at));
         self.cleared.insert(of, noted);
         true
     }
--- a/crates/jacinthbeam-crash/src/lib.rs
+++ b/crates/jacinthbeam-crash/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod recent;
 pub mod suspects;
 
-pub use cases::{Cases, Fact, Source, What};
+pub use cases::{Cases, Fact, Outcome, Source};
 pub use evidence::Evidence;
 pub use exchange::Exchange;
 pub use fingerprint::Fingerprint;
--- a/crates/jacinthbeam-crash/src/recent.rs
+++ b/crates/jacinthbeam-crash/src/recent.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 
 use crate::{
-    cases::{Fact, What},
+    cases::{Fact, Outcome},
     fingerprint::{Fingerprint, Head},
     suspects::Suspects,
 };
@@ -49,13 +49,13 @@
 
     /// What these answers say of requests that servers are known to have crashed under.
     pub fn clear(&self, suspects: &Suspects) -> Vec<Fact> {
-        let of_suspect = |answer: &&Answer| suspects.have_head(answer.head);
+        let of_suspect = |answer: &&Answer| suspects.contains_prefix(answer.head);
         let facts = self.of.iter().filter(of_suspect).filter_map(|answer| {
             let request = Fingerprint::of(answer.head, &answer.body);
             let suspect = suspects.get(&request)?;
             let counts = answer.at >= suspect.first && suspect.callers.contains(&answer.caller);
-            let what = What::Served { caller: answer.caller };
-            counts.then_some(Fact { request, what, at: answer.at })
+            let outcome = Outcome::Succeeded { caller: answer.caller };
+            counts.then_some(Fact { request, outcome, at: answer.at })
         });
         facts.collect()
     }
--- a/crates/jacinthbeam-crash/src/suspects.rs
+++ b/crates/jacinthbeam-crash/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Which requests were running on servers when these ended, and which of them are sent to no server any more.
+//! Which requests are suspected of crashing servers, and which of them are refused.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,52 +10,49 @@
 
 use crate::fingerprint::{Fingerprint, Head};
 
-/// Servers that have to end under a request before it is refused.
+/// Servers that have to crash under a request before it is refused.
 ///
-/// All requests at a server run when it ends, and one of them is the cause at the most. Under a request that is not, a second server ends
-/// now and then where many do at a time; a third, without an answer in between, hardly ever.
+/// At most one of the requests that run on a server causes its crash. The others are on a second server that crashes now and then, and on a
+/// third hardly ever without having succeeded in between.
 pub const PROOF: usize = 3;
 
 /// Time that has to lie between the first and the last of them.
 ///
-/// Servers that end together have one cause, power or a rack or a release that fails, and a request that many callers send alike runs on
-/// several of them. It is answered by the others, and hosts have mostly heard of that, within this time. A request that is the cause is sent on
-/// as often as it comes in this time, and no longer.
+/// Servers that crash together share a cause such as power, a rack or a bad release, and a popular request runs on several of them. Within this
+/// time it has succeeded elsewhere and most hosts have observed that.
 pub const SPAN: Duration = Duration::from_millis(700);
 
-/// A request under which servers have ended since it was last cleared.
+/// A request under which servers crashed since it was last cleared.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
     /// Its callers.
     pub callers: BTreeSet<IpAddr>,
     /// The servers.
     pub servers: BTreeSet<ServerId>,
-    /// When the first of them ended.
+    /// When the first of them crashed.
     pub first: Instant,
-    /// When the last of them ended.
+    /// When the last of them crashed.
     pub last: Instant,
     /// Attempts that they were running.
     pub attempts: usize,
-    /// When an attempt of any caller last ran to a good end.
+    /// When an attempt of any caller last succeeded.
     pub served: Option<Instant>,
 }
 
 impl Suspect {
-    /// Whether this request of this caller is sent to no server any more.
+    /// Whether this request of this caller is refused.
     ///
-    /// What one caller's attempts have shown holds for that caller alone, so that nobody can have the request of another refused. What
-    /// several callers' have shown is a fault of the request, whoever sends it.
+    /// Evidence is scoped to the caller, so one caller cannot get another caller's requests blocked. Evidence of several callers holds for all.
     pub fn is_refused(&self, caller: IpAddr) -> bool {
         self.is_proven() && self.is_shown_for(caller)
     }
 
-    /// Whether it is sent to no server any more, for some callers at least.
+    /// Whether it is refused, for some callers at least.
     pub fn is_proven(&self) -> bool {
         self.servers.len() >= PROOF && self.last.saturating_duration_since(self.first) >= SPAN
     }
 
-    /// Whether only a few attempts of the whole fleet may be sent: a crash away from being refused, many attempts would reach one server
-    /// together, before any host observes what becomes of them.
+    /// Whether the request is on probation: one more crash may be enough to refuse it, so attempts are rate-limited fleet-wide.
     pub fn is_on_probation(&self) -> bool {
         let is_doubted = self.attempts >= PROOF || self.servers.len() + 1 >= PROOF;
         let is_answered = self.served.is_some_and(|served| served > self.last);
@@ -80,7 +77,7 @@
     }
 
     /// Whether one of them has this head.
-    pub fn have_head(&self, head: Head) -> bool {
+    pub fn contains_prefix(&self, head: Head) -> bool {
         let next = self.of.range(Fingerprint::first_of(head)..).next();
         next.is_some_and(|(of, _)| of.head() == head)
     }
@@ -90,7 +87,7 @@
         self.of.get(of)
     }
 
-    /// Whether a request of this caller is sent to no server any more.
+    /// Whether a request of this caller is refused.
     pub fn refuse(&self, of: &Fingerprint, caller: IpAddr) -> bool {
         self.get(of).is_some_and(|suspect| suspect.is_refused(caller))
     }
@@ -101,8 +98,8 @@
         suspect.is_on_probation().then_some(suspect.last)
     }
 
-    /// Servers that have ended under a request of this caller.
-    pub fn ended_under(&self, of: &Fingerprint, caller: IpAddr) -> usize {
+    /// Servers that crashed under a request of this caller.
+    pub fn crashed_under(&self, of: &Fingerprint, caller: IpAddr) -> usize {
         let suspect = self.get(of).filter(|suspect| suspect.is_shown_for(caller));
         suspect.map_or(0, |suspect| suspect.servers.len())
     }
--- a/crates/jacinthbeam-crash/tests/cases.rs
+++ b/crates/jacinthbeam-crash/tests/cases.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthbeam_crash::{
-    Cases, Fact, Fingerprint, Source, What,
+    Cases, Fact, Fingerprint, Outcome, Source,
     cases::{DOUBTED_FOR, MOST_CASES, REFUSED_FOR},
     fingerprint::Head,
     suspects::SPAN,
@@ -26,12 +26,12 @@
 }
 
 fn ended(of: usize, by: u8, under: u32, at: Instant) -> Fact {
-    let what = What::Ended { server: server(under), caller: caller(by) };
-    Fact { request: request(of), what, at }
+    let outcome = Outcome::Crashed { server: server(under), caller: caller(by) };
+    Fact { request: request(of), outcome, at }
 }
 
 fn served(of: usize, by: u8, at: Instant) -> Fact {
-    Fact { request: request(of), what: What::Served { caller: caller(by) }, at }
+    Fact { request: request(of), outcome: Outcome::Succeeded { caller: caller(by) }, at }
 }
 
 /// So many servers ended one after the other.
@@ -91,7 +91,7 @@
     let facts = lives.map(|server| Fact {
         request: request(1),
         at: now + SPAN * server.born().map_or(0, |born| born.0 as u32),
-        what: What::Ended { server, caller: caller(1) },
+        outcome: Outcome::Crashed { server, caller: caller(1) },
     });
     assert!(is_refused(&cases(facts, now), 1, 1));
 }
@@ -132,7 +132,7 @@
     let mut cases = cases(facts, at(8));
     assert!(is_refused(&cases, 1, 1) && !is_refused(&cases, 1, 2));
     cases.take(
-        Fact { request: request(1), what: What::LetThrough, at: at(9) },
+        Fact { request: request(1), outcome: Outcome::Allowed, at: at(9) },
         Source::Seen,
         at(9),
     );
@@ -173,6 +173,6 @@
     let now = Instant::now();
     let head = |n: usize| Head::of(&[b"GET", &n.to_be_bytes()]);
     let suspects = cases([ended(1, 1, 1, now)], now).suspects();
-    assert!(suspects.have_head(head(1)) && !suspects.have_head(head(2)));
+    assert!(suspects.contains_prefix(head(1)) && !suspects.contains_prefix(head(2)));
     assert!(suspects.get(&Fingerprint::of(head(1), b"another body")).is_none());
 }
--- a/crates/jacinthbeam-crash/tests/evidence.rs
+++ b/crates/jacinthbeam-crash/tests/evidence.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthbeam_crash::{
-    Evidence, Exchange, Fact, Fingerprint, What,
+    Evidence, Exchange, Fact, Fingerprint, Outcome,
     cases::{DOUBTED_FOR, REFUSED_FOR},
     evidence::MOST_RECORDED,
     fingerprint::Head,
@@ -26,11 +26,11 @@
 
 fn ended(of: usize, under: usize, at: Instant) -> Fact {
     let server = ServerName::into(format!("s{under}").parse().unwrap());
-    Fact { request: request(of), what: What::Ended { server, caller: CALLER }, at }
+    Fact { request: request(of), outcome: Outcome::Crashed { server, caller: CALLER }, at }
 }
 
 fn servers(host: &Exchange, of: usize) -> usize {
-    host.suspects().ended_under(&request(of), CALLER)
+    host.suspects().crashed_under(&request(of), CALLER)
 }
 
 /// What a host records that saw so many servers crash under one request, and when the last did.
@@ -114,7 +114,7 @@
     let mut b = host("b", 1);
     b.take_recorded(record.clone(), last, later(Duration::ZERO));
     let at = last + Duration::from_secs(1);
-    b.see(Fact { request: request(1), what: What::Served { caller: CALLER }, at }, at);
+    b.see(Fact { request: request(1), outcome: Outcome::Succeeded { caller: CALLER }, at }, at);
     let answered = b.take_record(at, later(Duration::from_secs(1))).unwrap();
     for order in [[record.clone(), answered.clone()], [answered, record]] {
         let mut a = host("a", 2);
--- a/crates/jacinthbeam-crash/tests/exchange.rs
+++ b/crates/jacinthbeam-crash/tests/exchange.rs
@@ -6,7 +6,7 @@
 };
 
 use jacinthbeam_crash::{
-    Exchange, Fact, Fingerprint, What, exchange::MOST_TOLD, fingerprint::Head,
+    Exchange, Fact, Fingerprint, Outcome, exchange::MOST_TOLD, fingerprint::Head,
 };
 use jacinthbeam_types::prelude::*;
 
@@ -22,8 +22,8 @@
 
 fn see(host: &mut Exchange, of: usize, now: Instant) {
     let server = ServerName::into("s1".parse().unwrap());
-    let what = What::Ended { server, caller: Ipv4Addr::LOCALHOST.into() };
-    host.see(Fact { request: request(of), what, at: now }, now);
+    let outcome = Outcome::Crashed { server, caller: Ipv4Addr::LOCALHOST.into() };
+    host.see(Fact { request: request(of), outcome, at: now }, now);
 }
 
 fn knows(host: &Exchange, of: usize) -> bool {
--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use arbtest::arbtest;
-use jacinthbeam_crash::What;
+use jacinthbeam_crash::Outcome;
 use world::{Odds, World};
 
 /// Servers that end before a request is refused.
@@ -306,7 +306,7 @@
     }
     world.run_for(1000);
     assert!((0..11).all(|n| world.refuses(n, DEADLY.0, DEADLY.1)));
-    world.see(5, DEADLY.0, What::LetThrough);
+    world.see(5, DEADLY.0, Outcome::Allowed);
     world.run_for(3000);
     assert!((0..11).all(|n| !world.refuses(n, DEADLY.0, DEADLY.1)));
 }
--- a/crates/jacinthbeam-crash/tests/world/mod.rs
+++ b/crates/jacinthbeam-crash/tests/world/mod.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use jacinthbeam_crash::{
-    Evidence, Exchange, Fact, Fingerprint, Prober, RecentAnswers, Suspects, What,
+    Evidence, Exchange, Fact, Fingerprint, Outcome, Prober, RecentAnswers, Suspects,
     exchange::{Answer, Question},
     fingerprint::Head,
     probe::Rank,
@@ -214,7 +214,7 @@
         let server = ServerName::into(format!("s{}", self.servers).parse().unwrap());
         for (n, by) in attempts {
             let caller = caller(*by);
-            self.see(*n, of, What::Ended { server: ServerId::clone(&server), caller });
+            self.see(*n, of, Outcome::Crashed { server: ServerId::clone(&server), caller });
         }
     }
 
@@ -228,15 +228,19 @@
             running.push((at, (1000 + self.rng.u64(..1 << 40), self.rng.u64(1..200))));
         }
         for (at, (of, by)) in running {
-            self.see(at, of, What::Ended { server: ServerId::clone(&server), caller: caller(by) });
+            self.see(
+                at,
+                of,
+                Outcome::Crashed { server: ServerId::clone(&server), caller: caller(by) },
+            );
         }
     }
 
     /// A host sees something.
-    pub fn see(&mut self, n: usize, of: u64, what: What) {
+    pub fn see(&mut self, n: usize, of: u64, outcome: Outcome) {
         let at = self.at();
         if self.runs(n) {
-            self.hosts[n].exchange.see(Fact { request: request(of), what, at }, at);
+            self.hosts[n].exchange.see(Fact { request: request(of), outcome, at }, at);
         }
     }
 
@@ -248,7 +252,7 @@
         let at = self.at();
         self.hosts[n].recent.add(head(of), Bytes::new(), caller(by), at);
         if self.hosts[n].suspects.get(&request(of)).is_some() {
-            self.see(n, of, What::Served { caller: caller(by) });
+            self.see(n, of, Outcome::Succeeded { caller: caller(by) });
         }
         true
     }
--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -1,4 +1,4 @@
-//! Servers that ended, and the requests that they were running: taken from this host's own sends and from other hosts, told to others.
+//! Evidence of queries of death: observed by this host's own sends, exchanged with other hosts, kept in the store.
 
 use std::{
     net::SocketAddr,
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use jacinthbeam_crash::{Evidence, Fact, What, cases::Position, exchange};
+use jacinthbeam_crash::{Evidence, Fact, Outcome, cases::Position, exchange};
 use jacinthbeam_store::{Backoff, Call, Item, Lane, Partition};
 use tokio::sync::watch;
 
@@ -33,11 +33,11 @@
 impl Control {
     /// Takes what this host's own sends have shown.
     pub(super) fn on_crash(&mut self, fact: Fact) {
-        let what = match &fact.what {
-            What::Ended { server, .. } => Some(server),
-            What::Served { .. } | What::LetThrough => None,
+        let crashed = match &fact.outcome {
+            Outcome::Crashed { server, .. } => Some(server),
+            Outcome::Succeeded { .. } | Outcome::Allowed => None,
         };
-        tracing::info!(part = "crash", event = "seen", request = %fact.request, ended = what.map(tracing::field::display));
+        tracing::info!(part = "crash", event = "seen", request = %fact.request, crashed = crashed.map(tracing::field::display));
         let now = self.clock.now();
         self.crashes.see(fact, now);
     }
@@ -168,9 +168,9 @@
     }
 }
 
-/// How far facts were told, and when.
+/// What other hosts and the store have of the facts, and since when.
 #[derive(Debug, Default, Clone, Copy)]
-pub(super) struct Told {
+pub(super) struct SyncState {
     at: Option<Instant>,
     end: Position,
     /// When this host last had something to record.
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -28,7 +28,7 @@
 };
 
 use http::{Method, StatusCode};
-use jacinthbeam_crash::{Fact, Fingerprint, What, fingerprint};
+use jacinthbeam_crash::{Fact, Fingerprint, Outcome, fingerprint};
 use jacinthbeam_range::Event;
 use jacinthbeam_types::prelude::*;
 use tokio::{
@@ -226,7 +226,7 @@
         return format!("refused: {}", fingerprint::ParseError);
     };
     tracing::info!(part = "crash", event = "let-through", request = %request);
-    match tx.send(Input::Crash(Fact { request, what: What::LetThrough, at: now })) {
+    match tx.send(Input::Crash(Fact { request, outcome: Outcome::Allowed, at: now })) {
         Ok(()) => format!("{request} is let through"),
         Err(_) => "refused: the process ends".into(),
     }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -77,10 +77,10 @@
     pub(super) known: Known,
     /// Cold servers, and whether this host is drawn as a sender of each among the hosts that it knows.
     pub(super) drawn: BTreeMap<ServerId, ColdServer>,
-    /// Servers that ended, and the requests that they were running.
+    /// Evidence of requests that crash servers.
     pub(super) crashes: Exchange,
-    /// How far these facts were told, and when.
-    pub(super) crashes_told: crashes::Told,
+    /// What other hosts and the store have of it.
+    pub(super) crashes_told: crashes::SyncState,
     /// What the store has to hold of these facts.
     pub(super) evidence: watch::Sender<Bytes>,
     /// Whether the list of hosts was read from the store in this life, and the evidence beside it.
@@ -135,7 +135,7 @@
             known: Known::default(),
             drawn: BTreeMap::new(),
             crashes: Exchange::new(me.host.clone(), incarnation),
-            crashes_told: crashes::Told::default(),
+            crashes_told: crashes::SyncState::default(),
             evidence: watch::channel(Bytes::new()).0,
             has_read_hosts: false,
             to_tell: watch::channel(Position::default()).0,
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_crash::{Fact, Fingerprint, What, suspects::PROOF};
+use jacinthbeam_crash::{Fact, Fingerprint, Outcome, suspects::PROOF};
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 use tokio::task::spawn_local;
@@ -69,7 +69,7 @@
             return true;
         }
         let request = same::fingerprint_among(&view.suspects, self.whole);
-        let known = request.map_or(0, |request| view.suspects.ended_under(&request, self.caller));
+        let known = request.map_or(0, |request| view.suspects.crashed_under(&request, self.caller));
         known.max(ended.len()) + 1 < PROOF
     }
 
@@ -116,10 +116,10 @@
         self.traffic.on_good_answer(same::head(self.whole), body, self.caller);
         let request = same::fingerprint_among(&view.suspects, self.whole);
         let is_suspect =
-            |request: &Fingerprint| view.suspects.ended_under(request, self.caller) > 0;
+            |request: &Fingerprint| view.suspects.crashed_under(request, self.caller) > 0;
         if let Some(request) = request.filter(is_suspect) {
-            let what = What::Served { caller: self.caller };
-            self.traffic.tell_crash(Fact { request, what, at: self.traffic.now() });
+            let outcome = Outcome::Succeeded { caller: self.caller };
+            self.traffic.tell_crash(Fact { request, outcome, at: self.traffic.now() });
         }
     }
 
@@ -161,8 +161,8 @@
     let had_said =
         |at: Instant| leaving.is_some_and(|since| since >= now.saturating_duration_since(at));
     for Running { request, caller, at } in running.into_iter().filter(|r| !had_said(r.at)) {
-        let what = What::Ended { server: server.id.clone(), caller };
-        traffic.tell_crash(Fact { request, what, at });
+        let outcome = Outcome::Crashed { server: server.id.clone(), caller };
+        traffic.tell_crash(Fact { request, outcome, at });
     }
     !had_said(now)
 }
