fix(crash): hosts tell each other of a success once

Seen by a new test that counts the writes of a lost failure domain: they never end. The chatter between the hosts is older than the records; callers see it as processor and bytes that are missing elsewhere, and a success that seems ever later voids crashes that came after it.

Cause: a fact bears its age, so that each hop makes it seem later by the time that it was on its way. A crash is known by server and caller; of a success only its time was compared, so that one which comes back over a third host was newer than the one that is known, and went round again. A question that waits for an answer for up to two seconds was taken anew at each look, which made its facts later by as much.

Change: successes of one caller within a second are the same unless the later one clears a crash; a crash that was cleared is remembered by its server, which crashes once in a life, and does not come back; the facts of a question are taken once, at its arrival.

--- a/crates/jacinthbeam-crash/src/cases.rs
+++ b/crates/jacinthbeam-crash/src/cases.rs
@@ -31,6 +31,10 @@
 /// Facts that are kept of one request; more of them would change nothing.
 const MOST_OF_ONE: usize = 16;
 
+/// Successes of one caller count as the same within this time. A fact bears its age, so that each hop makes it seem later by the time that
+/// it was on its way.
+const SAME_WITHIN: Duration = Duration::from_secs(1);
+
 /// How many facts a host has come to know before another.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Position(pub u64);
@@ -115,6 +119,8 @@
 #[derive(Debug, Default)]
 struct Case {
     crashes: BTreeMap<(ServerId, IpAddr), Noted>,
+    /// Crashes that were cleared. The life of a server ends once, so none of them is another one.
+    voided: BTreeSet<(ServerId, IpAddr)>,
     /// Since when what a caller's attempts had shown no longer counts; `None` stands for all callers.
     cleared: BTreeMap<Option<IpAddr>, Noted>,
 }
@@ -285,14 +291,15 @@
 
 impl Case {
     fn add_crash(&mut self, server: ServerId, caller: IpAddr, noted: Noted) -> bool {
-        let is_known = self.crashes.contains_key(&(server.clone(), caller));
+        let crash = (server, caller);
+        let is_known = self.crashes.contains_key(&crash) || self.voided.contains(&crash);
         if self.is_void(caller, noted.at) || is_known {
             return false;
         }
         if self.crashes.len() >= MOST_OF_ONE && !self.drop_last_before(noted.at) {
             return false;
         }
-        self.crashes.insert((server, caller), noted);
+        self.crashes.insert(crash, noted);
         true
     }
 
@@ -310,15 +317,31 @@
     }
 
     fn clear(&mut self, of: Option<IpAddr>, noted: Noted) -> bool {
-        let is_known = self.cleared.get(&of).is_some_and(|cleared| noted.at <= cleared.at);
-        let is_full = self.cleared.len() >= MOST_OF_ONE && !self.cleared.contains_key(&of);
+        let known = self.cleared.get(&of).map(|cleared| cleared.at);
+        let is_full = self.cleared.len() >= MOST_OF_ONE && known.is_none();
         // What an operator says always has room.
-        if is_known || (is_full && of.is_some()) {
+        if known.is_some_and(|at| noted.at <= at) || (is_full && of.is_some()) {
+            return false;
+        }
+        let clears = self.void_crashes(of, noted.at);
+        if !clears && known.is_some_and(|at| noted.at < at + SAME_WITHIN) {
             return false;
         }
-        let counts = |caller: IpAddr, at| at > noted.at || of.is_some_and(|of| of != caller);
-        self.crashes.retain(|(_, caller), crash| counts(*caller, crash.at));
         self.cleared.insert(of, noted);
         true
     }
+
+    /// Takes away the crashes up to `at` under attempts of a caller, or of all. Returns whether there were any.
+    fn void_crashes(&mut self, of: Option<IpAddr>, at: Instant) -> bool {
+        let is_void = |(_, caller): &(ServerId, IpAddr), crash: &mut Noted| {
+            crash.at <= at && of.is_none_or(|of| of == *caller)
+        };
+        let voided: Vec<_> = self.crashes.extract_if(.., is_void).map(|(crash, _)| crash).collect();
+        let clears = !voided.is_empty();
+        self.voided.extend(voided);
+        while self.voided.len() > MOST_OF_ONE {
+            self.voided.pop_first();
+        }
+        clears
+    }
 }
--- a/crates/jacinthbeam-crash/tests/cases.rs
+++ b/crates/jacinthbeam-crash/tests/cases.rs
@@ -176,3 +176,26 @@
     assert!(suspects.contains_prefix(head(1)) && !suspects.contains_prefix(head(2)));
     assert!(suspects.get(&Fingerprint::of(head(1), b"another body")).is_none());
 }
+
+/// Guards against a crash that counts again after it was cleared, told by a host that makes it seem later than the success.
+#[test]
+fn a_crash_that_was_cleared_does_not_come_back() {
+    let now = Instant::now();
+    let mut cases = cases([ended(1, 1, 1, now), served(1, 1, now + SPAN)], now + SPAN);
+    assert!(cases.suspects().is_empty());
+    assert!(!cases.take(ended(1, 1, 1, now + SPAN * 2), Source::Seen, now + SPAN * 2));
+    assert!(cases.take(ended(1, 1, 2, now + SPAN * 2), Source::Seen, now + SPAN * 2));
+    assert_eq!(cases.servers(&request(1)), 1);
+}
+
+/// Guards against a success that counts as another one since it seems a little later, and against one that clears nothing for that reason.
+#[test]
+fn a_success_that_seems_later_adds_what_it_clears() {
+    let now = Instant::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let mut cases = cases([ended(1, 1, 1, now), served(1, 1, later(1))], later(1));
+    assert!(!cases.take(served(1, 1, later(20)), Source::Seen, later(20)));
+    assert!(cases.take(ended(1, 1, 2, later(30)), Source::Seen, later(30)));
+    assert!(cases.take(served(1, 1, later(40)), Source::Seen, later(40)));
+    assert!(cases.suspects().is_empty());
+}
--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -283,6 +283,51 @@
     }
 }
 
+/// Load pattern: all servers of a failure domain crash within a tenth of a second, each under requests of several hosts, and these succeed
+/// elsewhere. Guards against writes to the store that grow with the fleet or with what ran there.
+#[test]
+fn a_lost_failure_domain_takes_few_writes() {
+    for hosts in [11, 79] {
+        let mut world = World::new(hosts, 3, CALM, 5);
+        let mut requests = Vec::new();
+        for of in 100..160 {
+            let n = world.rng.usize(..hosts);
+            world.end_server(n, Some((of, of)));
+            requests.push(of);
+        }
+        world.run_for(100);
+        for of in requests {
+            let n = world.rng.usize(..hosts);
+            world.answer(n, of, of);
+        }
+        world.run_for(2000);
+        // Each of the three readers twice: the crashes, and what the answers cleared.
+        assert!((3..=12).contains(&world.written), "{hosts} hosts: {}", world.written);
+    }
+}
+
+/// Guards against hosts that tell each other of one success for ever: a fact bears its age, so that each hop makes it seem a little later.
+#[test]
+fn a_success_is_told_once() {
+    for (hosts, odds) in [(3, CALM), (11, CALM), (11, LOSSY), (79, CALM)] {
+        for seed in 0..8 {
+            let mut world = World::new(hosts, 3, odds, seed);
+            for of in 0..5 {
+                let (n, by) = (world.rng.usize(..hosts), world.rng.u64(1..4));
+                world.end_server(n, Some((of, by)));
+                let span = world.rng.u64(1..30) * 10;
+                world.run_for(span);
+                let n = world.rng.usize(..hosts);
+                world.answer(n, of, by);
+            }
+            world.run_for(8000);
+            let known = world.facts_known();
+            world.run_for(3000);
+            assert_eq!(world.facts_known(), known, "{hosts} hosts, {seed}");
+        }
+    }
+}
+
 /// Guards against a probation that keeps an ordinary request away after it was served once.
 #[test]
 fn a_request_that_is_served_is_on_probation_no_more() {
--- a/crates/jacinthbeam-crash/tests/world/mod.rs
+++ b/crates/jacinthbeam-crash/tests/world/mod.rs
@@ -89,6 +89,8 @@
     store: BTreeMap<usize, Evidence>,
     /// Writes on their way to it: when they are kept, and of which host.
     writes: Vec<(u64, usize, Evidence)>,
+    /// Writes so far.
+    pub written: u32,
 }
 
 /// Milliseconds until a write is kept, and from one write of a host to the next.
@@ -125,6 +127,7 @@
             servers: 0,
             store: BTreeMap::new(),
             writes: Vec::new(),
+            written: 0,
         };
         for n in 0..hosts {
             let host = world.host(n, 0);
@@ -244,6 +247,11 @@
         }
     }
 
+    /// Facts that hosts have come to know so far, all hosts together.
+    pub fn facts_known(&self) -> u64 {
+        self.hosts.iter().map(|host| host.exchange.end().0).sum()
+    }
+
     /// An ordinary request of a caller is answered at a host, if that doesn't refuse it. Returns whether it is.
     pub fn answer(&mut self, n: usize, of: u64, by: u64) -> bool {
         if self.refuses(n, of, by) {
@@ -301,6 +309,7 @@
         if let Some(evidence) = host.exchange.take_record(at, time_of_day) {
             host.wrote_at = Some(self.now);
             self.writes.push((self.now + WRITE_TAKES, n, evidence));
+            self.written += 1;
         }
     }
 
@@ -381,6 +390,7 @@
             ask.answer = Some((arrives, answer));
         } else if self.is_waiting(to, &ask) {
             let answer = self.hosts[to].exchange.answer(&ask.question, at);
+            ask.question.facts.clear();
             if !answer.facts.is_empty() || now >= ask.waits_until {
                 ask.answer = self.way(to, n).map(|arrives| (arrives, answer));
                 ask.arrives = None;
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -21,6 +21,7 @@
 mod unreadable;
 
 use std::{
+    cell::RefCell,
     net::{TcpListener, UdpSocket},
     rc::Rc,
     sync::Arc,
@@ -162,8 +163,15 @@
         let (tx, changes) = (tx.clone(), changes.clone());
         let most = if asked.only_crashes { across::WAIT } else { feed::WAIT };
         let wait = asked.wait.min(most);
+        let asked = RefCell::new(asked);
         async move {
-            let look = async || look(&tx, &asked).await;
+            let look = async || {
+                let asked_now = asked.borrow().clone();
+                let news = look(&tx, &asked_now).await;
+                // The age of its facts holds at the arrival of the question, and they are taken.
+                asked.borrow_mut().crashes.iter_mut().for_each(|question| question.facts.clear());
+                news
+            };
             peers::find::find(look, changes, wait, LOST_AFTER).await
         }
     };
