--- a/crates/jacinthbeam-crash/tests/spread.rs
+++ b/crates/jacinthbeam-crash/tests/spread.rs
@@ -209,6 +209,17 @@
     }
 }
 
+/// Guards against an ordinary request that is refused for crashes read back after every host has lost its memory.
+#[test]
+fn ordinary_requests_outlast_the_memory_of_all_hosts() {
+    for (hosts, odds) in [(11, CALM), (11, LOSSY), (30, CALM)] {
+        for seed in 200..212 {
+            let counted = play(hosts, odds, Plan { power: true, ..QUIET }, seed);
+            assert_eq!(counted.mistaken, 0, "{hosts}, {seed}: {counted:?}");
+        }
+    }
+}
+
 /// Load pattern: attempts of a keyed request come to many hosts while its key has no owner, and all go to the next owner at once. Guards
 /// against crashes that are forgotten when every host restarts before the third one.
 #[test]
