fix(host): bound the memory of response bodies and of callers that stop reading

Cause: response bodies were bounded one by one (16 MiB) but not together, a caller that never read its response kept it and its connection for as long as it liked (the idle timeout asked hyper for a graceful end, which waits for the write), request bodies had a fixed 64 MiB, more than half of a host of 120 MB, and the bodies of recent successes were not counted. Change: bodies take a quarter of the process's memory for requests (refused beyond it, not run) and a quarter for responses (they wait, so that the server's connection is not read); the limit comes from the settings (memoryMb, memory_mib). A caller that takes no byte for the idle timeout is disconnected; one that reads slowly counts as active. Recent successes hold 4 MiB. Tests: streams (an upload, pipelined requests, a closing response, a caller that stops reading: that one fails without the check of the blocked write, seen), body_memory.

--- a/crates/jacinthbeam-crash/src/recent.rs
+++ b/crates/jacinthbeam-crash/src/recent.rs
@@ -24,6 +24,9 @@
 /// Maximum number of successes that are kept.
 const MAX_SUCCESSES: usize = 4096;
 
+/// Maximum size of their bodies in all.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 #[derive(Debug)]
 struct Success {
     head: HeadDigest,
@@ -36,15 +39,24 @@
 #[derive(Debug, Default)]
 pub struct RecentSuccesses {
     successes: VecDeque<Success>,
+    body_bytes: usize,
 }
 
 impl RecentSuccesses {
     /// Adds a successful request of `caller`.
     pub fn add(&mut self, head: HeadDigest, body: Bytes, caller: IpAddr, at: Instant) {
         let is_old = |success: &Success| at.saturating_duration_since(success.at) >= RETENTION;
-        while self.successes.len() >= MAX_SUCCESSES || self.successes.front().is_some_and(is_old) {
-            self.successes.pop_front();
+        if body.len() > MAX_BODY_BYTES {
+            return;
+        }
+        while self.successes.len() >= MAX_SUCCESSES
+            || self.body_bytes + body.len() > MAX_BODY_BYTES
+            || self.successes.front().is_some_and(is_old)
+        {
+            let dropped = self.successes.pop_front().map_or(0, |success| success.body.len());
+            self.body_bytes -= dropped;
         }
+        self.body_bytes += body.len();
         self.successes.push_back(Success { head, body, caller, at });
     }
 
--- a/crates/jacinthbeam-host/src/connection/accept.rs
+++ b/crates/jacinthbeam-host/src/connection/accept.rs
@@ -147,8 +147,8 @@
             }
             () = activity.timed_out(limits.head_timeout, limits.idle_timeout), if !closing => {
                 closing = true;
-                if !activity.is_idle() {
-                    // The head is incomplete: there is no request to answer, and the rest may never arrive.
+                if !activity.is_idle() || activity.is_write_blocked() {
+                    // Either the head is incomplete and there is no request to answer, or the caller has stopped reading its response.
                     return;
                 }
                 conn.as_mut().graceful_shutdown();
--- a/crates/jacinthbeam-host/src/connection/idle.rs
+++ b/crates/jacinthbeam-host/src/connection/idle.rs
@@ -31,35 +31,53 @@
 
 /// State of a connection and when it began; shared by the stream, its requests and the timeout.
 #[derive(Debug, Clone)]
-pub(super) struct Activity(Rc<Cell<(State, Instant)>>);
+pub(super) struct Activity {
+    state: Rc<Cell<(State, Instant)>>,
+    /// Whether bytes wait for the caller to read.
+    write_blocked: Rc<Cell<bool>>,
+}
 
 impl Activity {
     pub(super) fn new() -> Self {
-        Self(Rc::new(Cell::new((State::Idle, Instant::now()))))
+        let state = Rc::new(Cell::new((State::Idle, Instant::now())));
+        Self { state, write_blocked: Rc::default() }
     }
 
     pub(super) fn on_request_start(&self) {
-        self.0.set((State::Request, Instant::now()));
+        self.state.set((State::Request, Instant::now()));
     }
 
     pub(super) fn on_request_end(&self) {
-        self.0.set((State::Idle, Instant::now()));
+        self.state.set((State::Idle, Instant::now()));
     }
 
     pub(super) fn is_idle(&self) -> bool {
-        self.0.get().0 == State::Idle
+        self.state.get().0 == State::Idle
+    }
+
+    /// Whether the caller has not read its response completely.
+    pub(super) fn is_write_blocked(&self) -> bool {
+        self.write_blocked.get()
+    }
+
+    /// A write ended. A caller that reads slowly is not idle while it takes bytes.
+    fn on_write<T>(&self, written: &Poll<io::Result<T>>) {
+        self.write_blocked.set(written.is_pending());
+        if written.is_ready() && self.is_idle() {
+            self.state.set((State::Idle, Instant::now()));
+        }
     }
 
     fn on_bytes(&self) {
         if self.is_idle() {
-            self.0.set((State::Head, Instant::now()));
+            self.state.set((State::Head, Instant::now()));
         }
     }
 
     /// Completes when the connection has exceeded the timeout for idleness or for one head.
     pub(super) async fn timed_out(&self, head: Duration, idle: Duration) {
         loop {
-            let (state, since) = self.0.get();
+            let (state, since) = self.state.get();
             let (limit, wake_at) = match state {
                 State::Idle => (idle, since + idle),
                 State::Head => (head, since + head),
@@ -108,7 +126,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.on_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -116,7 +136,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.on_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -42,6 +42,8 @@
     pub evacuated: Gauge<u64>,
     /// Cold servers in slow start, whose service limits their request rate.
     pub cold: Gauge<u64>,
+    /// Bytes of bodies that are held, by kind.
+    body_bytes: Gauge<u64>,
     /// Requests sent to backend servers, by outcome.
     sends: Counter<u64>,
     /// Retries that the retry budget allowed or refused, by service.
@@ -102,6 +104,7 @@
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
             evacuated: meter.u64_gauge("jacinthbeam_evacuated_domains").build(),
             cold: meter.u64_gauge("jacinthbeam_cold_servers").build(),
+            body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
@@ -123,6 +126,13 @@
         })
     }
 
+    /// Records the bytes of request and response bodies that are held.
+    pub fn on_bodies(&self, requests: usize, responses: usize) {
+        for (kind, bytes) in [("request", requests), ("response", responses)] {
+            self.body_bytes.record(bytes as u64, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
     /// Counts an answer of a backend server.
     pub fn on_answer(&self, success: bool, took: Duration) {
         self.answers.add(1, &[KeyValue::new("good", success)]);
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -93,6 +93,8 @@
     loop {
         tokio::time::sleep(REPORT_EVERY).await;
         traffic.tidy();
+        let (requests, responses) = (&traffic.request_memory, &traffic.response_memory);
+        traffic.counters.on_bodies(requests.used(), responses.used());
         traffic.count_in_flight();
         traffic.clear_answered();
         let view = traffic.view();
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -23,6 +23,7 @@
     Settings, Wire,
     connection::{Pool, accept::Phase},
     process::{broken::Broken, metrics::Counters, request_log::RequestLog, usage},
+    request::memory::BodyMemory,
     version::{Freshness, View},
 };
 
@@ -44,8 +45,10 @@
     pub usage: usage::Counted,
     /// Logs sends and refusals of requests.
     pub request_log: RequestLog,
-    /// Bytes of request bodies that are buffered.
-    pub body_bytes: Cell<usize>,
+    /// Memory for the bodies of requests.
+    pub request_memory: Arc<BodyMemory>,
+    /// Memory for the bodies of responses, until their callers have read them.
+    pub response_memory: Arc<BodyMemory>,
     view: watch::Receiver<Arc<View>>,
     freshness: watch::Receiver<Freshness>,
     phase: watch::Receiver<Phase>,
@@ -114,13 +117,14 @@
         let Start { settings, wire, clock, counters, usage, .. } = start;
         let Start { view, freshness, phase, gates, crashes, .. } = start;
         Self {
+            request_memory: BodyMemory::new(settings.memory),
+            response_memory: BodyMemory::new(settings.memory),
             settings,
             wire,
             clock,
             counters,
             usage,
             request_log: RequestLog::default(),
-            body_bytes: Cell::new(0),
             view,
             freshness,
             phase,
--- a/crates/jacinthbeam-host/src/request/body.rs
+++ b/crates/jacinthbeam-host/src/request/body.rs
@@ -4,7 +4,7 @@
 //! has read the whole body, and a connection is reused only after the body was written completely, so that the server can't
 //! read the next request as the rest of this body.
 
-use std::{cell::Cell, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body as _;
@@ -12,8 +12,7 @@
 use hyper::body::Incoming;
 use tokio::task::spawn_local;
 
-/// Limit on the bytes of request bodies that a process buffers at a time: a quarter of the memory of the smallest host.
-const MAX_BUFFERED_BYTES: usize = 64 << 20;
+use super::memory::{BodyMemory, Reservation};
 
 /// Limits on what is read and discarded after a refusal: the bytes that a link of 100 Mbit/s carries in two seconds.
 const MAX_DISCARDED_BYTES: usize = 24 << 20;
@@ -27,7 +26,7 @@
 pub(super) enum Error {
     /// The body exceeds the configured limit.
     TooLong,
-    /// The process already buffers [`MAX_BUFFERED_BYTES`].
+    /// The process has no memory left for request bodies.
     NoRoom,
     /// The caller closed the connection, or the framing is invalid.
     Broken,
@@ -35,38 +34,13 @@
     Silent,
 }
 
-/// Bytes that count against [`MAX_BUFFERED_BYTES`] until this is dropped.
-#[derive(Debug)]
-pub(super) struct Reservation<'a> {
-    total: &'a Cell<usize>,
-    reserved: usize,
-}
-
-impl Reservation<'_> {
-    fn reserve(&mut self, bytes: usize) -> Result<(), Error> {
-        let all = self.total.get() + bytes;
-        if all > MAX_BUFFERED_BYTES {
-            return Err(Error::NoRoom);
-        }
-        self.total.set(all);
-        self.reserved += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.reserved);
-    }
-}
-
-/// Reads a body of at most `max_bytes` bytes. `total` counts the bytes of all bodies that the process buffers.
+/// Reads a body of at most `max_bytes` bytes into `memory`.
 pub(super) async fn read(
     mut body: Incoming,
     max_bytes: usize,
-    total: &Cell<usize>,
-) -> Result<(Bytes, Reservation<'_>), Error> {
-    let read = read_whole(&mut body, max_bytes, total).await;
+    memory: &Arc<BodyMemory>,
+) -> Result<Bytes, Error> {
+    let read = read_whole(&mut body, max_bytes, memory.reservation()).await;
     if matches!(read, Err(Error::TooLong | Error::NoRoom)) {
         spawn_local(discard(body));
     }
@@ -92,12 +66,11 @@
     }
 }
 
-async fn read_whole<'a>(
+async fn read_whole(
     body: &mut Incoming,
     max_bytes: usize,
-    total: &'a Cell<usize>,
-) -> Result<(Bytes, Reservation<'a>), Error> {
-    let mut reservation = Reservation { total, reserved: 0 };
+    mut reservation: Reservation,
+) -> Result<Bytes, Error> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Error::TooLong);
     }
@@ -107,11 +80,14 @@
     {
         let frame = frame.map_err(|_| Error::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
-        reservation.reserve(data.len())?;
-        if buffer.len() + data.len() > max_bytes {
+        let read = buffer.len() + data.len();
+        if read > max_bytes {
             return Err(Error::TooLong);
         }
+        if !reservation.extend_to(read) {
+            return Err(Error::NoRoom);
+        }
         buffer.extend_from_slice(&data);
     }
-    Ok((buffer.freeze(), reservation))
+    Ok(reservation.attach(buffer.freeze()))
 }
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod end;
 mod fingerprint;
 mod job;
+pub mod memory;
 mod pick;
 mod refuse;
 pub mod send;
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -2,11 +2,13 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use jacinthbeam_connection::headers::strip;
@@ -14,6 +16,7 @@
 use jacinthbeam_types::prelude::ServerId;
 use tokio::time::Instant as TimerInstant;
 
+use super::memory::BodyMemory;
 use crate::{
     connection::pool::{self, PooledConnection},
     process::traffic::{ServerState, Traffic},
@@ -36,6 +39,8 @@
     pub id: HeaderValue,
 }
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Maximum size of a response body.
 ///
 /// A response is buffered completely before the caller gets any of it, so that a truncated one can't look complete and the
@@ -184,9 +189,9 @@
     let keep_alive = keep_alive(res.headers());
     let closes = closes_connection(res.headers());
     let (mut head, body) = res.into_parts();
-    let read = tokio::time::timeout_at(by, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
+    let read = tokio::time::timeout_at(by, read_body(body, &traffic.response_memory)).await;
     let bytes = match read {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(bytes)) => bytes,
         Ok(Err(err)) => {
             tracing::info!(part = "request", id = ?request.id, event = "answer-cut", error = ?err);
             return not_run_outcome(kind).unwrap_or(SendOutcome::Lost(Lost::Broken));
@@ -206,6 +211,22 @@
     SendOutcome::Answered { res: Response::from_parts(head, Full::new(bytes)), success }
 }
 
+/// Reads a response body completely. While there is no memory for more of it, the server's connection is not read.
+async fn read_body(body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, BoxError> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut reservation = memory.reservation();
+    // Reserved together, so that responses of known lengths don't wait for each other half read.
+    let announced = usize::try_from(body.size_hint().lower())?;
+    reservation.wait_extend_to(announced.min(MAX_RESPONSE_BYTES)).await;
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        reservation.wait_extend_to(buffer.len() + data.len()).await;
+        buffer.extend_from_slice(&data);
+    }
+    Ok(reservation.attach(buffer.freeze()))
+}
+
 /// Returns a connection to the pool if the request was written completely and no bytes follow the response.
 ///
 /// A server may answer before it has read a long body. The next bytes that it reads must be the rest of that body, not another
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -79,9 +79,9 @@
     };
     let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + timeout;
-    let reading = body::read(incoming, cfg.limits.body, &traffic.body_bytes);
+    let reading = body::read(incoming, cfg.limits.body, &traffic.request_memory);
     let read = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(body::Error::Silent));
-    let (body, _reservation) = match read {
+    let body = match read {
         Ok(read) => read,
         Err(err) => return bad_body(&traffic, &caller.id, err),
     };
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -19,6 +19,8 @@
     pub regions: BTreeMap<FailureDomain, Region>,
     /// CPU quota of the host.
     pub processor: Millicores,
+    /// Memory limit of the process.
+    pub memory: Bytes,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address of the readiness check for the load balancer.
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -17,6 +17,7 @@
         domain: "a".parse().unwrap(),
         regions: Default::default(),
         processor: Millicores::CORE,
+        memory: Bytes(256 << 20),
         callers: LOOPBACK,
         ready: LOOPBACK,
         peers,
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -204,6 +204,7 @@
             domain: domain.clone(),
             regions: Default::default(),
             processor: Millicores::CORE,
+            memory: Bytes(256 << 20),
             callers: LOOPBACK,
             ready: LOOPBACK,
             peers: LOOPBACK,
