feat(range): bound the owners of a service by what a record holds

Cause: all servers of a keyed service owned keys. The map is one record of the store (262,144 bytes) and one host renews every owner, so both grow with the service; with 5,464 servers no map was recorded on the whole fleet and no lookup had an owner. The first division also waited for a list of servers that stays the same for 1.5 s, which it does not while thousands start. Change: as many owners as fit into a record of the size that the settings name (744 at 256 KiB, four ranges each, with two rivals), the present ones first, the others by the hashes of their names; enough listed servers are divided at once. A record that is too large is not sent and logged. Gates and the mean service time look at owners only, and the candidates for moves are looked at only when something is due. Tests: grantor::owners.

--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -104,7 +104,8 @@
     ) -> BTreeMap<ServerId, Gate> {
         let Some(objective) = self.objective(service) else { return BTreeMap::new() };
         let Some(granting) = self.granting.get(service) else { return BTreeMap::new() };
-        let view = GrantView { now, servers: self.replica.servers(), servers_stable: true };
+        let servers = self.replica.servers();
+        let view = GrantView { now, servers, servers_stable: true, max_owners: usize::MAX };
         let gates = granting.grantor.gates(view, objective);
         if !gates.is_empty() {
             tracing::debug!(part = "admission", event = "gates", service = %service, gates = ?gates);
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -7,12 +7,14 @@
 };
 
 use bytes::Bytes;
+use http::StatusCode;
 use jacinthbeam_range::{
     Action, Event, Grantor, Map,
     grantor::{View as GrantView, timing::RESIGN_COOLDOWN},
+    owners,
 };
 use jacinthbeam_store::{
-    Call, Error, Partition, Reply,
+    Call, Error, Partition,
     keyed::{Changes, Follower},
 };
 use jacinthbeam_types::prelude::*;
@@ -221,7 +223,9 @@
         let servers_stable = unchanged.is_some_and(|since| since >= SERVERS_STABLE_AFTER);
         let Some(granting) = self.granting.get_mut(service) else { return };
         let led = granting.grantor.leads();
-        let view = GrantView { now, servers: self.replica.servers(), servers_stable };
+        let max_owners = owners::max_owners(self.settings.record_bytes);
+        let servers = self.replica.servers();
+        let view = GrantView { now, servers, servers_stable, max_owners };
         let actions = granting.grantor.step(view, event);
         let leads = granting.grantor.leads();
         let epoch = granting.grantor.map().map(|map| map.epoch);
@@ -307,13 +311,17 @@
         tracing::info!(part = "maps", event = "record", service = %service, epoch = %map.epoch, version = %map.version, at = %at, ranges = %map.assignments().len(), bytes = %value.len());
         let to = Partition { topic: self.wire.store_layout.maps.into(), number };
         let (clock, tx) = (self.clock.clone(), self.tx.clone());
+        let fits = value.len() as u64 <= self.settings.record_bytes.0;
+        if !fits {
+            // The owners of the last record keep their keys.
+            tracing::error!(part = "maps", event = "record-too-large", service = %service, bytes = %value.len(), limit = %self.settings.record_bytes);
+        }
         spawn_local(async move {
             let sent_at = clock.now();
             let call = Call::Put { to, key: service.to_string(), value, only_at: Some(at) };
-            let result = match lane.call(&call).await {
-                Ok(Reply::Kept(end)) => Ok(end),
-                Ok(_) => Err(Error::Malformed("not the answer to an append".into())),
-                Err(err) => Err(err),
+            let result = match fits {
+                true => lane.append(&call).await,
+                false => Err(Error::Refused(StatusCode::PAYLOAD_TOO_LARGE)),
             };
             if tx.send(Input::MapWritten { service, map, sent_at, at, result }).is_err() {
                 tracing::debug!(part = "maps", event = "stopped-meanwhile");
--- a/crates/jacinthbeam-host/src/settings.rs
+++ b/crates/jacinthbeam-host/src/settings.rs
@@ -13,6 +13,8 @@
 pub struct Settings {
     /// Name of the host.
     pub host: HostId,
+    /// Whether all hosts start for the first time, so that none is listed in the store yet.
+    pub first_start: bool,
     /// Failure domain that it runs in.
     pub domain: FailureDomain,
     /// Region of each failure domain; empty if no route is restricted to regions.
@@ -33,6 +35,8 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Largest record that the store accepts.
+    pub record_bytes: Bytes,
     /// Number of partitions of a topic in the store.
     pub partitions: u32,
     /// Retry budget of each service, for all hosts together.
--- a/crates/jacinthbeam-host/tests/sockets.rs
+++ b/crates/jacinthbeam-host/tests/sockets.rs
@@ -18,6 +18,8 @@
         regions: Default::default(),
         processor: Millicores::CORE,
         memory: Bytes(256 << 20),
+        record_bytes: Bytes(256 << 10),
+        first_start: false,
         callers: LOOPBACK,
         ready: LOOPBACK,
         peers,
--- a/crates/jacinthbeam-measure/src/deployment/mod.rs
+++ b/crates/jacinthbeam-measure/src/deployment/mod.rs
@@ -205,6 +205,8 @@
             regions: Default::default(),
             processor: Millicores::CORE,
             memory: Bytes(256 << 20),
+            record_bytes: Bytes(256 << 10),
+            first_start: false,
             callers: LOOPBACK,
             ready: LOOPBACK,
             peers: LOOPBACK,
--- a/crates/jacinthbeam-native/src/settings.rs
+++ b/crates/jacinthbeam-native/src/settings.rs
@@ -12,6 +12,8 @@
 
 /// Thousandths of a core that a host has, unless set. Only the proportions between hosts matter.
 pub const DEFAULT_PROCESSOR: Millicores = Millicores::CORE;
+/// Largest record that the store accepts in KiB, unless set.
+pub const DEFAULT_RECORD_KIB: u32 = 256;
 /// Memory of a host's process in MiB, unless set.
 pub const DEFAULT_MEMORY_MIB: u32 = 256;
 /// Partitions of a topic in the store, unless set: enough that the duties of a dozen services fall to different hosts.
@@ -32,6 +34,7 @@
 const MAX_PARTITIONS: u32 = 4096;
 const MAX_MILLICORES: u32 = 1_000_000;
 const MAX_MEMORY_MIB: u32 = 1 << 20;
+const MAX_RECORD_KIB: u32 = 1 << 20;
 const MAX_BURST: f64 = 1e6;
 const MAX_OVERRUN: f64 = 100.0;
 const MAX_MS: u64 = 600_000;
@@ -55,6 +58,7 @@
     let processor =
         fields.or("processor_millicores", DEFAULT_PROCESSOR.0, read::whole(1..=MAX_MILLICORES));
     let memory = fields.or("memory_mib", DEFAULT_MEMORY_MIB, read::whole(1..=MAX_MEMORY_MIB));
+    let record = fields.or("record_kib", DEFAULT_RECORD_KIB, read::whole(1..=MAX_RECORD_KIB));
     let callers = address(fields, "callers");
     let ready = address(fields, "ready");
     let peers = address(fields, "peers");
@@ -90,6 +94,8 @@
         regions,
         processor: Millicores(processor),
         memory: Bytes(u64::from(memory) << 20),
+        record_bytes: Bytes(u64::from(record) << 10),
+        first_start: false,
         callers: callers?,
         ready: ready?,
         peers: peers?,
@@ -172,6 +178,7 @@
         "regions": settings.regions,
         "processor_millicores": settings.processor.0,
         "memory_mib": settings.memory.0 >> 20,
+        "record_kib": settings.record_bytes.0 >> 10,
         "callers": text(&settings.callers),
         "ready": text(&settings.ready),
         "peers": text(&settings.peers),
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -224,14 +224,10 @@
         self.owners.get(server).is_none_or(OwnerState::is_responsive)
     }
 
-    /// Mean duration of a request over the servers for which it was measured.
-    pub(in crate::grantor) fn mean_service_time(
-        &self,
-        servers: &Servers,
-        service: &ServiceName,
-    ) -> Duration {
+    /// Mean duration of a request over the owners for which it was measured.
+    pub(in crate::grantor) fn mean_service_time(&self) -> Duration {
         let measured: Vec<Duration> =
-            servers.of(service).filter_map(|server| self.demand.service_time(&server.id)).collect();
+            self.owners.keys().filter_map(|id| self.demand.service_time(id)).collect();
         if measured.is_empty() {
             return ASSUMED_SERVICE_TIME;
         }
@@ -302,6 +298,14 @@
         self.owners.insert(id, state);
     }
 
+    /// The servers that own keys, and the targets of moves.
+    pub(in crate::grantor) fn owner_ids(&self) -> BTreeSet<&ServerId> {
+        let owners =
+            self.map.assignments().iter().filter_map(|assignment| assignment.owner.as_ref());
+        let targets = self.moves.iter().map(|moving| &moving.to);
+        owners.chain(targets).map(|owner| &owner.server).collect()
+    }
+
     /// All tracked incarnations that share the name of a server.
     fn incarnations_of(&self, id: &ServerId) -> impl Iterator<Item = &OwnerState> {
         let first = ServerId::from(id.name().clone());
--- a/crates/jacinthbeam-range/src/grantor/leading/plan.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/plan.rs
@@ -21,7 +21,6 @@
 impl Leading {
     /// Starts moves off servers that leave and off overloaded owners.
     pub(super) fn plan(&mut self, view: View<'_>, service: &ServiceName) {
-        let candidates = candidates(self, view, service);
         let leaving: Vec<KeyRange> = self
             .map
             .assignments()
@@ -31,6 +30,12 @@
             })
             .map(|assignment| assignment.range)
             .collect();
+        let balances = self.last_balanced.is_none_or(|at| view.now >= at + BALANCE_EVERY)
+            && self.store_accepts_records();
+        if leaving.is_empty() && !balances {
+            return;
+        }
+        let candidates = candidates(self, view, service);
         let room = releases_at_once(candidates.len()).saturating_sub(self.moves.len());
         if !leaving.is_empty() {
             let moves = balance::place(
@@ -42,25 +47,22 @@
             self.start(moves.into_iter().take(room));
             return;
         }
-        let due = self.last_balanced.is_none_or(|at| view.now >= at + BALANCE_EVERY);
-        if due && self.store_accepts_records() {
-            self.last_balanced = Some(view.now);
-            let fixed: Vec<KeyRange> = self
-                .moves
-                .iter()
-                .map(|m| m.range)
-                .chain(self.cooling_down.iter().map(|(_, range)| *range))
-                .collect();
-            let most = moves_at_once(candidates.len()).min(room);
-            let moves = balance::rebalance(
-                &self.expected(),
-                &self.demand.rates(&self.map),
-                &candidates,
-                &fixed,
-                most,
-            );
-            self.start(moves.into_iter());
-        }
+        self.last_balanced = Some(view.now);
+        let fixed: Vec<KeyRange> = self
+            .moves
+            .iter()
+            .map(|m| m.range)
+            .chain(self.cooling_down.iter().map(|(_, range)| *range))
+            .collect();
+        let most = moves_at_once(candidates.len()).min(room);
+        let moves = balance::rebalance(
+            &self.expected(),
+            &self.demand.rates(&self.map),
+            &candidates,
+            &fixed,
+            most,
+        );
+        self.start(moves.into_iter());
     }
 
     /// Whether the store accepts records of this host, as far as is known.
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -18,7 +18,7 @@
 pub mod timing;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -36,6 +36,7 @@
     balance::{self, Candidate},
     key::KeyRange,
     map::{Leader, Map, Owner},
+    owners,
 };
 
 /// What the grantor can see at the time of an event.
@@ -48,6 +49,8 @@
     /// Whether the list has been known and unchanged for a while, so that the first assignment of
     /// keys is worth making.
     pub servers_stable: bool,
+    /// Most servers of a service that are assigned keys; present owners keep theirs.
+    pub max_owners: usize,
 }
 
 /// One host's state in granting the keys of one service.
@@ -117,8 +120,8 @@
     /// the least urgent requests. Empty unless this process leads.
     pub fn gates(&self, view: View<'_>, objective: Duration) -> BTreeMap<ServerId, Gate> {
         let Some(leading) = &self.leading else { return BTreeMap::new() };
-        let mean = leading.mean_service_time(view.servers, &self.service);
-        let servers = view.servers.iter().filter(|server| server.service == self.service);
+        let mean = leading.mean_service_time();
+        let servers = leading.owner_ids().into_iter().filter_map(|id| view.servers.get(id));
         let gate = |server: &Server| {
             let service_time = leading.demand.service_time(&server.id).unwrap_or(mean);
             let load = leading.demand.load(&server.id, server.slots, service_time)?;
@@ -309,10 +312,12 @@
     /// Assigns the keys for the first time, in proportion to the servers' slots. Returns whether
     /// there was any server to assign them to.
     fn divide(&self, view: View<'_>, map: &mut Map) -> bool {
-        if !view.servers_stable {
+        let listed = || view.servers.of(&self.service);
+        // The list of a large fleet changes for as long as its servers start.
+        if !view.servers_stable && listed().count() < view.max_owners {
             return false;
         }
-        let servers: Vec<_> = view.servers.of(&self.service).collect();
+        let servers = owners::select(listed(), &BTreeSet::new(), view.max_owners);
         let slots: u32 = servers.iter().map(|server| server.slots).sum();
         let mut below = 0;
         for server in &servers {
@@ -334,10 +339,10 @@
 /// A cold server with a bounded rate is left out while there are others: it receives the sum of
 /// what all hosts send, and any key may become hot at any moment.
 fn candidates(leading: &Leading, view: View<'_>, service: &ServiceName) -> Vec<Candidate> {
-    let servers = view.servers.of(service).filter(|server| leading.is_usable(&server.id));
+    let usable = view.servers.of(service).filter(|server| leading.is_usable(&server.id));
     let (bounded, free): (Vec<&Server>, Vec<&Server>) =
-        servers.partition(|server| server.is_cold() && server.cold_rate.is_some());
-    let mean = leading.mean_service_time(view.servers, service);
+        usable.partition(|server| server.is_cold() && server.cold_rate.is_some());
+    let mean = leading.mean_service_time();
     let candidate = |server: &Server| {
         let service_time = leading.demand.service_time(&server.id).unwrap_or(mean);
         let owner = Owner { server: server.id.clone(), addr: server.addr };
@@ -347,7 +352,8 @@
         Candidate { owner, capacity, cold }
     };
     let servers = if free.is_empty() { bounded } else { free };
-    servers.into_iter().map(candidate).collect()
+    let selected = owners::select(servers.into_iter(), &leading.owner_ids(), view.max_owners);
+    selected.into_iter().map(candidate).collect()
 }
 
 /// Capacity of a cold server: a part of its warm capacity, and at most its cold rate.
--- a/crates/jacinthbeam-range/src/lib.rs
+++ b/crates/jacinthbeam-range/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod grantor;
 pub mod key;
 pub mod map;
+pub mod owners;
 
 pub use grantor::{Action, Event, Grantor};
 pub use key::{Key, KeyRange};
--- a/crates/jacinthbeam-range/tests/grantor/harness.rs
+++ b/crates/jacinthbeam-range/tests/grantor/harness.rs
@@ -45,6 +45,8 @@
 pub struct Harness {
     pub now: Instant,
     pub servers: Servers,
+    pub max_owners: usize,
+    pub servers_stable: bool,
     pub grantor: Grantor,
     pub map: Option<Map>,
     /// Whether calls to the store get no answer.
@@ -104,6 +106,8 @@
         Self {
             now,
             servers,
+            max_owners: usize::MAX,
+            servers_stable: true,
             grantor,
             map,
             store_unreachable: false,
@@ -118,9 +122,18 @@
         }
     }
 
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        let view = View {
+            now: self.now,
+            servers: &self.servers,
+            servers_stable: self.servers_stable,
+            max_owners: self.max_owners,
+        };
+        self.grantor.step(view, event)
+    }
+
     pub fn feed(&mut self, event: Event) {
-        let view = View { now: self.now, servers: &self.servers, servers_stable: true };
-        for action in self.grantor.step(view, event) {
+        for action in self.step(event) {
             self.execute(action);
         }
     }
@@ -184,10 +197,9 @@
 
     /// Like `feed`, while calls to the store get no answer. Returns whether a record was appended.
     pub fn feed_without_store(&mut self, event: Event) -> bool {
-        let view = View { now: self.now, servers: &self.servers, servers_stable: true };
         let mut recorded = false;
         self.store_unreachable = true;
-        for action in self.grantor.step(view, event) {
+        for action in self.step(event) {
             match action {
                 Action::Record(_) => recorded = true,
                 Action::Check => {}
--- a/crates/jacinthbeam-range/tests/grantor/main.rs
+++ b/crates/jacinthbeam-range/tests/grantor/main.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod harness;
+mod owners;
 mod server;
 mod store;
 mod takeover;
--- a/crates/jacinthbeam-range/tests/grantor/server.rs
+++ b/crates/jacinthbeam-range/tests/grantor/server.rs
@@ -147,7 +147,12 @@
     let mut harness = Harness::leading();
     for _ in 0..50 {
         harness.now += TICK;
-        let view = View { now: harness.now, servers: &harness.servers, servers_stable: true };
+        let view = View {
+            now: harness.now,
+            servers: &harness.servers,
+            servers_stable: true,
+            max_owners: usize::MAX,
+        };
         for action in harness.grantor.step(view, Event::Tick) {
             let Action::Grant { to, grants, .. } = action else {
                 harness.execute(action);
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -163,7 +163,8 @@
     /// Passes an event to the host's grantor and executes the resulting actions.
     pub(super) fn feed(&mut self, n: usize, event: Event) {
         let listed = self.listed();
-        let view = View { now: self.now, servers: &listed, servers_stable: true };
+        let view =
+            View { now: self.now, servers: &listed, servers_stable: true, max_owners: usize::MAX };
         let led = self.hosts[n].grantor.leads();
         let actions = self.hosts[n].grantor.step(view, event);
         let leads = self.hosts[n].grantor.leads();
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -96,6 +96,14 @@
         reply
     }
 
+    /// Makes a call that appends, and returns the end of the partition after it.
+    pub async fn append(&self, call: &Call) -> Result<Offset, Error> {
+        match self.call(call).await? {
+            Reply::Kept(end) => Ok(end),
+            _ => Err(Error::Malformed("not the answer to an append".into())),
+        }
+    }
+
     async fn exchange(&self, call: &Call) -> Result<Reply, Error> {
         let pause = {
             let mut limiter =
