perf(host): consider a bounded number of servers for an unkeyed request

Cause: each request looked at every server of its service, and kept state and statistics for each, which were tidied four times a second: 3,225 of them on a host with a tenth of a core. Change: beyond 256 servers a request considers the host's subset of eight and up to sixteen drawn at random; what is not in the subset gets state when it is used. Up to 256 servers nothing changes. The list of servers keeps their ids by service and domain.

--- a/crates/jacinthbeam-dispatch/src/subset.rs
+++ b/crates/jacinthbeam-dispatch/src/subset.rs
@@ -7,6 +7,13 @@
 /// Number of servers in a host's preferred subset.
 pub const SUBSET_SIZE: usize = 8;
 
+/// Number of servers of a service up to which a host considers all of them for each request.
+pub const MAX_CONSIDERED: usize = 256;
+
+/// Number of servers that a host considers besides its subset where there are more, drawn at random for each request from those near it,
+/// and again from all.
+const DRAWN: usize = 8;
+
 /// Position of a host among those that share the servers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Position {
@@ -26,3 +33,29 @@
     let first = position.index as usize * count / position.hosts as usize;
     (index + count - first) % count < SUBSET_SIZE
 }
+
+/// The servers that a host at `position` considers for one request where there are too many to consider all: its subset of the `near` ones,
+/// and some drawn at random. Returns indexes of near servers, and after them of the `far` ones, each once.
+///
+/// The effort of a request thus doesn't grow with the service, and neither does what the host keeps of servers that it doesn't use.
+pub fn draw(
+    near: usize,
+    far: usize,
+    position: Position,
+    mut random: impl FnMut(usize) -> usize,
+) -> Vec<usize> {
+    let all = near + far;
+    // Without near servers, the hosts share the others.
+    let count = if near == 0 { far } else { near };
+    let first = match position.hosts {
+        0 => random(count.max(1)),
+        hosts => position.index as usize * count / hosts as usize,
+    };
+    let subset = (0..SUBSET_SIZE.min(count)).map(|n| (first + n) % count);
+    let mut drawn: Vec<usize> = subset.collect();
+    drawn.extend((0..DRAWN).filter(|_| near > 0).map(|_| random(near)));
+    drawn.extend((0..DRAWN).filter(|_| all > 0).map(|_| random(all)));
+    let mut seen = std::collections::BTreeSet::new();
+    drawn.retain(|at| seen.insert(*at));
+    drawn
+}
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -189,13 +189,20 @@
     /// State of a server, created at its first use.
     pub fn server(&self, server: &Server) -> Rc<ServerState> {
         let mut servers = self.servers.borrow_mut();
-        let new = || {
-            let stats = RefCell::new(ServerStats::new(self.now()));
-            let (pool, ended) = (Pool::new(server.addr), Cell::default());
-            let pacer = Cell::default();
-            Rc::new(ServerState { pool, stats, ended, broken: Broken::default(), pacer })
-        };
-        servers.entry(server.id.clone()).or_insert_with(new).clone()
+        servers.entry(server.id.clone()).or_insert_with(|| self.new_state(server)).clone()
+    }
+
+    /// State of a server, which is kept only if the server was used before.
+    pub fn used_server(&self, server: &Server) -> Rc<ServerState> {
+        let known = self.servers.borrow().get(&server.id).cloned();
+        known.unwrap_or_else(|| self.new_state(server))
+    }
+
+    fn new_state(&self, server: &Server) -> Rc<ServerState> {
+        let stats = RefCell::new(ServerStats::new(self.now()));
+        let (pool, ended) = (Pool::new(server.addr), Cell::default());
+        let pacer = Cell::default();
+        Rc::new(ServerState { pool, stats, ended, broken: Broken::default(), pacer })
     }
 
     /// Maximum number of connections of this host to one server, given the limit of its service and the number of hosts.
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -7,7 +7,7 @@
 
 use jacinthbeam_dispatch::{
     choose::{self, Candidate},
-    subset::is_in_subset,
+    subset::{self, is_in_subset},
 };
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
@@ -67,10 +67,10 @@
 /// Returns the server with the lowest expected latency among those that may get the request.
 fn pick_fastest(job: &Job, view: &View, tried: &[ServerId], now: Instant) -> Option<Server> {
     let domain = &job.traffic.settings.domain;
-    let states = with_subset_flag(view, &job.service, domain)
+    let states = considered_servers(view, &job.service, domain)
         .into_iter()
         .filter(|(server, _)| !tried.contains(&server.id) && job.allows_region_of(server))
-        .map(|(server, in_subset)| (server, in_subset, job.traffic.server(server)))
+        .map(|(server, in_subset)| (server, in_subset, state_of(job, server, in_subset)))
         .filter(|(server, _, state)| {
             !state.ended.get() && slow_start_allows(view, server, state, now)
         });
@@ -87,10 +87,32 @@
     choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
 }
 
-/// The servers of a service that take new work, each with whether it is in this host's preferred subset.
+/// State of a considered server. What is not used yet is kept only for the subset.
+fn state_of(job: &Job, server: &Server, in_subset: bool) -> Rc<ServerState> {
+    match in_subset {
+        true => job.traffic.server(server),
+        false => job.traffic.used_server(server),
+    }
+}
+
+/// The servers of a service that are considered for a request, each with whether it is in this host's preferred subset: all that take new
+/// work, or some of them if there are many.
+fn considered_servers<'a>(
+    view: &'a View,
+    service: &'a ServiceName,
+    domain: &FailureDomain,
+) -> Vec<(&'a Server, bool)> {
+    let count: usize = view.servers.ids_of(service).map(|(_, ids)| ids.len()).sum();
+    match count <= subset::MAX_CONSIDERED {
+        true => all_servers(view, service, domain),
+        false => drawn_servers(view, service, domain),
+    }
+}
+
+/// All servers that take new work.
 ///
 /// The subset is drawn from the servers of the host's own failure domain, or from all servers if there is none in it.
-fn with_subset_flag<'a>(
+fn all_servers<'a>(
     view: &'a View,
     service: &'a ServiceName,
     domain: &FailureDomain,
@@ -108,6 +130,38 @@
     servers.into_iter().map(in_subset).collect()
 }
 
+/// The subset, and some other servers that are drawn at random.
+fn drawn_servers<'a>(
+    view: &'a View,
+    service: &ServiceName,
+    domain: &FailureDomain,
+) -> Vec<(&'a Server, bool)> {
+    let (near, far): (Vec<_>, Vec<_>) =
+        view.servers.ids_of(service).partition(|(other, _)| *other == domain);
+    let count =
+        |lists: &[(&FailureDomain, &[ServerId])]| lists.iter().map(|(_, ids)| ids.len()).sum();
+    let drawn = subset::draw(count(&near), count(&far), view.subset_position, |below| {
+        fastrand::usize(..below)
+    });
+    let lists: Vec<&[ServerId]> = near.iter().chain(&far).map(|(_, ids)| *ids).collect();
+    let server = |(n, at): (usize, usize)| {
+        let server = view.servers.get(nth(&lists, at)?)?;
+        (!server.draining).then_some((server, n < subset::SUBSET_SIZE))
+    };
+    drawn.into_iter().enumerate().filter_map(server).collect()
+}
+
+/// The element at an index of several lists after each other.
+fn nth<'a>(lists: &[&'a [ServerId]], mut at: usize) -> Option<&'a ServerId> {
+    for list in lists {
+        match list.get(at) {
+            Some(id) => return Some(id),
+            None => at -= list.len(),
+        }
+    }
+    None
+}
+
 /// Whether a server is warm, or its slow start allows a request of this host now.
 fn slow_start_allows(view: &View, server: &Server, state: &ServerState, now: Instant) -> bool {
     let Some(cold) = view.cold_server(&server.id, now) else { return true };
--- a/crates/jacinthbeam-route/src/server.rs
+++ b/crates/jacinthbeam-route/src/server.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Servers {
     by_id: BTreeMap<ServerId, Server>,
+    /// The ids of the servers of each service in each failure domain, ascending.
+    by_service: BTreeMap<ServiceName, BTreeMap<FailureDomain, Vec<ServerId>>>,
 }
 
 impl Servers {
@@ -46,13 +48,34 @@
         if self.by_id.get(&server.id) == Some(&server) {
             return false;
         }
+        self.remove(&server.id);
+        let domains = self.by_service.entry(server.service.clone()).or_default();
+        let ids = domains.entry(server.domain.clone()).or_default();
+        let at = ids.partition_point(|id| *id < server.id);
+        ids.insert(at, server.id.clone());
         self.by_id.insert(server.id.clone(), server);
         true
     }
 
     /// Removes a server. Returns whether it was in the list.
     pub fn remove(&mut self, id: &ServerId) -> bool {
-        self.by_id.remove(id).is_some()
+        let Some(server) = self.by_id.remove(id) else { return false };
+        self.unlist(&server);
+        true
+    }
+
+    fn unlist(&mut self, server: &Server) {
+        let Some(domains) = self.by_service.get_mut(&server.service) else { return };
+        let Some(ids) = domains.get_mut(&server.domain) else { return };
+        if let Ok(at) = ids.binary_search(&server.id) {
+            ids.remove(at);
+        }
+        if ids.is_empty() {
+            domains.remove(&server.domain);
+        }
+        if domains.is_empty() {
+            self.by_service.remove(&server.service);
+        }
     }
 
     /// The latest incarnation in the list with the name of `id`, if it differs from `id`. Everything that `id` held is lost then.
@@ -73,11 +96,20 @@
         self.by_id.values()
     }
 
-    /// The servers of a service that accept new requests.
+    /// The servers of a service that accept new requests, by id.
     pub fn of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Server> {
         self.iter().filter(move |server| server.service == *service && !server.draining)
     }
 
+    /// The ids of all servers of a service, also of those that accept no new requests, by failure domain and ascending.
+    pub fn ids_of(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&FailureDomain, &[ServerId])> {
+        let domains = self.by_service.get(service).into_iter().flatten();
+        domains.map(|(domain, ids)| (domain, ids.as_slice()))
+    }
+
     /// Whether `id` is in the list and accepts new requests.
     pub fn takes_work(&self, id: &ServerId) -> bool {
         self.get(id).is_some_and(|server| !server.draining)
