fix(host): time out an update by its progress, not by its size

Cause: the answer to an update request had 300 ms in all beyond its wait. The whole state of a large fleet (600 KB reckoned for 9,999 servers) takes a link of 20 Mbit/s 240 ms and a host with a tenth of a core some more, so a host that starts could fail again and again and turn to the store. Change: 300 ms for the head, and for each further part of the body.

--- a/crates/jacinthbeam-host/src/process/peers/link.rs
+++ b/crates/jacinthbeam-host/src/process/peers/link.rs
@@ -2,10 +2,13 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http2::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::http2::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
 
@@ -18,7 +21,8 @@
 /// get no data until the attempt times out.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Timeout of a request, in addition to the wait that it allows.
+/// Timeout of the head of an answer, in addition to the wait that the request allows, and of each further part of the body. The whole state
+/// of a large fleet takes a slow link longer than this.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Why a request failed.
@@ -77,23 +81,30 @@
         Ok(Self { sender })
     }
 
-    /// Requests an update. Times out after the wait that the request allows plus [`ANSWER_TIMEOUT`].
+    /// Requests an update. Fails if nothing arrives for [`ANSWER_TIMEOUT`] after the wait that the request allows.
     pub(crate) async fn ask(&mut self, request: &UpdateRequest) -> Result<StateUpdate, Error> {
         let body = Full::new(Bytes::from(update::to_bytes(request)));
         let req =
             Request::post(format!("http://host{PATH}")).body(body).expect("the path is valid");
-        timeout(request.wait + ANSWER_TIMEOUT, self.exchange(req))
-            .await
-            .map_err(|_| Error::Silent)?
-    }
-
-    async fn exchange(&mut self, req: Request<Full<Bytes>>) -> Result<StateUpdate, Error> {
-        let res = self.sender.send_request(req).await.map_err(Error::Ended)?;
+        let head = timeout(request.wait + ANSWER_TIMEOUT, self.sender.send_request(req));
+        let res = head.await.map_err(|_| Error::Silent)?.map_err(Error::Ended)?;
         if res.status() != StatusCode::OK {
             return Err(Error::Status(res.status()));
         }
-        let body = Limited::new(res.into_body(), update::MAX_MESSAGE_BYTES).collect().await;
-        let bytes = body.map_err(|err| Error::Unreadable(err.to_string()))?.to_bytes();
+        let bytes = read_body(Limited::new(res.into_body(), update::MAX_MESSAGE_BYTES)).await?;
         update::from_bytes(&bytes).map_err(|err| Error::Unreadable(err.to_string()))
     }
 }
+
+async fn read_body(mut body: Limited<Incoming>) -> Result<BytesMut, Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) =
+        timeout(ANSWER_TIMEOUT, body.frame()).await.map_err(|_| Error::Silent)?
+    {
+        let frame = frame.map_err(|err| Error::Unreadable(err.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes)
+}
