feat(host): relays, and entries of hosts written by the host that they follow

Cause: at the first start of the whole fleet each of 984 hosts appended its entry to the one partition of the list of hosts at the same moment (2 ms each, one at a time, refused beyond a wait of 2 s) and read the whole list. Calls timed out and were sent again; 400 ms later hosts knew nobody, and nearly all read the store themselves, servers, maps and all. The load stayed after its cause had gone: 52,112 calls, 398 of 984 hosts ready when traffic began. Change: a few hosts of each failure domain list themselves as relays, those with more processor first, by turns that double the number of hosts each 50 ms until enough are listed; all others read that short list once and follow a relay, which writes their entries, many in one append. Relays come first in the order of readers, so that a host that has just started and one that knows all agree on it; a host stops following one that it learns it precedes; a host that has read the store for 3 s becomes a relay.

--- a/crates/jacinthbeam-host/src/process/control/crashes.rs
+++ b/crates/jacinthbeam-host/src/process/control/crashes.rs
@@ -78,7 +78,11 @@
     pub(super) fn build_request(&self, of: SocketAddr, scope: UpdateScope) -> UpdateRequest {
         let now = self.clock.now();
         let mut request = match scope {
-            UpdateScope::All => self.replica.update_request(feed::MAX_WAIT),
+            UpdateScope::All => {
+                let mut request = self.replica.update_request(feed::MAX_WAIT);
+                self.add_registration(&mut request, self.last_source == Some(of));
+                request
+            }
             UpdateScope::Crashes => UpdateRequest {
                 only_crashes: true,
                 wait: cross_domain::MAX_WAIT,
@@ -95,6 +99,7 @@
 
     /// What this host has and the requesting host lacks.
     pub(super) fn answer_request(&mut self, request: &UpdateRequest) -> StateUpdate {
+        self.enrol(request);
         let now = self.clock.now();
         let update = match request.only_crashes {
             true => StateUpdate::default(),
--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -20,6 +20,9 @@
 /// Interval between two joins: three in a lease, so that one lost answer does not end it.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between two decisions whether this host is a standby, each of which looks at all hosts.
+const STANDBY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Name of the group in the store.
 const GROUP: &str = "grantors";
 
@@ -134,8 +137,13 @@
 impl Control {
     /// Decides from the known hosts and the heartbeats of grantors whether this host is a standby.
     pub(super) fn update_standby(&mut self) {
+        let now = self.clock.now();
+        if self.standby_updated.is_some_and(|at| now < at + STANDBY_INTERVAL) {
+            return;
+        }
+        self.standby_updated = Some(now);
         let fleet = self.replica.hosts().map(|(_, entry)| (&entry.domain, entry.processor));
-        let stands_by = self.standby.stands_by(self.clock.now(), self.settings.processor, fleet);
+        let stands_by = self.standby.stands_by(now, self.settings.processor, fleet);
         if self.duty_request.stands_by.replace(stands_by) != stands_by {
             tracing::info!(part = "duty", event = "stands-by", stands_by = %stands_by, processor = %self.settings.processor);
         }
--- a/crates/jacinthbeam-host/src/process/control/feed.rs
+++ b/crates/jacinthbeam-host/src/process/control/feed.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_types::prelude::*;
 use tokio::sync::watch;
 
 use super::{
@@ -93,6 +94,11 @@
         *self.direct.borrow() && self.contact.is_store_answering(self.now())
     }
 
+    /// Whether a host precedes this one in the order of its failure domain, as far as is known now.
+    fn is_preceded_by(&self, host: &HostId) -> bool {
+        self.neighbours.borrow().as_ref().is_some_and(|neighbours| neighbours.is_preceded_by(host))
+    }
+
     fn age(&self) -> Duration {
         self.contact.age(self.now())
     }
@@ -140,6 +146,10 @@
                         tracing::info!(part = "feed", event = "follows", host = %host, steps = %answer.steps);
                     }
                     set_direct(feed, false);
+                    if !feed.is_preceded_by(host) {
+                        // The list of hosts has shown that this host comes first.
+                        break None;
+                    }
                 }
                 Err(why) => break Some((NoAnswer::Silent, why)),
             }
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -47,6 +47,7 @@
             Self::Tick => InputKind::Tick,
             Self::Datagram(Message::Load { .. }) => InputKind::Report,
             Self::Hosts(_)
+            | Self::Relays(_)
             | Self::Maps { .. }
             | Self::Duties(_)
             | Self::MapWritten { .. }
@@ -68,6 +69,8 @@
     Servers(Instant, Changes),
     /// Newer entries of hosts.
     Hosts(Changes),
+    /// The relays, once this host has registered.
+    Relays(Changes),
     /// Newer ownership maps of a partition.
     Maps {
         /// Number of the partition.
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -146,7 +146,19 @@
         self.has_read_hosts = true;
         self.replica.mark_hosts_current(changes.end);
         self.on_changed(Changed { hosts: changed, ..Changed::default() });
-        // Also without a change: the first host of a fleet reads an empty list, which the feed must know of.
+    }
+
+    pub(super) fn on_relays(&mut self, relays: &Changes) {
+        let mut changed = false;
+        for item in &relays.items {
+            match (item.key.parse::<HostId>(), HostEntry::from_bytes(&item.value)) {
+                (Ok(host), Ok(entry)) => changed |= self.replica.apply_relay(host, entry),
+                (Err(err), _) => self.note_unreadable("relay", item, &err.to_string()),
+                (_, Err(err)) => self.note_unreadable("relay", item, &err.to_string()),
+            }
+        }
+        self.on_changed(Changed { hosts: changed, ..Changed::default() });
+        // Also without a change: the first relay of a fleet may be the only one, which the feed must know of.
         self.publish_neighbours();
     }
 
@@ -164,6 +176,7 @@
         if scope == UpdateScope::Crashes {
             return;
         }
+        self.last_source = Some(of);
         let as_of = answered.checked_sub(update.age);
         let steps = update.steps;
         let services: Vec<ServiceName> =
@@ -189,6 +202,8 @@
         self.publish();
         if changed.hosts {
             self.publish_neighbours();
+            self.standby_updated = None;
+            self.update_standby();
         }
         if changed.config {
             self.start_keyed_services();
@@ -238,7 +253,8 @@
     }
 
     /// Publishes the other hosts, in their order, to the tasks that poll them.
-    fn publish_neighbours(&self) {
+    fn publish_neighbours(&mut self) {
+        self.standby.on_hosts_known();
         let neighbours = Neighbours::of(&self.me.host, &self.entry(), self.replica.hosts());
         self.neighbours.send_if_modified(|known| {
             let changed = known.as_ref() != Some(&neighbours);
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod cross_domain;
 mod duty;
+mod enrolment;
 mod feed;
 mod follow;
 mod gates;
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,7 +13,11 @@
 use jacinthbeam_range::{Event, Grantor, Leader};
 use jacinthbeam_store::{Client, Observer, Partition};
 use jacinthbeam_types::prelude::*;
-use tokio::{net::UdpSocket, sync::watch, task::spawn_local};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    task::spawn_local,
+};
 
 use super::{
     Start,
@@ -21,6 +26,7 @@
     crashes::{self, EVIDENCE_PREFIX, Recorder},
     cross_domain::{self, CrossDomain},
     duty,
+    enrolment::Enroller,
     feed::{self, Feed},
     follow::{
         self, FollowOptions, HOSTS_MAX_WAIT, HOSTS_READ_INTERVAL, OPERATOR_MAX_WAIT, Read,
@@ -88,6 +94,10 @@
     pub(super) evidence: watch::Sender<Bytes>,
     /// Whether this process has read the list of hosts from the store, and the evidence in the same partition.
     pub(super) has_read_hosts: bool,
+    /// Entries of hosts that follow this one, to be written to the list of hosts.
+    pub(super) enrolments: mpsc::UnboundedSender<(HostId, HostEntry)>,
+    /// Address of the host that sent the latest update of the store's data.
+    pub(super) last_source: Option<SocketAddr>,
     /// Log position up to which crash facts are to be sent to other hosts without waiting for the next request.
     pub(super) push_end: watch::Sender<LogPosition>,
     /// How recent this host's knowledge of the store is.
@@ -100,6 +110,8 @@
     pub(super) duty_request: Rc<duty::DutyRequest>,
     /// Decides whether this host leaves duties to hosts with more processor.
     pub(super) standby: Standby,
+    /// When that was last decided.
+    pub(super) standby_updated: Option<Instant>,
     pub(super) has_joined: bool,
     pub(super) partitions: BTreeMap<u32, MapPartition>,
     pub(super) granting: BTreeMap<ServiceName, Granting>,
@@ -141,12 +153,15 @@
             crash_sync: crashes::SyncState::default(),
             evidence: watch::channel(Bytes::new()).0,
             has_read_hosts: false,
+            enrolments: mpsc::unbounded_channel().0,
+            last_source: None,
             push_end: watch::channel(LogPosition::default()).0,
             contact: Rc::default(),
             direct: Rc::new(watch::channel(false).0),
             neighbours: watch::channel(None).0,
             duties: BTreeSet::new(),
             duty_request: Rc::default(),
+            standby_updated: None,
             has_joined: false,
             partitions: BTreeMap::new(),
             granting: BTreeMap::new(),
@@ -182,11 +197,19 @@
         });
         spawn_local(registration::run(Registration {
             lane: self.store.lane(),
-            list: hosts.clone(),
+            relays: Partition { topic: store_layout.relays.into(), number: 0 },
+            hosts: hosts.clone(),
             host: self.me.host.clone(),
-            entry: self.entry(),
+            entry: HostEntry { relay: true, ..self.entry() },
+            processor: self.settings.processor,
+            first_start: self.settings.first_start,
+            direct: self.direct.clone(),
             tx: self.tx.clone(),
         }));
+        let (enrolments, entries) = mpsc::unbounded_channel();
+        self.enrolments = enrolments;
+        let (lane, clock) = (self.store.lane(), self.clock.clone());
+        spawn_local(Enroller { lane, to: hosts.clone(), entries, clock }.run());
         let recorder = Recorder {
             lane: self.store.lane(),
             to: hosts,
@@ -216,6 +239,7 @@
     /// This host's entry in the list of hosts.
     pub(super) fn entry(&self) -> HostEntry {
         HostEntry {
+            relay: self.replica.is_relay(&self.me.host),
             addr: self.settings.peers,
             domain: self.settings.domain.clone(),
             processor: self.settings.processor,
@@ -253,6 +277,7 @@
             Input::Operator(as_of, changes) => self.on_operator(as_of, &changes),
             Input::Servers(sent_at, changes) => self.on_servers(sent_at, changes),
             Input::Hosts(changes) => self.on_hosts(&changes),
+            Input::Relays(relays) => self.on_relays(&relays),
             Input::Maps { partition, sent_at, changes } => {
                 self.on_maps(partition, sent_at, changes)
             }
--- a/crates/jacinthbeam-host/src/process/membership/standby.rs
+++ b/crates/jacinthbeam-host/src/process/membership/standby.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Standby {
     started: Instant,
+    /// Whether a list of hosts is known, and with it those with more processor.
+    hosts_known: bool,
     /// The latest heartbeat of another granting host.
     heartbeat: Option<Instant>,
 }
@@ -36,7 +38,12 @@
 impl Standby {
     /// A process that starts now.
     pub fn new(now: Instant) -> Self {
-        Self { started: now, heartbeat: None }
+        Self { started: now, hosts_known: false, heartbeat: None }
+    }
+
+    /// A list of hosts has become known.
+    pub fn on_hosts_known(&mut self) {
+        self.hosts_known = true;
     }
 
     /// A heartbeat arrived from another granting host.
@@ -52,7 +59,7 @@
         fleet: impl Iterator<Item = (&'a FailureDomain, Millicores)>,
     ) -> bool {
         let fleet: Vec<_> = fleet.collect();
-        if fleet.len() < MIN_HOSTS && now < self.started + DISCOVERY_TIME {
+        if !self.hosts_known || fleet.len() < MIN_HOSTS && now < self.started + DISCOVERY_TIME {
             return true;
         }
         let silent_since = self.heartbeat.map_or(self.started, |at| at.max(self.started));
--- a/crates/jacinthbeam-host/src/process/peers/mod.rs
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -1,9 +1,11 @@
 //! Communication between hosts: load reports and gates as datagrams, updates of the store's data over HTTP/2.
 
+pub mod enrolment;
 pub(super) mod link;
 pub mod load;
 pub mod long_poll;
 pub mod order;
+pub mod relay;
 pub(super) mod serve;
 pub mod source;
 pub mod update;
@@ -22,6 +24,8 @@
     pub domain: FailureDomain,
     /// Its share of a processor.
     pub processor: Millicores,
+    /// Whether it is a relay, which hosts ask first that know no others.
+    pub relay: bool,
 }
 
 impl HostEntry {
@@ -32,14 +36,17 @@
             .expect("an entry has no type that can't be encoded")
     }
 
-    /// Decodes an entry, also one of an earlier version without the processor.
+    /// Decodes an entry, also one of an earlier version without the processor, or without the mark of a relay.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
         let cfg = bincode::config::standard();
         let ((addr, domain), len) = bincode::serde::decode_from_slice(bytes, cfg)?;
-        let processor = match &bytes[len..] {
-            [] => Millicores::default(),
-            rest => bincode::serde::decode_from_slice(rest, cfg)?.0,
+        let (processor, relay) = match &bytes[len..] {
+            [] => (Millicores::default(), false),
+            rest => {
+                let (processor, len) = bincode::serde::decode_from_slice(rest, cfg)?;
+                (processor, rest.get(len).is_some_and(|relay| *relay != 0))
+            }
         };
-        Ok(Self { addr, domain, processor })
+        Ok(Self { addr, domain, processor, relay })
     }
 }
--- a/crates/jacinthbeam-host/src/process/peers/order.rs
+++ b/crates/jacinthbeam-host/src/process/peers/order.rs
@@ -1,11 +1,10 @@
 //! The order in which the hosts of a failure domain read the store for each other. No I/O.
 //!
-//! There is no election: each host derives the same order from the list of hosts. Hosts with more processor come first, since a reader answers
-//! all other hosts of its domain; equal ones are ordered by name.
+//! There is no election: each host derives the same order from the list of hosts. Relays come first, since a host that has just started knows
+//! only them; then hosts with more processor, since a reader answers all other hosts of its domain; equal ones are ordered by name.
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
-use jacinthbeam_store::keyed::Changes;
 use jacinthbeam_types::prelude::*;
 
 use super::HostEntry;
@@ -54,33 +53,24 @@
         neighbours
     }
 
+    /// Whether a host of its own failure domain precedes it.
+    pub fn is_preceded_by(&self, host: &HostId) -> bool {
+        self.before.iter().any(|(before, _)| before == host)
+    }
+
     /// Whether no other host is known.
     pub fn is_empty(&self) -> bool {
         self.before.is_empty() && self.after.is_empty() && self.far.is_empty()
     }
 }
 
-fn sort_key<'a>(host: &'a HostId, entry: &HostEntry) -> (Reverse<Millicores>, &'a HostId) {
-    (Reverse(entry.processor), host)
+fn sort_key<'a>(
+    host: &'a HostId,
+    entry: &HostEntry,
+) -> (Reverse<bool>, Reverse<Millicores>, &'a HostId) {
+    (Reverse(entry.relay), Reverse(entry.processor), host)
 }
 
 fn to_neighbours(hosts: &[(&HostId, &HostEntry)]) -> Vec<Neighbour> {
     hosts.iter().map(|(host, entry)| ((*host).clone(), entry.addr)).collect()
 }
-
-/// Whether the list contains exactly this entry of a host.
-pub fn is_listed(me: &HostId, own: &HostEntry, listed: &Changes) -> bool {
-    let own = own.to_bytes();
-    listed.items.iter().any(|item| item.key == me.as_str() && item.value == own)
-}
-
-/// Whether no listed host precedes this one.
-pub fn is_first(me: &HostId, own: &HostEntry, listed: &Changes) -> bool {
-    let fleet: Vec<_> = listed
-        .items
-        .iter()
-        .filter_map(|item| Some((item.key.parse().ok()?, HostEntry::from_bytes(&item.value).ok()?)))
-        .collect();
-    let fleet = fleet.iter().map(|(host, entry): &(HostId, HostEntry)| (host, entry));
-    Neighbours::of(me, own, fleet).before.is_empty()
-}
--- a/crates/jacinthbeam-host/src/process/peers/source.rs
+++ b/crates/jacinthbeam-host/src/process/peers/source.rs
@@ -27,7 +27,7 @@
 pub const MAX_RETRYING_HOSTS: usize = 3;
 
 /// Number of preceding hosts that a host polls in turn: those that may call the store, and one more, since one of them may be stopping.
-const POLLED_HOSTS: usize = MAX_RETRYING_HOSTS + 1;
+pub const POLLED_HOSTS: usize = MAX_RETRYING_HOSTS + 1;
 
 /// Time that a host leaves each preceding host for becoming a reader, before it reads the store itself. A new reader is assumed to get its
 /// first answer in some 20 ms, and a host with a tenth of a core is throttled for 100 ms at a time.
--- a/crates/jacinthbeam-host/src/process/peers/update.rs
+++ b/crates/jacinthbeam-host/src/process/peers/update.rs
@@ -30,6 +30,8 @@
     pub only_crashes: bool,
     /// How long the answer may be held back if there is nothing new.
     pub wait: Duration,
+    /// The requesting host and its entry, while it follows the other one and doesn't know of an entry of its own in the store.
+    pub register: Option<(HostId, HostEntry)>,
 }
 
 /// What is newer than the state described in an [`UpdateRequest`].
--- a/crates/jacinthbeam-host/src/process/replica/hosts.rs
+++ b/crates/jacinthbeam-host/src/process/replica/hosts.rs
@@ -14,6 +14,26 @@
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
     }
 
+    /// Whether the list contains exactly this entry of a host, from a record of the store.
+    pub fn lists_host(&self, host: &HostId, entry: &HostEntry) -> bool {
+        let known = self.hosts.get(host);
+        known.is_some_and(|(offset, known)| offset.is_some() && known == entry)
+    }
+
+    /// Adds a relay, unless the host is known. Returns whether it was added. The host's own entry in the list of hosts replaces it.
+    pub fn apply_relay(&mut self, host: HostId, entry: HostEntry) -> bool {
+        let is_new = !self.hosts.contains_key(&host);
+        if is_new {
+            self.hosts.insert(host, (None, entry));
+        }
+        is_new
+    }
+
+    /// Whether a host is a relay.
+    pub fn is_relay(&self, host: &HostId) -> bool {
+        self.hosts.get(host).is_some_and(|(_, entry)| entry.relay)
+    }
+
     /// The rank of a host in the list of all hosts.
     pub fn rank(&self, host: &HostId) -> Rank {
         match self.hosts.contains_key(host) {
@@ -35,9 +55,9 @@
 
     /// Applies the record of a host. Returns whether it is newer than the known one.
     pub fn apply_host(&mut self, host: HostId, offset: Offset, entry: HostEntry) -> bool {
-        let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < offset);
+        let newer = self.hosts.get(&host).is_none_or(|(known, _)| *known < Some(offset));
         if newer {
-            self.hosts.insert(host, (offset, entry));
+            self.hosts.insert(host, (Some(offset), entry));
         }
         newer
     }
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -63,7 +63,8 @@
     forgotten_before: Offset,
     /// When a server was last added, removed or changed; `None` until the list was read.
     servers_changed: Option<Instant>,
-    hosts: BTreeMap<HostId, (Offset, HostEntry)>,
+    /// Entries of hosts with their offsets in the list of hosts; `None` for relays that were not found there yet.
+    hosts: BTreeMap<HostId, (Option<Offset>, HostEntry)>,
     hosts_end: Offset,
     maps: BTreeMap<ServiceName, MapHistory>,
     /// The list of servers for requests, rebuilt at each change.
@@ -276,6 +277,7 @@
             crashes: None,
             only_crashes: false,
             wait,
+            register: None,
         }
     }
 
@@ -285,7 +287,10 @@
         let all_servers = request.servers_end <= self.forgotten_before;
         let servers =
             self.servers.iter().filter(|(_, e)| all_servers || e.offset >= request.servers_end);
-        let hosts = self.hosts.iter().filter(|(_, (offset, _))| *offset >= request.hosts_end);
+        let hosts = self.hosts.iter().filter_map(|(host, (offset, entry))| {
+            let offset = offset.filter(|offset| *offset >= request.hosts_end)?;
+            Some((host.clone(), offset, entry.clone()))
+        });
         let maps = self.maps.iter().filter_map(|(service, map)| {
             Some((service.clone(), map.update_for(request.maps.get(service).copied())?))
         });
@@ -306,9 +311,7 @@
             servers: servers.map(entry).collect(),
             servers_end: self.servers_end,
             all_servers,
-            hosts: hosts
-                .map(|(id, (offset, entry))| (id.clone(), *offset, entry.clone()))
-                .collect(),
+            hosts: hosts.collect(),
             hosts_end: self.hosts_end,
             maps: maps.collect(),
             crashes: None,
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -55,6 +55,8 @@
     pub maps: &'static str,
     /// Keyed topic in which each host publishes its address and failure domain.
     pub hosts: &'static str,
+    /// Keyed topic in which the relays of each failure domain publish the same.
+    pub relays: &'static str,
     /// Topic with one partition for each duty to grant keys.
     pub duties: &'static str,
     /// Keyed topic of the usage that each host charges to teams.
--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -126,6 +126,7 @@
         processor: Millicores::CORE,
         addr: format!("127.0.0.1:{port}").parse().unwrap(),
         domain: "a".parse().unwrap(),
+        relay: false,
     };
     let (mut near, mut host) = (StoreReplica::default(), StoreReplica::default());
     let h1: HostId = "h1".parse().unwrap();
--- a/crates/jacinthbeam-host/tests/source.rs
+++ b/crates/jacinthbeam-host/tests/source.rs
@@ -194,6 +194,7 @@
         addr: addr(n),
         domain: domain.parse().unwrap(),
         processor: Millicores(processor),
+        relay: false,
     };
     let fleet = [
         (host(1).0, entry(1, "a", 100)),
--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -21,6 +21,7 @@
     servers: || Partition { topic: "servers".into(), number: 0 },
     maps: "owners",
     hosts: "hosts",
+    relays: "relays",
     duties: "duties",
     usage: "usage",
 };
--- a/crates/jacinthbeam-standin/src/store.rs
+++ b/crates/jacinthbeam-standin/src/store.rs
@@ -104,6 +104,13 @@
                     _ => Ok(Reply::Kept(self.put(to, key, value.clone()))),
                 }
             }
+            Call::PutAll { to, records } => {
+                let mut end = Offset(self.logs.get(to).map_or(0, |log| log.records.len() as u64));
+                for (key, value) in records {
+                    end = self.put(to, key, value.clone());
+                }
+                Ok(Reply::Kept(end))
+            }
             Call::Read { from, at, .. } => self.read(from, at.0),
             Call::Newest { from, after } => Ok(Reply::Page(self.newest(from, after.as_deref()))),
             Call::Join { group, member, topic, lease, .. } => {
--- a/crates/jacinthbeam-store/src/call.rs
+++ b/crates/jacinthbeam-store/src/call.rs
@@ -36,6 +36,13 @@
         /// If set, the call fails with [`Error::Conflict`] unless the partition ends at this offset.
         only_at: Option<Offset>,
     },
+    /// Appends several records with keys to a keyed partition, all or none of them.
+    PutAll {
+        /// The partition to append to.
+        to: Partition,
+        /// Keys and values, with the same limits as in [`Call::Put`].
+        records: Vec<(String, Bytes)>,
+    },
     /// Reads records from an offset on. If there are none yet, waits for one.
     Read {
         /// The partition to read.
@@ -78,7 +85,7 @@
     /// Name of the operation, for logs and metrics.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::Put { .. } => "put",
+            Self::Put { .. } | Self::PutAll { .. } => "put",
             Self::Read { .. } => "read",
             Self::Newest { .. } => "newest",
             Self::Join { .. } => "join",
@@ -90,7 +97,7 @@
 /// The result of a successful call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// Result of [`Call::Put`]: the end of the partition after the new record.
+    /// Result of [`Call::Put`] and [`Call::PutAll`]: the end of the partition after the new records.
     Kept(Offset),
     /// Result of [`Call::Read`].
     Records {
