perf(host): derive only what has changed of the list of servers

Cause: each change of a server, and each server that became warm, rebuilt the list of all servers on every host: with 9,999 that start at 320 a second, ten times a second for half a minute. Each answer to a follower looked at all servers, and a complete list was compared with each known server, entry by entry. Change: outdated entries are replaced in a copy of the list, servers become warm at most twice a second, an index by offset finds what a follower lacks, and the comparison uses a set.

--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -53,6 +53,10 @@
     version::{ColdServer, Freshness, View},
 };
 
+/// Shortest interval between two updates of the list for servers that have become warm. While thousands of servers start, some do so at each
+/// tick, and each update copies the list.
+const COLD_EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The grantor of one service and the state beside it.
 #[derive(Debug)]
 pub(super) struct Granting {
@@ -86,6 +90,8 @@
     pub(super) replica: StoreReplica,
     /// Cold servers, and whether this host is selected as a sender to each among the known hosts.
     pub(super) cold_assignments: BTreeMap<ServerId, ColdServer>,
+    /// When servers were last listed as warm.
+    pub(super) cold_expired: Option<Instant>,
     /// Crash evidence against requests.
     pub(super) crashes: Exchange,
     /// Progress of publishing and recording it.
@@ -149,6 +155,7 @@
             tx,
             replica: StoreReplica::default(),
             cold_assignments: BTreeMap::new(),
+            cold_expired: None,
             crashes: Exchange::new(me.host.clone(), incarnation),
             crash_sync: crashes::SyncState::default(),
             evidence: watch::channel(Bytes::new()).0,
@@ -308,9 +315,7 @@
             Input::Datagram(message) => self.on_datagram(message),
             Input::Tick => {
                 self.publish_freshness();
-                if self.replica.expire_cold_servers(self.clock.now()) {
-                    self.on_changed(Changed { servers: true, ..Changed::default() });
-                }
+                self.expire_cold_servers();
                 self.update_standby();
                 self.step_all(&Event::Tick);
                 self.publish_gates();
@@ -327,6 +332,18 @@
         }
     }
 
+    /// Lists servers as warm that have become so, at most once in [`COLD_EXPIRY_INTERVAL`].
+    fn expire_cold_servers(&mut self) {
+        let now = self.clock.now();
+        if self.cold_expired.is_some_and(|at| now < at + COLD_EXPIRY_INTERVAL) {
+            return;
+        }
+        if self.replica.expire_cold_servers(now) {
+            self.cold_expired = Some(now);
+            self.on_changed(Changed { servers: true, ..Changed::default() });
+        }
+    }
+
     /// Does once per batch of inputs what need not be done per input: ticks the grantors of services with released keys, and publishes crash
     /// facts.
     pub(super) fn finish_batch(&mut self) {
--- a/crates/jacinthbeam-host/src/process/replica/listing.rs
+++ b/crates/jacinthbeam-host/src/process/replica/listing.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_route::{Server, Servers};
+use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
 use super::{Entry, StoreReplica};
@@ -15,11 +15,20 @@
     /// Rebuilds the list of servers. Servers of an evacuated domain are draining; servers are cold until they have warmed up, and again after the
     /// end of an evacuation if their service has slow start.
     pub(super) fn list_servers(&mut self, now: Instant) {
-        let mut list = Servers::default();
-        self.cold.clear();
-        for entry in self.servers.values_mut() {
+        self.outdated = self.servers.keys().cloned().collect();
+        self.update_list(now);
+    }
+
+    /// Replaces the outdated entries of the list.
+    pub(super) fn update_list(&mut self, now: Instant) {
+        let list = Arc::make_mut(&mut self.list);
+        for name in std::mem::take(&mut self.outdated) {
+            let Some(entry) = self.servers.get_mut(&name) else { continue };
+            if let Some(listed) = entry.listed.take() {
+                list.remove(&listed);
+                self.cold.remove(&listed);
+            }
             let Some(server) = &entry.server else { continue };
-            let mut server = server.clone();
             let slow_start = self.config.as_ref().and_then(|cfg| {
                 cfg.services.get(&server.service).and_then(|service| service.slow_start)
             });
@@ -30,22 +39,28 @@
             let warm_again =
                 slow_start.and_then(|slow_start| returned?.checked_add(slow_start.lasts));
             let warm_at = entry.warm_at.max(warm_again).filter(|at| *at > now);
-            server.draining |= self.evacuations.since(&server.domain).is_some();
-            server.cold_rate = slow_start.map(|slow_start| slow_start.rate);
-            server.warmup_left = warm_at.map_or(Duration::ZERO, |at| at - now);
+            let server = Server {
+                draining: server.draining || self.evacuations.since(&server.domain).is_some(),
+                cold_rate: slow_start.map(|slow_start| slow_start.rate),
+                warmup_left: warm_at.map_or(Duration::ZERO, |at| at - now),
+                ..server.clone()
+            };
             self.cold.extend(warm_at.map(|at| (server.id.clone(), at)));
+            entry.listed = Some(server.id.clone());
             list.insert(server);
         }
-        self.list = Arc::new(list);
         let leaving = |entry: &Entry| Some((entry.incarnation.clone(), entry.leaving?));
         self.leaving = Arc::new(self.servers.values().filter_map(leaving).collect());
     }
 
-    /// Rebuilds the list if a cold server has become warm. Returns whether one has.
+    /// Updates the list if a cold server has become warm. Returns whether one has.
     pub fn expire_cold_servers(&mut self, now: Instant) -> bool {
-        let is_over = self.cold.values().any(|until| *until <= now);
+        let warm = self.cold.iter().filter(|(_, until)| **until <= now);
+        let warm: Vec<ServerName> = warm.map(|(id, _)| id.name().clone()).collect();
+        let is_over = !warm.is_empty();
         if is_over {
-            self.list_servers(now);
+            self.outdated.extend(warm);
+            self.update_list(now);
         }
         is_over
     }
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -7,7 +7,7 @@
 mod listing;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -46,6 +46,8 @@
     leaving: Option<Leaving>,
     /// When the server will be warm; `None` unless it is cold.
     warm_at: Option<Instant>,
+    /// The incarnation that the list of servers contains.
+    listed: Option<ServerId>,
 }
 
 /// A replica of the store's data.
@@ -56,6 +58,9 @@
     config_as_of: Option<Instant>,
     evacuations: Evacuations,
     servers: BTreeMap<ServerName, Entry>,
+    /// The servers by the offsets of their newest records, to find what another host lacks. Several may have the same offset: all that a
+    /// complete list lacked.
+    servers_by_offset: BTreeSet<(Offset, Option<ServerName>)>,
     servers_end: Offset,
     /// All records of servers that the store accepted before this time have been applied.
     servers_as_of: Option<Instant>,
@@ -67,8 +72,10 @@
     hosts: BTreeMap<HostId, (Option<Offset>, HostEntry)>,
     hosts_end: Offset,
     maps: BTreeMap<ServiceName, MapHistory>,
-    /// The list of servers for requests, rebuilt at each change.
+    /// The list of servers for requests. Views share it, so a change copies it, but derives only what has changed.
     list: Arc<Servers>,
+    /// Servers whose entries in the list are outdated.
+    outdated: BTreeSet<ServerName>,
     leaving: Arc<BTreeMap<ServerId, Leaving>>,
     /// Cold servers of the list, and when they are warm.
     cold: BTreeMap<ServerId, Instant>,
@@ -181,13 +188,18 @@
             let incarnation = server.as_ref().map_or_else(|| name.clone().into(), |s| s.id.clone());
             self.pending_log_lines.add(&incarnation, None, server.as_ref());
             let leaving = is_leaving(server.as_ref()).then_some(bound);
+            let (warm_at, listed) = (None, None);
+            self.outdated.insert(name.clone());
+            self.servers_by_offset.insert((offset, Some(name.clone())));
             self.servers
-                .insert(name, Entry { offset, incarnation, server, leaving, warm_at: None });
+                .insert(name, Entry { offset, incarnation, server, leaving, warm_at, listed });
             return changed;
         };
         if before.offset >= offset {
             return false;
         }
+        self.servers_by_offset.remove(&(before.offset, Some(name.clone())));
+        self.servers_by_offset.insert((offset, Some(name.clone())));
         before.offset = offset;
         // The store may accept a late heartbeat of an earlier incarnation after the first one of the next incarnation.
         if server.as_ref().is_some_and(|server| server.id.born() < before.incarnation.born()) {
@@ -205,6 +217,7 @@
         before.incarnation = incarnation;
         if changed {
             before.warm_at = None;
+            self.outdated.insert(name);
         }
         before.server = server;
         changed
@@ -229,8 +242,8 @@
         self.servers_as_of = self.servers_as_of.max(as_of);
         if changed || self.servers_changed.is_none() {
             self.servers_changed = Some(now);
+            self.update_list(now);
             self.forget(now);
-            self.list_servers(now);
         }
     }
 
@@ -239,8 +252,10 @@
             let left = entry.leaving.is_some_and(|leaving| leaving.elapsed(now) >= LEFT_RETENTION);
             left && entry.server.is_none()
         };
-        let forgotten = self.servers.values().filter(|entry| old(entry)).map(|entry| entry.offset);
-        self.forgotten_before = self.forgotten_before.max(forgotten.max().unwrap_or_default());
+        for (name, entry) in self.servers.iter().filter(|(_, entry)| old(entry)) {
+            self.forgotten_before = self.forgotten_before.max(entry.offset);
+            self.servers_by_offset.remove(&(entry.offset, Some(name.clone())));
+        }
         self.servers.retain(|_, entry| !old(entry));
     }
 
@@ -285,8 +300,10 @@
     pub fn update_for(&self, request: &UpdateRequest, age: Duration, now: Instant) -> StateUpdate {
         let config = self.config.as_ref().filter(|cfg| request.config < Some(cfg.version));
         let all_servers = request.servers_end <= self.forgotten_before;
-        let servers =
-            self.servers.iter().filter(|(_, e)| all_servers || e.offset >= request.servers_end);
+        let first = if all_servers { Offset(0) } else { request.servers_end };
+        let newer = self.servers_by_offset.range((first, None)..);
+        let newer = newer.filter_map(|(_, name)| name.as_ref());
+        let servers = newer.filter_map(|name| Some((name, self.servers.get(name)?)));
         let hosts = self.hosts.iter().filter_map(|(host, (offset, entry))| {
             let offset = offset.filter(|offset| *offset >= request.hosts_end)?;
             Some((host.clone(), offset, entry.clone()))
@@ -359,8 +376,9 @@
 
     /// Removes servers that a complete list lacks, unless they were added after its `end`. Returns whether there were any.
     pub fn remove_unlisted(&mut self, listed: &[&str], end: Offset, bound: Leaving) -> bool {
+        let listed: BTreeSet<&str> = listed.iter().copied().collect();
         let missing = |(name, entry): &(&ServerName, &Entry)| {
-            entry.server.is_some() && entry.offset < end && !listed.contains(&name.as_str())
+            entry.server.is_some() && entry.offset < end && !listed.contains(name.as_str())
         };
         let missing: Vec<ServerName> =
             self.servers.iter().filter(missing).map(|(name, _)| name.clone()).collect();
