feat(host): read and log the rate limits that backend servers state

No log or metric could tell a limit that was never read from one that each host applied as its own: the header was read nowhere. The head of each response is now parsed for it (platform/ and the native wire), kept per server incarnation with the time as of which it holds, and each change is a log line (part backpressure, event rate-limit) and counted. Nothing acts on it yet.

A response without a limit counts as of its request, so that one that was overtaken on its way withdraws nothing.

--- /dev/null
+++ b/crates/jacinthbeam-dispatch/src/rate_limit.rs
@@ -0,0 +1,55 @@
+//! Rate limits that backend servers state in their responses.
+//!
+//! A server in need states how many requests per second it takes from all hosts together. The statement holds until the server sends a
+//! response without one.
+
+use std::time::Instant;
+
+use jacinthbeam_types::prelude::*;
+
+/// A server's statement about its rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Statement {
+    /// The limit; `None` if the server states none.
+    pub rate: Option<Rate>,
+    /// A statement replaces those with an earlier time.
+    pub as_of: Instant,
+}
+
+impl Statement {
+    /// The statement of a response, given when its request was sent and when its head arrived.
+    ///
+    /// When the server wrote the response lies between the two. The bound is chosen so that a response that was overtaken on its way doesn't
+    /// withdraw a limit: a response without a limit counts as of its request.
+    pub fn of_response(rate: Option<Rate>, sent: Instant, received: Instant) -> Self {
+        Self { rate, as_of: if rate.is_some() { received } else { sent } }
+    }
+}
+
+/// The rate limit of one server, as known to one host.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct KnownLimit {
+    newest: Option<Statement>,
+}
+
+impl KnownLimit {
+    /// The limit in force; `None` if there is none.
+    pub fn rate(&self) -> Option<Rate> {
+        self.newest.and_then(|newest| newest.rate)
+    }
+
+    /// The newest statement; `None` before the first response.
+    pub fn newest(&self) -> Option<Statement> {
+        self.newest
+    }
+
+    /// Applies a statement. Returns whether it changes the limit in force.
+    pub fn apply(&mut self, statement: Statement) -> bool {
+        if self.newest.is_some_and(|newest| statement.as_of <= newest.as_of) {
+            return false;
+        }
+        let before = self.rate();
+        self.newest = Some(statement);
+        before != statement.rate
+    }
+}
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -46,6 +46,8 @@
     body_bytes: Gauge<u64>,
     /// Requests sent to backend servers, by outcome.
     sends: Counter<u64>,
+    /// Changes of the rate limits that backend servers state, by whether there is one afterwards.
+    rate_limits: Counter<u64>,
     /// Retries that the retry budget allowed or refused, by service.
     repeats: Counter<u64>,
     /// Retries left in this host's share of the retry budget, by service.
@@ -106,6 +108,7 @@
             cold: meter.u64_gauge("jacinthbeam_cold_servers").build(),
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
+            rate_limits: count("jacinthbeam_rate_limit_changes"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
             waits: seconds("jacinthbeam_wait_seconds"),
@@ -157,6 +160,11 @@
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a change of the rate limit that a backend server states.
+    pub fn on_rate_limit(&self, limited: bool) {
+        self.rate_limits.add(1, &[KeyValue::new("limited", limited)]);
+    }
+
     /// Counts a retry that the retry budget allowed or refused, and records how many are left.
     pub fn on_repeat(&self, service: &ServiceName, allowed: bool, left: f64) {
         let service = service_label(service);
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -13,7 +13,7 @@
 use jacinthbeam_crash::{
     Fact, Fingerprint, Prober, RecentSuccesses, Suspects, fingerprint::HeadDigest, probe::Rank,
 };
-use jacinthbeam_dispatch::{RetryBudget, ServerStats, slow_start::Pacer};
+use jacinthbeam_dispatch::{RetryBudget, ServerStats, rate_limit::KnownLimit, slow_start::Pacer};
 use jacinthbeam_range::{Key, admission::Gate, demand::LoadReport};
 use jacinthbeam_route::{Route, Server, Target, route::WeightedRoundRobin};
 use jacinthbeam_types::prelude::*;
@@ -22,7 +22,7 @@
 use crate::{
     Settings, Wire,
     connection::{Pool, accept::Phase},
-    process::{broken::Broken, metrics::Counters, request_log::RequestLog, usage},
+    process::{broken::Broken, logs::Quota, metrics::Counters, request_log::RequestLog, usage},
     request::memory::BodyMemory,
     version::{Freshness, View},
 };
@@ -45,6 +45,8 @@
     pub usage: usage::Counted,
     /// Logs sends and refusals of requests.
     pub request_log: RequestLog,
+    /// Logs what servers state about their own load.
+    pub backpressure_log: RefCell<Quota>,
     /// Memory for the bodies of requests.
     pub request_memory: Arc<BodyMemory>,
     /// Memory for the bodies of responses, until their callers have read them.
@@ -77,8 +79,15 @@
     pub broken: Broken,
     /// Limits the rate of requests from this host while the server is cold.
     pub pacer: Cell<Pacer>,
+    /// The rate limit that the server states.
+    pub rate_limit: Cell<KnownLimit>,
+    /// Whether an invalid header of the server was logged.
+    pub invalid_logged: Cell<bool>,
 }
 
+/// Maximum number of log lines in a second about what servers state about their own load.
+const MAX_BACKPRESSURE_LINES_PER_SECOND: u32 = 20;
+
 /// Share of a server's connections that the hosts together use for requests. The rest is reserved for grants and for changes in the
 /// number of hosts.
 const REQUEST_CONNECTION_SHARE: f64 = 0.8;
@@ -125,6 +134,7 @@
             counters,
             usage,
             request_log: RequestLog::default(),
+            backpressure_log: RefCell::new(Quota::new(MAX_BACKPRESSURE_LINES_PER_SECOND)),
             view,
             freshness,
             phase,
@@ -201,8 +211,15 @@
     fn new_state(&self, server: &Server) -> Rc<ServerState> {
         let stats = RefCell::new(ServerStats::new(self.now()));
         let (pool, ended) = (Pool::new(server.addr), Cell::default());
-        let pacer = Cell::default();
-        Rc::new(ServerState { pool, stats, ended, broken: Broken::default(), pacer })
+        Rc::new(ServerState {
+            pool,
+            stats,
+            ended,
+            broken: Broken::default(),
+            pacer: Cell::default(),
+            rate_limit: Cell::default(),
+            invalid_logged: Cell::default(),
+        })
     }
 
     /// Maximum number of connections of this host to one server, given the limit of its service and the number of hosts.
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! The path of one request: reading, routing, sending, retrying, refusing.
 
 pub mod answer;
+mod backpressure;
 mod body;
 mod crash;
 mod end;
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -16,7 +16,7 @@
 use jacinthbeam_types::prelude::ServerId;
 use tokio::time::Instant as TimerInstant;
 
-use super::memory::BodyMemory;
+use super::{backpressure, memory::BodyMemory};
 use crate::{
     connection::pool::{self, PooledConnection},
     process::traffic::{ServerState, Traffic},
@@ -119,14 +119,20 @@
 ) -> Result<SendOutcome, NotRun> {
     let mut conn = map_pool_error(state.pool.acquire(traffic.now(), max_connections).await)?;
     loop {
-        let left = deadline.saturating_duration_since(traffic.now());
+        let sent_at = traffic.now();
+        let left = deadline.saturating_duration_since(sent_at);
         let by = TimerInstant::now() + left + RESPONSE_GRACE;
         let req = prepare(traffic, request, server, left);
         let sent = tokio::time::timeout_at(by, conn.inner.sender.try_send_request(req)).await;
         match sent {
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
-                return Ok(read_response(traffic, request, &server.id, state, conn, res, by).await);
+                let server = &server.id;
+                let kind = classify(traffic, request, server, &res);
+                if !matches!(kind, ResponseKind::Foreign | ResponseKind::OtherServer) {
+                    backpressure::apply(traffic, server, state, &res, sent_at);
+                }
+                return Ok(read_response(traffic, request, state, conn, kind, res, by).await);
             }
             Ok(Err(mut err)) => match (err.take_message(), conn.reused) {
                 // hyper returns a request only if no byte of it was written.
@@ -171,19 +177,30 @@
     req
 }
 
-async fn read_response(
+fn classify(
     traffic: &Traffic,
     request: &BufferedRequest,
     server: &ServerId,
+    res: &Response<Incoming>,
+) -> ResponseKind {
+    let (id, status) = (&request.id, res.status());
+    let kind = (traffic.wire.classify_response)(status, res.headers(), id, server);
+    if kind == ResponseKind::Foreign {
+        tracing::info!(part = "request", id = ?id, event = "foreign-answer", status = %status);
+    }
+    kind
+}
+
+async fn read_response(
+    traffic: &Traffic,
+    request: &BufferedRequest,
     state: &ServerState,
     conn: PooledConnection,
+    kind: ResponseKind,
     res: Response<Incoming>,
     by: TimerInstant,
 ) -> SendOutcome {
-    let kind = (traffic.wire.classify_response)(res.status(), res.headers(), &request.id, server);
     if kind == ResponseKind::Foreign {
-        let (id, status) = (&request.id, res.status());
-        tracing::info!(part = "request", id = ?id, event = "foreign-answer", status = %status);
         return SendOutcome::Lost(Lost::Broken);
     }
     let keep_alive = keep_alive(res.headers());
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -22,6 +22,8 @@
     pub set_forward_headers: fn(&mut HeaderMap, &Forward<'_>),
     /// Classifies the head of a backend server's response, given the id of the request and the server that it was sent to.
     pub classify_response: fn(StatusCode, &HeaderMap, &HeaderValue, &ServerId) -> ResponseKind,
+    /// Parses what a backend server states about its own load in the head of a response.
+    pub parse_backpressure: fn(StatusCode, &HeaderMap) -> Backpressure,
     /// Sets the headers of a refusal: the retry hint, the verdict, and the id of the request if its head could be parsed.
     pub set_refusal_headers: fn(&mut HeaderMap, Option<&HeaderValue>, &Refusal),
     /// Sets the headers that this host adds to the answer of a backend server.
@@ -116,6 +118,15 @@
     Foreign,
 }
 
+/// What a backend server states about its own load in the head of a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Backpressure {
+    /// Requests that it takes from all hosts together.
+    pub rate_limit: Option<Rate>,
+    /// Name of a header with an invalid value, which counts as absent.
+    pub invalid: Option<&'static str>,
+}
+
 /// Response to a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Granted {
--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -34,6 +34,7 @@
         parse_caller_headers: request::caller,
         set_forward_headers: request::forward,
         classify_response: request::answer,
+        parse_backpressure: request::backpressure,
         set_refusal_headers: request::refused,
         set_delivered_headers: request::delivered,
         grant_request: grant::grant,
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request::Parts};
 use jacinthbeam_host::{
     request::answer,
-    wire::{CallerHeaders, Forward, HeaderError, ResponseKind},
+    wire::{Backpressure, CallerHeaders, Forward, HeaderError, ResponseKind},
 };
 use jacinthbeam_range::Key;
 use jacinthbeam_types::prelude::*;
@@ -22,6 +22,8 @@
 pub const SERVER: HeaderName = HeaderName::from_static("jacinthbeam-server");
 /// In an answer of a server, `true` or `false`: whether the request ran.
 pub const RAN: HeaderName = HeaderName::from_static("jacinthbeam-ran");
+/// In an answer of a server, the rate of requests that it takes from all hosts together, such as `4.4/s`.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("jacinthbeam-rate-limit");
 /// In an answer to a caller, what may have become of the request.
 pub const VERDICT: HeaderName = HeaderName::from_static("jacinthbeam-verdict");
 
@@ -88,6 +90,15 @@
     }
 }
 
+/// Reads what an answer says of the load of its server.
+pub fn backpressure(_status: StatusCode, headers: &HeaderMap) -> Backpressure {
+    match parsed(headers, &RATE_LIMIT, "jacinthbeam-rate-limit") {
+        Ok(rate_limit) => Backpressure { rate_limit, invalid: None },
+        Err(HeaderError::Header(name)) => Backpressure { rate_limit: None, invalid: Some(name) },
+        Err(HeaderError::NoId) => Backpressure::default(),
+    }
+}
+
 /// Sets verdict and hint of a refusal, and its id: a caller that sent none has nothing else by which an operator could find
 /// the request in the logs.
 pub fn refused(headers: &mut HeaderMap, id: Option<&HeaderValue>, refusal: &Refusal) {
