feat(host): send to a rate-limited server with permits that two hosts issue

Callers' requests kept reaching servers in need: a server of a keyed service that stated 2.4 requests a second got 33 in 4 s, another with 5.3 got 80 (19 and 37 are allowed). Cause: no part read the header, and no mechanism bound the sum over all hosts of what a server that is not cold gets.

A host that knows of one sends only with a permit, which two hosts of the server's failure domain issue for half of the limit each; asked before each send, and again when the request has its connection. The granting host counts half of the limit as the owner's capacity and moves keys off by the usual bounded moves.

--- a/crates/jacinthbeam-dispatch/src/rate_limit.rs
+++ b/crates/jacinthbeam-dispatch/src/rate_limit/mod.rs
@@ -1,12 +1,17 @@
 //! Rate limits that backend servers state in their responses.
 //!
 //! A server in need states how many requests per second it takes from all hosts together. The statement holds until the server sends a
-//! response without one.
+//! response without one. A host that knows of a limit sends only with a permit of one of the hosts that issue them for this server, see
+//! [`issuer`].
 
-use std::time::Instant;
+pub mod issuer;
+
+use std::time::{Duration, Instant};
 
 use jacinthbeam_types::prelude::*;
 
+pub use issuer::PermitIssuer;
+
 /// A server's statement about its rate limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Statement {
@@ -26,10 +31,22 @@
     }
 }
 
+/// Whether a request may be sent to a server, by its rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The server states no limit.
+    Unlimited,
+    /// A permit is required.
+    PermitRequired,
+    /// A permit was denied a short time ago, and none can be had for this long.
+    Blocked(Duration),
+}
+
 /// The rate limit of one server, as known to one host.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct KnownLimit {
     newest: Option<Statement>,
+    blocked_until: Option<Instant>,
 }
 
 impl KnownLimit {
@@ -48,8 +65,28 @@
         if self.newest.is_some_and(|newest| statement.as_of <= newest.as_of) {
             return false;
         }
-        let before = self.rate();
+        let changed = self.rate() != statement.rate;
         self.newest = Some(statement);
-        before != statement.rate
+        if changed {
+            self.blocked_until = None;
+        }
+        changed
+    }
+
+    /// Whether a request may be sent.
+    pub fn admission(&self, now: Instant) -> Admission {
+        if self.rate().is_none() {
+            return Admission::Unlimited;
+        }
+        let left = self.blocked_until.map(|until| until.saturating_duration_since(now));
+        match left.filter(|left| !left.is_zero()) {
+            Some(left) => Admission::Blocked(left),
+            None => Admission::PermitRequired,
+        }
+    }
+
+    /// Records that a permit was denied, and that none can be had for `wait`.
+    pub fn on_denied(&mut self, now: Instant, wait: Duration) {
+        self.blocked_until = Some(now + wait);
     }
 }
--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -22,7 +23,7 @@
 const GATES_TTL: Duration = Duration::from_millis(800);
 
 impl Control {
-    pub(super) fn on_datagram(&mut self, message: Message) {
+    pub(super) fn on_datagram(&mut self, from: SocketAddr, message: Message) {
         match message {
             Message::Load { from, service, report } => {
                 self.step(&service, Event::Load { from, report });
@@ -42,6 +43,15 @@
                 self.standby.on_grantor_heartbeat(self.clock.now());
                 self.apply_gates(gates);
             }
+            Message::PermitRequest { id, server, limit } => {
+                self.on_permit_request(from, id, &server, limit);
+            }
+            Message::PermitDecision { id, granted, wait, limit } => {
+                self.on_permit_decision(id, granted, wait, limit);
+            }
+            Message::LimitWithdrawn { server, limit } => {
+                self.permits.issuer.apply(&server, limit.received(self.clock.now()));
+            }
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -15,6 +15,7 @@
         load::Message,
         update::{StateUpdate, UpdateRequest},
     },
+    permits,
 };
 
 /// Sends inputs to the control thread.
@@ -45,15 +46,16 @@
             | Self::BuildRequest { .. }
             | Self::PeerRequest { .. } => InputKind::StoreState,
             Self::Tick => InputKind::Tick,
-            Self::Datagram(Message::Load { .. }) => InputKind::Report,
+            Self::Datagram(_, Message::Load { .. }) => InputKind::Report,
             Self::Hosts(_)
             | Self::Relays(_)
             | Self::Maps { .. }
             | Self::Duties(_)
             | Self::MapWritten { .. }
             | Self::Granted { .. }
-            | Self::Datagram(_)
+            | Self::Datagram(..)
             | Self::Crash(_)
+            | Self::RateLimit(_)
             | Self::Dump(_)
             | Self::Stop => InputKind::Other,
         }
@@ -129,10 +131,12 @@
         /// The result.
         event: Event,
     },
-    /// A datagram from another host.
-    Datagram(Message),
+    /// A datagram from another host, and its address.
+    Datagram(SocketAddr, Message),
     /// A server crashed under a request, or a request was cleared.
     Crash(Fact),
+    /// The traffic thread needs a permit, or has received a withdrawal of a limit.
+    RateLimit(permits::Query),
     /// Time has passed.
     Tick,
     /// An operator requests the state as text.
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -198,6 +198,7 @@
         }
         if changed.hosts {
             self.cold_assignments.clear();
+            self.permits.on_hosts_changed();
         }
         self.publish();
         if changed.hosts {
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -16,6 +16,7 @@
 mod input;
 mod learn;
 mod maps;
+mod permits;
 mod registration;
 mod state;
 mod unreadable;
@@ -75,6 +76,8 @@
     pub(super) phase: watch::Receiver<Phase>,
     /// Crash facts observed by the traffic thread.
     pub(super) crashes: mpsc::UnboundedReceiver<Fact>,
+    /// Queries of the traffic thread about rate limits.
+    pub(super) permits: mpsc::UnboundedReceiver<super::permits::Query>,
     /// Resolves when the traffic thread has answered its last request.
     pub(super) served: oneshot::Receiver<()>,
 }
@@ -111,7 +114,9 @@
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
     let crashes = std::mem::replace(&mut start.crashes, mpsc::unbounded_channel().1);
-    spawn_local(forward_crashes(crashes, tx.clone()));
+    spawn_local(forward(crashes, tx.clone(), Input::Crash));
+    let permits = std::mem::replace(&mut start.permits, mpsc::unbounded_channel().1);
+    spawn_local(forward(permits, tx.clone(), Input::RateLimit));
     let usage = start.usage.clone();
     let mut control = Control::new(start, tx, reports);
     control.start_tasks();
@@ -267,10 +272,10 @@
     }
 }
 
-/// Forwards crash facts from the traffic thread as inputs.
-async fn forward_crashes(mut crashes: mpsc::UnboundedReceiver<Fact>, tx: Tx) {
-    while let Some(fact) = crashes.recv().await {
-        if tx.send(Input::Crash(fact)).is_err() {
+/// Forwards what the traffic thread sends as inputs.
+async fn forward<T>(mut rx: mpsc::UnboundedReceiver<T>, tx: Tx, input: fn(T) -> Input) {
+    while let Some(sent) = rx.recv().await {
+        if tx.send(input(sent)).is_err() {
             return;
         }
     }
@@ -297,7 +302,7 @@
         };
         match peers::load::Message::from_bytes(&buf[..len]) {
             Ok(message) => {
-                if tx.send(Input::Datagram(message)).is_err() {
+                if tx.send(Input::Datagram(from, message)).is_err() {
                     return;
                 }
             }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -34,6 +34,7 @@
     },
     input::{Input, Tx},
     maps::MapPartition,
+    permits::Permits,
     registration::{self, Registration},
     unreadable::Unreadable,
     update_client::UpdateClient,
@@ -92,6 +93,8 @@
     pub(super) cold_assignments: BTreeMap<ServerId, ColdServer>,
     /// When servers were last listed as warm.
     pub(super) cold_expired: Option<Instant>,
+    /// Permits for servers that state a rate limit.
+    pub(super) permits: Permits,
     /// Crash evidence against requests.
     pub(super) crashes: Exchange,
     /// Progress of publishing and recording it.
@@ -136,7 +139,8 @@
         let Start { settings, wire, clock, counters, incarnation, view, freshness, gates, .. } =
             start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
-        let standby = Standby::new(clock.now());
+        let now = clock.now();
+        let standby = Standby::new(now);
         Self {
             standby,
             store: open_store(&settings, wire, clock.clone(), counters.clone()),
@@ -156,6 +160,7 @@
             replica: StoreReplica::default(),
             cold_assignments: BTreeMap::new(),
             cold_expired: None,
+            permits: Permits::new(now),
             crashes: Exchange::new(me.host.clone(), incarnation),
             crash_sync: crashes::SyncState::default(),
             evidence: watch::channel(Bytes::new()).0,
@@ -312,13 +317,15 @@
                     self.released.insert(service);
                 }
             }
-            Input::Datagram(message) => self.on_datagram(message),
+            Input::Datagram(from, message) => self.on_datagram(from, message),
+            Input::RateLimit(query) => self.on_rate_limit_query(query),
             Input::Tick => {
                 self.publish_freshness();
                 self.expire_cold_servers();
                 self.update_standby();
                 self.step_all(&Event::Tick);
                 self.publish_gates();
+                self.expire_permits();
             }
             Input::Dump(reply) => {
                 // The operator's connection may have closed.
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -48,6 +48,8 @@
     sends: Counter<u64>,
     /// Changes of the rate limits that backend servers state, by whether there is one afterwards.
     rate_limits: Counter<u64>,
+    /// Requests for permits to send to rate-limited servers, by outcome.
+    permits: Counter<u64>,
     /// Retries that the retry budget allowed or refused, by service.
     repeats: Counter<u64>,
     /// Retries left in this host's share of the retry budget, by service.
@@ -109,6 +111,7 @@
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
             rate_limits: count("jacinthbeam_rate_limit_changes"),
+            permits: count("jacinthbeam_permits"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
             waits: seconds("jacinthbeam_wait_seconds"),
@@ -165,6 +168,11 @@
         self.rate_limits.add(1, &[KeyValue::new("limited", limited)]);
     }
 
+    /// Counts a request for a permit to send to a rate-limited server.
+    pub fn on_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a retry that the retry budget allowed or refused, and records how many are left.
     pub fn on_repeat(&self, service: &ServiceName, allowed: bool, left: f64) {
         let service = service_label(service);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 mod pages;
 pub mod peers;
+pub mod permits;
 pub mod reach;
 pub mod replica;
 pub mod request_log;
@@ -120,6 +121,7 @@
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
     let (crashes_tx, crashes) = tokio::sync::mpsc::unbounded_channel();
+    let (permits_tx, permits) = tokio::sync::mpsc::unbounded_channel();
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
     let control = control::Start {
         settings: settings.clone(),
@@ -133,6 +135,7 @@
         gates: gates_tx,
         phase: phase_rx.clone(),
         crashes,
+        permits,
         served: done,
     };
     let reports = sockets.reports.try_clone().map_err(Error::Thread)?;
@@ -153,6 +156,7 @@
         phase: phase.subscribe(),
         gates,
         crashes: crashes_tx,
+        permits: permits_tx,
     };
     let traffic = serving::Start {
         traffic,
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -1,10 +1,14 @@
-//! Datagrams between hosts: load reports, gates, and notices that a grantor has stopped.
+//! Datagrams between hosts: load reports, gates, notices that a grantor has stopped, and permits to send to rate-limited servers.
 //!
 //! Load reports are sent four times a second and matter for some seconds, so losing one is harmless. Streams would need a connection from
 //! every host to every granting host.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
+use jacinthbeam_dispatch::rate_limit::Statement;
 use jacinthbeam_range::{Leader, admission::Gate, demand::LoadReport};
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -42,6 +46,56 @@
         /// The gates. Owners that are not listed have no limit.
         gates: BTreeMap<ServerId, Gate>,
     },
+    /// A host requests a permit to send one request to a server that states a rate limit.
+    PermitRequest {
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// The server.
+        server: ServerId,
+        /// What the requesting host knows of the limit.
+        limit: LimitStatement,
+    },
+    /// The answer to a request for a permit.
+    PermitDecision {
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// Whether one request may be sent.
+        granted: bool,
+        /// Time until the next permit can be issued.
+        wait: Duration,
+        /// What the issuing host knows of the limit.
+        limit: LimitStatement,
+    },
+    /// A server has withdrawn its rate limit.
+    LimitWithdrawn {
+        /// The server.
+        server: ServerId,
+        /// The statement that withdraws it.
+        limit: LimitStatement,
+    },
+}
+
+/// A server's statement about its rate limit, as sent between hosts, whose clocks differ.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitStatement {
+    /// The limit; `None` if the server states none.
+    rate: Option<Rate>,
+    /// Age of the statement when the datagram was sent.
+    age: Duration,
+}
+
+impl LimitStatement {
+    /// The statement as of `now`, to be sent immediately.
+    pub fn new(statement: Statement, now: Instant) -> Self {
+        let age = now.saturating_duration_since(statement.as_of);
+        Self { rate: statement.rate, age }
+    }
+
+    /// The statement as received at `now`. The time that the datagram took is not known and makes it appear newer.
+    pub fn received(self, now: Instant) -> Statement {
+        let as_of = now.checked_sub(self.age).unwrap_or(now);
+        Statement { rate: self.rate, as_of }
+    }
 }
 
 /// Why a datagram can't be decoded.
--- a/crates/jacinthbeam-host/src/process/replica/hosts.rs
+++ b/crates/jacinthbeam-host/src/process/replica/hosts.rs
@@ -1,7 +1,9 @@
 //! The hosts of the fleet, and the position of one among them.
 
+use std::net::SocketAddr;
+
 use jacinthbeam_crash::probe::Rank;
-use jacinthbeam_dispatch::{slow_start, subset::Position};
+use jacinthbeam_dispatch::{rate_limit::issuer, slow_start, subset::Position};
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
@@ -67,12 +69,27 @@
         self.hosts_end = self.hosts_end.max(end);
     }
 
+    /// The hosts of a failure domain, or all hosts if it has none.
+    fn hosts_near(&self, domain: &FailureDomain) -> impl Iterator<Item = &HostId> {
+        let is_near = |entry: &HostEntry| entry.domain == *domain;
+        let any_near = self.hosts().any(|(_, entry)| is_near(entry));
+        self.hosts().filter(move |(_, entry)| !any_near || is_near(entry)).map(|(host, _)| host)
+    }
+
     /// Whether a host is one of the `senders` that are selected for a cold server, out of the hosts of the server's failure domain, or out of
     /// all hosts if that domain has none.
     pub fn is_sender(&self, host: &HostId, server: &Server, senders: usize) -> bool {
-        let is_near = |entry: &HostEntry| entry.domain == server.domain;
-        let any_near = self.hosts().any(|(_, entry)| is_near(entry));
-        let among = self.hosts().filter(|(_, entry)| !any_near || is_near(entry));
-        slow_start::is_sender(&server.id, host, among.map(|(host, _)| host), senders)
+        slow_start::is_sender(&server.id, host, self.hosts_near(&server.domain), senders)
+    }
+
+    /// The hosts that issue permits for a server in a failure domain, selected out of the same hosts, with their addresses.
+    pub fn permit_issuers(
+        &self,
+        server: &ServerId,
+        domain: &FailureDomain,
+    ) -> Vec<(HostId, SocketAddr)> {
+        let selected = issuer::select(server, self.hosts_near(domain));
+        let addr = |host: &HostId| self.hosts.get(host).map(|(_, entry)| entry.addr);
+        selected.into_iter().filter_map(|host| addr(&host).map(|addr| (host, addr))).collect()
     }
 }
--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -73,6 +73,10 @@
     pub in_flight: u32,
     /// Number of servers that the request was sent to before.
     pub tried: usize,
+    /// Rate limit that the owner states.
+    pub rate_limit: Option<Rate>,
+    /// Age of that statement.
+    pub rate_limit_age: Option<Duration>,
     /// Age of the list of servers.
     pub servers_age: Option<Duration>,
 }
@@ -151,6 +155,8 @@
             owner = basis.owner.as_ref().map(tracing::field::display),
             gate_rank = basis.gate.map(|gate| gate.rank),
             gate_share = basis.gate.map(|gate| gate.share),
+            rate_limit = basis.rate_limit.map(tracing::field::display),
+            rate_limit_age_ms = basis.rate_limit_age.map(|age| age.as_millis() as u64),
             in_flight = basis.in_flight,
             tried = basis.tried,
             servers_age_ms = basis.servers_age.map(|age| age.as_millis() as u64),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -22,7 +22,9 @@
 use crate::{
     Settings, Wire,
     connection::{Pool, accept::Phase},
-    process::{broken::Broken, logs::Quota, metrics::Counters, request_log::RequestLog, usage},
+    process::{
+        broken::Broken, logs::Quota, metrics::Counters, permits, request_log::RequestLog, usage,
+    },
     request::memory::BodyMemory,
     version::{Freshness, View},
 };
@@ -56,6 +58,7 @@
     phase: watch::Receiver<Phase>,
     gates: watch::Receiver<Gates>,
     crashes: mpsc::UnboundedSender<Fact>,
+    permits: mpsc::UnboundedSender<permits::Query>,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     splits: RefCell<BTreeMap<String, WeightedRoundRobin>>,
@@ -118,13 +121,15 @@
     pub gates: watch::Receiver<Gates>,
     /// Receives facts about server crashes that this host observes.
     pub crashes: mpsc::UnboundedSender<Fact>,
+    /// Receives queries about rate limits.
+    pub permits: mpsc::UnboundedSender<permits::Query>,
 }
 
 impl Traffic {
     /// State of a process that has served no request yet.
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, counters, usage, .. } = start;
-        let Start { view, freshness, phase, gates, crashes, .. } = start;
+        let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -140,6 +145,7 @@
             phase,
             gates,
             crashes,
+            permits,
             servers: RefCell::default(),
             budgets: RefCell::default(),
             splits: RefCell::default(),
@@ -292,6 +298,11 @@
         (self.now() < *until).then_some(*gate)
     }
 
+    /// What this host knows of the rate limit of a server; `None` if it has sent nothing to it.
+    pub fn rate_limit(&self, server: &ServerId) -> Option<KnownLimit> {
+        self.servers.borrow().get(server).map(|state| state.rate_limit.get())
+    }
+
     /// Requests of this host in flight at a server.
     pub fn in_flight(&self, server: &ServerId) -> u32 {
         let servers = self.servers.borrow();
@@ -323,9 +334,12 @@
 
     /// Counts an answer of a server of a keyed service in the next load report.
     pub fn on_keyed_answer(&self, service: &ServiceName, server: &ServerId) {
+        let rate_limit = self.rate_limit(server).and_then(|limit| limit.rate());
         let mut reports = self.reports.borrow_mut();
         let report = reports.entry(service.clone()).or_default().servers.entry(server.clone());
-        report.or_default().answers += 1;
+        let report = report.or_default();
+        report.answers += 1;
+        report.rate_limit = rate_limit;
     }
 
     /// Takes the load reports: the counts since the last call.
@@ -340,6 +354,13 @@
         }
     }
 
+    /// Sends a query about a rate limit to the control thread.
+    pub fn query_permits(&self, query: permits::Query) {
+        if self.permits.send(query).is_err() {
+            tracing::debug!(part = "backpressure", event = "not-sent");
+        }
+    }
+
     /// Records that a request of a caller was answered successfully.
     pub fn on_good_answer(&self, head: HeadDigest, body: Bytes, caller: IpAddr) {
         self.recent_successes.borrow_mut().add(head, body, caller, self.now());
--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -5,46 +5,63 @@
 use http::Response;
 use hyper::body::Incoming;
 use jacinthbeam_dispatch::rate_limit::Statement;
+use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
-use crate::process::traffic::{ServerState, Traffic};
+use crate::process::{
+    permits::Query,
+    traffic::{ServerState, Traffic},
+};
 
 /// Applies the head of a response to a request that was sent at `sent`.
 pub(super) fn apply(
     traffic: &Traffic,
-    server: &ServerId,
+    server: &Server,
     state: &ServerState,
     res: &Response<Incoming>,
     sent: Instant,
 ) {
     let stated = (traffic.wire.parse_backpressure)(res.status(), res.headers());
     if let Some(header) = stated.invalid.filter(|_| !state.invalid_logged.replace(true)) {
-        tracing::warn!(part = "backpressure", event = "invalid-header", server = %server, header, value = ?res.headers().get(header));
+        tracing::warn!(part = "backpressure", event = "invalid-header", server = %server.id, header, value = ?res.headers().get(header));
     }
     let statement = Statement::of_response(stated.rate_limit, sent, traffic.now());
-    apply_rate_limit(traffic, server, state, statement);
+    let changed = apply_rate_limit(traffic, &server.id, state, statement);
+    if changed && statement.rate.is_none() {
+        // The hosts that may not send would not learn of it otherwise.
+        traffic.query_permits(Query::Withdrawn {
+            server: server.id.clone(),
+            domain: server.domain.clone(),
+            statement,
+        });
+    }
 }
 
-fn apply_rate_limit(
+/// Applies a statement about the rate limit of a server. Returns whether it changes the limit.
+pub(super) fn apply_rate_limit(
     traffic: &Traffic,
     server: &ServerId,
     state: &ServerState,
     statement: Statement,
-) {
+) -> bool {
     let mut known = state.rate_limit.get();
     let before = known.rate();
     let changed = known.apply(statement);
     state.rate_limit.set(known);
-    if !changed {
-        return;
+    if changed {
+        log_rate_limit(traffic, server, before, statement.rate);
     }
-    traffic.counters.on_rate_limit(statement.rate.is_some());
+    changed
+}
+
+fn log_rate_limit(traffic: &Traffic, server: &ServerId, before: Option<Rate>, rate: Option<Rate>) {
+    traffic.counters.on_rate_limit(rate.is_some());
     let Some(left_out) = traffic.backpressure_log.borrow_mut().take(traffic.now()) else { return };
     tracing::info!(
         part = "backpressure",
         event = "rate-limit",
         server = %server,
-        rate = statement.rate.map(tracing::field::display),
+        rate = rate.map(tracing::field::display),
         before = before.map(tracing::field::display),
         left_out,
     );
--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -1,10 +1,15 @@
 //! Builds the final response to a request: the answer of a backend server, or a refusal with its verdict and retry hint.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::Full;
 use jacinthbeam_crash::probe::PROBE_INTERVAL;
-use jacinthbeam_dispatch::refusal::{overload_retry_delay, retry_after};
+use jacinthbeam_dispatch::{
+    rate_limit::Admission,
+    refusal::{overload_retry_delay, retry_after},
+};
 use jacinthbeam_types::prelude::*;
 
 use super::{
@@ -14,7 +19,7 @@
 };
 use crate::{
     process::request_log::Basis,
-    send_outcome::{Lost, SendOutcome},
+    send_outcome::{Lost, NotRun, SendOutcome},
 };
 
 /// Builds the response from the outcome of the last send; `None` if there was none.
@@ -35,6 +40,9 @@
         }
         Some(SendOutcome::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
         Some(SendOutcome::Lost(Lost::Broken)) => Refusal::may_have_run(Reason::ConnectionLost),
+        Some(SendOutcome::NotRun(NotRun::RateLimited)) => {
+            not_run(NotRun::RateLimited, overload_delay.max(owner_blocked_for(job)))
+        }
         Some(SendOutcome::NotRun(why)) => not_run(why, overload_delay),
         None if tried.is_empty() => {
             Refusal::not_run(Reason::NoOwner).retry_after(OWNER_RETRY_DELAY)
@@ -48,6 +56,15 @@
     refuse(&job.traffic, &job.request.id, &job.route.name, &refusal, job.received, basis)
 }
 
+/// Time until a permit for the rate-limited owner of the key can be had.
+fn owner_blocked_for(job: &Job) -> Duration {
+    let admission = job.owner().and_then(|owner| job.traffic.rate_limit(&owner));
+    match admission.map(|limit| limit.admission(job.traffic.now())) {
+        Some(Admission::Blocked(left)) => left,
+        _ => Duration::ZERO,
+    }
+}
+
 /// Refuses a quarantined request.
 ///
 /// A definite quarantine carries no retry hint, since it is unknown when the request would be served again.
@@ -63,10 +80,12 @@
 /// The state that a refusal was decided by, for its log line.
 fn basis(job: &Job, tried: usize) -> Basis<'_> {
     let key = job.key.filter(|_| job.keyed);
-    let view = job.traffic.view();
-    let owner = key.and_then(|key| view.maps.get(&job.service)?.lookup(key).owner.clone());
-    let owner = owner.map(|owner| owner.server);
+    let owner = job.owner();
+    let limit = owner.as_ref().and_then(|owner| job.traffic.rate_limit(owner));
+    let limit = limit.and_then(|limit| limit.newest()).filter(|limit| limit.rate.is_some());
     Basis {
+        rate_limit: limit.and_then(|limit| limit.rate),
+        rate_limit_age: limit.map(|limit| job.traffic.now().saturating_duration_since(limit.as_of)),
         service: Some(&job.service),
         key,
         gate: owner.as_ref().and_then(|owner| job.traffic.gate(owner)),
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -15,7 +15,8 @@
 use super::{
     crash::CrashTracker,
     fingerprint,
-    send::{self, BufferedRequest},
+    permit::Permit,
+    send::{self, BufferedRequest, SendLimits},
 };
 use crate::{
     process::{request_log, traffic::Traffic, usage::Use},
@@ -88,6 +89,14 @@
         self.route.allows_region(self.traffic.settings.regions.get(&server.domain))
     }
 
+    /// The owner of the key by the current map; `None` if the service is not keyed or the key has no owner.
+    pub(super) fn owner(&self) -> Option<ServerId> {
+        let key = self.key.filter(|_| self.keyed)?;
+        let view = self.traffic.view();
+        let owner = view.maps.get(&self.service)?.lookup(key).owner.as_ref();
+        owner.map(|owner| owner.server.clone())
+    }
+
     /// Whether the owner of the key is outside the route's home regions, so that waiting for it is pointless.
     pub(super) fn is_owner_outside_home_regions(&self, view: &View) -> bool {
         let owner =
@@ -123,13 +132,19 @@
 ///
 /// If the caller disconnects, an idempotent request is cancelled. Any other continues, since its cancellation would leave it
 /// unknown whether the request ran.
-pub(super) async fn send_to(job: &Rc<Job>, view: &View, server: &Server) -> SendOutcome {
+pub(super) async fn send_to(
+    job: &Rc<Job>,
+    view: &View,
+    server: &Server,
+    permit: Option<Permit>,
+) -> SendOutcome {
     let max_connections = job.traffic.most_connections(job.connections, view.hosts);
+    let limits = SendLimits { max_connections, deadline: job.deadline, permit };
     let sent = if job.idempotent {
-        send_metered(job, server, max_connections).await
+        send_metered(job, server, limits).await
     } else {
         let (job, server) = (job.clone(), server.clone());
-        let task = spawn_local(async move { send_metered(&job, &server, max_connections).await });
+        let task = spawn_local(async move { send_metered(&job, &server, limits).await });
         task.await.unwrap_or(SendOutcome::Lost(Lost::Broken))
     };
     if let (SendOutcome::Answered { .. }, true) = (&sent, job.keyed) {
@@ -138,10 +153,10 @@
     sent
 }
 
-async fn send_metered(job: &Job, server: &Server, max_connections: u32) -> SendOutcome {
+async fn send_metered(job: &Job, server: &Server, limits: SendLimits) -> SendOutcome {
     job.usage.begin();
     let mut guard = AbandonGuard { job, server, is_finished: false };
-    let sent = send::send(&job.traffic, &job.request, server, max_connections, job.deadline).await;
+    let sent = send::send(&job.traffic, &job.request, server, limits).await;
     guard.is_finished = true;
     job.usage.end(&sent);
     sent
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod fingerprint;
 mod job;
 pub mod memory;
+mod permit;
 mod pick;
 mod refuse;
 pub mod send;
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -7,6 +7,7 @@
 
 use jacinthbeam_dispatch::{
     choose::{self, Candidate},
+    rate_limit::Admission,
     subset::{self, is_in_subset},
 };
 use jacinthbeam_route::Server;
@@ -72,7 +73,9 @@
         .filter(|(server, _)| !tried.contains(&server.id) && job.allows_region_of(server))
         .map(|(server, in_subset)| (server, in_subset, state_of(job, server, in_subset)))
         .filter(|(server, _, state)| {
-            !state.ended.get() && slow_start_allows(view, server, state, now)
+            !state.ended.get()
+                && !is_blocked(state, now)
+                && slow_start_allows(view, server, state, now)
         });
     let states: Vec<(&Server, bool, Rc<ServerState>)> = states.collect();
     let stats: Vec<_> = states.iter().map(|(_, _, state)| state.stats.borrow()).collect();
@@ -87,6 +90,17 @@
     choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
 }
 
+/// Whether a server of an unkeyed service isn't considered since it states a rate limit and denied a permit a short time ago.
+pub(super) fn is_any_blocked(job: &Job, view: &View) -> bool {
+    let now = job.traffic.now();
+    let servers = considered_servers(view, &job.service, &job.traffic.settings.domain);
+    servers.into_iter().any(|(server, _)| is_blocked(&job.traffic.used_server(server), now))
+}
+
+fn is_blocked(state: &ServerState, now: Instant) -> bool {
+    matches!(state.rate_limit.get().admission(now), Admission::Blocked(_))
+}
+
 /// State of a considered server. What is not used yet is kept only for the subset.
 fn state_of(job: &Job, server: &Server, in_subset: bool) -> Rc<ServerState> {
     match in_subset {
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -16,7 +16,11 @@
 use jacinthbeam_types::prelude::ServerId;
 use tokio::time::Instant as TimerInstant;
 
-use super::{backpressure, memory::BodyMemory};
+use super::{
+    backpressure,
+    memory::BodyMemory,
+    permit::{self, Permit},
+};
 use crate::{
     connection::pool::{self, PooledConnection},
     process::traffic::{ServerState, Traffic},
@@ -69,19 +73,29 @@
     }
 }
 
-/// Sends a request and waits for the complete response until shortly after `deadline`. Dropping the future cancels the request
+/// What one send has to keep to.
+#[derive(Debug, Clone, Copy)]
+pub struct SendLimits {
+    /// Maximum number of connections of this host to the server.
+    pub max_connections: u32,
+    /// When the response is due.
+    pub deadline: Instant,
+    /// The permit, if the server was known to be rate-limited when the send was decided.
+    pub permit: Option<Permit>,
+}
+
+/// Sends a request and waits for the complete response until shortly after the deadline. Dropping the future cancels the request
 /// at the server.
 pub async fn send(
     traffic: &Traffic,
     request: &BufferedRequest,
     server: &Server,
-    max_connections: u32,
-    deadline: Instant,
+    limits: SendLimits,
 ) -> SendOutcome {
     let state = traffic.server(server);
     let begun = traffic.now();
     let _in_flight = InFlightGuard::new(state.clone(), begun);
-    let sent = match exchange(traffic, request, server, &state, max_connections, deadline).await {
+    let sent = match exchange(traffic, request, server, &state, limits).await {
         Ok(sent) => sent,
         Err(not_run) => SendOutcome::NotRun(not_run),
     };
@@ -100,7 +114,9 @@
         SendOutcome::NotRun(NotRun::Full) => stats.on_full(now),
         SendOutcome::NotRun(NotRun::NotListening | NotRun::Unreachable) => stats.on_failure(now),
         SendOutcome::NotRun(NotRun::OtherServer) => state.ended.set(true),
-        SendOutcome::NotRun(NotRun::NotOwner | NotRun::NoConnection | NotRun::Refused) => {}
+        SendOutcome::NotRun(
+            NotRun::NotOwner | NotRun::NoConnection | NotRun::RateLimited | NotRun::Refused,
+        ) => {}
         SendOutcome::Lost(_) => {
             stats.on_failure(now);
             // The cause of the broken connection may have broken the idle ones as well, without this host having noticed.
@@ -114,10 +130,15 @@
     request: &BufferedRequest,
     server: &Server,
     state: &ServerState,
-    max_connections: u32,
-    deadline: Instant,
+    limits: SendLimits,
 ) -> Result<SendOutcome, NotRun> {
+    let SendLimits { max_connections, deadline, permit } = limits;
     let mut conn = map_pool_error(state.pool.acquire(traffic.now(), max_connections).await)?;
+    // The server may have stated a limit while the request waited for the connection.
+    if permit.is_none() && permit::acquire(traffic, server, state).await.is_err() {
+        state.pool.release(conn, traffic.now(), None);
+        return Err(NotRun::RateLimited);
+    }
     loop {
         let sent_at = traffic.now();
         let left = deadline.saturating_duration_since(sent_at);
@@ -127,8 +148,7 @@
         match sent {
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
-                let server = &server.id;
-                let kind = classify(traffic, request, server, &res);
+                let kind = classify(traffic, request, &server.id, &res);
                 if !matches!(kind, ResponseKind::Foreign | ResponseKind::OtherServer) {
                     backpressure::apply(traffic, server, state, &res, sent_at);
                 }
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -21,7 +21,8 @@
     body,
     end::{finish, refuse_for_crashes},
     job::{Job, send_to},
-    pick::pick_server,
+    permit,
+    pick::{is_any_blocked, pick_server},
     refuse::{CONFIG_RETRY_DELAY, bad_body, bad_request, refuse},
     send::BufferedRequest,
 };
@@ -51,6 +52,9 @@
 /// Maximum number of sends of one request, including those that a server refused.
 const MAX_SENDS: u32 = 3;
 
+/// Maximum number of rate-limited servers that deny a permit to one request before it is refused.
+const MAX_DENIALS: u32 = 3;
+
 /// Caller address of a request that did not arrive over a connection of [`crate::connection::accept`].
 const UNKNOWN_CALLER: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
 
@@ -149,6 +153,7 @@
 async fn run(job: Job) -> Response<Full<Bytes>> {
     let job = Rc::new(job);
     let mut sends = 0;
+    let mut denials = 0;
     let mut tried = Vec::new();
     let mut last = None;
     let mut crashed = BTreeSet::new();
@@ -173,13 +178,30 @@
                 job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
                 continue;
             }
-            None => return finish(&job, last, &tried),
+            None => {
+                let limited = last.is_none() && !job.keyed && is_any_blocked(&job, &view);
+                let limited = limited.then_some(SendOutcome::NotRun(NotRun::RateLimited));
+                return finish(&job, last.or(limited), &tried);
+            }
+        };
+        let state = job.traffic.server(&server);
+        let permit = match permit::acquire(&job.traffic, &server, &state).await {
+            Ok(permit) => permit,
+            Err(permit::Denied) => {
+                last = Some(outcome_to_report(last, SendOutcome::NotRun(NotRun::RateLimited)));
+                denials += 1;
+                if job.keyed || denials > MAX_DENIALS {
+                    return finish(&job, last, &tried);
+                }
+                tried.push(server.id);
+                continue;
+            }
         };
         if sends > 0 && !job.traffic.may_repeat(&job.service, view.hosts) {
             return finish(&job, last, &tried);
         }
         sends += 1;
-        let sent = send_to(&job, &view, &server).await;
+        let sent = send_to(&job, &view, &server, permit).await;
         job.traffic.counters.on_sent(&sent);
         job.log_send(&view, &server, sends, &sent);
         let retry = match &sent {
@@ -193,7 +215,9 @@
             SendOutcome::NotRun(
                 NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable,
             ) if job.keyed => false,
-            SendOutcome::NotRun(NotRun::Full) => !job.keyed && sends < MAX_SENDS,
+            SendOutcome::NotRun(NotRun::Full | NotRun::RateLimited) => {
+                !job.keyed && sends < MAX_SENDS
+            }
             SendOutcome::NotRun(_) => sends < MAX_SENDS,
             SendOutcome::Lost(Lost::Late) => false,
             SendOutcome::Lost(Lost::Broken) => job.may_run_again(sends),
--- a/crates/jacinthbeam-host/src/send_outcome.rs
+++ b/crates/jacinthbeam-host/src/send_outcome.rs
@@ -37,6 +37,8 @@
     Unreachable,
     /// This host has reached its maximum number of connections to the server.
     NoConnection,
+    /// The server states a rate limit, and this host got no permit to send.
+    RateLimited,
     /// The server refused the request for another reason.
     Refused,
 }
--- a/crates/jacinthbeam-range/src/balance.rs
+++ b/crates/jacinthbeam-range/src/balance.rs
@@ -28,6 +28,8 @@
     pub capacity: f64,
     /// Whether it is cold, so that a single hot key may exceed the rate that it accepts.
     pub cold: bool,
+    /// Whether it states a rate limit, so that what exceeds its capacity is refused.
+    pub rate_limited: bool,
 }
 
 /// A proposed change of owner.
@@ -66,10 +68,16 @@
 /// Fraction of its warm capacity up to which a cold server is assigned load.
 pub const COLD_CAPACITY_SHARE: f64 = 0.5;
 
+/// Fraction of its rate limit up to which a rate-limited server is assigned load.
+pub const LIMITED_CAPACITY_SHARE: f64 = 0.5;
+
 /// Smallest decayed count that is worth a move: one request a second over
 /// [`crate::demand::DECAY_TIME`].
 const MIN_MOVED_COUNT: f64 = 4.0;
 
+/// The same for the keys of a rate-limited owner, whose excess requests are all refused.
+const MIN_MOVED_COUNT_LIMITED: f64 = 1.0;
+
 /// A key that overwhelms its owner moves only to a server with this many times the capacity. The move
 /// delays the key's requests until the old owner has answered what it had, which takes up to a second of
 /// the few that a burst lasts. Capacities are also known only roughly: that of one server was measured
@@ -128,6 +136,11 @@
         self.share[at] * FILL_RATIO - self.load[at]
     }
 
+    /// Smallest count that is worth a move away from a candidate.
+    fn min_moved(&self, from: Index) -> f64 {
+        if self.candidates[from].rate_limited { MIN_MOVED_COUNT_LIMITED } else { MIN_MOVED_COUNT }
+    }
+
     /// The candidate that is furthest below its share, other than `excluded`.
     fn least_loaded(&self, excluded: Option<Index>) -> Option<Index> {
         let others = (0..self.candidates.len()).filter(|at| Some(*at) != excluded);
@@ -223,7 +236,7 @@
                 let Some(to) = plan.least_loaded(Some(from)) else { break };
                 let wanted = plan.surplus(from).min(plan.headroom(to));
                 let window = plan.best_window(from, &excluded, wanted);
-                let Some(range) = window.filter(|_| wanted >= MIN_MOVED_COUNT) else {
+                let Some(range) = window.filter(|_| wanted >= plan.min_moved(from)) else {
                     stuck.push(from);
                     continue;
                 };
--- a/crates/jacinthbeam-range/src/demand/mod.rs
+++ b/crates/jacinthbeam-range/src/demand/mod.rs
@@ -38,6 +38,8 @@
     pub answers: u32,
     /// Requests of the host that are in flight at the server at the end of the report.
     pub in_flight: u32,
+    /// The rate limit that the server stated in the last of these answers.
+    pub rate_limit: Option<Rate>,
 }
 
 /// Time constant of the decay: a count loses 63 % of its weight in this time. A hot key must be detected
@@ -57,6 +59,10 @@
 /// second.
 const IN_FLIGHT_TTL: Duration = Duration::from_millis(1000);
 
+/// Time after which a rate limit is forgotten that no host reports any more. A server without keys sends
+/// no answers that would withdraw it.
+const RATE_LIMIT_TTL: Duration = Duration::from_secs(15);
+
 /// Number of answers from which a mean is used: with a relative standard deviation of a third, the error
 /// of the mean of 6 is some 14 %.
 const MIN_ANSWERS: f64 = 6.0;
@@ -67,6 +73,8 @@
 pub struct Demand {
     keys: BTreeMap<Key, DecayedCount>,
     servers: BTreeMap<ServerId, ServerLoad>,
+    /// Rate limits that servers state, each with the time of its last report.
+    rate_limits: BTreeMap<ServerId, (Instant, Rate)>,
     /// The time to which the counts have decayed.
     advanced_to: Option<Instant>,
 }
@@ -114,6 +122,12 @@
             let load = self.servers.entry(server.clone()).or_default();
             load.answers += f64::from(counts.answers);
             load.in_flight.insert(from.clone(), (now, counts.in_flight));
+            if counts.answers > 0 {
+                match counts.rate_limit {
+                    Some(rate) => drop(self.rate_limits.insert(server.clone(), (now, rate))),
+                    None => drop(self.rate_limits.remove(server)),
+                }
+            }
         }
     }
 
@@ -130,6 +144,8 @@
             count.fast *= fast_factor;
             count.slow > MIN_COUNT
         });
+        let is_reported = |at: Instant| now.saturating_duration_since(at) < RATE_LIMIT_TTL;
+        self.rate_limits.retain(|_, (at, _)| is_reported(*at));
         self.servers.retain(|server, load| {
             let is_recent = |at: Instant| now.saturating_duration_since(at) < IN_FLIGHT_TTL;
             load.in_flight.retain(|_, (at, _)| is_recent(*at));
@@ -155,6 +171,11 @@
         Some(Duration::from_secs_f64(load.busy_slot_seconds / load.answers))
     }
 
+    /// The rate limit that a server states; `None` if it states none.
+    pub fn rate_limit(&self, server: &ServerId) -> Option<Rate> {
+        self.rate_limits.get(server).map(|(_, rate)| *rate)
+    }
+
     /// The present load of a server with this number of slots and this service time. `None` without recent
     /// reports.
     pub fn load(&self, server: &ServerId, slots: u32, service_time: Duration) -> Option<OwnerLoad> {
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -349,13 +349,21 @@
         let capacity = f64::from(server.slots) / service_time.as_secs_f64().max(0.001);
         let cold = server.is_cold();
         let capacity = if cold { cold_capacity(server, capacity) } else { capacity };
-        Candidate { owner, capacity, cold }
+        let rate_limit = leading.demand.rate_limit(&server.id);
+        let capacity = rate_limit.map_or(capacity, |rate| capacity.min(limited_capacity(rate)));
+        Candidate { owner, capacity, cold, rate_limited: rate_limit.is_some() }
     };
     let servers = if free.is_empty() { bounded } else { free };
     let selected = owners::select(servers.into_iter(), &leading.owner_ids(), view.max_owners);
     selected.into_iter().map(candidate).collect()
 }
 
+/// Load that is assigned to a server with this rate limit. The rest of the limit is left for the variance
+/// of the arrivals, since what exceeds the limit is refused.
+fn limited_capacity(limit: Rate) -> f64 {
+    limit.per_second() * balance::LIMITED_CAPACITY_SHARE
+}
+
 /// Capacity of a cold server: a part of its warm capacity, and at most its cold rate.
 fn cold_capacity(server: &Server, warm: f64) -> f64 {
     let most = server.cold_rate.map_or(f64::INFINITY, Rate::per_second);
--- a/crates/jacinthbeam-range/tests/load.rs
+++ b/crates/jacinthbeam-range/tests/load.rs
@@ -6,8 +6,8 @@
 use jacinthbeam_range::{
     Key, KeyRange, Map, Owner,
     admission::{Gate, OwnerLoad, gate},
-    balance::{Candidate, imbalance, place, rebalance},
-    demand::{Demand, LoadReport, ServerReport},
+    balance::{Candidate, LIMITED_CAPACITY_SHARE, imbalance, place, rebalance},
+    demand::{DECAY_TIME, Demand, LoadReport, ServerReport},
 };
 use jacinthbeam_types::prelude::*;
 
@@ -22,7 +22,9 @@
 }
 
 fn candidates(of: std::ops::Range<u32>) -> Vec<Candidate> {
-    of.map(|n| Candidate { owner: owner(n), capacity: CAPACITY, cold: false }).collect()
+    let candidate =
+        |n| Candidate { owner: owner(n), capacity: CAPACITY, cold: false, rate_limited: false };
+    of.map(candidate).collect()
 }
 
 /// Twenty owners with the same number of keys each.
@@ -260,7 +262,7 @@
             let now = begin + Duration::from_millis(250) * step;
             // Three slots at 0.2 s each give 15 answers a second; every fourth report has 3, the others 4.
             let answers = if step % 4 == 0 { 3 } else { 4 };
-            let counts = ServerReport { answers, in_flight };
+            let counts = ServerReport { answers, in_flight, rate_limit: None };
             let report =
                 LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() };
             demand.advance(now, |_| Some(3));
@@ -346,3 +348,54 @@
     }
     assert!(moves <= 12, "{moves} moves in 60 checks");
 }
+
+/// Requests a second for the keys of an owner.
+fn load_of(map: &Map, demand: &Demand, n: u32) -> f64 {
+    let rates = demand.rates(map);
+    let server = owner(n).server;
+    let owned = map.owned_by(&server).map(|assignment| assignment.range);
+    owned.map(|range| rates.count_in(range)).sum::<f64>() / DECAY_TIME.as_secs_f64()
+}
+
+/// Guards against keys that stay on an owner whose rate limit is below their load, so that their requests are refused for as long as the
+/// limit lasts.
+#[test]
+fn keys_move_off_a_rate_limited_owner_until_its_limit_suffices() {
+    for limit in [Rate(0), Rate(100), Rate(2400), Rate(6200)] {
+        let (mut map, demand) = (even_map(), hot_demand(20_000));
+        let limited = 6;
+        let mut candidates = candidates(0..OWNERS);
+        candidates[limited as usize].capacity =
+            (limit.per_second() * LIMITED_CAPACITY_SHARE).min(CAPACITY);
+        candidates[limited as usize].rate_limited = true;
+        assert!(load_of(&map, &demand, limited) > limit.per_second());
+        for _ in 0..30 {
+            for change in rebalance(&map, &demand.rates(&map), &candidates, &[], 8) {
+                map.assign(change.range, Some(change.to), Token(2), None);
+            }
+        }
+        let load = load_of(&map, &demand, limited);
+        assert!(load <= limit.per_second().max(0.5), "{load} a second are left at {limit}");
+    }
+}
+
+/// Guards against a rate limit that outlives the last report of it, or a report without one.
+#[test]
+fn a_reported_rate_limit_is_forgotten_when_it_is_withdrawn_or_silent() {
+    let (begin, h): (_, HostId) = (Instant::now(), "h".parse().unwrap());
+    let s: ServerId = "s".parse().unwrap();
+    let report = |answers, rate_limit| {
+        let counts = ServerReport { answers, in_flight: 1, rate_limit };
+        LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() }
+    };
+    let mut demand = Demand::default();
+    demand.add(&h, begin, &report(1, Some(Rate(2000))));
+    demand.add(&h, begin, &report(0, None));
+    demand.advance(begin + Duration::from_secs(14), |_| Some(3));
+    assert_eq!(demand.rate_limit(&s), Some(Rate(2000)), "a report without answers tells nothing");
+    demand.advance(begin + Duration::from_secs(16), |_| Some(3));
+    assert_eq!(demand.rate_limit(&s), None);
+    demand.add(&h, begin, &report(1, Some(Rate(2000))));
+    demand.add(&h, begin, &report(1, None));
+    assert_eq!(demand.rate_limit(&s), None);
+}
--- a/crates/jacinthbeam-range/tests/onset.rs
+++ b/crates/jacinthbeam-range/tests/onset.rs
@@ -97,6 +97,7 @@
             owner: owner(n),
             capacity: capacity(),
             cold: false,
+            rate_limited: false,
         });
         let candidates = candidates.collect();
         let mut map = Map::unowned();
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -74,6 +74,8 @@
     Unreachable,
     /// Backend servers are at capacity, or can't respond in time.
     Overloaded,
+    /// The backend server states a rate limit that other requests use up.
+    RateLimited,
     /// Servers crashed under the request, which is quarantined or on probation.
     EndsServers,
     /// The deadline passed.
@@ -97,6 +99,7 @@
             Self::Moving => "the key is being moved to another backend server",
             Self::Unreachable => "the backend server can't be reached from here",
             Self::Overloaded => "no backend server has room for the request at present",
+            Self::RateLimited => "the backend server limits the rate of its requests",
             Self::EndsServers => "backend servers have ended each time that they ran this request",
             Self::DeadlinePassed => "the deadline passed",
             Self::RefusedByServer => "the backend server refused the request before running it",
