fix(dispatch): keep relayed rate limits from getting newer with each exchange

Each request for a permit and each decision counted a statement as of its arrival, so that it got newer by the way there and back. With enough requests no response would be new enough to withdraw a limit. A decision now counts as of the request that it answers.

a_statement_does_not_get_newer_on_its_way fails with the arrival in place of the request. The world of tests/rate_limit.rs now lets datagrams take up to 100 ms.

--- a/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
+++ b/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
@@ -115,7 +115,7 @@
         let per_second = rate.per_second() / issuers.max(1) as f64;
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.tokens = (self.tokens + elapsed * per_second).min(BURST);
-        self.filled_at = now;
+        self.filled_at = now.max(self.filled_at);
         let granted = self.tokens >= 1.0;
         if granted {
             self.tokens -= 1.0;
--- a/crates/jacinthbeam-dispatch/src/rate_limit/mod.rs
+++ b/crates/jacinthbeam-dispatch/src/rate_limit/mod.rs
@@ -29,6 +29,19 @@
     pub fn of_response(rate: Option<Rate>, sent: Instant, received: Instant) -> Self {
         Self { rate, as_of: if rate.is_some() { received } else { sent } }
     }
+
+    /// A statement that another host sent, given its age when it was sent, and a time that is known for that moment.
+    ///
+    /// In the answer to a request this is the time of the request, so that a statement doesn't get newer on its way there and back. Otherwise a
+    /// limit that hosts tell each other often enough would never be older than a response that withdraws it.
+    pub fn relayed(rate: Option<Rate>, age: Duration, sent: Instant) -> Self {
+        Self { rate, as_of: sent.checked_sub(age).unwrap_or(sent) }
+    }
+
+    /// Age of the statement.
+    pub fn age(self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.as_of)
+    }
 }
 
 /// Whether a request may be sent to a server, by its rate limit.
--- a/crates/jacinthbeam-dispatch/tests/rate_limit.rs
+++ b/crates/jacinthbeam-dispatch/tests/rate_limit.rs
@@ -20,6 +20,9 @@
 const ANSWER_MS: u64 = 200;
 const MAX_TRANSIT_MS: u64 = 300;
 
+/// Longest way of a datagram between hosts, which have a small share of a processor.
+const MAX_DATAGRAM_MS: u64 = 100;
+
 /// How long a host leaves a server alone whose issuers are silent.
 const SILENCE_BLOCK: Duration = Duration::from_millis(250);
 
@@ -131,6 +134,7 @@
         self.answers.push(Answer { at_ms, to: n, sent: now, rate });
     }
 
+    /// Asks the issuers in turn. Requests and decisions take up to [`MAX_DATAGRAM_MS`] each.
     fn ask(&mut self, n: usize, ms: u64) -> bool {
         let now = self.at(ms);
         let mut issuers = match self.alone {
@@ -139,13 +143,17 @@
         };
         self.rng.shuffle(&mut issuers);
         let count = issuers.len();
-        let statement = self.hosts[n].limit.newest().unwrap();
+        let known = self.hosts[n].limit.newest().unwrap();
         for id in issuers {
+            let at_issuer = now + Duration::from_millis(self.rng.u64(..=MAX_DATAGRAM_MS));
             let issuer = self.hosts.iter_mut().find(|host| host.id == id).unwrap();
             if issuer.frozen_until_ms > ms {
                 continue;
             }
-            let decision = issuer.issuer.request(&server(), statement, count, now);
+            let statement = Statement::relayed(known.rate, known.age(now), at_issuer);
+            let mut decision = issuer.issuer.request(&server(), statement, count, at_issuer);
+            let Statement { rate, .. } = decision.statement;
+            decision.statement = Statement::relayed(rate, decision.statement.age(at_issuer), now);
             let limit = &mut self.hosts[n].limit;
             limit.apply(decision.statement);
             if !decision.granted {
@@ -375,3 +383,22 @@
     }
     assert!(by_host.values().all(|servers| *servers < 20), "a host issues for too many servers");
 }
+
+/// Guards against a limit that gets newer each time that hosts tell each other of it, until no response is new enough to withdraw it.
+#[test]
+fn a_statement_does_not_get_newer_on_its_way() {
+    let begun = Instant::now();
+    let at = |ms| begun + Duration::from_millis(ms);
+    let known = Statement::of_response(Some(Rate(2000)), at(0), at(100));
+    let (mut issuer, mut limit) = (PermitIssuer::new(begun), KnownLimit::default());
+    limit.apply(known);
+    for asked in (1000..9000).step_by(50) {
+        let arrived = at(asked + 20);
+        let statement = limit.newest().unwrap();
+        let statement = Statement::relayed(statement.rate, statement.age(at(asked)), arrived);
+        let decision = issuer.request(&server(), statement, 2, arrived);
+        let age = decision.statement.age(arrived);
+        limit.apply(Statement::relayed(decision.statement.rate, age, at(asked)));
+    }
+    assert_eq!(limit.newest(), Some(known));
+}
--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -50,7 +50,7 @@
                 self.on_permit_decision(id, granted, wait, limit);
             }
             Message::LimitWithdrawn { server, limit } => {
-                self.permits.issuer.apply(&server, limit.received(self.clock.now()));
+                self.permits.issuer.apply(&server, limit.sent_at(self.clock.now()));
             }
         }
     }
--- a/crates/jacinthbeam-host/src/process/control/permits.rs
+++ b/crates/jacinthbeam-host/src/process/control/permits.rs
@@ -22,8 +22,8 @@
     pub(super) issuer: PermitIssuer,
     /// The hosts that are selected for servers of interest, among the known hosts.
     selected: BTreeMap<ServerId, Issuers>,
-    /// Requests to other hosts that are not decided yet.
-    pending: BTreeMap<u64, oneshot::Sender<Decision>>,
+    /// Requests to other hosts that are not decided yet, each with the time when it was sent.
+    pending: BTreeMap<u64, (Instant, oneshot::Sender<Decision>)>,
     next_id: u64,
 }
 
@@ -44,9 +44,9 @@
         self.selected.clear();
     }
 
-    fn add_pending(&mut self, reply: oneshot::Sender<Decision>) -> u64 {
+    fn add_pending(&mut self, now: Instant, reply: oneshot::Sender<Decision>) -> u64 {
         self.next_id += 1;
-        self.pending.insert(self.next_id, reply);
+        self.pending.insert(self.next_id, (now, reply));
         self.next_id
     }
 }
@@ -90,7 +90,7 @@
             let _ = reply.send(decision);
             return;
         }
-        let id = self.permits.add_pending(reply);
+        let id = self.permits.add_pending(now, reply);
         let limit = LimitStatement::new(statement, now);
         self.send_permit_message(
             addr,
@@ -109,7 +109,7 @@
         let domain = self.replica.servers().get(server).map(|server| server.domain.clone());
         let domain = domain.unwrap_or_else(|| self.settings.domain.clone());
         let issuers = self.permit_issuers(server, &domain).len();
-        let statement = limit.received(now);
+        let statement = limit.sent_at(now);
         let Decision { granted, wait, statement } =
             self.permits.issuer.request(server, statement, issuers, now);
         let limit = LimitStatement::new(statement, now);
@@ -123,15 +123,15 @@
         wait: Duration,
         limit: LimitStatement,
     ) {
-        let Some(reply) = self.permits.pending.remove(&id) else { return };
-        let statement = limit.received(self.clock.now());
+        let Some((sent, reply)) = self.permits.pending.remove(&id) else { return };
+        let statement = limit.sent_at(sent);
         // The requester may have given up.
         let _ = reply.send(Decision { granted, wait, statement });
     }
 
     /// Drops requests whose requester has given up, and state of servers that are not limited any more.
     pub(super) fn expire_permits(&mut self) {
-        self.permits.pending.retain(|_, reply| !reply.is_closed());
+        self.permits.pending.retain(|_, (_, reply)| !reply.is_closed());
         self.permits.issuer.expire(self.clock.now());
     }
 
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -87,14 +87,12 @@
 impl LimitStatement {
     /// The statement as of `now`, to be sent immediately.
     pub fn new(statement: Statement, now: Instant) -> Self {
-        let age = now.saturating_duration_since(statement.as_of);
-        Self { rate: statement.rate, age }
+        Self { rate: statement.rate, age: statement.age(now) }
     }
 
-    /// The statement as received at `now`. The time that the datagram took is not known and makes it appear newer.
-    pub fn received(self, now: Instant) -> Statement {
-        let as_of = now.checked_sub(self.age).unwrap_or(now);
-        Statement { rate: self.rate, as_of }
+    /// The statement as of `sent`, the time that is known for the moment when it was sent. See [`Statement::relayed`].
+    pub fn sent_at(self, sent: Instant) -> Statement {
+        Statement::relayed(self.rate, self.age, sent)
     }
 }
 
