feat(range): admit the more urgent requests first at a rate-limited owner

Permits are issued in the order of requests for them, so where lookups and orders go to one limited owner, the more frequent lookups would take nearly all. The gate of such an owner admits 1.3 times the limit by rank.

The least that a limited server is sent has one name, Rate::PROBE.

--- a/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
+++ b/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
@@ -20,9 +20,6 @@
 /// Permits that an issuer may issue in a single moment after an idle time.
 const BURST: f64 = 1.5;
 
-/// Limit that is assumed for servers that state a lower one. The responses to these requests are the only ones that can withdraw the limit.
-const MIN_RATE: Rate = Rate(100);
-
 /// Bounds of the wait after a denial. The upper one bounds how long a host misses that the limit was raised or withdrawn.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 const MAX_WAIT: Duration = Duration::from_secs(1);
@@ -97,7 +94,7 @@
         let Some(rate) = statement.rate else {
             return Decision { granted: true, wait: Duration::ZERO, statement };
         };
-        let (granted, wait) = bucket.take(rate.max(MIN_RATE), issuers, now);
+        let (granted, wait) = bucket.take(rate.max(Rate::PROBE), issuers, now);
         Decision { granted, wait, statement }
     }
 
--- a/crates/jacinthbeam-range/src/admission.rs
+++ b/crates/jacinthbeam-range/src/admission.rs
@@ -13,6 +13,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// Time in which the number of requests in flight is brought to its target. A time below the delay of
@@ -26,6 +27,10 @@
 /// Requests in flight per slot up to which an owner has practically no queue.
 const QUEUE_FREE_IN_FLIGHT_PER_SLOT: f64 = 1.15;
 
+/// Ratio of what is admitted for a rate-limited owner to its limit. The hosts that issue permits enforce the limit, but don't know the ranks
+/// of requests; the gate keeps the less urgent ones from using up the permits. The rest is for arrivals that vary.
+const LIMIT_ADMISSION_RATIO: f64 = 1.3;
+
 /// Which requests for an owner are admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Gate {
@@ -58,19 +63,19 @@
     pub in_flight: f64,
     /// Requests a second that arrive for its keys, by rank, refused ones included.
     pub arrival_rates: BTreeMap<u32, f64>,
+    /// The rate limit that it states.
+    pub rate_limit: Option<Rate>,
 }
 
-/// The gate that keeps an owner within the latency objective, or `None` if all requests can be admitted.
+/// The gate that keeps an owner within the latency objective and its rate limit, or `None` if all requests can be admitted.
 pub fn gate(load: &OwnerLoad, objective: Duration) -> Option<Gate> {
-    let slots = f64::from(load.slots);
-    if load.in_flight <= slots * QUEUE_FREE_IN_FLIGHT_PER_SLOT {
-        return None;
-    }
-    let service_time = load.service_time.as_secs_f64().max(0.001);
-    let target_in_flight =
-        (slots * OWNER_SHARE_OF_OBJECTIVE * objective.as_secs_f64() / service_time).max(slots);
-    let mut admissible_rate =
-        slots / service_time + (target_in_flight - load.in_flight) / CORRECTION_TIME.as_secs_f64();
+    let admitted = |limit: Rate| limit.max(Rate::PROBE).per_second() * LIMIT_ADMISSION_RATIO;
+    // Among requests of one rank there is nothing to choose, and permits follow the limit without delay.
+    let limited_rate = load.rate_limit.filter(|_| load.arrival_rates.len() > 1).map(admitted);
+    let mut admissible_rate = match (rate_by_queue(load, objective), limited_rate) {
+        (Some(by_queue), Some(limited)) => by_queue.min(limited),
+        (by_queue, limited) => by_queue.or(limited)?,
+    };
     for (rank, rate) in &load.arrival_rates {
         if *rate > admissible_rate {
             return Some(Gate { rank: *rank, share: (admissible_rate / rate).max(0.0) });
@@ -79,3 +84,16 @@
     }
     None
 }
+
+/// Requests a second that bring the queue of an owner to the length that the objective allows; `None` if it has no queue.
+fn rate_by_queue(load: &OwnerLoad, objective: Duration) -> Option<f64> {
+    let slots = f64::from(load.slots);
+    if load.in_flight <= slots * QUEUE_FREE_IN_FLIGHT_PER_SLOT {
+        return None;
+    }
+    let service_time = load.service_time.as_secs_f64().max(0.001);
+    let target_in_flight =
+        (slots * OWNER_SHARE_OF_OBJECTIVE * objective.as_secs_f64() / service_time).max(slots);
+    let correction = (target_in_flight - load.in_flight) / CORRECTION_TIME.as_secs_f64();
+    Some(slots / service_time + correction)
+}
--- a/crates/jacinthbeam-range/src/demand/mod.rs
+++ b/crates/jacinthbeam-range/src/demand/mod.rs
@@ -182,6 +182,12 @@
         let load = self.servers.get(server)?;
         let rate = |(rank, count): (&u32, &f64)| (*rank, count / ARRIVALS_DECAY_TIME.as_secs_f64());
         let arrival_rates = load.arrivals.iter().map(rate).collect();
-        Some(OwnerLoad { slots, service_time, in_flight: load.total_in_flight(), arrival_rates })
+        Some(OwnerLoad {
+            slots,
+            service_time,
+            in_flight: load.total_in_flight(),
+            arrival_rates,
+            rate_limit: self.rate_limit(server),
+        })
     }
 }
--- a/crates/jacinthbeam-range/tests/load.rs
+++ b/crates/jacinthbeam-range/tests/load.rs
@@ -275,7 +275,8 @@
 
 fn owner_load(in_flight: f64, rates: &[(u32, f64)]) -> OwnerLoad {
     let (slots, service_time) = (3, Duration::from_millis(220));
-    OwnerLoad { slots, service_time, in_flight, arrival_rates: rates.iter().copied().collect() }
+    let arrival_rates = rates.iter().copied().collect();
+    OwnerLoad { slots, service_time, in_flight, arrival_rates, rate_limit: None }
 }
 
 const OBJECTIVE: Duration = Duration::from_millis(600);
@@ -349,6 +350,22 @@
     assert!(moves <= 12, "{moves} moves in 60 checks");
 }
 
+/// Guards against less urgent requests that use up the rate limit of an owner, although it has no queue.
+#[test]
+fn urgent_requests_are_admitted_first_at_a_rate_limited_owner() {
+    let limited = |rates: &[(u32, f64)], limit| {
+        let load = OwnerLoad { rate_limit: Some(limit), ..owner_load(1.0, rates) };
+        gate(&load, OBJECTIVE)
+    };
+    let gate = limited(&[(0, 2.0), (2, 20.0)], Rate(4000)).unwrap();
+    let sent = 2.0 + gate.share * 20.0;
+    assert!(gate.rank == 2 && gate.admits(0, 1.0) && (4.0..6.0).contains(&sent), "{gate:?}");
+    assert_eq!(limited(&[(0, 2.0), (2, 1.0)], Rate(4000)), None);
+    assert_eq!(limited(&[(2, 20.0)], Rate(4000)), None);
+    let gate = limited(&[(0, 2.0), (2, 20.0)], Rate(0)).unwrap();
+    assert!(gate.rank == 0 && (0.01..0.1).contains(&gate.share), "{gate:?}");
+}
+
 /// Requests a second for the keys of an owner.
 fn load_of(map: &Map, demand: &Demand, n: u32) -> f64 {
     let rates = demand.rates(map);
--- a/crates/jacinthbeam-types/src/size.rs
+++ b/crates/jacinthbeam-types/src/size.rs
@@ -99,6 +99,9 @@
 impl std::error::Error for ParseRateError {}
 
 impl Rate {
+    /// The least that a server is sent, whatever limit it states. The answers to these requests are the only ones that can withdraw the limit.
+    pub const PROBE: Self = Self(100);
+
     /// The rate of this many requests per second.
     pub fn from_per_second(value: f64) -> Result<Self, ParseRateError> {
         let thousandths = value * 1000.0;
