feat(host): read and log pauses and drains that backend servers state in answers

The logs called a server that turns everything away and asks for seconds of pause just Full, so that a pause that is never read (H1) could not be told from one that only the choice among servers heeds (H2). Both headers are parsed in platform/ and by the native wire, kept per server incarnation, logged (part backpressure; events pause and draining) and counted. Nothing acts on them yet.

Unproven refusals count too: they are the server's own, whatever they say of the request.

--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod choose;
+pub mod pause;
 pub mod rate_limit;
 pub mod refusal;
 pub mod server;
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -48,6 +48,8 @@
     sends: Counter<u64>,
     /// Changes of the rate limits that backend servers state, by whether there is one afterwards.
     rate_limits: Counter<u64>,
+    /// Times that a backend server asked this host to pause.
+    pub pauses: Counter<u64>,
     /// Requests for permits to send to rate-limited servers, by outcome.
     permits: Counter<u64>,
     /// Retries that the retry budget allowed or refused, by service.
@@ -111,6 +113,7 @@
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
             rate_limits: count("jacinthbeam_rate_limit_changes"),
+            pauses: count("jacinthbeam_pauses"),
             permits: count("jacinthbeam_permits"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -13,7 +13,9 @@
 use jacinthbeam_crash::{
     Fact, Fingerprint, Prober, RecentSuccesses, Suspects, fingerprint::HeadDigest, probe::Rank,
 };
-use jacinthbeam_dispatch::{RetryBudget, ServerStats, rate_limit::KnownLimit, slow_start::Pacer};
+use jacinthbeam_dispatch::{
+    RetryBudget, ServerStats, pause::KnownPause, rate_limit::KnownLimit, slow_start::Pacer,
+};
 use jacinthbeam_range::{Key, admission::Gate, demand::LoadReport};
 use jacinthbeam_route::{Route, Server, Target, route::WeightedRoundRobin};
 use jacinthbeam_types::prelude::*;
@@ -84,6 +86,10 @@
     pub pacer: Cell<Pacer>,
     /// The rate limit that the server states.
     pub rate_limit: Cell<KnownLimit>,
+    /// How long the server wants no request from this host.
+    pub pause: Cell<KnownPause>,
+    /// When the server first stated that it is draining.
+    pub draining_since: Cell<Option<Instant>>,
     /// Whether an invalid header of the server was logged.
     pub invalid_logged: Cell<bool>,
 }
@@ -224,6 +230,8 @@
             broken: Broken::default(),
             pacer: Cell::default(),
             rate_limit: Cell::default(),
+            pause: Cell::default(),
+            draining_since: Cell::default(),
             invalid_logged: Cell::default(),
         })
     }
--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -1,6 +1,6 @@
 //! Applies what backend servers state about their own load in the heads of their responses.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::Response;
 use hyper::body::Incoming;
@@ -25,6 +25,16 @@
     if let Some(header) = stated.invalid.filter(|_| !state.invalid_logged.replace(true)) {
         tracing::warn!(part = "backpressure", event = "invalid-header", server = %server.id, header, value = ?res.headers().get(header));
     }
+    if let Some(pause) = stated.pause {
+        apply_pause(traffic, &server.id, state, pause);
+    }
+    if stated.draining && state.draining_since.get().is_none() {
+        state.draining_since.set(Some(traffic.now()));
+        log(
+            traffic,
+            |left_out| tracing::info!(part = "backpressure", event = "draining", server = %server.id, left_out),
+        );
+    }
     let statement = Statement::of_response(stated.rate_limit, sent, traffic.now());
     let changed = apply_rate_limit(traffic, &server.id, state, statement);
     if changed && statement.rate.is_none() {
@@ -56,13 +66,33 @@
 
 fn log_rate_limit(traffic: &Traffic, server: &ServerId, before: Option<Rate>, rate: Option<Rate>) {
     traffic.counters.on_rate_limit(rate.is_some());
-    let Some(left_out) = traffic.backpressure_log.borrow_mut().take(traffic.now()) else { return };
-    tracing::info!(
-        part = "backpressure",
-        event = "rate-limit",
-        server = %server,
-        rate = rate.map(tracing::field::display),
-        before = before.map(tracing::field::display),
-        left_out,
+    let rate = rate.map(tracing::field::display);
+    let before = before.map(tracing::field::display);
+    log(
+        traffic,
+        |left_out| tracing::info!(part = "backpressure", event = "rate-limit", server = %server, rate, before, left_out),
     );
 }
+
+fn apply_pause(traffic: &Traffic, server: &ServerId, state: &ServerState, pause: Duration) {
+    let now = traffic.now();
+    let mut known = state.pause.get();
+    let was_paused = known.left(now).is_some();
+    known.apply(pause, now);
+    state.pause.set(known);
+    if !was_paused {
+        traffic.counters.pauses.add(1, &[]);
+        let pause_ms = pause.as_millis() as u64;
+        log(
+            traffic,
+            |left_out| tracing::info!(part = "backpressure", event = "pause", server = %server, pause_ms, left_out),
+        );
+    }
+}
+
+/// Calls `write` with the number of lines that were left out, unless too many lines were written lately.
+fn log(traffic: &Traffic, write: impl FnOnce(u64)) {
+    if let Some(left_out) = traffic.backpressure_log.borrow_mut().take(traffic.now()) {
+        write(left_out);
+    }
+}
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -149,7 +149,7 @@
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
                 let kind = classify(traffic, request, &server.id, &res);
-                if !matches!(kind, ResponseKind::Foreign | ResponseKind::OtherServer) {
+                if kind != ResponseKind::OtherServer {
                     backpressure::apply(traffic, server, state, &res, sent_at);
                 }
                 return Ok(read_response(traffic, request, state, conn, kind, res, by).await);
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -123,6 +123,10 @@
 pub struct Backpressure {
     /// Requests that it takes from all hosts together.
     pub rate_limit: Option<Rate>,
+    /// How long it wants no request from this host.
+    pub pause: Option<Duration>,
+    /// Whether it is draining.
+    pub draining: bool,
     /// Name of a header with an invalid value, which counts as absent.
     pub invalid: Option<&'static str>,
 }
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -24,6 +24,10 @@
 pub const RAN: HeaderName = HeaderName::from_static("jacinthbeam-ran");
 /// In an answer of a server, the rate of requests that it takes from all hosts together, such as `4.4/s`.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("jacinthbeam-rate-limit");
+/// In an answer of a server, milliseconds for which it wants no request from this host.
+pub const PAUSE: HeaderName = HeaderName::from_static("jacinthbeam-pause-ms");
+/// In an answer of a server, `true` if it is draining.
+pub const DRAINING: HeaderName = HeaderName::from_static("jacinthbeam-draining");
 /// In an answer to a caller, what may have become of the request.
 pub const VERDICT: HeaderName = HeaderName::from_static("jacinthbeam-verdict");
 
@@ -92,10 +96,21 @@
 
 /// Reads what an answer says of the load of its server.
 pub fn backpressure(_status: StatusCode, headers: &HeaderMap) -> Backpressure {
-    match parsed(headers, &RATE_LIMIT, "jacinthbeam-rate-limit") {
-        Ok(rate_limit) => Backpressure { rate_limit, invalid: None },
-        Err(HeaderError::Header(name)) => Backpressure { rate_limit: None, invalid: Some(name) },
-        Err(HeaderError::NoId) => Backpressure::default(),
+    let mut invalid = None;
+    let mut on_error = |err| {
+        if let HeaderError::Header(name) = err {
+            invalid = Some(name);
+        }
+    };
+    let rate_limit = parsed(headers, &RATE_LIMIT, "jacinthbeam-rate-limit");
+    let rate_limit = rate_limit.map_err(&mut on_error).ok().flatten();
+    let pause = parsed(headers, &PAUSE, "jacinthbeam-pause-ms").map_err(&mut on_error);
+    let draining = parsed(headers, &DRAINING, "jacinthbeam-draining").map_err(&mut on_error);
+    Backpressure {
+        rate_limit,
+        pause: pause.ok().flatten().map(Duration::from_millis),
+        draining: draining.ok().flatten().unwrap_or(false),
+        invalid,
     }
 }
 
