fix(host): send nothing to a server during a pause that it asked for

Callers' requests went on to servers that turned all of them away and asked for 3 s: 11 and 3 requests from one host, two are allowed from half a second on. The keys stayed there for all 9 s.

Keyed requests are refused at once with their reason and a time that is spread over the pause, unkeyed ones go elsewhere. Load reports count what was not sent, and the granting host counts an owner's capacity by the share that it admits, so that the keys leave.

--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -77,6 +77,8 @@
     pub rate_limit: Option<Rate>,
     /// Age of that statement.
     pub rate_limit_age: Option<Duration>,
+    /// How much longer the owner wants no request from this host.
+    pub pause_left: Option<Duration>,
     /// Age of the list of servers.
     pub servers_age: Option<Duration>,
 }
@@ -157,6 +159,7 @@
             gate_share = basis.gate.map(|gate| gate.share),
             rate_limit = basis.rate_limit.map(tracing::field::display),
             rate_limit_age_ms = basis.rate_limit_age.map(|age| age.as_millis() as u64),
+            pause_left_ms = basis.pause_left.map(|left| left.as_millis() as u64),
             in_flight = basis.in_flight,
             tried = basis.tried,
             servers_age_ms = basis.servers_age.map(|age| age.as_millis() as u64),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -311,6 +311,18 @@
         self.servers.borrow().get(server).map(|state| state.rate_limit.get())
     }
 
+    /// How much longer a server wants no request from this host; `None` if it has not asked for a pause.
+    pub fn pause_left(&self, server: &ServerId) -> Option<Duration> {
+        self.servers.borrow().get(server).and_then(|state| state.pause.get().left(self.now()))
+    }
+
+    /// Counts a request in the next load report that was not sent to its owner, which has asked this host to pause.
+    pub fn on_keyed_pause(&self, service: &ServiceName, server: &ServerId) {
+        let mut reports = self.reports.borrow_mut();
+        let report = reports.entry(service.clone()).or_default().servers.entry(server.clone());
+        report.or_default().paused += 1;
+    }
+
     /// Requests of this host in flight at a server.
     pub fn in_flight(&self, server: &ServerId) -> u32 {
         let servers = self.servers.borrow();
--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -1,18 +1,57 @@
-//! Applies what backend servers state about their own load in the heads of their responses.
+//! What backend servers state about their own load in the heads of their responses: it is applied to each response, and asked before each send.
 
 use std::time::{Duration, Instant};
 
 use http::Response;
 use hyper::body::Incoming;
-use jacinthbeam_dispatch::rate_limit::Statement;
+use jacinthbeam_dispatch::rate_limit::{Admission, Statement};
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
-use crate::process::{
-    permits::Query,
-    traffic::{ServerState, Traffic},
+use super::permit::{self, Permit};
+use crate::{
+    process::{
+        permits::Query,
+        traffic::{ServerState, Traffic},
+    },
+    send_outcome::NotRun,
 };
 
+/// Admits one request to a server by what the server states. Returns the permit if one is required.
+pub(super) async fn admit(
+    traffic: &Traffic,
+    server: &Server,
+    state: &ServerState,
+) -> Result<Option<Permit>, NotRun> {
+    if let Some(refused) = refuses(traffic, state) {
+        return Err(refused);
+    }
+    permit::acquire(traffic, server, state).await.map_err(|permit::Denied| NotRun::RateLimited)
+}
+
+/// Admits a request again that was admitted with or without a `permit` before it waited for a connection.
+pub(super) async fn readmit(
+    traffic: &Traffic,
+    server: &Server,
+    state: &ServerState,
+    permit: Option<Permit>,
+) -> Result<(), NotRun> {
+    match permit {
+        Some(_) => refuses(traffic, state).map_or(Ok(()), Err),
+        None => admit(traffic, server, state).await.map(drop),
+    }
+}
+
+/// Why nothing may be sent to a server now, as far as that is known without asking another host.
+pub(super) fn refuses(traffic: &Traffic, state: &ServerState) -> Option<NotRun> {
+    let now = traffic.now();
+    if state.pause.get().left(now).is_some() {
+        return Some(NotRun::Paused);
+    }
+    let blocked = matches!(state.rate_limit.get().admission(now), Admission::Blocked(_));
+    blocked.then_some(NotRun::RateLimited)
+}
+
 /// Applies the head of a response to a request that was sent at `sent`.
 pub(super) fn apply(
     traffic: &Traffic,
--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -43,6 +43,9 @@
         Some(SendOutcome::NotRun(NotRun::RateLimited)) => {
             not_run(NotRun::RateLimited, overload_delay.max(owner_blocked_for(job)))
         }
+        Some(SendOutcome::NotRun(NotRun::Paused)) => {
+            not_run(NotRun::Paused, spread_over_pause(job, overload_delay))
+        }
         Some(SendOutcome::NotRun(why)) => not_run(why, overload_delay),
         None if tried.is_empty() => {
             Refusal::not_run(Reason::NoOwner).retry_after(OWNER_RETRY_DELAY)
@@ -65,6 +68,14 @@
     }
 }
 
+/// A delay from `shortest` to the end of the pause of the key's owner, drawn so that callers don't all return at its end. Other hosts
+/// may be allowed to send earlier.
+fn spread_over_pause(job: &Job, shortest: Duration) -> Duration {
+    let left = job.owner().and_then(|owner| job.traffic.pause_left(&owner));
+    let most = left.unwrap_or_default().saturating_sub(shortest);
+    shortest + most.mul_f64(fastrand::f64())
+}
+
 /// Refuses a quarantined request.
 ///
 /// A definite quarantine carries no retry hint, since it is unknown when the request would be served again.
@@ -84,6 +95,7 @@
     let limit = owner.as_ref().and_then(|owner| job.traffic.rate_limit(owner));
     let limit = limit.and_then(|limit| limit.newest()).filter(|limit| limit.rate.is_some());
     Basis {
+        pause_left: owner.as_ref().and_then(|owner| job.traffic.pause_left(owner)),
         rate_limit: limit.and_then(|limit| limit.rate),
         rate_limit_age: limit.map(|limit| job.traffic.now().saturating_duration_since(limit.as_of)),
         service: Some(&job.service),
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -20,7 +20,7 @@
 };
 use crate::{
     process::{request_log, traffic::Traffic, usage::Use},
-    send_outcome::{Lost, SendOutcome},
+    send_outcome::{Lost, NotRun, SendOutcome},
     version::View,
 };
 
@@ -84,6 +84,13 @@
         self.crash_tracker().on_sent(server, max_connections, sent, may_retry).await
     }
 
+    /// Records that a server did not admit the request.
+    pub(super) fn on_not_admitted(&self, server: &Server, refused: NotRun) {
+        if self.keyed && refused == NotRun::Paused {
+            self.traffic.on_keyed_pause(&self.service, &server.id);
+        }
+    }
+
     /// Whether the route's home regions allow the region of a server.
     pub(super) fn allows_region_of(&self, server: &Server) -> bool {
         self.route.allows_region(self.traffic.settings.regions.get(&server.domain))
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -7,15 +7,15 @@
 
 use jacinthbeam_dispatch::{
     choose::{self, Candidate},
-    rate_limit::Admission,
     subset::{self, is_in_subset},
 };
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
-use super::job::Job;
+use super::{backpressure, job::Job};
 use crate::{
     process::traffic::ServerState,
+    send_outcome::NotRun,
     version::{Grace, View},
 };
 
@@ -74,7 +74,7 @@
         .map(|(server, in_subset)| (server, in_subset, state_of(job, server, in_subset)))
         .filter(|(server, _, state)| {
             !state.ended.get()
-                && !is_blocked(state, now)
+                && backpressure::refuses(&job.traffic, state).is_none()
                 && slow_start_allows(view, server, state, now)
         });
     let states: Vec<(&Server, bool, Rc<ServerState>)> = states.collect();
@@ -90,15 +90,12 @@
     choose::best(candidates, now, fastrand::f64).map(|server| (*server).clone())
 }
 
-/// Whether a server of an unkeyed service isn't considered since it states a rate limit and denied a permit a short time ago.
-pub(super) fn is_any_blocked(job: &Job, view: &View) -> bool {
-    let now = job.traffic.now();
+/// Why a server of an unkeyed service isn't considered by what it states; `None` if there is no such server.
+pub(super) fn why_any_refuses(job: &Job, view: &View) -> Option<NotRun> {
     let servers = considered_servers(view, &job.service, &job.traffic.settings.domain);
-    servers.into_iter().any(|(server, _)| is_blocked(&job.traffic.used_server(server), now))
-}
-
-fn is_blocked(state: &ServerState, now: Instant) -> bool {
-    matches!(state.rate_limit.get().admission(now), Admission::Blocked(_))
+    let refuses =
+        |server: &Server| backpressure::refuses(&job.traffic, &job.traffic.used_server(server));
+    servers.into_iter().find_map(|(server, _)| refuses(server))
 }
 
 /// State of a considered server. What is not used yet is kept only for the subset.
--- a/crates/jacinthbeam-host/src/request/refuse.rs
+++ b/crates/jacinthbeam-host/src/request/refuse.rs
@@ -75,6 +75,7 @@
             Refusal::not_run(Reason::Unreachable).retry_after(OWNER_RETRY_DELAY)
         }
         NotRun::RateLimited => Refusal::not_run(Reason::RateLimited).retry_after(overload_delay),
+        NotRun::Paused => Refusal::not_run(Reason::Paused).retry_after(overload_delay),
         NotRun::Refused => Refusal::not_run(Reason::RefusedByServer).retry_after(overload_delay),
     }
 }
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -16,11 +16,7 @@
 use jacinthbeam_types::prelude::ServerId;
 use tokio::time::Instant as TimerInstant;
 
-use super::{
-    backpressure,
-    memory::BodyMemory,
-    permit::{self, Permit},
-};
+use super::{backpressure, memory::BodyMemory, permit::Permit};
 use crate::{
     connection::pool::{self, PooledConnection},
     process::traffic::{ServerState, Traffic},
@@ -115,7 +111,11 @@
         SendOutcome::NotRun(NotRun::NotListening | NotRun::Unreachable) => stats.on_failure(now),
         SendOutcome::NotRun(NotRun::OtherServer) => state.ended.set(true),
         SendOutcome::NotRun(
-            NotRun::NotOwner | NotRun::NoConnection | NotRun::RateLimited | NotRun::Refused,
+            NotRun::NotOwner
+            | NotRun::NoConnection
+            | NotRun::RateLimited
+            | NotRun::Paused
+            | NotRun::Refused,
         ) => {}
         SendOutcome::Lost(_) => {
             stats.on_failure(now);
@@ -134,10 +134,10 @@
 ) -> Result<SendOutcome, NotRun> {
     let SendLimits { max_connections, deadline, permit } = limits;
     let mut conn = map_pool_error(state.pool.acquire(traffic.now(), max_connections).await)?;
-    // The server may have stated a limit while the request waited for the connection.
-    if permit.is_none() && permit::acquire(traffic, server, state).await.is_err() {
+    // The server may have stated something else while the request waited for the connection.
+    if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
         state.pool.release(conn, traffic.now(), None);
-        return Err(NotRun::RateLimited);
+        return Err(refused);
     }
     loop {
         let sent_at = traffic.now();
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -18,11 +18,10 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{
-    body,
+    backpressure, body,
     end::{finish, refuse_for_crashes},
     job::{Job, send_to},
-    permit,
-    pick::{is_any_blocked, pick_server},
+    pick::{pick_server, why_any_refuses},
     refuse::{CONFIG_RETRY_DELAY, bad_body, bad_request, refuse},
     send::BufferedRequest,
 };
@@ -52,7 +51,7 @@
 /// Maximum number of sends of one request, including those that a server refused.
 const MAX_SENDS: u32 = 3;
 
-/// Maximum number of rate-limited servers that deny a permit to one request before it is refused.
+/// Maximum number of servers that don't admit one request before it is refused.
 const MAX_DENIALS: u32 = 3;
 
 /// Caller address of a request that did not arrive over a connection of [`crate::connection::accept`].
@@ -179,16 +178,16 @@
                 continue;
             }
             None => {
-                let limited = last.is_none() && !job.keyed && is_any_blocked(&job, &view);
-                let limited = limited.then_some(SendOutcome::NotRun(NotRun::RateLimited));
-                return finish(&job, last.or(limited), &tried);
+                let refused = (!job.keyed).then(|| why_any_refuses(&job, &view)).flatten();
+                return finish(&job, last.or(refused.map(SendOutcome::NotRun)), &tried);
             }
         };
         let state = job.traffic.server(&server);
-        let permit = match permit::acquire(&job.traffic, &server, &state).await {
+        let permit = match backpressure::admit(&job.traffic, &server, &state).await {
             Ok(permit) => permit,
-            Err(permit::Denied) => {
-                last = Some(outcome_to_report(last, SendOutcome::NotRun(NotRun::RateLimited)));
+            Err(refused) => {
+                job.on_not_admitted(&server, refused);
+                last = Some(outcome_to_report(last, SendOutcome::NotRun(refused)));
                 denials += 1;
                 if job.keyed || denials > MAX_DENIALS {
                     return finish(&job, last, &tried);
@@ -215,7 +214,7 @@
             SendOutcome::NotRun(
                 NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable,
             ) if job.keyed => false,
-            SendOutcome::NotRun(NotRun::Full | NotRun::RateLimited) => {
+            SendOutcome::NotRun(NotRun::Full | NotRun::RateLimited | NotRun::Paused) => {
                 !job.keyed && sends < MAX_SENDS
             }
             SendOutcome::NotRun(_) => sends < MAX_SENDS,
--- a/crates/jacinthbeam-host/src/send_outcome.rs
+++ b/crates/jacinthbeam-host/src/send_outcome.rs
@@ -39,6 +39,8 @@
     NoConnection,
     /// The server states a rate limit, and this host got no permit to send.
     RateLimited,
+    /// The server asked this host to pause.
+    Paused,
     /// The server refused the request for another reason.
     Refused,
 }
--- a/crates/jacinthbeam-range/src/balance.rs
+++ b/crates/jacinthbeam-range/src/balance.rs
@@ -28,8 +28,8 @@
     pub capacity: f64,
     /// Whether it is cold, so that a single hot key may exceed the rate that it accepts.
     pub cold: bool,
-    /// Whether it states a rate limit, so that what exceeds its capacity is refused.
-    pub rate_limited: bool,
+    /// Whether it states a rate limit or asks hosts to pause, so that what exceeds its capacity is refused.
+    pub refuses_excess: bool,
 }
 
 /// A proposed change of owner.
@@ -75,8 +75,8 @@
 /// [`crate::demand::DECAY_TIME`].
 const MIN_MOVED_COUNT: f64 = 4.0;
 
-/// The same for the keys of a rate-limited owner, whose excess requests are all refused.
-const MIN_MOVED_COUNT_LIMITED: f64 = 1.0;
+/// The same for the keys of an owner that refuses the excess.
+const MIN_MOVED_COUNT_REFUSED: f64 = 1.0;
 
 /// A key that overwhelms its owner moves only to a server with this many times the capacity. The move
 /// delays the key's requests until the old owner has answered what it had, which takes up to a second of
@@ -138,7 +138,10 @@
 
     /// Smallest count that is worth a move away from a candidate.
     fn min_moved(&self, from: Index) -> f64 {
-        if self.candidates[from].rate_limited { MIN_MOVED_COUNT_LIMITED } else { MIN_MOVED_COUNT }
+        match self.candidates[from].refuses_excess {
+            true => MIN_MOVED_COUNT_REFUSED,
+            false => MIN_MOVED_COUNT,
+        }
     }
 
     /// The candidate that is furthest below its share, other than `excluded`.
--- a/crates/jacinthbeam-range/src/demand/mod.rs
+++ b/crates/jacinthbeam-range/src/demand/mod.rs
@@ -40,6 +40,8 @@
     pub in_flight: u32,
     /// The rate limit that the server stated in the last of these answers.
     pub rate_limit: Option<Rate>,
+    /// Requests that were not sent, since the server had asked the host to pause.
+    pub paused: u32,
 }
 
 /// Time constant of the decay: a count loses 63 % of its weight in this time. A hot key must be detected
@@ -63,6 +65,10 @@
 /// no answers that would withdraw it.
 const RATE_LIMIT_TTL: Duration = Duration::from_secs(15);
 
+/// Number of requests from which pauses count. After a pause with 40 unsent requests it is reached in 15 s,
+/// after which the server is tried again.
+const MIN_PAUSED: f64 = 1.0;
+
 /// Number of answers from which a mean is used: with a relative standard deviation of a third, the error
 /// of the mean of 6 is some 14 %.
 const MIN_ANSWERS: f64 = 6.0;
@@ -87,6 +93,8 @@
     /// Requests in flight at the server, by each host's last report and its time.
     in_flight: BTreeMap<HostId, (Instant, u32)>,
     answers: f64,
+    /// Requests that were not sent during pauses that the server asked for.
+    paused: f64,
     /// Time that its slots were busy, in seconds, summed over the slots.
     busy_slot_seconds: f64,
 }
@@ -121,6 +129,7 @@
         for (server, counts) in &report.servers {
             let load = self.servers.entry(server.clone()).or_default();
             load.answers += f64::from(counts.answers);
+            load.paused += f64::from(counts.paused);
             load.in_flight.insert(from.clone(), (now, counts.in_flight));
             if counts.answers > 0 {
                 match counts.rate_limit {
@@ -154,7 +163,10 @@
             let busy_slots = load.total_in_flight().min(f64::from(slots(server).unwrap_or(0)));
             load.busy_slot_seconds = load.busy_slot_seconds * factor + busy_slots * elapsed;
             load.answers *= factor;
-            load.answers > MIN_COUNT || !load.in_flight.is_empty() || !load.arrivals.is_empty()
+            load.paused *= factor;
+            load.answers.max(load.paused) > MIN_COUNT
+                || !load.in_flight.is_empty()
+                || !load.arrivals.is_empty()
         });
     }
 
@@ -176,6 +188,12 @@
         self.rate_limits.get(server).map(|(_, rate)| *rate)
     }
 
+    /// Share of the requests for a server that it lets the hosts send. Below 1 while it asks hosts to pause, and for some seconds after.
+    pub fn admitted_share(&self, server: &ServerId) -> f64 {
+        let load = self.servers.get(server).filter(|load| load.paused >= MIN_PAUSED);
+        load.map_or(1.0, |load| load.answers / (load.answers + load.paused))
+    }
+
     /// The present load of a server with this number of slots and this service time. `None` without recent
     /// reports.
     pub fn load(&self, server: &ServerId, slots: u32, service_time: Duration) -> Option<OwnerLoad> {
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -351,7 +351,9 @@
         let capacity = if cold { cold_capacity(server, capacity) } else { capacity };
         let rate_limit = leading.demand.rate_limit(&server.id);
         let capacity = rate_limit.map_or(capacity, |rate| capacity.min(limited_capacity(rate)));
-        Candidate { owner, capacity, cold, rate_limited: rate_limit.is_some() }
+        let admitted_share = leading.demand.admitted_share(&server.id);
+        let refuses_excess = rate_limit.is_some() || admitted_share < 1.0;
+        Candidate { owner, capacity: capacity * admitted_share, cold, refuses_excess }
     };
     let servers = if free.is_empty() { bounded } else { free };
     let selected = owners::select(servers.into_iter(), &leading.owner_ids(), view.max_owners);
--- a/crates/jacinthbeam-range/tests/load.rs
+++ b/crates/jacinthbeam-range/tests/load.rs
@@ -23,7 +23,7 @@
 
 fn candidates(of: std::ops::Range<u32>) -> Vec<Candidate> {
     let candidate =
-        |n| Candidate { owner: owner(n), capacity: CAPACITY, cold: false, rate_limited: false };
+        |n| Candidate { owner: owner(n), capacity: CAPACITY, cold: false, refuses_excess: false };
     of.map(candidate).collect()
 }
 
@@ -262,7 +262,7 @@
             let now = begin + Duration::from_millis(250) * step;
             // Three slots at 0.2 s each give 15 answers a second; every fourth report has 3, the others 4.
             let answers = if step % 4 == 0 { 3 } else { 4 };
-            let counts = ServerReport { answers, in_flight, rate_limit: None };
+            let counts = ServerReport { answers, in_flight, rate_limit: None, paused: 0 };
             let report =
                 LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() };
             demand.advance(now, |_| Some(3));
@@ -384,7 +384,7 @@
         let mut candidates = candidates(0..OWNERS);
         candidates[limited as usize].capacity =
             (limit.per_second() * LIMITED_CAPACITY_SHARE).min(CAPACITY);
-        candidates[limited as usize].rate_limited = true;
+        candidates[limited as usize].refuses_excess = true;
         assert!(load_of(&map, &demand, limited) > limit.per_second());
         for _ in 0..30 {
             for change in rebalance(&map, &demand.rates(&map), &candidates, &[], 8) {
@@ -402,7 +402,7 @@
     let (begin, h): (_, HostId) = (Instant::now(), "h".parse().unwrap());
     let s: ServerId = "s".parse().unwrap();
     let report = |answers, rate_limit| {
-        let counts = ServerReport { answers, in_flight: 1, rate_limit };
+        let counts = ServerReport { answers, in_flight: 1, rate_limit, paused: 0 };
         LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() }
     };
     let mut demand = Demand::default();
@@ -416,3 +416,28 @@
     demand.add(&h, begin, &report(1, None));
     assert_eq!(demand.rate_limit(&s), None);
 }
+
+/// Guards against keys that stay on an owner that asks all hosts to pause, and against an owner that gets no keys for ever after a pause.
+#[test]
+fn an_owner_that_asks_hosts_to_pause_counts_less_for_some_seconds() {
+    let (begin, h): (_, HostId) = (Instant::now(), "h".parse().unwrap());
+    let s: ServerId = "s".parse().unwrap();
+    let report = |answers, paused| {
+        let counts = ServerReport { answers, in_flight: 0, rate_limit: None, paused };
+        LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() }
+    };
+    let mut demand = Demand::default();
+    demand.advance(begin, |_| Some(3));
+    demand.add(&h, begin, &report(40, 0));
+    assert_eq!(demand.admitted_share(&s), 1.0);
+    for second in 1..=3 {
+        let now = begin + Duration::from_secs(second);
+        demand.advance(now, |_| Some(3));
+        demand.add(&h, now, &report(0, 20));
+    }
+    assert!(demand.admitted_share(&s) < 0.4, "{}", demand.admitted_share(&s));
+    demand.advance(begin + Duration::from_secs(10), |_| Some(3));
+    assert!(demand.admitted_share(&s) < 0.4);
+    demand.advance(begin + Duration::from_secs(25), |_| Some(3));
+    assert_eq!(demand.admitted_share(&s), 1.0);
+}
--- a/crates/jacinthbeam-range/tests/onset.rs
+++ b/crates/jacinthbeam-range/tests/onset.rs
@@ -97,7 +97,7 @@
             owner: owner(n),
             capacity: capacity(),
             cold: false,
-            rate_limited: false,
+            refuses_excess: false,
         });
         let candidates = candidates.collect();
         let mut map = Map::unowned();
--- a/crates/jacinthbeam-types/src/verdict.rs
+++ b/crates/jacinthbeam-types/src/verdict.rs
@@ -76,6 +76,8 @@
     Overloaded,
     /// The backend server states a rate limit that other requests use up.
     RateLimited,
+    /// The backend server asked this host to pause.
+    Paused,
     /// Servers crashed under the request, which is quarantined or on probation.
     EndsServers,
     /// The deadline passed.
@@ -100,6 +102,7 @@
             Self::Unreachable => "the backend server can't be reached from here",
             Self::Overloaded => "no backend server has room for the request at present",
             Self::RateLimited => "the backend server limits the rate of its requests",
+            Self::Paused => "the backend server asked this host to pause",
             Self::EndsServers => "backend servers have ended each time that they ran this request",
             Self::DeadlinePassed => "the deadline passed",
             Self::RefusedByServer => "the backend server refused the request before running it",
