fix(host): heed servers that state in their answers that they are draining

Until the store's list said so, the owner of a key got every request for it, also after the drain time from its answers on; the same where the store is away or its list is old.

The first answer that states it starts the drain time for this host; unkeyed requests go elsewhere at once, load reports tell the granting host, which moves the keys and grants no new ones, and an exit after it is no crash of what ran. It holds for the incarnation.

--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -97,6 +97,13 @@
 /// Maximum number of log lines in a second about what servers state about their own load.
 const MAX_BACKPRESSURE_LINES_PER_SECOND: u32 = 20;
 
+impl ServerState {
+    /// Whether the server stated so long ago that it is draining that it may have exited, given the grace period of draining servers.
+    pub fn has_drained(&self, now: Instant, grace: Duration) -> bool {
+        self.draining_since.get().is_some_and(|since| now.saturating_duration_since(since) >= grace)
+    }
+}
+
 /// Share of a server's connections that the hosts together use for requests. The rest is reserved for grants and for changes in the
 /// number of hosts.
 const REQUEST_CONNECTION_SHARE: f64 = 0.8;
@@ -354,12 +361,15 @@
 
     /// Counts an answer of a server of a keyed service in the next load report.
     pub fn on_keyed_answer(&self, service: &ServiceName, server: &ServerId) {
-        let rate_limit = self.rate_limit(server).and_then(|limit| limit.rate());
+        let state = self.servers.borrow().get(server).cloned();
+        let rate_limit = state.as_ref().and_then(|state| state.rate_limit.get().rate());
+        let draining = state.is_some_and(|state| state.draining_since.get().is_some());
         let mut reports = self.reports.borrow_mut();
         let report = reports.entry(service.clone()).or_default().servers.entry(server.clone());
         let report = report.or_default();
         report.answers += 1;
         report.rate_limit = rate_limit;
+        report.draining |= draining;
     }
 
     /// Takes the load reports: the counts since the last call.
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -166,7 +166,9 @@
     let running = traffic.server(server).broken.take(now);
     // Uses the current view: the server may have announced that it is draining while the requests ran.
     let view = traffic.view();
-    let leaving = view.leaving.get(&server.id).map(|leaving| leaving.elapsed(now));
+    let listed = view.leaving.get(&server.id).map(|leaving| leaving.elapsed(now));
+    let stated = traffic.server(server).draining_since.get();
+    let leaving = listed.max(stated.map(|since| now.saturating_duration_since(since)));
     let had_announced_drain =
         |at: Instant| leaving.is_some_and(|since| since >= now.saturating_duration_since(at));
     for Running { request, caller, at } in
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -59,6 +59,7 @@
     let server = view.servers.get(&owner.server)?;
     let state = job.traffic.server(server);
     let is_usable = !state.ended.get()
+        && !state.has_drained(now, grace.drained)
         && job.allows_region_of(server)
         && view.may_send(&server.id, now, grace)
         && slow_start_allows(view, server, &state, now);
@@ -74,6 +75,7 @@
         .map(|(server, in_subset)| (server, in_subset, state_of(job, server, in_subset)))
         .filter(|(server, _, state)| {
             !state.ended.get()
+                && state.draining_since.get().is_none()
                 && backpressure::refuses(&job.traffic, state).is_none()
                 && slow_start_allows(view, server, state, now)
         });
--- a/crates/jacinthbeam-range/src/demand/mod.rs
+++ b/crates/jacinthbeam-range/src/demand/mod.rs
@@ -3,7 +3,7 @@
 mod rates;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -42,6 +42,8 @@
     pub rate_limit: Option<Rate>,
     /// Requests that were not sent, since the server had asked the host to pause.
     pub paused: u32,
+    /// Whether the server stated that it is draining.
+    pub draining: bool,
 }
 
 /// Time constant of the decay: a count loses 63 % of its weight in this time. A hot key must be detected
@@ -81,6 +83,8 @@
     servers: BTreeMap<ServerId, ServerLoad>,
     /// Rate limits that servers state, each with the time of its last report.
     rate_limits: BTreeMap<ServerId, (Instant, Rate)>,
+    /// Servers that stated that they are draining. An incarnation that drains takes no work any more.
+    draining: BTreeSet<ServerId>,
     /// The time to which the counts have decayed.
     advanced_to: Option<Instant>,
 }
@@ -131,6 +135,9 @@
             load.answers += f64::from(counts.answers);
             load.paused += f64::from(counts.paused);
             load.in_flight.insert(from.clone(), (now, counts.in_flight));
+            if counts.draining {
+                self.draining.insert(server.clone());
+            }
             if counts.answers > 0 {
                 match counts.rate_limit {
                     Some(rate) => drop(self.rate_limits.insert(server.clone(), (now, rate))),
@@ -153,6 +160,7 @@
             count.fast *= fast_factor;
             count.slow > MIN_COUNT
         });
+        self.draining.retain(|server| slots(server).is_some());
         let is_reported = |at: Instant| now.saturating_duration_since(at) < RATE_LIMIT_TTL;
         self.rate_limits.retain(|_, (at, _)| is_reported(*at));
         self.servers.retain(|server, load| {
@@ -183,6 +191,11 @@
         Some(Duration::from_secs_f64(load.busy_slot_seconds / load.answers))
     }
 
+    /// Whether a server states that it is draining.
+    pub fn is_draining(&self, server: &ServerId) -> bool {
+        self.draining.contains(server)
+    }
+
     /// The rate limit that a server states; `None` if it states none.
     pub fn rate_limit(&self, server: &ServerId) -> Option<Rate> {
         self.rate_limits.get(server).map(|(_, rate)| *rate)
--- a/crates/jacinthbeam-range/src/grantor/leading/plan.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/plan.rs
@@ -83,11 +83,16 @@
         map
     }
 
+    /// Whether new keys may be granted to a server: it is listed, and neither its entry nor its answers say that it is draining.
+    pub(in crate::grantor) fn takes_work(&self, server: &ServerId, servers: &Servers) -> bool {
+        servers.takes_work(server) && !self.demand.is_draining(server)
+    }
+
     /// Whether the owner should give the range up and can still be asked to.
     pub(super) fn is_leaving(&self, assignment: &Assignment, servers: &Servers) -> bool {
         let Some(owner) = &assignment.owner else { return false };
         let id = &owner.server;
-        if servers.takes_work(id) || !self.is_usable(id) {
+        if self.takes_work(id, servers) || !self.is_usable(id) {
             return false;
         }
         // Keys of a server that restarted under its name go to its present incarnation.
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -339,7 +339,10 @@
 /// A cold server with a bounded rate is left out while there are others: it receives the sum of
 /// what all hosts send, and any key may become hot at any moment.
 fn candidates(leading: &Leading, view: View<'_>, service: &ServiceName) -> Vec<Candidate> {
-    let usable = view.servers.of(service).filter(|server| leading.is_usable(&server.id));
+    let is_usable = |server: &&Server| {
+        leading.is_usable(&server.id) && leading.takes_work(&server.id, view.servers)
+    };
+    let usable = view.servers.of(service).filter(is_usable);
     let (bounded, free): (Vec<&Server>, Vec<&Server>) =
         usable.partition(|server| server.is_cold() && server.cold_rate.is_some());
     let mean = leading.mean_service_time();
--- a/crates/jacinthbeam-range/tests/load.rs
+++ b/crates/jacinthbeam-range/tests/load.rs
@@ -262,7 +262,8 @@
             let now = begin + Duration::from_millis(250) * step;
             // Three slots at 0.2 s each give 15 answers a second; every fourth report has 3, the others 4.
             let answers = if step % 4 == 0 { 3 } else { 4 };
-            let counts = ServerReport { answers, in_flight, rate_limit: None, paused: 0 };
+            let counts =
+                ServerReport { answers, in_flight, rate_limit: None, paused: 0, draining: false };
             let report =
                 LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() };
             demand.advance(now, |_| Some(3));
@@ -402,7 +403,7 @@
     let (begin, h): (_, HostId) = (Instant::now(), "h".parse().unwrap());
     let s: ServerId = "s".parse().unwrap();
     let report = |answers, rate_limit| {
-        let counts = ServerReport { answers, in_flight: 1, rate_limit, paused: 0 };
+        let counts = ServerReport { answers, in_flight: 1, rate_limit, paused: 0, draining: false };
         LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() }
     };
     let mut demand = Demand::default();
@@ -423,7 +424,8 @@
     let (begin, h): (_, HostId) = (Instant::now(), "h".parse().unwrap());
     let s: ServerId = "s".parse().unwrap();
     let report = |answers, paused| {
-        let counts = ServerReport { answers, in_flight: 0, rate_limit: None, paused };
+        let counts =
+            ServerReport { answers, in_flight: 0, rate_limit: None, paused, draining: false };
         LoadReport { servers: [(s.clone(), counts)].into(), ..LoadReport::default() }
     };
     let mut demand = Demand::default();
