fix(host): let no late answer to an earlier request withdraw a rate limit

Read in the diff: an answer that names another attempt was taken for as new as the request that it arrived for, so that one without a limit could withdraw a limit that was stated after it was written. It states what it states and withdraws nothing. Requests that find a server blocked are counted again (outcome blocked of jacinthbeam_permits).

--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -15,6 +15,7 @@
         traffic::{ServerState, Traffic},
     },
     send_outcome::NotRun,
+    wire::ResponseKind,
 };
 
 /// Admits one request to a server by what the server states. Returns the permit if one is required.
@@ -24,6 +25,9 @@
     state: &ServerState,
 ) -> Result<Option<Permit>, NotRun> {
     if let Some(refused) = refuses(traffic, state) {
+        if refused == NotRun::RateLimited {
+            traffic.counters.on_permit("blocked");
+        }
         return Err(refused);
     }
     permit::acquire(traffic, server, state).await.map_err(|permit::Denied| NotRun::RateLimited)
@@ -53,13 +57,19 @@
 }
 
 /// Applies the head of a response to a request that was sent at `sent`.
+///
+/// A foreign response may be the late one to an earlier request, so that it withdraws nothing.
 pub(super) fn apply(
     traffic: &Traffic,
     server: &Server,
     state: &ServerState,
     res: &Response<Incoming>,
+    kind: ResponseKind,
     sent: Instant,
 ) {
+    if kind == ResponseKind::OtherServer {
+        return;
+    }
     let stated = (traffic.wire.parse_backpressure)(res.status(), res.headers());
     if let Some(header) = stated.invalid.filter(|_| !state.invalid_logged.replace(true)) {
         tracing::warn!(part = "backpressure", event = "invalid-header", server = %server.id, header, value = ?res.headers().get(header));
@@ -74,6 +84,9 @@
             |left_out| tracing::info!(part = "backpressure", event = "draining", server = %server.id, left_out),
         );
     }
+    if kind == ResponseKind::Foreign && stated.rate_limit.is_none() {
+        return;
+    }
     let statement = Statement::of_response(stated.rate_limit, sent, traffic.now());
     let changed = apply_rate_limit(traffic, &server.id, state, statement);
     if changed && statement.rate.is_none() {
--- a/crates/jacinthbeam-host/src/request/permit.rs
+++ b/crates/jacinthbeam-host/src/request/permit.rs
@@ -37,10 +37,7 @@
 ) -> Result<Option<Permit>, Denied> {
     match state.rate_limit.get().admission(traffic.now()) {
         Admission::Unlimited => return Ok(None),
-        Admission::Blocked(_) => {
-            traffic.counters.on_permit("blocked");
-            return Err(Denied);
-        }
+        Admission::Blocked(_) => return Err(Denied),
         Admission::PermitRequired => {}
     }
     // Drawn, so that all issuers are asked equally often.
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -149,9 +149,7 @@
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
                 let kind = classify(traffic, request, &server.id, &res);
-                if kind != ResponseKind::OtherServer {
-                    backpressure::apply(traffic, server, state, &res, sent_at);
-                }
+                backpressure::apply(traffic, server, state, &res, kind, sent_at);
                 return Ok(read_response(traffic, request, state, conn, kind, res, by).await);
             }
             Ok(Err(mut err)) => match (err.take_message(), conn.reused) {
