--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -134,12 +134,12 @@
 ) -> Result<SendOutcome, NotRun> {
     let SendLimits { max_connections, deadline, permit } = limits;
     let mut conn = map_pool_error(state.pool.acquire(traffic.now(), max_connections).await)?;
-    // The server may have stated something else while the request waited for the connection.
-    if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
-        state.pool.release(conn, traffic.now(), None);
-        return Err(refused);
-    }
     loop {
+        // The server may have stated something else while the request waited for the connection.
+        if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
+            state.pool.release(conn, traffic.now(), None);
+            return Err(refused);
+        }
         let sent_at = traffic.now();
         let left = deadline.saturating_duration_since(sent_at);
         let by = TimerInstant::now() + left + RESPONSE_GRACE;
