--- a/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
+++ b/crates/jacinthbeam-dispatch/src/rate_limit/issuer.rs
@@ -3,7 +3,7 @@
 //! A fixed division of the limit among all hosts would refuse nearly everything in a large fleet, where each host sends a server a request in
 //! minutes: its part of the limit is spent by the first of them, and lies idle at the others. So the limit is counted in few places: for each
 //! server, [`ISSUERS`] hosts are selected by rendezvous hashing, and each of them issues permits for its part of the limit to whoever asks.
-//! Hosts with different host lists may select other issuers; [`BURST`] is small enough that one additional issuer does no harm.
+//! Hosts with different host lists may select other issuers; the burst of an issuer is small enough that one additional issuer does no harm.
 
 use std::{
     collections::BTreeMap,
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -19,6 +19,7 @@
 pub mod replica;
 pub mod request_log;
 mod server_lines;
+pub mod server_state;
 mod serving;
 mod sockets;
 pub mod status;
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -1,7 +1,7 @@
 //! State of the traffic thread, which lasts as long as the process.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::BTreeMap,
     net::IpAddr,
     rc::Rc,
@@ -13,9 +13,7 @@
 use jacinthbeam_crash::{
     Fact, Fingerprint, Prober, RecentSuccesses, Suspects, fingerprint::HeadDigest, probe::Rank,
 };
-use jacinthbeam_dispatch::{
-    RetryBudget, ServerStats, pause::KnownPause, rate_limit::KnownLimit, slow_start::Pacer,
-};
+use jacinthbeam_dispatch::{RetryBudget, ServerStats, rate_limit::KnownLimit};
 use jacinthbeam_range::{Key, admission::Gate, demand::LoadReport};
 use jacinthbeam_route::{Route, Server, Target, route::WeightedRoundRobin};
 use jacinthbeam_types::prelude::*;
@@ -23,9 +21,10 @@
 
 use crate::{
     Settings, Wire,
-    connection::{Pool, accept::Phase},
+    connection::accept::Phase,
     process::{
-        broken::Broken, logs::Quota, metrics::Counters, permits, request_log::RequestLog, usage,
+        logs::Quota, metrics::Counters, permits, request_log::RequestLog,
+        server_state::ServerState, usage,
     },
     request::memory::BodyMemory,
     version::{Freshness, View},
@@ -71,39 +70,9 @@
     checked_suspects: RefCell<Arc<Suspects>>,
 }
 
-/// What this host keeps for one backend server.
-#[derive(Debug)]
-pub struct ServerState {
-    /// Connections to it.
-    pub pool: Pool,
-    /// Statistics that the choice of a server is based on.
-    pub stats: RefCell<ServerStats>,
-    /// Whether another server has answered at its address, which means that this one has ended.
-    pub ended: Cell<bool>,
-    /// Requests whose connections to it ended without a response.
-    pub broken: Broken,
-    /// Limits the rate of requests from this host while the server is cold.
-    pub pacer: Cell<Pacer>,
-    /// The rate limit that the server states.
-    pub rate_limit: Cell<KnownLimit>,
-    /// How long the server wants no request from this host.
-    pub pause: Cell<KnownPause>,
-    /// When the server first stated that it is draining.
-    pub draining_since: Cell<Option<Instant>>,
-    /// Whether an invalid header of the server was logged.
-    pub invalid_logged: Cell<bool>,
-}
-
 /// Maximum number of log lines in a second about what servers state about their own load.
 const MAX_BACKPRESSURE_LINES_PER_SECOND: u32 = 20;
 
-impl ServerState {
-    /// Whether the server stated so long ago that it is draining that it may have exited, given the grace period of draining servers.
-    pub fn has_drained(&self, now: Instant, grace: Duration) -> bool {
-        self.draining_since.get().is_some_and(|since| now.saturating_duration_since(since) >= grace)
-    }
-}
-
 /// Share of a server's connections that the hosts together use for requests. The rest is reserved for grants and for changes in the
 /// number of hosts.
 const REQUEST_CONNECTION_SHARE: f64 = 0.8;
@@ -228,19 +197,7 @@
     }
 
     fn new_state(&self, server: &Server) -> Rc<ServerState> {
-        let stats = RefCell::new(ServerStats::new(self.now()));
-        let (pool, ended) = (Pool::new(server.addr), Cell::default());
-        Rc::new(ServerState {
-            pool,
-            stats,
-            ended,
-            broken: Broken::default(),
-            pacer: Cell::default(),
-            rate_limit: Cell::default(),
-            pause: Cell::default(),
-            draining_since: Cell::default(),
-            invalid_logged: Cell::default(),
-        })
+        Rc::new(ServerState::new(server.addr, self.now()))
     }
 
     /// Maximum number of connections of this host to one server, given the limit of its service and the number of hosts.
--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -10,10 +10,7 @@
 
 use super::permit::{self, Permit};
 use crate::{
-    process::{
-        permits::Query,
-        traffic::{ServerState, Traffic},
-    },
+    process::{permits::Query, server_state::ServerState, traffic::Traffic},
     send_outcome::NotRun,
     wire::ResponseKind,
 };
@@ -24,7 +21,7 @@
     server: &Server,
     state: &ServerState,
 ) -> Result<Option<Permit>, NotRun> {
-    if let Some(refused) = refuses(traffic, state) {
+    if let Some(refused) = refuses(state, traffic.now()) {
         if refused == NotRun::RateLimited {
             traffic.counters.on_permit("blocked");
         }
@@ -41,14 +38,13 @@
     permit: Option<Permit>,
 ) -> Result<(), NotRun> {
     match permit {
-        Some(_) => refuses(traffic, state).map_or(Ok(()), Err),
+        Some(_) => refuses(state, traffic.now()).map_or(Ok(()), Err),
         None => admit(traffic, server, state).await.map(drop),
     }
 }
 
 /// Why nothing may be sent to a server now, as far as that is known without asking another host.
-pub(super) fn refuses(traffic: &Traffic, state: &ServerState) -> Option<NotRun> {
-    let now = traffic.now();
+pub(super) fn refuses(state: &ServerState, now: Instant) -> Option<NotRun> {
     if state.pause.get().left(now).is_some() {
         return Some(NotRun::Paused);
     }
--- a/crates/jacinthbeam-host/src/request/permit.rs
+++ b/crates/jacinthbeam-host/src/request/permit.rs
@@ -10,10 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::backpressure::apply_rate_limit;
-use crate::process::{
-    permits::Query,
-    traffic::{ServerState, Traffic},
-};
+use crate::process::{permits::Query, server_state::ServerState, traffic::Traffic};
 
 /// Permission for one send to a server that states a rate limit.
 #[derive(Debug, Clone, Copy)]
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -14,7 +14,7 @@
 
 use super::{backpressure, job::Job};
 use crate::{
-    process::traffic::ServerState,
+    process::server_state::ServerState,
     send_outcome::NotRun,
     version::{Grace, View},
 };
@@ -76,7 +76,7 @@
         .filter(|(server, _, state)| {
             !state.ended.get()
                 && state.draining_since.get().is_none()
-                && backpressure::refuses(&job.traffic, state).is_none()
+                && backpressure::refuses(state, now).is_none()
                 && slow_start_allows(view, server, state, now)
         });
     let states: Vec<(&Server, bool, Rc<ServerState>)> = states.collect();
@@ -94,9 +94,9 @@
 
 /// Why a server of an unkeyed service isn't considered by what it states; `None` if there is no such server.
 pub(super) fn why_any_refuses(job: &Job, view: &View) -> Option<NotRun> {
+    let now = job.traffic.now();
     let servers = considered_servers(view, &job.service, &job.traffic.settings.domain);
-    let refuses =
-        |server: &Server| backpressure::refuses(&job.traffic, &job.traffic.used_server(server));
+    let refuses = |server: &Server| backpressure::refuses(&job.traffic.used_server(server), now);
     servers.into_iter().find_map(|(server, _)| refuses(server))
 }
 
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -19,7 +19,7 @@
 use super::{backpressure, memory::BodyMemory, permit::Permit};
 use crate::{
     connection::pool::{self, PooledConnection},
-    process::traffic::{ServerState, Traffic},
+    process::{server_state::ServerState, traffic::Traffic},
     send_outcome::{Lost, NotRun, SendOutcome},
     wire::{Forward, ResponseKind},
 };
