refactor(connection): the dialer of connections to backend servers is passed in

As the clock is, so that tests can partition one host from the backend servers while the others reach them. No change of behaviour. Cause: a connection to a listener on loopback is established whatever the listener does with it, so that no stand-in of a server can let a connection attempt hang or be refused for one host only.

--- a/crates/jacinthbeam-connection/src/connection.rs
+++ b/crates/jacinthbeam-connection/src/connection.rs
@@ -13,7 +13,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
-use crate::socket::{IdleProbe, PeerClose, Socket};
+use crate::{
+    dialer::Dialer,
+    socket::{IdleProbe, PeerClose, Socket},
+};
 
 /// Error of a streamed request body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -70,12 +73,17 @@
 }
 
 /// Connects to `addr`. `guard` is dropped after the socket is closed.
-pub async fn open<B, G>(options: Options, addr: SocketAddr, guard: G) -> io::Result<Connection<B>>
+pub async fn open<B, G>(
+    dialer: &Dialer,
+    options: Options,
+    addr: SocketAddr,
+    guard: G,
+) -> io::Result<Connection<B>>
 where
     B: Body<Data = Bytes, Error = BoxError> + Send + 'static,
     G: Send + Unpin + 'static,
 {
-    let socket = Socket::connect(options, addr).await?;
+    let socket = Socket::connect(dialer, options, addr).await?;
     let idle_probe = socket.idle_probe();
     let resources = Resources { peer_close: socket.peer_close(), guard };
     let (sender, conn) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
--- a/crates/jacinthbeam-connection/src/lib.rs
+++ b/crates/jacinthbeam-connection/src/lib.rs
@@ -6,9 +6,11 @@
 //! interpretation of responses are up to the caller.
 
 pub mod connection;
+pub mod dialer;
 pub mod headers;
 pub mod line;
 mod socket;
 
 pub use connection::{BoxError, Closed, Connection, Options, open};
+pub use dialer::Dialer;
 pub use line::Line;
--- a/crates/jacinthbeam-connection/src/line.rs
+++ b/crates/jacinthbeam-connection/src/line.rs
@@ -11,7 +11,10 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::MapErr};
 use tokio::{sync::Mutex, time::Instant};
 
-use crate::connection::{self, BoxError, Connection};
+use crate::{
+    connection::{self, BoxError, Connection},
+    dialer::Dialer,
+};
 
 type LineBody = MapErr<Full<Bytes>, fn(std::convert::Infallible) -> BoxError>;
 
@@ -46,6 +49,7 @@
     addr: SocketAddr,
     max_response_bytes: usize,
     options: connection::Options,
+    dialer: Dialer,
     kept: Mutex<Option<Connection<LineBody>>>,
 }
 
@@ -56,6 +60,7 @@
             addr,
             max_response_bytes,
             options: connection::Options::default(),
+            dialer: Dialer::default(),
             kept: Mutex::new(None),
         }
     }
@@ -66,6 +71,12 @@
         self
     }
 
+    /// Connects with this dialer.
+    pub fn dialed_by(mut self, dialer: Dialer) -> Self {
+        self.dialer = dialer;
+        self
+    }
+
     /// Resets the connection when an exchange is abandoned. Data that was written but has not arrived is then
     /// discarded, instead of arriving after the network has recovered.
     pub fn resetting(mut self) -> Self {
@@ -171,7 +182,8 @@
 
     async fn connect(&self, deadline: Instant) -> Result<Connection<LineBody>, Error> {
         let by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        match tokio::time::timeout_at(by, connection::open(self.options, self.addr, ())).await {
+        let connecting = connection::open(&self.dialer, self.options, self.addr, ());
+        match tokio::time::timeout_at(by, connecting).await {
             Ok(Ok(conn)) => Ok(conn),
             Ok(Err(err)) => Err(Error::NotSent(format!("no connection to {}: {err}", self.addr))),
             Err(_) => Err(Error::NotSent(format!("no connection to {} in time", self.addr))),
--- a/crates/jacinthbeam-connection/src/socket.rs
+++ b/crates/jacinthbeam-connection/src/socket.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{self, ErrorKind, IoSlice},
     mem::MaybeUninit,
-    net::{IpAddr, Shutdown, SocketAddr},
+    net::{Shutdown, SocketAddr},
     pin::Pin,
     sync::{Arc, Weak},
     task::{Context, Poll, ready},
@@ -14,10 +14,10 @@
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpSocket, TcpStream},
+    net::TcpStream,
 };
 
-use crate::connection::Options;
+use crate::{connection::Options, dialer::Dialer};
 
 /// The socket, used by the task that drives the connection.
 #[derive(Debug)]
@@ -61,11 +61,12 @@
 }
 
 impl Socket {
-    pub(crate) async fn connect(options: Options, addr: SocketAddr) -> io::Result<Self> {
-        let stream = match options.source {
-            None => TcpStream::connect(addr).await?,
-            Some(source) => connect_from(source, addr).await?,
-        };
+    pub(crate) async fn connect(
+        dialer: &Dialer,
+        options: Options,
+        addr: SocketAddr,
+    ) -> io::Result<Self> {
+        let stream = dialer.dial(options, addr).await?;
         stream.set_nodelay(true)?;
         enable_dead_peer_detection(&SockRef::from(&stream))?;
         if options.reset {
@@ -105,12 +106,6 @@
 /// enough that a change missed meanwhile can still take effect within the required two seconds.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_millis(1200);
 
-async fn connect_from(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
-    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.bind(SocketAddr::new(source, 0))?;
-    socket.connect(addr).await
-}
-
 impl IdleProbe {
     /// Whether the socket is open and has nothing to read.
     ///
--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -10,7 +10,7 @@
 };
 
 use http_body_util::{Full, combinators::MapErr};
-use jacinthbeam_connection::{BoxError, Connection};
+use jacinthbeam_connection::{BoxError, Connection, Dialer, Options};
 
 /// Body of a request. It is buffered completely, so that it can be sent again.
 pub type Body = MapErr<Full<bytes::Bytes>, fn(std::convert::Infallible) -> BoxError>;
@@ -40,6 +40,7 @@
 #[derive(Debug)]
 pub struct Pool {
     addr: SocketAddr,
+    dialer: Dialer,
     idle: RefCell<VecDeque<Idle>>,
     open: Rc<Cell<u32>>,
 }
@@ -88,9 +89,9 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, idle: RefCell::default(), open: Rc::default() }
+    /// Creates an empty pool whose connections are opened by `dialer`.
+    pub fn new(addr: SocketAddr, dialer: Dialer) -> Self {
+        Self { addr, dialer, idle: RefCell::default(), open: Rc::default() }
     }
 
     /// Number of open connections, including idle ones.
@@ -118,7 +119,8 @@
         }
         self.open.set(self.open.get() + 1);
         let open = OpenGuard(self.open.clone());
-        let connecting = jacinthbeam_connection::open(Default::default(), self.addr, ());
+        let connecting =
+            jacinthbeam_connection::open(&self.dialer, Options::default(), self.addr, ());
         match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(connection)) => {
                 Ok(PooledConnection { inner: connection, reused: false, _open: open })
--- a/crates/jacinthbeam-host/src/lib.rs
+++ b/crates/jacinthbeam-host/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod version;
 pub mod wire;
 
-pub use process::{Handle, Sockets, spawn};
+pub use process::{Handle, Sockets, spawn, spawn_with};
 pub use settings::Settings;
 pub use wire::Wire;
--- a/crates/jacinthbeam-host/src/process/control/calls.rs
+++ b/crates/jacinthbeam-host/src/process/control/calls.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_connection::{Line, line};
+use jacinthbeam_connection::{Dialer, Line, line};
 use jacinthbeam_range::{
     Event, KeyRange, Owner,
     grantor::{NoAnswer, Outcome, RangeGrant, timing::HOLD},
@@ -57,13 +57,14 @@
 pub(super) struct GrantClient {
     wire: Wire,
     clock: Arc<dyn Clock>,
+    dialer: Dialer,
     tx: Tx,
     connections: BTreeMap<SocketAddr, Rc<GrantConnection>>,
 }
 
 impl GrantClient {
-    pub(super) fn new(wire: Wire, clock: Arc<dyn Clock>, tx: Tx) -> Self {
-        Self { wire, clock, tx, connections: BTreeMap::new() }
+    pub(super) fn new(wire: Wire, clock: Arc<dyn Clock>, dialer: Dialer, tx: Tx) -> Self {
+        Self { wire, clock, dialer, tx, connections: BTreeMap::new() }
     }
 
     /// Closes idle connections to servers other than these.
@@ -83,7 +84,7 @@
         until: Instant,
         leadership: Leadership,
     ) {
-        let new = || Rc::new(GrantConnection::new(to.addr));
+        let new = || Rc::new(GrantConnection::new(to.addr, self.dialer.clone()));
         let connection = self.connections.entry(to.addr).or_insert_with(new).clone();
         let (wire, clock, tx) = (self.wire, self.clock.clone(), self.tx.clone());
         spawn_local(async move {
@@ -126,12 +127,12 @@
         (range, token): (KeyRange, Token),
         leadership: Leadership,
     ) {
-        let (wire, tx) = (self.wire, self.tx.clone());
+        let (wire, dialer, tx) = (self.wire, self.dialer.clone(), self.tx.clone());
         spawn_local(async move {
             if !leadership.is_current() {
                 return;
             }
-            let line = Line::new(from.addr, MAX_RESPONSE_BYTES);
+            let line = Line::new(from.addr, MAX_RESPONSE_BYTES).dialed_by(dialer);
             let req = (wire.release_request)(&from, range, token);
             let answer = line.exchange(req, RELEASE_TIMEOUT).await;
             let handover = match answer.map(|res| (wire.parse_release_response)(&from, &res)) {
@@ -160,8 +161,9 @@
 }
 
 impl GrantConnection {
-    fn new(addr: SocketAddr) -> Self {
-        Self { line: Line::new(addr, MAX_RESPONSE_BYTES).resetting(), opened: Cell::new(None) }
+    fn new(addr: SocketAddr, dialer: Dialer) -> Self {
+        let line = Line::new(addr, MAX_RESPONSE_BYTES).resetting().dialed_by(dialer);
+        Self { line, opened: Cell::new(None) }
     }
 
     /// Connects unless a connection is open. Returns the time that identifies the connection.
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -31,6 +31,7 @@
 };
 
 use http::{Method, StatusCode};
+use jacinthbeam_connection::Dialer;
 use jacinthbeam_crash::{Fact, Fingerprint, Outcome, fingerprint};
 use jacinthbeam_range::Event;
 use jacinthbeam_types::prelude::*;
@@ -67,6 +68,8 @@
     pub(super) settings: Settings,
     pub(super) wire: Wire,
     pub(super) clock: Arc<dyn Clock>,
+    /// Opens connections to backend servers.
+    pub(super) dialer: Dialer,
     pub(super) counters: Arc<Counters>,
     pub(super) usage: usage::Counted,
     pub(super) incarnation: Incarnation,
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -136,15 +136,15 @@
 
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
-        let Start { settings, wire, clock, counters, incarnation, view, freshness, gates, .. } =
-            start;
+        let Start { settings, wire, clock, dialer, counters, incarnation, .. } = start;
+        let Start { view, freshness, gates, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let now = clock.now();
         let standby = Standby::new(now);
         Self {
             standby,
             store: open_store(&settings, wire, clock.clone(), counters.clone()),
-            grant_client: GrantClient::new(wire, clock.clone(), tx.clone()),
+            grant_client: GrantClient::new(wire, clock.clone(), dialer, tx.clone()),
             settings,
             wire,
             clock,
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -33,6 +33,7 @@
     thread::{self, JoinHandle},
 };
 
+use jacinthbeam_connection::Dialer;
 use jacinthbeam_types::prelude::*;
 use tokio::sync::watch;
 
@@ -110,7 +111,12 @@
 }
 
 /// Starts a host. For each port 0 of `settings`, any free port is bound; [`Handle::settings`] returns which.
-pub fn spawn(mut settings: Settings, wire: Wire) -> Result<Handle, Error> {
+pub fn spawn(settings: Settings, wire: Wire) -> Result<Handle, Error> {
+    spawn_with(settings, wire, Dialer::default())
+}
+
+/// Like [`spawn`], with a dialer for the connections to backend servers.
+pub fn spawn_with(mut settings: Settings, wire: Wire, dialer: Dialer) -> Result<Handle, Error> {
     let sockets = Sockets::bind(&mut settings)?;
     let clock: Arc<dyn Clock> = Arc::new(clock::SuspendClock::new());
     let counters = Counters::new();
@@ -128,6 +134,7 @@
         settings: settings.clone(),
         wire,
         clock: clock.clone(),
+        dialer: dialer.clone(),
         counters: counters.clone(),
         usage: usage.clone(),
         incarnation,
@@ -150,6 +157,7 @@
         settings: settings.clone(),
         wire,
         clock,
+        dialer,
         counters,
         usage,
         view,
--- a/crates/jacinthbeam-host/src/process/server_state.rs
+++ b/crates/jacinthbeam-host/src/process/server_state.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_connection::Dialer;
 use jacinthbeam_dispatch::{
     ServerStats, pause::KnownPause, rate_limit::KnownLimit, slow_start::Pacer,
 };
@@ -37,10 +38,10 @@
 }
 
 impl ServerState {
-    /// State of a server that becomes known at `now`.
-    pub fn new(addr: SocketAddr, now: Instant) -> Self {
+    /// State of a server that becomes known at `now`; connections to it are opened by `dialer`.
+    pub fn new(addr: SocketAddr, dialer: Dialer, now: Instant) -> Self {
         Self {
-            pool: Pool::new(addr),
+            pool: Pool::new(addr, dialer),
             stats: RefCell::new(ServerStats::new(now)),
             ended: Cell::default(),
             broken: Broken::default(),
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use jacinthbeam_connection::Dialer;
 use jacinthbeam_crash::{
     Fact, Fingerprint, Prober, RecentSuccesses, Suspects, fingerprint::HeadDigest, probe::Rank,
 };
@@ -42,6 +43,8 @@
     pub wire: Wire,
     /// A clock that keeps counting while the machine is suspended, so that a suspension extends no deadline.
     pub clock: Arc<dyn Clock>,
+    /// Opens connections to backend servers.
+    pub dialer: Dialer,
     /// Instruments of the metrics.
     pub counters: Arc<Counters>,
     /// Usage that requests are charged to their teams.
@@ -89,6 +92,8 @@
     pub wire: Wire,
     /// A clock that keeps counting while the machine is suspended.
     pub clock: Arc<dyn Clock>,
+    /// Opens connections to backend servers.
+    pub dialer: Dialer,
     /// Instruments of the metrics.
     pub counters: Arc<Counters>,
     /// Usage that requests are charged to their teams.
@@ -110,7 +115,7 @@
 impl Traffic {
     /// State of a process that has served no request yet.
     pub fn new(start: Start) -> Self {
-        let Start { settings, wire, clock, counters, usage, .. } = start;
+        let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
         let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
@@ -118,6 +123,7 @@
             settings,
             wire,
             clock,
+            dialer,
             counters,
             usage,
             request_log: RequestLog::default(),
@@ -197,7 +203,7 @@
     }
 
     fn new_state(&self, server: &Server) -> Rc<ServerState> {
-        Rc::new(ServerState::new(server.addr, self.now()))
+        Rc::new(ServerState::new(server.addr, self.dialer.clone(), self.now()))
     }
 
     /// Maximum number of connections of this host to one server, given the limit of its service and the number of hosts.
