refactor(request): a request ends with a conclusion, from which its response is built

A conclusion does not depend on the connection of the caller, so that a request can be concluded at one host and answered at another. No change of behaviour.

--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -1,4 +1,4 @@
-//! Builds the final response to a request: the answer of a backend server, or a refusal with its verdict and retry hint.
+//! How a request ends: with the answer of a backend server, or with a refusal that has a verdict and a retry hint.
 
 use std::time::Duration;
 
@@ -22,21 +22,49 @@
     send_outcome::{Lost, NotRun, SendOutcome},
 };
 
-/// Builds the response from the outcome of the last send; `None` if there was none.
+/// How a request ended.
+#[derive(Debug)]
+pub(super) enum Conclusion {
+    /// A backend server answered it.
+    Answered {
+        /// The server's response without its hop-by-hop headers.
+        res: Response<Full<Bytes>>,
+        /// Whether it is a verified success.
+        success: bool,
+    },
+    /// There is no answer of a server.
+    Refused {
+        /// The verdict, the reason and the retry hint.
+        refusal: Refusal,
+        /// Number of servers that the request was sent to.
+        tried: usize,
+    },
+}
+
+/// Builds and counts the response to the caller.
+pub(super) fn respond(job: &Job, conclusion: Conclusion) -> Response<Full<Bytes>> {
+    match conclusion {
+        Conclusion::Answered { mut res, success } => {
+            job.traffic.counters.on_answer(success, job.traffic.now() - job.received);
+            res.headers_mut().remove(header::CONNECTION);
+            (job.traffic.wire.set_delivered_headers)(res.headers_mut());
+            res
+        }
+        Conclusion::Refused { refusal, tried } => {
+            let (id, route) = (&job.request.id, &job.route.name);
+            refuse(&job.traffic, id, route, &refusal, job.received, || basis(job, tried))
+        }
+    }
+}
+
+/// Concludes from the outcome of the last send; `None` if there was none.
 ///
 /// The retry hint of a refusal is spread randomly, and shortened to what is left of the deadline.
-pub(super) fn finish(
-    job: &Job,
-    last: Option<SendOutcome>,
-    tried: &[ServerId],
-) -> Response<Full<Bytes>> {
+pub(super) fn conclude(job: &Job, last: Option<SendOutcome>, tried: &[ServerId]) -> Conclusion {
     let overload_delay = overload_retry_delay(job.route.objective);
     let refusal = match last {
-        Some(SendOutcome::Answered { mut res, success }) => {
-            job.traffic.counters.on_answer(success, job.traffic.now() - job.received);
-            res.headers_mut().remove(header::CONNECTION);
-            (job.traffic.wire.set_delivered_headers)(res.headers_mut());
-            return res;
+        Some(SendOutcome::Answered { res, success }) => {
+            return Conclusion::Answered { res, success };
         }
         Some(SendOutcome::Lost(Lost::Late)) => Refusal::may_have_run(Reason::DeadlinePassed),
         Some(SendOutcome::Lost(Lost::Broken)) => Refusal::may_have_run(Reason::ConnectionLost),
@@ -54,9 +82,7 @@
     };
     let left = job.left();
     let hint = refusal.retry_after.map(|delay| retry_after(delay, left, fastrand::f64()));
-    let refusal = Refusal { retry_after: hint, ..refusal };
-    let basis = || basis(job, tried.len());
-    refuse(&job.traffic, &job.request.id, &job.route.name, &refusal, job.received, basis)
+    Conclusion::Refused { refusal: Refusal { retry_after: hint, ..refusal }, tried: tried.len() }
 }
 
 /// Time until a permit for the rate-limited owner of the key can be had.
@@ -79,13 +105,12 @@
 /// Refuses a quarantined request.
 ///
 /// A definite quarantine carries no retry hint, since it is unknown when the request would be served again.
-pub(super) fn refuse_for_crashes(job: &Job, quarantine: Quarantine) -> Response<Full<Bytes>> {
+pub(super) fn refuse_for_crashes(job: &Job, quarantine: Quarantine) -> Conclusion {
     job.traffic.counters.on_refused_for_crashes(quarantine.request);
     let refusal = Refusal::not_run(Reason::EndsServers);
     let hint = || retry_after(PROBE_INTERVAL, job.left(), fastrand::f64());
     let refusal = if quarantine.is_confirmed { refusal } else { refusal.retry_after(hint()) };
-    let basis = || basis(job, 0);
-    refuse(&job.traffic, &job.request.id, &job.route.name, &refusal, job.received, basis)
+    Conclusion::Refused { refusal, tried: 0 }
 }
 
 /// The state that a refusal was decided by, for its log line.
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -19,7 +19,7 @@
 
 use super::{
     backpressure, body,
-    end::{finish, refuse_for_crashes},
+    end::{Conclusion, conclude, refuse_for_crashes, respond},
     job::{Job, send_to},
     pick::{pick_server, why_any_refuses},
     refuse::{CONFIG_RETRY_DELAY, bad_body, bad_request, refuse},
@@ -120,9 +120,11 @@
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_admitted(&job, &view, key)
     {
-        return finish(&job, Some(SendOutcome::NotRun(NotRun::Full)), &[]);
+        return respond(&job, conclude(&job, Some(SendOutcome::NotRun(NotRun::Full)), &[]));
     }
-    run(job).await
+    let job = Rc::new(job);
+    let conclusion = run(&job).await;
+    respond(&job, conclusion)
 }
 
 /// Counts a keyed request for the load report and returns whether admission control lets it through to the key's owner.
@@ -149,8 +151,7 @@
 }
 
 /// Sends the request, and retries it until it is answered, has to be refused, or may have run and must not run twice.
-async fn run(job: Job) -> Response<Full<Bytes>> {
-    let job = Rc::new(job);
+async fn run(job: &Rc<Job>) -> Conclusion {
     let mut sends = 0;
     let mut denials = 0;
     let mut tried = Vec::new();
@@ -161,11 +162,11 @@
         // Checked before each send: crashes under this request may have become known while it waited or between its sends.
         if let Some(quarantine) = job.crash_tracker().quarantine(&view) {
             return match last {
-                None | Some(SendOutcome::NotRun(_)) => refuse_for_crashes(&job, quarantine),
-                last => finish(&job, last, &tried),
+                None | Some(SendOutcome::NotRun(_)) => refuse_for_crashes(job, quarantine),
+                last => conclude(job, last, &tried),
             };
         }
-        let server = match pick_server(&job, &view, &tried) {
+        let server = match pick_server(job, &view, &tried) {
             Some(server) => server,
             None if sends == 0
                 && job.keyed
@@ -178,8 +179,8 @@
                 continue;
             }
             None => {
-                let refused = (!job.keyed).then(|| why_any_refuses(&job, &view)).flatten();
-                return finish(&job, last.or(refused.map(SendOutcome::NotRun)), &tried);
+                let refused = (!job.keyed).then(|| why_any_refuses(job, &view)).flatten();
+                return conclude(job, last.or(refused.map(SendOutcome::NotRun)), &tried);
             }
         };
         let state = job.traffic.server(&server);
@@ -190,17 +191,17 @@
                 last = Some(outcome_to_report(last, SendOutcome::NotRun(refused)));
                 denials += 1;
                 if job.keyed || denials > MAX_DENIALS {
-                    return finish(&job, last, &tried);
+                    return conclude(job, last, &tried);
                 }
                 tried.push(server.id);
                 continue;
             }
         };
         if sends > 0 && !job.traffic.may_repeat(&job.service, view.hosts) {
-            return finish(&job, last, &tried);
+            return conclude(job, last, &tried);
         }
         sends += 1;
-        let sent = send_to(&job, &view, &server, permit).await;
+        let sent = send_to(job, &view, &server, permit).await;
         job.traffic.counters.on_sent(&sent);
         job.log_send(&view, &server, sends, &sent);
         let retry = match &sent {
@@ -209,7 +210,7 @@
             // The same server would refuse it again, and each retry uses up the fleet's retry budget. So a retry waits for
             // another owner.
             SendOutcome::NotRun(NotRun::NotOwner) if job.keyed => {
-                sends < MAX_SENDS && wait_for_ownership_change(&job, &view).await
+                sends < MAX_SENDS && wait_for_ownership_change(job, &view).await
             }
             SendOutcome::NotRun(
                 NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable,
@@ -228,7 +229,7 @@
         let retry = retry && job.crash_tracker().may_retry(&job.traffic.view(), &crashed);
         last = Some(outcome_to_report(last, sent));
         if !retry || job.left().is_zero() {
-            return finish(&job, last, &tried);
+            return conclude(job, last, &tried);
         }
         if !job.keyed {
             tried.push(server.id);
