fix(request): servers that a partitioned host can't reach are not reported as crashed

What operators saw: after the connections of one host to all servers had been reset, the requests that ran were listed as suspects of crashes, though no server had crashed; three such hosts or resets would have them refused by all hosts. Cause: a refused connection counted as proof that the server is gone, and a partition refuses as well. Change: each host derives from its own connection attempts whether it reaches the servers (dispatch::reachability, no I/O). Two servers that can't be reached with no connection established between raise suspicion; three others are probed then, and the host counts as partitioned if none accepts. A refused connection is proof only if another server has accepted one since, and one probe answers for all requests that broke together. The requests are kept for the next check otherwise. Logged when it changes, metric jacinthbeam_partitioned.

--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -2,12 +2,13 @@
 //! refusal.
 //!
 //! Every decision uses only what this host has observed itself: the latency of each server, the requests that it has in flight
-//! there, and what the server refused. There is no I/O, and callers pass in the time.
+//! there, which connections it could open, and what the server refused. There is no I/O, and callers pass in the time.
 
 pub mod budget;
 pub mod choose;
 pub mod pause;
 pub mod rate_limit;
+pub mod reachability;
 pub mod refusal;
 pub mod server;
 pub mod slow_start;
--- a/crates/jacinthbeam-host/src/process/broken.rs
+++ b/crates/jacinthbeam-host/src/process/broken.rs
@@ -69,6 +69,11 @@
         self.connected.set(Some(now));
     }
 
+    /// Whether no request is kept.
+    pub fn is_empty(&self) -> bool {
+        self.requests.borrow().is_empty()
+    }
+
     /// Removes all requests and returns those that haven't expired.
     pub fn take(&self, now: Instant) -> Vec<Running> {
         let requests = std::mem::take(&mut *self.requests.borrow_mut());
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -81,6 +81,8 @@
     pub(super) crashes: mpsc::UnboundedReceiver<Fact>,
     /// Queries of the traffic thread about rate limits.
     pub(super) permits: mpsc::UnboundedReceiver<super::permits::Query>,
+    /// Whether this host is partitioned from all backend servers.
+    pub(super) partitioned: watch::Receiver<bool>,
     /// Resolves when the traffic thread has answered its last request.
     pub(super) served: oneshot::Receiver<()>,
 }
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -42,6 +42,8 @@
     pub evacuated: Gauge<u64>,
     /// Cold servers in slow start, whose service limits their request rate.
     pub cold: Gauge<u64>,
+    /// Whether this host is partitioned from all backend servers.
+    pub partitioned: Gauge<u64>,
     /// Bytes of bodies that are held, by kind.
     body_bytes: Gauge<u64>,
     /// Requests sent to backend servers, by outcome.
@@ -110,6 +112,7 @@
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
             evacuated: meter.u64_gauge("jacinthbeam_evacuated_domains").build(),
             cold: meter.u64_gauge("jacinthbeam_cold_servers").build(),
+            partitioned: meter.u64_gauge("jacinthbeam_partitioned").build(),
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
             rate_limits: count("jacinthbeam_rate_limit_changes"),
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod metrics;
 mod pages;
+pub mod partition;
 pub mod peers;
 pub mod permits;
 pub mod reach;
@@ -129,6 +130,7 @@
     let (done_tx, done) = tokio::sync::oneshot::channel();
     let (crashes_tx, crashes) = tokio::sync::mpsc::unbounded_channel();
     let (permits_tx, permits) = tokio::sync::mpsc::unbounded_channel();
+    let (partitioned_tx, partitioned) = watch::channel(false);
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
     let control = control::Start {
         settings: settings.clone(),
@@ -144,6 +146,7 @@
         phase: phase_rx.clone(),
         crashes,
         permits,
+        partitioned,
         served: done,
     };
     let reports = sockets.reports.try_clone().map_err(Error::Thread)?;
@@ -166,6 +169,7 @@
         gates,
         crashes: crashes_tx,
         permits: permits_tx,
+        partitioned: partitioned_tx,
     };
     let traffic = serving::Start {
         traffic,
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{
+    partition,
     peers::load::Message,
     traffic::{self, Traffic},
 };
@@ -60,6 +61,7 @@
         Ok(socket) => drop(spawn_local(report(traffic.clone(), socket))),
         Err(err) => tracing::error!(part = "process", event = "no-reports", error = ?err),
     }
+    spawn_local(partition::run(traffic.clone()));
     let open = Rc::new(Cell::new(0));
     let cx = accept::Context { phase: phase.subscribe(), open: open.clone() };
     let (limits, serving) = (traffic.clone(), traffic.clone());
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -24,8 +24,8 @@
     Settings, Wire,
     connection::accept::Phase,
     process::{
-        logs::Quota, metrics::Counters, permits, request_log::RequestLog,
-        server_state::ServerState, usage,
+        logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
+        request_log::RequestLog, server_state::ServerState, usage,
     },
     request::memory::BodyMemory,
     version::{Freshness, View},
@@ -63,6 +63,8 @@
     gates: watch::Receiver<Gates>,
     crashes: mpsc::UnboundedSender<Fact>,
     permits: mpsc::UnboundedSender<permits::Query>,
+    /// Detects that this host reaches no backend server.
+    pub(super) partition: PartitionMonitor,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     splits: RefCell<BTreeMap<String, WeightedRoundRobin>>,
@@ -110,13 +112,15 @@
     pub crashes: mpsc::UnboundedSender<Fact>,
     /// Receives queries about rate limits.
     pub permits: mpsc::UnboundedSender<permits::Query>,
+    /// Whether this host is partitioned from all backend servers.
+    pub partitioned: watch::Sender<bool>,
 }
 
 impl Traffic {
     /// State of a process that has served no request yet.
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
-        let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
+        let Start { view, freshness, phase, gates, crashes, permits, partitioned, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -134,6 +138,7 @@
             gates,
             crashes,
             permits,
+            partition: PartitionMonitor::new(partitioned),
             servers: RefCell::default(),
             budgets: RefCell::default(),
             splits: RefCell::default(),
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -1,7 +1,8 @@
 //! Detects server crashes under a request, and decides whether a request with crashes may still be sent.
 //!
 //! A broken connection is no proof of a crash: it may have been reset, cut, or closed by a server over its connection limit. A
-//! server counts as crashed if, soon afterwards, nothing listens at its address or another incarnation answers there. It does
+//! server counts as crashed if, soon afterwards, nothing listens at its address or another incarnation answers there. A refused
+//! connection counts only if this host reaches other servers, since a network partition may refuse it as well. A server does
 //! not count as crashed if it had announced that it is draining, since a server that is stopped in order also ends the
 //! requests that still run on it.
 
@@ -92,10 +93,18 @@
                 self.on_success(&self.traffic.view());
                 false
             }
-            SendOutcome::NotRun(NotRun::NotListening | NotRun::OtherServer) => {
+            SendOutcome::NotRun(NotRun::OtherServer) => {
                 report_crash(self.traffic, server);
                 false
             }
+            SendOutcome::NotRun(NotRun::NotListening) => {
+                if !self.traffic.server(server).broken.is_empty() {
+                    let (traffic, server) = (self.traffic.clone(), server.clone());
+                    let since = traffic.now();
+                    spawn_local(async move { on_refused(&traffic, &server, since).await });
+                }
+                false
+            }
             SendOutcome::Lost(Lost::Broken) => {
                 self.traffic.server(server).broken.on_broken(self.running());
                 let (traffic, server) = (self.traffic.clone(), server.clone());
@@ -144,13 +153,14 @@
         if !state.broken.is_check_due(traffic.now()) {
             return false;
         }
-        match state.pool.connect(max_connections).await {
+        let since = traffic.now();
+        match traffic.connect(server, max_connections).await {
             Ok(conn) => {
                 state.broken.on_connected(traffic.now());
                 state.pool.release(conn, traffic.now(), None);
                 return false;
             }
-            Err(err) if err.is_refused() => return report_crash(traffic, server),
+            Err(err) if err.is_refused() => return on_refused(traffic, server, since).await,
             Err(pool::Error::Connect(_) | pool::Error::Silent) => return false,
             // The other connections to a crashed server break at the same time, and free the pool when they are dropped.
             Err(pool::Error::Full) => tokio::time::sleep(LIVENESS_RETRY_DELAY).await,
@@ -159,6 +169,17 @@
     false
 }
 
+/// A server refused a connection that was attempted at `since`. Returns whether it has crashed.
+///
+/// The requests that were in flight there are kept for a later check if this host reaches no other server.
+async fn on_refused(traffic: &Traffic, server: &Server, since: Instant) -> bool {
+    if traffic.reaches_other_servers(&server.id, since).await {
+        return report_crash(traffic, server);
+    }
+    tracing::info!(part = "crash", event = "not-shown", server = %server.id, why = "no server reached");
+    false
+}
+
 /// Reports the requests that were in flight at a server that is gone. Returns whether it crashed, which means that it ended
 /// without having announced that it is draining.
 fn report_crash(traffic: &Traffic, server: &Server) -> bool {
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -133,7 +133,7 @@
     limits: SendLimits,
 ) -> Result<SendOutcome, NotRun> {
     let SendLimits { max_connections, deadline, permit } = limits;
-    let mut conn = map_pool_error(state.pool.acquire(traffic.now(), max_connections).await)?;
+    let mut conn = map_pool_error(traffic.acquire(server, max_connections).await)?;
     loop {
         // The server may have stated something else while the request waited for the connection.
         if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
@@ -155,7 +155,7 @@
             Ok(Err(mut err)) => match (err.take_message(), conn.reused) {
                 // hyper returns a request only if no byte of it was written.
                 (Some(_), true) => {
-                    conn = map_pool_error(state.pool.connect(max_connections).await)?
+                    conn = map_pool_error(traffic.connect(server, max_connections).await)?
                 }
                 (Some(_), false) => return Err(NotRun::Unreachable),
                 (None, _) => {
