fix(grant): a host that is partitioned from the servers gives its duties back

What callers saw: keys without owners for as long as the granting host reached no server: it resigned when most owners had been silent for a second, left the duty to a host that might be partitioned as well, and asked for it again after 5 s. Change: the partition that the traffic thread has found ends the leadership through the same path as before (a record without a leader, so that the successor waits only for the calls in flight), and the host stays out of the group until the partition has healed. Safety is as before: resigning is allowed at any time (OWNERSHIP 5). keys_are_served_while_the_granting_host_reaches_no_server still fails, since that host can't serve its own callers yet.

--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_range::Event as GrantorEvent;
 use jacinthbeam_store::{Call, Client, Lane, Reply};
 use jacinthbeam_types::prelude::*;
 
@@ -33,6 +34,8 @@
     pub(super) pause_until: Cell<Option<Instant>>,
     /// The host stays out of the group as a standby for hosts with more processor.
     pub(super) stands_by: Cell<bool>,
+    /// The host stays out of the group while it reaches no backend server.
+    pub(super) partitioned: Cell<bool>,
     /// The host leaves the group for good.
     pub(super) leave: Cell<bool>,
 }
@@ -89,7 +92,8 @@
     fn due(&self) -> Event {
         let paused =
             self.duty_request.pause_until.get().is_some_and(|until| self.clock.now() < until);
-        let paused = paused || self.duty_request.stands_by.get();
+        let paused =
+            paused || self.duty_request.stands_by.get() || self.duty_request.partitioned.get();
         Event::Due { paused, leaving: self.duty_request.leave.get() }
     }
 
@@ -135,6 +139,15 @@
 }
 
 impl Control {
+    /// Gives up the duties of this host when it becomes partitioned from the backend servers, and asks for them again when the
+    /// partition has healed.
+    pub(super) fn update_partitioned(&mut self) {
+        let partitioned = *self.partitioned.borrow_and_update();
+        if self.duty_request.partitioned.replace(partitioned) != partitioned && partitioned {
+            self.step_all(&GrantorEvent::Partitioned);
+        }
+    }
+
     /// Decides from the known hosts and the heartbeats of grantors whether this host is a standby.
     pub(super) fn update_standby(&mut self) {
         let now = self.clock.now();
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -274,7 +274,7 @@
                 self.broadcast_stopped(service, epoch, others_left)
             }
             Action::Resign => {
-                tracing::warn!(part = "duty", event = "resigned", service = %service, why = "most-owners-unreachable");
+                tracing::warn!(part = "duty", event = "resigned", service = %service, why = "owners-unreachable");
                 self.duty_request.pause_until.set(Some(self.clock.now() + RESIGN_COOLDOWN));
             }
         }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -126,6 +126,8 @@
     pub(super) granting: BTreeMap<ServiceName, Granting>,
     /// Services with keys released in this batch of inputs, whose grantors need a tick.
     pub(super) released: BTreeSet<ServiceName>,
+    /// Whether this host is partitioned from all backend servers.
+    pub(super) partitioned: watch::Receiver<bool>,
     /// When the process began to stop.
     pub(super) stopping: Option<Instant>,
     /// Whether the store answers this host's reads.
@@ -137,7 +139,7 @@
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
         let Start { settings, wire, clock, dialer, counters, incarnation, .. } = start;
-        let Start { view, freshness, gates, .. } = start;
+        let Start { view, freshness, gates, partitioned, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let now = clock.now();
         let standby = Standby::new(now);
@@ -178,6 +180,7 @@
             partitions: BTreeMap::new(),
             granting: BTreeMap::new(),
             released: BTreeSet::new(),
+            partitioned,
             stopping: None,
             reach: Rc::default(),
             unreadable: Unreadable::default(),
@@ -323,6 +326,7 @@
                 self.publish_freshness();
                 self.expire_cold_servers();
                 self.update_standby();
+                self.update_partitioned();
                 self.step_all(&Event::Tick);
                 self.publish_gates();
                 self.expire_permits();
--- a/crates/jacinthbeam-range/src/grantor/event.rs
+++ b/crates/jacinthbeam-range/src/grantor/event.rs
@@ -24,6 +24,8 @@
         /// The record; `None` if there is none.
         map: Option<Map>,
     },
+    /// This host has become partitioned from all backend servers.
+    Partitioned,
     /// The record of the last [`Action::Record`](super::Action::Record) was committed.
     Recorded {
         /// When the append was sent. At some moment after that nobody had replaced this host.
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -165,6 +165,8 @@
             Event::Read { sent_at, map } => self.on_read(view, sent_at, map),
             Event::Recorded { sent_at } => self.on_recorded(view, sent_at),
             Event::NotRecorded => self.on_not_recorded(view),
+            Event::Partitioned if self.leads() => return self.resign(view),
+            Event::Partitioned => {}
             Event::ShutdownStarted => self.stopping = Some(view.now),
             Event::Exit => return self.on_exit(view.now),
             // The next three events arrive hundreds of times a second in a large fleet, and a full
--- a/crates/jacinthbeam-range/src/grantor/stopping.rs
+++ b/crates/jacinthbeam-range/src/grantor/stopping.rs
@@ -51,8 +51,8 @@
         Some(Action::NotifySuccessor { to, epoch, others_left })
     }
 
-    /// Gives the duty back because most owners are silent although they are listed: more likely
-    /// this host is the one that is cut off. It must not take their keys away, since another host
+    /// Gives the duty back because this host is partitioned from the servers, or because most owners
+    /// are silent although they are listed: more likely this host is the one that is cut off. It must not take their keys away, since another host
     /// may reach them.
     pub(super) fn resign(&mut self, view: View<'_>) -> Vec<Action> {
         self.duty = false;
