fix(request): forward requests to another host while this one reaches no backend server

Readiness does not help: connections that are open stay, and where most hosts of a failure domain are not ready, the balancer goes on using all of them. Cause: a request could reach a server only from the host that accepted it. Change: a host that counts as partitioned, or can't open a connection while it may be partitioned, hands the routed and admitted request to another host over HTTP/2, at the address and in the encoding of updates. That host serves it as one of its own: it picks the server by its own view, keeps permits, slow start, drains, pauses and quarantine, retries within its own retry budget, charges the team, and never forwards again. It declines if it stops, is partitioned itself or has too many; then another one is asked, four at most. What is in doubt when the connection between hosts breaks may have run. Without a partition there is no connection, byte or call more.

--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod choose;
+pub mod helper;
 pub mod pause;
 pub mod rate_limit;
 pub mod reachability;
--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
 
-use jacinthbeam_dispatch::slow_start::Share;
+use jacinthbeam_dispatch::{helper, slow_start::Share};
 use jacinthbeam_range::Event;
 use jacinthbeam_store::{Item, keyed::Changes};
 use jacinthbeam_types::prelude::*;
@@ -13,6 +13,7 @@
         peers::{HostEntry, order::Neighbours, update::StateUpdate},
         replica::Changed,
     },
+    request::forward::Peer,
     version::{ColdServer, Freshness, Leaving},
 };
 
@@ -203,6 +204,7 @@
         self.publish();
         if changed.hosts {
             self.publish_neighbours();
+            self.publish_peers();
             self.standby_updated = None;
             self.update_standby();
         }
@@ -254,6 +256,23 @@
     }
 
     /// Publishes the other hosts, in their order, to the tasks that poll them.
+    /// Publishes the other hosts to the traffic thread, in the order in which this host prefers them as helpers.
+    fn publish_peers(&self) {
+        let me = &self.me.host;
+        let others = self.replica.hosts().filter(|(host, _)| *host != me);
+        let mut ordered: Vec<_> = others
+            .map(|(host, entry)| {
+                let near = entry.domain == self.settings.domain;
+                let (addr, processor) = (entry.addr, entry.processor);
+                let peer = Peer { host: host.clone(), addr, processor };
+                (helper::preference(me, host, near), peer)
+            })
+            .collect();
+        ordered.sort_unstable_by_key(|(preference, _)| *preference);
+        let peers = ordered.into_iter().map(|(_, peer)| peer).collect();
+        self.peers.send_replace(Arc::new(peers));
+    }
+
     fn publish_neighbours(&mut self) {
         self.standby.on_hosts_known();
         let neighbours = Neighbours::of(&self.me.host, &self.entry(), self.replica.hosts());
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -49,6 +49,7 @@
         source::MAX_STALENESS,
         update::{StateUpdate, UpdateRequest},
     },
+    serving::Forwarded,
     status,
     traffic::Gates,
     usage,
@@ -57,7 +58,7 @@
     Settings, Wire,
     connection::accept::Phase,
     operators,
-    request::answer,
+    request::{answer, forward::Peer},
     version::{Freshness, View},
 };
 use input::{Input, Tx};
@@ -83,6 +84,10 @@
     pub(super) permits: mpsc::UnboundedReceiver<super::permits::Query>,
     /// Whether this host is partitioned from all backend servers.
     pub(super) partitioned: watch::Receiver<bool>,
+    /// The other hosts, in the order in which this one prefers them as helpers.
+    pub(super) peers: watch::Sender<Arc<Vec<Peer>>>,
+    /// Receives the requests that other hosts forward.
+    pub(super) forwarded: mpsc::UnboundedSender<Forwarded>,
     /// Resolves when the traffic thread has answered its last request.
     pub(super) served: oneshot::Receiver<()>,
 }
@@ -114,7 +119,8 @@
         Err(err) => return tracing::error!(part = "peers", event = "no-socket", error = ?err),
     };
     spawn_local(receive_datagrams(reports.clone(), tx.clone()));
-    spawn_local(serve_updates(updates, tx.clone(), start.view.subscribe()));
+    let forwarded = start.forwarded.clone();
+    spawn_local(serve_peers(updates, tx.clone(), start.view.subscribe(), forwarded));
     spawn_local(tick(tx.clone()));
     spawn_local(await_stop(start.phase.clone(), tx.clone()));
     let mut served = std::mem::replace(&mut start.served, oneshot::channel().1);
@@ -169,7 +175,12 @@
     control.finish_batch();
 }
 
-async fn serve_updates(listener: TcpListener, tx: Tx, changes: watch::Receiver<Arc<View>>) {
+async fn serve_peers(
+    listener: TcpListener,
+    tx: Tx,
+    changes: watch::Receiver<Arc<View>>,
+    forwarded: mpsc::UnboundedSender<Forwarded>,
+) {
     let find = move |request: UpdateRequest| {
         let (tx, changes) = (tx.clone(), changes.clone());
         let max_wait = if request.only_crashes { cross_domain::MAX_WAIT } else { feed::MAX_WAIT };
@@ -186,7 +197,7 @@
             peers::long_poll::long_poll(look, changes, wait, MAX_STALENESS).await
         }
     };
-    peers::serve::run(listener, find).await;
+    peers::serve::run(listener, find, forwarded).await;
 }
 
 /// Requests from the control thread what this host has and the requesting host lacks.
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -51,6 +51,7 @@
         traffic::Gates,
         usage,
     },
+    request::forward::Peer,
     version::{ColdServer, Freshness, View},
 };
 
@@ -128,6 +129,8 @@
     pub(super) released: BTreeSet<ServiceName>,
     /// Whether this host is partitioned from all backend servers.
     pub(super) partitioned: watch::Receiver<bool>,
+    /// The other hosts, in the order in which this one prefers them as helpers.
+    pub(super) peers: watch::Sender<Arc<Vec<Peer>>>,
     /// When the process began to stop.
     pub(super) stopping: Option<Instant>,
     /// Whether the store answers this host's reads.
@@ -139,7 +142,7 @@
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
         let Start { settings, wire, clock, dialer, counters, incarnation, .. } = start;
-        let Start { view, freshness, gates, partitioned, .. } = start;
+        let Start { view, freshness, gates, partitioned, peers, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let now = clock.now();
         let standby = Standby::new(now);
@@ -181,6 +184,7 @@
             granting: BTreeMap::new(),
             released: BTreeSet::new(),
             partitioned,
+            peers,
             stopping: None,
             reach: Rc::default(),
             unreadable: Unreadable::default(),
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -42,6 +42,8 @@
     pub evacuated: Gauge<u64>,
     /// Cold servers in slow start, whose service limits their request rate.
     pub cold: Gauge<u64>,
+    /// Requests forwarded to another host, by outcome.
+    forwarded: Counter<u64>,
     /// Whether this host is partitioned from all backend servers.
     pub partitioned: Gauge<u64>,
     /// Bytes of bodies that are held, by kind.
@@ -112,6 +114,7 @@
             leads: meter.u64_gauge("jacinthbeam_leads").build(),
             evacuated: meter.u64_gauge("jacinthbeam_evacuated_domains").build(),
             cold: meter.u64_gauge("jacinthbeam_cold_servers").build(),
+            forwarded: count("jacinthbeam_forwarded"),
             partitioned: meter.u64_gauge("jacinthbeam_partitioned").build(),
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
@@ -169,6 +172,11 @@
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that was forwarded to another host.
+    pub fn on_forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a change of the rate limit that a backend server states.
     pub fn on_rate_limit(&self, limited: bool) {
         self.rate_limits.add(1, &[KeyValue::new("limited", limited)]);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 mod control;
 pub mod evacuation;
+pub mod helping;
 pub mod inbox;
 pub mod logs;
 pub mod map_history;
@@ -131,6 +132,8 @@
     let (crashes_tx, crashes) = tokio::sync::mpsc::unbounded_channel();
     let (permits_tx, permits) = tokio::sync::mpsc::unbounded_channel();
     let (partitioned_tx, partitioned) = watch::channel(false);
+    let (peers_tx, peers) = watch::channel(Arc::default());
+    let (forwarded_tx, forwarded) = tokio::sync::mpsc::unbounded_channel();
     tracing::info!(part = "process", event = "start", host = %settings.host, domain = %settings.domain, incarnation = %incarnation, callers = %settings.callers, store = %settings.store);
     let control = control::Start {
         settings: settings.clone(),
@@ -147,6 +150,8 @@
         crashes,
         permits,
         partitioned,
+        peers: peers_tx,
+        forwarded: forwarded_tx,
         served: done,
     };
     let reports = sockets.reports.try_clone().map_err(Error::Thread)?;
@@ -170,12 +175,14 @@
         crashes: crashes_tx,
         permits: permits_tx,
         partitioned: partitioned_tx,
+        peers,
     };
     let traffic = serving::Start {
         traffic,
         phase: phase.clone(),
         callers: sockets.callers,
         reports,
+        forwarded,
         served: done_tx,
     };
     let threads = vec![
--- a/crates/jacinthbeam-host/src/process/peers/mod.rs
+++ b/crates/jacinthbeam-host/src/process/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between hosts: load reports and gates as datagrams, updates of the store's data over HTTP/2.
 
 pub mod enrolment;
+pub(crate) mod forward;
 pub(super) mod link;
 pub mod load;
 pub mod long_poll;
--- a/crates/jacinthbeam-host/src/process/peers/serve.rs
+++ b/crates/jacinthbeam-host/src/process/peers/serve.rs
@@ -4,13 +4,19 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, rt::Executor, server::conn::http2, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::task::spawn_local;
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::spawn_local,
+};
 
-use super::update::{self, StateUpdate, UpdateRequest};
-use crate::request::answer;
+use super::{
+    forward::{self, Message},
+    update::{self, StateUpdate, UpdateRequest},
+};
+use crate::process::serving::Forwarded;
 
 /// Path of update requests.
 pub(super) const PATH: &str = "/news";
@@ -28,10 +34,11 @@
     }
 }
 
-/// Answers each request with the update that `find` returns, which may wait. Runs forever.
+/// Answers each request for an update with the one that `find` returns, which may wait, and passes on forwarded requests. Runs forever.
 pub(crate) async fn run<F: Future<Output = StateUpdate> + 'static>(
     listener: TcpListener,
     find: impl Fn(UpdateRequest) -> F + 'static,
+    forwarded: mpsc::UnboundedSender<Forwarded>,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -50,10 +57,15 @@
         if let Err(err) = stream.set_nodelay(true) {
             tracing::debug!(part = "peers", event = "nodelay-failed", error = ?err);
         }
-        let find = find.clone();
-        let service = service_fn(move |req| {
-            let find = find.clone();
-            async move { Ok::<_, Infallible>(answer_one(req, &*find).await) }
+        let (find, forwarded) = (find.clone(), forwarded.clone());
+        let service = service_fn(move |req: Request<Incoming>| {
+            let (find, forwarded) = (find.clone(), forwarded.clone());
+            async move {
+                Ok::<_, Infallible>(match req.uri().path() {
+                    forward::PATH => pass_on(req, &forwarded).await,
+                    _ => answer_one(req, &*find).await.map(Message::plain),
+                })
+            }
         });
         spawn_local(async move {
             let conn = http2::Builder::new(LocalExecutor);
@@ -64,24 +76,44 @@
     }
 }
 
+/// Passes a forwarded request on to the traffic thread. The request is cancelled if this future is dropped.
+async fn pass_on(
+    req: Request<Incoming>,
+    forwarded: &mpsc::UnboundedSender<Forwarded>,
+) -> Response<Message> {
+    let (reply, served) = oneshot::channel();
+    if forwarded.send(Forwarded { req, reply }).is_ok()
+        && let Ok(res) = served.await
+    {
+        return res;
+    }
+    let mut res = Response::new(Message::plain(Bytes::new()));
+    *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    res
+}
+
 async fn answer_one<F: Future<Output = StateUpdate>>(
     req: Request<Incoming>,
     find: &impl Fn(UpdateRequest) -> F,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     if req.uri().path() != PATH {
-        return answer::plain(StatusCode::NOT_FOUND, format!("hosts ask at {PATH}"));
+        return plain(StatusCode::NOT_FOUND, "no such path\n");
     }
     let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await;
     let Ok(bytes) = body.map(|body| body.to_bytes()) else {
-        return answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the question is too long".into());
+        return plain(StatusCode::PAYLOAD_TOO_LARGE, "the request is too long\n");
     };
     match update::from_bytes(&bytes) {
-        Ok(request) => {
-            Response::new(Full::new(Bytes::from(update::to_bytes(&find(request).await))))
-        }
+        Ok(request) => Response::new(Bytes::from(update::to_bytes(&find(request).await))),
         Err(err) => {
             tracing::warn!(part = "peers", event = "unreadable-question", error = ?err);
-            answer::plain(StatusCode::BAD_REQUEST, "the question can't be read".into())
+            plain(StatusCode::BAD_REQUEST, "the request can't be decoded\n")
         }
     }
 }
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Bytes> {
+    let mut res = Response::new(Bytes::from_static(text.as_bytes()));
+    *res.status_mut() = status;
+    res
+}
--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -29,12 +29,13 @@
 pub struct RequestLog {
     sends: RefCell<Quota>,
     refusals: RefCell<Quota>,
+    forwards: RefCell<Quota>,
 }
 
 impl Default for RequestLog {
     fn default() -> Self {
         let quota = || RefCell::new(Quota::new(MAX_LINES_PER_SECOND));
-        Self { sends: quota(), refusals: quota() }
+        Self { sends: quota(), refusals: quota(), forwards: quota() }
     }
 }
 
@@ -131,6 +132,23 @@
         );
     }
 
+    /// Logs a request that was forwarded to another host.
+    pub fn on_forwarded(
+        &self,
+        now: Instant,
+        id: &HeaderValue,
+        helper: &HostId,
+        outcome: &'static str,
+        took: Duration,
+    ) {
+        if outcome == "answered" && fastrand::u64(..SUCCESSES_PER_LINE) > 0 {
+            return;
+        }
+        let Some(left_out) = self.forwards.borrow_mut().take(now) else { return };
+        let took_ms = took.as_millis() as u64;
+        tracing::info!(part = "request", event = "forwarded", id = ?id, helper = %helper, outcome, took_ms, left_out);
+    }
+
     /// Logs a request that was refused or failed without an answer of a server. `basis` is called only if the line is written.
     pub fn on_refused<'a>(
         &self,
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -14,14 +14,14 @@
 };
 use jacinthbeam_types::prelude::*;
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{mpsc, oneshot, watch},
     task::spawn_local,
     time::Instant,
 };
 
 use super::{
     partition,
-    peers::load::Message,
+    peers::{forward, load::Message},
     traffic::{self, Traffic},
 };
 use crate::{
@@ -35,6 +35,8 @@
     pub(super) phase: watch::Sender<Phase>,
     pub(super) callers: TcpListener,
     pub(super) reports: UdpSocket,
+    /// Requests that other hosts have forwarded.
+    pub(super) forwarded: mpsc::UnboundedReceiver<Forwarded>,
     /// Dropped when the last connection is closed, or when the time for the shutdown is up.
     pub(super) served: oneshot::Sender<()>,
 }
@@ -51,7 +53,7 @@
 
 pub(super) async fn run(start: Start) {
     let stop_within = start.traffic.settings.stop_within;
-    let Start { phase, callers, reports, served, .. } = start;
+    let Start { phase, callers, reports, forwarded, served, .. } = start;
     let traffic = Rc::new(Traffic::new(start.traffic));
     let listener = match tokio::net::TcpListener::from_std(callers) {
         Ok(listener) => listener,
@@ -63,6 +65,7 @@
     }
     spawn_local(partition::run(traffic.clone()));
     let open = Rc::new(Cell::new(0));
+    spawn_local(serve_forwarded(traffic.clone(), forwarded, open.clone()));
     let cx = accept::Context { phase: phase.subscribe(), open: open.clone() };
     let (limits, serving) = (traffic.clone(), traffic.clone());
     let serve = move |req| request::serve(serving.clone(), req);
@@ -73,6 +76,38 @@
     drop(served);
 }
 
+/// A request that another host has forwarded, as received by the control thread.
+#[derive(Debug)]
+pub(super) struct Forwarded {
+    pub(super) req: http::Request<hyper::body::Incoming>,
+    /// Dropped if the other host has cancelled the request.
+    pub(super) reply: oneshot::Sender<http::Response<forward::Message>>,
+}
+
+/// Serves the requests that other hosts forward. A request in flight keeps the process from exiting, as an open connection does.
+async fn serve_forwarded(
+    traffic: Rc<Traffic>,
+    mut forwarded: mpsc::UnboundedReceiver<Forwarded>,
+    open: Rc<Cell<usize>>,
+) {
+    while let Some(Forwarded { req, mut reply }) = forwarded.recv().await {
+        let (traffic, open) = (traffic.clone(), open.clone());
+        spawn_local(async move {
+            open.set(open.get() + 1);
+            let in_flight = traffic.begin_forwarded();
+            let served = tokio::select! {
+                res = request::forwarded::serve(traffic.clone(), req) => Some(res),
+                () = reply.closed() => None,
+            };
+            if served.is_some_and(|res| reply.send(res).is_err()) {
+                tracing::debug!(part = "request", event = "forward-cancelled");
+            }
+            drop(in_flight);
+            open.set(open.get() - 1);
+        });
+    }
+}
+
 /// Waits for the shutdown to start, and then until the last connection is closed or the time is up.
 async fn shut_down(phase: &watch::Sender<Phase>, open: &Cell<usize>, stop_within: Duration) {
     let mut changes = phase.subscribe();
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -24,10 +24,13 @@
     Settings, Wire,
     connection::accept::Phase,
     process::{
-        logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
+        helping::Helping, logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
         request_log::RequestLog, server_state::ServerState, usage,
     },
-    request::memory::BodyMemory,
+    request::{
+        forward::{Forwarding, Peer},
+        memory::BodyMemory,
+    },
     version::{Freshness, View},
 };
 
@@ -63,6 +66,11 @@
     gates: watch::Receiver<Gates>,
     crashes: mpsc::UnboundedSender<Fact>,
     permits: mpsc::UnboundedSender<permits::Query>,
+    peers: watch::Receiver<Arc<Vec<Peer>>>,
+    /// Requests that other hosts serve for this one.
+    pub(crate) forwarding: Forwarding,
+    /// Requests that this host serves for others.
+    helping: Helping,
     /// Detects that this host reaches no backend server.
     pub(super) partition: PartitionMonitor,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
@@ -114,13 +122,16 @@
     pub permits: mpsc::UnboundedSender<permits::Query>,
     /// Whether this host is partitioned from all backend servers.
     pub partitioned: watch::Sender<bool>,
+    /// The other hosts, in the order in which this one prefers them as helpers.
+    pub peers: watch::Receiver<Arc<Vec<Peer>>>,
 }
 
 impl Traffic {
     /// State of a process that has served no request yet.
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
-        let Start { view, freshness, phase, gates, crashes, permits, partitioned, .. } = start;
+        let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
+        let Start { partitioned, peers, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -138,6 +149,9 @@
             gates,
             crashes,
             permits,
+            peers,
+            forwarding: Forwarding::default(),
+            helping: Helping::default(),
             partition: PartitionMonitor::new(partitioned),
             servers: RefCell::default(),
             budgets: RefCell::default(),
@@ -212,8 +226,11 @@
     }
 
     /// Maximum number of connections of this host to one server, given the limit of its service and the number of hosts.
+    ///
+    /// A host has the share of each host that forwards its requests to it as well: these open no connections.
     pub fn most_connections(&self, service_limit: u32, hosts: u32) -> u32 {
-        let share = f64::from(service_limit) * REQUEST_CONNECTION_SHARE / f64::from(hosts.max(1));
+        let shares = hosts.saturating_sub(self.helping.origins(self.now())).max(1);
+        let share = f64::from(service_limit) * REQUEST_CONNECTION_SHARE / f64::from(shares);
         (share as u32).max(MIN_CONNECTIONS)
     }
 
@@ -382,9 +399,30 @@
         }
     }
 
+    /// The other hosts, in the order in which this one prefers them as helpers.
+    pub fn peers(&self) -> Arc<Vec<Peer>> {
+        self.peers.borrow().clone()
+    }
+
+    /// Whether this host can serve another request that was forwarded to it.
+    pub fn has_room_for_forwarded(&self) -> bool {
+        self.helping.has_room(self.settings.processor)
+    }
+
+    /// Counts a request that another host has forwarded as in flight, until the result is dropped.
+    pub fn begin_forwarded(&self) -> impl Drop {
+        self.helping.begin()
+    }
+
+    /// Records that a host forwards requests to this one.
+    pub fn on_forwarded_by(&self, origin: &HostId) {
+        self.helping.on_origin(origin, self.now());
+    }
+
     /// Drops the state of servers that are gone, and closes connections that were idle for too long.
     pub fn tidy(&self) {
         let (view, now) = (self.view(), self.now());
+        self.forwarding.tidy(now);
         let mut servers = self.servers.borrow_mut();
         servers.retain(|id, state| {
             state.pool.expire(now);
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -37,11 +37,26 @@
     pub(super) key: Option<Key>,
     /// Whether it may run more than once.
     pub(super) idempotent: bool,
-    /// Metering of the team that is charged for the request.
+    /// The team that is charged for it.
+    pub(super) team: Option<TeamName>,
+    /// Metering of that team.
     pub(super) usage: Use,
     pub(super) received: Instant,
     /// When the response is due: the caller's or the route's timeout after `received`, whichever is shorter.
     pub(super) deadline: Instant,
+    pub(super) hop: Hop,
+}
+
+/// How a request reached this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Hop {
+    /// From its caller.
+    Direct,
+    /// From another host. It is not forwarded again.
+    Forwarded {
+        /// Sends that may have reached a server before.
+        sends: u32,
+    },
 }
 
 impl Job {
@@ -117,6 +132,11 @@
         self.deadline.saturating_duration_since(self.traffic.now())
     }
 
+    /// Whether it may be forwarded to another host.
+    pub(super) fn may_be_forwarded(&self) -> bool {
+        self.hop == Hop::Direct && !self.traffic.is_stopping()
+    }
+
     /// Whether a request that may have run may be sent again after `sends` sends.
     pub(super) fn may_run_again(&self, sends: u32) -> bool {
         self.idempotent && sends < self.route.attempts
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -6,6 +6,8 @@
 mod crash;
 mod end;
 mod fingerprint;
+pub mod forward;
+pub mod forwarded;
 mod job;
 pub mod memory;
 mod permit;
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -51,7 +51,7 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
 /// Time past the deadline for which a response is still awaited, so that the server's own answer to a passed deadline arrives.
-const RESPONSE_GRACE: Duration = Duration::from_millis(60);
+pub(super) const RESPONSE_GRACE: Duration = Duration::from_millis(60);
 
 /// Counts a request as in flight at a server until dropped.
 struct InFlightGuard(Rc<ServerState>, Instant);
@@ -247,7 +247,7 @@
 }
 
 /// Reads a response body completely. While there is no memory for more of it, the server's connection is not read.
-async fn read_body(body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, BoxError> {
+pub(super) async fn read_body(body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, BoxError> {
     let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut reservation = memory.reservation();
     // Reserved together, so that responses of known lengths don't wait for each other half read.
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -20,7 +20,8 @@
 use super::{
     backpressure, body,
     end::{Conclusion, conclude, refuse_for_crashes, respond},
-    job::{Job, send_to},
+    forward::forward,
+    job::{Hop, Job, send_to},
     pick::{pick_server, why_any_refuses},
     refuse::{CONFIG_RETRY_DELAY, bad_body, bad_request, refuse},
     send::BufferedRequest,
@@ -112,10 +113,12 @@
         keyed: service.keyed,
         key: caller.key,
         idempotent: caller.idempotent.unwrap_or(route.idempotent),
+        team: service.team.clone(),
         usage,
         received,
         deadline,
         route,
+        hop: Hop::Direct,
     };
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_admitted(&job, &view, key)
@@ -151,8 +154,11 @@
 }
 
 /// Sends the request, and retries it until it is answered, has to be refused, or may have run and must not run twice.
-async fn run(job: &Rc<Job>) -> Conclusion {
-    let mut sends = 0;
+pub(super) async fn run(job: &Rc<Job>) -> Conclusion {
+    let (mut sends, mut reached) = match job.hop {
+        Hop::Direct => (0, 0),
+        Hop::Forwarded { sends } => (sends, sends),
+    };
     let mut denials = 0;
     let mut tried = Vec::new();
     let mut last = None;
@@ -166,6 +172,9 @@
                 last => conclude(job, last, &tried),
             };
         }
+        if job.may_be_forwarded() && job.traffic.is_partitioned() {
+            return forward(job, reached, last).await;
+        }
         let server = match pick_server(job, &view, &tried) {
             Some(server) => server,
             None if sends == 0
@@ -204,6 +213,10 @@
         let sent = send_to(job, &view, &server, permit).await;
         job.traffic.counters.on_sent(&sent);
         job.log_send(&view, &server, sends, &sent);
+        reached += u32::from(!matches!(sent, SendOutcome::NotRun(_)));
+        if is_unreachable(&sent) && job.may_be_forwarded() && job.traffic.may_be_partitioned() {
+            return forward(job, reached, last).await;
+        }
         let retry = match &sent {
             SendOutcome::Answered { success: true, .. } => false,
             SendOutcome::Answered { success: false, .. } => job.may_run_again(sends) && !job.keyed,
@@ -237,6 +250,11 @@
     }
 }
 
+/// Whether the request was not sent because no connection to the server could be opened.
+fn is_unreachable(sent: &SendOutcome) -> bool {
+    matches!(sent, SendOutcome::NotRun(NotRun::NotListening | NotRun::Unreachable))
+}
+
 /// Returns the outcome of two sends that is reported to the caller: a request that ran or may have run takes precedence over
 /// one that did not run.
 fn outcome_to_report(earlier: Option<SendOutcome>, later: SendOutcome) -> SendOutcome {
