--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -41,6 +41,14 @@
     },
 }
 
+impl Conclusion {
+    /// Whether the request did not run because the server can't be reached from this host.
+    pub(super) fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Refused { refusal, .. }
+            if refusal.verdict == Verdict::NotRun && refusal.reason == Reason::Unreachable)
+    }
+}
+
 /// Builds and counts the response to the caller.
 pub(super) fn respond(job: &Job, conclusion: Conclusion) -> Response<Full<Bytes>> {
     match conclusion {
--- a/crates/jacinthbeam-host/src/request/forwarded.rs
+++ b/crates/jacinthbeam-host/src/request/forwarded.rs
@@ -46,18 +46,22 @@
 
 /// Serves a request that another host has forwarded.
 pub(crate) async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<Message> {
-    match accept(&traffic, req).await {
-        Ok(job) => {
-            let conclusion = run(&Rc::new(job)).await;
-            encode(conclusion).await
-        }
-        Err(declined) => {
-            tracing::debug!(part = "request", event = "forward-declined", why = %declined);
-            let mut res = Response::new(Message::plain(Bytes::new()));
-            *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            res
-        }
+    let job = match accept(&traffic, req).await {
+        Ok(job) => job,
+        Err(declined) => return decline(&declined),
+    };
+    let conclusion = run(&Rc::new(job)).await;
+    if conclusion.is_unreachable() && traffic.may_be_partitioned() {
+        return decline(&Declined::Unavailable);
     }
+    encode(conclusion).await
+}
+
+fn decline(declined: &Declined) -> Response<Message> {
+    tracing::debug!(part = "request", event = "forward-declined", why = %declined);
+    let mut res = Response::new(Message::plain(Bytes::new()));
+    *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    res
 }
 
 async fn accept(traffic: &Rc<Traffic>, req: Request<Incoming>) -> Result<Job, Declined> {
