--- a/crates/jacinthbeam-connection/src/socket.rs
+++ b/crates/jacinthbeam-connection/src/socket.rs
@@ -88,7 +88,8 @@
 ///
 /// A connection may stop working without an error while new ones work. Without probes, a request on it would
 /// last until its own timeout, which for a long poll means half a minute of missed changes. With them it
-/// fails after about [`DEAD_PEER_TIMEOUT`].
+/// fails after about [`DEAD_PEER_TIMEOUT`]. That timeout also decides when the probes give up, whatever their
+/// number: an idle connection fails at the second one.
 fn enable_dead_peer_detection(socket: &SockRef<'_>) -> io::Result<()> {
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/jacinthbeam-host/src/explain.rs
+++ b/crates/jacinthbeam-host/src/explain.rs
@@ -11,7 +11,8 @@
 const CONTEXT_WINDOW_S: f64 = 5.0;
 
 /// Values of `part` whose lines about servers, owners and configuration belong to a timeline.
-const CONTEXT: [&str; 7] = ["servers", "grant", "maps", "config", "feed", "duty", "backpressure"];
+const CONTEXT: [&str; 8] =
+    ["servers", "grant", "maps", "config", "feed", "duty", "backpressure", "partition"];
 
 /// One line of a host's log.
 #[derive(Debug, Clone, PartialEq)]
