feat(store): log when the store has been restored from an older copy

The logs of the incident do not show when the store went back: each answer states its era since, and nothing read it. A wire tells the era of an answer's head now, and the client logs an era that is above the last one (store, restored). Nothing is decided by it yet.

--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -29,7 +29,11 @@
 /// How jacinthbeam itself speaks.
 pub fn wire() -> Wire {
     Wire {
-        store: jacinthbeam_store::Wire { encode: store::encode, decode: store::decode },
+        store: jacinthbeam_store::Wire {
+            encode: store::encode,
+            era: store::era,
+            decode: store::decode,
+        },
         store_layout: STORE_LAYOUT,
         parse_caller_headers: request::caller,
         set_forward_headers: request::forward,
--- a/crates/jacinthbeam-native/src/store.rs
+++ b/crates/jacinthbeam-native/src/store.rs
@@ -1,12 +1,22 @@
 //! Calls to the store: `POST /call` with the call in bincode, answered by the reply in bincode.
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use jacinthbeam_store::{Call, Error, Reply};
+use jacinthbeam_types::prelude::Era;
 
 /// Path of every call.
 pub const CALL: &str = "/call";
 
+/// Header with the era of the store in each of its responses.
+pub const ERA: &str = "jacinthbeam-store-era";
+
+/// The era that the head of an answer states; 0 if none.
+pub fn era(headers: &HeaderMap) -> Era {
+    let era = headers.get(ERA).and_then(|era| era.to_str().ok());
+    era.and_then(|era| era.parse().ok()).unwrap_or_default()
+}
+
 /// The request of a call.
 pub fn encode(call: &Call) -> Request<Bytes> {
     Request::post(CALL).body(bytes(call)).expect("the path is valid")
--- a/crates/jacinthbeam-standin/src/backend.rs
+++ b/crates/jacinthbeam-standin/src/backend.rs
@@ -150,6 +150,7 @@
 async fn register(state: Arc<State>, addr: SocketAddr, store: SocketAddr) {
     let wire = Wire {
         encode: jacinthbeam_native::store::encode,
+        era: jacinthbeam_native::store::era,
         decode: jacinthbeam_native::store::decode,
     };
     let lane = Client::open(store, wire, Arc::new(SystemClock)).lane();
--- a/crates/jacinthbeam-standin/tests/follow.rs
+++ b/crates/jacinthbeam-standin/tests/follow.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use jacinthbeam_native::store::{decode, encode};
+use jacinthbeam_native::store::{decode, encode, era};
 use jacinthbeam_standin::serve;
 use jacinthbeam_store::{Call, Client, Error, Lane, Page, Partition, Reply, Wire, keyed::Follower};
 use jacinthbeam_types::prelude::*;
@@ -25,7 +25,7 @@
 #[tokio::test]
 async fn a_read_that_is_cut_short_does_not_reach_the_end() {
     let store = serve::spawn(LOOPBACK, 1).await.unwrap();
-    let client = Client::open(store.addr(), Wire { encode, decode }, Arc::new(SystemClock));
+    let client = Client::open(store.addr(), Wire { encode, era, decode }, Arc::new(SystemClock));
     let lane = client.lane();
     put(&lane, 0, None).await.unwrap();
     let mut follower = Follower::new(place());
@@ -45,7 +45,7 @@
 #[tokio::test]
 async fn a_read_that_fails_half_way_is_made_again() {
     let store = serve::spawn(LOOPBACK, 1).await.unwrap();
-    let client = Client::open(store.addr(), Wire { encode, decode }, Arc::new(SystemClock));
+    let client = Client::open(store.addr(), Wire { encode, era, decode }, Arc::new(SystemClock));
     let lane = client.lane();
     let mut follower = Follower::after(place(), Offset(0));
     for value in 0..4 {
@@ -71,7 +71,7 @@
 #[tokio::test]
 async fn a_page_without_records_is_not_the_last_while_more_follow() {
     let store = serve::spawn(LOOPBACK, 1).await.unwrap();
-    let wire = Wire { encode, decode: decode_empty };
+    let wire = Wire { encode, era, decode: decode_empty };
     let lane = Client::open(store.addr(), wire, Arc::new(SystemClock)).lane();
     put(&lane, 0, None).await.unwrap();
     let mut follower = Follower::new(place());
--- a/crates/jacinthbeam-store/src/call.rs
+++ b/crates/jacinthbeam-store/src/call.rs
@@ -3,8 +3,8 @@
 use std::{fmt, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
-use jacinthbeam_types::prelude::Offset;
+use http::{HeaderMap, Request, StatusCode};
+use jacinthbeam_types::prelude::{Era, Offset};
 use serde::{Deserialize, Serialize};
 
 /// One partition of a topic.
@@ -211,6 +211,8 @@
 pub struct Wire {
     /// Returns the request for a call. Its target consists of path and query only.
     pub encode: fn(&Call) -> Request<Bytes>,
+    /// Returns the era that the head of a response states; 0 if none.
+    pub era: fn(&HeaderMap) -> Era,
     /// Interprets the status and body of the response to a call.
     pub decode: fn(&Call, StatusCode, &Bytes) -> Result<Reply, Error>,
 }
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -9,6 +9,7 @@
 
 use jacinthbeam_connection::{Line, line::Error as LineError};
 use jacinthbeam_types::prelude::*;
+use tokio::sync::watch;
 
 use crate::{
     call::{Call, Error, Reply, Wire},
@@ -50,6 +51,8 @@
     clock: Arc<dyn Clock>,
     rate_limiter: Arc<Mutex<RateLimiter>>,
     observer: Option<Observer>,
+    /// The latest era that an answer of the store stated.
+    era: Arc<watch::Sender<Era>>,
 }
 
 /// A separate connection to the store, so that a waiting call doesn't delay the calls on other lanes.
@@ -68,6 +71,7 @@
             clock,
             rate_limiter: Arc::new(Mutex::new(RateLimiter::new())),
             observer: None,
+            era: Arc::new(watch::channel(Era(0)).0),
         }
     }
 
@@ -77,6 +81,22 @@
         Self { observer: Some(observer), ..self }
     }
 
+    /// The latest era that the store has stated; 0 before its first answer.
+    pub fn era(&self) -> Era {
+        *self.era.borrow()
+    }
+
+    fn on_era(&self, era: Era) {
+        self.era.send_if_modified(|known| {
+            let before = std::mem::replace(known, era.max(*known));
+            let is_newer = before < era;
+            if is_newer && before > Era(0) {
+                tracing::warn!(part = "store", event = "restored", era = %era, before = %before);
+            }
+            is_newer
+        });
+    }
+
     /// Creates a lane. Calls on the same lane are made one after the other.
     pub fn lane(&self) -> Lane {
         Lane { client: self.clone(), line: Line::new(self.addr, MAX_RESPONSE_BYTES) }
@@ -121,6 +141,7 @@
                 LineError::NotSent(why) => Error::NotSent(why),
                 LineError::Lost(why) => Error::Lost(why),
             })?;
+        self.client.on_era((self.client.wire.era)(res.headers()));
         (self.client.wire.decode)(call, res.status(), res.body())
     }
 }
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -161,6 +161,10 @@
     /// Increases with each process that takes over granting the keys of a service.
     Epoch(u64)
 }
+number! {
+    /// Increases each time the store is restored from an older copy. 0 if the store doesn't state it.
+    Era(u64)
+}
 number! {
     /// Offset of a record in a partition of the platform's store.
     Offset(u64)
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -3,8 +3,8 @@
 pub use crate::{
     clock::{Clock, SystemClock},
     id::{
-        Born, ConfigVersion, Epoch, FailureDomain, HostId, Incarnation, Offset, Region, ServerName,
-        ServiceName, TeamName, Token,
+        Born, ConfigVersion, Epoch, Era, FailureDomain, HostId, Incarnation, Offset, Region,
+        ServerName, ServiceName, TeamName, Token,
     },
     key::KeyHash,
     server::ServerId,
