--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -44,6 +44,7 @@
     lost_grant: 0.1,
     stale_token: 0.05,
     lost_release: 0.2,
+    restore: 0.0,
 };
 
 /// The duty to grant is often assigned to another host, and the store is slow.
@@ -179,6 +180,7 @@
         lost_grant: 0.1,
         stale_token: 0.05,
         lost_release: 0.2,
+        restore: 0.0,
     };
     arbtest(|u| run(u, rates, 1200).map(drop)).budget_ms(2 * budget_ms());
 }
@@ -202,6 +204,26 @@
     arbtest(|u| run(u, rates, 1200).map(drop)).budget_ms(budget_ms());
 }
 
+/// Guards against two owners of keys after the store was restored from an older copy, which names former owners and former leaders, and whose
+/// offsets and epochs are given out again, while hosts live on, are suspended, or are killed.
+#[test]
+fn a_restored_store_keeps_ownership_exclusive() {
+    let rates = FaultRates {
+        restore: 0.006,
+        duty_change: 0.01,
+        slow_store: 0.2,
+        store_cut: 0.005,
+        server_cut: 0.005,
+        pause: 0.003,
+        drain: 0.005,
+        crash: 0.002,
+        lost_grant: 0.05,
+        lost_release: 0.1,
+        ..FaultRates::NONE
+    };
+    arbtest(|u| run(u, rates, 1200).map(drop)).budget_ms(budget_ms());
+}
+
 /// Guards against moves that leave keys unowned for a second or longer, and against records without changes,
 /// in a world without faults.
 #[test]
--- a/crates/jacinthbeam-range/tests/world/faults.rs
+++ b/crates/jacinthbeam-range/tests/world/faults.rs
@@ -14,6 +14,7 @@
             self.assign_duty(to);
         }
         self.split_or_heal();
+        self.restore_store();
         for n in 0..HOSTS {
             if self.chance(rates.store_cut) {
                 self.hosts[n].has_store = !self.hosts[n].has_store;
@@ -81,6 +82,27 @@
         }
     }
 
+    /// Restores the store from an older copy by chance.
+    fn restore_store(&mut self) {
+        // Draws nothing without the fault, so that recorded seeds keep their schedules.
+        if self.fault_rates.restore == 0.0 || !self.chance(self.fault_rates.restore) {
+            return;
+        }
+        let lost = Duration::from_millis(self.rng.u64(0..6000));
+        let left = self.log_times.partition_point(|at| self.now - *at > lost);
+        self.trace(format!("the store goes back from {} to {left} records", self.log.len()));
+        self.log.truncate(left);
+        self.log_times.truncate(left);
+        self.store_back_at = Some(self.now + Duration::from_millis(self.rng.u64(0..2000)));
+        let kill_probability = [0.0, 0.5, 1.0][self.rng.usize(0..3)];
+        for n in 0..HOSTS {
+            if self.chance(kill_probability) {
+                self.trace(format!("h{n} is killed"));
+                self.replace_process(n);
+            }
+        }
+    }
+
     /// Starts a network partition by chance if there is none, or ends the present one when it is over.
     fn split_or_heal(&mut self) {
         if self.split.as_ref().is_some_and(|split| split.until <= self.now) {
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -106,6 +106,11 @@
         }
         self.feed(n, Event::Exit);
         self.trace(format!("h{n} exits"));
+        self.replace_process(n);
+    }
+
+    /// Replaces the process of a host by a new incarnation that knows nothing.
+    pub(super) fn replace_process(&mut self, n: usize) {
         self.incarnations += 1;
         let me = Leader {
             incarnation: Incarnation(u64::from(self.incarnations) + 100),
@@ -312,6 +317,7 @@
         let accepted = at == self.log.len();
         if accepted {
             self.log.push(map.clone());
+            self.log_times.push(self.now);
             // Hosts long-poll the store, so they receive the record immediately, possibly before the host that
             // appended it receives its answer.
             let polling = (0..self.hosts.len()).filter(|n| self.has_store(*n));
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -51,6 +51,9 @@
     pub stale_token: f64,
     /// A release or its answer is lost.
     pub lost_release: f64,
+    /// The store is away for up to two seconds and comes back from a copy that lacks the records of up to six
+    /// seconds. No host, some or all are killed then and start again.
+    pub restore: f64,
 }
 
 impl FaultRates {
@@ -69,6 +72,7 @@
         lost_grant: 0.0,
         stale_token: 0.0,
         lost_release: 0.0,
+        restore: 0.0,
     };
 }
 
@@ -127,6 +131,10 @@
     rng: fastrand::Rng,
     /// Records of the store.
     log: Vec<Map>,
+    /// When each of them was appended.
+    log_times: Vec<Instant>,
+    /// No host reaches the store before then.
+    store_back_at: Option<Instant>,
     hosts: Vec<Host>,
     servers: BTreeMap<ServerName, Server>,
     /// Connections of hosts to server addresses.
@@ -177,6 +185,8 @@
             fault_rates,
             rng: fastrand::Rng::with_seed(seed),
             log: Vec::new(),
+            log_times: Vec::new(),
+            store_back_at: None,
             hosts: (0..HOSTS).map(|n| Host::new(service(), leader(n))).collect(),
             servers: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -276,7 +286,8 @@
     /// Whether a host can reach the store.
     fn has_store(&self, n: usize) -> bool {
         let split = self.split.as_ref().is_some_and(|split| split.host == n);
-        self.hosts[n].has_store && !split
+        let down = self.store_back_at.is_some_and(|at| self.now < at);
+        self.hosts[n].has_store && !split && !down
     }
 
     /// Whether a host can reach a server.
--- a/crates/jacinthbeam-standin/src/store.rs
+++ b/crates/jacinthbeam-standin/src/store.rs
@@ -38,6 +38,8 @@
     logs: BTreeMap<Partition, Log>,
     groups: BTreeMap<String, Group>,
     turns_away: bool,
+    /// Rises each time that the store goes back.
+    era: u64,
     /// Records of one answer to a read at the most.
     most_read: usize,
     /// Calls so far, those that were turned away included.
@@ -52,6 +54,7 @@
             logs: BTreeMap::new(),
             groups: BTreeMap::new(),
             turns_away: false,
+            era: 1,
             most_read: usize::MAX,
             calls: 0,
         }
@@ -90,6 +93,32 @@
         }
     }
 
+    /// The era that all answers state.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Comes back from an older copy: the last records of a topic's partitions are gone, `lost` in each, and their offsets are given out
+    /// again. Groups lose their members.
+    pub fn go_back(&mut self, topic: &str, lost: usize) {
+        self.era += 1;
+        self.groups.clear();
+        for (_, log) in self.logs.iter_mut().filter(|(partition, _)| partition.topic == topic) {
+            let records = std::mem::take(&mut log.records);
+            let left = records.len().saturating_sub(lost);
+            log.newest.clear();
+            for (offset, record) in records.iter().take(left).enumerate() {
+                let (key, value) = split(record);
+                match value.is_empty() {
+                    true => drop(log.newest.remove(&key)),
+                    false => drop(log.newest.insert(key, (offset as u64, value))),
+                }
+            }
+            log.first = log.first.min(left as u64);
+            log.records = records.into_iter().take(left).collect();
+        }
+    }
+
     /// Makes a call. A read doesn't wait.
     pub fn call(&mut self, now: Instant, call: &Call) -> Result<Reply, Error> {
         self.calls += 1;
@@ -129,7 +158,7 @@
         let Some(log) = self.logs.get(from) else {
             return Ok(Reply::Records { records: Vec::new(), end: Offset(0) });
         };
-        if at < log.first {
+        if at < log.first || at > log.records.len() as u64 {
             return Err(Error::Expired);
         }
         let records = log.records.iter().skip(at as usize).take(self.most_read).cloned().collect();
@@ -172,3 +201,10 @@
         Reply::Member { generation: group.generation, shares }
     }
 }
+
+/// Key and value of a record.
+fn split(record: &Bytes) -> (String, Bytes) {
+    let len = usize::from(record[0]);
+    let key = String::from_utf8_lossy(&record[1..=len]).into_owned();
+    (key, record.slice(len + 1..))
+}
