fix(grant): a store that is restored from an older copy gives no key two owners

What callers saw: keys held by two servers for up to 1.6 s (OWNER). After the store had gone back the granting host went on by a position that no longer existed: each of its appends was refused for 74 s, no key moved, and the newest record stayed one that named former owners. When all hosts were killed, their successors granted by it. Cause: an offset was taken for a position in one history that only grows, and the newest record for the last one that was acknowledged. Class: state that is trusted although the place it came from went back. Change, three parts: - Positions. An Offset includes the era of the store; the client translates at its boundary. A read or a conditional append that depends on a position of another era is not sent, one that was answered in another era is not believed, and answers of an earlier era are dropped. Whoever compares offsets (replicas, updates, followers) orders them right. - Leaders. A record says in which era it was written. A leader that was confirmed less than 6 s before goes on and writes its map again, marked unsettled: same owners, same tokens, an epoch above all of earlier eras. For 16.4 s it moves nothing, raises no token and uses no connection opened since; the argument is in OWNERSHIP. Any other host claims nothing over a record of an earlier era, or an unsettled one, for 16.4 s. - The rest. Usage, crash evidence and entries of relays are written again, hosts that are not listed any more are enrolled again, an evacuation whose record is lost stays, a server that drains does not take it back by an older entry, the group's generation starts over. On a store that states no era nothing changes.

--- a/crates/jacinthbeam-host/src/process/control/duty.rs
+++ b/crates/jacinthbeam-host/src/process/control/duty.rs
@@ -57,12 +57,16 @@
     let lane = group.store.lane();
     let mut membership = Membership::default();
     let mut lease = DutyLease::default();
+    let mut era = lane.era();
     loop {
         membership.handle(group.due());
         match membership.next() {
             Next::Nothing => {}
             Next::Join(generation) => {
                 let sent_at = group.clock.now();
+                // A restored store has given out lower generations than before.
+                let is_known = std::mem::replace(&mut era, lane.era()) == lane.era();
+                let generation = if is_known { generation } else { 0 };
                 let event = match group.join(&lane, generation).await {
                     Some(generation) => {
                         lease.renew(sent_at);
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -71,7 +71,8 @@
             }));
         }
         if !self.granting.contains_key(name) {
-            let grantor = Grantor::new(name.clone(), self.me.clone());
+            let grantor = Grantor::new(name.clone(), self.me.clone())
+                .at_first_start(self.settings.first_start);
             self.granting.insert(
                 name.clone(),
                 Granting { grantor, lead_epoch: Rc::default(), broadcast: None },
@@ -126,8 +127,8 @@
     pub(super) fn notify_grantor(&mut self, service: &ServiceName, number: u32, sent_at: Instant) {
         let partition = self.partitions.get(&number).filter(|partition| partition.read);
         let Some(partition) = partition else { return };
-        let map = partition.newest(service).cloned();
-        self.step(service, Event::Read { sent_at, map });
+        let (map, era) = (partition.newest(service).cloned(), partition.end.era());
+        self.step(service, Event::Read { sent_at, map, era });
     }
 
     pub(super) fn on_map_written(
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -56,6 +56,7 @@
             | Self::Datagram(..)
             | Self::Crash(_)
             | Self::RateLimit(_)
+            | Self::Restored
             | Self::Dump(_)
             | Self::Stop => InputKind::Other,
         }
@@ -137,6 +138,8 @@
     Crash(Fact),
     /// The traffic thread needs a permit, or has received a withdrawal of a limit.
     RateLimit(permits::Query),
+    /// The store was restored from an older copy.
+    Restored,
     /// Time has passed.
     Tick,
     /// An operator requests the state as text.
--- a/crates/jacinthbeam-host/src/process/control/maps.rs
+++ b/crates/jacinthbeam-host/src/process/control/maps.rs
@@ -35,6 +35,10 @@
     /// Applies records read from the store. Returns the maps that are newer than the known ones.
     pub(super) fn apply(&mut self, changes: Changes) -> Vec<(ServiceName, Map)> {
         self.read = true;
+        if changes.end.era() > self.end.era() {
+            // Records of an earlier era that are not among these are lost.
+            self.newest.clear();
+        }
         self.end = self.end.max(changes.end);
         let mut newer = Vec::new();
         for item in changes.items {
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -18,6 +18,7 @@
 mod maps;
 mod permits;
 mod registration;
+mod restore;
 mod state;
 mod unreadable;
 mod update_client;
--- a/crates/jacinthbeam-host/src/process/control/registration.rs
+++ b/crates/jacinthbeam-host/src/process/control/registration.rs
@@ -49,10 +49,12 @@
 /// A host that isn't a relay makes one call: its entry in the list of hosts is written by the host that it follows. A relay also reads the
 /// list of hosts, and the crash evidence in the same partition, since it may be the first to serve.
 pub(super) async fn run(registration: Registration) {
+    let era = registration.lane.subscribe_era();
     let relays = registration.find_relays().await;
     if !registration.is_listed(&relays) {
         registration.report(Input::Relays(relays));
-        return registration.list_reader().await;
+        registration.list_reader().await;
+        return registration.list_again(era).await;
     }
     let hosts = registration.read(&registration.hosts).await;
     if !registration.is_listed(&hosts) {
@@ -60,6 +62,7 @@
     }
     registration.report(Input::Hosts(hosts));
     registration.report(Input::Relays(relays));
+    registration.list_again(era).await;
 }
 
 impl Registration {
@@ -93,6 +96,15 @@
         }
     }
 
+    /// Lists this host, which is a relay, each time that the store was restored, since its entries may be lost.
+    async fn list_again(&self, mut era: watch::Receiver<Era>) {
+        era.mark_unchanged();
+        while era.changed().await.is_ok() {
+            self.write_entry(&self.relays).await;
+            self.write_entry(&self.hosts).await;
+        }
+    }
+
     fn is_listed(&self, list: &Changes) -> bool {
         relay::is_listed(&self.host, &self.entry, list)
     }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -36,6 +36,7 @@
     maps::MapPartition,
     permits::Permits,
     registration::{self, Registration},
+    restore,
     unreadable::Unreadable,
     update_client::UpdateClient,
 };
@@ -225,6 +226,7 @@
             direct: self.direct.clone(),
             tx: self.tx.clone(),
         }));
+        spawn_local(restore::watch(self.store.lane(), self.tx.clone()));
         let (enrolments, entries) = mpsc::unbounded_channel();
         self.enrolments = enrolments;
         let (lane, clock) = (self.store.lane(), self.clock.clone());
@@ -273,6 +275,7 @@
             key: format!("{}:{}", self.me.host, self.me.incarnation),
             counted,
             recorded: usage::Usage::default(),
+            era: Era::default(),
         }
     }
 
@@ -326,6 +329,7 @@
             }
             Input::Datagram(from, message) => self.on_datagram(from, message),
             Input::RateLimit(query) => self.on_rate_limit_query(query),
+            Input::Restored => self.on_restored(),
             Input::Tick => {
                 self.publish_freshness();
                 self.expire_cold_servers();
--- a/crates/jacinthbeam-host/src/process/evacuation.rs
+++ b/crates/jacinthbeam-host/src/process/evacuation.rs
@@ -73,12 +73,14 @@
         true
     }
 
-    /// Ends every evacuation that is missing from a complete list of the operator's records, except those recorded at `end` or later.
+    /// Ends every evacuation that is missing from a complete list of the operator's records, except those recorded at `end` or later, and those
+    /// of an earlier era of the store, whose records may be lost.
     /// Returns whether there was any.
     pub fn retain_listed(&mut self, listed: &[FailureDomain], end: Offset, now: Instant) -> bool {
         let is_missing = |(domain, entry): &(&FailureDomain, &Entry)| {
             let is_evacuated = matches!(entry.state, State::Evacuated(_));
-            is_evacuated && entry.offset < end && !listed.contains(domain)
+            let may_be_lost = entry.offset.era() < end.era();
+            is_evacuated && entry.offset < end && !may_be_lost && !listed.contains(domain)
         };
         let missing: Vec<FailureDomain> =
             self.by_domain.iter().filter(is_missing).map(|(domain, _)| domain.clone()).collect();
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -68,6 +68,8 @@
     pub reports_left_out: Counter<u64>,
     /// Records of the store that can't be parsed, by expected kind.
     unreadable: Counter<u64>,
+    /// Times that the store was restored from an older copy.
+    pub restores: Counter<u64>,
     /// Calls to the store, by kind and outcome.
     store_calls: Counter<u64>,
     /// Staleness of the replicated store state, by kind of state.
@@ -127,6 +129,7 @@
             control_waits: seconds("jacinthbeam_control_wait_seconds"),
             reports_left_out: count("jacinthbeam_reports_left_out"),
             unreadable: count("jacinthbeam_unreadable_records"),
+            restores: count("jacinthbeam_store_restores"),
             store_calls: count("jacinthbeam_store_calls"),
             known_age: gauge("jacinthbeam_known_age_seconds"),
             proof_age: gauge("jacinthbeam_proof_age_seconds"),
--- a/crates/jacinthbeam-host/src/process/replica/hosts.rs
+++ b/crates/jacinthbeam-host/src/process/replica/hosts.rs
@@ -16,10 +16,13 @@
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
     }
 
-    /// Whether the list contains exactly this entry of a host, from a record of the store.
+    /// Whether the list contains exactly this entry of a host, from a record of the store in its present era.
     pub fn lists_host(&self, host: &HostId, entry: &HostEntry) -> bool {
         let known = self.hosts.get(host);
-        known.is_some_and(|(offset, known)| offset.is_some() && known == entry)
+        let is_recorded = |offset: &Option<Offset>| {
+            offset.is_some_and(|offset| offset.era() >= self.hosts_end.era())
+        };
+        known.is_some_and(|(offset, known)| is_recorded(offset) && known == entry)
     }
 
     /// Adds a relay, unless the host is known. Returns whether it was added. The host's own entry in the list of hosts replaces it.
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -50,6 +50,14 @@
     listed: Option<ServerId>,
 }
 
+impl Entry {
+    /// Whether the same incarnation was draining, which it doesn't take back, while the new entry says that it takes work.
+    fn announced_drain(&self, new: Option<&Server>) -> bool {
+        let was_draining = self.server.as_ref().is_some_and(|server| server.draining);
+        was_draining && new.is_some_and(|new| new.id == self.incarnation && !new.draining)
+    }
+}
+
 /// A replica of the store's data.
 #[derive(Debug, Default)]
 pub struct StoreReplica {
@@ -200,7 +208,12 @@
         }
         self.servers_by_offset.remove(&(before.offset, Some(name.clone())));
         self.servers_by_offset.insert((offset, Some(name.clone())));
+        let is_restored = before.offset.era() < offset.era();
         before.offset = offset;
+        if is_restored && before.announced_drain(server.as_ref()) {
+            tracing::info!(part = "servers", event = "older-entry", server = %name);
+            return false;
+        }
         // The store may accept a late heartbeat of an earlier incarnation after the first one of the next incarnation.
         if server.as_ref().is_some_and(|server| server.id.born() < before.incarnation.born()) {
             tracing::info!(part = "servers", event = "late-entry", server = %name, of = ?server.map(|s| s.id.to_string()));
--- a/crates/jacinthbeam-host/src/process/usage.rs
+++ b/crates/jacinthbeam-host/src/process/usage.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use jacinthbeam_store::{Call, Lane, Partition};
-use jacinthbeam_types::prelude::{ServiceName, TeamName};
+use jacinthbeam_types::prelude::{Era, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::send_outcome::SendOutcome;
@@ -135,6 +135,8 @@
     pub(super) key: String,
     pub(super) counted: Counted,
     pub(super) recorded: Usage,
+    /// Era of the store in which they were recorded.
+    pub(super) era: Era,
 }
 
 impl Recorder {
@@ -149,6 +151,10 @@
     /// Records the totals if they have changed.
     pub(super) async fn record(&mut self) {
         let usage = self.counted.get();
+        if self.era != self.lane.era() {
+            // A restored store may have lost the record.
+            (self.era, self.recorded) = (self.lane.era(), Usage::default());
+        }
         if usage == self.recorded {
             return;
         }
--- a/crates/jacinthbeam-host/tests/evacuation.rs
+++ b/crates/jacinthbeam-host/tests/evacuation.rs
@@ -160,3 +160,17 @@
     assert!(evacuations.since(&domain("b")).is_some());
     assert!(!apply(&mut evacuations, "a", 3), "a late record restored a removed evacuation");
 }
+
+/// Guards against requests to an evacuated domain after the store was restored from a copy without the operator's record.
+#[test]
+fn an_evacuation_outlasts_a_restore_that_lost_its_record() {
+    let now = Instant::now();
+    let mut evacuations = Evacuations::default();
+    let at = |era, number| Offset::new(Era(era), number);
+    assert!(evacuations.apply(domain("a"), at(1, 7), true, Leaving::Unbounded, now));
+    assert!(!evacuations.retain_listed(&[], at(2, 5), now));
+    assert!(evacuations.since(&domain("a")).is_some());
+    // The operator's next record, at an offset that was given out before.
+    assert!(evacuations.apply(domain("a"), at(2, 6), false, Leaving::Unbounded, now));
+    assert!(evacuations.since(&domain("a")).is_none());
+}
--- a/crates/jacinthbeam-host/tests/known.rs
+++ b/crates/jacinthbeam-host/tests/known.rs
@@ -270,3 +270,38 @@
         Ok(())
     });
 }
+
+/// Guards against a draining server that takes work again since the store was restored from a copy with its entry of before.
+#[test]
+fn an_older_entry_of_a_restored_store_ends_no_drain() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::default();
+    let at = |era, number| Offset::new(Era(era), number).0;
+    apply(&mut replica, now, at(1, 5), 1, Some(server(1, false)));
+    apply(&mut replica, now, at(1, 9), 1, Some(server(1, true)));
+    apply(&mut replica, now, at(2, 5), 1, Some(server(1, false)));
+    assert!(!replica.servers().takes_work(&id(1)));
+    // Its next heartbeat.
+    apply(&mut replica, now, at(2, 6), 1, Some(server(1, true)));
+    assert!(!replica.servers().takes_work(&id(1)));
+}
+
+/// Guards against hosts that no list names any more after the store has lost their entries.
+#[test]
+fn a_host_whose_entry_was_lost_is_not_listed() {
+    let mut replica = StoreReplica::default();
+    let host: HostId = "h1".parse().unwrap();
+    let entry = HostEntry {
+        addr: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".parse().unwrap(),
+        processor: Millicores::CORE,
+        relay: false,
+    };
+    assert!(replica.apply_host(host.clone(), Offset::new(Era(1), 7), entry.clone()));
+    replica.mark_hosts_current(Offset::new(Era(1), 8));
+    assert!(replica.lists_host(&host, &entry));
+    replica.mark_hosts_current(Offset::new(Era(2), 6));
+    assert!(!replica.lists_host(&host, &entry));
+    assert!(replica.apply_host(host.clone(), Offset::new(Era(2), 6), entry.clone()));
+    assert!(replica.lists_host(&host, &entry));
+}
--- a/crates/jacinthbeam-range/src/grantor/event.rs
+++ b/crates/jacinthbeam-range/src/grantor/event.rs
@@ -23,6 +23,8 @@
         sent_at: Instant,
         /// The record; `None` if there is none.
         map: Option<Map>,
+        /// The era that the store stated in its answer.
+        era: Era,
     },
     /// This host has become partitioned from all backend servers.
     Partitioned,
--- a/crates/jacinthbeam-range/src/grantor/leading/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/mod.rs
@@ -4,6 +4,7 @@
 mod plan;
 mod record;
 mod renew;
+mod restore;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,6 +15,7 @@
 use jacinthbeam_types::prelude::*;
 
 use majority::{Fence, InDoubtRecords};
+use restore::Restored;
 
 use super::{
     Action, NoAnswer, View,
@@ -69,6 +71,8 @@
     /// Ranges that moved recently, each with the time until which it isn't moved again.
     cooling_down: Vec<(Instant, KeyRange)>,
     last_balanced: Option<Instant>,
+    /// Set when the store was restored while this process led.
+    restored: Option<Restored>,
 }
 
 impl Leading {
@@ -95,6 +99,7 @@
             refused: BTreeSet::new(),
             cooling_down: Vec::new(),
             last_balanced: None,
+            restored: None,
         }
     }
 
@@ -139,6 +144,7 @@
     /// Puts a record in force. Moves that it contains are complete.
     fn adopt(&mut self, map: Map) {
         self.map = map;
+        self.token = self.token.max(self.map.first_token());
         let map = &self.map;
         self.moves.retain(|moving| {
             let assignment = map.lookup(moving.range.first);
@@ -243,6 +249,9 @@
     ) -> Vec<Action> {
         self.advance_time(view);
         self.track_owners();
+        if self.is_unsettled(view.now) {
+            return self.act_unsettled(view.now, may_record);
+        }
         self.update_fence(view.now);
         self.give_up_lost(view.now);
         self.resume_returned(view.servers);
@@ -349,8 +358,8 @@
     }
 
     fn check(&mut self, now: Instant) -> Option<Action> {
-        let is_awaited =
-            self.owners.values().any(|state| !state.is_connection_confirmed(self.confirmed_at));
+        let is_awaited = !self.is_unsettled(now)
+            && self.owners.values().any(|state| !state.is_connection_confirmed(self.confirmed_at));
         let is_old = now.saturating_duration_since(self.confirmed_at) >= CHECK_EVERY;
         // A store that answered the last request is expected to answer the next one.
         let was_answered = self.last_check.is_none_or(|at| self.confirmed_at >= at);
--- a/crates/jacinthbeam-range/src/grantor/leading/record.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/record.rs
@@ -30,6 +30,7 @@
         let changed = self.reassign_lapsed(&mut map, view, service) || changed;
         let changed = self.raise_refused_tokens(&mut map) || changed;
         let changed = self.clear_rivals(&mut map, view.now) || changed;
+        let changed = std::mem::take(&mut map.unsettled) || changed;
         // One more record resolves those in doubt, and until then nothing can be done about their
         // keys.
         let changed = changed || !self.in_doubt.is_empty();
@@ -55,6 +56,7 @@
         !self.refused.is_empty()
             || !self.in_doubt.is_empty()
             || !self.map.rivals.is_empty()
+            || self.map.unsettled
             || self.moves.iter().any(is_free)
             || self.owners.values().any(gets_no_grants)
             || self.owners.keys().any(has_successor)
--- a/crates/jacinthbeam-range/src/grantor/leading/renew.rs
+++ b/crates/jacinthbeam-range/src/grantor/leading/renew.rs
@@ -117,7 +117,7 @@
 
     /// Whether a round of grants to a server may begin.
     fn may_begin(&self, state: &OwnerState) -> bool {
-        state.is_connection_confirmed(self.confirmed_at)
+        state.is_connection_confirmed(self.connections_confirmed_at())
             && !state.round_in_flight
             && !state.ended
             && !state.given_up
--- a/crates/jacinthbeam-range/src/grantor/mod.rs
+++ b/crates/jacinthbeam-range/src/grantor/mod.rs
@@ -35,7 +35,7 @@
     admission::{self, Gate},
     balance::{self, Candidate},
     key::KeyRange,
-    map::{Leader, Map, Owner},
+    map::{self, Leader, Map, Owner},
     owners,
 };
 
@@ -81,6 +81,11 @@
     replaced: Option<Replaced>,
     /// Hosts that reported that they no longer grant.
     stopped: Vec<Stopped>,
+    /// The latest era of the store, and when this process first saw it.
+    era: Option<(Era, Instant)>,
+    /// Whether no record can have been lost, since the whole system has started for the first time and the store
+    /// was not restored since.
+    first_start: bool,
 }
 
 /// A claim of leadership that is being appended, or whose result is unknown.
@@ -108,9 +113,16 @@
             pending_records: 0,
             replaced: None,
             stopped: Vec::new(),
+            era: None,
+            first_start: false,
         }
     }
 
+    /// Tells that the whole system starts for the first time, so that no record can have been lost.
+    pub fn at_first_start(self, first_start: bool) -> Self {
+        Self { first_start, ..self }
+    }
+
     /// Whether this process leads, as far as it knows.
     pub fn leads(&self) -> bool {
         self.leading.is_some()
@@ -162,7 +174,7 @@
     fn react(&mut self, view: View<'_>, event: Event) -> Vec<Action> {
         match event {
             Event::Duty(duty) => self.duty = duty,
-            Event::Read { sent_at, map } => self.on_read(view, sent_at, map),
+            Event::Read { sent_at, map, era } => self.on_read(view, sent_at, map, era),
             Event::Recorded { sent_at } => self.on_recorded(view, sent_at),
             Event::NotRecorded => self.on_not_recorded(view),
             Event::Partitioned if self.leads() => return self.resign(view),
@@ -233,8 +245,16 @@
         map.is_some_and(|map| map.leader.as_ref() == Some(&self.me))
     }
 
-    fn on_read(&mut self, view: View<'_>, sent_at: Instant, map: Option<Map>) {
+    fn on_read(&mut self, view: View<'_>, sent_at: Instant, map: Option<Map>, era: Era) {
+        if self.era.is_none_or(|(known, _)| known < era) {
+            self.first_start &= self.era.is_none();
+            self.era = Some((era, view.now));
+        }
         self.has_read = true;
+        if self.may_have_lost_records(map.as_ref()) {
+            self.on_restored(view.now, map, era);
+            return;
+        }
         let mine = self.is_me(map.as_ref());
         self.newest = map;
         let Some(newest) = self.newest.clone().filter(|_| mine) else {
@@ -256,6 +276,29 @@
         }
     }
 
+    /// Whether records that followed this newest one may have been lost when the store was restored.
+    fn may_have_lost_records(&self, newest: Option<&Map>) -> bool {
+        let Some((era, _)) = self.era else { return false };
+        match newest {
+            Some(map) => map.is_stale(era),
+            None => era > map::FIRST_ERA && !self.first_start,
+        }
+    }
+
+    /// The store was restored, and its newest record may not be the last one that was acknowledged.
+    ///
+    /// A leader goes on with its own map if it was confirmed shortly before; any other host waits.
+    fn on_restored(&mut self, now: Instant, newest: Option<Map>, era: Era) {
+        self.newest = newest;
+        // Its record may be lost, and one that was committed meanwhile doesn't show that nobody leads.
+        self.claim = None;
+        if let Some(leading) = &mut self.leading
+            && !leading.resume_in(era, now)
+        {
+            self.leading = None;
+        }
+    }
+
     fn on_recorded(&mut self, view: View<'_>, sent_at: Instant) {
         if let Some(leading) = &mut self.leading {
             leading.on_recorded(view.now, sent_at);
@@ -298,6 +341,12 @@
         if !self.duty || !self.has_read || early || self.pending_records > 0 {
             return None;
         }
+        let (era, era_seen_at) = self.era?;
+        let unsettled = self.newest.as_ref().is_some_and(|map| map.unsettled);
+        let unsettled = unsettled || self.may_have_lost_records(self.newest.as_ref());
+        if unsettled && view.now < era_seen_at + timing::restore_wait() {
+            return None;
+        }
         let mut map = self.newest.clone().unwrap_or_else(Map::unowned);
         if self.newest.is_none() && !self.divide(view, &mut map) {
             return None;
@@ -305,7 +354,7 @@
         // An earlier claim may still be committed late, so its predecessors count too.
         let mut predecessors = self.claim.take().map_or_else(Vec::new, |claim| claim.predecessors);
         predecessors.extend(map.leader.clone().filter(|leader| !predecessors.contains(leader)));
-        map.begin_epoch(self.me.clone());
+        map.begin_epoch(self.me.clone(), era);
         self.claim = Some(Claim { map: map.clone(), predecessors });
         self.next_claim = Some(view.now + timing::CLAIM_RETRY_DELAY);
         Some(Action::Record(map))
--- a/crates/jacinthbeam-range/src/grantor/stopping.rs
+++ b/crates/jacinthbeam-range/src/grantor/stopping.rs
@@ -95,14 +95,14 @@
     /// Records in the store that this process sends no more grants, so that a successor need not
     /// wait for it.
     ///
-    /// No such record is written while this host's predecessors may still renew. A successor, which
+    /// No such record is written while this host's predecessors, or leaders of lost records, may still renew. A successor, which
     /// sees only this record, would not wait for them either, and would give away the keys of a
     /// server that one of them still renews. It waits as for a host that was lost, unless the
     /// broadcast sent instead of the record reaches it.
     pub(super) fn retire(&mut self, now: Instant) -> Vec<Action> {
         self.claim = None;
         let Some(leading) = self.leading.take() else { return Vec::new() };
-        if now < leading.predecessors_until() {
+        if now < leading.predecessors_until() || leading.is_unsettled(now) {
             let others_left = leading.predecessors_until().saturating_duration_since(now);
             return vec![Action::BroadcastStopped { epoch: leading.map.epoch, others_left }];
         }
--- a/crates/jacinthbeam-range/src/grantor/timing.rs
+++ b/crates/jacinthbeam-range/src/grantor/timing.rs
@@ -117,6 +117,19 @@
 /// this long: their claim and first grants take some 3 s.
 pub const RESIGN_COOLDOWN: Duration = Duration::from_secs(5);
 
+/// Time since the last confirmation within which a leader may go on after the store was restored.
+///
+/// Within it no other leader, whose record would be lost, can have given the keys of a silent owner to
+/// another server: that takes a majority of the owners, this long for the former leader's calls and for
+/// the end of a hold, and then a record.
+pub const CONTINUITY: Duration = Duration::from_secs(6);
+
+/// Time from a restore of the store until no leader of a lost record can have renewed a grant that still
+/// holds.
+pub fn restore_wait() -> Duration {
+    CONFIRMATION_VALID_FOR + MAX_CALL_TIME + super::longest_hold()
+}
+
 /// Delay before another claim is tried.
 pub const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(300);
 
--- a/crates/jacinthbeam-range/src/map.rs
+++ b/crates/jacinthbeam-range/src/map.rs
@@ -58,11 +58,24 @@
     /// Empty once none of them can.
     pub rivals: Vec<BTreeSet<ServerId>>,
     held: Vec<Assignment>,
+    /// Era of the store in which the record was written. A record of an earlier era than the store's may
+    /// have been followed by others, which the store has lost.
+    #[serde(skip)]
+    pub era: Era,
+    /// Whether leaders of lost records may still renew grants.
+    #[serde(skip)]
+    pub unsettled: bool,
 }
 
 /// Number of tokens in one epoch. A leader that issues ten a second uses them up in a day.
 pub const TOKENS_PER_EPOCH: u64 = 1 << 20;
 
+/// Number of epochs in one era of the store.
+pub const EPOCHS_PER_ERA: u64 = 1 << 20;
+
+/// The first era of a store that was never restored.
+pub(crate) const FIRST_ERA: Era = Era(1);
+
 /// Why a record could not be read as a map.
 #[derive(Debug)]
 pub enum Error {
@@ -90,7 +103,15 @@
     pub fn unowned() -> Self {
         let token = Token(0);
         let all = Assignment { range: KeyRange::ALL, owner: None, token, handover: None };
-        Self { epoch: Epoch(0), leader: None, version: 0, rivals: Vec::new(), held: vec![all] }
+        Self {
+            epoch: Epoch(0),
+            leader: None,
+            version: 0,
+            rivals: Vec::new(),
+            held: vec![all],
+            era: Era(0),
+            unsettled: false,
+        }
     }
 
     /// All ranges with their owners, in ascending order.
@@ -153,16 +174,35 @@
         (self.epoch, self.version) < (other.epoch, other.version)
     }
 
-    /// Starts the next epoch under `leader`: the owners stay, and every range gets a token above all
+    /// Whether the record was written in an earlier era than the store's, so that later ones may be lost.
+    pub fn is_stale(&self, era: Era) -> bool {
+        self.era < era
+    }
+
+    /// The next epoch in an era of the store, above all epochs of earlier eras, also of lost records.
+    fn next_epoch(&self, era: Era) -> Epoch {
+        let eras = era.0.saturating_sub(FIRST_ERA.0);
+        self.epoch.next().max(Epoch(eras * EPOCHS_PER_ERA))
+    }
+
+    /// The map of a leader that goes on after the store was restored, as its first record in the new era.
+    /// Tokens stay: a server that has seen a higher one from a leader whose record is lost refuses them.
+    pub fn rewritten(&self, era: Era) -> Self {
+        Self { epoch: self.next_epoch(era), version: 0, era, unsettled: true, ..self.clone() }
+    }
+
+    /// Starts the next epoch under `leader`, in this era of the store: the owners stay, and every range gets a token above all
     /// earlier ones.
     ///
     /// A server that has been granted its range under the new token refuses the grants of a former
     /// leader, also while that leader doesn't know yet that it was replaced.
-    pub fn begin_epoch(&mut self, leader: Leader) {
+    pub fn begin_epoch(&mut self, leader: Leader, era: Era) {
         if self.leader.is_some() {
             self.rivals.push(self.owners());
         }
-        self.epoch = self.epoch.next();
+        self.epoch = self.next_epoch(era);
+        self.era = era;
+        self.unsettled = false;
         self.leader = Some(leader);
         self.version = 0;
         let token = self.first_token();
@@ -234,14 +274,24 @@
     /// Encodes the map as a record of the store.
     pub fn to_bytes(&self) -> Vec<u8> {
         let cfg = bincode::config::standard();
-        bincode::serde::encode_to_vec(self, cfg).expect("every type in a map can be encoded")
+        let mut bytes =
+            bincode::serde::encode_to_vec(self, cfg).expect("every type in a map can be encoded");
+        if (self.era, self.unsettled) != (Era(0), false) {
+            let restored = bincode::serde::encode_to_vec((self.era, self.unsettled), cfg);
+            bytes.extend(restored.expect("a number and a flag can be encoded"));
+        }
+        bytes
     }
 
-    /// Decodes what [`Map::to_bytes`] returned, and checks that each key is covered exactly once.
+    /// Decodes what [`Map::to_bytes`] returned, also of an earlier version without the era, and checks that each key is covered exactly once.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
         let cfg = bincode::config::standard();
-        let (map, _): (Self, usize) =
+        let (mut map, len): (Self, usize) =
             bincode::serde::decode_from_slice(bytes, cfg).map_err(Error::Codec)?;
+        if let rest @ [_, ..] = &bytes[len..] {
+            ((map.era, map.unsettled), _) =
+                bincode::serde::decode_from_slice(rest, cfg).map_err(Error::Codec)?;
+        }
         if map.covers_each_key_once() { Ok(map) } else { Err(Error::Ranges) }
     }
 
--- a/crates/jacinthbeam-range/src/map/delta.rs
+++ b/crates/jacinthbeam-range/src/map/delta.rs
@@ -89,7 +89,8 @@
         held.extend(old.cloned());
         let (epoch, version) = delta.to;
         let (leader, rivals) = (delta.leader.clone(), delta.rivals.clone());
-        let map = Self { epoch, leader, version, rivals, held };
+        let (era, unsettled) = (Era(0), false);
+        let map = Self { epoch, leader, version, rivals, held, era, unsettled };
         map.covers_each_key_once().then_some(map)
     }
 }
--- a/crates/jacinthbeam-range/tests/grantor/harness.rs
+++ b/crates/jacinthbeam-range/tests/grantor/harness.rs
@@ -49,6 +49,8 @@
     pub servers_stable: bool,
     pub grantor: Grantor,
     pub map: Option<Map>,
+    /// Era of the store.
+    pub era: Era,
     /// Whether calls to the store get no answer.
     pub store_unreachable: bool,
     /// When the connection to each server was opened.
@@ -85,18 +87,18 @@
     pub fn with_servers(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
         let mut harness = Self::without_duty(count, n, map.clone(), silent);
         harness.feed(Event::Duty(true));
-        harness.feed(Event::Read { sent_at: harness.now, map });
+        harness.feed(Event::Read { sent_at: harness.now, map, era: Era(0) });
         harness
     }
 
     /// A host that has read the record and doesn't have the duty yet, with two servers.
     pub fn on_standby(n: u64, map: Option<Map>, silent: &[u16]) -> Self {
         let mut harness = Self::without_duty(2, n, map.clone(), silent);
-        harness.feed(Event::Read { sent_at: harness.now, map });
+        harness.feed(Event::Read { sent_at: harness.now, map, era: Era(0) });
         harness
     }
 
-    fn without_duty(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
+    pub fn without_duty(count: u16, n: u64, map: Option<Map>, silent: &[u16]) -> Self {
         let mut servers = Servers::default();
         for n in 1..=count {
             servers.insert(server(n, false));
@@ -110,6 +112,7 @@
             servers_stable: true,
             grantor,
             map,
+            era: Era(0),
             store_unreachable: false,
             connections: BTreeMap::new(),
             silent: silent.iter().map(|n| server(*n, false).id).collect(),
@@ -146,7 +149,10 @@
                 self.feed(Event::Recorded { sent_at: self.now });
             }
             Action::Check if self.store_unreachable => {}
-            Action::Check => self.feed(Event::Read { sent_at: self.now, map: self.map.clone() }),
+            Action::Check => {
+                let (map, era) = (self.map.clone(), self.era);
+                self.feed(Event::Read { sent_at: self.now, map, era })
+            }
             Action::Grant { to, grants, connection, until } => {
                 assert!(self.now < until);
                 // Connections have been open for a while, unless the test sets another time.
--- a/crates/jacinthbeam-range/tests/grantor/main.rs
+++ b/crates/jacinthbeam-range/tests/grantor/main.rs
@@ -3,6 +3,7 @@
 mod cost;
 mod harness;
 mod owners;
+mod restore;
 mod server;
 mod store;
 mod takeover;
--- a/crates/jacinthbeam-range/tests/grantor/store.rs
+++ b/crates/jacinthbeam-range/tests/grantor/store.rs
@@ -90,7 +90,7 @@
     for _ in 0..3 {
         harness.feed_without_store(Event::NotRecorded);
         let map = harness.map.clone();
-        harness.feed_without_store(Event::Read { sent_at: cut, map });
+        harness.feed_without_store(Event::Read { sent_at: cut, map, era: Era(0) });
     }
     harness.run_without_store(Duration::from_secs(6));
     assert!(harness.last_grant_to(2) <= cut + timing::MAJORITY_VALID_FOR);
@@ -221,7 +221,7 @@
         Harness { grantor: Grantor::new("tiles".parse().unwrap(), leader(1)), ..harness };
     harness.map = Some(first.clone());
     harness.feed(Event::Duty(true));
-    harness.feed(Event::Read { sent_at: harness.now, map: Some(first) });
+    harness.feed(Event::Read { sent_at: harness.now, map: Some(first), era: Era(0) });
     harness.run(Duration::from_secs(2));
     harness.silent = (1..=4).map(|n| server(n, false).id).collect();
     harness.run_until(|harness| harness.resigned);
--- a/crates/jacinthbeam-range/tests/grantor/takeover.rs
+++ b/crates/jacinthbeam-range/tests/grantor/takeover.rs
@@ -64,7 +64,7 @@
     let mut first = Harness::with_servers(3, 1, None, &[]);
     first.run(Duration::from_secs(2));
     let mut map = first.map.clone().unwrap();
-    map.begin_epoch(leader(2));
+    map.begin_epoch(leader(2), Era(0));
     for (n, range) in KeyRange::ALL.split_evenly(3).into_iter().enumerate() {
         let server = server(n as u16 + 3, false);
         let owner = jacinthbeam_range::Owner { server: server.id, addr: server.addr };
@@ -159,11 +159,11 @@
 fn replaced_leader_sends_no_more_grants() {
     let mut harness = Harness::leading();
     let mut map = harness.map.clone().unwrap();
-    map.begin_epoch(leader(2));
+    map.begin_epoch(leader(2), Era(0));
     harness.sent.clear();
     harness.map = Some(map.clone());
     harness.feed(Event::Duty(false));
-    harness.feed(Event::Read { sent_at: harness.now, map: Some(map) });
+    harness.feed(Event::Read { sent_at: harness.now, map: Some(map), era: Era(0) });
     harness.run(Duration::from_secs(5));
     assert!(harness.sent.is_empty() && !harness.grantor.leads());
 }
@@ -229,7 +229,7 @@
 fn stop_report_of_an_earlier_epoch_does_not_count() {
     let first = Harness::leading();
     let mut map = first.map.clone().unwrap();
-    map.begin_epoch(leader(1));
+    map.begin_epoch(leader(1), Era(0));
     map.rivals.clear();
     let mut harness = Harness::on_standby(2, Some(map), &[1]);
     harness.feed(Event::PeerStopped {
@@ -268,7 +268,11 @@
     harness.feed_without_store(Event::Tick);
 
     harness.sent.clear();
-    harness.feed_without_store(Event::Read { sent_at: harness.now, map: Some(before.clone()) });
+    harness.feed_without_store(Event::Read {
+        sent_at: harness.now,
+        map: Some(before.clone()),
+        era: Era(0),
+    });
     harness.run_without_store(Duration::from_secs(1));
     assert!(!harness.grantor.leads(), "it leads by its own older record");
     assert_eq!(harness.sent.len(), 0);
@@ -297,11 +301,15 @@
     let mut harness = Harness::on_standby(2, first.map.clone(), &[]);
     assert!(harness.feed_without_store(Event::Duty(true)), "no claim is appended");
     let mut newer = first.map.clone().unwrap();
-    newer.begin_epoch(leader(2));
-    newer.begin_epoch(leader(3));
+    newer.begin_epoch(leader(2), Era(0));
+    newer.begin_epoch(leader(3), Era(0));
 
     harness.feed_without_store(Event::Duty(false));
-    harness.feed_without_store(Event::Read { sent_at: harness.now, map: Some(newer.clone()) });
+    harness.feed_without_store(Event::Read {
+        sent_at: harness.now,
+        map: Some(newer.clone()),
+        era: Era(0),
+    });
     harness.map = Some(newer);
     harness.feed(Event::Recorded { sent_at: harness.now });
     harness.run(Duration::from_secs(1));
--- a/crates/jacinthbeam-range/tests/map.rs
+++ b/crates/jacinthbeam-range/tests/map.rs
@@ -68,11 +68,12 @@
 #[test]
 fn delta_of_a_few_moves_on_a_large_map_is_small() {
     let mut map = Map::unowned();
-    map.begin_epoch(Leader {
+    let leader = Leader {
         host: "h1".parse().unwrap(),
         incarnation: Incarnation(1),
         addr: "127.0.0.1:1".parse().unwrap(),
-    });
+    };
+    map.begin_epoch(leader, Era(0));
     for (n, range) in KeyRange::ALL.split_evenly(2500).into_iter().enumerate() {
         map.assign(range, Some(owner((n % 200) as u8)), Token(n as u64), None);
     }
--- a/crates/jacinthbeam-range/tests/sole_owner.rs
+++ b/crates/jacinthbeam-range/tests/sole_owner.rs
@@ -372,3 +372,31 @@
     });
     usize::try_from(counts.max().unwrap_or_default()).expect("no range ends before it begins")
 }
+
+/// Servers restart under their names and drain, releases are lost, and hosts lose servers and the store.
+const RESTARTS_AND_LOST_RELEASES: FaultRates = FaultRates {
+    duty_change: 0.01,
+    slow_store: 0.2,
+    store_cut: 0.005,
+    server_cut: 0.005,
+    pause: 0.003,
+    drain: 0.005,
+    crash: 0.002,
+    lost_grant: 0.05,
+    lost_release: 0.1,
+    restart: 0.005,
+    split: 0.003,
+    ..FaultRates::NONE
+};
+
+/// Guards against two owners of a key when its release has no answer and its former owner restarts under its name.
+#[test]
+fn lost_releases_of_restarting_servers_keep_ownership_exclusive() {
+    let mut world = World::new(RESTARTS_AND_LOST_RELEASES, 9539163892075289245);
+    for _ in 0..1200 {
+        world.step(STEP);
+        if let Some(violation) = world.violation() {
+            panic!("{violation}\n{}", world.recent_trace());
+        }
+    }
+}
--- a/crates/jacinthbeam-range/tests/world/faults.rs
+++ b/crates/jacinthbeam-range/tests/world/faults.rs
@@ -93,6 +93,7 @@
         self.trace(format!("the store goes back from {} to {left} records", self.log.len()));
         self.log.truncate(left);
         self.log_times.truncate(left);
+        self.era = Era(self.era.0 + 1);
         self.store_back_at = Some(self.now + Duration::from_millis(self.rng.u64(0..2000)));
         let kill_probability = [0.0, 0.5, 1.0][self.rng.usize(0..3)];
         for n in 0..HOSTS {
--- a/crates/jacinthbeam-range/tests/world/host.rs
+++ b/crates/jacinthbeam-range/tests/world/host.rs
@@ -24,6 +24,8 @@
     exits_at: Option<Instant>,
     /// Whether the grantor was informed of the shutdown.
     shutdown_reported: bool,
+    /// The latest era of the store that the host knows.
+    era: Era,
     /// End offset of the records that the host knows.
     end: usize,
     /// The newest of these records, with its offset.
@@ -35,9 +37,9 @@
 }
 
 impl Host {
-    pub fn new(service: ServiceName, me: Leader) -> Self {
+    pub fn new(service: ServiceName, me: Leader, first_start: bool) -> Self {
         Self {
-            grantor: Grantor::new(service, me.clone()),
+            grantor: Grantor::new(service, me.clone()).at_first_start(first_start),
             me,
             duty: false,
             reported_duty: None,
@@ -45,6 +47,7 @@
             paused_until: None,
             exits_at: None,
             shutdown_reported: false,
+            era: Era(0),
             end: 0,
             newest: None,
             next_read: None,
@@ -117,7 +120,7 @@
             ..self.hosts[n].me.clone()
         };
         let (duty, has_store) = (self.hosts[n].duty, self.hosts[n].has_store);
-        self.hosts[n] = Host { duty, has_store, ..Host::new(service(), me) };
+        self.hosts[n] = Host { duty, has_store, ..Host::new(service(), me, false) };
         self.connections.retain(|(host, _), _| *host != n);
         // Grants that were sent may still arrive, but their answers don't.
         for (_, _, message) in &mut self.queue {
@@ -161,8 +164,8 @@
 
     fn send_read(&mut self, n: usize) {
         let (now, after) = (self.now, self.store_delay());
-        let (end, map) = (self.log.len(), self.log.last().cloned());
-        self.send(after, Message::Read { host: n, sent_at: now, end, map });
+        let (end, map, era) = (self.log.len(), self.log.last().cloned(), self.era);
+        self.send(after, Message::Read { host: n, sent_at: now, end, map, era });
     }
 
     /// Passes an event to the host's grantor and executes the resulting actions.
@@ -188,11 +191,12 @@
                 let at = self.hosts[n].end;
                 let after = self.store_delay();
                 self.trace(format!("h{n} records {}.{} at {at}", map.epoch, map.version));
-                self.send(after, Message::Append { host: n, at, map, sent_at });
+                let era = self.hosts[n].era;
+                self.send(after, Message::Append { host: n, at, map, sent_at, era });
             }
             Action::Check if self.has_store(n) => {
-                let (end, after) = (self.log.len(), self.store_delay());
-                self.send(after, Message::Checked { host: n, sent_at, end });
+                let (end, after, era) = (self.log.len(), self.store_delay(), self.era);
+                self.send(after, Message::Checked { host: n, sent_at, end, era });
             }
             Action::Grant { to, grants, connection, until } => {
                 let epoch = self.hosts[n].epoch().expect("only a host that leads grants");
@@ -265,17 +269,19 @@
             return;
         }
         match message {
-            Message::Append { host, at, map, sent_at } => {
-                self.on_append(host, at, map, sent_at);
+            Message::Append { host, at, map, sent_at, era } => {
+                self.on_append(host, at, map, sent_at, era);
             }
-            Message::Appended { host, at, map, sent_at, accepted, .. } => {
-                self.on_appended(host, at, map, sent_at, accepted);
+            Message::Appended { host, at, map, sent_at, accepted, era } => {
+                self.on_appended(host, at, map, sent_at, accepted, era);
             }
-            Message::Read { host, sent_at, end, map } => self.on_read(host, sent_at, end, map),
-            Message::Checked { host, sent_at, end } => {
-                if end == self.hosts[host].end {
+            Message::Read { host, sent_at, end, map, era } => {
+                self.on_read(host, sent_at, end, map, era);
+            }
+            Message::Checked { host, sent_at, end, era } => {
+                if era == self.hosts[host].era && end == self.hosts[host].end {
                     let map = self.hosts[host].newest.clone().map(|(_, map)| map);
-                    self.feed(host, Event::Read { sent_at, map });
+                    self.feed(host, Event::Read { sent_at, map, era });
                 }
             }
             Message::PeerStopped { to, leader, epoch, others_left } => {
@@ -308,10 +314,10 @@
         }
     }
 
-    fn on_append(&mut self, host: usize, at: usize, map: Map, sent_at: Instant) {
+    fn on_append(&mut self, host: usize, at: usize, map: Map, sent_at: Instant, era: Era) {
         if !self.has_store(host) {
             // The append is lost, and the host's timeout expires.
-            let lost = Message::Appended { host, at, map, sent_at, accepted: None };
+            let lost = Message::Appended { host, at, map, sent_at, accepted: None, era };
             return self.send(Duration::from_millis(500), lost);
         }
         let accepted = at == self.log.len();
@@ -326,8 +332,9 @@
         let probability = self.fault_rates.slow_store * 0.3;
         let is_lost = self.chance(probability);
         let after = if is_lost { Duration::from_millis(800) } else { self.store_delay() };
-        let accepted = if is_lost { None } else { Some(accepted) };
-        self.send(after, Message::Appended { host, at, map, sent_at, accepted });
+        // An append that is answered in a later era than it was decided in may have met another record.
+        let accepted = if is_lost || era != self.era { None } else { Some(accepted) };
+        self.send(after, Message::Appended { host, at, map, sent_at, accepted, era });
     }
 
     fn on_appended(
@@ -337,8 +344,9 @@
         map: Map,
         sent_at: Instant,
         accepted: Option<bool>,
+        era: Era,
     ) {
-        if accepted != Some(true) {
+        if accepted != Some(true) || era != self.hosts[n].era {
             return self.feed(n, Event::NotRecorded);
         }
         let host = &mut self.hosts[n];
@@ -349,14 +357,20 @@
         self.feed(n, Event::Recorded { sent_at });
     }
 
-    fn on_read(&mut self, n: usize, sent_at: Instant, end: usize, map: Option<Map>) {
+    fn on_read(&mut self, n: usize, sent_at: Instant, end: usize, map: Option<Map>, era: Era) {
         let host = &mut self.hosts[n];
+        if era < host.era {
+            return;
+        }
+        if era > host.era {
+            (host.era, host.end, host.newest) = (era, 0, None);
+        }
         host.end = host.end.max(end);
         let known_end = host.newest.as_ref().map_or(0, |(offset, _)| offset + 1);
         if let Some(map) = map.filter(|_| known_end < end) {
             host.newest = Some((end - 1, map));
         }
         let map = self.hosts[n].newest.clone().map(|(_, map)| map);
-        self.feed(n, Event::Read { sent_at, map });
+        self.feed(n, Event::Read { sent_at, map, era });
     }
 }
--- a/crates/jacinthbeam-range/tests/world/mod.rs
+++ b/crates/jacinthbeam-range/tests/world/mod.rs
@@ -79,13 +79,20 @@
 /// A message in transit, named by its arrival.
 pub enum Message {
     /// An append arrives at the store.
-    Append { host: usize, at: usize, map: Map, sent_at: Instant },
+    Append { host: usize, at: usize, map: Map, sent_at: Instant, era: Era },
     /// The answer to an append arrives at the host: whether it was accepted, or `None` after a timeout.
-    Appended { host: usize, at: usize, map: Map, sent_at: Instant, accepted: Option<bool> },
+    Appended {
+        host: usize,
+        at: usize,
+        map: Map,
+        sent_at: Instant,
+        accepted: Option<bool>,
+        era: Era,
+    },
     /// The answer to a read of the newest record arrives at the host.
-    Read { host: usize, sent_at: Instant, end: usize, map: Option<Map> },
+    Read { host: usize, sent_at: Instant, end: usize, map: Option<Map>, era: Era },
     /// The answer to a check for newer records arrives at the host.
-    Checked { host: usize, sent_at: Instant, end: usize },
+    Checked { host: usize, sent_at: Instant, end: usize, era: Era },
     /// The next grant of a round may be sent.
     Round { host: usize, round: calls::GrantRound },
     /// A host learns that a former leader has stopped.
@@ -131,6 +138,8 @@
     rng: fastrand::Rng,
     /// Records of the store.
     log: Vec<Map>,
+    /// Rises each time that the store is restored.
+    era: Era,
     /// When each of them was appended.
     log_times: Vec<Instant>,
     /// No host reaches the store before then.
@@ -185,9 +194,10 @@
             fault_rates,
             rng: fastrand::Rng::with_seed(seed),
             log: Vec::new(),
+            era: Era(1),
             log_times: Vec::new(),
             store_back_at: None,
-            hosts: (0..HOSTS).map(|n| Host::new(service(), leader(n))).collect(),
+            hosts: (0..HOSTS).map(|n| Host::new(service(), leader(n), true)).collect(),
             servers: BTreeMap::new(),
             connections: BTreeMap::new(),
             accepted_grants: Vec::new(),
--- a/crates/jacinthbeam-store/src/client.rs
+++ b/crates/jacinthbeam-store/src/client.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     call::{Call, Error, Reply, Wire},
+    position,
     rate_limit::RateLimiter,
 };
 
@@ -104,6 +105,16 @@
 }
 
 impl Lane {
+    /// The latest era that the store has stated on any lane.
+    pub fn era(&self) -> Era {
+        self.client.era()
+    }
+
+    /// Notified when the store states a later era.
+    pub fn subscribe_era(&self) -> watch::Receiver<Era> {
+        self.client.era.subscribe()
+    }
+
     /// Makes a call once the rate limit allows it and the earlier calls on this lane are done.
     pub async fn call(&self, call: &Call) -> Result<Reply, Error> {
         let reply = self.exchange(call).await;
@@ -135,13 +146,19 @@
             Call::Read { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
-        let req = (self.client.wire.encode)(call);
+        let local = position::to_store(call, self.client.era())?;
+        let req = (self.client.wire.encode)(&local);
         let res =
             self.line.exchange(req, wait + RESPONSE_TIMEOUT).await.map_err(|err| match err {
                 LineError::NotSent(why) => Error::NotSent(why),
                 LineError::Lost(why) => Error::Lost(why),
             })?;
-        self.client.on_era((self.client.wire.era)(res.headers()));
-        (self.client.wire.decode)(call, res.status(), res.body())
+        let era = (self.client.wire.era)(res.headers());
+        self.client.on_era(era);
+        if era < self.client.era() {
+            return Err(Error::Lost("the answer is from before the store was restored".into()));
+        }
+        let reply = (self.client.wire.decode)(&local, res.status(), res.body())?;
+        position::from_store(call, reply, era)
     }
 }
--- a/crates/jacinthbeam-store/src/keyed.rs
+++ b/crates/jacinthbeam-store/src/keyed.rs
@@ -9,7 +9,7 @@
 
 /// Follows one partition.
 ///
-/// When the store has deleted records that were not read yet, the follower reads the newest record of each
+/// When the store has deleted records that were not read yet, or was restored from an older copy, the follower reads the newest record of each
 /// key again. The store may then return a state that is some seconds old, so a caller that keeps the records
 /// has to compare offsets, or an older record would replace a newer one.
 #[derive(Debug)]
@@ -39,7 +39,7 @@
         Self { partition, next: None }
     }
 
-    /// Creates a follower that reads the records from `at` on.
+    /// Creates a follower that reads the records from `at` on, or starts over if the store was restored since.
     pub fn after(partition: Partition, at: Offset) -> Self {
         Self { partition, next: Some(at) }
     }
--- a/crates/jacinthbeam-store/src/lib.rs
+++ b/crates/jacinthbeam-store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod client;
 pub mod keyed;
+mod position;
 mod rate_limit;
 
 pub use backoff::Backoff;
--- a/crates/jacinthbeam-types/src/id.rs
+++ b/crates/jacinthbeam-types/src/id.rs
@@ -165,10 +165,6 @@
     /// Increases each time the store is restored from an older copy. 0 if the store doesn't state it.
     Era(u64)
 }
-number! {
-    /// Offset of a record in a partition of the platform's store.
-    Offset(u64)
-}
 number! {
     /// Fencing token of a grant. A backend server rejects tokens lower than the highest it has
     /// seen.
--- a/crates/jacinthbeam-types/src/lib.rs
+++ b/crates/jacinthbeam-types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod id;
 pub mod key;
+pub mod offset;
 pub mod prelude;
 pub mod server;
 pub mod size;
--- a/crates/jacinthbeam-types/src/prelude.rs
+++ b/crates/jacinthbeam-types/src/prelude.rs
@@ -3,10 +3,11 @@
 pub use crate::{
     clock::{Clock, SystemClock},
     id::{
-        Born, ConfigVersion, Epoch, Era, FailureDomain, HostId, Incarnation, Offset, Region,
-        ServerName, ServiceName, TeamName, Token,
+        Born, ConfigVersion, Epoch, Era, FailureDomain, HostId, Incarnation, Region, ServerName,
+        ServiceName, TeamName, Token,
     },
     key::KeyHash,
+    offset::Offset,
     server::ServerId,
     size::{Bytes, Millicores, Rate},
     verdict::{Reason, Refusal, Verdict},
