fix(request): check a server again whose crash could not be told from a partition

What callers would see: a request that ends its servers goes on to do so. Change: the server is checked every 0.5 s, once for all requests that were in flight there, until another server accepts a connection or these requests are too old (10 s). Also: a forwarded answer may be as long as one that is not, plus its head.

--- a/crates/jacinthbeam-host/src/process/broken.rs
+++ b/crates/jacinthbeam-host/src/process/broken.rs
@@ -9,7 +9,7 @@
 use jacinthbeam_crash::Fingerprint;
 
 /// Time after a broken connection within which the end of its server is attributed to the request. Servers usually restart within it.
-const BROKEN_TTL: Duration = Duration::from_secs(10);
+pub const BROKEN_TTL: Duration = Duration::from_secs(10);
 
 /// The same for a request whose caller disconnected, so that it is unknown whether its connection would have broken.
 const DISCONNECTED_TTL: Duration = Duration::from_secs(2);
@@ -38,6 +38,8 @@
     requests: RefCell<Vec<(Running, Instant)>>,
     /// When the server last accepted a connection of a check.
     connected: Cell<Option<Instant>>,
+    /// Whether the server is being checked again and again.
+    rechecked: Cell<bool>,
 }
 
 impl Broken {
@@ -64,6 +66,16 @@
         self.connected.get().is_none_or(|at| now >= at + CHECK_INTERVAL)
     }
 
+    /// Marks the server as being checked again. Returns `false` if it already is.
+    pub fn start_rechecks(&self) -> bool {
+        !self.rechecked.replace(true)
+    }
+
+    /// Ends that.
+    pub fn end_rechecks(&self) {
+        self.rechecked.set(false);
+    }
+
     /// Records that the server has just accepted a connection.
     pub fn on_connected(&self, now: Instant) {
         self.connected.set(Some(now));
--- a/crates/jacinthbeam-host/src/process/partition.rs
+++ b/crates/jacinthbeam-host/src/process/partition.rs
@@ -124,6 +124,8 @@
     }
 
     /// Connects to servers simultaneously. The connections are kept in their pools.
+    ///
+    /// The limit of connections does not apply: a pool that is full says nothing about the network.
     async fn probe(&self, servers: Vec<Server>) -> Probed {
         let mut probes = JoinSet::new();
         for server in &servers {
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -21,7 +21,10 @@
 use super::{fingerprint, send::BufferedRequest};
 use crate::{
     connection::pool,
-    process::{broken::Running, traffic::Traffic},
+    process::{
+        broken::{BROKEN_TTL, Running},
+        traffic::Traffic,
+    },
     send_outcome::{Lost, NotRun, SendOutcome},
     version::View,
 };
@@ -33,6 +36,9 @@
 const LIVENESS_ATTEMPTS: usize = 3;
 const LIVENESS_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval of checks of a server that refuses connections while no other server can be reached.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A request that is not sent to any server because servers crashed under it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Quarantine {
@@ -101,7 +107,9 @@
                 if !self.traffic.server(server).broken.is_empty() {
                     let (traffic, server) = (self.traffic.clone(), server.clone());
                     let since = traffic.now();
-                    spawn_local(async move { on_refused(&traffic, &server, since).await });
+                    let check =
+                        async move { on_refused(&traffic, &server, max_connections, since).await };
+                    spawn_local(check);
                 }
                 false
             }
@@ -147,7 +155,7 @@
 }
 
 /// Checks whether a server still accepts connections. Returns whether it has crashed.
-async fn check_liveness(traffic: &Traffic, server: &Server, max_connections: u32) -> bool {
+async fn check_liveness(traffic: &Rc<Traffic>, server: &Server, max_connections: u32) -> bool {
     let state = traffic.server(server);
     for _ in 0..LIVENESS_ATTEMPTS {
         if !state.broken.is_check_due(traffic.now()) {
@@ -160,7 +168,9 @@
                 state.pool.release(conn, traffic.now(), None);
                 return false;
             }
-            Err(err) if err.is_refused() => return on_refused(traffic, server, since).await,
+            Err(err) if err.is_refused() => {
+                return on_refused(traffic, server, max_connections, since).await;
+            }
             Err(pool::Error::Connect(_) | pool::Error::Silent) => return false,
             // The other connections to a crashed server break at the same time, and free the pool when they are dropped.
             Err(pool::Error::Full) => tokio::time::sleep(LIVENESS_RETRY_DELAY).await,
@@ -171,15 +181,51 @@
 
 /// A server refused a connection that was attempted at `since`. Returns whether it has crashed.
 ///
-/// The requests that were in flight there are kept for a later check if this host reaches no other server.
-async fn on_refused(traffic: &Traffic, server: &Server, since: Instant) -> bool {
+/// If this host reaches no other server, the requests that were in flight there are kept, and the server is checked again.
+async fn on_refused(
+    traffic: &Rc<Traffic>,
+    server: &Server,
+    max_connections: u32,
+    since: Instant,
+) -> bool {
     if traffic.reaches_other_servers(&server.id, since).await {
         return report_crash(traffic, server);
     }
     tracing::info!(part = "crash", event = "not-shown", server = %server.id, why = "no server reached");
+    if !traffic.server(server).broken.start_rechecks() {
+        return false;
+    }
+    let (traffic, server) = (traffic.clone(), server.clone());
+    spawn_local(async move {
+        recheck(&traffic, &server, max_connections).await;
+        traffic.server(&server).broken.end_rechecks();
+    });
     false
 }
 
+/// Checks a server that has refused connections until another server can be reached, or the requests that were in flight are too old.
+async fn recheck(traffic: &Traffic, server: &Server, max_connections: u32) {
+    let end = traffic.now() + BROKEN_TTL;
+    while traffic.now() < end {
+        tokio::time::sleep(RECHECK_INTERVAL).await;
+        let since = traffic.now();
+        match traffic.connect(server, max_connections).await {
+            Ok(conn) => {
+                let state = traffic.server(server);
+                state.broken.on_connected(traffic.now());
+                return state.pool.release(conn, traffic.now(), None);
+            }
+            Err(err) if err.is_refused() => {
+                if traffic.reaches_other_servers(&server.id, since).await {
+                    report_crash(traffic, server);
+                    return;
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
 /// Reports the requests that were in flight at a server that is gone. Returns whether it crashed, which means that it ended
 /// without having announced that it is draining.
 fn report_crash(traffic: &Traffic, server: &Server) -> bool {
--- a/crates/jacinthbeam-host/src/request/forward.rs
+++ b/crates/jacinthbeam-host/src/request/forward.rs
@@ -20,13 +20,13 @@
 use super::{
     end::{Conclusion, conclude},
     job::Job,
-    send::{RESPONSE_GRACE, read_body},
+    send::{MAX_RESPONSE_BYTES, RESPONSE_GRACE, read_body},
 };
 use crate::{
     process::{
         peers::forward::{
-            Error, ForwardLink, ForwardedConclusion, ForwardedRequest, Malformed, Message, decode,
-            encode_head, from_list, to_list,
+            Error, ForwardLink, ForwardedConclusion, ForwardedRequest, MAX_HEAD_BYTES, Malformed,
+            Message, decode, encode_head, from_list, to_list,
         },
         traffic::Traffic,
     },
@@ -181,7 +181,8 @@
     let left = job.left() + RESPONSE_GRACE + TRANSIT_GRACE;
     let response = async {
         let res = link.send(message).await.map_err(|err| fail(job, err))?;
-        let read = read_body(res.into_body(), &traffic.response_memory).await;
+        let max_bytes = MAX_RESPONSE_BYTES + MAX_HEAD_BYTES;
+        let read = read_body(res.into_body(), max_bytes, &traffic.response_memory).await;
         let bytes = read.map_err(|err| {
             tracing::info!(part = "request", id = ?job.request.id, event = "forward-cut", error = ?err);
             Failure::Lost(Lost::Broken)
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -45,7 +45,7 @@
 ///
 /// A response is buffered completely before the caller gets any of it, so that a truncated one can't look complete and the
 /// request can be retried.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Time for hyper to mark the connection as ready after a response. It takes one poll of the connection's task.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
@@ -224,7 +224,9 @@
     let keep_alive = keep_alive(res.headers());
     let closes = closes_connection(res.headers());
     let (mut head, body) = res.into_parts();
-    let read = tokio::time::timeout_at(by, read_body(body, &traffic.response_memory)).await;
+    let read =
+        tokio::time::timeout_at(by, read_body(body, MAX_RESPONSE_BYTES, &traffic.response_memory))
+            .await;
     let bytes = match read {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(err)) => {
@@ -246,13 +248,17 @@
     SendOutcome::Answered { res: Response::from_parts(head, Full::new(bytes)), success }
 }
 
-/// Reads a response body completely. While there is no memory for more of it, the server's connection is not read.
-pub(super) async fn read_body(body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, BoxError> {
-    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+/// Reads a response body of at most `max_bytes` bytes completely. While there is no memory for more of it, the server's connection is not read.
+pub(super) async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    memory: &Arc<BodyMemory>,
+) -> Result<Bytes, BoxError> {
+    let mut body = Limited::new(body, max_bytes);
     let mut reservation = memory.reservation();
     // Reserved together, so that responses of known lengths don't wait for each other half read.
     let announced = usize::try_from(body.size_hint().lower())?;
-    reservation.wait_extend_to(announced.min(MAX_RESPONSE_BYTES)).await;
+    reservation.wait_extend_to(announced.min(max_bytes)).await;
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
