feat(admission): types of the load exchange between hosts; nothing is sent yet

Cause: hosts decide under load from what they see themselves. The parts of load control (reports, plans, queue, retry credits, choice of servers) need common types.

Change: crate jacinthbeam-admission with the classes of a service, a host's report, the load of a failure domain and the plan; the datagrams; the collectors of a service are selected and published to the traffic thread. A configuration without deferrable routes at a service without keys has no collectors.

Nothing is measured: no request is treated differently.

--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -52,6 +52,12 @@
             Message::LimitWithdrawn { server, limit } => {
                 self.permits.issuer.apply(&server, limit.sent_at(self.clock.now()));
             }
+            Message::HostReport { .. }
+            | Message::DomainLoad { .. }
+            | Message::Plan { .. }
+            | Message::ServerLoads { .. }
+            | Message::CreditRequest { .. }
+            | Message::CreditGrant { .. } => {}
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -46,7 +46,9 @@
             | Self::BuildRequest { .. }
             | Self::PeerRequest { .. } => InputKind::StoreState,
             Self::Tick => InputKind::Tick,
-            Self::Datagram(_, Message::Load { .. }) => InputKind::Report,
+            Self::Datagram(_, Message::Load { .. } | Message::HostReport { .. }) => {
+                InputKind::Report
+            }
             Self::Hosts(_)
             | Self::Relays(_)
             | Self::Maps { .. }
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -15,6 +15,7 @@
 mod granting;
 mod input;
 mod learn;
+mod loads;
 mod maps;
 mod permits;
 mod registration;
@@ -50,6 +51,7 @@
         source::MAX_STALENESS,
         update::{StateUpdate, UpdateRequest},
     },
+    service_loads::ServiceLoads,
     serving::Forwarded,
     status,
     traffic::Gates,
@@ -78,6 +80,7 @@
     pub(super) view: watch::Sender<Arc<View>>,
     pub(super) freshness: watch::Sender<Freshness>,
     pub(super) gates: watch::Sender<Gates>,
+    pub(super) loads: watch::Sender<Arc<ServiceLoads>>,
     pub(super) phase: watch::Receiver<Phase>,
     /// Crash facts observed by the traffic thread.
     pub(super) crashes: mpsc::UnboundedReceiver<Fact>,
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -49,6 +49,7 @@
         peers::{HostEntry, order::Neighbours},
         reach::StoreReachability,
         replica::{Changed, StoreReplica},
+        service_loads::ServiceLoads,
         traffic::Gates,
         usage,
     },
@@ -81,6 +82,8 @@
     /// How fresh the view is.
     pub(super) freshness: watch::Sender<Freshness>,
     pub(super) gates: watch::Sender<Gates>,
+    /// What the collectors have sent about the load of services.
+    pub(super) loads: watch::Sender<Arc<ServiceLoads>>,
     /// When gates were last published.
     pub(super) gates_published: Option<Instant>,
     /// When ages and owners were last recorded in the metrics.
@@ -143,7 +146,7 @@
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
         let Start { settings, wire, clock, dialer, counters, incarnation, .. } = start;
-        let Start { view, freshness, gates, partitioned, peers, .. } = start;
+        let Start { view, freshness, gates, loads, partitioned, peers, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let now = clock.now();
         let standby = Standby::new(now);
@@ -159,6 +162,7 @@
             view,
             freshness,
             gates,
+            loads,
             gates_published: None,
             metrics_recorded: None,
             socket,
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -22,6 +22,7 @@
 pub mod request_log;
 mod server_lines;
 pub mod server_state;
+pub mod service_loads;
 mod serving;
 mod sockets;
 pub mod status;
@@ -126,6 +127,7 @@
     let incarnation = Incarnation(fastrand::u64(1..));
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
+    let (loads_tx, loads) = watch::channel(Arc::default());
     let (freshness_tx, freshness) = watch::channel(Freshness::default());
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (done_tx, done) = tokio::sync::oneshot::channel();
@@ -146,6 +148,7 @@
         view: view_tx,
         freshness: freshness_tx,
         gates: gates_tx,
+        loads: loads_tx,
         phase: phase_rx.clone(),
         crashes,
         permits,
@@ -172,6 +175,7 @@
         freshness,
         phase: phase.subscribe(),
         gates,
+        loads,
         crashes: crashes_tx,
         permits: permits_tx,
         partitioned: partitioned_tx,
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -1,4 +1,5 @@
-//! Datagrams between hosts: load reports, gates, notices that a grantor has stopped, and permits to send to rate-limited servers.
+//! Datagrams between hosts: load reports, gates, admission plans, notices that a grantor has stopped, permits to send to rate-limited
+//! servers, and parts of the retry budget.
 //!
 //! Load reports are sent four times a second and matter for some seconds, so losing one is harmless. Streams would need a connection from
 //! every host to every granting host.
@@ -8,6 +9,10 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::{
+    HostReport, Plan,
+    plan::{DomainLoad, ServerLoad},
+};
 use jacinthbeam_dispatch::rate_limit::Statement;
 use jacinthbeam_range::{Leader, admission::Gate, demand::LoadReport};
 use jacinthbeam_types::prelude::*;
@@ -73,6 +78,68 @@
         /// The statement that withdraws it.
         limit: LimitStatement,
     },
+    /// The load of one host on a service, for the collectors of its failure domain.
+    HostReport {
+        /// The host.
+        from: HostId,
+        /// The service.
+        service: ServiceName,
+        /// The load.
+        report: HostReport,
+    },
+    /// The load of a failure domain on a service, for the collectors of the other domains.
+    DomainLoad {
+        /// The collector.
+        from: HostId,
+        /// Its failure domain.
+        domain: FailureDomain,
+        /// The service.
+        service: ServiceName,
+        /// Increases with each message of a process.
+        sequence: u32,
+        /// The load.
+        load: DomainLoad,
+    },
+    /// What the hosts of a failure domain may start for a service.
+    Plan {
+        /// The collector.
+        from: HostId,
+        /// The service.
+        service: ServiceName,
+        /// Increases with each message of a process.
+        sequence: u32,
+        /// The plan.
+        plan: Plan,
+    },
+    /// The load of servers of a service in a failure domain, for the hosts of that domain. Servers that are not listed keep what was known.
+    ServerLoads {
+        /// The collector.
+        from: HostId,
+        /// The service.
+        service: ServiceName,
+        /// Increases with each message of a process.
+        sequence: u32,
+        /// The servers.
+        servers: BTreeMap<ServerId, ServerLoad>,
+    },
+    /// A host whose share of a service's retry budget is used up requests a part of another host's.
+    CreditRequest {
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Retries that the host could use.
+        wanted: u32,
+    },
+    /// Retries that a host has given up in favor of the requesting host.
+    CreditGrant {
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Number of retries; 0 if the host needs its share itself.
+        granted: u32,
+    },
 }
 
 /// A server's statement about its rate limit, as sent between hosts, whose clocks differ.
--- a/crates/jacinthbeam-host/src/process/replica/hosts.rs
+++ b/crates/jacinthbeam-host/src/process/replica/hosts.rs
@@ -16,6 +16,11 @@
         self.hosts.iter().map(|(host, (_, entry))| (host, entry))
     }
 
+    /// The entry of a host.
+    pub fn host(&self, host: &HostId) -> Option<&HostEntry> {
+        self.hosts.get(host).map(|(_, entry)| entry)
+    }
+
     /// Whether the list contains exactly this entry of a host, from a record of the store in its present era.
     pub fn lists_host(&self, host: &HostId, entry: &HostEntry) -> bool {
         let known = self.hosts.get(host);
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -12,6 +12,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::Classes;
 use jacinthbeam_crash::{Suspects, probe::Rank};
 use jacinthbeam_dispatch::subset::Position;
 use jacinthbeam_range::Map;
@@ -89,10 +90,27 @@
     cold: BTreeMap<ServerId, Instant>,
     /// Requests with crash evidence, as of the last [`StoreReplica::set_suspects`].
     suspects: Arc<Suspects>,
+    /// Services whose hosts exchange their load.
+    load_shared: Arc<BTreeMap<ServiceName, Classes>>,
     /// Changes of servers that are not logged yet.
     pending_log_lines: ServerLines,
 }
 
+/// The services without keys, with the ranks of their routes, if any of them has deferrable routes; otherwise none.
+fn load_shared(cfg: &Config) -> BTreeMap<ServiceName, Classes> {
+    let classes = |service: &ServiceName| {
+        let routes = cfg.routes.iter();
+        let routes = routes.filter(|route| route.target.services().any(|other| other == service));
+        Classes::of(routes.map(|route| (route.priority, route.objective)))
+    };
+    let unkeyed = cfg.services.iter().filter(|(_, service)| !service.keyed);
+    let shared: BTreeMap<_, _> = unkeyed.map(|(name, _)| (name.clone(), classes(name))).collect();
+    match shared.values().any(Classes::has_deferrable) {
+        true => shared,
+        false => BTreeMap::new(),
+    }
+}
+
 /// What an update changed.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Changed {
@@ -159,6 +177,7 @@
             subset_position: Position::default(),
             rank: Rank::default(),
             suspects: self.suspects.clone(),
+            load_shared: self.load_shared.clone(),
         }
     }
 
@@ -178,6 +197,7 @@
             return false;
         }
         tracing::info!(part = "config", event = "in-force", version = %cfg.version, before = ?known);
+        self.load_shared = Arc::new(load_shared(&cfg));
         self.config = Some(Arc::new(cfg));
         true
     }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -25,7 +25,7 @@
     connection::accept::Phase,
     process::{
         helping::Helping, logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
-        request_log::RequestLog, server_state::ServerState, usage,
+        request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads, usage,
     },
     request::{
         forward::{Forwarding, Peer},
@@ -64,6 +64,7 @@
     freshness: watch::Receiver<Freshness>,
     phase: watch::Receiver<Phase>,
     gates: watch::Receiver<Gates>,
+    loads: watch::Receiver<Arc<ServiceLoads>>,
     crashes: mpsc::UnboundedSender<Fact>,
     permits: mpsc::UnboundedSender<permits::Query>,
     peers: watch::Receiver<Arc<Vec<Peer>>>,
@@ -116,6 +117,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Admission gates of overloaded owners.
     pub gates: watch::Receiver<Gates>,
+    /// What the collectors have sent about the load of services.
+    pub loads: watch::Receiver<Arc<ServiceLoads>>,
     /// Receives facts about server crashes that this host observes.
     pub crashes: mpsc::UnboundedSender<Fact>,
     /// Receives queries about rate limits.
@@ -131,7 +134,7 @@
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
         let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
-        let Start { partitioned, peers, .. } = start;
+        let Start { partitioned, peers, loads, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -147,6 +150,7 @@
             freshness,
             phase,
             gates,
+            loads,
             crashes,
             permits,
             peers,
@@ -291,6 +295,11 @@
         self.gate(owner).is_none_or(|gate| gate.admits(rank, fastrand::f64()))
     }
 
+    /// What the collectors have sent about the load of services.
+    pub fn service_loads(&self) -> Arc<ServiceLoads> {
+        self.loads.borrow().clone()
+    }
+
     /// Admission gate of an owner; `None` if it admits every request.
     pub fn gate(&self, owner: &ServerId) -> Option<Gate> {
         let gates = self.gates.borrow();
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::Classes;
 use jacinthbeam_crash::{Suspects, probe::Rank};
 use jacinthbeam_dispatch::subset::Position;
 use jacinthbeam_range::Map;
@@ -36,6 +37,8 @@
     pub rank: Rank,
     /// Requests under which servers have crashed.
     pub suspects: Arc<Suspects>,
+    /// Services without keys whose hosts exchange their load, with the ranks of their routes.
+    pub load_shared: Arc<BTreeMap<ServiceName, Classes>>,
 }
 
 impl View {
--- a/crates/jacinthbeam/src/lib.rs
+++ b/crates/jacinthbeam/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each re-exported crate owns one concern; `docs/ARCHITECTURE.md` tells which.
 
+pub use jacinthbeam_admission as admission;
 pub use jacinthbeam_config as config;
 pub use jacinthbeam_crash as crash;
 pub use jacinthbeam_dispatch as dispatch;
