--- a/crates/jacinthbeam-host/tests/fleet/mod.rs
+++ b/crates/jacinthbeam-host/tests/fleet/mod.rs
@@ -157,6 +157,11 @@
         self.hosts.iter_mut().enumerate().for_each(|(n, host)| host.store = store(n));
     }
 
+    /// Sets how the store responds to a host by its position in its domain.
+    pub fn set_store_by_position(&mut self, store: impl Fn(usize) -> Store) {
+        self.hosts.iter_mut().for_each(|host| host.store = store(host.position));
+    }
+
     pub fn run_for(&mut self, span: u64) {
         self.run_to(self.now + span);
     }
@@ -182,6 +187,14 @@
         runs.map(|n| self.age(n)).max().unwrap_or_default()
     }
 
+    /// Age in milliseconds of the oldest data of a running host that the store would answer.
+    pub fn oldest_answered(&self) -> u64 {
+        let is_answered =
+            |host: &Host| host.process == Process::Runs && host.store == Store::Answers;
+        let hosts = (0..self.hosts.len()).filter(|n| is_answered(&self.hosts[*n]));
+        hosts.map(|n| self.age(n)).max().unwrap_or_default()
+    }
+
     fn at(&self) -> Instant {
         self.begun + Duration::from_millis(self.now)
     }
--- a/crates/jacinthbeam-host/tests/sources_at_size.rs
+++ b/crates/jacinthbeam-host/tests/sources_at_size.rs
@@ -119,6 +119,31 @@
     });
 }
 
+/// Guards against hosts that serve by old data although the store would answer them: it answers none of the first three hosts of any domain, and
+/// the fourth, which leaves the calls to those, served by a configuration that was 4.6 s old.
+#[test]
+fn a_store_that_answers_only_the_fourth_hosts_is_read_by_them() {
+    each(|mut fleet, _, domains| {
+        fleet.settle();
+        fleet.set_store_by_position(|position| match position {
+            0..3 => Store::Silent,
+            _ => Store::Answers,
+        });
+        let begun = fleet.calls;
+        fleet.run_for(PROPAGATION_LIMIT_MS + 500);
+        for _ in 0..29 {
+            fleet.run_for(200);
+            assert!(
+                fleet.oldest_answered() <= PROPAGATION_LIMIT_MS,
+                "{} ms",
+                fleet.oldest_answered()
+            );
+        }
+        let calls = fleet.calls - begun;
+        assert!(calls <= 8 * 2 * READER * domains, "{calls} calls in 8 s, {domains} domains");
+    });
+}
+
 /// Guards against stale hosts and a burst of calls when the first hosts of each domain lose power: the next one in the order becomes the reader.
 #[test]
 fn lost_readers_are_replaced_by_the_next_in_order() {
