feat(admission): hosts report the load of shared services, collectors merge it and send plans

Cause: hosts decide under load from their own counts only.

Change: counts on the traffic thread, reports to the collectors of the failure domain, exchange between domains, plans and server loads to the hosts, metrics and /status. A configuration without deferrable routes at a service without keys sends nothing. The plan holds nothing back yet.

--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -8,9 +8,15 @@
 
 pub mod classes;
 pub mod collect;
+pub mod fleet;
 pub mod plan;
+pub mod received;
 pub mod report;
+pub mod sequence;
 
 pub use classes::Classes;
+pub use collect::Collector;
+pub use fleet::FleetLoads;
 pub use plan::Plan;
+pub use received::Received;
 pub use report::HostReport;
--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -5,6 +5,8 @@
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::{Classes, fleet};
+
 /// The load of the hosts of one failure domain on one service, and the capacity of the servers in that domain.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DomainLoad {
@@ -60,3 +62,20 @@
     /// Latency of its answers in percent of the fleet's mean; 100 if unknown.
     pub slowness_percent: u16,
 }
+
+/// What the fleet may start, given the load of its failure domains. Nothing is held back yet.
+pub fn compute(loads: &BTreeMap<FailureDomain, DomainLoad>, classes: &Classes) -> Plan {
+    let service_times = fleet::service_times(loads);
+    let ranks = classes.iter().filter(|(_, class)| class.deferrable).map(|(rank, _)| {
+        let waiting = loads.values().filter_map(|load| load.ranks.get(&rank));
+        let service_time = service_times.get(&rank).copied().unwrap_or_default();
+        (
+            rank,
+            RankPlan { share: 1.0, service_time, waiting: waiting.map(|rank| rank.waiting).sum() },
+        )
+    });
+    let free = loads.iter().filter(|(_, load)| load.slots > 0).map(|(domain, load)| {
+        (domain.clone(), load.slots.saturating_sub(load.busy_slots) as f32 / load.slots as f32)
+    });
+    Plan { ranks: ranks.collect(), free: free.collect() }
+}
--- a/crates/jacinthbeam-admission/src/report.rs
+++ b/crates/jacinthbeam-admission/src/report.rs
@@ -5,6 +5,20 @@
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// Shortest interval between two reports of a host.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// By how much the interval grows with each host of the failure domain: a collector then gets at most 100 reports per second.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+
+/// Number of report intervals for which a report is valid, so that three lost ones in a row change nothing.
+pub const VALID_INTERVALS: u32 = 4;
+
+/// Interval between two reports of a host, given the number of hosts in its failure domain.
+pub fn interval(hosts: u32) -> Duration {
+    MIN_INTERVAL.max(INTERVAL_PER_HOST * hosts)
+}
+
 /// The load of one host on one service.
 ///
 /// `arrivals`, `answers`, `busy`, `refused` and `slowness` are counted since the previous report; `waiting` and `in_flight` are the present
@@ -13,6 +27,8 @@
 pub struct HostReport {
     /// Increases with each report of a process. A report that arrives late or twice is ignored.
     pub sequence: u32,
+    /// Number of this part of the report. Parts after part 0 have the servers that did not fit in it, and no ranks.
+    pub part: u32,
     /// Counts by rank. A rank without any count is left out.
     pub ranks: BTreeMap<u32, RankCounts>,
     /// Counts by server. A server without any count is left out.
--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -52,12 +52,19 @@
             Message::LimitWithdrawn { server, limit } => {
                 self.permits.issuer.apply(&server, limit.sent_at(self.clock.now()));
             }
-            Message::HostReport { .. }
-            | Message::DomainLoad { .. }
-            | Message::Plan { .. }
-            | Message::ServerLoads { .. }
-            | Message::CreditRequest { .. }
-            | Message::CreditGrant { .. } => {}
+            Message::HostReport { from, service, report } => {
+                self.on_host_report(&from, &service, report);
+            }
+            Message::DomainLoad { from, domain, service, sequence, load } => {
+                self.on_domain_load(from, domain, &service, sequence, load);
+            }
+            Message::Plan { from, service, sequence, plan } => {
+                self.on_plan(&from, &service, sequence, plan);
+            }
+            Message::ServerLoads { from, service, sequence, servers, service_times } => {
+                self.on_server_loads(&from, &service, sequence, servers, service_times);
+            }
+            Message::CreditRequest { .. } | Message::CreditGrant { .. } => {}
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -44,6 +44,7 @@
 
 use super::{
     inbox::{Inbox, Waiting},
+    load_counts::LoadCounts,
     metrics::Counters,
     pages,
     peers::{
@@ -76,6 +77,8 @@
     pub(super) dialer: Dialer,
     pub(super) counters: Arc<Counters>,
     pub(super) usage: usage::Counted,
+    /// Counts of requests to services whose load is exchanged between hosts.
+    pub(super) load_counts: LoadCounts,
     pub(super) incarnation: Incarnation,
     pub(super) view: watch::Sender<Arc<View>>,
     pub(super) freshness: watch::Sender<Freshness>,
@@ -223,12 +226,14 @@
     let (counters, view) = (start.counters.clone(), start.view.subscribe());
     let (settings, phase) = (start.settings.clone(), start.phase.clone());
     let (tx, clock) = (tx.clone(), start.clock.clone());
+    let (loads, load_counts) = (start.loads.subscribe(), start.load_counts.clone());
     serve_page(metrics, move |method, path| {
         let text = match path {
             "/metrics" => Some(counters.text()),
             "/status" => {
                 let now = clock.now();
-                let status = status::of(&settings, &view.borrow(), *phase.borrow(), now);
+                let mut status = status::of(&settings, &view.borrow(), *phase.borrow(), now);
+                status.load = status::loads(&loads.borrow(), &load_counts, now);
                 let text = serde_json::to_string_pretty(&status);
                 Some(text.expect("names and numbers can be written"))
             }
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -33,6 +33,7 @@
         SERVERS_READ_INTERVAL,
     },
     input::{Input, Tx},
+    loads::LoadExchange,
     maps::MapPartition,
     permits::Permits,
     registration::{self, Registration},
@@ -84,6 +85,8 @@
     pub(super) gates: watch::Sender<Gates>,
     /// What the collectors have sent about the load of services.
     pub(super) loads: watch::Sender<Arc<ServiceLoads>>,
+    /// The exchange of the load of services.
+    pub(super) load_exchange: LoadExchange,
     /// When gates were last published.
     pub(super) gates_published: Option<Instant>,
     /// When ages and owners were last recorded in the metrics.
@@ -163,6 +166,7 @@
             freshness,
             gates,
             loads,
+            load_exchange: LoadExchange::default(),
             gates_published: None,
             metrics_recorded: None,
             socket,
@@ -341,6 +345,7 @@
                 self.update_partitioned();
                 self.step_all(&Event::Tick);
                 self.publish_gates();
+                self.exchange_loads();
                 self.expire_permits();
             }
             Input::Dump(reply) => {
@@ -368,12 +373,13 @@
     }
 
     /// Does once per batch of inputs what need not be done per input: ticks the grantors of services with released keys, and publishes crash
-    /// facts.
+    /// facts and the load of services.
     pub(super) fn finish_batch(&mut self) {
         for service in std::mem::take(&mut self.released) {
             self.step(&service, Event::Tick);
         }
         self.publish_crashes();
+        self.publish_loads();
     }
 
     /// Records in the metrics how long an input waited for this thread.
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -66,6 +66,16 @@
     control_waits: Histogram<f64>,
     /// Load reports that were dropped because too many newer ones were queued.
     pub reports_left_out: Counter<u64>,
+    /// Load reports of hosts of this failure domain, by what became of them.
+    load_reports: Counter<u64>,
+    /// Age of the plan that this host follows, or time since it had one, by service.
+    plan_age: Gauge<f64>,
+    /// Share of its demand that this host may start, by service and rank.
+    plan_share: Gauge<f64>,
+    /// On a collector, slots of the servers in all reachable failure domains, by service.
+    service_slots: Gauge<u64>,
+    /// On a collector, requests in flight from the hosts of all reachable failure domains, by service.
+    service_in_flight: Gauge<u64>,
     /// Records of the store that can't be parsed, by expected kind.
     unreadable: Counter<u64>,
     /// Times that the store was restored from an older copy.
@@ -128,6 +138,11 @@
             waits: seconds("jacinthbeam_wait_seconds"),
             control_waits: seconds("jacinthbeam_control_wait_seconds"),
             reports_left_out: count("jacinthbeam_reports_left_out"),
+            load_reports: count("jacinthbeam_load_reports"),
+            plan_age: gauge("jacinthbeam_plan_age_seconds"),
+            plan_share: gauge("jacinthbeam_plan_share"),
+            service_slots: meter.u64_gauge("jacinthbeam_service_slots").build(),
+            service_in_flight: meter.u64_gauge("jacinthbeam_service_in_flight").build(),
             unreadable: count("jacinthbeam_unreadable_records"),
             restores: count("jacinthbeam_store_restores"),
             store_calls: count("jacinthbeam_store_calls"),
@@ -207,6 +222,33 @@
         self.control_waits.record(waited.as_secs_f64(), &[KeyValue::new("news", is_store_state)]);
     }
 
+    /// Counts a load report of a host, by what became of it.
+    pub fn on_load_report(&self, outcome: &'static str) {
+        self.load_reports.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the age of the plan for a service, and its share by rank.
+    pub fn on_plan(
+        &self,
+        service: &ServiceName,
+        age: Duration,
+        shares: impl Iterator<Item = (u32, f32)>,
+    ) {
+        let service = service_label(service);
+        for (rank, share) in shares {
+            let rank = KeyValue::new("rank", i64::from(rank));
+            self.plan_share.record(f64::from(share), &[service.clone(), rank]);
+        }
+        self.plan_age.record(age.as_secs_f64(), &[service]);
+    }
+
+    /// Records the slots of a service and the requests in flight, as known to a collector.
+    pub fn on_capacity(&self, service: &ServiceName, slots: u32, in_flight: u32) {
+        let labels = [service_label(service)];
+        self.service_slots.record(u64::from(slots), &labels);
+        self.service_in_flight.record(u64::from(in_flight), &labels);
+    }
+
     /// Counts a record of the store that can't be parsed.
     pub fn on_unreadable(&self, what: &'static str) {
         self.unreadable.add(1, &[KeyValue::new("what", what)]);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod evacuation;
 pub mod helping;
 pub mod inbox;
+pub mod load_counts;
 pub mod logs;
 pub mod map_history;
 pub mod membership;
@@ -45,6 +46,7 @@
     connection::accept::Phase,
     version::{Freshness, View},
 };
+use load_counts::LoadCounts;
 use metrics::Counters;
 
 pub use sockets::Sockets;
@@ -124,6 +126,7 @@
     let clock: Arc<dyn Clock> = Arc::new(clock::SuspendClock::new());
     let counters = Counters::new();
     let usage = usage::Counted::default();
+    let load_counts = LoadCounts::default();
     let incarnation = Incarnation(fastrand::u64(1..));
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (gates_tx, gates) = watch::channel(traffic::Gates::new());
@@ -144,6 +147,7 @@
         dialer: dialer.clone(),
         counters: counters.clone(),
         usage: usage.clone(),
+        load_counts: load_counts.clone(),
         incarnation,
         view: view_tx,
         freshness: freshness_tx,
@@ -171,6 +175,7 @@
         dialer,
         counters,
         usage,
+        load_counts,
         view,
         freshness,
         phase: phase.subscribe(),
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -21,6 +21,15 @@
 /// Largest datagram in bytes; it fits an Ethernet frame without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 
+/// Largest number of bytes by which the number of servers and the sequence of a message are longer than those of the first one.
+const COUNT_BYTES: usize = 8;
+
+/// Largest encoded size of the counts of a server beside its name: the length of the name, four numbers, and what it states.
+const SERVER_COUNTS_BYTES: usize = 3 + 3 * 5 + 4 + 1 + 3 * 5 + 1 + 5;
+
+/// Largest encoded size of the load of a server beside its name: the length of the name, and two numbers.
+const SERVER_LOAD_BYTES: usize = 3 + 3 + 3;
+
 /// A datagram from one host to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -121,6 +130,8 @@
         sequence: u32,
         /// The servers.
         servers: BTreeMap<ServerId, ServerLoad>,
+        /// Fleet-wide mean time from the send to the answer, by rank.
+        service_times: BTreeMap<u32, Duration>,
     },
     /// A host whose share of a service's retry budget is used up requests a part of another host's.
     CreditRequest {
@@ -191,6 +202,65 @@
         gates.chunks(20).map(message).collect()
     }
 
+    /// Splits the report of a host into datagrams.
+    pub fn host_reports(from: &HostId, service: &ServiceName, report: HostReport) -> Vec<Self> {
+        let HostReport { sequence, ranks, servers, .. } = report;
+        let message =
+            |report| Self::HostReport { from: from.clone(), service: service.clone(), report };
+        let mut part = HostReport { sequence, part: 0, ranks, servers: BTreeMap::new() };
+        let empty = |part: &HostReport| message(part.clone()).to_bytes().len() + COUNT_BYTES;
+        let mut bytes = empty(&part);
+        let mut messages = Vec::new();
+        for (id, counts) in servers {
+            let entry = id.to_string().len() + SERVER_COUNTS_BYTES;
+            if bytes + entry > MAX_DATAGRAM_BYTES {
+                let next = HostReport { sequence, part: part.part + 1, ..HostReport::default() };
+                messages.push(message(std::mem::replace(&mut part, next)));
+                bytes = empty(&part);
+            }
+            part.servers.insert(id, counts);
+            bytes += entry;
+        }
+        messages.push(message(part));
+        messages
+    }
+
+    /// Splits the loads of servers into datagrams, with the sequences after `sequence`.
+    pub fn server_loads(
+        from: &HostId,
+        service: &ServiceName,
+        sequence: &mut u32,
+        servers: &BTreeMap<ServerId, ServerLoad>,
+        service_times: &BTreeMap<u32, Duration>,
+    ) -> Vec<Self> {
+        let mut message = |servers: BTreeMap<ServerId, ServerLoad>| {
+            *sequence = sequence.wrapping_add(1);
+            Self::ServerLoads {
+                from: from.clone(),
+                service: service.clone(),
+                sequence: *sequence,
+                servers,
+                service_times: service_times.clone(),
+            }
+        };
+        let empty = message(BTreeMap::new()).to_bytes().len() + COUNT_BYTES;
+        let mut messages = Vec::new();
+        let (mut part, mut bytes) = (BTreeMap::new(), empty);
+        for (id, load) in servers {
+            let entry = id.to_string().len() + SERVER_LOAD_BYTES;
+            if bytes + entry > MAX_DATAGRAM_BYTES && !part.is_empty() {
+                messages.push(message(std::mem::take(&mut part)));
+                bytes = empty;
+            }
+            part.insert(id.clone(), *load);
+            bytes += entry;
+        }
+        if !part.is_empty() {
+            messages.push(message(part));
+        }
+        messages
+    }
+
     /// Splits the report for one service into datagrams.
     pub fn loads(from: &HostId, service: &ServiceName, report: LoadReport) -> Vec<Self> {
         let mut messages = Vec::new();
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use jacinthbeam_admission::report;
 use jacinthbeam_range::{
     Key, Leader,
     demand::{self, LoadReport},
@@ -124,9 +125,10 @@
     }
 }
 
-/// Sends load reports of keyed services to the hosts that grant their keys.
+/// Sends load reports: of keyed services to the hosts that grant their keys, and of services whose load is exchanged to the collectors.
 async fn report(traffic: Rc<Traffic>, socket: tokio::net::UdpSocket) {
     let mut recent = RecentLoad::default();
+    let mut due = BTreeMap::new();
     loop {
         tokio::time::sleep(REPORT_EVERY).await;
         traffic.tidy();
@@ -134,6 +136,7 @@
         traffic.counters.on_bodies(requests.used(), responses.used());
         traffic.count_in_flight();
         traffic.clear_answered();
+        report_to_collectors(&traffic, &socket, &mut due).await;
         let view = traffic.view();
         for (service, report) in traffic.take_reports() {
             let leader = view.maps.get(&service).and_then(|map| map.leader.as_ref());
@@ -148,6 +151,37 @@
     }
 }
 
+/// Sends the reports that are due to the collectors of each service whose load is exchanged. `due` has the time of the next report.
+async fn report_to_collectors(
+    traffic: &Traffic,
+    socket: &tokio::net::UdpSocket,
+    due: &mut BTreeMap<ServiceName, std::time::Instant>,
+) {
+    let (view, now) = (traffic.view(), traffic.now());
+    traffic.load_counts.retain(&view.load_shared);
+    due.retain(|service, _| view.load_shared.contains_key(service));
+    let interval = report::interval(view.subset_position.hosts);
+    for service in view.load_shared.keys() {
+        let next = due.entry(service.clone()).or_insert(now);
+        // The loop runs a little less often than the shortest interval, which must not skip every other report.
+        if now + REPORT_EVERY / 2 < *next {
+            continue;
+        }
+        *next = (*next + interval).max(now);
+        let loads = traffic.service_loads();
+        let Some(load) = loads.services.get(service) else { continue };
+        let report = traffic.load_counts.take_report(service, now);
+        for message in Message::host_reports(&traffic.settings.host, service, report) {
+            let bytes = message.to_bytes();
+            for collector in &load.collectors {
+                if let Err(err) = socket.send_to(&bytes, collector).await {
+                    tracing::debug!(part = "load", event = "report-not-sent", to = %collector, error = ?err);
+                }
+            }
+        }
+    }
+}
+
 /// Recently reported requests, for a new granting host that has received no earlier report.
 ///
 /// Without them a new granting host would know nothing of the load for some seconds. It would move the keys of a leaving server as if
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -1,13 +1,25 @@
 //! Summary of the state of a host for operators and their tools: the page `/status`.
 
-use std::{collections::BTreeMap, net::IpAddr, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    time::Instant,
+};
 
 use jacinthbeam_crash::suspects::Suspect;
 use jacinthbeam_range::key::KEY_COUNT;
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{Settings, connection::accept::Phase, version::View};
+use crate::{
+    Settings,
+    connection::accept::Phase,
+    process::{
+        load_counts::LoadCounts,
+        service_loads::{ServiceLoad, ServiceLoads},
+    },
+    version::View,
+};
 
 /// State of a host at one point in time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +42,35 @@
     /// Requests under which servers have crashed, by fingerprint.
     #[serde(default)]
     pub crashes: BTreeMap<String, Crashes>,
+    /// The services whose load is exchanged between hosts.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub load: BTreeMap<ServiceName, Load>,
+}
+
+/// Load of a service as known to a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Addresses of the hosts that collect the reports of this host, the preferred one first.
+    pub collectors: Vec<SocketAddr>,
+    /// Milliseconds since the plan that is followed arrived; `None` without a plan.
+    pub plan_age_ms: Option<u64>,
+    /// The load by rank, 0 being the most urgent.
+    pub ranks: BTreeMap<u32, RankLoad>,
+}
+
+/// Load of one rank of a service as known to a host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankLoad {
+    /// Percentage of the host's demand that may be started; `None` if all of it may be, or without a plan.
+    pub share_percent: Option<u32>,
+    /// Requests that wait at this host.
+    pub waiting_here: u32,
+    /// Requests that wait in the fleet; `None` if unknown.
+    pub waiting_in_fleet: Option<u32>,
+    /// Requests of this host in flight at servers.
+    pub in_flight: u32,
+    /// Requests from callers of this host, per second.
+    pub arrivals_per_second: u32,
 }
 
 /// Servers that have crashed under one request.
@@ -123,9 +164,36 @@
         evacuated: view.evacuated.keys().cloned().collect(),
         services: services(view),
         crashes: crashes.collect(),
+        load: BTreeMap::new(),
     }
 }
 
+/// Load of each service whose load is exchanged.
+pub fn loads(
+    loads: &ServiceLoads,
+    counts: &LoadCounts,
+    now: Instant,
+) -> BTreeMap<ServiceName, Load> {
+    let load = |(service, load): (&ServiceName, &ServiceLoad)| {
+        let mut ranks: BTreeMap<u32, RankLoad> = BTreeMap::new();
+        for (rank, here) in counts.ranks(service) {
+            let row = ranks.entry(rank).or_default();
+            row.waiting_here = here.waiting;
+            row.in_flight = here.in_flight;
+            row.arrivals_per_second = here.arrival_rate.round() as u32;
+        }
+        for (rank, plan) in load.plan.iter().flat_map(|(_, plan)| &plan.ranks) {
+            let row = ranks.entry(*rank).or_default();
+            row.share_percent = Some((plan.share * 100.0).round() as u32);
+            row.waiting_in_fleet = Some(plan.waiting);
+        }
+        let age = load.plan.as_ref().map(|(at, _)| now.saturating_duration_since(*at));
+        let plan_age_ms = age.map(|age| age.as_millis() as u64);
+        (service.clone(), Load { collectors: load.collectors.clone(), plan_age_ms, ranks })
+    };
+    loads.services.iter().map(load).collect()
+}
+
 /// State of each service in the configuration of the view.
 pub fn services(view: &View) -> BTreeMap<ServiceName, Service> {
     let services = view.config.iter().flat_map(|cfg| &cfg.services);
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -24,8 +24,9 @@
     Settings, Wire,
     connection::accept::Phase,
     process::{
-        helping::Helping, logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
-        request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads, usage,
+        helping::Helping, load_counts::LoadCounts, logs::Quota, metrics::Counters,
+        partition::PartitionMonitor, permits, request_log::RequestLog, server_state::ServerState,
+        service_loads::ServiceLoads, usage,
     },
     request::{
         forward::{Forwarding, Peer},
@@ -52,6 +53,8 @@
     pub counters: Arc<Counters>,
     /// Usage that requests are charged to their teams.
     pub usage: usage::Counted,
+    /// Counts of requests to services whose load is exchanged between hosts.
+    pub load_counts: LoadCounts,
     /// Logs sends and refusals of requests.
     pub request_log: RequestLog,
     /// Logs what servers state about their own load.
@@ -109,6 +112,8 @@
     pub counters: Arc<Counters>,
     /// Usage that requests are charged to their teams.
     pub usage: usage::Counted,
+    /// Counts of requests to services whose load is exchanged between hosts.
+    pub load_counts: LoadCounts,
     /// The current view.
     pub view: watch::Receiver<Arc<View>>,
     /// How current the view is.
@@ -134,7 +139,7 @@
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
         let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
-        let Start { partitioned, peers, loads, .. } = start;
+        let Start { partitioned, peers, loads, load_counts, .. } = start;
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -144,6 +149,7 @@
             dialer,
             counters,
             usage,
+            load_counts,
             request_log: RequestLog::default(),
             backpressure_log: RefCell::new(Quota::new(MAX_BACKPRESSURE_LINES_PER_SECOND)),
             view,
@@ -300,6 +306,11 @@
         self.loads.borrow().clone()
     }
 
+    /// Fleet-wide mean time to an answer at a rank of a service; `None` if unknown.
+    pub fn mean_service_time(&self, service: &ServiceName, rank: u32) -> Option<Duration> {
+        self.loads.borrow().services.get(service)?.service_times.get(&rank).copied()
+    }
+
     /// Admission gate of an owner; `None` if it admits every request.
     pub fn gate(&self, owner: &ServerId) -> Option<Gate> {
         let gates = self.gates.borrow();
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -167,11 +167,13 @@
 ) -> SendOutcome {
     let max_connections = job.traffic.most_connections(job.connections, view.hosts);
     let limits = SendLimits { max_connections, deadline: job.deadline, permit };
+    let load_shared = view.load_shared.contains_key(&job.service);
     let sent = if job.idempotent {
-        send_metered(job, server, limits).await
+        send_metered(job, server, limits, load_shared).await
     } else {
         let (job, server) = (job.clone(), server.clone());
-        let task = spawn_local(async move { send_metered(&job, &server, limits).await });
+        let task =
+            spawn_local(async move { send_metered(&job, &server, limits, load_shared).await });
         task.await.unwrap_or(SendOutcome::Lost(Lost::Broken))
     };
     if let (SendOutcome::Answered { .. }, true) = (&sent, job.keyed) {
@@ -180,15 +182,44 @@
     sent
 }
 
-async fn send_metered(job: &Job, server: &Server, limits: SendLimits) -> SendOutcome {
+async fn send_metered(
+    job: &Job,
+    server: &Server,
+    limits: SendLimits,
+    load_shared: bool,
+) -> SendOutcome {
     job.usage.begin();
+    let (traffic, rank) = (&job.traffic, job.route.priority);
+    let _in_flight =
+        load_shared.then(|| traffic.load_counts.on_send(&job.service, rank, &server.id));
+    let begun = traffic.now();
     let mut guard = AbandonGuard { job, server, is_finished: false };
     let sent = send::send(&job.traffic, &job.request, server, limits).await;
     guard.is_finished = true;
     job.usage.end(&sent);
+    if load_shared {
+        count_outcome(job, server, &sent, begun);
+    }
     sent
 }
 
+/// Counts the outcome of a send for the next load report. Errors are not counted as answers: their latency says nothing about the time
+/// that requests take.
+fn count_outcome(job: &Job, server: &Server, sent: &SendOutcome, begun: Instant) {
+    let (traffic, rank) = (&job.traffic, job.route.priority);
+    match sent {
+        SendOutcome::Answered { success: true, .. } => {
+            let took = traffic.now().saturating_duration_since(begun);
+            let mean = traffic.mean_service_time(&job.service, rank);
+            traffic.load_counts.on_answer(&job.service, rank, &server.id, took, mean);
+        }
+        SendOutcome::NotRun(NotRun::Full) => {
+            traffic.load_counts.on_rejected(&job.service, &server.id);
+        }
+        _ => {}
+    }
+}
+
 /// Guard of a request in flight at a server. If it is dropped unfinished, the caller has disconnected.
 struct AbandonGuard<'a> {
     job: &'a Job,
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -97,6 +97,9 @@
         return bad_request(&traffic, "the service is divided by key and the request names none");
     }
     traffic.on_request(&name, view.hosts);
+    if view.load_shared.contains_key(&name) {
+        traffic.load_counts.on_arrival(&name, route.priority);
+    }
     let mut headers = parts.headers;
     strip(&mut headers, &KEPT_HEADERS);
     headers.remove(header::CONTENT_LENGTH);
