--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -202,6 +202,9 @@
             self.permits.on_hosts_changed();
         }
         self.publish();
+        if changed.hosts || changed.config {
+            self.update_collectors();
+        }
         if changed.hosts {
             self.publish_neighbours();
             self.publish_peers();
@@ -226,7 +229,6 @@
         self.counters.evacuated.record(view.evacuated.len() as u64, &[]);
         self.counters.cold.record(view.cold.len() as u64, &[]);
         self.view.send_replace(Arc::new(view));
-        self.update_collectors();
     }
 
     /// Cold servers, and this host's share of the requests that they may get. The shares are divided among the hosts of a server's own failure
--- a/crates/jacinthbeam-host/src/process/control/loads.rs
+++ b/crates/jacinthbeam-host/src/process/control/loads.rs
@@ -258,8 +258,7 @@
         if !collecting.collector.is_complete(now) {
             return;
         }
-        let near = |server: &&Server| server.domain == self.settings.domain;
-        let servers: Vec<&Server> = self.replica.servers().of(service).filter(near).collect();
+        let servers = self.near_servers(service);
         let warm = servers.iter().filter(|server| !server.is_cold());
         let warm = warm.map(|server| (&server.id, server.slots));
         let load = collecting.collector.load(warm, now);
@@ -298,6 +297,14 @@
         }
     }
 
+    /// The servers of a service in this host's failure domain that accept work.
+    fn near_servers(&self, service: &ServiceName) -> Vec<&Server> {
+        let servers = self.replica.servers();
+        let near = servers.ids_of(service).filter(|(domain, _)| **domain == self.settings.domain);
+        let near = near.flat_map(|(_, ids)| ids).filter_map(|id| servers.get(id));
+        near.filter(|server| !server.draining).collect()
+    }
+
     fn send_loads(&self, message: &Message, to: &[SocketAddr]) {
         let bytes = message.to_bytes();
         for addr in to {
