--- a/crates/jacinthbeam-admission/src/collect.rs
+++ b/crates/jacinthbeam-admission/src/collect.rs
@@ -200,11 +200,6 @@
         self.service_times.retain(|_, mean| mean.weight_at(now, SERVICE_TIME_DECAY) > MIN_ANSWERS);
     }
 
-    /// Number of hosts whose reports are valid.
-    pub fn reporting(&self, now: Instant) -> usize {
-        self.valid_hosts(now).count()
-    }
-
     /// The load of the domain, given the servers of the domain that accept work and are warm, with their slots.
     pub fn load<'a>(
         &self,
--- a/crates/jacinthbeam-host/src/process/control/loads.rs
+++ b/crates/jacinthbeam-host/src/process/control/loads.rs
@@ -22,6 +22,7 @@
 
 use super::state::Control;
 use crate::process::{
+    metrics::Counters,
     peers::load::Message,
     service_loads::{ServiceLoad, ServiceLoads},
 };
@@ -119,7 +120,7 @@
         exchange.near = near.iter().filter_map(|host| addr(host)).collect();
         let ceased = exchange.services.extract_if(.., |service, _| !shared.contains_key(service));
         for (service, exchanged) in ceased {
-            exchanged.log_ceased(&service);
+            exchanged.on_ceased(&service, &self.counters);
         }
         let hosts = near.len() as u32;
         for service in shared.keys() {
@@ -133,7 +134,7 @@
             exchanged.changed |= exchanged.collectors != collectors;
             exchanged.collectors = collectors;
             if !is_collector {
-                exchanged.log_ceased(service);
+                exchanged.on_ceased(service, &self.counters);
                 exchanged.collecting = None;
                 continue;
             }
@@ -386,8 +387,10 @@
         }
     }
 
-    fn log_ceased(&self, service: &ServiceName) {
+    /// Must be called before the host ceases to be a collector, if it is one. Others record the metrics of collectors from then on.
+    fn on_ceased(&self, service: &ServiceName, counters: &Counters) {
         if self.collecting.is_some() {
+            counters.on_capacity(service, 0, 0);
             tracing::info!(part = "load", event = "not-collector", service = %service);
         }
     }
--- a/crates/jacinthbeam-host/tests/status.rs
+++ b/crates/jacinthbeam-host/tests/status.rs
@@ -1,9 +1,18 @@
 //! The status page of a host.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use jacinthbeam_admission::{Plan, plan::RankPlan};
 use jacinthbeam_host::{
-    process::status::{Keys, services},
+    process::{
+        load_counts::LoadCounts,
+        service_loads::{ServiceLoad, ServiceLoads},
+        status::{Keys, RankLoad, loads, services},
+    },
     version::View,
 };
 use jacinthbeam_range::{Map, key::KEY_COUNT};
@@ -53,3 +62,24 @@
     assert!(matches!(status.keys, Keys::Owned(_)), "{status:?}");
     assert_eq!(status.unowned(), KEY_COUNT);
 }
+
+/// Guards against an operator who can't see why requests wait or are refused.
+#[test]
+fn the_load_of_a_service_is_shown_by_rank() {
+    let (counts, service, now) = (LoadCounts::default(), name("tiles"), Instant::now());
+    counts.set_waiting(&service, 2, 3);
+    counts.on_arrival(&service, 1);
+    let plan = RankPlan { share: 0.456, waiting: 70, ..RankPlan::default() };
+    let plan = Plan { ranks: BTreeMap::from([(2, plan)]), ..Plan::default() };
+    let load = ServiceLoad { plan: Some((now, plan)), ..ServiceLoad::default() };
+    let shared = ServiceLoads { services: BTreeMap::from([(service.clone(), load)]) };
+    let shown = &loads(&shared, &counts, now + Duration::from_millis(300))[&service];
+    assert_eq!(shown.plan_age_ms, Some(300));
+    let deferred = RankLoad {
+        share_percent: Some(46),
+        waiting_here: 3,
+        waiting_in_fleet: Some(70),
+        ..RankLoad::default()
+    };
+    assert_eq!(shown.ranks, BTreeMap::from([(1, RankLoad::default()), (2, deferred)]));
+}
