--- a/crates/jacinthbeam-dispatch/src/budget.rs
+++ b/crates/jacinthbeam-dispatch/src/budget.rs
@@ -40,6 +40,17 @@
 /// Process starts within one window that a host's part of the burst has to cover.
 const STARTS_PER_WINDOW: f64 = 2.0;
 
+/// How long the lender counts a loan after the grant: the borrower's period of use, and a margin for a retry that is sent just before its end.
+///
+/// The borrower's period begins with its request, so before the grant.
+pub const LOAN_PERIOD: Duration = Duration::from_millis(600);
+
+/// Most retries of one loan.
+pub const MAX_LOAN: u32 = 8;
+
+/// Share of what is left that one loan may take.
+const LOAN_SHARE: f64 = 0.5;
+
 /// This host's share of the budget of one service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -49,6 +60,8 @@
     begun: Instant,
     /// Ordered by number. Buckets without any count are left out.
     buckets: VecDeque<Bucket>,
+    /// Retries that were lent to other hosts, in the order of the grants.
+    loans: VecDeque<Loan>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -58,10 +71,18 @@
     retries: u32,
 }
 
+/// Retries that another host may send between two buckets, both included.
+#[derive(Debug, Clone, Copy)]
+struct Loan {
+    first: u64,
+    last: u64,
+    retries: u32,
+}
+
 impl RetryBudget {
     /// Creates an unused budget at `now`, whose burst is divided among `hosts`; 0 if their number is unknown.
     pub fn new(options: Options, hosts: u32, now: Instant) -> Self {
-        Self { options, hosts, begun: now, buckets: VecDeque::new() }
+        Self { options, hosts, begun: now, buckets: VecDeque::new(), loans: VecDeque::new() }
     }
 
     /// Sets the number of hosts that the burst is divided among.
@@ -96,10 +117,39 @@
 
     /// Retries that are left now: the minimum over all windows that contain `now`.
     pub fn left(&self, now: Instant) -> f64 {
-        let current = self.bucket_number(now);
-        let first = current.saturating_sub(BUCKETS_PER_WINDOW);
-        let left = (first..=current).map(|begin| self.left_in_windows_from(begin));
-        left.fold(f64::INFINITY, f64::min)
+        let windows = self.windows_of(now, now);
+        windows.map(|begin| self.left_in_windows_from(begin)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Retries that would be left now if none had been sent or lent.
+    pub fn size(&self, now: Instant) -> f64 {
+        let windows = self.windows_of(now, now);
+        windows.map(|begin| self.allowed_in_windows_from(begin)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Lends retries to another host, which may send them until [`LOAN_PERIOD`] after `now`. Returns their number: at most `wanted`,
+    /// [`MAX_LOAN`], and half of what is left. They count as spent in every window that overlaps that period, since any of them
+    /// may be sent in any of these windows.
+    pub fn lend(&mut self, wanted: u32, now: Instant) -> u32 {
+        let end = now + LOAN_PERIOD;
+        // The requests of the past count less in the windows that begin later, so these are checked as well.
+        let windows = self.windows_of(now, end);
+        let left =
+            windows.map(|begin| self.left_in_windows_from(begin)).fold(f64::INFINITY, f64::min);
+        let retries = ((left * LOAN_SHARE).max(0.0) as u32).min(wanted).min(MAX_LOAN);
+        let (first, last) = (self.bucket_number(now), self.bucket_number(end));
+        while self.loans.front().is_some_and(|loan| loan.last + RETAINED_BUCKETS < first) {
+            self.loans.pop_front();
+        }
+        if retries > 0 {
+            self.loans.push_back(Loan { first, last, retries });
+        }
+        retries
+    }
+
+    /// Buckets in which the windows begin that contain any moment from `first` to `last`.
+    fn windows_of(&self, first: Instant, last: Instant) -> impl Iterator<Item = u64> + use<> {
+        self.bucket_number(first).saturating_sub(BUCKETS_PER_WINDOW)..=self.bucket_number(last)
     }
 
     /// Retries that are left for the windows that begin within bucket `begin`.
@@ -107,13 +157,21 @@
     /// Conservative for a window that begins anywhere in the bucket: all retries of the bucket are counted, and its requests
     /// are not.
     fn left_in_windows_from(&self, begin: u64) -> f64 {
-        let retries = self.sum(begin, begin + BUCKETS_PER_WINDOW + 1, |bucket| bucket.retries);
+        let end = begin + BUCKETS_PER_WINDOW + 1;
+        let retries = self.sum(begin, end, |bucket| bucket.retries);
+        let lent = self.loans.iter().filter(|loan| loan.first < end && loan.last >= begin);
+        let lent: f64 = lent.map(|loan| f64::from(loan.retries)).sum();
+        self.allowed_in_windows_from(begin) - retries - lent
+    }
+
+    /// Retries that are allowed in the windows that begin within bucket `begin`.
+    fn allowed_in_windows_from(&self, begin: u64) -> f64 {
         let requests = |back: u64| {
             let end = (begin + BUCKETS_PER_WINDOW).saturating_sub(back);
             self.sum((begin + 1).saturating_sub(back), end, |bucket| bucket.requests)
         };
         let mean = (requests(0) + requests(HALF_WINDOW) + requests(BUCKETS_PER_WINDOW)) / 3.0;
-        self.options.ratio * mean + self.burst_share() - retries
+        self.options.ratio * mean + self.burst_share()
     }
 
     /// Sum over the buckets `first..end`.
--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -1,16 +1,19 @@
 //! Load balancing on one host: which backend server gets a request, whether a request may be retried, and the retry hint of a
 //! refusal.
 //!
-//! Every decision uses only what this host has observed itself: the latency of each server, the requests that it has in flight
-//! there, which connections it could open, and what the server refused. There is no I/O, and callers pass in the time.
+//! Every decision uses what this host has observed itself: the latency of each server, the requests that it has in flight there,
+//! which connections it could open, and what the server refused. Retries may also come out of another host's share of the retry
+//! budget. There is no I/O, and callers pass in the time.
 
 pub mod budget;
 pub mod choose;
+pub mod credit;
 pub mod helper;
 pub mod pause;
 pub mod rate_limit;
 pub mod reachability;
 pub mod refusal;
+pub mod retry;
 pub mod server;
 pub mod slow_start;
 pub mod subset;
--- a/crates/jacinthbeam-dispatch/tests/budget.rs
+++ b/crates/jacinthbeam-dispatch/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use arbtest::arbtest;
-use jacinthbeam_dispatch::budget::{Options, RetryBudget};
+use jacinthbeam_dispatch::budget::{LOAN_PERIOD, MAX_LOAN, Options, RetryBudget};
 
 const ALL: Options = Options { ratio: 0.2, burst: 64.0, window: Duration::from_secs(10) };
 
@@ -151,3 +151,41 @@
     }
     assert!((650..=800).contains(&later), "{later} for 4000 requests");
 }
+
+/// Guards against a lender that gives away what it needs itself, or more than one borrower can use in time.
+#[test]
+fn a_loan_takes_at_most_half_of_what_is_left() {
+    let begun = Instant::now();
+    let options = Options { ratio: 0.2, burst: 12.0, ..ALL };
+    let mut budget = RetryBudget::new(options, 1, begun);
+    let lent: Vec<u32> = (0..4).map(|_| budget.lend(100, begun)).collect();
+    assert_eq!(lent, [3, 1, 1, 0]);
+    assert_eq!((budget.left(begun), budget.size(begun)), (1.0, 6.0));
+    let mut large = RetryBudget::new(ALL, 1, begun);
+    assert_eq!((large.lend(100, begun), large.lend(3, begun)), (MAX_LOAN, 3));
+}
+
+/// Guards against a loan that the borrower uses in a window in which the lender spends it again: it counts in each window that
+/// overlaps its period, and in no other.
+#[test]
+fn a_loan_counts_in_every_window_that_overlaps_its_period() {
+    let begun = Instant::now();
+    let options = Options { ratio: 0.0, burst: 32.0, ..ALL };
+    let mut budget = RetryBudget::new(options, 1, begun);
+    assert_eq!(budget.lend(8, begun), 8);
+    let left = |after: Duration| budget.left(begun + after);
+    assert_eq!(left(ALL.window + LOAN_PERIOD), 8.0);
+    assert_eq!(left(ALL.window + LOAN_PERIOD + ALL.window / 10), 16.0);
+}
+
+/// Guards against a loan out of the requests of a past load that no window counts any more when the borrower uses it.
+#[test]
+fn a_loan_is_covered_by_the_requests_of_the_last_window_of_its_period() {
+    let begun = Instant::now();
+    let mut budget = RetryBudget::new(Options { burst: 0.0, ..ALL }, 1, begun);
+    (0..200).for_each(|_| budget.on_request(begun));
+    let end = begun + ALL.window - LOAN_PERIOD;
+    let now = end + LOAN_PERIOD / 2;
+    assert!(budget.left(now) >= 1.0 && budget.left(begun + ALL.window + LOAN_PERIOD) < 1.0);
+    assert_eq!(budget.lend(8, now), 0);
+}
