feat(request): keyed retries after a rejection as full, and a retry budget with credit

A keyed request that its owner rejects at random was refused, although the budget would allow a retry; and a host with an unlucky share of the rejections ran out of retries while others had some left. The decision moves from serve to retry. Where servers state their load, or a service has routes of several ranks, a rejection that is likely to be random is followed by another send, and the budget is spent by rank and remaining time. A host whose share is used up borrows from another one. Elsewhere, nothing changes.

--- a/crates/jacinthbeam-host/src/process/control/gates.rs
+++ b/crates/jacinthbeam-host/src/process/control/gates.rs
@@ -10,7 +10,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::state::Control;
-use crate::process::peers::load::Message;
+use crate::process::{credits::Incoming, peers::load::Message};
 
 /// Interval between two broadcasts of gates; the load reports that they are computed from arrive as often.
 const GATES_INTERVAL: Duration = Duration::from_millis(250);
@@ -55,9 +55,13 @@
             Message::HostReport { .. }
             | Message::DomainLoad { .. }
             | Message::Plan { .. }
-            | Message::ServerLoads { .. }
-            | Message::CreditRequest { .. }
-            | Message::CreditGrant { .. } => {}
+            | Message::ServerLoads { .. } => {}
+            Message::CreditRequest { id, service, wanted } => {
+                self.pass_credit_message(Incoming::Request { from, id, service, wanted });
+            }
+            Message::CreditGrant { id, service, granted } => {
+                self.pass_credit_message(Incoming::Grant { id, service, granted });
+            }
         }
     }
 
--- a/crates/jacinthbeam-host/src/process/control/input.rs
+++ b/crates/jacinthbeam-host/src/process/control/input.rs
@@ -10,6 +10,7 @@
 
 use super::update_client::UpdateScope;
 use crate::process::{
+    credits,
     inbox::{InputKind, Waiting},
     peers::{
         load::Message,
@@ -58,6 +59,7 @@
             | Self::Datagram(..)
             | Self::Crash(_)
             | Self::RateLimit(_)
+            | Self::Credit(_)
             | Self::Restored
             | Self::Dump(_)
             | Self::Stop => InputKind::Other,
@@ -140,6 +142,8 @@
     Crash(Fact),
     /// The traffic thread needs a permit, or has received a withdrawal of a limit.
     RateLimit(permits::Query),
+    /// The traffic thread sends a message about a retry budget to another host.
+    Credit(credits::Outgoing),
     /// The store was restored from an older copy.
     Restored,
     /// Time has passed.
--- a/crates/jacinthbeam-host/src/process/control/mod.rs
+++ b/crates/jacinthbeam-host/src/process/control/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod contact;
 mod crashes;
+mod credits;
 mod cross_domain;
 mod duty;
 mod enrolment;
@@ -86,6 +87,10 @@
     pub(super) crashes: mpsc::UnboundedReceiver<Fact>,
     /// Queries of the traffic thread about rate limits.
     pub(super) permits: mpsc::UnboundedReceiver<super::permits::Query>,
+    /// Messages of the traffic thread to other hosts about retry budgets.
+    pub(super) credits_out: mpsc::UnboundedReceiver<super::credits::Outgoing>,
+    /// Receives messages of other hosts about retry budgets.
+    pub(super) credits: mpsc::Sender<super::credits::Incoming>,
     /// Whether this host is partitioned from all backend servers.
     pub(super) partitioned: watch::Receiver<bool>,
     /// The other hosts, in the order in which this one prefers them as helpers.
@@ -132,6 +137,8 @@
     spawn_local(forward(crashes, tx.clone(), Input::Crash));
     let permits = std::mem::replace(&mut start.permits, mpsc::unbounded_channel().1);
     spawn_local(forward(permits, tx.clone(), Input::RateLimit));
+    let credits = std::mem::replace(&mut start.credits_out, mpsc::unbounded_channel().1);
+    spawn_local(forward(credits, tx.clone(), Input::Credit));
     let usage = start.usage.clone();
     let mut control = Control::new(start, tx, reports);
     control.start_tasks();
--- a/crates/jacinthbeam-host/src/process/control/state.rs
+++ b/crates/jacinthbeam-host/src/process/control/state.rs
@@ -43,6 +43,7 @@
 use crate::{
     Settings, Wire,
     process::{
+        credits::Incoming,
         inbox::InputKind,
         membership::Standby,
         metrics::Counters,
@@ -98,6 +99,8 @@
     pub(super) cold_assignments: BTreeMap<ServerId, ColdServer>,
     /// When servers were last listed as warm.
     pub(super) cold_expired: Option<Instant>,
+    /// Receives messages of other hosts about retry budgets.
+    pub(super) credits: mpsc::Sender<Incoming>,
     /// Permits for servers that state a rate limit.
     pub(super) permits: Permits,
     /// Crash evidence against requests.
@@ -146,7 +149,7 @@
 impl Control {
     pub(super) fn new(start: Start, tx: Tx, socket: Rc<UdpSocket>) -> Self {
         let Start { settings, wire, clock, dialer, counters, incarnation, .. } = start;
-        let Start { view, freshness, gates, loads, partitioned, peers, .. } = start;
+        let Start { view, freshness, gates, loads, partitioned, peers, credits, .. } = start;
         let me = Leader { host: settings.host.clone(), incarnation, addr: settings.peers };
         let now = clock.now();
         let standby = Standby::new(now);
@@ -170,6 +173,7 @@
             replica: StoreReplica::default(),
             cold_assignments: BTreeMap::new(),
             cold_expired: None,
+            credits,
             permits: Permits::new(now),
             crashes: Exchange::new(me.host.clone(), incarnation),
             crash_sync: crashes::SyncState::default(),
@@ -333,6 +337,7 @@
             }
             Input::Datagram(from, message) => self.on_datagram(from, message),
             Input::RateLimit(query) => self.on_rate_limit_query(query),
+            Input::Credit(message) => self.on_credit_message(message),
             Input::Restored => self.on_restored(),
             Input::Tick => {
                 self.publish_freshness();
--- /dev/null
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -0,0 +1,222 @@
+//! The retry budgets of this host's services, with the credit that is exchanged with other hosts.
+//!
+//! The traffic thread has the budgets, and the control thread the datagrams to and from other hosts.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+
+use jacinthbeam_dispatch::{
+    RetryBudget,
+    budget::{MAX_LOAN, Options},
+    credit::Borrower,
+    retry::Decision,
+};
+use jacinthbeam_types::prelude::*;
+use tokio::sync::mpsc;
+
+use super::metrics::Counters;
+
+/// A message of the traffic thread to another host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outgoing {
+    /// A request for credit, to any other host.
+    Request {
+        /// Identifies the request at this host.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Retries that this host could use.
+        wanted: u32,
+    },
+    /// The answer to a request.
+    Grant {
+        /// Address of the requesting host.
+        to: SocketAddr,
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Number of retries; 0 if the request is declined.
+        granted: u32,
+    },
+}
+
+/// A message of another host to the traffic thread.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Incoming {
+    /// A request for credit.
+    Request {
+        /// Address of the requesting host.
+        from: SocketAddr,
+        /// Identifies the request at the requesting host.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Retries that the requesting host could use.
+        wanted: u32,
+    },
+    /// The answer to a request of this host.
+    Grant {
+        /// Identifies the request.
+        id: u64,
+        /// The service.
+        service: ServiceName,
+        /// Number of retries.
+        granted: u32,
+    },
+}
+
+/// Messages of other hosts that may wait for the traffic thread. Further ones are dropped like lost datagrams.
+pub const MAX_INCOMING: usize = 256;
+
+/// The retry budgets of all services, on the traffic thread.
+#[derive(Debug)]
+pub struct RetryBudgets {
+    options: Options,
+    counters: Arc<Counters>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    services: RefCell<BTreeMap<ServiceName, Account>>,
+}
+
+/// The retries of one service: this host's share of the budget, and what it has borrowed.
+#[derive(Debug)]
+struct Account {
+    budget: RetryBudget,
+    borrower: Borrower,
+}
+
+impl Account {
+    /// Retries that are left, borrowed ones included.
+    fn left(&self, now: Instant) -> f64 {
+        self.budget.left(now).floor().max(0.0) + f64::from(self.borrower.left(now))
+    }
+}
+
+impl RetryBudgets {
+    /// Unused budgets. Messages to other hosts are sent to `outgoing`.
+    pub fn new(
+        options: Options,
+        counters: Arc<Counters>,
+        outgoing: mpsc::UnboundedSender<Outgoing>,
+    ) -> Self {
+        Self { options, counters, outgoing, services: RefCell::default() }
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn on_request(&self, service: &ServiceName, hosts: u32, now: Instant) {
+        self.with_account(service, hosts, now, |account| account.budget.on_request(now));
+    }
+
+    /// Takes one retry from this host's share. Returns whether there was one left.
+    pub fn take(&self, service: &ServiceName, hosts: u32, now: Instant) -> bool {
+        let (allowed, left) = self.with_account(service, hosts, now, |account| {
+            (account.budget.take(now), account.budget.left(now))
+        });
+        self.counters.on_repeat(service, (!allowed).then_some("budget"), left);
+        allowed
+    }
+
+    /// Decides about a retry by the number of retries that are left, borrowed ones included, and the size of this host's share.
+    /// Requests credit if the share is used up.
+    pub fn decide(
+        &self,
+        service: &ServiceName,
+        hosts: u32,
+        now: Instant,
+        decide: impl FnOnce(f64, f64) -> Decision,
+    ) -> Decision {
+        let (decision, left) = self.with_account(service, hosts, now, |account| {
+            self.request_credit(service, account, now);
+            let left = account.left(now);
+            (decide(left, account.budget.size(now)), left)
+        });
+        if let Decision::Refuse(why) = decision {
+            self.counters.on_repeat(service, Some(why.as_str()), left);
+        }
+        decision
+    }
+
+    /// Like [`Self::decide`], and takes the retry if it is allowed, from this host's share first.
+    pub fn spend(
+        &self,
+        service: &ServiceName,
+        hosts: u32,
+        now: Instant,
+        decide: impl FnOnce(f64, f64) -> Decision,
+    ) -> bool {
+        if self.decide(service, hosts, now, decide) != Decision::Retry {
+            return false;
+        }
+        let (taken, left) = self.with_account(service, hosts, now, |account| {
+            let is_own = account.budget.take(now);
+            let is_borrowed = !is_own && account.borrower.take(now);
+            if is_borrowed {
+                self.counters.on_credits("used", 1);
+            }
+            self.request_credit(service, account, now);
+            (is_own || is_borrowed, account.left(now))
+        });
+        self.counters.on_repeat(service, (!taken).then_some("budget"), left);
+        taken
+    }
+
+    /// Requests credit if this host's share is used up, unless it has done so recently.
+    fn request_credit(&self, service: &ServiceName, account: &mut Account, now: Instant) {
+        if account.budget.left(now) >= 1.0 {
+            return;
+        }
+        if let Some(id) = account.borrower.request(MAX_LOAN, now) {
+            self.send(Outgoing::Request { id, service: service.clone(), wanted: MAX_LOAN });
+        }
+    }
+
+    /// Handles a message of another host.
+    pub fn on_message(&self, message: Incoming, now: Instant) {
+        let mut services = self.services.borrow_mut();
+        match message {
+            Incoming::Request { from, id, service, wanted } => {
+                let account = services.get_mut(&service);
+                let granted = account.map_or(0, |account| account.budget.lend(wanted, now));
+                match granted {
+                    0 => self.counters.on_credits("declined", 1),
+                    lent => self.counters.on_credits("lent", lent),
+                }
+                self.send(Outgoing::Grant { to: from, id, service, granted });
+            }
+            Incoming::Grant { id, service, granted } => {
+                let Some(account) = services.get_mut(&service) else { return };
+                let borrowed = account.borrower.on_grant(id, granted, now);
+                self.counters.on_credits("borrowed", borrowed);
+            }
+        }
+    }
+
+    /// Drops borrowed retries whose time is over.
+    pub fn expire(&self, now: Instant) {
+        for account in self.services.borrow_mut().values_mut() {
+            self.counters.on_credits("lapsed", account.borrower.expire(now));
+        }
+    }
+
+    fn send(&self, message: Outgoing) {
+        if self.outgoing.send(message).is_err() {
+            tracing::debug!(part = "retry", event = "not-sent");
+        }
+    }
+
+    fn with_account<R>(
+        &self,
+        service: &ServiceName,
+        hosts: u32,
+        now: Instant,
+        f: impl FnOnce(&mut Account) -> R,
+    ) -> R {
+        let mut services = self.services.borrow_mut();
+        // The ids begin at a random number, so that a grant to an earlier process of this host matches no request of this one.
+        let account = services.entry(service.clone()).or_insert_with(|| Account {
+            budget: RetryBudget::new(self.options, hosts, now),
+            borrower: Borrower::new(fastrand::u64(..)),
+        });
+        account.budget.set_hosts(hosts);
+        f(account)
+    }
+}
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -56,10 +56,12 @@
     pub pauses: Counter<u64>,
     /// Requests for permits to send to rate-limited servers, by outcome.
     permits: Counter<u64>,
-    /// Retries that the retry budget allowed or refused, by service.
+    /// Retries that were allowed or refused, by service; if refused, by reason.
     repeats: Counter<u64>,
     /// Retries left in this host's share of the retry budget, by service.
     repeats_left: Gauge<f64>,
+    /// Retries lent to and borrowed from other hosts, by outcome.
+    credits: Counter<u64>,
     /// Time that requests waited for their key to get an owner.
     waits: Histogram<f64>,
     /// Time that inputs waited for the control thread, by whether they carry store state.
@@ -125,6 +127,7 @@
             permits: count("jacinthbeam_permits"),
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
+            credits: count("jacinthbeam_credits"),
             waits: seconds("jacinthbeam_wait_seconds"),
             control_waits: seconds("jacinthbeam_control_wait_seconds"),
             reports_left_out: count("jacinthbeam_reports_left_out"),
@@ -190,13 +193,22 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
-    /// Counts a retry that the retry budget allowed or refused, and records how many are left.
-    pub fn on_repeat(&self, service: &ServiceName, allowed: bool, left: f64) {
+    /// Counts a retry that was allowed, or refused for the reason `why`, and records how many are left.
+    pub fn on_repeat(&self, service: &ServiceName, why: Option<&'static str>, left: f64) {
         let service = service_label(service);
-        self.repeats.add(1, &[service.clone(), KeyValue::new("allowed", allowed)]);
+        let mut labels = vec![service.clone(), KeyValue::new("allowed", why.is_none())];
+        labels.extend(why.map(|why| KeyValue::new("why", why)));
+        self.repeats.add(1, &labels);
         self.repeats_left.record(left, &[service]);
     }
 
+    /// Counts retries that are lent to or borrowed from other hosts, and requests for them that are declined.
+    pub fn on_credits(&self, outcome: &'static str, count: u32) {
+        if count > 0 {
+            self.credits.add(u64::from(count), &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
     /// Records how long a request waited for its key to get an owner.
     pub fn on_wait(&self, took: Duration) {
         self.waits.record(took.as_secs_f64(), &[]);
--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod broken;
 pub mod clock;
 mod control;
+pub mod credits;
 pub mod evacuation;
 pub mod helping;
 pub mod inbox;
@@ -133,6 +134,8 @@
     let (done_tx, done) = tokio::sync::oneshot::channel();
     let (crashes_tx, crashes) = tokio::sync::mpsc::unbounded_channel();
     let (permits_tx, permits) = tokio::sync::mpsc::unbounded_channel();
+    let (credits_tx, credits) = tokio::sync::mpsc::unbounded_channel();
+    let (credits_in_tx, credits_in) = tokio::sync::mpsc::channel(credits::MAX_INCOMING);
     let (partitioned_tx, partitioned) = watch::channel(false);
     let (peers_tx, peers) = watch::channel(Arc::default());
     let (forwarded_tx, forwarded) = tokio::sync::mpsc::unbounded_channel();
@@ -152,6 +155,8 @@
         phase: phase_rx.clone(),
         crashes,
         permits,
+        credits_out: credits,
+        credits: credits_in_tx,
         partitioned,
         peers: peers_tx,
         forwarded: forwarded_tx,
@@ -178,6 +183,7 @@
         loads,
         crashes: crashes_tx,
         permits: permits_tx,
+        credits: credits_tx,
         partitioned: partitioned_tx,
         peers,
     };
@@ -187,6 +193,7 @@
         callers: sockets.callers,
         reports,
         forwarded,
+        credits: credits_in,
         served: done_tx,
     };
     let threads = vec![
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -92,6 +92,8 @@
     suspects: Arc<Suspects>,
     /// Services whose hosts exchange their load.
     load_shared: Arc<BTreeMap<ServiceName, Classes>>,
+    /// Keyed services with routes of several ranks.
+    mixed_ranks: Arc<BTreeMap<ServiceName, BTreeSet<u32>>>,
     /// Changes of servers that are not logged yet.
     pending_log_lines: ServerLines,
 }
@@ -111,6 +113,18 @@
     }
 }
 
+/// The services with keys whose routes have more than one rank, with these ranks.
+fn mixed_ranks(cfg: &Config) -> BTreeMap<ServiceName, BTreeSet<u32>> {
+    let ranks = |service: &ServiceName| -> BTreeSet<u32> {
+        let routes = cfg.routes.iter();
+        let routes = routes.filter(|route| route.target.services().any(|other| other == service));
+        routes.map(|route| route.priority).collect()
+    };
+    let keyed = cfg.services.iter().filter(|(_, service)| service.keyed);
+    let ranked = keyed.map(|(name, _)| (name.clone(), ranks(name)));
+    ranked.filter(|(_, ranks)| ranks.len() > 1).collect()
+}
+
 /// What an update changed.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Changed {
@@ -178,6 +192,7 @@
             rank: Rank::default(),
             suspects: self.suspects.clone(),
             load_shared: self.load_shared.clone(),
+            mixed_ranks: self.mixed_ranks.clone(),
         }
     }
 
@@ -198,6 +213,7 @@
         }
         tracing::info!(part = "config", event = "in-force", version = %cfg.version, before = ?known);
         self.load_shared = Arc::new(load_shared(&cfg));
+        self.mixed_ranks = Arc::new(mixed_ranks(&cfg));
         self.config = Some(Arc::new(cfg));
         true
     }
--- a/crates/jacinthbeam-host/src/process/server_state.rs
+++ b/crates/jacinthbeam-host/src/process/server_state.rs
@@ -6,9 +6,10 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::report::StatedLoad;
 use jacinthbeam_connection::Dialer;
 use jacinthbeam_dispatch::{
-    ServerStats, pause::KnownPause, rate_limit::KnownLimit, slow_start::Pacer,
+    ServerStats, pause::KnownPause, rate_limit::KnownLimit, retry::Streak, slow_start::Pacer,
 };
 
 use super::broken::Broken;
@@ -31,6 +32,10 @@
     pub rate_limit: Cell<KnownLimit>,
     /// How long the server wants no request from this host.
     pub pause: Cell<KnownPause>,
+    /// What the server stated last about its load, and when; `None` if it states nothing.
+    pub stated_load: Cell<Option<(Instant, StatedLoad)>>,
+    /// Its latest rejections in a row.
+    pub rejections: Cell<Streak>,
     /// When the server first stated that it is draining.
     pub draining_since: Cell<Option<Instant>>,
     /// Whether an invalid header of the server was logged.
@@ -48,6 +53,8 @@
             pacer: Cell::default(),
             rate_limit: Cell::default(),
             pause: Cell::default(),
+            stated_load: Cell::default(),
+            rejections: Cell::default(),
             draining_since: Cell::default(),
             invalid_logged: Cell::default(),
         }
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -20,7 +20,7 @@
 };
 
 use super::{
-    partition,
+    credits, partition,
     peers::{forward, load::Message},
     traffic::{self, Traffic},
 };
@@ -37,6 +37,8 @@
     pub(super) reports: UdpSocket,
     /// Requests that other hosts have forwarded.
     pub(super) forwarded: mpsc::UnboundedReceiver<Forwarded>,
+    /// Messages of other hosts about retry budgets.
+    pub(super) credits: mpsc::Receiver<credits::Incoming>,
     /// Dropped when the last connection is closed, or when the time for the shutdown is up.
     pub(super) served: oneshot::Sender<()>,
 }
@@ -53,7 +55,7 @@
 
 pub(super) async fn run(start: Start) {
     let stop_within = start.traffic.settings.stop_within;
-    let Start { phase, callers, reports, forwarded, served, .. } = start;
+    let Start { phase, callers, reports, forwarded, credits, served, .. } = start;
     let traffic = Rc::new(Traffic::new(start.traffic));
     let listener = match tokio::net::TcpListener::from_std(callers) {
         Ok(listener) => listener,
@@ -64,6 +66,7 @@
         Err(err) => tracing::error!(part = "process", event = "no-reports", error = ?err),
     }
     spawn_local(partition::run(traffic.clone()));
+    spawn_local(exchange_credit(traffic.clone(), credits));
     let open = Rc::new(Cell::new(0));
     spawn_local(serve_forwarded(traffic.clone(), forwarded, open.clone()));
     let cx = accept::Context { phase: phase.subscribe(), open: open.clone() };
@@ -84,6 +87,13 @@
     pub(super) reply: oneshot::Sender<http::Response<forward::Message>>,
 }
 
+/// Handles the messages of other hosts about retry budgets.
+async fn exchange_credit(traffic: Rc<Traffic>, mut messages: mpsc::Receiver<credits::Incoming>) {
+    while let Some(message) = messages.recv().await {
+        traffic.budgets.on_message(message, traffic.now());
+    }
+}
+
 /// Serves the requests that other hosts forward. A request in flight keeps the process from exiting, as an open connection does.
 async fn serve_forwarded(
     traffic: Rc<Traffic>,
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -14,7 +14,7 @@
 use jacinthbeam_crash::{
     Fact, Fingerprint, Prober, RecentSuccesses, Suspects, fingerprint::HeadDigest, probe::Rank,
 };
-use jacinthbeam_dispatch::{RetryBudget, ServerStats, rate_limit::KnownLimit};
+use jacinthbeam_dispatch::{ServerStats, rate_limit::KnownLimit};
 use jacinthbeam_range::{Key, admission::Gate, demand::LoadReport};
 use jacinthbeam_route::{Route, Server, Target, route::WeightedRoundRobin};
 use jacinthbeam_types::prelude::*;
@@ -24,8 +24,16 @@
     Settings, Wire,
     connection::accept::Phase,
     process::{
-        helping::Helping, logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
-        request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads, usage,
+        credits::{self, RetryBudgets},
+        helping::Helping,
+        logs::Quota,
+        metrics::Counters,
+        partition::PartitionMonitor,
+        permits,
+        request_log::RequestLog,
+        server_state::ServerState,
+        service_loads::ServiceLoads,
+        usage,
     },
     request::{
         forward::{Forwarding, Peer},
@@ -75,7 +83,8 @@
     /// Detects that this host reaches no backend server.
     pub(super) partition: PartitionMonitor,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
-    budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    /// Retry budgets of the services.
+    pub(crate) budgets: RetryBudgets,
     splits: RefCell<BTreeMap<String, WeightedRoundRobin>>,
     reports: RefCell<BTreeMap<ServiceName, LoadReport>>,
     recent_successes: RefCell<RecentSuccesses>,
@@ -123,6 +132,8 @@
     pub crashes: mpsc::UnboundedSender<Fact>,
     /// Receives queries about rate limits.
     pub permits: mpsc::UnboundedSender<permits::Query>,
+    /// Receives messages about retry budgets to other hosts.
+    pub credits: mpsc::UnboundedSender<credits::Outgoing>,
     /// Whether this host is partitioned from all backend servers.
     pub partitioned: watch::Sender<bool>,
     /// The other hosts, in the order in which this one prefers them as helpers.
@@ -134,7 +145,8 @@
     pub fn new(start: Start) -> Self {
         let Start { settings, wire, clock, dialer, counters, usage, .. } = start;
         let Start { view, freshness, phase, gates, crashes, permits, .. } = start;
-        let Start { partitioned, peers, loads, .. } = start;
+        let Start { partitioned, peers, loads, credits, .. } = start;
+        let budgets = RetryBudgets::new(settings.repeats, counters.clone(), credits);
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
@@ -158,7 +170,7 @@
             helping: Helping::default(),
             partition: PartitionMonitor::new(partitioned),
             servers: RefCell::default(),
-            budgets: RefCell::default(),
+            budgets,
             splits: RefCell::default(),
             reports: RefCell::default(),
             recent_successes: RefCell::default(),
@@ -251,7 +263,7 @@
 
     /// Counts a request of a caller for a service; the retry budget is a share of these.
     pub fn on_request(&self, service: &ServiceName, hosts: u32) {
-        self.with_budget(service, hosts, |budget, now| budget.on_request(now));
+        self.budgets.on_request(service, hosts, self.now());
     }
 
     /// Counts a request for a key in the next load report, whether or not it is then sent to the owner of the key.
@@ -332,25 +344,7 @@
 
     /// Whether the retry budget of a service allows one more retry. If so, the retry is charged to the budget.
     pub fn may_repeat(&self, service: &ServiceName, hosts: u32) -> bool {
-        let (allowed, left) = self.with_budget(service, hosts, |budget, now| {
-            let allowed = budget.take(now);
-            (allowed, budget.left(now))
-        });
-        self.counters.on_repeat(service, allowed, left);
-        allowed
-    }
-
-    fn with_budget<R>(
-        &self,
-        service: &ServiceName,
-        hosts: u32,
-        f: impl FnOnce(&mut RetryBudget, Instant) -> R,
-    ) -> R {
-        let mut budgets = self.budgets.borrow_mut();
-        let new = || RetryBudget::new(self.settings.repeats, hosts, self.now());
-        let budget = budgets.entry(service.clone()).or_insert_with(new);
-        budget.set_hosts(hosts);
-        f(budget, self.now())
+        self.budgets.take(service, hosts, self.now())
     }
 
     /// Counts an answer of a server of a keyed service in the next load report.
@@ -432,6 +426,7 @@
     pub fn tidy(&self) {
         let (view, now) = (self.view(), self.now());
         self.forwarding.tidy(now);
+        self.budgets.expire(now);
         let mut servers = self.servers.borrow_mut();
         servers.retain(|id, state| {
             state.pool.expire(now);
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod permit;
 mod pick;
 mod refuse;
+mod retry;
 pub mod send;
 pub mod serve;
 
--- /dev/null
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -0,0 +1,140 @@
+//! Whether a request is sent once more.
+
+use std::collections::BTreeSet;
+
+use jacinthbeam_dispatch::retry::{self, Budget, Decision, MAX_SENDS, Rejection, TimeLeft};
+use jacinthbeam_route::Server;
+
+use super::job::Job;
+use crate::{
+    process::server_state::ServerState,
+    send_outcome::{Lost, NotRun, SendOutcome},
+    version::View,
+};
+
+/// Share of the route's objective that a request may wait while its key moves, after the former owner has released it.
+///
+/// A planned move takes as long as the requests that still run on the moving keys. That is mostly less than this, and the
+/// rest of the objective is left for the request itself.
+const MOVE_WAIT_SHARE: f64 = 0.4;
+
+/// Whether the outcome of a send allows another one after `sends` sends. The retry budget is charged before that send, see
+/// [`may_repeat`].
+pub(super) async fn wants_retry(
+    job: &Job,
+    view: &View,
+    server: &Server,
+    sent: &SendOutcome,
+    sends: u32,
+) -> bool {
+    let state = job.traffic.server(server);
+    count_rejections(job, &state, sent);
+    match sent {
+        SendOutcome::Answered { success: true, .. } => false,
+        SendOutcome::Answered { success: false, .. } => job.may_run_again(sends) && !job.keyed,
+        // The same server would refuse it again, and each retry uses up the fleet's retry budget. So a retry waits for
+        // another owner.
+        SendOutcome::NotRun(NotRun::NotOwner) if job.keyed => {
+            sends < MAX_SENDS && wait_for_ownership_change(job, view).await
+        }
+        SendOutcome::NotRun(NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable)
+            if job.keyed =>
+        {
+            false
+        }
+        SendOutcome::NotRun(NotRun::Full) if job.keyed => {
+            retries_keyed(job, view, &state)
+                && is_likely_random(job, view, server, &state, sends) == Decision::Retry
+        }
+        SendOutcome::NotRun(NotRun::Full | NotRun::RateLimited | NotRun::Paused) => {
+            !job.keyed && sends < MAX_SENDS
+        }
+        SendOutcome::NotRun(_) => sends < MAX_SENDS,
+        SendOutcome::Lost(Lost::Late) => false,
+        SendOutcome::Lost(Lost::Broken) => job.may_run_again(sends),
+    }
+}
+
+/// Whether the retry budget allows one more send of the request, to this server. If so, the send is charged to the budget.
+pub(super) fn may_repeat(job: &Job, view: &View, state: &ServerState) -> bool {
+    if !retries_keyed(job, view, state) && !view.load_shared.contains_key(&job.service) {
+        return job.traffic.may_repeat(&job.service, view.hosts);
+    }
+    let (time, ranks) = (time_left(job, state), ranks(job, view));
+    let spend = |left, size| retry::spend(time, budget(job, &ranks, left, size));
+    job.traffic.budgets.spend(&job.service, view.hosts, job.traffic.now(), spend)
+}
+
+/// Whether keyed requests that the server rejects as full are sent again: if servers state their load, or if the service has
+/// routes of several ranks. Without either, a retry would displace a request that is worth as much.
+fn retries_keyed(job: &Job, view: &View, state: &ServerState) -> bool {
+    let is_stated = state.stated_load.get().is_some();
+    job.keyed && (is_stated || view.mixed_ranks.contains_key(&job.service))
+}
+
+fn count_rejections(job: &Job, state: &ServerState, sent: &SendOutcome) {
+    let mut rejections = state.rejections.get();
+    match sent {
+        SendOutcome::NotRun(NotRun::Full) => rejections.on_rejected(job.traffic.now()),
+        SendOutcome::Answered { .. } => rejections.on_answered(),
+        SendOutcome::NotRun(_) | SendOutcome::Lost(_) => return,
+    }
+    state.rejections.set(rejections);
+}
+
+/// Decides about a keyed request that its owner has rejected as full.
+fn is_likely_random(
+    job: &Job,
+    view: &View,
+    server: &Server,
+    state: &ServerState,
+    sends: u32,
+) -> Decision {
+    let now = job.traffic.now();
+    let age = |at| now.saturating_duration_since(at);
+    let rejection = Rejection {
+        sends,
+        gated: job.traffic.gate(&server.id).is_some(),
+        stated: state.stated_load.get().map(|(at, stated)| (age(at), stated)),
+        in_streak: state.rejections.get().is_long(now),
+    };
+    let (time, ranks) = (time_left(job, state), ranks(job, view));
+    let decide = |left, size| retry::decide(rejection, time, budget(job, &ranks, left, size));
+    job.traffic.budgets.decide(&job.service, view.hosts, now, decide)
+}
+
+fn budget<'a>(job: &Job, ranks: &'a BTreeSet<u32>, left: f64, size: f64) -> Budget<'a> {
+    Budget { left, size, rank: job.route.priority, ranks }
+}
+
+/// The ranks of the routes of the request's service; empty for a keyed service whose routes have the same rank.
+fn ranks(job: &Job, view: &View) -> BTreeSet<u32> {
+    match view.load_shared.get(&job.service) {
+        Some(classes) => classes.iter().map(|(rank, _)| rank).collect(),
+        None => view.mixed_ranks.get(&job.service).cloned().unwrap_or_default(),
+    }
+}
+
+fn time_left(job: &Job, state: &ServerState) -> TimeLeft {
+    let objective = job.received + job.route.objective;
+    TimeLeft {
+        deadline: job.left(),
+        objective: objective.saturating_duration_since(job.traffic.now()),
+        service_time: state.stats.borrow().mean(),
+    }
+}
+
+/// Waits until the owner or the fencing token of the key differs from that in `view`. Returns whether it does.
+async fn wait_for_ownership_change(job: &Job, view: &View) -> bool {
+    let of = |view: &View| {
+        let held = view.maps.get(&job.service)?.lookup(job.key?);
+        Some((held.owner.clone(), held.token))
+    };
+    let before = of(view);
+    let begun = job.traffic.now();
+    while job.may_wait(MOVE_WAIT_SHARE) && of(&job.traffic.view()) == before {
+        job.traffic.view_changed(job.wait_left(MOVE_WAIT_SHARE)).await;
+    }
+    job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
+    of(&job.traffic.view()) != before
+}
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -24,22 +24,17 @@
     job::{Hop, Job, send_to},
     pick::{pick_server, why_any_refuses},
     refuse::{CONFIG_RETRY_DELAY, bad_body, bad_request, refuse},
+    retry::{may_repeat, wants_retry},
     send::BufferedRequest,
 };
 use crate::{
     connection::accept::CallerAddr,
     process::{request_log::Basis, traffic::Traffic, usage::Use},
-    send_outcome::{Lost, NotRun, SendOutcome},
+    send_outcome::{NotRun, SendOutcome},
     version::View,
     wire::HeaderError,
 };
 
-/// Share of the route's objective that a request may wait while its key moves, after the former owner has released it.
-///
-/// A planned move takes as long as the requests that still run on the moving keys. That is mostly less than this, and the
-/// rest of the objective is left for the request itself.
-const MOVE_WAIT_SHARE: f64 = 0.4;
-
 /// Share of the route's objective that a request may wait for its key to get an owner that can be sent to.
 ///
 /// An update of the ownership map arrives within milliseconds. A crashed owner is replaced only after seconds, so its
@@ -49,9 +44,6 @@
 /// Request headers that are kept even if the caller's `connection` header names them.
 const KEPT_HEADERS: [HeaderName; 2] = [header::CONTENT_LENGTH, header::HOST];
 
-/// Maximum number of sends of one request, including those that a server refused.
-const MAX_SENDS: u32 = 3;
-
 /// Maximum number of servers that don't admit one request before it is refused.
 const MAX_DENIALS: u32 = 3;
 
@@ -206,7 +198,7 @@
                 continue;
             }
         };
-        if sends > 0 && !job.traffic.may_repeat(&job.service, view.hosts) {
+        if sends > 0 && !may_repeat(job, &view, &state) {
             return conclude(job, last, &tried);
         }
         sends += 1;
@@ -217,24 +209,7 @@
         if is_unreachable(&sent) && job.may_be_forwarded() && job.traffic.may_be_partitioned() {
             return forward(job, reached, last).await;
         }
-        let retry = match &sent {
-            SendOutcome::Answered { success: true, .. } => false,
-            SendOutcome::Answered { success: false, .. } => job.may_run_again(sends) && !job.keyed,
-            // The same server would refuse it again, and each retry uses up the fleet's retry budget. So a retry waits for
-            // another owner.
-            SendOutcome::NotRun(NotRun::NotOwner) if job.keyed => {
-                sends < MAX_SENDS && wait_for_ownership_change(job, &view).await
-            }
-            SendOutcome::NotRun(
-                NotRun::OtherServer | NotRun::NotListening | NotRun::Unreachable,
-            ) if job.keyed => false,
-            SendOutcome::NotRun(NotRun::Full | NotRun::RateLimited | NotRun::Paused) => {
-                !job.keyed && sends < MAX_SENDS
-            }
-            SendOutcome::NotRun(_) => sends < MAX_SENDS,
-            SendOutcome::Lost(Lost::Late) => false,
-            SendOutcome::Lost(Lost::Broken) => job.may_run_again(sends),
-        };
+        let retry = wants_retry(job, &view, &server, &sent, sends).await;
         let has_crashed = job.on_sent(&view, &server, &sent, retry).await;
         if has_crashed {
             crashed.insert(server.id.clone());
@@ -267,18 +242,3 @@
         (_, later) => later,
     }
 }
-
-/// Waits until the owner or the fencing token of the key differs from that in `view`. Returns whether it does.
-async fn wait_for_ownership_change(job: &Job, view: &View) -> bool {
-    let of = |view: &View| {
-        let held = view.maps.get(&job.service)?.lookup(job.key?);
-        Some((held.owner.clone(), held.token))
-    };
-    let before = of(view);
-    let begun = job.traffic.now();
-    while job.may_wait(MOVE_WAIT_SHARE) && of(&job.traffic.view()) == before {
-        job.traffic.view_changed(job.wait_left(MOVE_WAIT_SHARE)).await;
-    }
-    job.traffic.counters.on_wait(job.traffic.now().saturating_duration_since(begun));
-    of(&job.traffic.view()) != before
-}
--- a/crates/jacinthbeam-host/src/version/view.rs
+++ b/crates/jacinthbeam-host/src/version/view.rs
@@ -1,7 +1,7 @@
 //! A consistent snapshot of the routing state, and how fresh it is.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -39,6 +39,8 @@
     pub suspects: Arc<Suspects>,
     /// Services without keys whose hosts exchange their load, with the ranks of their routes.
     pub load_shared: Arc<BTreeMap<ServiceName, Classes>>,
+    /// Services with keys whose routes have more than one rank, with these ranks.
+    pub mixed_ranks: Arc<BTreeMap<ServiceName, BTreeSet<u32>>>,
 }
 
 impl View {
