--- /dev/null
+++ b/crates/jacinthbeam-host/tests/credits.rs
@@ -0,0 +1,107 @@
+//! Retry budgets of hosts that lend retries to each other.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use jacinthbeam_dispatch::{
+    budget::{MAX_LOAN, Options},
+    credit::CREDIT_PERIOD,
+    retry::{Decision, Why},
+};
+use jacinthbeam_host::process::{
+    credits::{Incoming, Outgoing, RetryBudgets},
+    metrics::Counters,
+};
+use jacinthbeam_types::prelude::*;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+const OPTIONS: Options = Options { ratio: 0.0, burst: 40.0, window: Duration::from_secs(10) };
+
+const BORROWER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7);
+
+struct Host {
+    budgets: RetryBudgets,
+    sent: UnboundedReceiver<Outgoing>,
+}
+
+impl Host {
+    fn new() -> Self {
+        let (tx, sent) = unbounded_channel();
+        Self { budgets: RetryBudgets::new(OPTIONS, Counters::new(), tx), sent }
+    }
+
+    /// Spends as many retries as it can; returns their number.
+    fn spend_all(&self, now: Instant) -> usize {
+        let spend = |left: f64, _| match left >= 1.0 {
+            true => Decision::Retry,
+            false => Decision::Refuse(Why::Budget),
+        };
+        (0..100).take_while(|_| self.budgets.spend(&service(), 2, now, spend)).count()
+    }
+
+    fn requested(&mut self) -> Option<u64> {
+        match self.sent.try_recv() {
+            Ok(Outgoing::Request { id, .. }) => Some(id),
+            _ => None,
+        }
+    }
+
+    /// Lets it answer a request; returns the number of retries that it grants.
+    fn lend(&mut self, id: u64, now: Instant) -> u32 {
+        let request =
+            Incoming::Request { from: BORROWER, id, service: service(), wanted: MAX_LOAN };
+        self.budgets.on_message(request, now);
+        match self.sent.try_recv() {
+            Ok(Outgoing::Grant { to: BORROWER, id: answered, granted, .. }) if answered == id => {
+                granted
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn service() -> ServiceName {
+    "tilecast".parse().unwrap()
+}
+
+fn grant(id: u64, granted: u32) -> Incoming {
+    Incoming::Grant { id, service: service(), granted }
+}
+
+/// Guards against a host that refuses retries while another one has some left, and against a grant that is used twice because
+/// its datagram arrives twice.
+#[test]
+fn a_host_uses_each_grant_once() {
+    let (now, mut borrower, mut lender) = (Instant::now(), Host::new(), Host::new());
+    lender.budgets.on_request(&service(), 2, now);
+    assert_eq!(borrower.spend_all(now), 10);
+    let id = borrower.requested().unwrap();
+    let granted = lender.lend(id, now);
+    assert_eq!(granted, 5);
+    (0..2).for_each(|_| borrower.budgets.on_message(grant(id, granted), now));
+    assert_eq!((borrower.spend_all(now), lender.spend_all(now)), (5, 5));
+}
+
+/// Guards against a host that waits forever for a lender that is gone, or that uses a grant which arrives too late.
+#[test]
+fn a_lender_that_is_gone_is_given_up() {
+    let (begun, mut borrower) = (Instant::now(), Host::new());
+    assert_eq!(borrower.spend_all(begun), 10);
+    let gone = borrower.requested().unwrap();
+    assert_eq!((borrower.spend_all(begun), borrower.requested()), (0, None));
+    let later = begun + CREDIT_PERIOD;
+    borrower.budgets.on_message(grant(gone, 5), later);
+    assert_eq!(borrower.spend_all(later), 0);
+    let other = borrower.requested().unwrap();
+    borrower.budgets.on_message(grant(other, 5), later);
+    assert_eq!(borrower.spend_all(later), 5);
+}
+
+/// Guards against a host that grants retries of a service for which it has had no request.
+#[test]
+fn a_host_without_a_budget_declines() {
+    let mut lender = Host::new();
+    assert_eq!(lender.lend(7, Instant::now()), 0);
+}
