--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -135,7 +135,7 @@
         decision
     }
 
-    /// Like [`Self::decide`], and takes the retry if it is allowed, from this host's share first.
+    /// Like [`Self::decide`], and takes the retry if it is allowed. Borrowed ones are used first, since they end soon.
     pub fn spend(
         &self,
         service: &ServiceName,
@@ -147,13 +147,11 @@
             return false;
         }
         let (taken, left) = self.with_account(service, hosts, now, |account| {
-            let is_own = account.budget.take(now);
-            let is_borrowed = !is_own && account.borrower.take(now);
-            if is_borrowed {
-                self.counters.on_credits("used", 1);
-            }
+            let is_borrowed = account.borrower.take(now);
+            self.counters.on_credits("used", u32::from(is_borrowed));
+            let taken = is_borrowed || account.budget.take(now);
             self.request_credit(service, account, now);
-            (is_own || is_borrowed, account.left(now))
+            (taken, account.left(now))
         });
         self.counters.on_repeat(service, (!taken).then_some("budget"), left);
         taken
