feat(config): field `admission` of services, which switches the exchange of load off

Cause: operators need to exclude a service from load control without changing the ranks or objectives of its routes. Change: `"admission": "auto" | "off"` in the native configuration, `auto` on the platform, whose configuration has no such field. `off` removes the service from `View::load_shared`; it is refused for keyed services, where it would have no effect. In the store (JSON) the field has a default, so records of older builds decode. Updates between hosts are bincode, where an added field would shift all later ones: the layout of `Service` is unchanged there, and the names of the services with `off` follow the update.

--- a/crates/jacinthbeam-config/src/check/service.rs
+++ b/crates/jacinthbeam-config/src/check/service.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use jacinthbeam_route::{Service, SlowStart};
+use jacinthbeam_route::{Admission, Service, SlowStart};
 
 use crate::{
-    document::{Fields, Node, read},
+    document::{Fields, Node, Value, read},
     problem::Problem,
 };
 
@@ -37,6 +37,12 @@
     let warmup = fields.or("warm_up_ms", DEFAULT_WARM_UP, read::millis(0..=MAX_WARM_UP_MS));
     let health_path = fields.or("health_path", DEFAULT_HEALTH_PATH.into(), read::path);
     let slow_start = fields.object("slow_start", None, slow_start);
+    let admission = fields.or("admission", Admission::default(), admission);
+    if keyed && admission == Admission::Off {
+        let what =
+            "the service is keyed, and keyed services are never subject to admission by rank";
+        fields.unfit("admission", what, "remove it");
+    }
     Some(Service {
         team: Some(team?),
         health_path,
@@ -44,9 +50,18 @@
         keyed,
         warmup,
         slow_start,
+        admission,
     })
 }
 
+fn admission(value: &Value) -> Result<Admission, String> {
+    let text = match value {
+        Value::Text(text) => text.parse().ok(),
+        _ => None,
+    };
+    text.ok_or_else(|| "\"auto\" or \"off\"".into())
+}
+
 fn slow_start(fields: &mut Fields<'_>) -> Option<SlowStart> {
     let lasts = fields.required(
         "lasts_ms",
--- a/crates/jacinthbeam-config/tests/check.rs
+++ b/crates/jacinthbeam-config/tests/check.rs
@@ -49,7 +49,7 @@
     "tilecast": { "kyed": true, "connections": "3", "warm_up_ms": -1, "health_path": "healthz" },
     "brine desk": {},
     "callbell": { "team": "", "keyed": { "slots": 0 }, "connections": 0 },
-    "yard": { "team": "a", "connections": 1, "whatever": [] },
+    "yard": { "team": "a", "connections": 1, "whatever": [], "admission": "on" },
   },
   "routes": {
     "tiles": { "prefix": "tiles/", "service": "tilecast", "timeout_ms": 500, "objective_ms": 600 },
@@ -64,6 +64,13 @@
     insta::assert_snapshot!(say(&[("10.json", TILES), ("20.json", wrong)]));
 }
 
+/// Guards against a switch that an operator sets and that has no effect: keyed services have no admission by rank.
+#[test]
+fn admission_of_a_keyed_service_can_not_be_off() {
+    let off = r#"{ "services": { "tilecast": { "admission": "off" } } }"#;
+    insta::assert_snapshot!(say(&[("10.json", TILES), ("20.json", off)]));
+}
+
 #[test]
 fn problems_of_all_unreadable_files_are_given_at_once() {
     let files = [
--- a/crates/jacinthbeam-host/src/process/peers/link.rs
+++ b/crates/jacinthbeam-host/src/process/peers/link.rs
@@ -92,7 +92,7 @@
             return Err(Error::Status(res.status()));
         }
         let bytes = read_body(Limited::new(res.into_body(), update::MAX_MESSAGE_BYTES)).await?;
-        update::from_bytes(&bytes).map_err(|err| Error::Unreadable(err.to_string()))
+        StateUpdate::from_bytes(&bytes).map_err(|err| Error::Unreadable(err.to_string()))
     }
 }
 
--- a/crates/jacinthbeam-host/src/process/peers/serve.rs
+++ b/crates/jacinthbeam-host/src/process/peers/serve.rs
@@ -104,7 +104,7 @@
         return plain(StatusCode::PAYLOAD_TOO_LARGE, "the request is too long\n");
     };
     match update::from_bytes(&bytes) {
-        Ok(request) => Response::new(Bytes::from(update::to_bytes(&find(request).await))),
+        Ok(request) => Response::new(Bytes::from(find(request).await.to_bytes())),
         Err(err) => {
             tracing::warn!(part = "peers", event = "unreadable-question", error = ?err);
             plain(StatusCode::BAD_REQUEST, "the request can't be decoded\n")
--- a/crates/jacinthbeam-host/src/process/peers/update.rs
+++ b/crates/jacinthbeam-host/src/process/peers/update.rs
@@ -1,10 +1,13 @@
 //! Messages by which one host requests from another what is new in the store.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use jacinthbeam_crash::exchange;
 use jacinthbeam_range::map::Revision;
-use jacinthbeam_route::{Config, Server};
+use jacinthbeam_route::{Admission, Config, Server};
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +84,33 @@
 }
 
 impl StateUpdate {
+    /// Encodes the update. The services of its configuration whose admission is off come after it, if there are any: an older build
+    /// ignores what comes after the update.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let services = self.config.iter().flat_map(|cfg| &cfg.services);
+        let off = services.filter(|(_, service)| service.admission == Admission::Off);
+        let off: BTreeSet<&ServiceName> = off.map(|(name, _)| name).collect();
+        let mut bytes = to_bytes(self);
+        if !off.is_empty() {
+            bytes.extend(to_bytes(&off));
+        }
+        bytes
+    }
+
+    /// Decodes an update, also one of an older build, in which no admission is off.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
+        let (mut update, rest): (Self, _) = decode_first(bytes)?;
+        let off: BTreeSet<ServiceName> = match rest {
+            [] => BTreeSet::new(),
+            rest => from_bytes(rest)?,
+        };
+        let services = update.config.iter_mut().flat_map(|cfg| &mut cfg.services);
+        for (_, service) in services.filter(|(name, _)| off.contains(*name)) {
+            service.admission = Admission::Off;
+        }
+        Ok(update)
+    }
+
     /// Whether it contains nothing new.
     pub fn is_empty(&self) -> bool {
         self.config.is_none()
@@ -106,6 +136,14 @@
 pub(crate) fn from_bytes<T: for<'de> Deserialize<'de>>(
     bytes: &[u8],
 ) -> Result<T, bincode::error::DecodeError> {
+    Ok(decode_first(bytes)?.0)
+}
+
+/// Decodes the value at the start, and returns it with the bytes after it.
+fn decode_first<T: for<'de> Deserialize<'de>>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), bincode::error::DecodeError> {
     let cfg = bincode::config::standard().with_limit::<{ MAX_MESSAGE_BYTES * 4 }>();
-    Ok(bincode::serde::decode_from_slice(bytes, cfg)?.0)
+    let (value, len) = bincode::serde::decode_from_slice(bytes, cfg)?;
+    Ok((value, &bytes[len..]))
 }
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -16,7 +16,7 @@
 use jacinthbeam_crash::{Suspects, probe::Rank};
 use jacinthbeam_dispatch::subset::Position;
 use jacinthbeam_range::Map;
-use jacinthbeam_route::{Config, Server, Servers};
+use jacinthbeam_route::{Admission, Config, Server, Servers, Service};
 use jacinthbeam_types::prelude::*;
 
 use super::{
@@ -96,15 +96,17 @@
     pending_log_lines: ServerLines,
 }
 
-/// The services without keys, with the ranks of their routes, if any of them has deferrable routes; otherwise none.
+/// The services without keys, with the ranks of their routes, if any of them has deferrable routes; otherwise none. Services whose admission
+/// is off are left out, as if they were not configured.
 fn load_shared(cfg: &Config) -> BTreeMap<ServiceName, Classes> {
     let classes = |service: &ServiceName| {
         let routes = cfg.routes.iter();
         let routes = routes.filter(|route| route.target.services().any(|other| other == service));
         Classes::of(routes.map(|route| (route.priority, route.objective)))
     };
-    let unkeyed = cfg.services.iter().filter(|(_, service)| !service.keyed);
-    let shared: BTreeMap<_, _> = unkeyed.map(|(name, _)| (name.clone(), classes(name))).collect();
+    let is_included = |service: &Service| !service.keyed && service.admission == Admission::Auto;
+    let included = cfg.services.iter().filter(|(_, service)| is_included(service));
+    let shared: BTreeMap<_, _> = included.map(|(name, _)| (name.clone(), classes(name))).collect();
     match shared.values().any(Classes::has_deferrable) {
         true => shared,
         false => BTreeMap::new(),
--- a/crates/jacinthbeam-host/tests/evacuation.rs
+++ b/crates/jacinthbeam-host/tests/evacuation.rs
@@ -6,7 +6,7 @@
     process::{evacuation::Evacuations, replica::StoreReplica},
     version::{Grace, Leaving},
 };
-use jacinthbeam_route::{Config, Server, Service, SlowStart};
+use jacinthbeam_route::{Admission, Config, Server, Service, SlowStart};
 use jacinthbeam_types::prelude::*;
 
 const GRACE: Grace =
@@ -37,6 +37,7 @@
         keyed: false,
         warmup: Duration::ZERO,
         slow_start: Some(SlowStart { lasts: Duration::from_secs(3), rate: Rate(4400) }),
+        admission: Admission::Auto,
     };
     let services = [("tiles".parse().unwrap(), service)].into();
     Config { version: ConfigVersion(1), services, ..Config::default() }
--- a/crates/jacinthbeam-host/tests/status.rs
+++ b/crates/jacinthbeam-host/tests/status.rs
@@ -22,6 +22,7 @@
         keyed,
         warmup: Duration::ZERO,
         slow_start: None,
+        admission: config::Admission::Auto,
     };
     let services = BTreeMap::from([(name("tiles"), service)]);
     View { config: Some(Arc::new(Config { services, ..Config::default() })), ..View::default() }
--- a/crates/jacinthbeam-native/tests/records.rs
+++ b/crates/jacinthbeam-native/tests/records.rs
@@ -11,6 +11,7 @@
 use jacinthbeam_host::wire::{Granted, Released};
 use jacinthbeam_native::{config, grant, server, store};
 use jacinthbeam_range::{KeyRange, Owner, grantor};
+use jacinthbeam_route::Admission;
 use jacinthbeam_store::{Call, Error, Item, Page, Partition, Reply, Share};
 use jacinthbeam_types::prelude::*;
 
@@ -127,3 +128,25 @@
     assert_eq!(cfg.services.len(), 1);
     assert!(config::read(b"{").is_err());
 }
+
+/// Guards against a host that can't read the configuration after an upgrade: in the records of earlier versions, services have no `admission`.
+#[test]
+fn a_record_without_admission_is_read() {
+    let text =
+        r#"{ "services": { "rides": { "team": "ice", "connections": 9, "admission": "off" } } }"#;
+    let file = FileChange {
+        name: "10.json".parse().unwrap(),
+        base: Base::default(),
+        text: Some(text.into()),
+    };
+    let mut state = State::default();
+    state.apply(Offset(4), &Change { files: vec![file] });
+    let record = config::write(&state);
+    let admission =
+        |record: &[u8]| config::read(record).unwrap().services[&"rides".parse().unwrap()].admission;
+    assert_eq!(admission(&record), Admission::Off);
+    let mut older: serde_json::Value = serde_json::from_slice(&record).unwrap();
+    let service = older["config"]["services"]["rides"].as_object_mut().unwrap();
+    assert_eq!(service.remove("admission"), Some("off".into()));
+    assert_eq!(admission(&serde_json::to_vec(&older).unwrap()), Admission::Auto);
+}
--- a/crates/jacinthbeam-route/src/config.rs
+++ b/crates/jacinthbeam-route/src/config.rs
@@ -1,6 +1,6 @@
 //! One accepted version of the configuration.
 
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{collections::BTreeMap, fmt, str::FromStr, time::Duration};
 
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,82 @@
     pub warmup: Duration,
     /// Rate limit of its cold servers; `None` if there is none.
     pub slow_start: Option<SlowStart>,
+    /// Whether hosts exchange its load and admit its requests by rank.
+    #[serde(default, with = "text_only")]
+    pub admission: Admission,
+}
+
+/// Whether hosts exchange the load of a service and admit its requests by rank.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Admission {
+    /// If the ranks and objectives of the routes call for it.
+    #[default]
+    Auto,
+    /// Never.
+    Off,
+}
+
+impl fmt::Display for Admission {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Auto => "auto",
+            Self::Off => "off",
+        })
+    }
+}
+
+/// The text is neither `auto` nor `off`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownAdmission;
+
+impl fmt::Display for UnknownAdmission {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("must be \"auto\" or \"off\"")
+    }
+}
+
+impl std::error::Error for UnknownAdmission {}
+
+impl FromStr for Admission {
+    type Err = UnknownAdmission;
+
+    fn from_str(text: &str) -> Result<Self, UnknownAdmission> {
+        match text {
+            "auto" => Ok(Self::Auto),
+            "off" => Ok(Self::Off),
+            _ => Err(UnknownAdmission),
+        }
+    }
+}
+
+/// Encodes [`Admission`] in text formats and leaves it out of binary ones.
+///
+/// Records in the store are JSON, where older builds ignore the field and records without it can be read. Messages between hosts are in a
+/// binary format whose fields have no names: there, an added field would make the messages of older builds unreadable. They carry the
+/// value separately.
+mod text_only {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+    use super::Admission;
+
+    pub(super) fn serialize<S: Serializer>(
+        value: &Admission,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match serializer.is_human_readable() {
+            true => serializer.collect_str(value),
+            false => ().serialize(serializer),
+        }
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Admission, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <()>::deserialize(deserializer).map(|()| Admission::default());
+        }
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+    }
 }
 
 /// Rate limit of the cold servers of a service.
--- a/crates/jacinthbeam-route/src/lib.rs
+++ b/crates/jacinthbeam-route/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod route;
 pub mod server;
 
-pub use config::{Config, Limits, Service, SlowStart};
+pub use config::{Admission, Config, Limits, Service, SlowStart};
 pub use route::{ANY_HOST, Part, Route, Routes, Target};
 pub use server::{Server, Servers};
