feat(dispatch): choice of a server by the load from all hosts

Cause: a host of a large fleet sends to each server once in ten seconds. Its own latest answers say little about the load there, and urgent requests wait behind deferrable ones at slow or full servers.

--- a/crates/jacinthbeam-dispatch/src/choose.rs
+++ b/crates/jacinthbeam-dispatch/src/choose.rs
@@ -4,8 +4,10 @@
 
 use crate::ServerStats;
 
+pub mod by_load;
+
 /// A server that could take the request.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a, Id> {
     /// Identifies the server.
     pub id: &'a Id,
--- a/crates/jacinthbeam-dispatch/src/lib.rs
+++ b/crates/jacinthbeam-dispatch/src/lib.rs
@@ -1,8 +1,9 @@
 //! Load balancing on one host: which backend server gets a request, whether a request may be retried, and the retry hint of a
 //! refusal.
 //!
-//! Every decision uses only what this host has observed itself: the latency of each server, the requests that it has in flight
-//! there, which connections it could open, and what the server refused. There is no I/O, and callers pass in the time.
+//! The decisions use what this host has observed itself: the latency of each server, the requests that it has in flight there,
+//! which connections it could open, and what the server refused. Only [`choose::by_load`] also uses the load from all hosts. There
+//! is no I/O, and callers pass in the time.
 
 pub mod budget;
 pub mod choose;
--- a/crates/jacinthbeam-dispatch/src/server.rs
+++ b/crates/jacinthbeam-dispatch/src/server.rs
@@ -90,6 +90,16 @@
         self.started.len() as u32
     }
 
+    /// The same, only those that started no later than `at`.
+    pub fn in_flight_since(&self, at: Instant) -> u32 {
+        self.started.partition_point(|begun| *begun <= at) as u32
+    }
+
+    /// Age of the oldest of these requests.
+    pub fn oldest(&self, now: Instant) -> Option<Duration> {
+        self.started.first().map(|begun| now.saturating_duration_since(*begun))
+    }
+
     /// Records a successful answer and its latency.
     pub fn on_answer(&mut self, took: Duration) {
         let weight =
@@ -133,6 +143,11 @@
         self.failure_ratio > FAILING_RATIO
     }
 
+    /// Whether the server has answered, so that the mean is measured.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered
+    }
+
     /// Moving average of the latency.
     pub fn mean(&self) -> Duration {
         self.mean
@@ -157,8 +172,7 @@
     /// until their deadlines. The age of the oldest request in flight is a lower bound of the latency, and exceeds the mean once
     /// an ordinary answer is overdue.
     pub fn expected_latency(&self, now: Instant, slots: u32, explores: bool) -> Duration {
-        let oldest = self.started.first().map(|begun| now.saturating_duration_since(*begun));
-        let mean = self.decayed_mean(now, explores).max(oldest.unwrap_or_default());
+        let mean = self.decayed_mean(now, explores).max(self.oldest(now).unwrap_or_default());
         mean.mul_f64(1.0 + f64::from(self.in_flight()) / f64::from(slots.max(1)))
     }
 }
