--- a/crates/jacinthbeam-host/src/process/server_state.rs
+++ b/crates/jacinthbeam-host/src/process/server_state.rs
@@ -6,9 +6,11 @@
     time::{Duration, Instant},
 };
 
+use jacinthbeam_admission::report::StatedLoad;
 use jacinthbeam_connection::Dialer;
 use jacinthbeam_dispatch::{
-    ServerStats, pause::KnownPause, rate_limit::KnownLimit, slow_start::Pacer,
+    ServerStats, choose::by_load::Included, pause::KnownPause, rate_limit::KnownLimit,
+    slow_start::Pacer,
 };
 
 use super::broken::Broken;
@@ -31,6 +33,10 @@
     pub rate_limit: Cell<KnownLimit>,
     /// How long the server wants no request from this host.
     pub pause: Cell<KnownPause>,
+    /// What the server stated last about its load, and when.
+    pub stated_load: Cell<Option<(Instant, StatedLoad)>>,
+    /// Requests of this host that are included in the collector's figure of the server's load.
+    pub included: Cell<Option<Included>>,
     /// When the server first stated that it is draining.
     pub draining_since: Cell<Option<Instant>>,
     /// Whether an invalid header of the server was logged.
@@ -48,6 +54,8 @@
             pacer: Cell::default(),
             rate_limit: Cell::default(),
             pause: Cell::default(),
+            stated_load: Cell::default(),
+            included: Cell::default(),
             draining_since: Cell::default(),
             invalid_logged: Cell::default(),
         }
--- a/crates/jacinthbeam-host/src/request/backpressure.rs
+++ b/crates/jacinthbeam-host/src/request/backpressure.rs
@@ -80,6 +80,9 @@
             |left_out| tracing::info!(part = "backpressure", event = "draining", server = %server.id, left_out),
         );
     }
+    if let Some(load) = stated.stated_load.filter(|_| kind != ResponseKind::Foreign) {
+        state.stated_load.set(Some((traffic.now(), load)));
+    }
     if kind == ResponseKind::Foreign && stated.rate_limit.is_none() {
         return;
     }
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
+use jacinthbeam_admission::report::StatedLoad;
 use jacinthbeam_range::{Key, KeyRange, Owner, grantor::RangeGrant};
 use jacinthbeam_route::{Config, Server};
 use jacinthbeam_store::Partition;
@@ -127,6 +128,8 @@
     pub pause: Option<Duration>,
     /// Whether it is draining.
     pub draining: bool,
+    /// Its requests and slots at the moment.
+    pub stated_load: Option<StatedLoad>,
     /// Name of a header with an invalid value, which counts as absent.
     pub invalid: Option<&'static str>,
 }
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -110,6 +110,7 @@
         rate_limit,
         pause: pause.ok().flatten().map(Duration::from_millis),
         draining: draining.ok().flatten().unwrap_or(false),
+        stated_load: None,
         invalid,
     }
 }
