feat(request): servers of services whose load is exchanged are picked by load

Cause: choose::by_load was not used. Change: pick_server uses it for services in View::load_shared, with the figures of Traffic::service_loads. The mean service time of a rank is that of the plan, or the mean that this host measured for the rank. A deferrable request without an expected free slot anywhere is sent to the least loaded server (by_load::without_free_slot), until such requests wait at the host.

--- a/crates/jacinthbeam-host/src/process/mod.rs
+++ b/crates/jacinthbeam-host/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod server_lines;
 pub mod server_state;
 pub mod service_loads;
+pub mod service_times;
 mod serving;
 mod sockets;
 pub mod status;
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -25,7 +25,8 @@
     connection::accept::Phase,
     process::{
         helping::Helping, logs::Quota, metrics::Counters, partition::PartitionMonitor, permits,
-        request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads, usage,
+        request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads,
+        service_times::ServiceTimes, usage,
     },
     request::{
         forward::{Forwarding, Peer},
@@ -72,6 +73,8 @@
     pub(crate) forwarding: Forwarding,
     /// Requests that this host serves for others.
     helping: Helping,
+    /// Mean service times of the services whose load is exchanged.
+    pub service_times: RefCell<ServiceTimes>,
     /// Detects that this host reaches no backend server.
     pub(super) partition: PartitionMonitor,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
@@ -156,6 +159,7 @@
             peers,
             forwarding: Forwarding::default(),
             helping: Helping::default(),
+            service_times: RefCell::default(),
             partition: PartitionMonitor::new(partitioned),
             servers: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -167,6 +167,7 @@
 ) -> SendOutcome {
     let max_connections = job.traffic.most_connections(job.connections, view.hosts);
     let limits = SendLimits { max_connections, deadline: job.deadline, permit };
+    let begun = job.traffic.now();
     let sent = if job.idempotent {
         send_metered(job, server, limits).await
     } else {
@@ -174,6 +175,13 @@
         let task = spawn_local(async move { send_metered(&job, &server, limits).await });
         task.await.unwrap_or(SendOutcome::Lost(Lost::Broken))
     };
+    if let (SendOutcome::Answered { success: true, .. }, true) =
+        (&sent, view.load_shared.contains_key(&job.service))
+    {
+        let took = job.traffic.now().saturating_duration_since(begun);
+        let mut times = job.traffic.service_times.borrow_mut();
+        times.on_answer(&job.service, job.route.priority, took);
+    }
     if let (SendOutcome::Answered { .. }, true) = (&sent, job.keyed) {
         job.traffic.on_keyed_answer(&job.service, &server.id);
     }
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 mod backpressure;
 mod body;
+mod by_load;
 mod crash;
 mod end;
 mod fingerprint;
--- a/crates/jacinthbeam-host/src/request/pick.rs
+++ b/crates/jacinthbeam-host/src/request/pick.rs
@@ -12,7 +12,7 @@
 use jacinthbeam_route::Server;
 use jacinthbeam_types::prelude::*;
 
-use super::{backpressure, job::Job};
+use super::{backpressure, by_load, job::Job};
 use crate::{
     process::server_state::ServerState,
     send_outcome::NotRun,
@@ -80,6 +80,9 @@
                 && slow_start_allows(view, server, state, now)
         });
     let states: Vec<(&Server, bool, Rc<ServerState>)> = states.collect();
+    if let Some(classes) = view.load_shared.get(&job.service) {
+        return by_load::pick(job, classes, &states, now);
+    }
     let stats: Vec<_> = states.iter().map(|(_, _, state)| state.stats.borrow()).collect();
     let candidates = states.iter().zip(&stats).map(|((server, in_subset, _), stats)| Candidate {
         id: *server,
