--- a/crates/jacinthbeam-host/src/process/server_state.rs
+++ b/crates/jacinthbeam-host/src/process/server_state.rs
@@ -9,7 +9,8 @@
 use jacinthbeam_admission::report::StatedLoad;
 use jacinthbeam_connection::Dialer;
 use jacinthbeam_dispatch::{
-    ServerStats, pause::KnownPause, rate_limit::KnownLimit, retry::Streak, slow_start::Pacer,
+    ServerStats, choose::by_load::Included, pause::KnownPause, rate_limit::KnownLimit,
+    retry::Streak, slow_start::Pacer,
 };
 
 use super::broken::Broken;
@@ -36,6 +37,8 @@
     pub stated_load: Cell<Option<(Instant, StatedLoad)>>,
     /// Its latest rejections in a row.
     pub rejections: Cell<Streak>,
+    /// Requests of this host that are included in the collector's figure of the server's load.
+    pub included: Cell<Option<Included>>,
     /// When the server first stated that it is draining.
     pub draining_since: Cell<Option<Instant>>,
     /// Whether an invalid header of the server was logged.
@@ -55,6 +58,7 @@
             pause: Cell::default(),
             stated_load: Cell::default(),
             rejections: Cell::default(),
+            included: Cell::default(),
             draining_since: Cell::default(),
             invalid_logged: Cell::default(),
         }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -34,6 +34,7 @@
         request_log::RequestLog,
         server_state::ServerState,
         service_loads::ServiceLoads,
+        service_times::ServiceTimes,
         usage,
     },
     request::{
@@ -83,6 +84,8 @@
     pub(crate) forwarding: Forwarding,
     /// Requests that this host serves for others.
     helping: Helping,
+    /// Mean service times of the services whose load is exchanged.
+    pub service_times: RefCell<ServiceTimes>,
     /// Detects that this host reaches no backend server.
     pub(super) partition: PartitionMonitor,
     servers: RefCell<BTreeMap<ServerId, Rc<ServerState>>>,
@@ -174,6 +177,7 @@
             peers,
             forwarding: Forwarding::default(),
             helping: Helping::default(),
+            service_times: RefCell::default(),
             partition: PartitionMonitor::new(partitioned),
             servers: RefCell::default(),
             budgets,
