--- a/crates/jacinthbeam-dispatch/tests/credit.rs
+++ b/crates/jacinthbeam-dispatch/tests/credit.rs
@@ -53,7 +53,7 @@
     assert_eq!(silent.count() as u128, 1000 / CREDIT_PERIOD.as_millis());
 }
 
-const OPTIONS: Options = Options { ratio: 0.2, burst: 0.0, window: Duration::from_millis(1500) };
+const OPTIONS: Options = Options { ratio: 0.2, burst: 0.0, window: Duration::from_millis(1200) };
 
 const HOSTS: usize = 6;
 
@@ -126,11 +126,11 @@
     }
 
     fn take(&mut self, now: Instant) -> bool {
+        if self.budget.take(now) || (now >= self.hold_until && self.borrower.take(now)) {
+            return true;
+        }
         let unchecked = self.unchecked.iter_mut().find(|(left, end)| *left > 0 && now < *end);
-        let unchecked = unchecked.map(|(left, _)| *left -= 1);
-        self.budget.take(now)
-            || unchecked.is_some()
-            || (now >= self.hold_until && self.borrower.take(now))
+        unchecked.map(|(left, _)| *left -= 1).is_some()
     }
 }
 
@@ -156,9 +156,11 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let now = Instant::now();
         let mut hosts: Vec<Host> = (0..HOSTS).map(|_| Host::new(now, &mut rng)).collect();
-        // Nearly all of the first host's share is lent.
+        // Nearly all of the first host's share is lent, and most schedules have no more than one kind of fault: whatever loses
+        // credit leaves slack that would cover for a missing safeguard.
         (hosts[0].rate, hosts[0].wants) = (2, 0.05);
-        let faults = std::array::from_fn(|_| [0.0, 0.0, 0.1, 0.4][rng.usize(0..4)]);
+        let chances: [&[f64]; 3] = [&[0.0, 0.0, 0.0, 0.3], &[0.0, 0.0, 0.8], &[0.0, 0.0, 0.0, 0.3]];
+        let faults = chances.map(|chances| chances[rng.usize(0..chances.len())]);
         let (network, sent) = (BTreeMap::new(), Vec::new());
         let mut fleet =
             Self { rng, without, now, faults, holds: false, hosts, network, sent, borrowed: 0 };
@@ -187,7 +189,7 @@
             }
             self.on_message(step, to, message);
         }
-        self.holds ^= self.rng.u32(0..80) == 0;
+        self.holds ^= self.rng.u32(0..40) == 0;
         let (mut requests, mut retries) = (0, 0);
         for n in 0..HOSTS {
             let chance = self.rng.u32(0..2000);
