feat(admission): plan, throttle and queue of deferrable requests

The plan divides the slots that urgent requests leave among the deferrable ranks. Each host starts its share of them, holds back the rest until there is capacity, and refuses what can't be answered within its objective. The host admits requests to services whose load is exchanged before their first send; all other requests are sent as before.

Run: cargo test -p jacinthbeam-admission; cargo clippy -p jacinthbeam-admission -p jacinthbeam-host.

--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -9,8 +9,13 @@
 pub mod classes;
 pub mod collect;
 pub mod plan;
+pub mod queue;
 pub mod report;
+pub mod service;
+pub mod throttle;
 
 pub use classes::Classes;
 pub use plan::Plan;
+pub use queue::{WaitMemory, WaitQueue};
 pub use report::HostReport;
+pub use service::ServiceAdmission;
--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -5,6 +5,8 @@
 use jacinthbeam_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::Classes;
+
 /// The load of the hosts of one failure domain on one service, and the capacity of the servers in that domain.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DomainLoad {
@@ -60,3 +62,102 @@
     /// Latency of its answers in percent of the fleet's mean; 100 if unknown.
     pub slowness_percent: u16,
 }
+
+/// Use of all slots that deferrable work may bring about. The rest absorbs variations of the more urgent load between two plans.
+const TARGET_USE: f64 = 0.85;
+
+/// Time in which the requests in flight of a rank approach their number of slots. Plans are about half a second old when they take effect;
+/// a shorter time would make the number oscillate.
+const CONVERGENCE_TIME: f64 = 0.8;
+
+/// Smallest share of the demand that is served of each rank while there are slots, so that none is starved.
+const MIN_SHARE: f64 = 0.25;
+
+/// Bound of the share of a rank with little or no demand.
+const MAX_SHARE: f64 = 100.0;
+
+/// Service time of a rank without answers, as a part of its objective.
+const ASSUMED_SERVICE_SHARE: f64 = 0.25;
+
+/// The service time to plan with: `measured`, or an estimate if it is zero.
+pub(crate) fn service_time(measured: Duration, objective: Duration) -> Duration {
+    if measured.is_zero() { objective.mul_f64(ASSUMED_SERVICE_SHARE) } else { measured }
+}
+
+/// How much work of each deferrable rank may be started, given the loads of all reachable failure domains.
+///
+/// Without any slot the plan has no ranks, and each host limits its requests by its own counts.
+pub fn compute(loads: &BTreeMap<FailureDomain, DomainLoad>, classes: &Classes) -> Plan {
+    let free = loads.iter().map(|(domain, load)| (domain.clone(), free_share(load))).collect();
+    let slots: f64 = loads.values().map(|load| f64::from(load.slots)).sum();
+    if slots == 0.0 {
+        return Plan { ranks: BTreeMap::new(), free };
+    }
+    let sums = sum_ranks(loads);
+    let is_urgent = |(rank, _): &(&u32, &Sum)| !classes.is_deferrable(**rank);
+    let urgent: f64 = sums.iter().filter(is_urgent).map(|(_, sum)| sum.in_flight).sum();
+    let mut available = (slots * TARGET_USE - urgent).max(0.0);
+    let mut ranks = BTreeMap::new();
+    for (rank, class) in classes.iter().filter(|(_, class)| class.deferrable) {
+        let sum = sums.get(&rank).copied().unwrap_or_default();
+        let measured = sum.service_time();
+        let seconds = service_time(measured, class.objective).as_secs_f64().max(0.001);
+        let start_rate = available / seconds + (available - sum.in_flight) / CONVERGENCE_TIME;
+        let demand = sum.arrival_rate + sum.waiting;
+        let share = (start_rate / demand.max(1.0)).clamp(MIN_SHARE, MAX_SHARE);
+        let rank_plan =
+            RankPlan { share: share as f32, service_time: measured, waiting: sum.waiting as u32 };
+        ranks.insert(rank, rank_plan);
+        let wanted = (sum.arrival_rate * seconds + sum.waiting).max(sum.in_flight);
+        available = (available - wanted).max(0.0);
+    }
+    Plan { ranks, free }
+}
+
+fn free_share(load: &DomainLoad) -> f32 {
+    match load.slots {
+        0 => 0.0,
+        slots => slots.saturating_sub(load.busy_slots) as f32 / slots as f32,
+    }
+}
+
+/// The load of one rank in all failure domains.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sum {
+    arrival_rate: f64,
+    waiting: f64,
+    in_flight: f64,
+    /// Answers a second whose service time is known.
+    timed: f64,
+    /// Total service time of these answers.
+    busy: f64,
+}
+
+impl Sum {
+    fn service_time(self) -> Duration {
+        let mean = if self.timed > 0.0 { self.busy / self.timed } else { 0.0 };
+        Duration::try_from_secs_f64(mean).unwrap_or_default()
+    }
+}
+
+fn sum_ranks(loads: &BTreeMap<FailureDomain, DomainLoad>) -> BTreeMap<u32, Sum> {
+    let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
+    for (rank, load) in loads.values().flat_map(|load| &load.ranks) {
+        let sum = sums.entry(*rank).or_default();
+        sum.arrival_rate += finite(load.arrival_rate);
+        sum.waiting += f64::from(load.waiting);
+        sum.in_flight += f64::from(load.in_flight);
+        if !load.service_time.is_zero() {
+            // A rank with answers long ago has a service time and a rate near zero.
+            let weight = finite(load.answer_rate).max(0.001);
+            sum.timed += weight;
+            sum.busy += weight * load.service_time.as_secs_f64();
+        }
+    }
+    sums
+}
+
+/// A rate out of a datagram; 0 if it is no valid rate.
+fn finite(rate: f32) -> f64 {
+    if rate.is_finite() { f64::from(rate.max(0.0)) } else { 0.0 }
+}
--- /dev/null
+++ b/crates/jacinthbeam-admission/src/throttle.rs
@@ -0,0 +1,133 @@
+//! Limits the rate at which a host starts the requests of one deferrable rank.
+
+use std::time::{Duration, Instant};
+
+/// Time constant of the measurement of arrivals, in seconds.
+const ARRIVAL_WINDOW: f64 = 1.0;
+
+/// Tokens that the bucket can always hold. A host of many has a rate of a few requests per second, whose arrivals are irregular.
+const MIN_DEPTH: f64 = 2.0;
+
+/// The bucket holds the tokens of this many seconds if that is more.
+const DEPTH_SECONDS: f64 = 0.25;
+
+/// Share of the slots per host that deferrable requests use without a plan.
+const OWN_SHARE: f64 = 0.6;
+
+/// Shortest time for which a plan is valid.
+const MIN_PLAN_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Reports of a host are sent in this interval for each host of its failure domain, if that is longer than a quarter of a second.
+const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+
+/// Time for which a plan is valid: one second or four report intervals, whichever is longer. `hosts` is the number of hosts of the failure
+/// domain.
+pub fn plan_lifetime(hosts: u32) -> Duration {
+    MIN_PLAN_LIFETIME.max(4 * hosts * REPORT_INTERVAL_PER_HOST)
+}
+
+/// Maximum number of deferrable requests in flight at a host without a plan, given the slots of the servers and the number of hosts of its
+/// failure domain.
+pub fn own_bound(slots: u32, hosts: u32) -> u32 {
+    (OWN_SHARE * f64::from(slots) / f64::from(hosts.max(1))).max(1.0) as u32
+}
+
+/// How fast requests of a rank may be started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Limit {
+    /// By the plan: requests to start per second, as a fraction of the host's own demand.
+    Share(f64),
+    /// Without a plan: at most this many requests in flight, each of which takes `service_time`.
+    InFlight {
+        /// Maximum number of requests in flight.
+        bound: u32,
+        /// Mean time from start to end.
+        service_time: Duration,
+    },
+}
+
+/// The throttle of one rank.
+#[derive(Debug)]
+pub struct Throttle {
+    /// Arrivals, decaying with [`ARRIVAL_WINDOW`].
+    arrivals: f64,
+    tokens: f64,
+    updated: Instant,
+    in_flight: u32,
+}
+
+impl Throttle {
+    /// A throttle without arrivals and with a full bucket.
+    pub fn new(now: Instant) -> Self {
+        Self { arrivals: 0.0, tokens: MIN_DEPTH, updated: now, in_flight: 0 }
+    }
+
+    /// Brings tokens and arrivals up to date. `waiting` is the number of waiting requests of the rank.
+    pub fn advance(&mut self, limit: Limit, waiting: u32, now: Instant) {
+        let seconds = now.saturating_duration_since(self.updated).as_secs_f64();
+        if seconds > 0.0 {
+            let rate = self.start_rate(limit, waiting);
+            let filled = self.tokens + rate * seconds;
+            self.tokens = filled.min(depth(rate));
+            self.arrivals *= (-seconds / ARRIVAL_WINDOW).exp();
+            self.updated = now;
+        }
+    }
+
+    /// Counts an arrival, at the time of the last [`Self::advance`].
+    pub fn on_arrival(&mut self) {
+        self.arrivals += 1.0;
+    }
+
+    /// Requests per second that may be started.
+    pub fn start_rate(&self, limit: Limit, waiting: u32) -> f64 {
+        match limit {
+            Limit::Share(share) => share * (self.arrivals / ARRIVAL_WINDOW + f64::from(waiting)),
+            Limit::InFlight { bound, service_time } => {
+                f64::from(bound) / service_time.as_secs_f64().max(0.001)
+            }
+        }
+    }
+
+    /// Starts a request if the limit allows that, at the time of the last [`Self::advance`].
+    pub fn try_start(&mut self, limit: Limit) -> bool {
+        let may_start = match limit {
+            Limit::Share(share) => share >= 1.0 || self.tokens >= 1.0,
+            Limit::InFlight { bound, .. } => self.in_flight < bound,
+        };
+        if may_start {
+            self.in_flight += 1;
+            self.tokens = (self.tokens - 1.0).max(0.0);
+        }
+        may_start
+    }
+
+    /// Predicted time until the request behind `ahead` others may be started; [`Duration::MAX`] if that is unknown.
+    pub fn predict(&self, limit: Limit, waiting: u32, ahead: u32) -> Duration {
+        let ready = match limit {
+            Limit::Share(share) if share >= 1.0 => return Duration::ZERO,
+            Limit::Share(_) => self.tokens,
+            Limit::InFlight { bound, .. } => f64::from(bound.saturating_sub(self.in_flight)),
+        };
+        let missing = (f64::from(ahead) + 1.0 - ready).max(0.0);
+        let rate = self.start_rate(limit, waiting);
+        if missing == 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
+    }
+
+    /// Records that a started request has ended.
+    pub fn on_end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Requests of this rank in flight from this host.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+}
+
+fn depth(rate: f64) -> f64 {
+    MIN_DEPTH.max(rate * DEPTH_SECONDS)
+}
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -62,6 +62,12 @@
     repeats_left: Gauge<f64>,
     /// Time that requests waited for their key to get an owner.
     waits: Histogram<f64>,
+    /// Deferrable requests that wait for capacity, by service and rank.
+    deferred_waiting: Gauge<u64>,
+    /// Time that deferrable requests waited for capacity.
+    deferred_seconds: Histogram<f64>,
+    /// Deferrable requests that waited or were refused, by outcome.
+    deferred: Counter<u64>,
     /// Time that inputs waited for the control thread, by whether they carry store state.
     control_waits: Histogram<f64>,
     /// Load reports that were dropped because too many newer ones were queued.
@@ -126,6 +132,9 @@
             repeats: count("jacinthbeam_repeats"),
             repeats_left: gauge("jacinthbeam_repeats_left"),
             waits: seconds("jacinthbeam_wait_seconds"),
+            deferred_waiting: meter.u64_gauge("jacinthbeam_deferred_waiting").build(),
+            deferred_seconds: seconds("jacinthbeam_deferred_seconds"),
+            deferred: count("jacinthbeam_deferred"),
             control_waits: seconds("jacinthbeam_control_wait_seconds"),
             reports_left_out: count("jacinthbeam_reports_left_out"),
             unreadable: count("jacinthbeam_unreadable_records"),
@@ -202,6 +211,20 @@
         self.waits.record(took.as_secs_f64(), &[]);
     }
 
+    /// Counts a deferrable request that waited or was refused; `waited` is `None` if it was refused at once.
+    pub fn on_deferred(&self, outcome: &'static str, waited: Option<Duration>) {
+        self.deferred.add(1, &[KeyValue::new("outcome", outcome)]);
+        if let Some(waited) = waited {
+            self.deferred_seconds.record(waited.as_secs_f64(), &[]);
+        }
+    }
+
+    /// Records the number of deferrable requests of a rank that wait.
+    pub fn on_waiting(&self, service: &ServiceName, rank: u32, count: u32) {
+        let labels = [service_label(service), KeyValue::new("rank", i64::from(rank))];
+        self.deferred_waiting.record(u64::from(count), &labels);
+    }
+
     /// Records how long an input waited for the control thread.
     pub fn on_control_wait(&self, is_store_state: bool, waited: Duration) {
         self.control_waits.record(waited.as_secs_f64(), &[KeyValue::new("news", is_store_state)]);
--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -10,6 +10,7 @@
 };
 
 use http::HeaderValue;
+use jacinthbeam_admission::service::Forecast;
 use jacinthbeam_crash::Fingerprint;
 use jacinthbeam_range::{Key, admission::Gate};
 use jacinthbeam_types::prelude::*;
@@ -82,6 +83,8 @@
     pub pause_left: Option<Duration>,
     /// Age of the list of servers.
     pub servers_age: Option<Duration>,
+    /// What admission by rank has refused the request by.
+    pub admission: Option<Forecast>,
 }
 
 impl RequestLog {
@@ -161,6 +164,8 @@
     ) {
         let Some(left_out) = self.refusals.borrow_mut().take(now) else { return };
         let basis = basis();
+        let admission = basis.admission;
+        let predicted_wait = admission.map(|by| by.wait).filter(|wait| *wait < Duration::MAX);
         tracing::info!(
             part = "request",
             event = "refused",
@@ -181,6 +186,10 @@
             in_flight = basis.in_flight,
             tried = basis.tried,
             servers_age_ms = basis.servers_age.map(|age| age.as_millis() as u64),
+            plan_age_ms = admission.and_then(|by| by.plan_age).map(|age| age.as_millis() as u64),
+            share = admission.and_then(|by| by.share),
+            predicted_wait_ms = predicted_wait.map(|wait| wait.as_millis() as u64),
+            ahead = admission.map(|by| by.ahead),
             left_out,
         );
     }
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -28,6 +28,7 @@
         request_log::RequestLog, server_state::ServerState, service_loads::ServiceLoads, usage,
     },
     request::{
+        admit::Admission,
         forward::{Forwarding, Peer},
         memory::BodyMemory,
     },
@@ -70,6 +71,8 @@
     peers: watch::Receiver<Arc<Vec<Peer>>>,
     /// Requests that other hosts serve for this one.
     pub(crate) forwarding: Forwarding,
+    /// Deferrable requests, which may have to wait.
+    pub(crate) admission: Admission,
     /// Requests that this host serves for others.
     helping: Helping,
     /// Detects that this host reaches no backend server.
@@ -138,6 +141,7 @@
         Self {
             request_memory: BodyMemory::new(settings.memory),
             response_memory: BodyMemory::new(settings.memory),
+            admission: Admission::new(settings.memory),
             settings,
             wire,
             clock,
@@ -205,6 +209,18 @@
         *self.phase.borrow() > Phase::Serving
     }
 
+    /// Waits until this process shuts down.
+    pub async fn stopping(&self) {
+        let mut phase = self.phase.clone();
+        // The sender lives as long as the process; an error here means that the process is about to exit.
+        let _ = phase.wait_for(|phase| *phase > Phase::Serving).await;
+    }
+
+    /// Requests of a service that wait for capacity, by rank. A rank is listed once a request of it has waited.
+    pub fn waiting(&self, service: &ServiceName) -> BTreeMap<u32, u32> {
+        self.admission.waiting(service)
+    }
+
     /// Waits until the view changes, up to `timeout`.
     pub async fn view_changed(&self, timeout: Duration) {
         let mut view = self.view.clone();
--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -138,5 +138,6 @@
         owner,
         tried,
         servers_age: job.traffic.servers_age(),
+        admission: job.admitted.refused_by(),
     }
 }
--- a/crates/jacinthbeam-host/src/request/forwarded.rs
+++ b/crates/jacinthbeam-host/src/request/forwarded.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::{
+    admit::Admitted,
     body,
     end::Conclusion,
     job::{Hop, Job},
@@ -107,6 +108,7 @@
         deadline: received + head.left,
         route: Arc::new(head.route),
         hop: Hop::Forwarded { sends: head.sends },
+        admitted: Admitted::default(),
     })
 }
 
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 
 use super::{
+    admit::Admitted,
     crash::CrashTracker,
     fingerprint,
     permit::Permit,
@@ -45,6 +46,8 @@
     /// When the response is due: the caller's or the route's timeout after `received`, whichever is shorter.
     pub(super) deadline: Instant,
     pub(super) hop: Hop,
+    /// What admission has decided about it.
+    pub(super) admitted: Admitted,
 }
 
 /// How a request reached this host.
--- a/crates/jacinthbeam-host/src/request/mod.rs
+++ b/crates/jacinthbeam-host/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The path of one request: reading, routing, sending, retrying, refusing.
 
+pub(crate) mod admit;
 pub mod answer;
 mod backpressure;
 mod body;
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -18,6 +18,7 @@
 use jacinthbeam_types::prelude::*;
 
 use super::{
+    admit::{Admitted, admit},
     backpressure, body,
     end::{Conclusion, conclude, refuse_for_crashes, respond},
     forward::forward,
@@ -119,6 +120,7 @@
         deadline,
         route,
         hop: Hop::Direct,
+        admitted: Admitted::default(),
     };
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_admitted(&job, &view, key)
@@ -163,6 +165,7 @@
     let mut tried = Vec::new();
     let mut last = None;
     let mut crashed = BTreeSet::new();
+    let mut is_admitted = job.keyed;
     loop {
         let view = job.traffic.view();
         // Checked before each send: crashes under this request may have become known while it waited or between its sends.
@@ -175,6 +178,15 @@
         if job.may_be_forwarded() && job.traffic.is_partitioned() {
             return forward(job, reached, last).await;
         }
+        if !is_admitted {
+            is_admitted = true;
+            match admit(job, &view).await {
+                Ok(false) => {}
+                // The view may have changed meanwhile.
+                Ok(true) => continue,
+                Err(refused) => return refused,
+            }
+        }
         let server = match pick_server(job, &view, &tried) {
             Some(server) => server,
             None if sends == 0
