--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -70,7 +70,11 @@
 /// a shorter time would make the number oscillate.
 const CONVERGENCE_TIME: f64 = 0.8;
 
-/// Smallest share of the demand that is served of each rank while there are slots, so that none is starved.
+/// Smallest start rate as a share of the rate that the slots sustain. Hosts predict waits of seconds by the start rate; a lower one that lasts
+/// only while some requests too many are in flight made them refuse requests that would have started in time.
+const MIN_OF_SUSTAINED: f64 = 0.8;
+
+/// Smallest share of the arrivals that is served of each rank while there are slots, so that none is starved.
 const MIN_SHARE: f64 = 0.25;
 
 /// Bound of the share of a rank with little or no demand.
@@ -102,9 +106,13 @@
         let sum = sums.get(&rank).copied().unwrap_or_default();
         let measured = sum.service_time();
         let seconds = service_time(measured, class.objective).as_secs_f64().max(0.001);
-        let start_rate = available / seconds + (available - sum.in_flight) / CONVERGENCE_TIME;
+        let sustained = available / seconds;
+        let start_rate = sustained + (available - sum.in_flight) / CONVERGENCE_TIME;
+        let start_rate = start_rate.max(sustained * MIN_OF_SUSTAINED);
         let demand = sum.arrival_rate + sum.waiting;
-        let share = (start_rate / demand.max(1.0)).clamp(MIN_SHARE, MAX_SHARE);
+        // Waiting requests count towards the minimum only as they arrive. With their number in it as well, it exceeded the capacity in a long burst.
+        let start_rate = start_rate.max(MIN_SHARE * sum.arrival_rate);
+        let share = (start_rate / demand.max(1.0)).min(MAX_SHARE);
         let rank_plan =
             RankPlan { share: share as f32, service_time: measured, waiting: sum.waiting as u32 };
         ranks.insert(rank, rank_plan);
--- a/crates/jacinthbeam-admission/src/service.rs
+++ b/crates/jacinthbeam-admission/src/service.rs
@@ -23,7 +23,7 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Shortest pause before a waiting request is decided again.
-const MIN_RECHECK: Duration = Duration::from_millis(1);
+const MIN_RECHECK: Duration = Duration::from_millis(10);
 
 /// Longest retry hint. Load patterns change within that time.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
