--- a/crates/jacinthbeam-admission/src/lib.rs
+++ b/crates/jacinthbeam-admission/src/lib.rs
@@ -10,13 +10,18 @@
 pub mod collect;
 pub mod fleet;
 pub mod plan;
+pub mod queue;
 pub mod received;
 pub mod report;
 pub mod sequence;
+pub mod service;
+pub mod throttle;
 
 pub use classes::Classes;
 pub use collect::Collector;
 pub use fleet::FleetLoads;
 pub use plan::Plan;
+pub use queue::{WaitMemory, WaitQueue};
 pub use received::Received;
 pub use report::HostReport;
+pub use service::ServiceAdmission;
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -180,6 +180,9 @@
         *next = (*next + interval).max(now);
         let loads = traffic.service_loads();
         let Some(load) = loads.services.get(service) else { continue };
+        for (rank, waiting) in traffic.waiting(service) {
+            traffic.load_counts.set_waiting(service, rank, waiting);
+        }
         let report = traffic.load_counts.take_report(service, now);
         for message in Message::host_reports(&traffic.settings.host, service, report) {
             let bytes = message.to_bytes();
