feat(request): a refusal's log line says why the request was not sent again

Change: the field not_retried of the line of a refused request. cargo test of load_control, retries and explain in the platform: passed.

--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -12,6 +12,7 @@
 use http::HeaderValue;
 use jacinthbeam_admission::service::Forecast;
 use jacinthbeam_crash::Fingerprint;
+use jacinthbeam_dispatch::retry::Why;
 use jacinthbeam_range::{Key, admission::Gate};
 use jacinthbeam_types::prelude::*;
 
@@ -79,6 +80,8 @@
     pub rate_limit: Option<Rate>,
     /// Age of that statement.
     pub rate_limit_age: Option<Duration>,
+    /// Why the request was not sent again after a server had rejected it as full.
+    pub not_retried: Option<Why>,
     /// How much longer the owner wants no request from this host.
     pub pause_left: Option<Duration>,
     /// Age of the list of servers.
@@ -185,6 +188,7 @@
             pause_left_ms = basis.pause_left.map(|left| left.as_millis() as u64),
             in_flight = basis.in_flight,
             tried = basis.tried,
+            not_retried = basis.not_retried.map(Why::as_str),
             servers_age_ms = basis.servers_age.map(|age| age.as_millis() as u64),
             plan_age_ms = admission.and_then(|by| by.plan_age).map(|age| age.as_millis() as u64),
             share = admission.and_then(|by| by.share),
--- a/crates/jacinthbeam-host/src/request/end.rs
+++ b/crates/jacinthbeam-host/src/request/end.rs
@@ -139,5 +139,6 @@
         tried,
         servers_age: job.traffic.servers_age(),
         admission: job.admitted.refused_by(),
+        not_retried: job.not_retried.get(),
     }
 }
--- a/crates/jacinthbeam-host/src/request/forwarded.rs
+++ b/crates/jacinthbeam-host/src/request/forwarded.rs
@@ -1,6 +1,6 @@
 //! Serves requests that other hosts forward because they reach no backend server.
 
-use std::{fmt, rc::Rc, sync::Arc, time::Instant};
+use std::{cell::Cell, fmt, rc::Rc, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
@@ -109,6 +109,7 @@
         route: Arc::new(head.route),
         hop: Hop::Forwarded { sends: head.sends },
         admitted: Admitted::default(),
+        not_retried: Cell::default(),
     })
 }
 
--- a/crates/jacinthbeam-host/src/request/job.rs
+++ b/crates/jacinthbeam-host/src/request/job.rs
@@ -1,12 +1,14 @@
 //! A routed request: what was decided about it once, and what it may still do.
 
 use std::{
+    cell::Cell,
     net::IpAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use jacinthbeam_dispatch::retry::Why;
 use jacinthbeam_range::Key;
 use jacinthbeam_route::{Route, Server};
 use jacinthbeam_types::prelude::*;
@@ -48,6 +50,8 @@
     pub(super) hop: Hop,
     /// What admission has decided about it.
     pub(super) admitted: Admitted,
+    /// Why the request was not sent again after a server had rejected it as full.
+    pub(super) not_retried: Cell<Option<Why>>,
 }
 
 /// How a request reached this host.
--- a/crates/jacinthbeam-host/src/request/retry.rs
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -100,7 +100,11 @@
     };
     let (time, ranks) = (time_left(job, state), ranks(job, view));
     let decide = |left, size| retry::decide(rejection, time, budget(job, &ranks, left, size));
-    job.traffic.budgets.decide(&job.service, view.hosts, now, decide)
+    let decision = job.traffic.budgets.decide(&job.service, view.hosts, now, decide);
+    if let Decision::Refuse(why) = decision {
+        job.not_retried.set(Some(why));
+    }
+    decision
 }
 
 fn budget<'a>(job: &Job, ranks: &'a BTreeSet<u32>, left: f64, size: f64) -> Budget<'a> {
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -2,6 +2,7 @@
 //! refuses it.
 
 use std::{
+    cell::Cell,
     collections::BTreeSet,
     net::{IpAddr, Ipv4Addr},
     rc::Rc,
@@ -116,6 +117,7 @@
         route,
         hop: Hop::Direct,
         admitted: Admitted::default(),
+        not_retried: Cell::default(),
     };
     if let Some(key) = job.key.filter(|_| job.keyed)
         && !is_admitted(&job, &view, key)
