fix(retry): the reserve follows the requests that arrive, and a gate for less urgent ranks bars no retry

Another 194 were not, because a gate was in force for the owner that admits all of rank 1.

Change: the reserve is as large as the more urgent requests of the last window could use; a gate counts only if it holds back the request's own rank.

--- a/crates/jacinthbeam-dispatch/src/retry.rs
+++ b/crates/jacinthbeam-dispatch/src/retry.rs
@@ -1,10 +1,7 @@
 //! Whether a request that a server rejected as full is sent to the same server again, and which retries the retry budget is spent
 //! on.
 
-use std::{
-    collections::BTreeSet,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use jacinthbeam_admission::report::StatedLoad;
 
@@ -21,7 +18,7 @@
 /// See [`STREAK`].
 const STREAK_PERIOD: Duration = Duration::from_secs(1);
 
-/// Share of the budget's size that is reserved for the most urgent rank.
+/// Share of the budget's size that is reserved for more urgent requests, if they could use all of it.
 const RESERVE: f64 = 0.5;
 
 /// A rejection of a request by the server that has to run it.
@@ -29,7 +26,7 @@
 pub struct Rejection {
     /// Sends of the request so far.
     pub sends: u32,
-    /// Whether an admission gate is in force for the server.
+    /// Whether an admission gate is in force for the server that admits only a part of the requests of this rank.
     pub gated: bool,
     /// What the server stated last about its load, and the age of the statement.
     pub stated: Option<(Duration, StatedLoad)>,
@@ -39,15 +36,13 @@
 
 /// The retry budget as seen by one request.
 #[derive(Debug, Clone, Copy)]
-pub struct Budget<'a> {
+pub struct Budget {
     /// Retries that are left, borrowed ones included.
     pub left: f64,
     /// Retries that would be left if none had been spent.
     pub size: f64,
-    /// Rank of the request.
-    pub rank: u32,
-    /// The ranks of the service; empty if they are not distinguished.
-    pub ranks: &'a BTreeSet<u32>,
+    /// Requests of more urgent ranks for each retry that the budget allows, at present. From 1 on they could use all of it.
+    pub more_urgent: f64,
 }
 
 /// Time that a request has left.
@@ -106,7 +101,7 @@
 
 /// Decides about a request that a server rejected as full: it is sent again if the rejection is likely to be random, if there is
 /// time, and if the budget allows it.
-pub fn decide(rejection: Rejection, time: TimeLeft, budget: Budget<'_>) -> Decision {
+pub fn decide(rejection: Rejection, time: TimeLeft, budget: Budget) -> Decision {
     let Rejection { sends, gated, stated, in_streak } = rejection;
     let is_full = |(age, stated): (Duration, StatedLoad)| {
         age < STATED_LOAD_TTL && !stated.has_free_slot() && stated.waiting >= stated.slots
@@ -127,13 +122,14 @@
     Decision::Refuse(why)
 }
 
-/// Decides whether the budget is spent on a retry. The most urgent rank may use all of it, as long as the answer is likely to come
-/// within the objective. Any other retry leaves a reserve of half the budget's size.
-pub fn spend(time: TimeLeft, budget: Budget<'_>) -> Decision {
-    let Budget { left, size, rank, ranks } = budget;
-    let is_urgent = ranks.first().is_none_or(|first| rank <= *first);
+/// Decides whether the budget is spent on a retry. The most urgent requests may use all of it, as long as the answer is likely to come
+/// within the objective. Any other retry leaves a reserve of up to half the budget's size, by the number of more urgent requests.
+pub fn spend(time: TimeLeft, budget: Budget) -> Decision {
+    let Budget { left, size, more_urgent } = budget;
     let is_late = time.objective < time.service_time;
-    let reserve = if is_urgent && !is_late { 0.0 } else { size.max(0.0) * RESERVE };
+    // A route that is more urgent and hardly used must not keep the others from the budget.
+    let reserved = if is_late { 1.0 } else { more_urgent.clamp(0.0, 1.0) };
+    let reserve = size.max(0.0) * RESERVE * reserved;
     if left < 1.0 {
         Decision::Refuse(Why::Budget)
     } else if left - reserve < 1.0 {
--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -14,7 +14,7 @@
     RetryBudget,
     budget::{MAX_LOAN, Options},
     credit::Borrower,
-    retry::{Decision, Why},
+    retry::{Budget, Decision, Why},
 };
 use jacinthbeam_types::prelude::*;
 use tokio::sync::mpsc;
@@ -98,9 +98,34 @@
     unmet: u32,
     /// When this host last wanted a retry.
     last_wanted: Option<Instant>,
+    /// Requests of callers by rank, decaying with the window of the budget, up to `decayed`.
+    by_rank: BTreeMap<u32, f64>,
+    decayed: Instant,
 }
 
 impl Account {
+    /// Counts a request of a caller.
+    fn on_request(&mut self, rank: u32, window: Duration, now: Instant) {
+        self.budget.on_request(now);
+        let elapsed = now.saturating_duration_since(self.decayed).as_secs_f64();
+        let kept = (-elapsed / window.as_secs_f64().max(f64::MIN_POSITIVE)).exp();
+        self.by_rank.values_mut().for_each(|count| *count *= kept);
+        *self.by_rank.entry(rank).or_default() += 1.0;
+        self.decayed = now;
+    }
+
+    /// The budget as seen by a request of a rank.
+    fn seen_by(&self, rank: u32, ratio: f64, now: Instant) -> Budget {
+        let all: f64 = self.by_rank.values().sum();
+        let more_urgent: f64 = self.by_rank.range(..rank).map(|(_, count)| count).sum();
+        let allowed = all * ratio;
+        Budget {
+            left: self.left(now),
+            size: self.budget.size(now),
+            more_urgent: if allowed > 0.0 { more_urgent / allowed } else { 0.0 },
+        }
+    }
+
     /// Records that a retry was wanted, and whether there was none left.
     fn on_wanted(&mut self, decision: Decision, now: Instant) {
         match decision {
@@ -137,8 +162,9 @@
     }
 
     /// Counts a request of a caller for a service.
-    pub fn on_request(&self, service: &ServiceName, hosts: u32, now: Instant) {
-        self.with_account(service, hosts, now, |account| account.budget.on_request(now));
+    pub fn on_request(&self, service: &ServiceName, rank: u32, hosts: u32, now: Instant) {
+        let window = self.options.window;
+        self.with_account(service, hosts, now, |account| account.on_request(rank, window, now));
     }
 
     /// Takes one retry from this host's share. Returns whether there was one left.
@@ -155,16 +181,17 @@
     pub fn decide(
         &self,
         service: &ServiceName,
+        rank: u32,
         hosts: u32,
         now: Instant,
-        decide: impl FnOnce(f64, f64) -> Decision,
+        decide: impl FnOnce(Budget) -> Decision,
     ) -> Decision {
         let (decision, left) = self.with_account(service, hosts, now, |account| {
-            let left = account.left(now);
-            let decision = decide(left, account.budget.size(now));
+            let budget = account.seen_by(rank, self.options.ratio, now);
+            let decision = decide(budget);
             account.on_wanted(decision, now);
             self.request_credit(service, account, now);
-            (decision, left)
+            (decision, budget.left)
         });
         if let Decision::Refuse(why) = decision {
             self.counters.on_repeat(service, Some(why.as_str()), left);
@@ -176,11 +203,12 @@
     pub fn spend(
         &self,
         service: &ServiceName,
+        rank: u32,
         hosts: u32,
         now: Instant,
-        decide: impl FnOnce(f64, f64) -> Decision,
+        decide: impl FnOnce(Budget) -> Decision,
     ) -> bool {
-        if self.decide(service, hosts, now, decide) != Decision::Retry {
+        if self.decide(service, rank, hosts, now, decide) != Decision::Retry {
             return false;
         }
         let (taken, left) = self.with_account(service, hosts, now, |account| {
@@ -253,6 +281,8 @@
             borrower: Borrower::new(fastrand::u64(..)),
             unmet: 0,
             last_wanted: None,
+            by_rank: BTreeMap::new(),
+            decayed: now,
         });
         account.budget.set_hosts(hosts);
         f(account)
--- a/crates/jacinthbeam-host/src/process/traffic.rs
+++ b/crates/jacinthbeam-host/src/process/traffic.rs
@@ -288,8 +288,8 @@
     }
 
     /// Counts a request of a caller for a service; the retry budget is a share of these.
-    pub fn on_request(&self, service: &ServiceName, hosts: u32) {
-        self.budgets.on_request(service, hosts, self.now());
+    pub fn on_request(&self, service: &ServiceName, rank: u32, hosts: u32) {
+        self.budgets.on_request(service, rank, hosts, self.now());
     }
 
     /// Counts a request for a key in the next load report, whether or not it is then sent to the owner of the key.
--- a/crates/jacinthbeam-host/src/request/retry.rs
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -1,8 +1,6 @@
 //! Whether a request is sent once more.
 
-use std::collections::BTreeSet;
-
-use jacinthbeam_dispatch::retry::{self, Budget, Decision, MAX_SENDS, Rejection, TimeLeft};
+use jacinthbeam_dispatch::retry::{self, Decision, MAX_SENDS, Rejection, TimeLeft};
 use jacinthbeam_route::Server;
 
 use super::job::Job;
@@ -60,9 +58,9 @@
     if !retries_keyed(job, view, state) && !view.load_shared.contains_key(&job.service) {
         return job.traffic.may_repeat(&job.service, view.hosts);
     }
-    let (time, ranks) = (time_left(job, state), ranks(job, view));
-    let spend = |left, size| retry::spend(time, budget(job, &ranks, left, size));
-    job.traffic.budgets.spend(&job.service, view.hosts, job.traffic.now(), spend)
+    let (time, rank) = (time_left(job, state), job.route.priority);
+    let spend = |budget| retry::spend(time, budget);
+    job.traffic.budgets.spend(&job.service, rank, view.hosts, job.traffic.now(), spend)
 }
 
 /// Whether keyed requests that the server rejects as full are sent again: if servers state their load, or if the service has
@@ -94,31 +92,19 @@
     let age = |at| now.saturating_duration_since(at);
     let rejection = Rejection {
         sends,
-        gated: job.traffic.gate(&server.id).is_some(),
+        gated: job.traffic.gate(&server.id).is_some_and(|gate| gate.rank <= job.route.priority),
         stated: state.stated_load.get().map(|(at, stated)| (age(at), stated)),
         in_streak: state.rejections.get().is_long(now),
     };
-    let (time, ranks) = (time_left(job, state), ranks(job, view));
-    let decide = |left, size| retry::decide(rejection, time, budget(job, &ranks, left, size));
-    let decision = job.traffic.budgets.decide(&job.service, view.hosts, now, decide);
+    let (time, rank) = (time_left(job, state), job.route.priority);
+    let decide = |budget| retry::decide(rejection, time, budget);
+    let decision = job.traffic.budgets.decide(&job.service, rank, view.hosts, now, decide);
     if let Decision::Refuse(why) = decision {
         job.not_retried.set(Some(why));
     }
     decision
 }
 
-fn budget<'a>(job: &Job, ranks: &'a BTreeSet<u32>, left: f64, size: f64) -> Budget<'a> {
-    Budget { left, size, rank: job.route.priority, ranks }
-}
-
-/// The ranks of the routes of the request's service; empty for a keyed service whose routes have the same rank.
-fn ranks(job: &Job, view: &View) -> BTreeSet<u32> {
-    match view.load_shared.get(&job.service) {
-        Some(classes) => classes.iter().map(|(rank, _)| rank).collect(),
-        None => view.mixed_ranks.get(&job.service).cloned().unwrap_or_default(),
-    }
-}
-
 fn time_left(job: &Job, state: &ServerState) -> TimeLeft {
     let objective = job.received + job.route.objective;
     TimeLeft {
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -90,7 +90,7 @@
     if service.keyed && caller.key.is_none() {
         return bad_request(&traffic, "the service is divided by key and the request names none");
     }
-    traffic.on_request(&name, view.hosts);
+    traffic.on_request(&name, route.priority, view.hosts);
     if view.load_shared.contains_key(&name) {
         traffic.load_counts.on_arrival(&name, route.priority);
     }
