fix(replica): load is exchanged only for services with deferrable routes of their own

Change: View::load_shared holds the services with deferrable ranks alone, and the line of a configuration in force names them. The test of the field admission has a deferrable route in both services, and a third service without one.

--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -98,8 +98,7 @@
     pending_log_lines: ServerLines,
 }
 
-/// The services without keys, with the ranks of their routes, if any of them has deferrable routes; otherwise none. Services whose admission
-/// is off are left out, as if they were not configured.
+/// The services without keys that have deferrable routes, with the ranks of their routes. Services whose admission is off are left out.
 fn load_shared(cfg: &Config) -> BTreeMap<ServiceName, Classes> {
     let classes = |service: &ServiceName| {
         let routes = cfg.routes.iter();
@@ -108,11 +107,8 @@
     };
     let is_included = |service: &Service| !service.keyed && service.admission == Admission::Auto;
     let included = cfg.services.iter().filter(|(_, service)| is_included(service));
-    let shared: BTreeMap<_, _> = included.map(|(name, _)| (name.clone(), classes(name))).collect();
-    match shared.values().any(Classes::has_deferrable) {
-        true => shared,
-        false => BTreeMap::new(),
-    }
+    let shared = included.map(|(name, _)| (name.clone(), classes(name)));
+    shared.filter(|(_, classes)| classes.has_deferrable()).collect()
 }
 
 /// The services with keys whose routes have more than one rank, with these ranks.
@@ -213,9 +209,15 @@
             tracing::error!(part = "config", event = "refused", version = %cfg.version, error = ?err.to_string());
             return false;
         }
-        tracing::info!(part = "config", event = "in-force", version = %cfg.version, before = ?known);
         self.load_shared = Arc::new(load_shared(&cfg));
         self.mixed_ranks = Arc::new(mixed_ranks(&cfg));
+        let deferrable = self.load_shared.iter().map(|(service, classes)| {
+            let ranks = classes.iter().filter(|(_, class)| class.deferrable).map(|(rank, _)| rank);
+            (service.as_str(), ranks.collect::<Vec<u32>>())
+        });
+        let deferrable: BTreeMap<&str, Vec<u32>> = deferrable.collect();
+        let mixed_ranks = &self.mixed_ranks;
+        tracing::info!(part = "config", event = "in-force", version = %cfg.version, before = ?known, deferrable = ?deferrable, mixed_ranks = ?mixed_ranks);
         self.config = Some(Arc::new(cfg));
         true
     }
--- a/crates/jacinthbeam-host/tests/admission_off.rs
+++ b/crates/jacinthbeam-host/tests/admission_off.rs
@@ -40,13 +40,16 @@
     }
 }
 
-/// Rides have deferrable routes, refunds have not.
+/// Rides and refunds have deferrable routes, the index has not.
 fn config(rides: Admission, refunds: Admission) -> Config {
     let mut cfg = Config { version: ConfigVersion(1), ..Config::default() };
     cfg.services = [(name("rides"), service(rides)), (name("refunds"), service(refunds))].into();
+    cfg.services.insert(name("index"), service(Admission::Auto));
+    cfg.routes.insert("*", route("index", 1, Duration::from_secs(1)));
     cfg.routes.insert("*", route("rides", 1, Duration::from_millis(600)));
     cfg.routes.insert("*", route("rides", 2, Duration::from_secs(5)));
     cfg.routes.insert("*", route("refunds", 1, Duration::from_secs(1)));
+    cfg.routes.insert("*", route("refunds", 2, Duration::from_secs(2)));
     cfg
 }
 
@@ -67,8 +70,8 @@
     let shared = |rides, refunds| shared(&replica(config(rides, refunds)));
     assert_eq!(shared(Admission::Auto, Admission::Auto), ["refunds", "rides"]);
     assert_eq!(shared(Admission::Auto, Admission::Off), ["rides"]);
-    // No other service has deferrable routes.
-    assert!(shared(Admission::Off, Admission::Auto).is_empty());
+    assert_eq!(shared(Admission::Off, Admission::Auto), ["refunds"]);
+    assert!(shared(Admission::Off, Admission::Off).is_empty());
 }
 
 /// Guards against a host that learns the configuration from another host and admits requests of a service whose admission is off.
