fix(choose): requests of this host count at servers without a figure

Cause: the load of a server that no figure includes, or of another failure domain, was taken to be the usual one, whatever this host had in flight there. A deferrable request was sent to a server whose slots this host had filled by itself. Change: the estimate is at least this host's requests in flight. Sums of two counts are added as floating-point numbers, so that they cannot overflow. Run: the new test failed before; by_load_rules and by_load of jacinthbeam-dispatch.

--- a/crates/jacinthbeam-dispatch/src/choose/by_load.rs
+++ b/crates/jacinthbeam-dispatch/src/choose/by_load.rs
@@ -250,7 +250,7 @@
             planned = planned.or(domain_free);
             if let Some(fleet) = fleet.filter(FleetLoad::is_fresh) {
                 let available = f64::from(server.slots.max(1));
-                let in_flight = f64::from(fleet.others + server.stats.in_flight());
+                let in_flight = f64::from(fleet.others) + f64::from(server.stats.in_flight());
                 slots += available;
                 used += in_flight;
                 if !is_unavailable(server.stats, now) {
@@ -299,8 +299,8 @@
         let domain_free = domain_free.unwrap_or_default();
         let usual = slots * if server.near { self.used } else { 1.0 - domain_free };
         let fleet = fleet.filter(FleetLoad::is_fresh);
-        let mut in_flight =
-            fleet.map_or(usual, |fleet| f64::from(fleet.others + stats.in_flight()));
+        let own = f64::from(stats.in_flight());
+        let mut in_flight = fleet.map_or(usual.max(own), |fleet| f64::from(fleet.others) + own);
         let stated = stated.filter(|stated| stated.waiting > 0 && stated.age < MAX_STATED_AGE);
         if let Some(stated) = stated {
             in_flight = in_flight.max(f64::from(stated.running) + f64::from(stated.waiting));
@@ -327,7 +327,6 @@
         if !server.near {
             latency += REMOTE_DOMAIN_PENALTY;
         }
-        let own = f64::from(stats.in_flight());
         let free = (slots - in_flight).max(0.0);
         let is_usual = in_flight >= usual;
         let (id, near) = (server.id, server.near);
--- a/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
+++ b/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
@@ -150,6 +150,19 @@
     assert_eq!(at(MAX_FIGURE_AGE + Duration::from_millis(1)), ([1000, 0, 0, 0], 0));
 }
 
+/// Guards against a server that no figure includes yet, or of another failure domain, whose slots this host has filled by itself.
+#[test]
+fn requests_of_this_host_fill_a_server_without_a_figure() {
+    let now = Instant::now();
+    let (usual, mut filled) = (ServerStats::default(), ServerStats::default());
+    (0..6).for_each(|_| filled.begin(now));
+    let unknown = Candidate { fleet: None, ..near(&0, &filled, 0) };
+    let other = Candidate { domain_free: Some(0.0), ..near(&1, &usual, 6) };
+    let servers = [unknown, near(&1, &usual, 2)];
+    assert_eq!(chosen(&servers, &DEFERRABLE, now).0, [0, 1000, 0, 0]);
+    assert_eq!(chosen(&[other, far(&0, &filled, 0.8)], &DEFERRABLE, now), ([0; 4], 1000));
+}
+
 /// Guards against requests of this host that are counted twice: in the collector's figure, and by the host itself.
 #[test]
 fn requests_of_this_host_are_counted_once() {
