fix(choose): deferrable requests don't prefer failing, cold or silent servers

Cause: the preference for slow servers compared only their slowness. It includes the factor of a cold server, and the penalty of a failing one and the age of a silent one count only in the latency, of which half of a long objective leaves enough. A server that fails at once also has the most free slots, so it attracted deferrable requests. Change: only a warm server that neither fails nor is silent is preferred for being slow; the others are compared by latency, as for urgent requests.

--- a/crates/jacinthbeam-dispatch/src/choose/by_load.rs
+++ b/crates/jacinthbeam-dispatch/src/choose/by_load.rs
@@ -194,8 +194,9 @@
 ) -> Option<&'a Id> {
     let near = estimates.clone().filter(|estimate| estimate.near && estimate.free >= 1.0);
     let limit = request.objective.mul_f64(DEFERRABLE_LATENCY_SHARE);
-    let is_spare =
-        |estimate: &Estimate<'a, Id>| estimate.free >= SPARE_SLOTS && estimate.latency <= limit;
+    let is_spare = |estimate: &Estimate<'a, Id>| {
+        estimate.is_healthy && estimate.free >= SPARE_SLOTS && estimate.latency <= limit
+    };
     let free = |estimate: &Estimate<'a, Id>| estimate.free;
     let latency = |estimate: &Estimate<'a, Id>| estimate.latency.as_secs_f64();
     let starts = domain.starts_in_interval(domain.service_time);
@@ -318,7 +319,9 @@
         let wait = self.turnover.mul_f64(queue(used, slots) / slots);
         let mut latency = (self.service_time + wait).mul_f64(slowness);
         let overdue = OVERDUE_FACTOR * self.service_time.max(stats.mean());
-        if let Some(oldest) = stats.oldest(now).filter(|oldest| *oldest > overdue) {
+        let silent_for = stats.oldest(now).filter(|oldest| *oldest > overdue);
+        let is_healthy = !server.cold && !stats.is_failing() && silent_for.is_none();
+        if let Some(oldest) = silent_for {
             latency = latency.max(oldest);
         }
         if stats.is_failing() {
@@ -339,6 +342,7 @@
             used,
             own,
             slowness,
+            is_healthy,
             latency,
             domain_free,
         })
@@ -393,6 +397,8 @@
     own: f64,
     /// Latency relative to the mean of the fleet.
     slowness: f64,
+    /// Whether it is warm, and neither fails nor is silent. Any other looks slow or free without having capacity to spare.
+    is_healthy: bool,
     latency: Duration,
     /// Free share of its failure domain.
     domain_free: f64,
--- a/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
+++ b/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
@@ -76,6 +76,28 @@
     assert!(chosen(&servers, &URGENT, now).0[0] > 900);
 }
 
+/// Guards against deferrable requests that are drawn to a server because it fails, is cold or is silent: the first only has free slots because
+/// its requests fail, the others look slow.
+#[test]
+fn deferrable_requests_do_not_prefer_failing_cold_or_silent_servers() {
+    let now = Instant::now();
+    let (usual, mut failing, mut silent) =
+        (ServerStats::default(), ServerStats::default(), ServerStats::default());
+    (0..4).for_each(|_| failing.on_error());
+    silent.begin(now - Duration::from_secs(2));
+    let slow = near(&0, &usual, 3);
+    let slow =
+        Candidate { fleet: slow.fleet.map(|fleet| FleetLoad { slowness: 1.5, ..fleet }), ..slow };
+    let mut cold = near(&3, &usual, 0);
+    cold.server.cold = true;
+    let servers = [slow, near(&1, &failing, 0), near(&2, &silent, 0), cold];
+    assert_eq!(chosen(&servers, &DEFERRABLE, now).0, [1000, 0, 0, 0]);
+    // They are used if there is no other.
+    for (n, server) in servers.into_iter().enumerate().skip(1) {
+        assert_eq!(chosen(&[server], &DEFERRABLE, now).0[n], 1000);
+    }
+}
+
 /// Guards against charged bytes between failure domains while the own one has capacity, and against an own one that stays overloaded while
 /// another has capacity.
 #[test]
