fix(request): a send that a server rejected counts when the request is forwarded

Cause: a host counted only the sends that may have run when it handed a request to another host. A request that a server had rejected was sent there as a first send, without a charge to the retry budget, and could exceed the number of sends of a request. Change: every send that may have arrived at a server counts; a send to a server that was not reached still doesn't.

--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -216,13 +216,14 @@
             }
         };
         if sends > 0 && !may_repeat(job, &view, &state) {
-            return conclude(job, last, &tried);
+            // A request from another host has no outcome here yet. If it may have run there, that host reports so.
+            return conclude(job, last.or(Some(SendOutcome::NotRun(NotRun::Full))), &tried);
         }
         sends += 1;
         let sent = send_to(job, &view, &server, permit).await;
         job.traffic.counters.on_sent(&sent);
         job.log_send(&view, &server, sends, &sent);
-        reached += u32::from(!matches!(sent, SendOutcome::NotRun(_)));
+        reached += u32::from(sent.may_have_arrived());
         if is_unreachable(&sent) && job.may_be_forwarded() && job.traffic.may_be_partitioned() {
             return forward(job, reached, last).await;
         }
--- a/crates/jacinthbeam-host/src/send_outcome.rs
+++ b/crates/jacinthbeam-host/src/send_outcome.rs
@@ -22,6 +22,23 @@
     Lost(Lost),
 }
 
+impl SendOutcome {
+    /// Whether the request may have arrived at a server, also if the server rejected it, so that a further send is a retry.
+    pub fn may_have_arrived(&self) -> bool {
+        match self {
+            Self::Answered { .. } | Self::Lost(_) => true,
+            Self::NotRun(why) => match why {
+                NotRun::Full | NotRun::NotOwner | NotRun::OtherServer | NotRun::Refused => true,
+                NotRun::NotListening
+                | NotRun::Unreachable
+                | NotRun::NoConnection
+                | NotRun::RateLimited
+                | NotRun::Paused => false,
+            },
+        }
+    }
+}
+
 /// Why a request did not run at a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotRun {
