fix(credits): a host with retries left requests none

Cause: retries that had been refused while a request was open led to another request with the next decision of any kind, also when the host's share had recovered. The loan ended unused and was lost to the lender. Change: credit is requested only when a retry is refused for want of budget. Run: the new test failed before (a request for 5); credits of jacinthbeam-host.

--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -163,7 +163,9 @@
             let left = account.left(now);
             let decision = decide(left, account.budget.size(now));
             account.on_wanted(decision, now);
-            self.request_credit(service, account, now);
+            if decision == Decision::Refuse(Why::Budget) {
+                self.request_credit(service, account, now);
+            }
             (decision, left)
         });
         if let Decision::Refuse(why) = decision {
@@ -196,9 +198,6 @@
     /// Requests credit for the retries that were refused for want of it, unless there is an open request or a recent one.
     fn request_credit(&self, service: &ServiceName, account: &mut Account, now: Instant) {
         let wanted = account.unmet.min(MAX_LOAN);
-        if wanted == 0 {
-            return;
-        }
         if let Some(id) = account.borrower.request(wanted, now) {
             account.unmet = 0;
             self.send(Outgoing::Request { id, service: service.clone(), wanted });
--- a/crates/jacinthbeam-host/tests/credits.rs
+++ b/crates/jacinthbeam-host/tests/credits.rs
@@ -113,6 +113,19 @@
     assert_eq!(host.requested().map(|(_, wanted)| wanted), Some(1));
 }
 
+/// Guards against a request for credit by a host whose share has recovered: the loan would end unused, and be lost to the lender.
+#[test]
+fn a_host_with_retries_left_requests_none() {
+    let (now, mut host) = (Instant::now(), Host::new());
+    assert_eq!(host.spend_all(now), 10);
+    let (id, _) = host.requested().unwrap();
+    (0..5).for_each(|_| assert_eq!(host.spend_all(now), 0));
+    host.budgets.on_message(grant(id, 0), now);
+    let later = now + 2 * OPTIONS.window;
+    assert!(host.budgets.spend(&service(), 2, later, |_, _| Decision::Retry));
+    assert_eq!(host.requested(), None);
+}
+
 /// Guards against a host that waits forever for a lender that is gone, or that uses a grant which arrives too late.
 #[test]
 fn a_lender_that_is_gone_is_given_up() {
