fix(credits): a lender uses the present number of hosts

Cause: only requests of callers updated the number of hosts that the burst is divided among. A host without requests for a service lent from the part that it had while there were fewer hosts; after several steps of growth the parts of all hosts exceed the burst. Change: the number of hosts is set before retries are lent.

--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -112,7 +112,9 @@
     }
 
     /// Lends retries to another host; returns their number.
-    fn lend(&mut self, wanted: u32, now: Instant) -> u32 {
+    fn lend(&mut self, wanted: u32, hosts: u32, now: Instant) -> u32 {
+        // It may have been set long ago: only requests of callers set it otherwise.
+        self.budget.set_hosts(hosts);
         let is_idle = |at: Instant| now.saturating_duration_since(at) >= LENDER_IDLE_TIME;
         match self.last_wanted.is_none_or(is_idle) {
             true => self.budget.lend(wanted, now),
@@ -204,13 +206,13 @@
         }
     }
 
-    /// Handles a message of another host.
-    pub fn on_message(&self, message: Incoming, now: Instant) {
+    /// Handles a message of another host, given the number of hosts that the burst is divided among.
+    pub fn on_message(&self, message: Incoming, hosts: u32, now: Instant) {
         let mut services = self.services.borrow_mut();
         match message {
             Incoming::Request { from, id, service, wanted } => {
                 let account = services.get_mut(&service);
-                let granted = account.map_or(0, |account| account.lend(wanted, now));
+                let granted = account.map_or(0, |account| account.lend(wanted, hosts, now));
                 match granted {
                     0 => self.counters.on_credits("declined", 1),
                     lent => self.counters.on_credits("lent", lent),
--- a/crates/jacinthbeam-host/src/process/serving.rs
+++ b/crates/jacinthbeam-host/src/process/serving.rs
@@ -91,7 +91,7 @@
 /// Handles the messages of other hosts about retry budgets.
 async fn exchange_credit(traffic: Rc<Traffic>, mut messages: mpsc::Receiver<credits::Incoming>) {
     while let Some(message) = messages.recv().await {
-        traffic.budgets.on_message(message, traffic.now());
+        traffic.budgets.on_message(message, traffic.view().hosts, traffic.now());
     }
 }
 
--- a/crates/jacinthbeam-host/tests/credits.rs
+++ b/crates/jacinthbeam-host/tests/credits.rs
@@ -51,8 +51,13 @@
 
     /// Lets it answer a request; returns the number of retries that it grants.
     fn lend(&mut self, id: u64, wanted: u32, now: Instant) -> u32 {
+        self.lend_among(2, id, wanted, now)
+    }
+
+    /// The same in a fleet of `hosts`.
+    fn lend_among(&mut self, hosts: u32, id: u64, wanted: u32, now: Instant) -> u32 {
         let request = Incoming::Request { from: BORROWER, id, service: service(), wanted };
-        self.budgets.on_message(request, now);
+        self.budgets.on_message(request, hosts, now);
         match self.sent.try_recv() {
             Ok(Outgoing::Grant { to: BORROWER, id: answered, granted, .. }) if answered == id => {
                 granted
@@ -80,14 +85,14 @@
     let (gone, _) = borrower.requested().unwrap();
     // Refused while the first request is open.
     (0..5).for_each(|_| assert_eq!(borrower.spend_all(now), 0));
-    borrower.budgets.on_message(grant(gone, 0), now);
+    borrower.budgets.on_message(grant(gone, 0), 2, now);
     let now = now + REQUEST_INTERVAL;
     assert_eq!(borrower.spend_all(now), 0);
     let (id, wanted) = borrower.requested().unwrap();
     assert_eq!(wanted, 6);
     let granted = lender.lend(id, wanted, now);
     assert_eq!(granted, 5);
-    (0..2).for_each(|_| borrower.budgets.on_message(grant(id, granted), now));
+    (0..2).for_each(|_| borrower.budgets.on_message(grant(id, granted), 2, now));
     assert_eq!((borrower.spend_all(now), lender.spend_all(now)), (5, 5));
 }
 
@@ -120,7 +125,7 @@
     assert_eq!(host.spend_all(now), 10);
     let (id, _) = host.requested().unwrap();
     (0..5).for_each(|_| assert_eq!(host.spend_all(now), 0));
-    host.budgets.on_message(grant(id, 0), now);
+    host.budgets.on_message(grant(id, 0), 2, now);
     let later = now + 2 * OPTIONS.window;
     assert!(host.budgets.spend(&service(), 2, later, |_, _| Decision::Retry));
     assert_eq!(host.requested(), None);
@@ -134,14 +139,24 @@
     let (gone, _) = borrower.requested().unwrap();
     assert_eq!((borrower.spend_all(begun), borrower.requested()), (0, None));
     let later = begun + CREDIT_PERIOD;
-    borrower.budgets.on_message(grant(gone, 5), later);
+    borrower.budgets.on_message(grant(gone, 5), 2, later);
     assert_eq!(borrower.spend_all(later), 0);
     let (other, wanted) = borrower.requested().unwrap();
     assert_eq!(wanted, 2);
-    borrower.budgets.on_message(grant(other, 5), later);
+    borrower.budgets.on_message(grant(other, 5), 2, later);
     assert_eq!(borrower.spend_all(later), 2);
 }
 
+/// Guards against hosts without requests that lend from the part of the burst which they had while there were fewer hosts. The parts of all
+/// hosts would exceed the burst.
+#[test]
+fn a_host_lends_from_its_part_of_the_burst_among_the_present_hosts() {
+    let (now, mut lender) = (Instant::now(), Host::new());
+    lender.budgets.on_request(&service(), 2, now);
+    assert_eq!(lender.lend_among(10, 1, MAX_LOAN, now), 1);
+    assert_eq!(lender.lend_among(20, 2, MAX_LOAN, now), 0);
+}
+
 /// Guards against a host that grants retries of a service for which it has had no request.
 #[test]
 fn a_host_without_a_budget_declines() {
