docs: wording of server selection and the retry budget; one definition of shared values

Comments and notes still said that deferrable requests do not wait at the host. The age limit of a stated load and the interval of the reports were each defined twice with the same value.

--- a/crates/jacinthbeam-dispatch/src/choose/by_load.rs
+++ b/crates/jacinthbeam-dispatch/src/choose/by_load.rs
@@ -7,14 +7,14 @@
 use std::time::{Duration, Instant};
 
 use super::{COLD_FACTOR, FAILING_PENALTY, REMOTE_DOMAIN_PENALTY};
-use crate::ServerStats;
+use crate::{ServerStats, retry::STATED_LOAD_TTL};
 
 /// Age from which a figure of the collector isn't used: four intervals of the reports.
 pub const MAX_FIGURE_AGE: Duration = Duration::from_secs(1);
 
 /// Age from which a queue that the server has stated isn't used. A server with six slots and work of 160 ms answers eleven requests
 /// in this time.
-pub const MAX_STATED_AGE: Duration = Duration::from_millis(300);
+pub const MAX_STATED_AGE: Duration = STATED_LOAD_TTL;
 
 /// Shortest interval between two figures of the collector.
 pub const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -94,7 +94,7 @@
 struct Account {
     budget: RetryBudget,
     borrower: Borrower,
-    /// Retries that were refused for want of budget since the last request for credit.
+    /// Retries that were refused because no budget was left, since the last request for credit.
     unmet: u32,
     /// When this host last wanted a retry.
     last_wanted: Option<Instant>,
@@ -197,7 +197,7 @@
         taken
     }
 
-    /// Requests credit for the retries that were refused for want of it, unless there is an open request or a recent one.
+    /// Requests credit for the retries that were refused without it, unless there is an open request or a recent one.
     fn request_credit(&self, service: &ServiceName, account: &mut Account, now: Instant) {
         let wanted = account.unmet.min(MAX_LOAN);
         if let Some(id) = account.borrower.request(wanted, now) {
--- a/crates/jacinthbeam-host/src/request/by_load.rs
+++ b/crates/jacinthbeam-host/src/request/by_load.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use jacinthbeam_admission::{Classes, Plan};
+use jacinthbeam_admission::{Classes, Plan, report};
 use jacinthbeam_dispatch::{
     ServerStats, choose,
     choose::by_load::{self, Candidate, FleetLoad, Included, MAX_FIGURE_AGE, Request, StatedQueue},
@@ -19,9 +19,6 @@
     version::View,
 };
 
-/// Time between two reports that a collector gets: a hundred a second.
-const REPORT_SPACING: Duration = Duration::from_millis(10);
-
 /// A server that may get the request, with its state.
 type Usable<'a> = (&'a Server, bool, Rc<ServerState>);
 
@@ -76,7 +73,7 @@
 
 /// Returns the server for a deferrable request if none has an expected free slot.
 ///
-/// Such requests don't wait at the host yet, so they are sent to the least loaded server instead of being refused.
+/// Admission has let it start, so it doesn't wait again. The figures may be outdated.
 fn without_free_slot<'a, 's: 'a>(
     candidates: impl Iterator<Item = Candidate<'a, &'s Server>> + Clone,
     request: &Request,
@@ -106,7 +103,7 @@
 /// By how much the interval of the reports of a failure domain with this many hosts exceeds the shortest one. Its reports are that much older
 /// when a figure arrives.
 fn report_delay(hosts: u32) -> Duration {
-    (REPORT_SPACING * hosts).saturating_sub(by_load::INTERVAL)
+    report::interval(hosts).saturating_sub(by_load::INTERVAL)
 }
 
 fn stated_queue(state: &ServerState, now: Instant) -> Option<StatedQueue> {
