--- a/crates/jacinthbeam-dispatch/src/choose/by_load.rs
+++ b/crates/jacinthbeam-dispatch/src/choose/by_load.rs
@@ -7,14 +7,14 @@
 use std::time::{Duration, Instant};
 
 use super::{COLD_FACTOR, FAILING_PENALTY, REMOTE_DOMAIN_PENALTY};
-use crate::ServerStats;
+use crate::{ServerStats, retry::STATED_LOAD_TTL};
 
 /// Age from which a figure of the collector isn't used: four intervals of the reports.
 pub const MAX_FIGURE_AGE: Duration = Duration::from_secs(1);
 
 /// Age from which a queue that the server has stated isn't used. A server with six slots and work of 160 ms answers eleven requests
 /// in this time.
-pub const MAX_STATED_AGE: Duration = Duration::from_millis(300);
+pub const MAX_STATED_AGE: Duration = STATED_LOAD_TTL;
 
 /// Shortest interval between two figures of the collector.
 pub const INTERVAL: Duration = Duration::from_millis(250);
@@ -194,8 +194,9 @@
 ) -> Option<&'a Id> {
     let near = estimates.clone().filter(|estimate| estimate.near && estimate.free >= 1.0);
     let limit = request.objective.mul_f64(DEFERRABLE_LATENCY_SHARE);
-    let is_spare =
-        |estimate: &Estimate<'a, Id>| estimate.free >= SPARE_SLOTS && estimate.latency <= limit;
+    let is_spare = |estimate: &Estimate<'a, Id>| {
+        estimate.is_healthy && estimate.free >= SPARE_SLOTS && estimate.latency <= limit
+    };
     let free = |estimate: &Estimate<'a, Id>| estimate.free;
     let latency = |estimate: &Estimate<'a, Id>| estimate.latency.as_secs_f64();
     let starts = domain.starts_in_interval(domain.service_time);
@@ -250,7 +251,7 @@
             planned = planned.or(domain_free);
             if let Some(fleet) = fleet.filter(FleetLoad::is_fresh) {
                 let available = f64::from(server.slots.max(1));
-                let in_flight = f64::from(fleet.others + server.stats.in_flight());
+                let in_flight = f64::from(fleet.others) + f64::from(server.stats.in_flight());
                 slots += available;
                 used += in_flight;
                 if !is_unavailable(server.stats, now) {
@@ -299,8 +300,8 @@
         let domain_free = domain_free.unwrap_or_default();
         let usual = slots * if server.near { self.used } else { 1.0 - domain_free };
         let fleet = fleet.filter(FleetLoad::is_fresh);
-        let mut in_flight =
-            fleet.map_or(usual, |fleet| f64::from(fleet.others + stats.in_flight()));
+        let own = f64::from(stats.in_flight());
+        let mut in_flight = fleet.map_or(usual.max(own), |fleet| f64::from(fleet.others) + own);
         let stated = stated.filter(|stated| stated.waiting > 0 && stated.age < MAX_STATED_AGE);
         if let Some(stated) = stated {
             in_flight = in_flight.max(f64::from(stated.running) + f64::from(stated.waiting));
@@ -318,7 +319,9 @@
         let wait = self.turnover.mul_f64(queue(used, slots) / slots);
         let mut latency = (self.service_time + wait).mul_f64(slowness);
         let overdue = OVERDUE_FACTOR * self.service_time.max(stats.mean());
-        if let Some(oldest) = stats.oldest(now).filter(|oldest| *oldest > overdue) {
+        let silent_for = stats.oldest(now).filter(|oldest| *oldest > overdue);
+        let is_healthy = !server.cold && !stats.is_failing() && silent_for.is_none();
+        if let Some(oldest) = silent_for {
             latency = latency.max(oldest);
         }
         if stats.is_failing() {
@@ -327,7 +330,6 @@
         if !server.near {
             latency += REMOTE_DOMAIN_PENALTY;
         }
-        let own = f64::from(stats.in_flight());
         let free = (slots - in_flight).max(0.0);
         let is_usual = in_flight >= usual;
         let (id, near) = (server.id, server.near);
@@ -340,6 +342,7 @@
             used,
             own,
             slowness,
+            is_healthy,
             latency,
             domain_free,
         })
@@ -394,6 +397,8 @@
     own: f64,
     /// Latency relative to the mean of the fleet.
     slowness: f64,
+    /// Whether it is warm, and neither fails nor is silent. Any other looks slow or free without having capacity to spare.
+    is_healthy: bool,
     latency: Duration,
     /// Free share of its failure domain.
     domain_free: f64,
--- a/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
+++ b/crates/jacinthbeam-dispatch/tests/by_load_rules.rs
@@ -73,7 +73,29 @@
     };
     let servers = [at(&0, 0.7), at(&1, 1.7), at(&2, 20.0)];
     assert_eq!(chosen(&servers, &DEFERRABLE, now).0, [0, 1000, 0, 0]);
-    assert!(chosen(&servers, &URGENT, now).0[0] > 900);
+    assert_eq!(chosen(&servers, &URGENT, now).0, [1000, 0, 0, 0]);
+}
+
+/// Guards against deferrable requests that are drawn to a server because it fails, is cold or is silent: the first only has free slots because
+/// its requests fail, the others look slow.
+#[test]
+fn deferrable_requests_do_not_prefer_failing_cold_or_silent_servers() {
+    let now = Instant::now();
+    let (usual, mut failing, mut silent) =
+        (ServerStats::default(), ServerStats::default(), ServerStats::default());
+    (0..4).for_each(|_| failing.on_error());
+    silent.begin(now - Duration::from_secs(2));
+    let slow = near(&0, &usual, 3);
+    let slow =
+        Candidate { fleet: slow.fleet.map(|fleet| FleetLoad { slowness: 1.5, ..fleet }), ..slow };
+    let mut cold = near(&3, &usual, 0);
+    cold.server.cold = true;
+    let servers = [slow, near(&1, &failing, 0), near(&2, &silent, 0), cold];
+    assert_eq!(chosen(&servers, &DEFERRABLE, now).0, [1000, 0, 0, 0]);
+    // They are used if there is no other.
+    for (n, server) in servers.into_iter().enumerate().skip(1) {
+        assert_eq!(chosen(&[server], &DEFERRABLE, now).0[n], 1000);
+    }
 }
 
 /// Guards against charged bytes between failure domains while the own one has capacity, and against an own one that stays overloaded while
@@ -89,7 +111,7 @@
     for request in [URGENT, DEFERRABLE] {
         assert_eq!(far_share(3, 0.9, &request), 0);
         assert_eq!(far_share(6, 0.1, &request), 0, "there is no free slot");
-        assert!(far_share(12, 0.5, &request) > 900);
+        assert_eq!(far_share(12, 0.5, &request), 1000);
     }
     // The own domain states that more than a tenth of its slots is free.
     let own = |id| Candidate { domain_free: Some(0.2), ..near(id, &stats, 6) };
@@ -150,6 +172,19 @@
     assert_eq!(at(MAX_FIGURE_AGE + Duration::from_millis(1)), ([1000, 0, 0, 0], 0));
 }
 
+/// Guards against a server that no figure includes yet, or of another failure domain, whose slots this host has filled by itself.
+#[test]
+fn requests_of_this_host_fill_a_server_without_a_figure() {
+    let now = Instant::now();
+    let (usual, mut filled) = (ServerStats::default(), ServerStats::default());
+    (0..6).for_each(|_| filled.begin(now));
+    let unknown = Candidate { fleet: None, ..near(&0, &filled, 0) };
+    let other = Candidate { domain_free: Some(0.0), ..near(&1, &usual, 6) };
+    let servers = [unknown, near(&1, &usual, 2)];
+    assert_eq!(chosen(&servers, &DEFERRABLE, now).0, [0, 1000, 0, 0]);
+    assert_eq!(chosen(&[other, far(&0, &filled, 0.8)], &DEFERRABLE, now), ([0; 4], 1000));
+}
+
 /// Guards against requests of this host that are counted twice: in the collector's figure, and by the host itself.
 #[test]
 fn requests_of_this_host_are_counted_once() {
--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -94,7 +94,7 @@
 struct Account {
     budget: RetryBudget,
     borrower: Borrower,
-    /// Retries that were refused for want of budget since the last request for credit.
+    /// Retries that were refused because no budget was left, since the last request for credit.
     unmet: u32,
     /// When this host last wanted a retry.
     last_wanted: Option<Instant>,
@@ -137,7 +137,9 @@
     }
 
     /// Lends retries to another host; returns their number.
-    fn lend(&mut self, wanted: u32, now: Instant) -> u32 {
+    fn lend(&mut self, wanted: u32, hosts: u32, now: Instant) -> u32 {
+        // It may have been set long ago: only requests of callers set it otherwise.
+        self.budget.set_hosts(hosts);
         let is_idle = |at: Instant| now.saturating_duration_since(at) >= LENDER_IDLE_TIME;
         match self.last_wanted.is_none_or(is_idle) {
             true => self.budget.lend(wanted, now),
@@ -190,7 +192,9 @@
             let budget = account.seen_by(rank, self.options.ratio, now);
             let decision = decide(budget);
             account.on_wanted(decision, now);
-            self.request_credit(service, account, now);
+            if decision == Decision::Refuse(Why::Budget) {
+                self.request_credit(service, account, now);
+            }
             (decision, budget.left)
         });
         if let Decision::Refuse(why) = decision {
@@ -221,25 +225,22 @@
         taken
     }
 
-    /// Requests credit for the retries that were refused for want of it, unless there is an open request or a recent one.
+    /// Requests credit for the retries that were refused without it, unless there is an open request or a recent one.
     fn request_credit(&self, service: &ServiceName, account: &mut Account, now: Instant) {
         let wanted = account.unmet.min(MAX_LOAN);
-        if wanted == 0 {
-            return;
-        }
         if let Some(id) = account.borrower.request(wanted, now) {
             account.unmet = 0;
             self.send(Outgoing::Request { id, service: service.clone(), wanted });
         }
     }
 
-    /// Handles a message of another host.
-    pub fn on_message(&self, message: Incoming, now: Instant) {
+    /// Handles a message of another host, given the number of hosts that the burst is divided among.
+    pub fn on_message(&self, message: Incoming, hosts: u32, now: Instant) {
         let mut services = self.services.borrow_mut();
         match message {
             Incoming::Request { from, id, service, wanted } => {
                 let account = services.get_mut(&service);
-                let granted = account.map_or(0, |account| account.lend(wanted, now));
+                let granted = account.map_or(0, |account| account.lend(wanted, hosts, now));
                 match granted {
                     0 => self.counters.on_credits("declined", 1),
                     lent => self.counters.on_credits("lent", lent),
