fix(load): the end of a request from before the counts were dropped changes nothing

Cause: if a service left and re-entered the services whose load is exchanged, the requests that were in flight meanwhile were subtracted from the counts begun after it, which don't include them. The numbers in flight were too low for as long as there was traffic, and plans started too much.

Change: counts are numbered, and a request in flight ends only in the counts that it is part of.

--- a/crates/jacinthbeam-host/src/process/load_counts.rs
+++ b/crates/jacinthbeam-host/src/process/load_counts.rs
@@ -14,11 +14,20 @@
 
 /// Counts by service, written by the traffic thread, which also reports them. The control thread reads them for `/status`.
 #[derive(Debug, Clone, Default)]
-pub struct LoadCounts(Arc<Mutex<BTreeMap<ServiceName, Counts>>>);
+pub struct LoadCounts(Arc<Mutex<Services>>);
+
+#[derive(Debug, Default)]
+struct Services {
+    counts: BTreeMap<ServiceName, Counts>,
+    /// Number of the counts that were begun last.
+    last_number: u64,
+}
 
 /// The counts of one service. Those of the next report are reset by it; the numbers in flight and waiting remain.
 #[derive(Debug, Default)]
 struct Counts {
+    /// Differs between the counts of a service before and after they were dropped.
+    number: u64,
     next: HostReport,
     /// When the last report was taken.
     taken: Option<Instant>,
@@ -50,11 +59,12 @@
         rank: u32,
         server: &'a ServerId,
     ) -> InFlight<'a> {
-        self.with(service, |counts| {
+        let number = self.with(service, |counts| {
             counts.next.ranks.entry(rank).or_default().in_flight += 1;
             counts.server(server).in_flight += 1;
+            counts.number
         });
-        InFlight { counts: self, service, rank, server }
+        InFlight { counts: self, number, service, rank, server }
     }
 
     /// Counts an answer that took `took` from the send, at a rank whose fleet-wide mean is `mean`.
@@ -96,7 +106,7 @@
     /// The present numbers by rank.
     pub fn ranks(&self, service: &ServiceName) -> BTreeMap<u32, RankNow> {
         let services = self.lock();
-        let Some(counts) = services.get(service) else { return BTreeMap::new() };
+        let Some(counts) = services.counts.get(service) else { return BTreeMap::new() };
         let rate = |rank: &u32| counts.arrival_rates.get(rank).copied().unwrap_or_default();
         let now = |(rank, known): (&u32, &RankCounts)| {
             let &RankCounts { waiting, in_flight, .. } = known;
@@ -111,31 +121,34 @@
 
     /// Drops the counts of services whose load is not exchanged any more.
     pub fn retain(&self, shared: &BTreeMap<ServiceName, Classes>) {
-        self.lock().retain(|service, _| shared.contains_key(service));
+        self.lock().counts.retain(|service, _| shared.contains_key(service));
     }
 
-    fn end(&self, service: &ServiceName, rank: u32, server: &ServerId) {
-        // The counts may have been dropped since the send.
+    fn end(&self, ended: &InFlight<'_>) {
         let mut services = self.lock();
-        let Some(counts) = services.get_mut(service) else { return };
-        if let Some(known) = counts.next.ranks.get_mut(&rank) {
+        let counts = services.counts.get_mut(ended.service);
+        // The counts may have been dropped since the send, and others begun that don't include it.
+        let Some(counts) = counts.filter(|counts| counts.number == ended.number) else { return };
+        if let Some(known) = counts.next.ranks.get_mut(&ended.rank) {
             known.in_flight = known.in_flight.saturating_sub(1);
         }
-        if let Some(known) = counts.next.servers.get_mut(server) {
+        if let Some(known) = counts.next.servers.get_mut(ended.server) {
             known.in_flight = known.in_flight.saturating_sub(1);
         }
     }
 
     fn with<R>(&self, service: &ServiceName, f: impl FnOnce(&mut Counts) -> R) -> R {
-        let mut services = self.lock();
+        let Services { counts, last_number } = &mut *self.lock();
         // Most calls find the service, and need no copy of its name.
-        match services.get_mut(service) {
-            Some(counts) => f(counts),
-            None => f(services.entry(service.clone()).or_default()),
+        if let Some(counts) = counts.get_mut(service) {
+            return f(counts);
         }
+        *last_number += 1;
+        let new = Counts { number: *last_number, ..Counts::default() };
+        f(counts.entry(service.clone()).or_insert(new))
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, Counts>> {
+    fn lock(&self) -> MutexGuard<'_, Services> {
         self.0.lock().expect("no holder of the lock panics")
     }
 }
@@ -178,6 +191,8 @@
 #[derive(Debug)]
 pub struct InFlight<'a> {
     counts: &'a LoadCounts,
+    /// Number of the counts that it is part of.
+    number: u64,
     service: &'a ServiceName,
     rank: u32,
     server: &'a ServerId,
@@ -185,6 +200,6 @@
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.counts.end(self.service, self.rank, self.server);
+        self.counts.end(self);
     }
 }
--- a/crates/jacinthbeam-host/tests/load_counts.rs
+++ b/crates/jacinthbeam-host/tests/load_counts.rs
@@ -76,6 +76,19 @@
     assert_eq!(take(&counts).ranks[&RANK].in_flight, 0);
 }
 
+/// Guards against requests in flight that are missing from the reports as long as there is traffic: those of before a change of the
+/// configuration have no part in the counts that were begun after it.
+#[test]
+fn the_end_of_a_request_from_before_the_counts_were_dropped_changes_nothing() {
+    let (counts, service, server) = (LoadCounts::default(), service(), server());
+    let earlier = counts.on_send(&service, RANK, &server);
+    counts.retain(&BTreeMap::new());
+    let _later = counts.on_send(&service, RANK, &server);
+    drop(earlier);
+    let report = take(&counts);
+    assert_eq!((report.ranks[&RANK].in_flight, report.servers[&server].in_flight), (1, 1));
+}
+
 /// Guards against a server that counts as fast or slow while the mean of the fleet is unknown.
 #[test]
 fn an_answer_has_the_slowness_of_the_fleet_if_its_mean_is_unknown() {
