fix(admission): invalid rates and times of another domain don't stop a collector

Cause: the mean time to an answer divided by an infinite rate, and converted a time that no Duration can represent; both panic. Plans already ignored such rates.

Change: the mean is that of the plan (`plan::Sum`), so there is one computation instead of two. Times of 1,000,000 s and more, which collectors never send, are ignored as well.

Run: cargo test -p jacinthbeam-admission; the new test panicked before the change.

--- a/crates/jacinthbeam-admission/src/fleet.rs
+++ b/crates/jacinthbeam-admission/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     collect,
-    plan::DomainLoad,
+    plan::{self, DomainLoad},
     report::{self, VALID_INTERVALS},
     sequence::Newest,
 };
@@ -98,17 +98,6 @@
 
 /// Fleet-wide mean time to an answer by rank, over the ranks where it is known.
 pub fn service_times(loads: &BTreeMap<FailureDomain, DomainLoad>) -> BTreeMap<u32, Duration> {
-    let mut sums: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
-    for (rank, load) in loads.values().flat_map(|load| &load.ranks) {
-        if load.service_time.is_zero() {
-            continue;
-        }
-        // A domain without recent answers counts little, but is better than nothing.
-        let weight = f64::from(load.answer_rate).max(1e-3);
-        let (weights, total) = sums.entry(*rank).or_default();
-        *weights += weight;
-        *total += weight * load.service_time.as_secs_f64();
-    }
-    let mean = |(rank, (weights, total))| (rank, Duration::from_secs_f64(total / weights));
-    sums.into_iter().map(mean).collect()
+    let times = plan::sum_ranks(loads).into_iter().map(|(rank, sum)| (rank, sum.service_time()));
+    times.filter(|(_, time)| !time.is_zero()).collect()
 }
--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -83,6 +83,9 @@
 /// Service time of a rank without answers, as a part of its objective.
 const ASSUMED_SERVICE_SHARE: f64 = 0.25;
 
+/// Service time from which on a datagram is taken to be invalid. Deadlines are much shorter.
+pub(crate) const MAX_SERVICE_TIME: Duration = Duration::from_secs(1_000_000);
+
 /// The service time to plan with: `measured`, or an estimate if it is zero.
 pub(crate) fn service_time(measured: Duration, objective: Duration) -> Duration {
     if measured.is_zero() { objective.mul_f64(ASSUMED_SERVICE_SHARE) } else { measured }
@@ -131,7 +134,7 @@
 
 /// The load of one rank in all failure domains.
 #[derive(Debug, Clone, Copy, Default)]
-struct Sum {
+pub(crate) struct Sum {
     arrival_rate: f64,
     waiting: f64,
     in_flight: f64,
@@ -142,20 +145,22 @@
 }
 
 impl Sum {
-    fn service_time(self) -> Duration {
+    /// Fleet-wide mean time from the send to the answer, weighted by answers; zero if unknown.
+    pub(crate) fn service_time(self) -> Duration {
         let mean = if self.timed > 0.0 { self.busy / self.timed } else { 0.0 };
         Duration::try_from_secs_f64(mean).unwrap_or_default()
     }
 }
 
-fn sum_ranks(loads: &BTreeMap<FailureDomain, DomainLoad>) -> BTreeMap<u32, Sum> {
+/// The load of each rank in all failure domains.
+pub(crate) fn sum_ranks(loads: &BTreeMap<FailureDomain, DomainLoad>) -> BTreeMap<u32, Sum> {
     let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
     for (rank, load) in loads.values().flat_map(|load| &load.ranks) {
         let sum = sums.entry(*rank).or_default();
         sum.arrival_rate += finite(load.arrival_rate);
         sum.waiting += f64::from(load.waiting);
         sum.in_flight += f64::from(load.in_flight);
-        if !load.service_time.is_zero() {
+        if !load.service_time.is_zero() && load.service_time < MAX_SERVICE_TIME {
             // A rank with answers long ago has a service time and a rate near zero.
             let weight = finite(load.answer_rate).max(0.001);
             sum.timed += weight;
--- a/crates/jacinthbeam-admission/tests/fleet.rs
+++ b/crates/jacinthbeam-admission/tests/fleet.rs
@@ -99,3 +99,22 @@
     let mean = fleet::service_times(&loads)[&1];
     assert!(mean.abs_diff(Duration::from_millis(200)) < Duration::from_millis(1), "{mean:?}");
 }
+
+/// Guards against a collector that panics because of a datagram with an invalid rate or time.
+#[test]
+fn invalid_rates_and_times_are_ignored() {
+    let valid =
+        RankLoad { answer_rate: 10.0, service_time: Duration::from_secs(1), ..RankLoad::default() };
+    let invalid = [
+        RankLoad { answer_rate: f32::INFINITY, ..valid },
+        RankLoad { answer_rate: f32::NAN, ..valid },
+        RankLoad { answer_rate: -1.0, ..valid },
+        RankLoad { service_time: Duration::MAX, ..valid },
+    ];
+    for rank in invalid {
+        let of = |rank| DomainLoad { ranks: BTreeMap::from([(2, rank)]), ..load(6) };
+        let loads = BTreeMap::from([(domain("a"), of(valid)), (domain("b"), of(rank))]);
+        let mean = fleet::service_times(&loads)[&2];
+        assert!(mean.abs_diff(Duration::from_secs(1)) < Duration::from_millis(1), "{rank:?}");
+    }
+}
