fix(admission): a rank with few requests gets its quarter as well

Cause: the share is the start rate divided by the demand, but by at least one request per second.

Change: the minimum applies to the share. At a demand of one request per second and more, shares are as before.

Run: cargo test -p jacinthbeam-admission, with the bursts; the new test failed before the change.

--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -114,8 +114,9 @@
         let start_rate = start_rate.max(sustained * MIN_OF_SUSTAINED);
         let demand = sum.arrival_rate + sum.waiting;
         // Waiting requests count towards the minimum only as they arrive. With their number in it as well, it exceeded the capacity in a long burst.
-        let start_rate = start_rate.max(MIN_SHARE * sum.arrival_rate);
-        let share = (start_rate / demand.max(1.0)).min(MAX_SHARE);
+        let min_share =
+            if demand > 0.0 { MIN_SHARE * sum.arrival_rate / demand } else { MIN_SHARE };
+        let share = (start_rate / demand.max(1.0)).clamp(min_share, MAX_SHARE);
         let rank_plan =
             RankPlan { share: share as f32, service_time: measured, waiting: sum.waiting as u32 };
         ranks.insert(rank, rank_plan);
--- a/crates/jacinthbeam-admission/tests/plan.rs
+++ b/crates/jacinthbeam-admission/tests/plan.rs
@@ -46,6 +46,16 @@
     assert_eq!(plan.ranks[&2].waiting, 400);
 }
 
+/// Guards against a rank with few requests that gets less than a quarter of its demand, or whose first requests are refused because the plan
+/// knows of none.
+#[test]
+fn a_rank_with_few_requests_is_not_starved() {
+    for arrival_rate in [0.0, 0.1, 0.9] {
+        let plan = plan(100, &[(1, rank(200.0, 0, 300)), (2, rank(arrival_rate, 0, 1))]);
+        assert!((plan.ranks[&2].share - 0.25).abs() < 0.01, "{plan:?}");
+    }
+}
+
 /// Guards against work that is held back although there is room for all of it.
 #[test]
 fn nothing_is_held_back_at_low_load() {
