fix(admission): the objective of a waiting request begins with its head

Cause: the latest start was counted from the admission, which follows the reading of the body.

Change: `Arrival` has the time at which the head was received, and the latest start is counted from it.

Run: cargo test -p jacinthbeam-admission, with the new field in the tests; the new test failed before the change. cargo build -p jacinthbeam-host.

--- a/crates/jacinthbeam-admission/src/queue.rs
+++ b/crates/jacinthbeam-admission/src/queue.rs
@@ -23,15 +23,15 @@
 /// Service times that are left for a request that starts at its latest start.
 const SERVICE_TIMES_LEFT: f64 = 1.5;
 
-/// The latest time at which a request that arrives now can start to be answered within its objective.
+/// The latest time at which a request that was received at `received` can start to be answered within its objective.
 pub fn latest_start(
-    now: Instant,
+    received: Instant,
     objective: Duration,
     service_time: Duration,
     deadline: Instant,
 ) -> Instant {
     let wait = objective.saturating_sub(service_time.mul_f64(SERVICE_TIMES_LEFT));
-    (now + wait.max(objective / MIN_WAIT_PART)).min(deadline)
+    (received + wait.max(objective / MIN_WAIT_PART)).min(deadline)
 }
 
 /// Bounds the memory of the waiting requests of a host, for all services together.
--- a/crates/jacinthbeam-admission/src/service.rs
+++ b/crates/jacinthbeam-admission/src/service.rs
@@ -46,6 +46,8 @@
     pub class: Class,
     /// Objective of its route.
     pub objective: Duration,
+    /// When its head was received, with which the objective begins.
+    pub received: Instant,
     /// When its response is due.
     pub deadline: Instant,
     /// Size of its head and body.
@@ -110,7 +112,7 @@
         memory: &mut WaitMemory,
         now: Instant,
     ) -> Decision {
-        let Arrival { rank, objective, deadline, bytes, caller, .. } = *arrival;
+        let Arrival { rank, objective, received, deadline, bytes, caller, .. } = *arrival;
         let new = || Rank {
             throttle: Throttle::new(now),
             service_time: Duration::ZERO,
@@ -126,7 +128,7 @@
         }
         let ahead = self.queue.ahead_of(rank, deadline);
         let wait = state.throttle.predict(limit, waiting, ahead);
-        let latest_start = latest_start(now, objective, service_time, deadline);
+        let latest_start = latest_start(received, objective, service_time, deadline);
         let left = latest_start.saturating_duration_since(now);
         let forecast = forecast(rank, capacity, wait, ahead);
         if wait > left {
--- a/crates/jacinthbeam-admission/tests/model/mod.rs
+++ b/crates/jacinthbeam-admission/tests/model/mod.rs
@@ -198,6 +198,7 @@
             rank: request.rank,
             class,
             objective: class.objective,
+            received: self.now,
             deadline: self.now + timeout(request.rank),
             bytes: Bytes(500),
             caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
--- a/crates/jacinthbeam-admission/tests/queue.rs
+++ b/crates/jacinthbeam-admission/tests/queue.rs
@@ -141,8 +141,15 @@
                 0 | 1 => {
                     let class = classes.get(1).unwrap();
                     let (deadline, bytes) = (now + 2 * objective, Bytes(10));
-                    let arrival =
-                        Arrival { rank: 1, class, objective, deadline, bytes, caller: caller(0) };
+                    let arrival = Arrival {
+                        rank: 1,
+                        class,
+                        objective,
+                        received: now,
+                        deadline,
+                        bytes,
+                        caller: caller(0),
+                    };
                     if let Decision::Wait(ticket, next) =
                         admission.arrive(&arrival, capacity, &mut memory, now)
                     {
--- a/crates/jacinthbeam-admission/tests/service.rs
+++ b/crates/jacinthbeam-admission/tests/service.rs
@@ -34,6 +34,7 @@
             rank: 2,
             class: Class { objective, deferrable: true },
             objective,
+            received: self.now,
             deadline: self.now + objective,
             bytes: Bytes(100),
             caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
@@ -115,6 +116,36 @@
     assert!(after > Duration::from_millis(100) && after < Duration::from_millis(200), "{after:?}");
 }
 
+/// Guards against a request that is held past its objective because reading its body took long: the objective begins with its head.
+#[test]
+fn the_time_to_read_the_body_is_part_of_the_objective() {
+    let mut host = Host::new();
+    host.started(1.0, 20, Duration::from_millis(50));
+    let (plan, objective) = (plan(1.0), OBJECTIVE);
+    let arrival = Arrival {
+        rank: 2,
+        class: Class { objective, deferrable: true },
+        objective,
+        received: host.now,
+        deadline: host.now + objective * 2,
+        bytes: Bytes(100),
+        caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
+    };
+    let latest_start = host.now + objective - SERVICE_TIME.mul_f64(1.5);
+    host.now += objective / 2;
+    let decided = (0..10).map(|_| {
+        host.admission.arrive(&arrival, capacity(Some(&plan)), &mut host.memory, host.now)
+    });
+    let waiting = decided.filter_map(|decision| match decision {
+        Decision::Wait(ticket, _) => Some(ticket),
+        _ => None,
+    });
+    let last = waiting.last().expect("more requests than tokens");
+    let decision =
+        host.admission.decide(last, capacity(Some(&plan)), &mut host.memory, latest_start);
+    assert!(matches!(decision, Some(Decision::Refuse(..))), "{decision:?}");
+}
+
 /// Guards against a refusal whose log line doesn't say what it was decided by.
 #[test]
 fn a_refusal_states_the_plan() {
--- a/crates/jacinthbeam-host/src/request/admit.rs
+++ b/crates/jacinthbeam-host/src/request/admit.rs
@@ -219,6 +219,7 @@
         rank,
         class,
         objective: job.route.objective,
+        received: job.received,
         deadline: job.deadline,
         bytes: size(&job.request),
         caller: job.caller,
