--- a/crates/jacinthbeam-host/src/request/admit.rs
+++ b/crates/jacinthbeam-host/src/request/admit.rs
@@ -10,8 +10,9 @@
 use jacinthbeam_admission::{
     ServiceAdmission, WaitMemory,
     queue::Ticket,
+    report::plan_validity,
     service::{Arrival, Capacity, Decision, Forecast},
-    throttle::{own_bound, plan_lifetime},
+    throttle::own_bound,
 };
 use jacinthbeam_dispatch::refusal::retry_after;
 use jacinthbeam_types::prelude::*;
@@ -168,16 +169,17 @@
     };
     let mut waiting = Waiting::new(job, ticket, now);
     loop {
+        tokio::select! {
+            () = waiting.waker.notified() => {}
+            () = tokio::time::sleep(next.saturating_duration_since(traffic.now())) => {}
+            () = traffic.stopping() => {}
+        }
+        // Checked whatever has woken the request: each one that is refused wakes the next one.
         if traffic.is_stopping() {
             waiting.outcome = "stopped";
             // Another host can serve the request.
             return Err(refuse(job, Duration::ZERO, None));
         }
-        tokio::select! {
-            () = waiting.waker.notified() => {}
-            () = tokio::time::sleep(next.saturating_duration_since(traffic.now())) => {}
-            () = traffic.stopping() => continue,
-        }
         let view = traffic.view();
         let is_throttled = is_throttled(job, &view);
         if !is_throttled || (job.may_be_forwarded() && traffic.is_partitioned()) {
@@ -219,6 +221,7 @@
         rank,
         class,
         objective: job.route.objective,
+        received: job.received,
         deadline: job.deadline,
         bytes: size(&job.request),
         caller: job.caller,
@@ -265,7 +268,7 @@
     let loads = traffic.service_loads();
     let plan = loads.services.get(&job.service).and_then(|load| load.plan.as_ref());
     let plan = plan.map(|(at, plan)| (traffic.now().saturating_duration_since(*at), plan));
-    let plan = plan.filter(|(age, _)| *age < plan_lifetime(hosts));
+    let plan = plan.filter(|(age, _)| *age < plan_validity(hosts));
     // Needed only for a rank without a plan.
     let has_plan = plan.is_some_and(|(_, plan)| plan.ranks.contains_key(&job.route.priority));
     let own_bound = if has_plan { 0 } else { own_bound(domain_slots(job, view), hosts) };
