fix(request): a waiting request that wakes during the shutdown is refused

Cause: a waiting request checked for the shutdown only before it slept. Each refusal wakes the next request.

Change: checked after each wake-up, whatever caused it. Found by reading; a test would need the wake-ups to coincide, so there is none.

--- a/crates/jacinthbeam-host/src/request/admit.rs
+++ b/crates/jacinthbeam-host/src/request/admit.rs
@@ -168,16 +168,17 @@
     };
     let mut waiting = Waiting::new(job, ticket, now);
     loop {
+        tokio::select! {
+            () = waiting.waker.notified() => {}
+            () = tokio::time::sleep(next.saturating_duration_since(traffic.now())) => {}
+            () = traffic.stopping() => {}
+        }
+        // Checked whatever has woken the request: each one that is refused wakes the next one.
         if traffic.is_stopping() {
             waiting.outcome = "stopped";
             // Another host can serve the request.
             return Err(refuse(job, Duration::ZERO, None));
         }
-        tokio::select! {
-            () = waiting.waker.notified() => {}
-            () = tokio::time::sleep(next.saturating_duration_since(traffic.now())) => {}
-            () = traffic.stopping() => continue,
-        }
         let view = traffic.view();
         let is_throttled = is_throttled(job, &view);
         if !is_throttled || (job.may_be_forwarded() && traffic.is_partitioned()) {
