refactor(admission): one computation of how long a plan is valid

Cause: the control thread and the traffic thread decided about the age of a plan by two functions with the same constants.

Change: both use report::plan_validity.

Run: cargo test -p jacinthbeam-admission, cargo clippy -p jacinthbeam-admission -p jacinthbeam-host.

--- a/crates/jacinthbeam-admission/src/received.rs
+++ b/crates/jacinthbeam-admission/src/received.rs
@@ -9,13 +9,10 @@
 
 use crate::{
     plan::{Plan, ServerLoad},
-    report::{self, VALID_INTERVALS},
+    report,
     sequence::Newest,
 };
 
-/// Age up to which a plan is used, if reports are more frequent.
-const MIN_VALIDITY: Duration = Duration::from_secs(1);
-
 /// Plans and server loads for one service.
 #[derive(Debug, Clone, Default)]
 pub struct Received {
@@ -41,7 +38,7 @@
     pub fn set_collectors(&mut self, collectors: Vec<HostId>, hosts: u32) {
         self.by_collector.retain(|host, _| collectors.contains(host));
         self.collectors = collectors;
-        self.validity = MIN_VALIDITY.max(report::interval(hosts) * VALID_INTERVALS);
+        self.validity = report::plan_validity(hosts);
     }
 
     /// Applies a plan. Returns whether it is newer than the known one of the same collector. The plan of a host that is not a collector
--- a/crates/jacinthbeam-admission/src/report.rs
+++ b/crates/jacinthbeam-admission/src/report.rs
@@ -19,6 +19,14 @@
     MIN_INTERVAL.max(INTERVAL_PER_HOST * hosts)
 }
 
+/// Shortest time for which a plan is valid.
+const MIN_PLAN_VALIDITY: Duration = Duration::from_secs(1);
+
+/// Time for which a plan is valid after its arrival, given the number of hosts in the failure domain.
+pub fn plan_validity(hosts: u32) -> Duration {
+    MIN_PLAN_VALIDITY.max(interval(hosts) * VALID_INTERVALS)
+}
+
 /// The load of one host on one service.
 ///
 /// `arrivals`, `answers`, `busy`, `refused` and `slowness` are counted since the previous report; `waiting` and `in_flight` are the present
--- a/crates/jacinthbeam-admission/src/throttle.rs
+++ b/crates/jacinthbeam-admission/src/throttle.rs
@@ -24,18 +24,6 @@
 /// Share of the slots per host that deferrable requests use without a plan.
 const OWN_SHARE: f64 = 0.6;
 
-/// Shortest time for which a plan is valid.
-const MIN_PLAN_LIFETIME: Duration = Duration::from_secs(1);
-
-/// Reports of a host are sent in this interval for each host of its failure domain, if that is longer than a quarter of a second.
-const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
-
-/// Time for which a plan is valid: one second or four report intervals, whichever is longer. `hosts` is the number of hosts of the failure
-/// domain.
-pub fn plan_lifetime(hosts: u32) -> Duration {
-    MIN_PLAN_LIFETIME.max(4 * hosts * REPORT_INTERVAL_PER_HOST)
-}
-
 /// Maximum number of deferrable requests in flight at a host without a plan, given the slots of the servers and the number of hosts of its
 /// failure domain.
 pub fn own_bound(slots: u32, hosts: u32) -> u32 {
--- a/crates/jacinthbeam-host/src/request/admit.rs
+++ b/crates/jacinthbeam-host/src/request/admit.rs
@@ -10,8 +10,9 @@
 use jacinthbeam_admission::{
     ServiceAdmission, WaitMemory,
     queue::Ticket,
+    report::plan_validity,
     service::{Arrival, Capacity, Decision, Forecast},
-    throttle::{own_bound, plan_lifetime},
+    throttle::own_bound,
 };
 use jacinthbeam_dispatch::refusal::retry_after;
 use jacinthbeam_types::prelude::*;
@@ -267,7 +268,7 @@
     let loads = traffic.service_loads();
     let plan = loads.services.get(&job.service).and_then(|load| load.plan.as_ref());
     let plan = plan.map(|(at, plan)| (traffic.now().saturating_duration_since(*at), plan));
-    let plan = plan.filter(|(age, _)| *age < plan_lifetime(hosts));
+    let plan = plan.filter(|(age, _)| *age < plan_validity(hosts));
     // Needed only for a rank without a plan.
     let has_plan = plan.is_some_and(|(_, plan)| plan.ranks.contains_key(&job.route.priority));
     let own_bound = if has_plan { 0 } else { own_bound(domain_slots(job, view), hosts) };
