fix(peers): a plan fits in one datagram

Cause: a plan lists the free share of every failure domain and was not bounded. With 28 domains it exceeds 1,400 bytes from names of about 45 bytes on, and with names of 102 bytes it has 3,034 bytes, more than hosts receive: they would have no plan.

Change: the domains with the smallest free shares are left out of a plan that is too long, except that of the receivers. Other plans are unchanged.

--- a/crates/jacinthbeam-host/src/process/control/loads.rs
+++ b/crates/jacinthbeam-host/src/process/control/loads.rs
@@ -283,12 +283,8 @@
             let slots = loads.values().map(|load| load.slots).sum();
             self.counters.on_capacity(service, slots, in_flight);
         }
-        let message = Message::Plan {
-            from: from.clone(),
-            service: service.clone(),
-            sequence: collecting.next_sequence(),
-            plan: plan::compute(&loads, classes),
-        };
+        let (sequence, plan) = (collecting.next_sequence(), plan::compute(&loads, classes));
+        let message = Message::plan(from, service, sequence, plan, &self.settings.domain);
         self.send_loads(&message, &hosts);
         let of_servers =
             collecting.collector.server_loads(servers.iter().map(|server| &server.id), now);
--- a/crates/jacinthbeam-host/src/process/peers/load.rs
+++ b/crates/jacinthbeam-host/src/process/peers/load.rs
@@ -225,6 +225,36 @@
         messages
     }
 
+    /// A plan for the hosts of the failure domain `near`. If there are too many domains with long names for a datagram, those with the smallest
+    /// free share are left out: no request is sent there for the sake of capacity.
+    pub fn plan(
+        from: &HostId,
+        service: &ServiceName,
+        sequence: u32,
+        plan: Plan,
+        near: &FailureDomain,
+    ) -> Self {
+        let (from, service) = (from.clone(), service.clone());
+        let mut message = Self::Plan { from, service, sequence, plan };
+        let mut excess = message.to_bytes().len().saturating_sub(MAX_DATAGRAM_BYTES);
+        if excess > 0
+            && let Self::Plan { plan, .. } = &mut message
+        {
+            let mut others: Vec<_> = plan.free.iter().filter(|(id, _)| *id != near).collect();
+            others.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+            let mut left_out = Vec::new();
+            for (domain, _) in others {
+                if excess == 0 {
+                    break;
+                }
+                excess = excess.saturating_sub(domain.to_string().len());
+                left_out.push(domain.clone());
+            }
+            plan.free.retain(|domain, _| !left_out.contains(domain));
+        }
+        message
+    }
+
     /// Splits the loads of servers into datagrams, with the sequences after `sequence`.
     pub fn server_loads(
         from: &HostId,
--- a/crates/jacinthbeam-host/tests/load_datagrams.rs
+++ b/crates/jacinthbeam-host/tests/load_datagrams.rs
@@ -189,6 +189,26 @@
     }
 }
 
+/// Guards against plans that are fragmented, or longer than hosts receive, where many failure domains have long names.
+#[test]
+fn a_plan_fits_in_a_datagram() {
+    let id = |n: usize| -> FailureDomain { format!("{}{n:02}", "x".repeat(100)).parse().unwrap() };
+    let (near, service) = (id(0), "svc".parse().unwrap());
+    let rank = RankPlan { share: 0.4, service_time: Duration::from_millis(300), waiting: u32::MAX };
+    let plan = Plan {
+        ranks: BTreeMap::from([(2, rank)]),
+        free: (0..28).map(|n| (id(n), n as f32 / 28.0)).collect(),
+    };
+    let message = Message::plan(&host(), &service, u32::MAX, plan.clone(), &near);
+    assert!(message.to_bytes().len() <= MAX_DATAGRAM_BYTES, "{}", message.to_bytes().len());
+    let Message::Plan { plan: sent, .. } = message else { panic!("a datagram of another kind") };
+    assert_eq!(sent.ranks, plan.ranks);
+    let domains: Vec<_> = sent.free.into_keys().collect();
+    assert!(domains.len() > 10 && domains[0] == near, "{domains:?}");
+    let freest: Vec<_> = (29 - domains.len()..28).map(id).collect();
+    assert_eq!(domains[1..], freest);
+}
+
 /// Guards against reports that are fragmented, or requests that are left out, where a host uses many servers.
 #[test]
 fn reports_are_split_into_datagrams_without_loss() {
