--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -45,8 +45,8 @@
 /// What may be started of one rank.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct RankPlan {
-    /// Requests to start a second, as a fraction of a host's demand: its arrivals a second and its waiting requests together. From 1 on,
-    /// nothing needs to wait.
+    /// Requests to start a second, as a fraction of a host's demand: its arrivals a second and its waiting requests together. Also limits
+    /// starts if it is 1 or more, since it applies to the demand of the time that the plan was computed from.
     pub share: f32,
     /// Fleet-wide mean time from the send to the answer; zero if unknown.
     pub service_time: Duration,
--- a/crates/jacinthbeam-host/src/process/request_log.rs
+++ b/crates/jacinthbeam-host/src/process/request_log.rs
@@ -86,7 +86,7 @@
     pub pause_left: Option<Duration>,
     /// Age of the list of servers.
     pub servers_age: Option<Duration>,
-    /// What admission by rank has refused the request by.
+    /// Forecast by which admission by rank refused the request; `None` if it did not refuse it.
     pub admission: Option<Forecast>,
 }
 
--- a/crates/jacinthbeam-host/src/process/status.rs
+++ b/crates/jacinthbeam-host/src/process/status.rs
@@ -61,7 +61,7 @@
 /// Load of one rank of a service as known to a host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankLoad {
-    /// Percentage of the host's demand that may be started; `None` if all of it may be, or without a plan.
+    /// Percentage of the host's demand that may be started; `None` for a rank that is not deferrable, or without a plan.
     pub share_percent: Option<u32>,
     /// Requests that wait at this host.
     pub waiting_here: u32,
