fix(retry): the time that a retry needs is that of its rank; the log line names the reason of the last decision

Cause: for a service whose ranks take 160 and 930 ms, urgent retries counted as late by the mean of the server over all ranks, and left the reserve. not_retried was unset where the budget refused at the last step.

Change: the host's mean for the rank, where it is known.

--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -211,9 +211,10 @@
         hosts: u32,
         now: Instant,
         decide: impl FnOnce(Budget) -> Decision,
-    ) -> bool {
-        if self.decide(service, rank, hosts, now, decide) != Decision::Retry {
-            return false;
+    ) -> Decision {
+        let decision = self.decide(service, rank, hosts, now, decide);
+        if decision != Decision::Retry {
+            return decision;
         }
         let (taken, left) = self.with_account(service, hosts, now, |account| {
             let is_borrowed = account.borrower.take(now);
@@ -221,8 +222,9 @@
             let taken = is_borrowed || account.budget.take(now);
             (taken, account.left(now))
         });
-        self.counters.on_repeat(service, (!taken).then_some("budget"), left);
-        taken
+        let decision = if taken { Decision::Retry } else { Decision::Refuse(Why::Budget) };
+        self.counters.on_repeat(service, (!taken).then_some(Why::Budget.as_str()), left);
+        decision
     }
 
     /// Requests credit for the retries that were refused without it, unless there is an open request or a recent one.
--- a/crates/jacinthbeam-host/src/request/retry.rs
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -60,7 +60,14 @@
     }
     let (time, rank) = (time_left(job, state), job.route.priority);
     let spend = |budget| retry::spend(time, budget);
-    job.traffic.budgets.spend(&job.service, rank, view.hosts, job.traffic.now(), spend)
+    let now = job.traffic.now();
+    match job.traffic.budgets.spend(&job.service, rank, view.hosts, now, spend) {
+        Decision::Retry => true,
+        Decision::Refuse(why) => {
+            job.not_retried.set(Some(why));
+            false
+        }
+    }
 }
 
 /// Whether keyed requests that the server rejects as full are sent again: if servers state their load, or if the service has
@@ -107,10 +114,12 @@
 
 fn time_left(job: &Job, state: &ServerState) -> TimeLeft {
     let objective = job.received + job.route.objective;
+    let of_rank = job.traffic.service_times.borrow().get(&job.service, job.route.priority);
     TimeLeft {
         deadline: job.left(),
         objective: objective.saturating_duration_since(job.traffic.now()),
-        service_time: state.stats.borrow().mean(),
+        // The mean of the server is over all ranks, of which the less urgent ones may take several times as long.
+        service_time: of_rank.unwrap_or_else(|| state.stats.borrow().mean()),
     }
 }
 
--- a/crates/jacinthbeam-host/tests/credits.rs
+++ b/crates/jacinthbeam-host/tests/credits.rs
@@ -44,7 +44,9 @@
             true => Decision::Retry,
             false => Decision::Refuse(Why::Budget),
         };
-        (0..100).take_while(|_| self.budgets.spend(&service(), RANK, 2, now, spend)).count()
+        let is_sent =
+            |_: &i32| self.budgets.spend(&service(), RANK, 2, now, spend) == Decision::Retry;
+        (0..100).take_while(is_sent).count()
     }
 
     /// The request that it has sent, and the retries that it wants.
@@ -107,7 +109,7 @@
 fn a_host_that_retries_itself_lends_nothing() {
     let (now, mut lender) = (Instant::now(), Host::new());
     let retry = |_: Budget| Decision::Retry;
-    assert!(lender.budgets.spend(&service(), RANK, 2, now, retry));
+    assert_eq!(lender.budgets.spend(&service(), RANK, 2, now, retry), Decision::Retry);
     assert_eq!(lender.lend(1, MAX_LOAN, now + Duration::from_millis(900)), 0);
     assert_eq!(lender.lend(2, MAX_LOAN, now + Duration::from_millis(1000)), 4);
 }
@@ -133,7 +135,10 @@
     (0..5).for_each(|_| assert_eq!(host.spend_all(now), 0));
     host.budgets.on_message(grant(id, 0), 2, now);
     let later = now + 2 * OPTIONS.window;
-    assert!(host.budgets.spend(&service(), RANK, 2, later, |_| Decision::Retry));
+    assert_eq!(
+        host.budgets.spend(&service(), RANK, 2, later, |_| Decision::Retry),
+        Decision::Retry
+    );
     assert_eq!(host.requested(), None);
 }
 
