--- a/crates/jacinthbeam-host/src/process/credits.rs
+++ b/crates/jacinthbeam-host/src/process/credits.rs
@@ -80,6 +80,9 @@
 /// of 14,000 rejected requests, 3,000 were retried where the budget allowed nearly twice as many.
 const LENDER_IDLE_TIME: Duration = Duration::from_secs(1);
 
+/// Smallest share of a service's requests from which a rank counts for [`RetryBudgets::has_several_ranks`]. Test routes get a hundredth.
+const MIN_RANK_SHARE: f64 = 0.1;
+
 /// The retry budgets of all services, on the traffic thread.
 #[derive(Debug)]
 pub struct RetryBudgets {
@@ -169,6 +172,14 @@
         self.with_account(service, hosts, now, |account| account.on_request(rank, window, now));
     }
 
+    /// Whether the requests for a service are of several ranks at present.
+    pub fn has_several_ranks(&self, service: &ServiceName) -> bool {
+        let services = self.services.borrow();
+        let Some(account) = services.get(service) else { return false };
+        let all: f64 = account.by_rank.values().sum();
+        account.by_rank.values().filter(|count| **count >= all * MIN_RANK_SHARE).count() > 1
+    }
+
     /// Takes one retry from this host's share. Returns whether there was one left.
     pub fn take(&self, service: &ServiceName, hosts: u32, now: Instant) -> bool {
         let (allowed, left) = self.with_account(service, hosts, now, |account| {
--- a/crates/jacinthbeam-host/src/request/retry.rs
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -70,11 +70,15 @@
     }
 }
 
-/// Whether keyed requests that the server rejects as full are sent again: if servers state their load, or if the service has
-/// routes of several ranks. Without either, a retry would displace a request that is worth as much.
+/// Whether keyed requests that the server rejects as full are sent again: if servers state their load, or if the service gets
+/// requests of several ranks. Without either, a retry would displace a request that is worth as much.
 fn retries_keyed(job: &Job, view: &View, state: &ServerState) -> bool {
     let is_stated = state.stated_load.get().is_some();
-    job.keyed && (is_stated || view.mixed_ranks.contains_key(&job.service))
+    let has_several_ranks = || {
+        view.mixed_ranks.contains_key(&job.service)
+            && job.traffic.budgets.has_several_ranks(&job.service)
+    };
+    job.keyed && (is_stated || has_several_ranks())
 }
 
 fn count_rejections(job: &Job, state: &ServerState, sent: &SendOutcome) {
--- a/crates/jacinthbeam-host/tests/credits.rs
+++ b/crates/jacinthbeam-host/tests/credits.rs
@@ -192,4 +192,16 @@
     };
     let seen: Vec<f64> = (0..3).map(more_urgent).collect();
     assert_eq!(seen, [0.0, 0.05, 1.5]);
+    assert!(host.budgets.has_several_ranks(&service()));
+}
+
+/// Guards against keyed retries that a test route switches on for a service whose requests are of one rank.
+#[test]
+fn a_rank_with_hardly_any_requests_does_not_count() {
+    let (now, host) = (Instant::now(), Host::new());
+    assert!(!host.budgets.has_several_ranks(&service()));
+    for (rank, requests) in [(0, 9), (2, 91)] {
+        (0..requests).for_each(|_| host.budgets.on_request(&service(), rank, 2, now));
+    }
+    assert!(!host.budgets.has_several_ranks(&service()));
 }
