--- a/crates/jacinthbeam-host/src/explain.rs
+++ b/crates/jacinthbeam-host/src/explain.rs
@@ -1,7 +1,8 @@
 //! The timeline of one request, collected from the log lines of many hosts.
 //!
 //! The request's own lines name the servers that it was sent to. The timeline adds what hosts logged about these servers shortly
-//! before and after: that they joined or left, that their ranges moved, that they stopped responding.
+//! before and after: that they joined or left, that their ranges moved, that they stopped responding. Of the exchange of load, it adds the
+//! lines about the request's services.
 
 use std::{collections::BTreeSet, fmt, fs, io, path::Path};
 
@@ -11,8 +12,8 @@
 const CONTEXT_WINDOW_S: f64 = 5.0;
 
 /// Values of `part` whose lines about servers, owners and configuration belong to a timeline.
-const CONTEXT: [&str; 8] =
-    ["servers", "grant", "maps", "config", "feed", "duty", "backpressure", "partition"];
+const CONTEXT: [&str; 9] =
+    ["servers", "grant", "maps", "config", "feed", "duty", "backpressure", "partition", "load"];
 
 /// One line of a host's log.
 #[derive(Debug, Clone, PartialEq)]
@@ -120,7 +121,7 @@
 /// Returns the lines that belong to request `id`, ordered by time.
 ///
 /// These are its own lines, and those within `CONTEXT_WINDOW_S` that are about a server it was sent to, or that name no server
-/// and come from a host that logged the request.
+/// and come from a host that logged the request. Lines about the load of services that it is not for are left out.
 pub fn timeline(id: &str, lines: Vec<Line>) -> Result<Vec<Line>, Error> {
     let own: Vec<&Line> = lines.iter().filter(|line| line.is_about(id)).collect();
     let started = own.iter().map(|line| line.at - took_s(line)).fold(f64::INFINITY, f64::min);
@@ -130,6 +131,8 @@
     }
     let servers: BTreeSet<String> =
         own.iter().filter_map(|line| line.get("server")).map(str::to_owned).collect();
+    let services: BTreeSet<String> =
+        own.iter().filter_map(|line| line.get("service")).map(str::to_owned).collect();
     let hosts: BTreeSet<String> = own.iter().map(|line| line.host.clone()).collect();
     let belongs = |line: &Line| {
         if line.is_about(id) {
@@ -137,11 +140,16 @@
         }
         let is_near = line.at > started - CONTEXT_WINDOW_S && line.at < ended + CONTEXT_WINDOW_S;
         let is_context = line.get("part").is_some_and(|part| CONTEXT.contains(&part));
+        let is_other_load = line.get("part") == Some("load")
+            && line.get("service").is_some_and(|service| !services.contains(service));
         // A line about a batch of servers lists them in one field.
         let named = line.get("server").or_else(|| line.get("servers"));
         let is_about_server =
             named.map(|named| named.split(' ').any(|server| servers.contains(server)));
-        is_near && is_context && is_about_server.unwrap_or_else(|| hosts.contains(&line.host))
+        is_near
+            && is_context
+            && !is_other_load
+            && is_about_server.unwrap_or_else(|| hosts.contains(&line.host))
     };
     let mut timeline: Vec<Line> = lines.into_iter().filter(belongs).collect();
     timeline.sort_by(|a, b| a.at.total_cmp(&b.at));
--- a/crates/jacinthbeam-host/tests/load_datagrams.rs
+++ b/crates/jacinthbeam-host/tests/load_datagrams.rs
@@ -112,8 +112,8 @@
     Message::server_loads(&host(), &service.name, &mut 100_000, &servers, &times)
 }
 
-/// Mean bytes and messages per second that a host sends. As many are received.
-fn traffic(hosts: usize, domains: usize) -> (f64, f64) {
+/// Mean bytes and messages per second that a host sends for services. As many are received.
+fn traffic(services: &[Service], hosts: usize, domains: usize) -> (f64, f64) {
     let near = hosts.div_ceil(domains);
     let interval = report::interval(near as u32);
     let exchange = fleet::interval(near as u32, domains as u32);
@@ -124,24 +124,66 @@
         bytes += sent.iter().map(len).sum::<usize>() as f64 * per_second;
         messages += sent.len() as f64 * per_second;
     };
-    for service in services() {
+    for service in services {
         // From each host to two collectors, and from each collector to each host of the domain.
         let both = 2.0 / interval.as_secs_f64();
-        add(&reports(&service, interval), both);
-        add(&[plan(&service, domains)], both);
-        add(&server_loads(&service, (service.servers * near as f64).ceil() as usize), both);
+        add(&reports(service, interval), both);
+        add(&[plan(service, domains)], both);
+        add(&server_loads(service, (service.servers * near as f64).ceil() as usize), both);
         let to = 2.0 * (domains as f64 - 1.0);
-        add(&[domain_load(&service)], 2.0 * to / exchange.as_secs_f64() / near as f64);
+        add(&[domain_load(service)], 2.0 * to / exchange.as_secs_f64() / near as f64);
     }
     (bytes, messages)
 }
 
+/// Bytes and messages per second that a collector receives and sends for a service, without what every host sends.
+fn collector_traffic(service: &Service, hosts: usize, domains: usize) -> [(f64, f64); 2] {
+    let near = hosts.div_ceil(domains);
+    let rate = near as f64 / report::interval(near as u32).as_secs_f64();
+    let exchange = fleet::interval(near as u32, domains as u32);
+    let others = 2.0 * (domains as f64 - 1.0) / exchange.as_secs_f64();
+    let loads = server_loads(service, (service.servers * near as f64).ceil() as usize);
+    let sum = |sent: &[Message], per_second: f64| {
+        let bytes: usize = sent.iter().map(|message| message.to_bytes().len()).sum();
+        (bytes as f64 * per_second, sent.len() as f64 * per_second)
+    };
+    let add = |a: (f64, f64), b: (f64, f64)| (a.0 + b.0, a.1 + b.1);
+    let domain = sum(&[domain_load(service)], others);
+    let reports = sum(&reports(service, report::interval(near as u32)), rate);
+    let to_hosts = add(sum(&[plan(service, domains)], rate), sum(&loads, rate));
+    [add(reports, domain), add(to_hosts, domain)]
+}
+
+/// Guards against a collector that gets more reports as the fleet grows.
+#[test]
+fn a_collector_receives_a_bounded_rate_of_messages_at_any_size() {
+    for (hosts, domains) in [(79, 4), (984, 4), (20_000, 28)] {
+        let [received, sent] = collector_traffic(&services()[0], hosts, domains);
+        println!(
+            "{hosts} hosts, collector: receives {received:.0?}, sends {sent:.0?} bytes and messages per second"
+        );
+        // 100 reports, and from two collectors of each other domain a message every 30 ms x number of domains.
+        let interval = report::interval(hosts.div_ceil(domains) as u32);
+        let datagrams = reports(&services()[0], interval).len() as f64;
+        let max = 100.0 * datagrams + 2.0 / 0.030;
+        assert!(received.1 <= max, "{} of {max} messages per second at {hosts} hosts", received.1);
+    }
+}
+
 /// Guards against an exchange that takes the processor and the bandwidth that requests need, and grows with the fleet.
 #[test]
 fn a_host_exchanges_less_than_16_kilobytes_per_second_at_any_size() {
+    let services = services();
     for (hosts, domains) in [(79, 4), (984, 4), (20_000, 28)] {
-        let (bytes, messages) = traffic(hosts, domains);
-        println!("{hosts} hosts: {bytes:.0} bytes and {messages:.1} messages per second");
+        // Deployment 1 has one service with deferrable requests; the bounds leave room for a second one.
+        let [one, both] =
+            [&services[..1], &services].map(|services| traffic(services, hosts, domains));
+        println!(
+            "{hosts} hosts, one service: {:.0} bytes and {:.1} messages per second",
+            one.0, one.1
+        );
+        let (bytes, messages) = both;
+        println!("{hosts} hosts, two: {bytes:.0} bytes and {messages:.1} messages per second");
         assert!(bytes < MAX_BYTES_PER_SECOND, "{bytes} bytes per second at {hosts} hosts");
         assert!(messages < MAX_MESSAGES_PER_SECOND, "{messages} messages at {hosts} hosts");
     }
@@ -161,6 +203,16 @@
     assert!(by_server <= 30);
 }
 
+#[test]
+fn credits_have_the_sizes_that_the_design_states() {
+    let service = &services()[0].name;
+    let request = Message::CreditRequest { id: u64::MAX, service: service.clone(), wanted: 8 };
+    let grant = Message::CreditGrant { id: u64::MAX, service: service.clone(), granted: 8 };
+    let sizes = [request, grant].map(|message| message.to_bytes().len());
+    println!("credit request, grant: {sizes:?}");
+    assert!(sizes.iter().all(|size| *size <= 16 + service.as_str().len()), "{sizes:?}");
+}
+
 /// Guards against datagrams that are fragmented, or servers that are left out, where a service has many servers with long names.
 #[test]
 fn loads_of_servers_are_split_into_datagrams_without_loss() {
--- a/crates/jacinthbeam-host/tests/logs.rs
+++ b/crates/jacinthbeam-host/tests/logs.rs
@@ -120,6 +120,30 @@
     assert!(matches!(&unknown, Error::Unknown { id, lines: 9 } if id == "c3"), "{unknown}");
 }
 
+/// Guards against a refusal by rank without the loss of the plan that led to it, and against lines about the load of other services.
+#[test]
+fn the_timeline_contains_the_load_exchange_of_its_service_only() {
+    let load = r#""part":"load","event":"plan-lost","service":"#;
+    let lines = vec![
+        line("h1", "03.0", &format!("{load}\"rides\"")),
+        line("h1", "03.1", &format!("{load}\"refunds\"")),
+        line("h2", "03.2", &format!("{load}\"rides\"")),
+        line(
+            "h1",
+            "05.0",
+            r#""part":"request","event":"refused","id":"\"a1\"","service":"rides","ahead":4"#,
+        ),
+    ];
+    let shown: Vec<String> = timeline("a1", lines).unwrap().iter().map(Line::to_string).collect();
+    assert_eq!(
+        shown,
+        [
+            "2026-12-02T20:00:03.0Z h1 load plan-lost service=rides",
+            "2026-12-02T20:00:05.0Z h1 request refused ahead=4 service=rides",
+        ]
+    );
+}
+
 /// Guards against other output in a log file, such as a panic message, that fails the command.
 #[test]
 fn lines_that_are_not_json_objects_with_a_time_are_skipped() {
