--- a/crates/jacinthbeam-admission/src/service.rs
+++ b/crates/jacinthbeam-admission/src/service.rs
@@ -163,6 +163,10 @@
             return Some(Decision::Start);
         }
         if now >= entry.latest_start {
+            if state.throttle.try_start_last(limit) {
+                self.queue.remove(ticket, memory);
+                return Some(Decision::Start);
+            }
             let ahead = self.queue.ahead(ticket);
             let wait = state.throttle.predict(limit, waiting, ahead);
             self.queue.remove(ticket, memory);
--- a/crates/jacinthbeam-admission/src/throttle.rs
+++ b/crates/jacinthbeam-admission/src/throttle.rs
@@ -140,12 +140,26 @@
             Limit::InFlight { bound, .. } => self.in_flight < bound,
         };
         if may_start {
-            self.in_flight += 1;
-            self.tokens = (self.tokens - 1.0).max(0.0);
+            self.start();
         }
         may_start
     }
 
+    /// Starts a request whatever the tokens, if the plan has capacity for all. The bucket is filled by the demand of some time ago, of which a host
+    /// whose traffic has just begun has none.
+    pub fn try_start_last(&mut self, limit: Limit) -> bool {
+        let may_start = matches!(limit, Limit::Share(share) if share >= 1.0);
+        if may_start {
+            self.start();
+        }
+        may_start
+    }
+
+    fn start(&mut self) {
+        self.in_flight += 1;
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+
     /// Predicted time until the request behind `ahead` others may be started; [`Duration::MAX`] if that is unknown.
     pub fn predict(&self, limit: Limit, waiting: u32, ahead: u32) -> Duration {
         let ready = match limit {
