--- a/crates/jacinthbeam-dispatch/src/choose/by_load.rs
+++ b/crates/jacinthbeam-dispatch/src/choose/by_load.rs
@@ -113,7 +113,7 @@
     /// The requests that are included in the figure that arrived at `arrived`, given the record of this or an earlier figure.
     ///
     /// Called before each send, so no request has started since the figure arrived when it is first seen here. Requests that started less
-    /// than [`REPORT_AGE`] before it arrived are usually not included.
+    /// than half the interval of the reports before it arrived are usually not included.
     pub fn update(known: Option<Self>, arrived: Instant, stats: &ServerStats) -> Self {
         let is_same = |known: &Self| known.arrived == arrived;
         known.filter(is_same).unwrap_or_else(|| {
