fix(retry): only retries of rejections leave a reserve

Requests whose key had moved left the reserve as well, and a small host's budget is below two retries in the first seconds.

Change: the reserve binds retries after a rejection as full.

--- a/crates/jacinthbeam-dispatch/src/retry.rs
+++ b/crates/jacinthbeam-dispatch/src/retry.rs
@@ -139,6 +139,14 @@
     }
 }
 
+/// Decides whether the budget is spent on a retry that is likely to succeed, whatever its rank: all of the budget may be used.
+pub fn spend_any(budget: Budget) -> Decision {
+    match budget.left < 1.0 {
+        true => Decision::Refuse(Why::Budget),
+        false => Decision::Retry,
+    }
+}
+
 /// The latest rejections in a row of this host's requests by one server.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Streak {
--- a/crates/jacinthbeam-dispatch/tests/retry.rs
+++ b/crates/jacinthbeam-dispatch/tests/retry.rs
@@ -6,7 +6,7 @@
 use jacinthbeam_dispatch::{
     RetryBudget,
     budget::Options,
-    retry::{Budget, Decision, MAX_SENDS, Rejection, Streak, TimeLeft, Why, decide},
+    retry::{Budget, Decision, MAX_SENDS, Rejection, Streak, TimeLeft, Why, decide, spend_any},
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -79,6 +79,14 @@
     assert_eq!(with(5.9, 0.0, late), Decision::Refuse(Why::Reserve));
 }
 
+/// Guards against requests whose key has moved, which are refused in the first seconds, when the budget is small, for a reserve.
+#[test]
+fn a_retry_that_is_likely_to_succeed_leaves_no_reserve() {
+    let with = |left| spend_any(Budget { left, size: 1.9, more_urgent: 2.5 });
+    assert_eq!(with(1.0), Decision::Retry);
+    assert_eq!(with(0.9), Decision::Refuse(Why::Budget));
+}
+
 /// Guards against a reserve for a rank with hardly any requests: a test route of rank 0 kept the orders of rank 1 from half of the budget.
 #[test]
 fn the_reserve_is_as_large_as_the_more_urgent_requests_need() {
--- a/crates/jacinthbeam-host/src/request/retry.rs
+++ b/crates/jacinthbeam-host/src/request/retry.rs
@@ -54,12 +54,22 @@
 }
 
 /// Whether the retry budget allows one more send of the request, to this server. If so, the send is charged to the budget.
-pub(super) fn may_repeat(job: &Job, view: &View, state: &ServerState) -> bool {
+pub(super) fn may_repeat(
+    job: &Job,
+    view: &View,
+    state: &ServerState,
+    last: Option<&SendOutcome>,
+) -> bool {
     if !retries_keyed(job, view, state) && !view.load_shared.contains_key(&job.service) {
         return job.traffic.may_repeat(&job.service, view.hosts);
     }
     let (time, rank) = (time_left(job, state), job.route.priority);
-    let spend = |budget| retry::spend(time, budget);
+    // A request whose key has moved, or whose connection broke, is served at the next send, and leaves no reserve.
+    let is_rejected = matches!(last, Some(SendOutcome::NotRun(NotRun::Full)));
+    let spend = |budget| match is_rejected {
+        true => retry::spend(time, budget),
+        false => retry::spend_any(budget),
+    };
     let now = job.traffic.now();
     match job.traffic.budgets.spend(&job.service, rank, view.hosts, now, spend) {
         Decision::Retry => true,
--- a/crates/jacinthbeam-host/src/request/serve.rs
+++ b/crates/jacinthbeam-host/src/request/serve.rs
@@ -215,7 +215,7 @@
                 continue;
             }
         };
-        if sends > 0 && !may_repeat(job, &view, &state) {
+        if sends > 0 && !may_repeat(job, &view, &state, last.as_ref()) {
             // A request from another host has no outcome here yet. If it may have run there, that host reports so.
             return conclude(job, last.or(Some(SendOutcome::NotRun(NotRun::Full))), &tried);
         }
