fix(plan): the headroom follows the urgent requests instead of the slots

Change: three square roots of the urgent requests in flight stay free, at least a twentieth of the slots.

--- a/crates/jacinthbeam-admission/src/plan.rs
+++ b/crates/jacinthbeam-admission/src/plan.rs
@@ -63,8 +63,12 @@
     pub slowness_percent: u16,
 }
 
-/// Use of all slots that deferrable work may bring about. The rest absorbs variations of the more urgent load between two plans.
-const TARGET_USE: f64 = 0.85;
+/// Slots that deferrable work leaves free, in square roots of the number that the more urgent requests use. That number varies by about its
+/// square root between two plans.
+const URGENT_HEADROOM: f64 = 3.0;
+
+/// Smallest share of the slots that it leaves free, for the choice of servers by figures that are half a second old.
+const MIN_HEADROOM_SHARE: f64 = 0.05;
 
 /// Time in which the requests in flight of a rank approach their number of slots. Plans are about half a second old when they take effect;
 /// a shorter time would make the number oscillate.
@@ -103,7 +107,8 @@
     let sums = sum_ranks(loads);
     let is_urgent = |(rank, _): &(&u32, &Sum)| !classes.is_deferrable(**rank);
     let urgent: f64 = sums.iter().filter(is_urgent).map(|(_, sum)| sum.in_flight).sum();
-    let mut available = (slots * TARGET_USE - urgent).max(0.0);
+    let headroom = (URGENT_HEADROOM * urgent.sqrt()).max(MIN_HEADROOM_SHARE * slots);
+    let mut available = (slots - headroom - urgent).max(0.0);
     let mut ranks = BTreeMap::new();
     for (rank, class) in classes.iter().filter(|(_, class)| class.deferrable) {
         let sum = sums.get(&rank).copied().unwrap_or_default();
