fix(classes): a rank is deferrable from twice the objective of a more urgent one

By the log of nine hosts the plan let a third of the demand start from second 14 to 20; the servers' queues had absorbed that peak.

Change: the ratio is 2 in place of 1.5, so that shelf is served as before.

--- a/crates/jacinthbeam-admission/src/classes.rs
+++ b/crates/jacinthbeam-admission/src/classes.rs
@@ -4,8 +4,9 @@
 
 /// Ratio of a route's objective to that of a more urgent route from which its requests are deferrable.
 ///
-/// Below it, the time that a request could wait is shorter than the variation of its service time.
-const DEFERRABLE_RATIO: f64 = 1.5;
+/// Below it, a request that waits at the host has little time left for a server's queue. With objectives of 1.2 and 2 s, 1,100 of 8,300 requests
+/// were refused that the servers' queues had absorbed before.
+const DEFERRABLE_RATIO: f64 = 2.0;
 
 /// The ranks of the requests for one service, 0 being the most urgent.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
