--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -552,6 +552,8 @@
 
     async def run():
         fleet = Fleet(record, site)
+        # Also a run that is ended early leaves no process behind.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(fleet, record, trouble), 110)
         finally:
@@ -561,7 +563,7 @@
         if not os.path.exists(HOST_COMMAND):
             raise CannotRun("the project has not been built")
         broken = asyncio.run(run())
-    except Exception as error:  # Whatever fails here, the rule was not judged.
+    except (Exception, asyncio.CancelledError) as error:  # Whatever fails here, the rule was not judged.
         record("cannot-run", why=repr(error))
         record.close()
         print(f"the case couldn't run: {error!r}")
