fix(connection): a connection carries each attempt at most once

Cause: all sends of an attempt share its id, and the id is all that relates a response to its request. A faulty server writes a second copy of a response where the next one on the connection is expected. The pool returned the connection that was used last, so that the retry of a rejected request went over the connection that still had the copy of the rejection to come. The copy was taken for the response to the retry, which the server was running.

Change: the pool gives a request only a connection that has not carried its attempt, whatever the reason for the send. It holds because a response that names the attempt can then only belong to the single send over that connection.

--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -9,9 +9,13 @@
     time::{Duration, Instant},
 };
 
+use http::{Request, Response};
 use http_body_util::{Full, combinators::MapErr};
+use hyper::{body::Incoming, client::conn::TrySendError};
 use jacinthbeam_connection::{BoxError, Connection, Dialer, Options};
 
+use super::carried::{AttemptDigest, CarriedAttempts};
+
 /// Body of a request. It is buffered completely, so that it can be sent again.
 pub type Body = MapErr<Full<bytes::Bytes>, fn(std::convert::Infallible) -> BoxError>;
 
@@ -58,9 +62,23 @@
     pub inner: Connection<Body>,
     /// Whether it has been used for a request before.
     pub reused: bool,
+    carried: CarriedAttempts,
     _open: OpenGuard,
 }
 
+impl PooledConnection {
+    /// Sends the request of an attempt that this connection has not carried yet. Returns the response once its head has arrived.
+    pub async fn send(
+        &mut self,
+        attempt: AttemptDigest,
+        req: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        let is_first = self.carried.insert(attempt);
+        debug_assert!(is_first, "a connection carries each attempt at most once");
+        self.inner.sender.try_send_request(req).await
+    }
+}
+
 #[derive(Debug)]
 struct OpenGuard(Rc<Cell<u32>>);
 
@@ -99,9 +117,15 @@
         self.open.get()
     }
 
-    /// Returns the idle connection that was used last, or a new one if fewer than `max` are open.
-    pub async fn acquire(&self, now: Instant, max: u32) -> Result<PooledConnection, Error> {
-        while let Some(idle) = self.pop() {
+    /// Returns the idle connection that was used last among those that have not carried the attempt, or a new one if fewer than `max`
+    /// are open.
+    pub async fn acquire(
+        &self,
+        now: Instant,
+        max: u32,
+        attempt: AttemptDigest,
+    ) -> Result<PooledConnection, Error> {
+        while let Some(idle) = self.pop_for(attempt) {
             if now < idle.until && idle.conn.inner.is_quiet() {
                 return Ok(idle.conn);
             }
@@ -123,7 +147,8 @@
             jacinthbeam_connection::open(&self.dialer, Options::default(), self.addr, ());
         match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(connection)) => {
-                Ok(PooledConnection { inner: connection, reused: false, _open: open })
+                let carried = CarriedAttempts::default();
+                Ok(PooledConnection { inner: connection, reused: false, carried, _open: open })
             }
             Ok(Err(err)) => Err(Error::Connect(err)),
             Err(_) => Err(Error::Silent),
@@ -134,8 +159,19 @@
         self.idle.borrow_mut().pop_back()
     }
 
-    /// Returns a connection to the pool after a complete response. `keep_alive` is the server's announced idle timeout.
+    /// Removes the idle connection that was used last among those that have not carried the attempt.
+    fn pop_for(&self, attempt: AttemptDigest) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let at = idle.iter().rposition(|idle| !idle.conn.carried.contains(attempt))?;
+        idle.remove(at)
+    }
+
+    /// Returns a connection to the pool after a complete response, or closes it if it may carry no further attempt. `keep_alive` is the
+    /// server's announced idle timeout.
     pub fn release(&self, mut conn: PooledConnection, now: Instant, keep_alive: Option<Duration>) {
+        if conn.carried.is_full() {
+            return;
+        }
         conn.reused = true;
         let bound = keep_alive.map_or(MAX_IDLE, |bound| bound.saturating_sub(CLOSE_MARGIN));
         let until = now + bound.min(MAX_IDLE);
--- a/crates/jacinthbeam-host/src/process/partition.rs
+++ b/crates/jacinthbeam-host/src/process/partition.rs
@@ -17,7 +17,10 @@
 };
 
 use super::traffic::Traffic;
-use crate::connection::pool::{self, PooledConnection};
+use crate::connection::{
+    carried::AttemptDigest,
+    pool::{self, PooledConnection},
+};
 
 /// Interval between two checks whether probes are due, in addition to those after a failed attempt to connect.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -50,13 +53,16 @@
 }
 
 impl Traffic {
-    /// Returns an idle connection of the server's pool, or opens one and records whether the server can be reached.
+    /// Returns an idle connection of the server's pool that has not carried the attempt, or opens one and records whether the server can
+    /// be reached.
     pub async fn acquire(
         &self,
         server: &Server,
         max_connections: u32,
+        attempt: AttemptDigest,
     ) -> Result<PooledConnection, pool::Error> {
-        let acquired = self.server(server).pool.acquire(self.now(), max_connections).await;
+        let pool = &self.server(server).pool;
+        let acquired = pool.acquire(self.now(), max_connections, attempt).await;
         self.on_connect(&server.id, &acquired);
         acquired
     }
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -18,7 +18,10 @@
 
 use super::{backpressure, memory::BodyMemory, permit::Permit};
 use crate::{
-    connection::pool::{self, PooledConnection},
+    connection::{
+        carried::AttemptDigest,
+        pool::{self, PooledConnection},
+    },
     process::{server_state::ServerState, traffic::Traffic},
     send_outcome::{Lost, NotRun, SendOutcome},
     wire::{Forward, ResponseKind},
@@ -133,7 +136,8 @@
     limits: SendLimits,
 ) -> Result<SendOutcome, NotRun> {
     let SendLimits { max_connections, deadline, permit } = limits;
-    let mut conn = map_pool_error(traffic.acquire(server, max_connections).await)?;
+    let attempt = AttemptDigest::of(&request.id);
+    let mut conn = map_pool_error(traffic.acquire(server, max_connections, attempt).await)?;
     loop {
         // The server may have stated something else while the request waited for the connection.
         if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
@@ -144,7 +148,7 @@
         let left = deadline.saturating_duration_since(sent_at);
         let by = TimerInstant::now() + left + RESPONSE_GRACE;
         let req = prepare(traffic, request, server, left);
-        let sent = tokio::time::timeout_at(by, conn.inner.sender.try_send_request(req)).await;
+        let sent = tokio::time::timeout_at(by, conn.send(attempt, req)).await;
         match sent {
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
