fix(request): a connection is closed after a response that names no request

Callers could see an order refused as not run that ran: a rejection counts also without the id of the attempt, since a server may refuse before it reads one. If such a rejection was copied, the copy was taken for the response to the next request on the connection, whichever that was, and nothing could tell it.

Change: the protocol adapters say whether a response names its request (Wire::names_request); after one that doesn't, the connection is closed. So all earlier responses of an open connection have named their requests, and a response without an id can't be a copy of one of them.

Test a_copy_of_a_rejection_without_an_id_does_not_answer_another_request, before: 503 for a request that ran; passes now, for 503, 429, 400, 408 and 421.

--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -226,7 +226,9 @@
         return SendOutcome::Lost(Lost::Broken);
     }
     let keep_alive = keep_alive(res.headers());
-    let closes = closes_connection(res.headers());
+    // A copy of a response that doesn't name its request would be taken for the response to the next one.
+    let names_request = (traffic.wire.names_request)(res.headers(), &request.id);
+    let closes = closes_connection(res.headers()) || !names_request;
     let (mut head, body) = res.into_parts();
     let read =
         tokio::time::timeout_at(by, read_body(body, MAX_RESPONSE_BYTES, &traffic.response_memory))
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -72,6 +72,11 @@
         .expect("a name has no character that a header can't hold")
 }
 
+/// Whether a server's answer repeats the request's id.
+pub fn names(headers: &HeaderMap, id: &HeaderValue) -> bool {
+    headers.get(REQUEST) == Some(id)
+}
+
 /// Reads the head of a server's answer to the request `id`.
 pub fn answer(
     status: StatusCode,
