fix(request): a response that switches protocols is no answer

A caller was passed a 101 of its server, with or without the id of the attempt, as the answer, and then reads whatever follows as another protocol. hyper skips every other interim response; 101 ends the exchange, although hosts request no upgrade.

Change: an informational status is classified as no answer: 502 for a request that must not run twice, and the connection closes.

Test an_interim_response_is_no_answer, before: 101 for 502; passes now. 100 and 103 before the answer were skipped before and are.

--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -206,7 +206,11 @@
     res: &Response<Incoming>,
 ) -> ResponseKind {
     let (id, status) = (&request.id, res.status());
-    let kind = (traffic.wire.classify_response)(status, res.headers(), id, server);
+    let kind = match status.is_informational() {
+        // Hosts request no upgrade, and hyper skips all other interim responses.
+        true => ResponseKind::Foreign,
+        false => (traffic.wire.classify_response)(status, res.headers(), id, server),
+    };
     if kind == ResponseKind::Foreign {
         tracing::info!(part = "request", id = ?id, event = "foreign-answer", status = %status);
     }
