--- a/crates/jacinthbeam-host/src/process/peers/serve.rs
+++ b/crates/jacinthbeam-host/src/process/peers/serve.rs
@@ -1,6 +1,6 @@
 //! Answers update requests from other hosts.
 
-use std::{convert::Infallible, net::TcpListener, rc::Rc};
+use std::{fmt, net::TcpListener, rc::Rc};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -61,10 +61,10 @@
         let service = service_fn(move |req: Request<Incoming>| {
             let (find, forwarded) = (find.clone(), forwarded.clone());
             async move {
-                Ok::<_, Infallible>(match req.uri().path() {
+                match req.uri().path() {
                     forward::PATH => pass_on(req, &forwarded).await,
-                    _ => answer_one(req, &*find).await.map(Message::plain),
-                })
+                    _ => Ok(answer_one(req, &*find).await.map(Message::plain)),
+                }
             }
         });
         spawn_local(async move {
@@ -76,20 +76,30 @@
     }
 }
 
+/// The traffic thread has ended while it may have been serving a forwarded request. The stream of the request is reset.
+#[derive(Debug)]
+struct Abandoned;
+
+impl fmt::Display for Abandoned {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the traffic thread has ended")
+    }
+}
+
+impl std::error::Error for Abandoned {}
+
 /// Passes a forwarded request on to the traffic thread. The request is cancelled if this future is dropped.
 async fn pass_on(
     req: Request<Incoming>,
     forwarded: &mpsc::UnboundedSender<Forwarded>,
-) -> Response<Message> {
+) -> Result<Response<Message>, Abandoned> {
     let (reply, served) = oneshot::channel();
-    if forwarded.send(Forwarded { req, reply }).is_ok()
-        && let Ok(res) = served.await
-    {
-        return res;
+    if forwarded.send(Forwarded { req, reply }).is_err() {
+        let mut declined = Response::new(Message::plain(Bytes::new()));
+        *declined.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(declined);
     }
-    let mut res = Response::new(Message::plain(Bytes::new()));
-    *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    res
+    served.await.map_err(|_| Abandoned)
 }
 
 async fn answer_one<F: Future<Output = StateUpdate>>(
