feat(metrics): responses that are not passed on, by the attempt that they name

An operator could not see that a server sends responses twice, while callers get 502 for the requests that meet the copies.

Change: Wire::response_id in place of names_request; the foreign-answer line has the server and which attempt the response names, and jacinthbeam_foreign_responses_total{names} counts it: this, earlier, unknown, none.

Before there was no such metric.

--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -77,6 +77,11 @@
         debug_assert!(is_first, "a connection carries each attempt at most once");
         self.inner.sender.try_send_request(req).await
     }
+
+    /// Whether the connection may have carried an attempt.
+    pub fn has_carried(&self, attempt: AttemptDigest) -> bool {
+        self.carried.contains(attempt)
+    }
 }
 
 #[derive(Debug)]
@@ -162,7 +167,7 @@
     /// Removes the idle connection that was used last among those that have not carried the attempt.
     fn pop_for(&self, attempt: AttemptDigest) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
-        let at = idle.iter().rposition(|idle| !idle.conn.carried.contains(attempt))?;
+        let at = idle.iter().rposition(|idle| !idle.conn.has_carried(attempt))?;
         idle.remove(at)
     }
 
--- a/crates/jacinthbeam-host/src/process/metrics.rs
+++ b/crates/jacinthbeam-host/src/process/metrics.rs
@@ -50,6 +50,8 @@
     body_bytes: Gauge<u64>,
     /// Requests sent to backend servers, by outcome.
     sends: Counter<u64>,
+    /// Responses of backend servers that are not passed on, by the attempt that they name.
+    foreign_responses: Counter<u64>,
     /// Changes of the rate limits that backend servers state, by whether there is one afterwards.
     rate_limits: Counter<u64>,
     /// Times that a backend server asked this host to pause.
@@ -138,6 +140,7 @@
             partitioned: meter.u64_gauge("jacinthbeam_partitioned").build(),
             body_bytes: meter.u64_gauge("jacinthbeam_body_bytes").build(),
             sends: count("jacinthbeam_sends"),
+            foreign_responses: count("jacinthbeam_foreign_responses"),
             rate_limits: count("jacinthbeam_rate_limit_changes"),
             pauses: count("jacinthbeam_pauses"),
             permits: count("jacinthbeam_permits"),
@@ -202,6 +205,12 @@
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a response of a backend server that is not the answer to its request, by the attempt that it names: `this` one, an
+    /// `earlier` one on the connection, an `unknown` one, or `none`.
+    pub fn on_foreign_response(&self, names: &'static str) {
+        self.foreign_responses.add(1, &[KeyValue::new("names", names)]);
+    }
+
     /// Counts a request that was forwarded to another host.
     pub fn on_forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -152,7 +152,7 @@
         match sent {
             Err(_) => return Ok(SendOutcome::Lost(Lost::Late)),
             Ok(Ok(res)) => {
-                let kind = classify(traffic, request, &server.id, &res);
+                let kind = classify(traffic, request, &server.id, &conn, &res);
                 backpressure::apply(traffic, server, state, &res, kind, sent_at);
                 return Ok(read_response(traffic, request, state, conn, kind, res, by).await);
             }
@@ -203,6 +203,7 @@
     traffic: &Traffic,
     request: &BufferedRequest,
     server: &ServerId,
+    conn: &PooledConnection,
     res: &Response<Incoming>,
 ) -> ResponseKind {
     let (id, status) = (&request.id, res.status());
@@ -212,7 +213,14 @@
         false => (traffic.wire.classify_response)(status, res.headers(), id, server),
     };
     if kind == ResponseKind::Foreign {
-        tracing::info!(part = "request", id = ?id, event = "foreign-answer", status = %status);
+        let names = match (traffic.wire.response_id)(res.headers()) {
+            None => "none",
+            Some(named) if named == id => "this",
+            Some(named) if conn.has_carried(AttemptDigest::of(named)) => "earlier",
+            Some(_) => "unknown",
+        };
+        traffic.counters.on_foreign_response(names);
+        tracing::info!(part = "request", id = ?id, event = "foreign-answer", server = %server, status = %status, names);
     }
     kind
 }
@@ -230,9 +238,9 @@
         return SendOutcome::Lost(Lost::Broken);
     }
     let keep_alive = keep_alive(res.headers());
-    // A copy of a response that doesn't name its request would be taken for the response to the next one.
-    let names_request = (traffic.wire.names_request)(res.headers(), &request.id);
-    let closes = closes_connection(res.headers()) || !names_request;
+    // A copy of a response that names no request would be taken for the response to the next one.
+    let is_identified = (traffic.wire.response_id)(res.headers()).is_some();
+    let closes = closes_connection(res.headers()) || !is_identified;
     let (mut head, body) = res.into_parts();
     let read =
         tokio::time::timeout_at(by, read_body(body, MAX_RESPONSE_BYTES, &traffic.response_memory))
--- a/crates/jacinthbeam-host/src/wire.rs
+++ b/crates/jacinthbeam-host/src/wire.rs
@@ -23,9 +23,8 @@
     pub set_forward_headers: fn(&mut HeaderMap, &Forward<'_>),
     /// Classifies the head of a backend server's response, given the id of the request and the server that it was sent to.
     pub classify_response: fn(StatusCode, &HeaderMap, &HeaderValue, &ServerId) -> ResponseKind,
-    /// Whether a backend server's response names the request with this id, so that a copy of it can't be mistaken for the response to
-    /// another request.
-    pub names_request: fn(&HeaderMap, &HeaderValue) -> bool,
+    /// Returns the id of the request that a backend server's response names.
+    pub response_id: fn(&HeaderMap) -> Option<&HeaderValue>,
     /// Parses what a backend server states about its own load in the head of a response.
     pub parse_backpressure: fn(StatusCode, &HeaderMap) -> Backpressure,
     /// Sets the headers of a refusal: the retry hint, the verdict, and the id of the request if its head could be parsed.
--- a/crates/jacinthbeam-native/src/lib.rs
+++ b/crates/jacinthbeam-native/src/lib.rs
@@ -38,7 +38,7 @@
         parse_caller_headers: request::caller,
         set_forward_headers: request::forward,
         classify_response: request::answer,
-        names_request: request::names,
+        response_id: request::response_id,
         parse_backpressure: request::backpressure,
         set_refusal_headers: request::refused,
         set_delivered_headers: request::delivered,
--- a/crates/jacinthbeam-native/src/request.rs
+++ b/crates/jacinthbeam-native/src/request.rs
@@ -72,9 +72,9 @@
         .expect("a name has no character that a header can't hold")
 }
 
-/// Whether a server's answer repeats the request's id.
-pub fn names(headers: &HeaderMap, id: &HeaderValue) -> bool {
-    headers.get(REQUEST) == Some(id)
+/// The id of the request that a server's answer repeats.
+pub fn response_id(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers.get(REQUEST)
 }
 
 /// Reads the head of a server's answer to the request `id`.
