fix(connection): a connection that is returned unused keeps its idle time

Callers could get 502 for an order: a request had a connection in hand when its server turned out to want a pause or a permit, and the connection went back to the pool as if it had just answered, for 4 s, whatever the server had announced. A request after that could be sent while the server closed the connection, and then may have run.

Change: Pool::return_unused, for connections over which nothing was sent; their idle time continues. Pool::release is left for connections after a response.

Test a_connection_that_is_returned_unused_stays_no_longer_idle, before: both requests over the first connection ([0, 0]); now [0, 1].

--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -60,8 +60,10 @@
 pub struct PooledConnection {
     /// The connection.
     pub inner: Connection<Body>,
-    /// Whether it has been used for a request before.
+    /// Whether it has been idle before.
     pub reused: bool,
+    /// When its idle time ends if no request is sent over it; `None` if it is new.
+    idle_until: Option<Instant>,
     carried: CarriedAttempts,
     _open: OpenGuard,
 }
@@ -130,9 +132,10 @@
         max: u32,
         attempt: AttemptDigest,
     ) -> Result<PooledConnection, Error> {
-        while let Some(idle) = self.pop_for(attempt) {
-            if now < idle.until && idle.conn.inner.is_quiet() {
-                return Ok(idle.conn);
+        while let Some(Idle { mut conn, until }) = self.pop_for(attempt) {
+            if now < until && conn.inner.is_quiet() {
+                conn.idle_until = Some(until);
+                return Ok(conn);
             }
         }
         self.connect(max).await
@@ -153,7 +156,8 @@
         match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(connection)) => {
                 let carried = CarriedAttempts::default();
-                Ok(PooledConnection { inner: connection, reused: false, carried, _open: open })
+                let (inner, reused, idle_until) = (connection, false, None);
+                Ok(PooledConnection { inner, reused, idle_until, carried, _open: open })
             }
             Ok(Err(err)) => Err(Error::Connect(err)),
             Err(_) => Err(Error::Silent),
@@ -173,13 +177,22 @@
 
     /// Returns a connection to the pool after a complete response, or closes it if it may carry no further attempt. `keep_alive` is the
     /// server's announced idle timeout.
-    pub fn release(&self, mut conn: PooledConnection, now: Instant, keep_alive: Option<Duration>) {
+    pub fn release(&self, conn: PooledConnection, now: Instant, keep_alive: Option<Duration>) {
         if conn.carried.is_full() {
             return;
         }
-        conn.reused = true;
         let bound = keep_alive.map_or(MAX_IDLE, |bound| bound.saturating_sub(CLOSE_MARGIN));
-        let until = now + bound.min(MAX_IDLE);
+        self.push(conn, now + bound.min(MAX_IDLE));
+    }
+
+    /// Returns a connection to the pool over which nothing was sent since it was acquired or opened. Its idle time continues.
+    pub fn return_unused(&self, conn: PooledConnection, now: Instant) {
+        let until = conn.idle_until.unwrap_or(now + MAX_IDLE);
+        self.push(conn, until);
+    }
+
+    fn push(&self, mut conn: PooledConnection, until: Instant) {
+        conn.reused = true;
         self.idle.borrow_mut().push_back(Idle { conn, until });
     }
 
--- a/crates/jacinthbeam-host/src/process/partition.rs
+++ b/crates/jacinthbeam-host/src/process/partition.rs
@@ -148,7 +148,7 @@
             self.on_connect(&id, &connected);
             if let Ok(conn) = connected {
                 probed.reached += 1;
-                state.pool.release(conn, self.now(), None);
+                state.pool.return_unused(conn, self.now());
             }
         }
         probed
--- a/crates/jacinthbeam-host/src/request/crash.rs
+++ b/crates/jacinthbeam-host/src/request/crash.rs
@@ -165,7 +165,7 @@
         match traffic.connect(server, max_connections).await {
             Ok(conn) => {
                 state.broken.on_connected(traffic.now());
-                state.pool.release(conn, traffic.now(), None);
+                state.pool.return_unused(conn, traffic.now());
                 return false;
             }
             Err(err) if err.is_refused() => {
@@ -213,7 +213,7 @@
             Ok(conn) => {
                 let state = traffic.server(server);
                 state.broken.on_connected(traffic.now());
-                return state.pool.release(conn, traffic.now(), None);
+                return state.pool.return_unused(conn, traffic.now());
             }
             Err(err) if err.is_refused() => {
                 if traffic.reaches_other_servers(&server.id, since).await {
--- a/crates/jacinthbeam-host/src/request/send.rs
+++ b/crates/jacinthbeam-host/src/request/send.rs
@@ -141,7 +141,7 @@
     loop {
         // The server may have stated something else while the request waited for the connection.
         if let Err(refused) = backpressure::readmit(traffic, server, state, permit).await {
-            state.pool.release(conn, traffic.now(), None);
+            state.pool.return_unused(conn, traffic.now());
             return Err(refused);
         }
         let sent_at = traffic.now();
--- a/crates/jacinthbeam-host/tests/pool.rs
+++ b/crates/jacinthbeam-host/tests/pool.rs
@@ -4,7 +4,7 @@
     collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -92,7 +92,7 @@
                 // A connection that was not used after all.
                 1 => {
                     let Ok(conn) = acquire(&pool, max, attempt).await else { continue };
-                    pool.release(conn, Instant::now(), None);
+                    pool.return_unused(conn, Instant::now());
                 }
                 2 if !in_use.is_empty() => {
                     drop(in_use.swap_remove(random.usize(..in_use.len())));
@@ -140,6 +140,26 @@
     assert_eq!(numbers, [0, 1, 2]);
 }
 
+/// Guards against a request over a connection that the server has begun to close, since a request that was not sent over it has
+/// prolonged its idle time.
+#[tokio::test]
+async fn a_connection_that_is_returned_unused_stays_no_longer_idle() {
+    let (addr, received) = start_server().await;
+    let pool = Pool::new(addr, Dialer::default());
+    let begun = Instant::now();
+    let mut conn = acquire(&pool, 4, 0).await.unwrap();
+    send(&mut conn, 0).await;
+    // The server closes it after 3 s.
+    pool.release(conn, begun, Some(Duration::from_secs(3)));
+    let unused = pool.acquire(begun + Duration::from_secs(1), 4, digest(1)).await.unwrap();
+    pool.return_unused(unused, begun + Duration::from_secs(1));
+    let later = begun + Duration::from_millis(2500);
+    let mut conn = pool.acquire(later, 4, digest(2)).await.unwrap();
+    send(&mut conn, 2).await;
+    let numbers: Vec<_> = received.lock().unwrap().iter().map(|(number, _)| *number).collect();
+    assert_eq!(numbers, [0, 1]);
+}
+
 /// Guards against memory that grows with the age of a connection.
 #[tokio::test]
 async fn a_connection_is_closed_after_its_last_attempt() {
