--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
-"""The machines of one failure domain are cut off from the store, a server leaves the list meanwhile, and hosts of the other domains are restarted.
+"""The machines of one failure domain are cut off from the store, two servers leave the list meanwhile, and hosts of the other domains are restarted.
 
-A host that starts reads the list without the server, and doesn't know that it has left. To a host that still lists the server it sends only
-what has changed since, so that this one goes on sending to the server after the cut, for as long as it takes its data from other hosts.
+A host that starts reads the list without them, and doesn't know that they have left. To a host that still lists them it sends only
+what has changed since, so that this one goes on sending to them after the cut, for as long as it takes its data from other hosts.
 """
 
 import asyncio
@@ -62,7 +62,7 @@
         while f.now() < end:
             tasks.append(asyncio.ensure_future(order(n)))
             n += 1
-            await asyncio.sleep(0.025)
+            await asyncio.sleep(0.0125)
         return await asyncio.gather(*tasks)
 
     try:
@@ -77,9 +77,11 @@
             record.line("cut off from the store:", *[host.name for host in near])
         cut_at = f.now()
         await asyncio.sleep(0.3)
-        leaving = next(server for server in servers if server.zone == "zone-a")
-        acked = leaving.leave()
-        record.line("the store acknowledged that", leaving.ident, "has left")
+        leaving = [server for server in servers if server.zone == "zone-a"][:2]
+        acked = {}
+        for server in leaving:
+            acked[server.ident] = server.leave()
+            record.line("the store acknowledged that", server.ident, "has left")
         await asyncio.sleep(0.1)
         if trouble:
             for host in far:
@@ -94,19 +96,21 @@
         path.heal()
         record.line("the cut is over")
         in_touch_from = f.now() + STABLE_S
-        await asyncio.sleep(acked + SERVES_S - f.now())
-        leaving.end(leave=False)
-        record.line("exit", leaving.ident)
+        await asyncio.sleep(max(acked.values()) + SERVES_S - f.now())
+        for server in leaving:
+            server.end(leave=False)
+            record.line("exit", server.ident)
         answers = dict(await load)
     finally:
         fleet.close()
-    late = [(attempt, begun) for attempt, begun in leaving.ran if sent_at[attempt] > in_touch_from and begun > acked + DRAIN_S]
-    for attempt, begun in late:
-        record.line("too late:", attempt, "sent to", sent[attempt].name, "reached", leaving.ident, "%.3f s" % (begun - acked),
+    late = [(server, attempt, begun) for server in leaving for attempt, begun in server.ran
+            if sent_at[attempt] > in_touch_from and begun > acked[server.ident] + DRAIN_S]
+    for server, attempt, begun in late:
+        record.line("too late:", attempt, "sent to", sent[attempt].name, "reached", server.ident, "%.3f s" % (begun - acked[server.ident]),
                     "after its leaving was acknowledged and was answered", answers[attempt])
     ok = sum(status == 200 for status in answers.values())
-    lost = sum(answers[attempt] != 200 for attempt, _ in late)
-    summary = (len(answers), "orders,", ok, "answered with success;", len(late), "sent to a machine in touch reached the server that had left too late, of these",
+    lost = sum(answers[attempt] != 200 for _, attempt, _ in late)
+    summary = (len(answers), "orders,", ok, "answered with success;", len(late), "sent to a machine in touch reached a server that had left too late, of these",
                lost, "were lost")
     record.line(*summary)
     print(*summary)
