fix(replica): an update is verified by a digest of the listed servers

Cause: a host answers another one with the records that it has from the other's end on, and the other takes that for all that changed. A host that has just started has no record of servers that left before it read the list. The same holds after a complete list of the store: servers that were added and removed since the previous read leave no record, and a removal that the list implies is dated by its end.

Change: a request states a digest of the servers that a host lists, and an update the digest of those that the answering host lists. An update that is empty but for a difference is answered immediately. Hosts of older builds ignore the digests, and theirs are not verified.

Why this holds: what is compared is the lists, not how either host came by its own. So it covers a source that started, fell behind or follows another one, and a receiver that was cut off or has records of an earlier era of the store.

--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -184,7 +184,9 @@
             update.maps.iter().map(|(service, _)| service.clone()).collect();
         let changed = self.replica.apply_update(update, answered);
         // Only after the update is applied: a request answered in between would present old data as fresh.
-        self.contact.on_update(as_of, steps);
+        if !changed.incomplete {
+            self.contact.on_update(as_of, steps);
+        }
         self.on_changed(changed);
         self.publish_freshness();
         for service in services {
--- a/crates/jacinthbeam-host/src/process/peers/link.rs
+++ b/crates/jacinthbeam-host/src/process/peers/link.rs
@@ -83,7 +83,7 @@
 
     /// Requests an update. Fails if nothing arrives for [`ANSWER_TIMEOUT`] after the wait that the request allows.
     pub(crate) async fn ask(&mut self, request: &UpdateRequest) -> Result<StateUpdate, Error> {
-        let body = Full::new(Bytes::from(update::to_bytes(request)));
+        let body = Full::new(Bytes::from(request.to_bytes()));
         let req =
             Request::post(format!("http://host{PATH}")).body(body).expect("the path is valid");
         let head = timeout(request.wait + ANSWER_TIMEOUT, self.sender.send_request(req));
--- a/crates/jacinthbeam-host/src/process/peers/serve.rs
+++ b/crates/jacinthbeam-host/src/process/peers/serve.rs
@@ -14,7 +14,7 @@
 
 use super::{
     forward::{self, Message},
-    update::{self, StateUpdate, UpdateRequest},
+    update::{StateUpdate, UpdateRequest},
 };
 use crate::process::serving::Forwarded;
 
@@ -113,7 +113,7 @@
     let Ok(bytes) = body.map(|body| body.to_bytes()) else {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, "the request is too long\n");
     };
-    match update::from_bytes(&bytes) {
+    match UpdateRequest::from_bytes(&bytes) {
         Ok(request) => Response::new(Bytes::from(find(request).await.to_bytes())),
         Err(err) => {
             tracing::warn!(part = "peers", event = "unreadable-question", error = ?err);
--- a/crates/jacinthbeam-host/src/process/peers/update.rs
+++ b/crates/jacinthbeam-host/src/process/peers/update.rs
@@ -12,7 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::HostEntry;
-use crate::process::{evacuation::EvacuationUpdate, map_history::MapUpdate};
+use crate::process::{
+    evacuation::EvacuationUpdate,
+    map_history::MapUpdate,
+    replica::digest::{Bucket, BucketDigests, Digest},
+};
 
 /// What the requesting host has already, by which the other one selects what is new.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +39,18 @@
     pub wait: Duration,
     /// The requesting host and its entry, while it follows the other one and doesn't know of an entry of its own in the store.
     pub register: Option<(HostId, HostEntry)>,
+    /// What it lists, by which the other host finds removals that it has no record of; `None` from an older build.
+    #[serde(skip)]
+    pub listed: Option<Listed>,
+}
+
+/// What a host lists that requests an update.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Digest of the listed servers; `None` if a difference is to be ignored.
+    pub servers: Option<Digest>,
+    /// Digests by name, after an update that left a difference.
+    pub buckets: Option<BucketDigests>,
 }
 
 /// What is newer than the state described in an [`UpdateRequest`].
@@ -58,7 +74,7 @@
     pub servers: Vec<ServerUpdate>,
     /// With these, all entries of backend servers before this offset are known.
     pub servers_end: Offset,
-    /// Whether `servers` is the complete list, because the answering host has already forgotten entries that have left since.
+    /// Whether `servers` is the complete list.
     pub all_servers: bool,
     /// Newer entries of hosts.
     pub hosts: Vec<(HostId, Offset, HostEntry)>,
@@ -68,6 +84,38 @@
     pub maps: Vec<(ServiceName, MapUpdate)>,
     /// New crash facts.
     pub crashes: Option<exchange::Answer>,
+    /// What the lists are complete for; `None` from an older build.
+    #[serde(skip)]
+    pub coverage: Option<Coverage>,
+}
+
+/// What the lists of a [`StateUpdate`] are complete for, by which the other host verifies that it has the same afterwards.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coverage {
+    /// Digest of the servers whose records are before the update's `servers_end`.
+    pub servers: Digest,
+    /// Whether it differs from the requesting host's, although the update has no servers.
+    pub servers_differ: bool,
+    /// The buckets of names that the update lists completely, in answer to digests of all buckets.
+    pub buckets: Option<BTreeSet<Bucket>>,
+}
+
+impl UpdateRequest {
+    /// Encodes the request. What an older build doesn't know comes last: it ignores what comes after the request.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = to_bytes(self);
+        if let Some(listed) = &self.listed {
+            bytes.extend(to_bytes(listed));
+        }
+        bytes
+    }
+
+    /// Decodes a request, also one of an older build.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
+        let (mut request, rest): (Self, _) = decode_first(bytes)?;
+        request.listed = if rest.is_empty() { None } else { Some(from_bytes(rest)?) };
+        Ok(request)
+    }
 }
 
 /// The newest entry of a backend server.
@@ -84,26 +132,30 @@
 }
 
 impl StateUpdate {
-    /// Encodes the update. The services of its configuration whose admission is off come after it, if there are any: an older build
-    /// ignores what comes after the update.
+    /// Encodes the update. The services of its configuration whose admission is off come after it, and then what is listed: an older
+    /// build ignores what comes after what it knows.
     pub fn to_bytes(&self) -> Vec<u8> {
         let services = self.config.iter().flat_map(|cfg| &cfg.services);
         let off = services.filter(|(_, service)| service.admission == Admission::Off);
         let off: BTreeSet<&ServiceName> = off.map(|(name, _)| name).collect();
         let mut bytes = to_bytes(self);
-        if !off.is_empty() {
+        if !off.is_empty() || self.coverage.is_some() {
             bytes.extend(to_bytes(&off));
         }
+        if let Some(coverage) = &self.coverage {
+            bytes.extend(to_bytes(coverage));
+        }
         bytes
     }
 
-    /// Decodes an update, also one of an older build, in which no admission is off.
+    /// Decodes an update, also one of an older build, in which no admission is off and nothing is stated to be complete.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
         let (mut update, rest): (Self, _) = decode_first(bytes)?;
-        let off: BTreeSet<ServiceName> = match rest {
-            [] => BTreeSet::new(),
-            rest => from_bytes(rest)?,
+        let (off, rest): (BTreeSet<ServiceName>, _) = match rest {
+            [] => (BTreeSet::new(), rest),
+            rest => decode_first(rest)?,
         };
+        update.coverage = if rest.is_empty() { None } else { Some(from_bytes(rest)?) };
         let services = update.config.iter_mut().flat_map(|cfg| &mut cfg.services);
         for (_, service) in services.filter(|(name, _)| off.contains(*name)) {
             service.admission = Admission::Off;
@@ -119,6 +171,10 @@
             && self.hosts.is_empty()
             && self.maps.is_empty()
             && self.crashes.as_ref().is_none_or(|crashes| crashes.facts.is_empty())
+            && self
+                .coverage
+                .as_ref()
+                .is_none_or(|coverage| !coverage.servers_differ && coverage.buckets.is_none())
     }
 }
 
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -3,6 +3,7 @@
 //! Records may arrive from the store itself and from other hosts, in any order and more than once. Each carries its offset in the store, or
 //! a version, so that the newest one always wins and the replica never goes back.
 
+pub mod digest;
 mod hosts;
 mod listing;
 
@@ -19,6 +20,8 @@
 use jacinthbeam_route::{Admission, Config, Server, Servers, Service};
 use jacinthbeam_types::prelude::*;
 
+use digest::{Bucket, BucketDigests, Digest};
+
 use super::{
     evacuation::Evacuations,
     map_history::{MapHistory, MapUpdate},
@@ -27,7 +30,7 @@
 use crate::{
     process::peers::{
         HostEntry,
-        update::{ServerUpdate, StateUpdate, UpdateRequest},
+        update::{Coverage, Listed, ServerUpdate, StateUpdate, UpdateRequest},
     },
     version::{Leaving, View},
 };
@@ -59,6 +62,18 @@
     }
 }
 
+/// What is known of a difference between the listed servers and those of a host that sends updates.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Difference {
+    /// There is none.
+    #[default]
+    None,
+    /// The next request asks for the names that differ.
+    Found,
+    /// The other host listed the names that differ, and these two digests, its own and this host's, still do: this host has newer records.
+    Remains(Digest, Digest),
+}
+
 /// A replica of the store's data.
 #[derive(Debug, Default)]
 pub struct StoreReplica {
@@ -75,6 +90,10 @@
     servers_as_of: Option<Instant>,
     /// Servers that left before this offset may have been forgotten.
     forgotten_before: Offset,
+    /// Digest of the listed servers.
+    servers_digest: Digest,
+    /// How the list differs from that of other hosts.
+    difference: Difference,
     /// When a server was last added, removed or changed; `None` until the list was read.
     servers_changed: Option<Instant>,
     /// Entries of hosts with their offsets in the list of hosts; `None` for relays that were not found there yet.
@@ -134,6 +153,8 @@
     pub hosts: bool,
     /// An ownership map was replaced.
     pub maps: bool,
+    /// The list of servers is not complete up to the update.
+    pub incomplete: bool,
 }
 
 impl Changed {
@@ -231,23 +252,53 @@
         server: Option<Server>,
         bound: Leaving,
     ) -> bool {
-        let Some(before) = self.servers.get_mut(&name) else {
-            let changed = server.is_some();
-            let incarnation = server.as_ref().map_or_else(|| name.clone().into(), |s| s.id.clone());
-            self.pending_log_lines.add(&incarnation, None, server.as_ref());
-            let leaving = is_leaving(server.as_ref()).then_some(bound);
-            let (warm_at, listed) = (None, None);
-            self.outdated.insert(name.clone());
-            self.servers_by_offset.insert((offset, Some(name.clone())));
-            self.servers
-                .insert(name, Entry { offset, incarnation, server, leaving, warm_at, listed });
-            return changed;
-        };
-        if before.offset >= offset {
+        let known = self.servers.get(&name).map(|entry| (entry.offset, entry.server.is_some()));
+        if known.is_some_and(|(known, _)| known >= offset) {
             return false;
         }
-        self.servers_by_offset.remove(&(before.offset, Some(name.clone())));
+        if let Some((before, was_listed)) = known {
+            self.servers_by_offset.remove(&(before, Some(name.clone())));
+            if was_listed {
+                self.servers_digest.remove(&name, before);
+            }
+        }
         self.servers_by_offset.insert((offset, Some(name.clone())));
+        let changed = match known {
+            Some(_) => self.replace_server(&name, offset, server, bound),
+            None => self.insert_server(&name, offset, server, bound),
+        };
+        if self.servers.get(&name).is_some_and(|entry| entry.server.is_some()) {
+            self.servers_digest.add(&name, offset);
+        }
+        changed
+    }
+
+    fn insert_server(
+        &mut self,
+        name: &ServerName,
+        offset: Offset,
+        server: Option<Server>,
+        bound: Leaving,
+    ) -> bool {
+        let changed = server.is_some();
+        let incarnation = server.as_ref().map_or_else(|| name.clone().into(), |s| s.id.clone());
+        self.pending_log_lines.add(&incarnation, None, server.as_ref());
+        let leaving = is_leaving(server.as_ref()).then_some(bound);
+        let (warm_at, listed) = (None, None);
+        self.outdated.insert(name.clone());
+        let entry = Entry { offset, incarnation, server, leaving, warm_at, listed };
+        self.servers.insert(name.clone(), entry);
+        changed
+    }
+
+    fn replace_server(
+        &mut self,
+        name: &ServerName,
+        offset: Offset,
+        server: Option<Server>,
+        bound: Leaving,
+    ) -> bool {
+        let Some(before) = self.servers.get_mut(name) else { return false };
         let is_restored = before.offset.era() < offset.era();
         before.offset = offset;
         if is_restored && before.announced_drain(server.as_ref()) {
@@ -270,7 +321,7 @@
         before.incarnation = incarnation;
         if changed {
             before.warm_at = None;
-            self.outdated.insert(name);
+            self.outdated.insert(name.clone());
         }
         before.server = server;
         changed
@@ -290,10 +341,14 @@
         changed: bool,
         now: Instant,
     ) {
-        self.pending_log_lines.write();
         self.servers_end = self.servers_end.max(end);
         self.servers_as_of = self.servers_as_of.max(as_of);
-        if changed || self.servers_changed.is_none() {
+        self.on_servers_applied(changed || self.servers_changed.is_none(), now);
+    }
+
+    fn on_servers_applied(&mut self, changed: bool, now: Instant) {
+        self.pending_log_lines.write();
+        if changed {
             self.servers_changed = Some(now);
             self.update_list(now);
             self.forget(now);
@@ -346,17 +401,58 @@
             only_crashes: false,
             wait,
             register: None,
+            listed: Some(Listed {
+                servers: match self.difference {
+                    Difference::Remains(..) => None,
+                    Difference::None | Difference::Found => {
+                        Some(self.digest_before(self.servers_end))
+                    }
+                },
+                buckets: (self.difference == Difference::Found).then(|| self.bucket_digests()),
+            }),
         }
     }
 
+    /// The names and offsets of the listed servers.
+    fn listed_servers(&self) -> impl Iterator<Item = (&ServerName, Offset)> {
+        let listed = self.servers.iter().filter(|(_, entry)| entry.server.is_some());
+        listed.map(|(name, entry)| (name, entry.offset))
+    }
+
+    fn bucket_digests(&self) -> BucketDigests {
+        BucketDigests::of(self.listed_servers())
+    }
+
+    /// Digest of the listed servers whose records are before `end`.
+    fn digest_before(&self, end: Offset) -> Digest {
+        let mut digest = self.servers_digest;
+        for name in
+            self.servers_by_offset.range((end, None)..).filter_map(|(_, name)| name.as_ref())
+        {
+            if let Some(entry) = self.servers.get(name).filter(|entry| entry.server.is_some()) {
+                digest.remove(name, entry.offset);
+            }
+        }
+        digest
+    }
+
     /// What this replica has and the requesting host lacks. `age` is the age of this replica's data.
     pub fn update_for(&self, request: &UpdateRequest, age: Duration, now: Instant) -> StateUpdate {
         let config = self.config.as_ref().filter(|cfg| request.config < Some(cfg.version));
+        let listed = request.listed.as_ref();
         let all_servers = request.servers_end <= self.forgotten_before;
         let first = if all_servers { Offset(0) } else { request.servers_end };
         let newer = self.servers_by_offset.range((first, None)..);
         let newer = newer.filter_map(|(_, name)| name.as_ref());
-        let servers = newer.filter_map(|name| Some((name, self.servers.get(name)?)));
+        let buckets = listed.and_then(|listed| listed.buckets.as_ref());
+        let buckets: Option<BTreeSet<Bucket>> =
+            buckets.map(|digests| self.bucket_digests().differing(digests).collect());
+        let in_buckets = self.listed_servers().filter(|(name, offset)| {
+            let is_listed = |buckets: &BTreeSet<Bucket>| buckets.contains(&Bucket::of(name));
+            *offset < first && buckets.as_ref().is_some_and(is_listed)
+        });
+        let names = newer.chain(in_buckets.map(|(name, _)| name));
+        let servers = names.filter_map(|name| Some((name, self.servers.get(name)?)));
         let hosts = self.hosts.iter().filter_map(|(host, (offset, entry))| {
             let offset = offset.filter(|offset| *offset >= request.hosts_end)?;
             Some((host.clone(), offset, entry.clone()))
@@ -370,6 +466,11 @@
             server: entry.server.clone(),
             leaving_for: entry.leaving.map(|leaving| leaving.elapsed(now)),
         };
+        let servers: Vec<ServerUpdate> = servers.map(entry).collect();
+        let digest = self.digest_before(self.servers_end);
+        // Data older than the other host's differs from it without anything being wrong.
+        let may_differ = servers.is_empty() && request.servers_end <= self.servers_end;
+        let known = listed.and_then(|listed| listed.servers).filter(|_| may_differ);
         StateUpdate {
             age,
             steps: u8::MAX,
@@ -378,17 +479,23 @@
             config_age: self.config_as_of.map(|at| now.saturating_duration_since(at)),
             config: config.map(|cfg| (**cfg).clone()),
             evacuations: self.evacuations.updates(request.evacuations_end, now),
-            servers: servers.map(entry).collect(),
+            servers,
             servers_end: self.servers_end,
             all_servers,
             hosts: hosts.collect(),
             hosts_end: self.hosts_end,
             maps: maps.collect(),
             crashes: None,
+            coverage: Some(Coverage {
+                servers: digest,
+                servers_differ: known.is_some_and(|known| known != digest),
+                buckets,
+            }),
         }
     }
 
-    /// Applies an update that another host sent at `at` or later.
+    /// Applies an update that another host sent at `at` or later. If the listed servers then differ from that host's, the replica doesn't count as
+    /// complete up to the update, and the next request finds the difference.
     pub fn apply_update(&mut self, update: StateUpdate, at: Instant) -> Changed {
         let mut changed = Changed::default();
         let bound = Leaving::after(self.servers_as_of);
@@ -400,18 +507,24 @@
         if let Some(as_of) = update.config_age.and_then(|age| at.checked_sub(age)) {
             self.mark_config_current(as_of);
         }
-        if update.all_servers {
-            let listed: Vec<&str> =
-                update.servers.iter().map(|server| server.name.as_str()).collect();
-            changed.servers = self.remove_unlisted(&listed, update.servers_end, bound);
+        let end = update.servers_end;
+        let buckets = update.coverage.as_ref().and_then(|coverage| coverage.buckets.as_ref());
+        let is_complete_for = |name: &ServerName| {
+            update.all_servers || buckets.is_some_and(|buckets| buckets.contains(&Bucket::of(name)))
+        };
+        if update.all_servers || buckets.is_some() {
+            let listed = update.servers.iter().map(|server| server.name.as_str()).collect();
+            changed.servers = self.remove_missing(&listed, end, is_complete_for, bound);
         }
         for ServerUpdate { name, offset, server, leaving_for } in update.servers {
             let accepted = Leaving::after(leaving_for.and_then(|span| at.checked_sub(span)));
             changed.servers |= self.apply_server(name, offset, server, bound.tighter(accepted));
         }
-        if update.servers_end > Offset(0) {
-            let as_of = at.checked_sub(update.age);
-            self.mark_servers_current(update.servers_end, as_of, changed.servers, at);
+        changed.incomplete = !self.verify(update.coverage.as_ref(), end);
+        if end > Offset(0) && !changed.incomplete {
+            self.mark_servers_current(end, at.checked_sub(update.age), changed.servers, at);
+        } else {
+            self.on_servers_applied(changed.servers, at);
         }
         if evacuations || changed.config {
             self.on_operator_changed(at);
@@ -427,14 +540,43 @@
         changed
     }
 
+    /// Whether the listed servers are those of a host that sent an update up to `end`.
+    fn verify(&mut self, coverage: Option<&Coverage>, end: Offset) -> bool {
+        // The data of an older build, or older data than this host's, can't be compared.
+        let Some(coverage) = coverage.filter(|_| end >= self.servers_end) else { return true };
+        let (theirs, own) = (coverage.servers, self.digest_before(end));
+        let difference = match (theirs == own, &coverage.buckets) {
+            (true, _) => Difference::None,
+            (false, Some(_)) => Difference::Remains(theirs, own),
+            (false, None) if self.difference == Difference::Remains(theirs, own) => self.difference,
+            (false, None) => Difference::Found,
+        };
+        let before = std::mem::replace(&mut self.difference, difference);
+        if before != difference {
+            tracing::info!(part = "servers", event = "compared", end = %end, difference = ?difference);
+        }
+        difference != Difference::Found
+    }
+
     /// Removes servers that a complete list lacks, unless they were added after its `end`. Returns whether there were any.
     pub fn remove_unlisted(&mut self, listed: &[&str], end: Offset, bound: Leaving) -> bool {
-        let listed: BTreeSet<&str> = listed.iter().copied().collect();
-        let missing = |(name, entry): &(&ServerName, &Entry)| {
-            entry.server.is_some() && entry.offset < end && !listed.contains(name.as_str())
-        };
-        let missing: Vec<ServerName> =
-            self.servers.iter().filter(missing).map(|(name, _)| name.clone()).collect();
+        let listed = listed.iter().copied().collect();
+        self.remove_missing(&listed, end, |_| true, bound)
+    }
+
+    /// Removes servers that a list up to `end` lacks, of those for which it is complete. Returns whether there were any.
+    fn remove_missing(
+        &mut self,
+        listed: &BTreeSet<&str>,
+        end: Offset,
+        is_complete_for: impl Fn(&ServerName) -> bool,
+        bound: Leaving,
+    ) -> bool {
+        let known = self.listed_servers();
+        let missing = known.filter(|(name, offset)| {
+            *offset < end && !listed.contains(name.as_str()) && is_complete_for(name)
+        });
+        let missing: Vec<ServerName> = missing.map(|(name, _)| name.clone()).collect();
         let last = Offset(end.0.saturating_sub(1));
         let mut changed = false;
         for name in missing {
