fix(replica): records that were overtaken by a later list are not applied

A server that has left could come back to the list of a host and stay there: an update that another host built earlier arrives after the host has read a later list of the store, which lacks the server.

Cause: the age of a record was only compared with a record of the same server. A host that never had one, has forgotten it, or has an older one, took the record for new, although it knew all records up to a later end.

Change: a record from data that ends before the replica's end, and that is itself before that end, is not applied: what replaced it is known.

Tests an_overtaken_update_lists_no_server_that_has_left and .._has_left_again, before (scratch copy): {1: 1, 2: 2} listed where {1: 1} is right, and {1: 2} where nothing is.

--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -88,7 +88,7 @@
         let bound = Leaving::after(self.replica.servers_as_of());
         let mut changed = false;
         for item in &changes.items {
-            changed |= self.on_server(item, bound);
+            changed |= self.on_server(item, changes.end, bound);
         }
         if changes.whole {
             let listed: Vec<&str> = changes.items.iter().map(|item| item.key.as_str()).collect();
@@ -99,9 +99,9 @@
         self.publish_freshness();
     }
 
-    /// Applies the entry of a server. An unreadable entry counts as a server that has left, whatever the entry before it said: the store keeps
-    /// only the newest record of a key, and a live server overwrites it with its next heartbeat.
-    fn on_server(&mut self, item: &Item, bound: Leaving) -> bool {
+    /// Applies the entry of a server, read with others up to `end`. An unreadable entry counts as a server that has left, whatever the entry
+    /// before it said: the store keeps only the newest record of a key, and a live server overwrites it with its next heartbeat.
+    fn on_server(&mut self, item: &Item, end: Offset, bound: Leaving) -> bool {
         let name = match item.key.parse::<ServerName>() {
             Ok(name) => name,
             Err(err) => {
@@ -109,6 +109,9 @@
                 return false;
             }
         };
+        if self.replica.is_server_superseded(item.offset, end) {
+            return false;
+        }
         if item.value.is_empty() {
             return self.replica.apply_server(name, item.offset, None, bound);
         }
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -243,6 +243,11 @@
         true
     }
 
+    /// Whether a record of a server that came with data up to `end` was replaced by one that this replica, which has later data, knows already.
+    pub fn is_server_superseded(&self, offset: Offset, end: Offset) -> bool {
+        end < self.servers_end && offset < self.servers_end
+    }
+
     /// Applies the record of a server, `None` if it has left. If the record says that the server is leaving, the store accepted it after `bound`.
     /// Returns whether the list of servers changed.
     pub fn apply_server(
@@ -517,6 +522,9 @@
             changed.servers = self.remove_missing(&listed, end, is_complete_for, bound);
         }
         for ServerUpdate { name, offset, server, leaving_for } in update.servers {
+            if self.is_server_superseded(offset, end) {
+                continue;
+            }
             let accepted = Leaving::after(leaving_for.and_then(|span| at.checked_sub(span)));
             changed.servers |= self.apply_server(name, offset, server, bound.tighter(accepted));
         }
--- a/crates/jacinthbeam-host/tests/completeness.rs
+++ b/crates/jacinthbeam-host/tests/completeness.rs
@@ -98,8 +98,11 @@
 }
 
 impl Host {
-    fn apply_server(&mut self, key: u32, offset: Offset, value: Option<u32>) -> bool {
+    fn apply_server(&mut self, key: u32, offset: Offset, value: Option<u32>, end: Offset) -> bool {
         let name = name(key);
+        if self.replica.is_server_superseded(offset, end) {
+            return false;
+        }
         let server = value.map(|value| server(&name, value));
         self.replica.apply_server(name, offset, server, Leaving::Unbounded)
     }
@@ -110,13 +113,13 @@
             Some(next) => {
                 let from = next.number() as usize;
                 for (number, (key, value)) in log.records.iter().enumerate().skip(from) {
-                    changed |= self.apply_server(*key, log.offset(number), *value);
+                    changed |= self.apply_server(*key, log.offset(number), *value, end);
                 }
             }
             None => {
                 let newest = log.newest();
                 for (key, (offset, value)) in &newest {
-                    changed |= self.apply_server(*key, *offset, Some(*value));
+                    changed |= self.apply_server(*key, *offset, Some(*value), end);
                 }
                 let names: Vec<ServerName> = newest.keys().map(|key| name(*key)).collect();
                 let listed: Vec<&str> = names.iter().map(ServerName::as_str).collect();
@@ -215,6 +218,43 @@
     });
 }
 
+/// Guards against servers that come back to the list: an update that was built before the host read a later list of the store arrives after it.
+#[test]
+fn an_overtaken_update_lists_no_server_that_has_left() {
+    let now = Instant::now();
+    let mut log = Log::default();
+    log.append(1, Some(1));
+    let (mut host, mut of) = (Host::default(), Host::default());
+    host.read_servers(&log, now);
+    log.append(2, Some(2));
+    of.read_servers(&log, now);
+    let update = answer(&of, &host.request(), now);
+    log.append(2, None);
+    host.next = None;
+    host.read_servers(&log, now);
+    host.replica.apply_update(update, now);
+    assert_eq!(host.servers(), log.state(log.end()));
+}
+
+/// The same for a server that had left before, and whose return and second removal the host has not seen.
+#[test]
+fn an_overtaken_update_lists_no_server_that_has_left_again() {
+    let now = Instant::now();
+    let mut log = Log::default();
+    log.append(1, Some(1));
+    log.append(1, None);
+    let (mut host, mut of) = (Host::default(), Host { next: Some(Offset(0)), ..Host::default() });
+    of.read_servers(&log, now);
+    follow(&mut host, &of, now);
+    log.append(1, Some(2));
+    of.read_servers(&log, now);
+    let update = answer(&of, &host.request(), now);
+    log.append(1, None);
+    host.read_servers(&log, now);
+    host.replica.apply_update(update, now);
+    assert_eq!(host.servers(), log.state(log.end()));
+}
+
 /// Guards against updates whose size grows with the number of servers after a restart of the host that others follow.
 #[test]
 fn a_restarted_source_lists_only_what_may_differ() {
