fix(evacuation): hosts tell each other which evacuations are over

A failure domain could stay evacuated at a host, which then sent its servers no requests until the operator evacuated it again or the process ended: the host was cut off when the domain returned to service, and then followed one that had started since. The reverse could happen too: a host that had missed the return told a host about the evacuation that had read of its end.

A host that starts reads the evacuations that exist, and no record of those that are over, and the end that it stated was that of the newest record that it had, not the end up to which it had read.

Change: failure domains are few, so a request states the newest record of each. The answer has those that are newer, and the end of each evacuation that the answering host, which has read further, no longer finds. The stated end is that of the data. A record of an earlier era of the store may still have been lost by a restore, and holds until the operator's next one.

--- a/crates/jacinthbeam-host/src/process/control/learn.rs
+++ b/crates/jacinthbeam-host/src/process/control/learn.rs
@@ -41,6 +41,9 @@
             let Some(name) = item.key.strip_prefix(prefix) else { continue };
             match name.parse::<FailureDomain>() {
                 Ok(domain) => {
+                    if self.replica.is_evacuation_superseded(item.offset, changes.end) {
+                        continue;
+                    }
                     let evacuated = !item.value.is_empty();
                     listed.extend(evacuated.then(|| domain.clone()));
                     changed |= self.replica.apply_evacuation(domain, item.offset, evacuated, now);
@@ -51,6 +54,7 @@
         if changes.whole {
             changed |= self.replica.retain_evacuations(&listed, changes.end, now);
         }
+        self.replica.mark_evacuations_current(changes.end);
         if changed {
             self.replica.on_operator_changed(now);
             self.on_changed(Changed { servers: true, ..Changed::default() });
--- a/crates/jacinthbeam-host/src/process/evacuation.rs
+++ b/crates/jacinthbeam-host/src/process/evacuation.rs
@@ -31,6 +31,17 @@
 #[derive(Debug, Clone, Default)]
 pub struct Evacuations {
     by_domain: BTreeMap<FailureDomain, Entry>,
+    /// All of the operator's records before this offset have been applied.
+    end: Offset,
+}
+
+/// The newest record that a host has of a failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Offset of the operator's record.
+    pub offset: Offset,
+    /// Whether the domain is evacuated; if not, it is back in service.
+    pub evacuated: bool,
 }
 
 /// State of one failure domain, as one host sends it to another.
@@ -79,8 +90,7 @@
     pub fn retain_listed(&mut self, listed: &[FailureDomain], end: Offset, now: Instant) -> bool {
         let is_missing = |(domain, entry): &(&FailureDomain, &Entry)| {
             let is_evacuated = matches!(entry.state, State::Evacuated(_));
-            let may_be_lost = entry.offset.era() < end.era();
-            is_evacuated && entry.offset < end && !may_be_lost && !listed.contains(domain)
+            is_evacuated && is_covered(entry.offset, end) && !listed.contains(domain)
         };
         let missing: Vec<FailureDomain> =
             self.by_domain.iter().filter(is_missing).map(|(domain, _)| domain.clone()).collect();
@@ -114,14 +124,46 @@
         self.by_domain.keys().filter_map(since).collect()
     }
 
-    /// Offset after the newest evacuation record that was applied; all earlier records are known.
+    /// Offset up to which all of the operator's records are known.
     pub fn end(&self) -> Offset {
-        self.by_domain.values().map(|entry| Offset(entry.offset.0 + 1)).max().unwrap_or_default()
+        self.end
+    }
+
+    /// Notes that all of the operator's records before `end` have been applied.
+    pub fn mark_current(&mut self, end: Offset) {
+        self.end = self.end.max(end);
+    }
+
+    /// The newest record of each domain.
+    pub fn cursors(&self) -> BTreeMap<FailureDomain, Cursor> {
+        let cursor = |entry: &Entry| Cursor {
+            offset: entry.offset,
+            evacuated: matches!(entry.state, State::Evacuated(_)),
+        };
+        self.by_domain.iter().map(|(domain, entry)| (domain.clone(), cursor(entry))).collect()
+    }
+
+    /// Whether a record at `offset` that came with data up to `end` was replaced by one that this host, which has later data, knows already.
+    pub fn is_superseded(&self, offset: Offset, end: Offset) -> bool {
+        end < self.end && is_covered(offset, self.end)
     }
 
-    /// The updates for a host that has all records before `end`.
-    pub fn updates(&self, end: Offset, now: Instant) -> Vec<EvacuationUpdate> {
-        let newer = self.by_domain.iter().filter(|(_, entry)| entry.offset >= end);
+    /// The updates for a host that has all records before `end`, and of each domain the one in `known`; `None` if it doesn't tell these.
+    pub fn updates(
+        &self,
+        known: Option<&BTreeMap<FailureDomain, Cursor>>,
+        end: Offset,
+        now: Instant,
+    ) -> Vec<EvacuationUpdate> {
+        let is_newer = |(domain, entry): &(&FailureDomain, &Entry)| match known {
+            None => entry.offset >= end,
+            Some(known) => {
+                let cursor = known.get(*domain);
+                let is_newer = cursor.is_none_or(|cursor| cursor.offset < entry.offset);
+                is_newer && !is_covered(entry.offset, end)
+            }
+        };
+        let newer = self.by_domain.iter().filter(is_newer);
         let update = |(domain, entry): (&FailureDomain, &Entry)| {
             let (evacuated, age) = match entry.state {
                 State::Evacuated(Leaving::Unbounded) => (true, None),
@@ -131,23 +173,52 @@
             let age = age.map(|at| now.saturating_duration_since(at));
             EvacuationUpdate { domain: domain.clone(), offset: entry.offset, evacuated, age }
         };
-        newer.map(update).collect()
+        newer.map(update).chain(self.unlisted(known)).collect()
     }
 
-    /// Applies the updates that another host sent at `at`. `bound` is the earliest time at which an evacuation can have begun, given the
+    /// The ends of evacuations that another host has in `known`, and that were over when this host read a complete list without them.
+    fn unlisted(
+        &self,
+        known: Option<&BTreeMap<FailureDomain, Cursor>>,
+    ) -> impl Iterator<Item = EvacuationUpdate> {
+        let is_over = |(domain, cursor): &(&FailureDomain, &Cursor)| {
+            let known = self.by_domain.get(*domain).is_some_and(|e| e.offset >= cursor.offset);
+            cursor.evacuated && !known && is_covered(cursor.offset, self.end)
+        };
+        let offset = Offset(self.end.0.saturating_sub(1));
+        known.into_iter().flatten().filter(is_over).map(move |(domain, _)| EvacuationUpdate {
+            domain: domain.clone(),
+            offset,
+            evacuated: false,
+            age: None,
+        })
+    }
+
+    /// Applies the updates of another host, which has all records before `end`, sent at `at`. `bound` is the earliest time at which an evacuation can have begun, given the
     /// records that this host has already read. Returns whether any update is new.
     pub fn apply_updates(
         &mut self,
         updates: Vec<EvacuationUpdate>,
+        end: Offset,
         bound: Leaving,
         at: Instant,
     ) -> bool {
         let mut changed = false;
         for EvacuationUpdate { domain, offset, evacuated, age } in updates {
+            if self.is_superseded(offset, end) {
+                continue;
+            }
             let began = age.and_then(|age| at.checked_sub(age));
             let since = bound.tighter(Leaving::after(began));
             changed |= self.apply(domain, offset, evacuated, since, began.unwrap_or(at));
         }
+        self.mark_current(end);
         changed
     }
 }
+
+/// Whether a host that has all records before `end` knows the one at `offset`, or a later one of the same domain. A record of an earlier era
+/// may have been lost.
+fn is_covered(offset: Offset, end: Offset) -> bool {
+    offset < end && offset.era() == end.era()
+}
--- a/crates/jacinthbeam-host/src/process/peers/update.rs
+++ b/crates/jacinthbeam-host/src/process/peers/update.rs
@@ -13,7 +13,7 @@
 
 use super::HostEntry;
 use crate::process::{
-    evacuation::EvacuationUpdate,
+    evacuation::{Cursor, EvacuationUpdate},
     map_history::MapUpdate,
     replica::digest::{Bucket, BucketDigests, Digest},
 };
@@ -47,6 +47,8 @@
 /// What a host lists that requests an update.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
+    /// The newest record of each failure domain that is or was evacuated.
+    pub evacuations: BTreeMap<FailureDomain, Cursor>,
     /// Digest of the listed servers; `None` if a difference is to be ignored.
     pub servers: Option<Digest>,
     /// Digests by name, after an update that left a difference.
@@ -98,6 +100,8 @@
     pub servers_differ: bool,
     /// The buckets of names that the update lists completely, in answer to digests of all buckets.
     pub buckets: Option<BTreeSet<Bucket>>,
+    /// With the update's evacuations, all records of the operator before this offset are known.
+    pub evacuations_end: Offset,
 }
 
 impl UpdateRequest {
--- a/crates/jacinthbeam-host/src/process/replica/listing.rs
+++ b/crates/jacinthbeam-host/src/process/replica/listing.rs
@@ -85,6 +85,11 @@
         self.evacuations.apply(domain, offset, evacuated, bound, now)
     }
 
+    /// Whether an evacuation record that came with data up to `end` was replaced by one that this replica, which has later data, knows already.
+    pub fn is_evacuation_superseded(&self, offset: Offset, end: Offset) -> bool {
+        self.evacuations.is_superseded(offset, end)
+    }
+
     /// Ends the evacuations that a complete list lacks. Returns whether there were any.
     pub fn retain_evacuations(
         &mut self,
@@ -95,6 +100,11 @@
         self.evacuations.retain_listed(listed, end, now)
     }
 
+    /// Notes that all of the operator's records before `end` have been applied.
+    pub fn mark_evacuations_current(&mut self, end: Offset) {
+        self.evacuations.mark_current(end);
+    }
+
     /// Rebuilds the list of servers after a change of evacuations or of the configuration.
     pub fn on_operator_changed(&mut self, now: Instant) {
         if self.servers_changed.is_some() {
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -407,6 +407,7 @@
             wait,
             register: None,
             listed: Some(Listed {
+                evacuations: self.evacuations.cursors(),
                 servers: match self.difference {
                     Difference::Remains(..) => None,
                     Difference::None | Difference::Found => {
@@ -483,7 +484,11 @@
             waited: Duration::ZERO,
             config_age: self.config_as_of.map(|at| now.saturating_duration_since(at)),
             config: config.map(|cfg| (**cfg).clone()),
-            evacuations: self.evacuations.updates(request.evacuations_end, now),
+            evacuations: self.evacuations.updates(
+                listed.map(|listed| &listed.evacuations),
+                request.evacuations_end,
+                now,
+            ),
             servers,
             servers_end: self.servers_end,
             all_servers,
@@ -495,6 +500,7 @@
                 servers: digest,
                 servers_differ: known.is_some_and(|known| known != digest),
                 buckets,
+                evacuations_end: self.evacuations.end(),
             }),
         }
     }
@@ -508,7 +514,12 @@
             changed.config = self.apply_config(cfg);
         }
         let operator_bound = Leaving::after(self.config_as_of);
-        let evacuations = self.evacuations.apply_updates(update.evacuations, operator_bound, at);
+        let evacuations = self.evacuations.apply_updates(
+            update.evacuations,
+            update.coverage.as_ref().map_or(Offset(0), |coverage| coverage.evacuations_end),
+            operator_bound,
+            at,
+        );
         if let Some(as_of) = update.config_age.and_then(|age| at.checked_sub(age)) {
             self.mark_config_current(as_of);
         }
--- a/crates/jacinthbeam-host/tests/completeness.rs
+++ b/crates/jacinthbeam-host/tests/completeness.rs
@@ -1,7 +1,7 @@
 //! A replica never takes for complete what another host happens to hold: it lists what the store listed at the replica's end.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -311,6 +311,120 @@
     assert!(answer(&behind, &host.request(), now).is_empty());
 }
 
+fn domain(key: u32) -> FailureDomain {
+    format!("d{key}").parse().unwrap()
+}
+
+/// Reads the operator's records, all later ones or the newest of each domain.
+fn read_operator(host: &mut Host, log: &Log, now: Instant) {
+    let end = log.end();
+    let apply = |host: &mut Host, key: u32, offset: Offset, value: Option<u32>| {
+        if !host.replica.is_evacuation_superseded(offset, end) {
+            host.replica.apply_evacuation(domain(key), offset, value.is_some(), now);
+        }
+    };
+    match host.next {
+        Some(next) => {
+            let from = next.number() as usize;
+            for (number, (key, value)) in log.records.iter().enumerate().skip(from) {
+                apply(host, *key, log.offset(number), *value);
+            }
+        }
+        None => {
+            let newest = log.newest();
+            for (key, (offset, value)) in &newest {
+                apply(host, *key, *offset, Some(*value));
+            }
+            let listed: Vec<FailureDomain> = newest.keys().map(|key| domain(*key)).collect();
+            host.replica.retain_evacuations(&listed, end, now);
+        }
+    }
+    host.next = Some(end);
+    host.replica.mark_evacuations_current(end);
+}
+
+/// Guards against failure domains that stay evacuated at a host that was cut off when they returned to service, and against evacuations that a
+/// host which was cut off tells others again.
+#[test]
+fn a_replica_has_the_evacuations_of_the_store_at_its_end() {
+    arbtest(|u| {
+        let now = Instant::now();
+        let mut log = Log::default();
+        let mut hosts: Vec<Host> = (0..HOSTS).map(|_| Host::default()).collect();
+        while !u.is_empty() {
+            match u.int_in_range(0..=7)? {
+                0..=2 => {
+                    let key = u.int_in_range(0..=4)?;
+                    let is_evacuated = log.newest().contains_key(&key);
+                    log.append(key, (!is_evacuated).then_some(1));
+                }
+                3 => {
+                    let host = u.choose_index(HOSTS)?;
+                    hosts[host] = Host::default();
+                }
+                4 | 5 => {
+                    let host = u.choose_index(HOSTS)?;
+                    if u.ratio(1, 2)? {
+                        hosts[host].next = None;
+                    }
+                    read_operator(&mut hosts[host], &log, now);
+                }
+                _ => {
+                    if let Some((host, of)) = pair(&mut hosts, u)? {
+                        let update = answer(&hosts[of], &hosts[host].request(), now);
+                        hosts[host].replica.apply_update(update, now);
+                        let end = hosts[of].request().evacuations_end;
+                        assert!(hosts[host].request().evacuations_end >= end);
+                        let again = answer(&hosts[of], &hosts[host].request(), now);
+                        assert!(again.evacuations.is_empty(), "told twice");
+                    }
+                }
+            }
+            for host in &hosts {
+                let evacuated = host.replica.view().evacuated.keys().cloned().collect();
+                let expected: BTreeSet<FailureDomain> =
+                    log.state(host.request().evacuations_end).into_keys().map(domain).collect();
+                assert_eq!(expected, evacuated);
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a failure domain without requests: a host was cut off when it returned to service, and follows one that has started since.
+#[test]
+fn a_missed_return_to_service_is_learned_from_a_host_that_has_started() {
+    let now = Instant::now();
+    let mut log = Log::default();
+    log.append(1, Some(1));
+    let (mut host, mut restarted) = (Host::default(), Host::default());
+    read_operator(&mut host, &log, now);
+    log.append(1, None);
+    log.append(2, Some(1));
+    read_operator(&mut restarted, &log, now);
+    let update = answer(&restarted, &host.request(), now);
+    host.replica.apply_update(update, now);
+    let view = host.replica.view();
+    assert_eq!(view.evacuated.keys().collect::<Vec<_>>(), [&domain(2)]);
+}
+
+/// Guards against a restored store's lost evacuation that a host which has started since never learns of.
+#[test]
+fn an_evacuation_that_a_restore_lost_reaches_a_host_that_starts_later() {
+    let now = Instant::now();
+    let mut log = Log::default();
+    log.append(1, Some(1));
+    let (mut knows, mut host) = (Host::default(), Host::default());
+    read_operator(&mut knows, &log, now);
+    log.restore(0);
+    log.append(2, Some(1));
+    host.next = None;
+    read_operator(&mut host, &log, now);
+    let update = answer(&knows, &host.request(), now);
+    host.replica.apply_update(update, now);
+    assert!(host.replica.view().evacuated.contains_key(&domain(1)));
+}
+
 /// Guards against hosts that are missing from the list of one that follows a host which has started, whichever reads the store.
 #[test]
 fn a_replica_has_the_hosts_of_the_store_at_its_end() {
