fix(connection): endless interim responses end the connection

Callers of sound servers got 504 while another server sent interim responses without end: the host's one thread for requests did nothing but read these, for as long as the request for them lasted. Its own caller got 504 at the deadline.

Cause: hyper skips interim responses within one poll of the connection, in buffers of up to 400 KiB, 128 reads before it yields. Nothing counted them.

Headers without end passed before: hyper ends them at its own limits.

Change: Connection::send counts the interim responses to a request, and more than 32 make the next read fail, so that the connection ends. It is used by requests, grants and releases, the only calls to servers. The read buffer, and with it the largest head, is 64 KiB.

--- a/crates/jacinthbeam-connection/src/connection.rs
+++ b/crates/jacinthbeam-connection/src/connection.rs
@@ -4,23 +4,38 @@
     io,
     net::{IpAddr, SocketAddr},
     pin::pin,
+    sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+    ext::on_informational,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
 use crate::{
     dialer::Dialer,
-    socket::{IdleProbe, PeerClose, Socket},
+    socket::{Cutoff, IdleProbe, PeerClose, Socket},
 };
 
 /// Error of a streamed request body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
+/// Largest head of a response, in bytes. Also the size of the read buffer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Largest number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 32;
+
 /// Time for the server to close its end of an abandoned connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -38,9 +53,33 @@
     driver: AbortHandle,
     abandon: Option<oneshot::Sender<Closed>>,
     idle_probe: IdleProbe,
+    cutoff: Cutoff,
 }
 
 impl<B> Connection<B> {
+    /// Sends a request and returns the response once its head has arrived. The connection fails if the head is larger than 64 KiB, or if more
+    /// than 32 interim responses precede it.
+    ///
+    /// # Errors
+    ///
+    /// The error contains the request if no byte of it was written.
+    pub async fn send(
+        &mut self,
+        mut req: Request<B>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<B>>>
+    where
+        B: Body + Send + 'static,
+    {
+        let (cutoff, seen) = (self.cutoff.clone(), AtomicUsize::new(0));
+        // Called while the connection is read, which may not end by itself as long as bytes arrive.
+        on_informational(&mut req, move |_| {
+            if seen.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                cutoff.set();
+            }
+        });
+        self.sender.try_send_request(req).await
+    }
+
     /// Whether an idle connection can be used for a request: it is open, and no bytes have arrived on it.
     pub fn is_quiet(&self) -> bool {
         !self.sender.is_closed() && self.idle_probe.is_quiet()
@@ -85,11 +124,14 @@
 {
     let socket = Socket::connect(dialer, options, addr).await?;
     let idle_probe = socket.idle_probe();
+    let cutoff = socket.cutoff();
     let resources = Resources { peer_close: socket.peer_close(), guard };
-    let (sender, conn) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(socket));
+    let (sender, conn) = handshake.await.map_err(io::Error::other)?;
     let (abandon, abandoned) = oneshot::channel();
     let driver = tokio::spawn(drive(conn, abandoned, resources)).abort_handle();
-    Ok(Connection { sender, closed: None, driver, abandon: Some(abandon), idle_probe })
+    Ok(Connection { sender, closed: None, driver, abandon: Some(abandon), idle_probe, cutoff })
 }
 
 /// Held beyond the end of hyper's connection. The order of the fields matters: the socket must be closed
--- a/crates/jacinthbeam-connection/src/line.rs
+++ b/crates/jacinthbeam-connection/src/line.rs
@@ -197,7 +197,7 @@
         deadline: Instant,
     ) -> Result<Attempt, Error> {
         let late = |_| Error::Lost(format!("no response from {} in time", self.addr));
-        let sent = tokio::time::timeout_at(deadline, conn.sender.try_send_request(req));
+        let sent = tokio::time::timeout_at(deadline, conn.send(req));
         let res = match sent.await.map_err(late)? {
             Ok(res) => res,
             Err(mut err) => {
--- a/crates/jacinthbeam-connection/src/socket.rs
+++ b/crates/jacinthbeam-connection/src/socket.rs
@@ -5,7 +5,10 @@
     mem::MaybeUninit,
     net::{Shutdown, SocketAddr},
     pin::Pin,
-    sync::{Arc, Weak},
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -21,7 +24,27 @@
 
 /// The socket, used by the task that drives the connection.
 #[derive(Debug)]
-pub(crate) struct Socket(Arc<TcpStream>);
+pub(crate) struct Socket {
+    stream: Arc<TcpStream>,
+    cutoff: Cutoff,
+}
+
+/// Makes all further reads of a socket fail.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Cutoff(Arc<AtomicBool>);
+
+impl Cutoff {
+    pub(crate) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        match self.0.load(Ordering::Relaxed) {
+            true => Err(io::Error::other("too many interim responses")),
+            false => Ok(()),
+        }
+    }
+}
 
 /// Checks the socket of an idle connection. Doesn't keep the socket open.
 #[derive(Debug)]
@@ -72,15 +95,19 @@
         if options.reset {
             SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         }
-        Ok(Self(Arc::new(stream)))
+        Ok(Self { stream: Arc::new(stream), cutoff: Cutoff::default() })
     }
 
     pub(crate) fn idle_probe(&self) -> IdleProbe {
-        IdleProbe(Arc::downgrade(&self.0))
+        IdleProbe(Arc::downgrade(&self.stream))
     }
 
     pub(crate) fn peer_close(&self) -> PeerClose {
-        PeerClose(self.0.clone())
+        PeerClose(self.stream.clone())
+    }
+
+    pub(crate) fn cutoff(&self) -> Cutoff {
+        self.cutoff.clone()
     }
 }
 
@@ -128,9 +155,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.cutoff.check()?;
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(buf) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
                 Err(err) if err.kind() == ErrorKind::WouldBlock => {}
                 read => return Poll::Ready(read.map(drop)),
             }
@@ -153,8 +181,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write_vectored(bufs) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
                 Err(err) if err.kind() == ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -170,6 +198,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/jacinthbeam-host/src/connection/pool.rs
+++ b/crates/jacinthbeam-host/src/connection/pool.rs
@@ -77,7 +77,7 @@
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
         let is_first = self.carried.insert(attempt);
         debug_assert!(is_first, "a connection carries each attempt at most once");
-        self.inner.sender.try_send_request(req).await
+        self.inner.send(req).await
     }
 
     /// Whether the connection may have carried an attempt.
