fix(contact): a map partition that was never read counts against a host's freshness

Other hosts of a failure domain could follow one that has started and whose reads of the ownership maps are not answered, for as long as it ran, and take the maps that they hold for current. Requests for keys that have moved would go to their former owners, which refuse them.

Cause: the age of a host's data regards the partitions that it has read at least once. One that it has only begun to read was left out, as if nothing were in it.

--- a/crates/jacinthbeam-host/src/process/control/contact.rs
+++ b/crates/jacinthbeam-host/src/process/control/contact.rs
@@ -16,7 +16,7 @@
     servers: Cell<Option<Instant>>,
     /// When the store last answered a read of the operator's records.
     operator: Cell<Option<Instant>>,
-    /// When the store last answered a read of each map partition that this host reads.
+    /// When the store last answered a read of each map partition that this host reads, or when it began to read the partition.
     maps: RefCell<BTreeMap<u32, Instant>>,
     /// The most recent time as of which another host's update was current, and how many hosts it had passed, including that one.
     via_hosts: Cell<Option<(Instant, u8)>>,
@@ -31,6 +31,11 @@
         self.operator.set(Some(now));
     }
 
+    /// This host begins to read a map partition. If it never did, its first read is due as later ones are.
+    pub(super) fn on_maps_enabled(&self, number: u32, now: Instant) {
+        self.maps.borrow_mut().entry(number).or_insert(now);
+    }
+
     /// The store answered a read of a map partition.
     pub(super) fn on_maps(&self, number: u32, now: Instant) {
         self.maps.borrow_mut().insert(number, now);
--- a/crates/jacinthbeam-host/src/process/control/granting.rs
+++ b/crates/jacinthbeam-host/src/process/control/granting.rs
@@ -55,6 +55,9 @@
         if !self.partitions.contains_key(&number) {
             let partition = Partition { topic: self.wire.store_layout.maps.into(), number };
             let (enabled, is_enabled) = watch::channel(*self.direct.borrow());
+            if *enabled.borrow() {
+                self.contact.on_maps_enabled(number, self.clock.now());
+            }
             self.partitions.insert(number, MapPartition::new(self.store.lane(), enabled));
             self.follow(partition, MAPS_MAX_WAIT, Duration::ZERO, is_enabled, move |read| {
                 Input::Maps { partition: number, sent_at: read.sent_at, changes: read.changes }
@@ -212,9 +215,12 @@
                 granting.grantor.leads() && self.partition_of(service) == *number
             };
             let wanted = direct || self.duties.contains(number) || self.granting.iter().any(leads);
-            partition
+            let changed = partition
                 .enabled
                 .send_if_modified(|enabled| std::mem::replace(enabled, wanted) != wanted);
+            if changed && wanted {
+                self.contact.on_maps_enabled(*number, self.clock.now());
+            }
         }
     }
 
