fix(evacuation): evacuations of an older build move the end of a newer one

While a fleet is updated, a host with the new build would have asked one with an older build for its evacuations again at each poll, without a pause, once there had been any.

Cause: since a host's end is that of the data that it has, and an older build doesn't tell the end of its data.

Test evacuations_of_an_older_build_are_told_once fails without the change.

--- a/crates/jacinthbeam-host/src/process/evacuation.rs
+++ b/crates/jacinthbeam-host/src/process/evacuation.rs
@@ -194,15 +194,17 @@
         })
     }
 
-    /// Applies the updates of another host, which has all records before `end`, sent at `at`. `bound` is the earliest time at which an evacuation can have begun, given the
-    /// records that this host has already read. Returns whether any update is new.
+    /// Applies the updates that another host sent at `at`, which has all records before `end`; `None` if it doesn't tell that. `bound` is the
+    /// earliest time at which an evacuation can have begun, given the records that this host has already read. Returns whether any update is new.
     pub fn apply_updates(
         &mut self,
         updates: Vec<EvacuationUpdate>,
-        end: Offset,
+        end: Option<Offset>,
         bound: Leaving,
         at: Instant,
     ) -> bool {
+        let newest = updates.iter().map(|update| Offset(update.offset.0 + 1)).max();
+        let end = end.or(newest).unwrap_or_default();
         let mut changed = false;
         for EvacuationUpdate { domain, offset, evacuated, age } in updates {
             if self.is_superseded(offset, end) {
--- a/crates/jacinthbeam-host/src/process/replica/mod.rs
+++ b/crates/jacinthbeam-host/src/process/replica/mod.rs
@@ -516,7 +516,7 @@
         let operator_bound = Leaving::after(self.config_as_of);
         let evacuations = self.evacuations.apply_updates(
             update.evacuations,
-            update.coverage.as_ref().map_or(Offset(0), |coverage| coverage.evacuations_end),
+            update.coverage.as_ref().map(|coverage| coverage.evacuations_end),
             operator_bound,
             at,
         );
--- a/crates/jacinthbeam-host/tests/completeness.rs
+++ b/crates/jacinthbeam-host/tests/completeness.rs
@@ -491,3 +491,18 @@
     assert!(!host.replica.apply_update(older, now).incomplete);
     assert_eq!(host.servers(), log.state(log.end()));
 }
+
+/// Guards against polls without a pause of a host with an older build: it tells the same evacuations again unless it is told of a later end.
+#[test]
+fn evacuations_of_an_older_build_are_told_once() {
+    let now = Instant::now();
+    let mut log = Log::default();
+    log.append(1, Some(1));
+    let (mut host, mut of) = (Host::default(), Host::default());
+    read_operator(&mut of, &log, now);
+    let ask = |host: &Host| UpdateRequest { listed: None, ..host.request() };
+    let update = StateUpdate { coverage: None, ..answer(&of, &ask(&host), now) };
+    host.replica.apply_update(update, now);
+    assert!(host.replica.view().evacuated.contains_key(&domain(1)));
+    assert!(answer(&of, &ask(&host), now).is_empty());
+}
